--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/store.py
@@ -0,0 +1,192 @@
+"""The platform's key-value service as the product sees it.
+
+One module per real service implements ``Store``; tests use a fake in memory.
+Every call that can fail returns a ``Result``, so that no caller can overlook
+the difference between "not applied" and "perhaps applied".
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NewType, Protocol
+
+from medlarspring_tables import MedlarspringError, Revision
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from returns.result import Result
+
+LeaseId = NewType("LeaseId", int)
+
+
+class StoreError(MedlarspringError):
+    """The store gave no usable answer."""
+
+
+class StoreUnavailable(StoreError):
+    """The call certainly had no effect."""
+
+    code = "store-unavailable"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+    def message(self) -> str:
+        """Say what failed and what to do."""
+        return (
+            f"The store did not take the call ({self.detail})."
+            " Nothing was changed; check [store] endpoints and try again."
+        )
+
+
+class StoreOutcomeUnknown(StoreError):
+    """The call may have taken effect; only a later read tells."""
+
+    code = "store-outcome-unknown"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+    def message(self) -> str:
+        """Say what failed and what to do."""
+        return (
+            f"The store's answer was lost ({self.detail})."
+            " Repeat the command with the same id: it is applied once."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One key as it stands in the store."""
+
+    key: str
+    value: bytes
+    create_revision: Revision
+    mod_revision: Revision
+    lease_id: LeaseId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All keys under a prefix at one store revision."""
+
+    entries: tuple[Entry, ...]
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Expect:
+    """A condition: the key's last change has this revision; 0 means absent."""
+
+    key: str
+    mod_revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write a key, bound to a lease if one is given."""
+
+    key: str
+    value: bytes
+    lease_id: LeaseId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Remove a key."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Transaction:
+    """Apply all writes if all conditions hold; otherwise read the named keys."""
+
+    expects: tuple[Expect, ...]
+    writes: tuple[Put | Delete, ...]
+    read_on_failure: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """What became of one transaction."""
+
+    succeeded: bool
+    revision: Revision
+    """Store revision after the call; the mod revision of what was written."""
+    read_by_key: dict[str, Entry]
+    """Entries asked for by ``read_on_failure``; absent keys are left out."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchBatch:
+    """Changes of one store revision or of several, oldest first."""
+
+    revision: Revision
+    changed: tuple[Entry, ...]
+    deleted: tuple[str, ...]
+
+
+class Store(Protocol):
+    """Compare-and-swap, leases and watches; every call is counted."""
+
+    async def read(self, key: str) -> Result[Entry | None, StoreError]:
+        """Return the key's entry, or None if it is absent."""
+        ...
+
+    async def read_prefix(self, prefix: str) -> Result[Listing, StoreError]:
+        """Return all entries under a prefix."""
+        ...
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, StoreError]:
+        """Apply one transaction."""
+        ...
+
+    async def commit_each(
+        self, transactions: Sequence[Transaction]
+    ) -> Result[list[Committed], StoreError]:
+        """Decide many transactions on their own in one counted call.
+
+        No two of them may write the same key; at most 64 per call.
+        """
+        ...
+
+    async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
+        """Create a lease that lives ``ttl`` seconds unless kept alive."""
+        ...
+
+    async def keep_lease(self, lease_id: LeaseId) -> Result[float, StoreError]:
+        """Renew a lease; returns the seconds left, 0 when it has lapsed."""
+        ...
+
+    async def revoke_lease(self, lease_id: LeaseId) -> Result[None, StoreError]:
+        """End a lease and delete the keys bound to it."""
+        ...
+
+    def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
+        """Yield changes from revision ``start`` on.
+
+        The iterator ends when the connection fails or stays silent too long;
+        the caller reads the prefix again and watches from there.
+        """
+        ...
+
+
+__all__ = [
+    "Committed",
+    "Delete",
+    "Entry",
+    "Expect",
+    "LeaseId",
+    "Listing",
+    "Put",
+    "Store",
+    "StoreError",
+    "StoreOutcomeUnknown",
+    "StoreUnavailable",
+    "Transaction",
+    "WatchBatch",
+]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line of the operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon of every entry VM."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/__init__.py
@@ -0,0 +1,3 @@
+"""Pure decisions over the tables: no clock, socket or log call inside."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/tables/src/medlarspring_tables/config.py
@@ -0,0 +1,120 @@
+"""The operators' table of weights and limits, as kept in the store."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct, field
+
+from medlarspring_tables.ids import (
+    EditId,
+    PartnerId,
+    PoolId,
+    Revision,
+    ServiceId,
+)
+
+
+class RowKind(Enum):
+    """The kinds of row that operators edit."""
+
+    PARTNER = "partner"
+    SERVICE = "service"
+    POOL = "pool"
+    FLEET = "fleet"
+
+
+class PartnerRow(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How much of the fleet one partner may claim."""
+
+    id: PartnerId
+    weight: float
+    """Relative share under contention; above 0."""
+    limit_percent: float = 100.0
+    """Largest part of the slots the partner may hold, even when others idle."""
+    credential_sha256: str = ""
+    """Hex SHA-256 of the partner's bearer credential."""
+    quota_cpus: float = 0.0
+    """Processors that the partner's jobs may hold at once."""
+    quota_memory_gb: float = 0.0
+    quota_accelerators: int = 0
+    revision: Revision = Revision(0)
+    """Table revision of the row's last change."""
+
+
+class ServiceRow(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A service that callers name in the first part of the path."""
+
+    id: ServiceId
+    pool_id: PoolId
+    timeout_ms: int = 10_000
+    """Deadline of a request that states none."""
+    max_body_bytes: int = 1_048_576
+    revision: Revision = Revision(0)
+
+
+class PoolRow(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A pool of VMs and its availability budget."""
+
+    id: PoolId
+    wanted_vms: int
+    """VMs that the pool should hold."""
+    min_available: int
+    """The availability budget: VMs that must be able to serve at all times."""
+    revision: Revision = Revision(0)
+
+
+class FleetRow(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Limits of the whole fleet; there is exactly one such row."""
+
+    id: str = "fleet"
+    spare_percent: float = 10.0
+    """Capacity held back for failures, pooled across partners."""
+    retry_percent: float = 10.0
+    """Retries allowed, as a part of successful requests."""
+    max_drains_per_zone: int = 8
+    """VMs of one availability zone under maintenance at once."""
+    revision: Revision = Revision(0)
+
+
+ConfigRow = PartnerRow | ServiceRow | PoolRow | FleetRow
+
+ROW_TYPES_BY_KIND: dict[RowKind, type[ConfigRow]] = {
+    RowKind.PARTNER: PartnerRow,
+    RowKind.SERVICE: ServiceRow,
+    RowKind.POOL: PoolRow,
+    RowKind.FLEET: FleetRow,
+}
+
+
+class AcceptedEdit(Struct, frozen=True):
+    """An edit the table already holds, so that a retry is recognised."""
+
+    id: EditId
+    revision: Revision
+
+
+class ConfigTable(Struct, frozen=True, kw_only=True):
+    """All rows as one value, so that checks across rows hold at acceptance."""
+
+    revision: Revision = Revision(0)
+    """Counts accepted edits; nodes never go back to a smaller one."""
+    fleet: FleetRow = field(default_factory=FleetRow)
+    partners_by_id: dict[PartnerId, PartnerRow] = field(default_factory=dict)
+    services_by_id: dict[ServiceId, ServiceRow] = field(default_factory=dict)
+    pools_by_id: dict[PoolId, PoolRow] = field(default_factory=dict)
+    recent_edits: tuple[AcceptedEdit, ...] = ()
+    """The newest accepted edits, newest last."""
+
+
+__all__ = [
+    "AcceptedEdit",
+    "ConfigRow",
+    "ConfigTable",
+    "FleetRow",
+    "PartnerRow",
+    "PoolRow",
+    "ROW_TYPES_BY_KIND",
+    "RowKind",
+    "ServiceRow",
+]
--- /dev/null
+++ b/packages/tables/src/medlarspring_tables/ids.py
@@ -0,0 +1,43 @@
+"""Identifiers and units shared by every table."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+VMId = NewType("VMId", str)
+EntryVMId = NewType("EntryVMId", str)
+PoolId = NewType("PoolId", str)
+PartnerId = NewType("PartnerId", str)
+ServiceId = NewType("ServiceId", str)
+RackId = NewType("RackId", str)
+ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
+JobId = NewType("JobId", str)
+TaskId = NewType("TaskId", str)
+WaveId = NewType("WaveId", str)
+RequestId = NewType("RequestId", str)
+EditId = NewType("EditId", str)
+
+Revision = NewType("Revision", int)
+"""A store revision or the table's own counter; larger is newer."""
+
+Seconds = float
+"""Seconds of the injected monotonic clock, or a duration in seconds."""
+
+__all__ = [
+    "EditId",
+    "EntryVMId",
+    "JobId",
+    "PartnerId",
+    "PoolId",
+    "RackId",
+    "RegionId",
+    "RequestId",
+    "Revision",
+    "Seconds",
+    "ServiceId",
+    "TaskId",
+    "VMId",
+    "WaveId",
+    "ZoneId",
+]
