--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/decisions.py
@@ -0,0 +1,84 @@
+"""What this process decided and why, in bounded memory, for ``explain``."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.clock import Clock
+
+
+class Subject(Enum):
+    """What a decision is about."""
+
+    REQUEST = "request"
+    JOB = "job"
+    VM = "vm"
+    WAVE = "wave"
+    EDIT = "edit"
+
+
+class Decision(Struct, frozen=True):
+    """One decision: when, by which rule, from which facts."""
+
+    at: float
+    """Wall time in seconds since the epoch."""
+    entry_vm: str
+    subject: str
+    id: str
+    decided: str
+    rule: str
+    facts: dict[str, str | int | float | bool]
+
+
+class DecisionLog:
+    """The newest decisions by subject; the oldest subjects are forgotten."""
+
+    def __init__(
+        self, clock: Clock, entry_vm: str, max_subjects: int = 10_000, depth: int = 32
+    ) -> None:
+        self._clock = clock
+        self._entry_vm = entry_vm
+        self._max_subjects = max_subjects
+        self._depth = depth
+        self._decisions_by_id: OrderedDict[tuple[Subject, str], deque[Decision]] = (
+            OrderedDict()
+        )
+
+    def record(
+        self,
+        subject: Subject,
+        id: str,  # noqa: A002
+        decided: str,
+        rule: str,
+        **facts: str | int | float | bool,
+    ) -> None:
+        """Remember one decision."""
+        decision = Decision(
+            at=self._clock.wall(),
+            entry_vm=self._entry_vm,
+            subject=subject.value,
+            id=id,
+            decided=decided,
+            rule=rule,
+            facts=facts,
+        )
+        key = (subject, id)
+        decisions = self._decisions_by_id.get(key)
+        if decisions is None:
+            decisions = deque(maxlen=self._depth)
+            self._decisions_by_id[key] = decisions
+            if len(self._decisions_by_id) > self._max_subjects:
+                self._decisions_by_id.popitem(last=False)
+        decisions.append(decision)
+
+    def find(self, subject: Subject, id: str) -> list[Decision]:  # noqa: A002
+        """Return what is remembered about a subject, oldest first."""
+        return list(self._decisions_by_id.get((subject, id), ()))
+
+
+__all__ = ["Decision", "DecisionLog", "Subject"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/main.py
@@ -0,0 +1,109 @@
+"""Entry point of ``medlarspringd``."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiomisc
+import uvloop
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.clock import SystemClock
+from medlarspring_adapters.events import Event, create_event_log
+from medlarspring_adapters.metrics import NoMetrics, StatsdMetrics
+from medlarspring_daemon.node import create_node
+from medlarspring_daemon.services import create_parts, create_store
+from medlarspring_daemon.settings import read_settings
+from medlarspring_tables import EntryVMId
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from medlarspring_adapters.metrics import Metrics
+    from medlarspring_daemon.node import Node, Part
+    from medlarspring_daemon.settings import Settings
+
+EXIT_SETTINGS = 2
+SHUTDOWN_MARGIN_SECONDS = 10.0
+
+
+class DaemonService(aiomisc.Service):
+    """Starts the parts in order and stops them in reverse."""
+
+    def __init__(self, node: Node, parts: Sequence[Part]) -> None:
+        super().__init__()
+        self._node = node
+        self._parts = parts
+        self._started: list[Part] = []
+
+    async def start(self) -> None:
+        """Start every part, then log the addresses of the open ports."""
+        for part in self._parts:
+            await part.start()
+            self._started.append(part)
+        self._node.log.info(Event.LISTENING, **self._node.addresses)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Fail readiness at once, then let each part finish."""
+        self._node.stopping = True
+        self._node.log.info(Event.STOPPING)
+        while self._started:
+            await self._started.pop().stop()
+        self._node.log.info(Event.STOPPED)
+
+
+def _create_metrics(settings: Settings) -> Metrics:
+    if settings.statsd is None:
+        return NoMetrics()
+    host, _, port = settings.statsd.address.rpartition(":")
+    return StatsdMetrics(host, int(port))
+
+
+def _run(settings: Settings) -> None:
+    clock = SystemClock()
+    log = create_event_log(EntryVMId(settings.entry_vm.id), settings.log.level)
+    node = create_node(
+        settings,
+        clock,
+        random.Random(),
+        log,
+        _create_metrics(settings),
+        create_store(settings, clock),
+    )
+    service = DaemonService(node, create_parts(node))
+    shutdown = settings.caller.drain_seconds + SHUTDOWN_MARGIN_SECONDS
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        pool_size=2,
+        loop_factory=uvloop.new_event_loop,
+        shutdown_timeout=shutdown,
+    ) as loop:
+        loop.run_forever()
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon; returns its exit status."""
+    parser = argparse.ArgumentParser(prog="medlarspringd", description=__doc__)
+    parser.add_argument("settings", type=Path, help="settings file in TOML")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    options = parser.parse_args(arguments)
+    settings = read_settings(options.settings)
+    if not is_successful(settings):
+        print(settings.failure().message(), file=sys.stderr)
+        return EXIT_SETTINGS
+    if options.check:
+        print(f"{options.settings}: the settings are complete and valid")
+        return 0
+    _run(settings.unwrap())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
