--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/standins/server.py
@@ -0,0 +1,172 @@
+"""What every HTTP stand-in shares: gates, control port, start and end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+import uvloop
+from aiohttp import web
+
+from medlarspring_bench.standins.faults import FaultsChange, Gate
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Coroutine, Iterable
+
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+MAX_BODY_BYTES = 8 * 1_048_576
+GATE_KEY = web.RequestKey("gate", Gate)
+
+
+def json_response(value: object, status: int = 200) -> web.Response:
+    """Return a JSON answer encoded by msgspec."""
+    return web.Response(
+        body=msgspec.json.encode(value), status=status, content_type="application/json"
+    )
+
+
+@web.middleware
+async def apply_faults(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Delay, fail, lose or truncate answers as the gate's faults say."""
+    gate = _gate_of(request)
+    if gate is None:
+        return await handler(request)
+    request[GATE_KEY] = gate
+    if gate.faults.slow_seconds:
+        await asyncio.sleep(gate.faults.slow_seconds)
+    if gate.faults.fail_all:
+        return json_response({"error": "this stand-in fails everything"}, 500)
+    response = await handler(request)
+    if gate.faults.lose_replies > 0 and request.method != "GET":
+        gate.faults.lose_replies -= 1
+        _transport(request).abort()
+    elif gate.faults.truncate_replies > 0 and isinstance(response, web.Response):
+        gate.faults.truncate_replies -= 1
+        _send_half(request, response)
+    return response
+
+
+def _gate_of(request: web.Request) -> Gate | None:
+    if request.transport is None:
+        return None
+    gate = request.transport.get_extra_info("gate")
+    return gate if isinstance(gate, Gate) else None
+
+
+def _transport(request: web.Request) -> asyncio.Transport:
+    assert request.transport is not None
+    return request.transport
+
+
+def _send_half(request: web.Request, response: web.Response) -> None:
+    body = response.body if isinstance(response.body, bytes) else b""
+    head = f"HTTP/1.1 {response.status} OK\r\nContent-Length: {len(body) + 2}\r\n\r\n"
+    transport = _transport(request)
+    transport.write(head.encode() + body[: len(body) // 2])
+    transport.close()
+
+
+class GatedApp:
+    """An application behind one gate per name."""
+
+    def __init__(self, app: web.Application, gate_names: Iterable[str]) -> None:
+        app.middlewares.append(apply_faults)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+        self.gates_by_name = {
+            name: Gate(name, self._make_protocol) for name in gate_names
+        }
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        assert self._runner.server is not None
+        return self._runner.server()
+
+    async def open(self, host: str, port: int) -> None:
+        """Open all gates; only the first one gets a wanted port."""
+        await self._runner.setup()
+        for gate in self.gates_by_name.values():
+            await gate.open(host, port)
+            port = 0
+
+    async def close(self) -> None:
+        """Close all gates."""
+        for gate in self.gates_by_name.values():
+            gate.close()
+        await self._runner.cleanup()
+
+    def change_faults(self, change: FaultsChange) -> None:
+        """Switch faults at one gate or at all."""
+        for gate in self.gates_by_name.values():
+            if change.gate in (None, gate.name):
+                gate.change(change)
+
+
+def create_control_app(
+    change_faults: Callable[[FaultsChange], None],
+) -> web.Application:
+    """Return the application of the control port; it has no faults itself."""
+
+    async def post_faults(request: web.Request) -> web.Response:
+        try:
+            change = msgspec.json.decode(await request.read(), type=FaultsChange)
+        except msgspec.ValidationError as error:
+            return json_response({"error": str(error)}, 400)
+        change_faults(change)
+        return json_response({})
+
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.router.add_post("/control/faults", post_faults)
+    return app
+
+
+async def open_control(app: web.Application, host: str) -> str:
+    """Open the control port on a port of the kernel's choice."""
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, 0).start()
+    bound_host, bound_port = runner.addresses[0][:2]
+    return f"{bound_host}:{bound_port}"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def announce(**addresses: object) -> None:
+    """Print the line that tells the starter where this stand-in listens."""
+    sys.stdout.write(msgspec.json.encode(addresses).decode() + "\n")
+    sys.stdout.flush()
+
+
+async def wait_for_end() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    await ended.wait()
+
+
+def run(main: Coroutine[object, object, None]) -> None:
+    """Run a stand-in on uvloop."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main)
+
+
+__all__ = [
+    "GATE_KEY",
+    "MAX_BODY_BYTES",
+    "GatedApp",
+    "announce",
+    "create_control_app",
+    "json_response",
+    "open_control",
+    "run",
+    "split_address",
+    "wait_for_end",
+]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/standins/splice.py
@@ -0,0 +1,121 @@
+"""Passes the bytes of one connection on to another."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, cast
+
+from medlarspring_bench.standins.server import split_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CONNECT_SECONDS = 2.0
+
+
+class Half(asyncio.Protocol):
+    """One of the two connections; closes with the other one."""
+
+    def __init__(self, on_close: Callable[[], None] | None = None) -> None:
+        self.other: Half | None = None
+        self.transport: asyncio.Transport | None = None
+        self._on_close = on_close
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast("asyncio.Transport", transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on."""
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.write(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Close the other half after what it still has to send."""
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.close()
+        if self._on_close is not None:
+            self._on_close()
+
+    def pause_writing(self) -> None:
+        """Read no more from the other half than this one can send."""
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read on from the other half."""
+        if (
+            self.other is not None
+            and self.other.transport is not None
+            and not self.other.transport.is_closing()
+        ):
+            self.other.transport.resume_reading()
+
+
+class Front(Half):
+    """The accepted half; connects to the target that ``choose`` names."""
+
+    def __init__(
+        self,
+        choose: Callable[[], str | None],
+        on_open: Callable[[str], None] | None = None,
+        on_closed: Callable[[str], None] | None = None,
+    ) -> None:
+        super().__init__(self._closed)
+        self._choose = choose
+        self._on_open = on_open
+        self._on_closed = on_closed
+        self._target = ""
+        self._early: list[bytes] = []
+        self._connecting: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to connect."""
+        super().connection_made(transport)
+        self._connecting = asyncio.create_task(self._connect())
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes on, or keep them until the target is connected."""
+        if self.other is None:
+            self._early.append(data)
+            return
+        super().data_received(data)
+
+    async def _connect(self) -> None:
+        assert self.transport is not None
+        target = self._choose()
+        if target is None:
+            self.transport.abort()
+            return
+        self._target = target
+        if self._on_open is not None:
+            self._on_open(target)
+        back = Half()
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                host, port = split_address(target)
+                loop = asyncio.get_running_loop()
+                await loop.create_connection(lambda: back, host, port)
+        except OSError:
+            self.transport.abort()
+            return
+        self._join(back)
+
+    def _join(self, back: Half) -> None:
+        assert self.transport is not None
+        assert back.transport is not None
+        if self.transport.is_closing():
+            back.transport.close()
+            return
+        back.other = self
+        self.other = back
+        for data in self._early:
+            back.transport.write(data)
+        self._early.clear()
+
+    def _closed(self) -> None:
+        if self._target and self._on_closed is not None:
+            self._on_closed(self._target)
+
+
+__all__ = ["Front"]
