Serve callers on a thin path from the caller port to an upstream

The caller port reads the partner from the bearer credential, the service from the path and the deadline, priority and repeatability from headers, routes to the least loaded upstream VM of the pool (own zone first) and passes the answer on. Refusals are problem documents that say whether the request was run.

--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_daemon.services.caller_service import create_caller_service
+
 if TYPE_CHECKING:
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import Store
@@ -18,7 +20,7 @@
 
 def create_parts(node: Node) -> list[Part]:
     """Return all services; the last one started is the first one stopped."""
-    return []
+    return [create_caller_service(node)]
 
 
 __all__ = ["create_parts", "create_store"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -0,0 +1,121 @@
+"""The port that callers use."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.metrics import Metric
+from medlarspring_adapters.problems import create_problem_response
+from medlarspring_daemon.services.caller_forwarding import Forwarder, create_forwarder
+from medlarspring_daemon.services.caller_reading import (
+    RequestReader,
+    create_request_id,
+)
+from medlarspring_tables.requests import Outcome
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node, Part
+
+HEALTH_PATH = "/healthz"
+READINESS_PATH = "/readyz"
+DRAIN_CHECK_SECONDS = 0.02
+
+
+class CallerService:
+    """Accepts callers' requests and answers each of them."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._reader = RequestReader(node)
+        self._forwarder: Forwarder | None = None
+        self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+        self._in_flight = 0
+
+    async def start(self) -> None:
+        """Open the port."""
+        settings = self._node.settings.caller
+        self._forwarder = create_forwarder(self._node)
+        await self._forwarder.start()
+        self._server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=settings.idle_seconds,
+            max_line_size=settings.max_header_bytes,
+            max_field_size=settings.max_header_bytes,
+            auto_decompress=False,
+        )
+        host, _, port = settings.listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host.strip("[]"), int(port), backlog=1024
+        )
+        bound = self._listener.sockets[0].getsockname()
+        self._node.addresses["caller"] = f"{bound[0]}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Let every request in flight finish, then close."""
+        if self._server is None or self._listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self._node.settings.caller.drain_seconds
+        while self._in_flight and loop.time() < limit:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        self._listener.close()
+        self._server.pre_shutdown()
+        await self._server.shutdown(1.0)
+        if self._forwarder is not None:
+            await self._forwarder.stop()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == HEALTH_PATH:
+            return web.Response(text="alive\n")
+        if request.path == READINESS_PATH:
+            return self._answer_readiness()
+        self._in_flight += 1
+        try:
+            return await self._answer(request)
+        finally:
+            self._in_flight -= 1
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        assert self._forwarder is not None
+        request_id = create_request_id(request)
+        read = await self._reader.read(request, request_id)
+        if not is_successful(read):
+            refusal = read.failure()
+            self._node.metrics.count(Metric.REQUESTS_REFUSED)
+            return create_problem_response(refusal, request_id)
+        answer = await self._forwarder.forward(read.unwrap(), request)
+        if not is_successful(answer):
+            refusal = answer.failure()
+            unknown = refusal.outcome is Outcome.UNKNOWN
+            self._node.metrics.count(
+                Metric.REQUESTS_UNKNOWN if unknown else Metric.REQUESTS_REFUSED
+            )
+            return create_problem_response(refusal, request_id)
+        self._node.metrics.count(Metric.REQUESTS_ANSWERED)
+        return answer.unwrap()
+
+    def _answer_readiness(self) -> web.Response:
+        node = self._node
+        if node.stopping:
+            return web.Response(status=503, text="stopping\n")
+        if node.config is None:
+            return web.Response(status=503, text="configuration unknown\n")
+        if node.vm_list is None:
+            return web.Response(status=503, text="VM list unknown\n")
+        return web.Response(text="ready\n")
+
+
+def create_caller_service(node: Node) -> Part:
+    """Return the service of the caller port."""
+    return CallerService(node)
+
+
+__all__ = ["CallerService", "create_caller_service"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/routing.py
@@ -0,0 +1,95 @@
+"""Which upstream VM gets a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.leaving import takes_new_work
+from medlarspring_tables.fleet import ListedState
+from medlarspring_tables.upstreams import Upstream, UpstreamTable
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from medlarspring_tables import (
+        ListedVM,
+        PoolId,
+        Seconds,
+        VMId,
+        VMList,
+        ZoneId,
+    )
+
+
+def adopt_vm_list(table: UpstreamTable, vm_list: VMList) -> None:
+    """Bring the table in line with a new list; what is in use stays counted."""
+    known = table.upstreams_by_id
+    table.upstreams_by_id = {
+        listed.id: _adopt(known.get(listed.id), listed)
+        for listed in vm_list.vms_by_id.values()
+    }
+    by_pool: dict[PoolId, list[Upstream]] = {}
+    for upstream in table.upstreams_by_id.values():
+        by_pool.setdefault(upstream.pool_id, []).append(upstream)
+    table.upstreams_by_pool = by_pool
+
+
+def _adopt(known: Upstream | None, listed: ListedVM) -> Upstream:
+    leaving = listed.state is ListedState.LEAVING
+    if known is None or known.address != listed.address:
+        # A new address under an old id is a replaced VM: its health and its
+        # leaving are not the old one's.
+        return Upstream(
+            id=listed.id,
+            address=listed.address,
+            pool_id=listed.pool_id,
+            zone_id=listed.zone_id,
+            slots=listed.slots,
+            connections=listed.connections,
+            listed_leaving=leaving,
+        )
+    known.pool_id = listed.pool_id
+    known.zone_id = listed.zone_id
+    known.slots = listed.slots
+    known.connections = listed.connections
+    known.listed_leaving = leaving
+    return known
+
+
+def choose_upstream(
+    table: UpstreamTable,
+    pool_id: PoolId,
+    zone_id: ZoneId,
+    now: Seconds,
+    *,
+    repeatable: bool = True,
+    excluded: Collection[VMId] = (),
+) -> Upstream | None:
+    """Return the best upstream VM with a free slot, the own zone's first.
+
+    Within a zone the one with the smallest share of its slots in use wins,
+    and among equals the faster one. Probes of upstream VMs that were set
+    aside are made with repeatable requests only: a probe may well fail.
+    """
+    best: Upstream | None = None
+    best_rank = (2, 0.0, 0.0)
+    for upstream in table.upstreams_by_pool.get(pool_id, ()):
+        if upstream.in_use >= upstream.credit or now >= upstream.credit_until:
+            continue
+        if upstream.id in excluded or not takes_new_work(upstream, now):
+            continue
+        if upstream.set_aside_until is not None and (
+            upstream.probing or not repeatable or now < upstream.set_aside_until
+        ):
+            continue
+        rank = (
+            0 if upstream.zone_id == zone_id else 1,
+            upstream.in_use / upstream.slots,
+            upstream.latency,
+        )
+        if rank < best_rank:
+            best, best_rank = upstream, rank
+    return best
+
+
+__all__ = ["adopt_vm_list", "choose_upstream"]
--- /dev/null
+++ b/packages/tables/src/medlarspring_tables/requests.py
@@ -0,0 +1,93 @@
+"""Rows of requests that callers send, and the refusals they may get."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from medlarspring_tables.ids import (
+        PartnerId,
+        PoolId,
+        RequestId,
+        Seconds,
+        ServiceId,
+    )
+
+
+class Urgency(Enum):
+    """Order among the requests of one partner; smaller goes first."""
+
+    URGENT = 0
+    NORMAL = 1
+    BULK = 2
+
+
+class Outcome(Enum):
+    """What a refusal says about the request."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RefusalKind(Enum):
+    """Every refusal of the daemon's own: problem type, status and title."""
+
+    BAD_REQUEST = ("bad-request", 400, "The request cannot be understood")
+    UNAUTHORISED = ("unauthorised", 401, "The credential is not known")
+    UNKNOWN_SERVICE = ("unknown-service", 404, "There is no such service")
+    CALLER_TOO_SLOW = ("caller-too-slow", 408, "The request did not arrive in time")
+    IN_PROGRESS = ("in-progress", 409, "The first request with this key has no answer")
+    BODY_TOO_LARGE = ("body-too-large", 413, "The body is too large")
+    KEY_CONFLICT = ("key-conflict", 422, "The key was used with another request")
+    OVER_SHARE = ("over-share", 429, "The partner's share is in use")
+    HEADERS_TOO_LARGE = ("headers-too-large", 431, "The headers are too large")
+    UPSTREAM_FAILED = ("upstream-failed", 502, "The upstream gave no usable answer")
+    NOT_READY = ("not-ready", 503, "The entry VM cannot serve yet")
+    OVERLOADED = ("overloaded", 503, "The service is busy")
+    NO_UPSTREAM = ("no-upstream", 503, "No upstream can take the request")
+    STORE_UNREACHABLE = ("store-unreachable", 503, "The key cannot be claimed")
+    TOO_MANY_CONNECTIONS = ("too-many-connections", 503, "The entry VM is full")
+    TIMED_OUT = ("timed-out", 504, "The deadline passed")
+
+    def __init__(self, code: str, status: int, title: str) -> None:
+        self.code = code
+        self.status = status
+        self.title = title
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """An answer of the daemon's own."""
+
+    kind: RefusalKind
+    outcome: Outcome
+    detail: str
+    """What to do about it, for people."""
+    retry_after: Seconds | None = None
+    """When a repeat may succeed; left out when it cannot."""
+
+
+@dataclass(slots=True, eq=False)
+class CallerRequest:
+    """One request of a caller, read whole and checked."""
+
+    id: RequestId
+    partner_id: PartnerId
+    service_id: ServiceId
+    pool_id: PoolId
+    method: str
+    target: str
+    """Path and query as the upstream gets them, percent-encoded."""
+    body: bytes
+    arrived_at: Seconds
+    deadline: Seconds
+    urgency: Urgency = Urgency.NORMAL
+    repeatable: bool = False
+    """Whether a second run does no harm."""
+    key: str | None = None
+    """The caller's ``Idempotency-Key``."""
+
+
+__all__ = ["CallerRequest", "Outcome", "Refusal", "RefusalKind", "Urgency"]
