Add edits, checks and the sheet of the operators' table

An edit is one or many rows, accepted whole or not at all; it carries the revision of each row that the operator read and an id of its own. The id stays in the table with a digest of the content, so that a retry after a lost reply is recognised and an id used for other content is refused.

--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/table_csv.py
@@ -0,0 +1,233 @@
+"""The operators' table as one sheet of comma-separated values, in and out."""
+
+from __future__ import annotations
+
+import csv
+import io
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from medlarspring_systems.table_edit import RowAction, RowEdit
+from medlarspring_systems.table_errors import TableError
+from medlarspring_systems.table_rows import (
+    FIELD_TYPES_BY_KIND,
+    FLEET_ROW_ID,
+    split_rows,
+)
+from medlarspring_tables import ROW_TYPES_BY_KIND, Revision, RowKind
+
+if TYPE_CHECKING:
+    from medlarspring_tables import ConfigRow, ConfigTable
+    from medlarspring_tables.audit import FieldValue
+
+KIND_COLUMN = "kind"
+ID_COLUMN = "id"
+REVISION_COLUMN = "revision"
+COLUMNS = (
+    KIND_COLUMN,
+    ID_COLUMN,
+    REVISION_COLUMN,
+    *dict.fromkeys(name for types in FIELD_TYPES_BY_KIND.values() for name in types),
+)
+"""One sheet for all kinds; a column that a kind doesn't have stays empty."""
+
+
+class SheetRow(Struct, frozen=True, kw_only=True):
+    """One line of a sheet, its cells not yet checked."""
+
+    kind: RowKind
+    id: str
+    revision: Revision | None
+    """Row revision that the sheet was written with; None where it is empty."""
+    cells: dict[str, str]
+    """Cells that aren't empty, by column."""
+
+
+class SheetUnreadable(TableError):
+    """The sheet isn't a table; all faults are listed at once."""
+
+    code = "sheet-unreadable"
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__(faults)
+        self.faults = faults
+
+    def message(self) -> str:
+        """List the faults, one a line."""
+        return "\n".join(
+            [*self.faults, "Nothing was changed; compare `medlarspring table export`."]
+        )
+
+
+def write_sheet(table: ConfigTable) -> str:
+    """Return the table as CSV, rows in the order of kind and id."""
+    text = io.StringIO()
+    writer = csv.DictWriter(text, COLUMNS, restval="", lineterminator="\n")
+    writer.writeheader()
+    for kind, rows_by_id in split_rows(table).items():
+        for row_id in sorted(rows_by_id):
+            writer.writerow(_describe_cells(kind, rows_by_id[row_id]))
+    return text.getvalue()
+
+
+def read_sheet(text: str) -> Result[list[SheetRow], SheetUnreadable]:
+    """Read CSV; the columns may stand in any order, and unused ones may lack."""
+    reader = csv.DictReader(io.StringIO(text.removeprefix("\ufeff")))
+    header = reader.fieldnames or ()
+    faults = _check_header(list(header))
+    if faults:
+        return Failure(SheetUnreadable(faults))
+    rows_by_key: dict[tuple[RowKind, str], SheetRow] = {}
+    for cells in reader:
+        place = f"line {reader.line_num}"
+        if None in cells:
+            faults.append(f"{place}: found more cells than columns; quote the commas")
+            continue
+        filled = {name: (cell or "").strip() for name, cell in cells.items()}
+        if not any(filled.values()):
+            continue
+        row = _read_row(place, filled)
+        if not isinstance(row, SheetRow):
+            faults.append(row)
+            continue
+        if (row.kind, row.id) in rows_by_key:
+            faults.append(f"{place}: {row.kind.value} {row.id} stands twice; keep one")
+        rows_by_key[row.kind, row.id] = row
+    if faults:
+        return Failure(SheetUnreadable(faults))
+    return Success(list(rows_by_key.values()))
+
+
+def plan_import(table: ConfigTable, sheet: list[SheetRow]) -> tuple[RowEdit, ...]:
+    """Return the edits that turn the table into the sheet.
+
+    Rows that the sheet lacks are removed, but for the one of the fleet. A cell
+    left empty takes the field's default.
+    """
+    rows = split_rows(table)
+    edits = [
+        edit
+        for row in sheet
+        if (edit := _plan_row(row, rows[row.kind].get(row.id))) is not None
+    ]
+    kept = {(row.kind, row.id) for row in sheet} | {(RowKind.FLEET, FLEET_ROW_ID)}
+    edits.extend(
+        RowEdit(
+            kind=kind,
+            id=row_id,
+            action=RowAction.REMOVE,
+            row_revision=row.revision,
+        )
+        for kind, rows_by_id in rows.items()
+        for row_id, row in rows_by_id.items()
+        if (kind, row_id) not in kept
+    )
+    return tuple(edits)
+
+
+def _plan_row(row: SheetRow, current: ConfigRow | None) -> RowEdit | None:
+    wanted = {**_defaults(row.kind), **row.cells}
+    if current is None:
+        return RowEdit(
+            kind=row.kind,
+            id=row.id,
+            # A row with a revision was read from the table and has been removed
+            # since; as a "set" it meets a conflict instead of coming back.
+            action=RowAction.SET if row.revision else RowAction.ADD,
+            fields=wanted,
+            row_revision=row.revision or Revision(0),
+        )
+    changed: dict[str, FieldValue] = {
+        name: value
+        for name, value in wanted.items()
+        if _format_cell(value) != _format_cell(getattr(current, name, None))
+    }
+    if not changed:
+        return None
+    return RowEdit(
+        kind=row.kind,
+        id=row.id,
+        action=RowAction.SET,
+        fields=changed,
+        row_revision=current.revision if row.revision is None else row.revision,
+    )
+
+
+def _defaults(kind: RowKind) -> dict[str, FieldValue]:
+    row_type = ROW_TYPES_BY_KIND[kind]
+    names = row_type.__struct_fields__[-len(row_type.__struct_defaults__) :]
+    defaults = dict(zip(names, row_type.__struct_defaults__, strict=True))
+    return {
+        name: value
+        for name, value in defaults.items()
+        if name in FIELD_TYPES_BY_KIND[kind]
+    }
+
+
+def _check_header(header: list[str]) -> list[str]:
+    faults = [
+        f"line 1: column {name!r} is unknown; known are {', '.join(COLUMNS)}"
+        for name in header
+        if name not in COLUMNS
+    ]
+    faults.extend(
+        f"line 1: column {name!r} is missing; add it"
+        for name in (KIND_COLUMN, ID_COLUMN)
+        if name not in header
+    )
+    return faults
+
+
+def _read_row(place: str, cells: dict[str, str]) -> SheetRow | str:
+    kinds = [kind.value for kind in RowKind]
+    if cells[KIND_COLUMN] not in kinds:
+        return (
+            f"{place}: kind: found {cells[KIND_COLUMN]!r},"
+            f" wanted one of {', '.join(kinds)}"
+        )
+    revision = cells.get(REVISION_COLUMN, "")
+    if revision and not revision.isdecimal():
+        return f"{place}: revision: found {revision!r}, wanted a whole number"
+    kept = (KIND_COLUMN, ID_COLUMN, REVISION_COLUMN)
+    return SheetRow(
+        kind=RowKind(cells[KIND_COLUMN]),
+        id=cells[ID_COLUMN],
+        revision=Revision(int(revision)) if revision else None,
+        cells={name: cell for name, cell in cells.items() if cell and name not in kept},
+    )
+
+
+def _describe_cells(kind: RowKind, row: ConfigRow) -> dict[str, str]:
+    cells = {
+        name: _format_cell(getattr(row, name)) for name in FIELD_TYPES_BY_KIND[kind]
+    }
+    return {
+        KIND_COLUMN: kind.value,
+        ID_COLUMN: row.id,
+        REVISION_COLUMN: str(row.revision),
+        **cells,
+    }
+
+
+def _format_cell(value: object) -> str:
+    """Write numbers the same way whether they came as text or as numbers."""
+    if isinstance(value, str):
+        try:
+            return f"{float(value):.12g}"
+        except ValueError:
+            return value
+    if isinstance(value, int | float):
+        return f"{value:.12g}"
+    return "" if value is None else str(value)
+
+
+__all__ = [
+    "COLUMNS",
+    "SheetRow",
+    "SheetUnreadable",
+    "plan_import",
+    "read_sheet",
+    "write_sheet",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/table_rows.py
@@ -0,0 +1,99 @@
+"""Reads and replaces rows of the operators' table by kind and id."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, get_type_hints
+
+import msgspec
+
+from medlarspring_tables import (
+    ROW_TYPES_BY_KIND,
+    ConfigRow,
+    ConfigTable,
+    RowKind,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from medlarspring_tables.audit import FieldValue
+
+RowsByKind = dict[RowKind, dict[str, ConfigRow]]
+
+FLEET_ROW_ID = "fleet"
+KEPT_FIELDS = frozenset({"id", "revision"})
+"""Fields that no edit sets: the row's name, and what the daemon counts."""
+
+FIELD_TYPES_BY_KIND: dict[RowKind, dict[str, Any]] = {
+    kind: {
+        name: hint
+        for name, hint in get_type_hints(row_type).items()
+        if name in row_type.__struct_fields__ and name not in KEPT_FIELDS
+    }
+    for kind, row_type in ROW_TYPES_BY_KIND.items()
+}
+"""The editable fields of each kind, in the order of the row type."""
+
+
+def split_rows(table: ConfigTable) -> RowsByKind:
+    """Return the table's rows by kind and id, in collections of their own."""
+    return {
+        RowKind.PARTNER: {row.id: row for row in table.partners_by_id.values()},
+        RowKind.SERVICE: {row.id: row for row in table.services_by_id.values()},
+        RowKind.POOL: {row.id: row for row in table.pools_by_id.values()},
+        RowKind.FLEET: {FLEET_ROW_ID: table.fleet},
+    }
+
+
+def join_rows(table: ConfigTable, rows: RowsByKind) -> ConfigTable:
+    """Return the table with these rows in place of its own."""
+    fleet = rows[RowKind.FLEET][FLEET_ROW_ID]
+    return msgspec.structs.replace(
+        table,
+        partners_by_id=rows[RowKind.PARTNER],
+        services_by_id=rows[RowKind.SERVICE],
+        pools_by_id=rows[RowKind.POOL],
+        fleet=fleet,
+    )
+
+
+def required_fields(kind: RowKind) -> list[str]:
+    """Return the editable fields that have no default."""
+    return [
+        field.name
+        for field in msgspec.structs.fields(ROW_TYPES_BY_KIND[kind])
+        if field.required and field.name not in KEPT_FIELDS
+    ]
+
+
+def describe_row(row: ConfigRow | None) -> dict[str, FieldValue] | None:
+    """Return a row's fields as JSON holds them."""
+    return None if row is None else msgspec.to_builtins(row)
+
+
+def same_content(left: ConfigRow, right: ConfigRow) -> bool:
+    """Tell whether two rows differ in nothing but their revision."""
+    fields: Mapping[str, Any] = FIELD_TYPES_BY_KIND[kind_of(left)]
+    return all(getattr(left, name) == getattr(right, name) for name in fields)
+
+
+def kind_of(row: ConfigRow) -> RowKind:
+    """Return the kind of a row."""
+    for kind, row_type in ROW_TYPES_BY_KIND.items():
+        if isinstance(row, row_type):
+            return kind
+    raise TypeError(type(row).__name__)
+
+
+__all__ = [
+    "FIELD_TYPES_BY_KIND",
+    "FLEET_ROW_ID",
+    "KEPT_FIELDS",
+    "RowsByKind",
+    "describe_row",
+    "join_rows",
+    "kind_of",
+    "required_fields",
+    "same_content",
+    "split_rows",
+]
--- a/packages/tables/src/medlarspring_tables/config.py
+++ b/packages/tables/src/medlarspring_tables/config.py
@@ -92,6 +92,8 @@
 
     id: EditId
     revision: Revision
+    digest: str = ""
+    """Digest of the edit's content; an id used for other content is refused."""
 
 
 class ConfigTable(Struct, frozen=True, kw_only=True):
