--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	$(BIN)/lint-imports
 
 format: $(STAMP)
+	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/job_lifecycle.py
@@ -0,0 +1,158 @@
+"""What becomes of a job when a worker, a partner or a lease says something."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from medlarspring_systems.job_records import put_job
+from medlarspring_systems.preemption import StopAttempt, mark_stopping
+from medlarspring_systems.quarantine import note_failure, note_success
+from medlarspring_systems.size_beliefs import learn_use
+from medlarspring_tables import AttemptState, JobState
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Job, JobId, JobTables, Seconds, Size
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended on its worker."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CHECKPOINTED = "checkpointed"
+    STOPPED = "stopped"
+    LOST = "lost"
+    """The worker is gone and the task's lease has certainly run out."""
+
+
+def confirm_running(tables: JobTables, job_id: JobId, number: int) -> Job | None:
+    """Note that the worker runs the attempt; None when it is not the current one."""
+    job = _find_current(tables, job_id, number)
+    if job is None or job.attempt is None:
+        return None
+    if job.attempt.state is not AttemptState.INTENDED:
+        return None
+    running = replace(job, attempt=replace(job.attempt, state=AttemptState.RUNNING))
+    put_job(tables, running)
+    return running
+
+
+def end_attempt(
+    tables: JobTables,
+    job_id: JobId,
+    number: int,
+    end: AttemptEnd,
+    now: Seconds,
+    *,
+    peak: Size | None = None,
+    checkpoint: str = "",
+) -> Job | None:
+    """Take an attempt's end into the record; None when it is not the current one.
+
+    A late word about an earlier attempt would free a worker that runs the
+    next one, and the job would run twice; the attempt's number tells them
+    apart.
+    """
+    job = _find_current(tables, job_id, number)
+    if job is None or job.attempt is None:
+        return None
+    if peak is not None and end is AttemptEnd.SUCCEEDED:
+        learn_use(tables, job, peak)
+    ended = _apply_end(tables, job, end, now)
+    if checkpoint:
+        ended = replace(ended, checkpoint=checkpoint)
+    put_job(tables, ended)
+    return ended
+
+
+def cancel_job(tables: JobTables, job_id: JobId, reason: str) -> Job | None:
+    """Cancel a job; a running attempt is stopped first.
+
+    Returns the new record, or None when there is nothing left to cancel. A
+    waiting job costs no search: its queue entry is dropped when it comes up.
+    """
+    job = tables.jobs_by_id.get(job_id)
+    if job is None or job.state in FINAL_STATES:
+        return None
+    if job.attempt is None:
+        cancelled = replace(job, state=JobState.CANCELLED, reason=reason)
+        put_job(tables, cancelled)
+        return cancelled
+    return mark_stopping(tables, replace(job, reason=reason), reason).job
+
+
+def list_stranded(tables: JobTables) -> list[StopAttempt]:
+    """Return attempts to stop because their worker takes no more work.
+
+    A drain waits for work that cannot yield; work that can is checkpointed at
+    once and goes on elsewhere.
+    """
+    stops: list[StopAttempt] = []
+    for worker in tables.workers_by_id.values():
+        if worker.accepts_work:
+            continue
+        for job_id in sorted(worker.job_ids):
+            job = tables.jobs_by_id[job_id]
+            if job.can_checkpoint and _is_running(job):
+                stops.append(mark_stopping(tables, job, "its worker is drained"))
+    return stops
+
+
+def release_stale_reservations(tables: JobTables) -> None:
+    """Give back workers reserved for jobs that no longer wait."""
+    for worker in tables.workers_by_id.values():
+        if worker.reserved_for is None:
+            continue
+        job = tables.jobs_by_id.get(worker.reserved_for)
+        if job is None or job.state is not JobState.WAITING or not worker.accepts_work:
+            worker.reserved_for = None
+
+
+FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
+
+
+def _apply_end(tables: JobTables, job: Job, end: AttemptEnd, now: Seconds) -> Job:
+    assert job.attempt is not None
+    worker = tables.workers_by_id.get(job.attempt.vm_id)
+    free = replace(job, attempt=None)
+    if end is AttemptEnd.SUCCEEDED:
+        if worker is not None:
+            note_success(tables, worker, job)
+        return replace(free, state=JobState.DONE)
+    if _was_cancelled(job):
+        return replace(free, state=JobState.CANCELLED)
+    if end is AttemptEnd.FAILED and worker is not None:
+        free = note_failure(tables, free, worker, now)
+    if free.state is JobState.FAILED:
+        return free
+    return replace(free, state=JobState.WAITING)
+
+
+def _was_cancelled(job: Job) -> bool:
+    stopping = job.attempt is not None and job.attempt.state is AttemptState.STOPPING
+    return stopping and bool(job.reason)
+
+
+def _is_running(job: Job) -> bool:
+    return job.attempt is not None and job.attempt.state is AttemptState.RUNNING
+
+
+def _find_current(tables: JobTables, job_id: JobId, number: int) -> Job | None:
+    job = tables.jobs_by_id.get(job_id)
+    if job is None or job.attempt is None or job.attempt.number != number:
+        return None
+    return job
+
+
+__all__ = [
+    "FINAL_STATES",
+    "AttemptEnd",
+    "cancel_job",
+    "confirm_running",
+    "end_attempt",
+    "list_stranded",
+    "release_stale_reservations",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/job_records.py
@@ -0,0 +1,167 @@
+"""Changes of job records, with all sums and queues kept in step."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from medlarspring_tables import (
+    NO_SIZE,
+    Job,
+    JobState,
+    JobTables,
+    JobUrgency,
+    Worker,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables import JobId, PartnerUse, Seconds, Size, VMId
+
+BULK_PENALTY_SECONDS = 600.0
+"""A bulk job is overtaken only by jobs submitted up to this much later."""
+
+
+def put_job(tables: JobTables, job: Job) -> None:
+    """Insert or replace a job; queues and sums follow."""
+    old = tables.jobs_by_id.get(job.id)
+    if old is not None:
+        _uncount(tables, old)
+    tables.jobs_by_id[job.id] = job
+    _count(tables, job)
+    was_waiting = old is not None and old.state is JobState.WAITING
+    if job.state is JobState.WAITING and not was_waiting:
+        enqueue(tables, job)
+
+
+def forget_job(tables: JobTables, job_id: JobId) -> None:
+    """Remove a job whose record is gone from the store."""
+    old = tables.jobs_by_id.pop(job_id, None)
+    tables.revisions_by_id.pop(job_id, None)
+    if old is not None:
+        _uncount(tables, old)
+
+
+def put_worker(tables: JobTables, worker: Worker) -> None:
+    """Insert a worker, or take over what changed of a known one."""
+    known = tables.workers_by_id.get(worker.id)
+    if known is None:
+        tables.workers_by_id[worker.id] = worker
+        _recount_worker(tables, worker)
+    else:
+        known.capacity = worker.capacity
+        known.accepts_work = worker.accepts_work
+    recount_capacity(tables)
+
+
+def forget_worker(tables: JobTables, vm_id: VMId) -> None:
+    """Remove a worker that left the pool; its attempts stay on record."""
+    tables.workers_by_id.pop(vm_id, None)
+    recount_capacity(tables)
+
+
+def recount_capacity(tables: JobTables) -> None:
+    """Sum the workers that accept work; call after one changed."""
+    total = NO_SIZE
+    for worker in tables.workers_by_id.values():
+        if worker.accepts_work:
+            total = total.plus(worker.capacity)
+    tables.capacity = total
+
+
+def put_partner(tables: JobTables, partner: PartnerUse) -> None:
+    """Insert a partner, or take over its weight and quota."""
+    known = tables.partners_by_id.get(partner.id)
+    if known is None:
+        tables.partners_by_id[partner.id] = partner
+        return
+    known.weight = partner.weight
+    known.quota = partner.quota
+
+
+def enqueue(tables: JobTables, job: Job) -> None:
+    """Put a waiting job into its partner's queue."""
+    queues = tables.waiting_by_partner
+    if job.urgency is JobUrgency.URGENT:
+        queues = tables.urgent_by_partner
+    queue = queues.setdefault(job.partner_id, [])
+    heapq.heappush(queue, (rank_job(job), job.id))
+
+
+def rank_job(job: Job) -> Seconds:
+    """Return the place of a job in its partner's queue; smaller goes first.
+
+    Bulk work that always yielded to newer work would never run under steady
+    load, and a reconciliation would be skipped without a sign. The penalty is
+    a fixed time, so only work submitted within it can overtake.
+    """
+    if job.urgency is JobUrgency.BULK:
+        return job.submitted_at + BULK_PENALTY_SECONDS
+    return job.submitted_at
+
+
+def resize_attempt(tables: JobTables, job: Job, size: Size) -> None:
+    """Change what is set aside for a running job."""
+    if job.attempt is None:
+        return
+    put_job(tables, replace(job, attempt=replace(job.attempt, size=size)))
+
+
+def is_lent(job: Job) -> bool:
+    """Tell whether what the job holds can be had back within seconds."""
+    can_yield = job.can_checkpoint or job.can_throttle
+    return can_yield and job.urgency is not JobUrgency.URGENT
+
+
+def _count(tables: JobTables, job: Job) -> None:
+    if job.attempt is None:
+        return
+    size = job.attempt.size
+    tables.held = tables.held.plus(size)
+    if is_lent(job):
+        tables.lent = tables.lent.plus(size)
+    partner = tables.partners_by_id.get(job.partner_id)
+    if partner is not None:
+        partner.held = partner.held.plus(size)
+    worker = tables.workers_by_id.get(job.attempt.vm_id)
+    if worker is not None:
+        worker.set_aside = worker.set_aside.plus(size)
+        worker.job_ids.add(job.id)
+
+
+def _uncount(tables: JobTables, job: Job) -> None:
+    if job.attempt is None:
+        return
+    size = job.attempt.size
+    tables.held = tables.held.minus(size)
+    if is_lent(job):
+        tables.lent = tables.lent.minus(size)
+    partner = tables.partners_by_id.get(job.partner_id)
+    if partner is not None:
+        partner.held = partner.held.minus(size)
+    worker = tables.workers_by_id.get(job.attempt.vm_id)
+    if worker is not None:
+        worker.set_aside = worker.set_aside.minus(size)
+        worker.job_ids.discard(job.id)
+
+
+def _recount_worker(tables: JobTables, worker: Worker) -> None:
+    for job in tables.jobs_by_id.values():
+        if job.attempt is not None and job.attempt.vm_id == worker.id:
+            worker.set_aside = worker.set_aside.plus(job.attempt.size)
+            worker.job_ids.add(job.id)
+
+
+__all__ = [
+    "enqueue",
+    "forget_job",
+    "forget_worker",
+    "is_lent",
+    "put_job",
+    "put_partner",
+    "put_worker",
+    "rank_job",
+    "recount_capacity",
+    "resize_attempt",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/preemption.py
@@ -0,0 +1,163 @@
+"""Making room for urgent work by checkpointing what can yield."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from msgspec.structs import replace
+
+from medlarspring_systems.job_records import put_job
+from medlarspring_systems.placement import dominant_part, is_within_share
+from medlarspring_systems.size_beliefs import believe_size
+from medlarspring_tables import AttemptState, JobState, JobUrgency
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Job, JobTables, Seconds, Size, Worker
+
+MAX_PREEMPTIONS_PER_TICK = 64
+
+
+class YieldMethod(Enum):
+    """How a running job gives back what it holds."""
+
+    CHECKPOINT = "checkpoint"
+    """Save progress, then stop; the job waits again."""
+    THROTTLE = "throttle"
+    """Run on with fewer processors."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopAttempt:
+    """Tell the worker to checkpoint and stop an attempt."""
+
+    job: Job
+    reason: str
+
+
+def plan_preemptions(tables: JobTables, now: Seconds) -> list[StopAttempt]:
+    """Return the attempts to stop so that waiting urgent jobs can start.
+
+    Runs after placement: what still waits in the urgent queues found no room.
+    Each urgent job gets one worker reserved, so that the room made for it is
+    not taken by others, and no second worker is emptied for the same job.
+    """
+    stops: list[StopAttempt] = []
+    for job in _list_urgent(tables):
+        if len(stops) >= MAX_PREEMPTIONS_PER_TICK:
+            break
+        if _has_reserved_worker(tables, job):
+            continue
+        stops += _make_room(tables, job, now)
+    return stops
+
+
+def _list_urgent(tables: JobTables) -> list[Job]:
+    """Return waiting urgent jobs of partners within share and quota."""
+    waiting: list[Job] = []
+    for partner_id, queue in tables.urgent_by_partner.items():
+        partner = tables.partners_by_id.get(partner_id)
+        if partner is None or not is_within_share(tables, partner):
+            continue
+        held = partner.held
+        for _, job_id in sorted(queue):
+            job = tables.jobs_by_id.get(job_id)
+            if job is None or job.state is not JobState.WAITING:
+                continue
+            held = held.plus(job.declared)
+            if not held.fits_in(partner.quota):
+                break
+            waiting.append(job)
+    waiting.sort(key=lambda job: (job.submitted_at, job.id))
+    return waiting
+
+
+def _has_reserved_worker(tables: JobTables, job: Job) -> bool:
+    return any(
+        worker.reserved_for == job.id for worker in tables.workers_by_id.values()
+    )
+
+
+def _make_room(tables: JobTables, job: Job, now: Seconds) -> list[StopAttempt]:
+    best: tuple[float, str, Worker, list[Job]] | None = None
+    for worker in tables.workers_by_id.values():
+        size = believe_size(tables, job, worker.capacity)
+        if not _may_empty(worker, now) or not size.fits_in(worker.capacity):
+            continue
+        victims = _choose_victims(tables, worker, size)
+        if victims is None:
+            continue
+        cost = sum(_cost(tables, victim, now) for victim in victims)
+        if best is None or (cost, worker.id) < best[:2]:
+            best = (cost, worker.id, worker, victims)
+    if best is None:
+        return []
+    worker, victims = best[2], best[3]
+    worker.reserved_for = job.id
+    reason = f"makes room for urgent job {job.id}"
+    return [mark_stopping(tables, victim, reason) for victim in victims]
+
+
+def mark_stopping(tables: JobTables, job: Job, reason: str) -> StopAttempt:
+    """Note in the record that the attempt is being stopped."""
+    assert job.attempt is not None
+    attempt = replace(job.attempt, state=AttemptState.STOPPING)
+    stopping = replace(job, attempt=attempt)
+    put_job(tables, stopping)
+    return StopAttempt(stopping, reason)
+
+
+def _may_empty(worker: Worker, now: Seconds) -> bool:
+    usable = worker.accepts_work and worker.quarantined_until <= now
+    return usable and worker.reserved_for is None and not worker.quarantines
+
+
+def _choose_victims(tables: JobTables, worker: Worker, size: Size) -> list[Job] | None:
+    """Return the fewest attempts whose end makes the job fit, or None."""
+    free = worker.capacity.minus(worker.set_aside)
+    candidates = [
+        job
+        for job_id in sorted(worker.job_ids)
+        if can_yield(job := tables.jobs_by_id[job_id])
+    ]
+    candidates.sort(key=lambda job: -_room_of(job))
+    victims: list[Job] = []
+    for job in candidates:
+        if size.fits_in(free):
+            break
+        assert job.attempt is not None
+        free = free.plus(job.attempt.size)
+        victims.append(job)
+    return victims if size.fits_in(free) else None
+
+
+def can_yield(job: Job) -> bool:
+    """Tell whether an attempt may be checkpointed for urgent work."""
+    if job.urgency is JobUrgency.URGENT or not job.can_checkpoint:
+        return False
+    return job.attempt is not None and job.attempt.state is AttemptState.RUNNING
+
+
+def _room_of(job: Job) -> float:
+    return job.attempt.size.cpus if job.attempt else 0.0
+
+
+def _cost(tables: JobTables, job: Job, now: Seconds) -> float:
+    """Weigh a stop: lost time, and less if the partner holds over its share."""
+    assert job.attempt is not None
+    partner = tables.partners_by_id.get(job.partner_id)
+    ran = max(now - job.attempt.started_at, 1.0)
+    if partner is None or partner.weight <= 0:
+        return ran
+    part = dominant_part(partner.held, tables.capacity) / partner.weight
+    return ran / (1.0 + part)
+
+
+__all__ = [
+    "StopAttempt",
+    "YieldMethod",
+    "can_yield",
+    "mark_stopping",
+    "plan_preemptions",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/size_beliefs.py
@@ -0,0 +1,79 @@
+"""What size a job is believed to have, learnt from lagged reports of use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_tables import Size, SizeBelief
+
+if TYPE_CHECKING:
+    from collections import deque
+
+    from medlarspring_tables import Job, JobTables
+
+MIN_OBSERVATIONS = 4
+CPU_QUANTILE = 0.8
+"""Too little processor time only slows a job down."""
+MEMORY_QUANTILE = 0.95
+"""Too little memory ends a job, so memory leaves more room."""
+ROOM = 1.15
+"""Set aside this much more than the quantile of what was seen."""
+MIN_RATIO = 0.05
+MAX_RATIO = 12.0
+
+
+def believe_size(tables: JobTables, job: Job, largest: Size) -> Size:
+    """Return what to set aside for a job, never more than a whole worker.
+
+    Accelerators are whole devices that a job opens itself: the declaration
+    holds.
+    """
+    belief = tables.beliefs_by_kind.get((job.partner_id, job.kind))
+    if belief is None or len(belief.cpu_ratios) < MIN_OBSERVATIONS:
+        return job.declared
+    cpu_ratio = _quantile(belief.cpu_ratios, CPU_QUANTILE) * ROOM
+    memory_ratio = _quantile(belief.memory_ratios, MEMORY_QUANTILE) * ROOM
+    return Size(
+        min(job.declared.cpus * cpu_ratio, largest.cpus),
+        min(job.declared.memory_gb * memory_ratio, largest.memory_gb),
+        job.declared.accelerators,
+    )
+
+
+def learn_use(tables: JobTables, job: Job, peak: Size) -> None:
+    """Remember the largest use seen of one attempt that ran for a while."""
+    key = (job.partner_id, job.kind)
+    belief = tables.beliefs_by_kind.setdefault(key, SizeBelief())
+    _remember(belief.cpu_ratios, peak.cpus, job.declared.cpus)
+    _remember(belief.memory_ratios, peak.memory_gb, job.declared.memory_gb)
+
+
+def correct_attempt_size(job: Job, used: Size) -> Size | None:
+    """Return a larger size for a running job that outgrew what was set aside.
+
+    Reports lag, so an attempt may grow before anyone knows; setting aside the
+    use that was seen keeps new work off the worker until it shrinks.
+    """
+    if job.attempt is None:
+        return None
+    size = job.attempt.size
+    if used.cpus <= size.cpus and used.memory_gb <= size.memory_gb:
+        return None
+    return Size(
+        max(size.cpus, used.cpus),
+        max(size.memory_gb, used.memory_gb * ROOM),
+        size.accelerators,
+    )
+
+
+def _remember(ratios: deque[float], used: float, declared: float) -> None:
+    if declared > 0:
+        ratios.append(min(max(used / declared, MIN_RATIO), MAX_RATIO))
+
+
+def _quantile(ratios: deque[float], quantile: float) -> float:
+    ordered = sorted(ratios)
+    return ordered[min(int(len(ordered) * quantile), len(ordered) - 1)]
+
+
+__all__ = ["believe_size", "correct_attempt_size", "learn_use"]
