--- a/packages/bench/src/medlarspring_bench/standins/vm_list.py
+++ b/packages/bench/src/medlarspring_bench/standins/vm_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import time
 from collections import deque
 from typing import TYPE_CHECKING
@@ -22,6 +23,7 @@
     split_address,
     wait_for_end,
 )
+from medlarspring_bench.standins.vm_control import VMControlService
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,12 +69,12 @@
         self._entries_by_id[entry.labels["id"]] = entry
         self._keep(self._now())
 
-    def set_state(self, id_: str, state: str) -> bool:
-        """Change one entry's state; False if it is not listed."""
+    def change(self, id_: str, **labels: str) -> bool:
+        """Change labels of one entry; False if it is not listed."""
         entry = self._entries_by_id.get(id_)
         if entry is None:
             return False
-        self.put(ListEntry(entry.targets, {**entry.labels, "state": state}))
+        self.put(ListEntry(entry.targets, {**entry.labels, **labels}))
         return True
 
     def remove(self, id_: str) -> None:
@@ -96,6 +98,7 @@
 
     def __init__(self, lag_seconds: float) -> None:
         self.list = LaggingList(lag_seconds, time.monotonic)
+        self.control = VMControlService(self.list)
         self._targets_by_gate: dict[str, dict[str, str]] = {}
 
     async def get_targets(self, request: web.Request) -> web.Response:
@@ -114,18 +117,20 @@
         app.router.add_post("/control/targets", self._post_targets)
 
     async def _put_all(self, request: web.Request) -> web.Response:
-        self.list.replace(
-            msgspec.json.decode(await request.read(), type=list[ListEntry])
-        )
+        entries = msgspec.json.decode(await request.read(), type=list[ListEntry])
+        self.list.replace(entries)
+        self.control.add_entries(entries)
         return json_response({})
 
     async def _put_one(self, request: web.Request) -> web.Response:
-        self.list.put(msgspec.json.decode(await request.read(), type=ListEntry))
+        entry = msgspec.json.decode(await request.read(), type=ListEntry)
+        self.list.put(entry)
+        self.control.add_entries([entry])
         return json_response({})
 
     async def _post_state(self, request: web.Request) -> web.Response:
         change = msgspec.json.decode(await request.read(), type=StateChange)
-        if not self.list.set_state(request.match_info["id"], change.state):
+        if not self.list.change(request.match_info["id"], state=change.state):
             return json_response({"error": "no such VM"}, 404)
         return json_response({})
 
@@ -149,16 +154,20 @@
     service = VMListService(options.lag_seconds)
     app = web.Application()
     app.router.add_get("/targets", service.get_targets)
+    service.control.add_routes(app)
     gated = GatedApp(app, options.gates.split(","))
     host, port = split_address(options.listen)
     await gated.open(host, port)
     control = create_control_app(gated.change_faults)
     service.add_control(control)
+    service.control.add_control(control)
     control_address = await open_control(control, host)
     gates = {gate.name: gate.address for gate in gated.gates_by_name.values()}
     first = next(iter(gates.values()))
     announce(name="vm_list", address=first, gates=gates, control=control_address)
+    running = asyncio.create_task(service.control.run())
     await wait_for_end()
+    running.cancel()
     await gated.close()
 
 
--- a/packages/bench/tests/test_standins.py
+++ b/packages/bench/tests/test_standins.py
@@ -200,3 +200,27 @@
     process.resume()
     process.terminate()
     assert process.wait() == 0
+
+
+async def test_vm_control_drains_upstream_and_list(
+    processes: Processes, http: aiohttp.ClientSession
+):
+    upstream = start(processes, "upstream", "--vms", "a")
+    listing = start(processes, "vm_list", "--lag-seconds", "0")
+    control, vms = listing["control"], f"{listing['address']}/control/vms"
+    labels = {"id": "a", "role": "upstream", "state": "live", "pool": "p"}
+    entry = {"targets": [upstream["addresses"]["a"]], "labels": labels}
+    await send(http, "PUT", f"{control}/control/vms", [entry])
+    body = {"controls": [upstream["control"]]}
+    await send(http, "POST", f"{control}/control/upstreams", body)
+    row = await send(http, "POST", f"{vms}/a/drain", {"revision": 1})
+    assert row["condition"] == "draining"
+    async with asyncio.timeout(5):
+        while (await send(http, "GET", vms))[0]["condition"] != "drained":
+            await asyncio.sleep(0.02)
+    shown = await send(http, "GET", f"{listing['address']}/targets")
+    assert shown[0]["labels"]["state"] == "leaving"
+    seen = await send(http, "GET", f"{upstream['control']}/control/vms")
+    assert seen["a"]["state"] == "leaving"
+    refused = await send(http, "POST", f"{vms}/a/drain", {"revision": 0})
+    assert refused == {"reason": "stale"}
