--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/history_checker.py
@@ -0,0 +1,231 @@
+"""Finds every broken promise in a history; pure."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from medlarspring_bench.history import History, Seen
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from medlarspring_bench.history import Attempt, Call, UpstreamRun
+
+LEAVING_GRACE_SECONDS = 3.0
+
+
+class Kind(Enum):
+    """The promises that a history can break."""
+
+    LOST = "lost"
+    DOUBLED = "doubled"
+    CUT = "cut"
+    MIXED = "mixed"
+    FALSELY_REFUSED = "falsely refused"
+    SLOTS_OVER = "slots over"
+    WORK_AFTER_LEAVING = "work after leaving"
+    BUDGET_BROKEN = "budget broken"
+    VM_IN_TWO_POOLS = "VM in two pools"
+    TABLE_REVERTED = "table reverted"
+    HOLDERS_OVERLAP = "holders overlap"
+
+
+class Breach(Struct, frozen=True):
+    """One broken promise."""
+
+    kind: Kind
+    subject: str
+    detail: str
+
+
+def find_breaches(history: History) -> list[Breach]:
+    """Return all broken promises of a history."""
+    return [
+        *_find_lost(history),
+        *_find_doubled(history),
+        *_find_cut(history),
+        *_find_mixed(history),
+        *_find_falsely_refused(history),
+        *_find_slots_over(history),
+        *_find_work_after_leaving(history),
+        *_find_budgets_broken(history),
+        *_find_vms_in_two_pools(history),
+        *_find_tables_reverted(history),
+        *_find_holders_overlapping(history),
+    ]
+
+
+def count_by_kind(breaches: Iterable[Breach]) -> Counter[Kind]:
+    """Count breaches by kind."""
+    return Counter(breach.kind for breach in breaches)
+
+
+def _find_lost(history: History) -> Iterator[Breach]:
+    run_ids = {run.request_id for run in history.runs}
+    for call in history.calls:
+        if call.seen is Seen.NOTHING:
+            yield Breach(Kind.LOST, call.id, "the caller never heard of it again")
+        for attempt in call.attempts:
+            if attempt.seen is not Seen.ANSWERED:
+                continue
+            if call.key or attempt.request_id in run_ids:
+                continue
+            yield Breach(Kind.LOST, call.id, "answered, but no upstream ran it")
+    keys_run = {(run.partner, run.key) for run in history.runs}
+    for call in history.calls:
+        answered = any(one.seen is Seen.ANSWERED for one in call.attempts)
+        if call.key and answered and (call.partner, call.key) not in keys_run:
+            yield Breach(Kind.LOST, call.id, "answered, but no upstream ran the key")
+
+
+def _find_doubled(history: History) -> Iterator[Breach]:
+    runs_by_id: dict[str, list[UpstreamRun]] = defaultdict(list)
+    runs_by_key: dict[tuple[str, str], list[UpstreamRun]] = defaultdict(list)
+    for run in history.runs:
+        runs_by_id[run.request_id].append(run)
+        if run.key:
+            runs_by_key[run.partner, run.key].append(run)
+    for call in history.calls:
+        if call.key:
+            runs = runs_by_key[call.partner, call.key]
+        elif call.repeatable:
+            continue
+        else:
+            runs = [run for one in call.attempts for run in runs_by_id[one.request_id]]
+        if len(runs) > 1:
+            where = ", ".join(f"{run.vm} at {run.start:.3f}" for run in runs)
+            yield Breach(Kind.DOUBLED, call.id, f"ran {len(runs)} times: {where}")
+
+
+def _find_cut(history: History) -> Iterator[Breach]:
+    for call in history.calls:
+        for attempt in call.attempts:
+            if attempt.seen is Seen.CUT:
+                yield Breach(Kind.CUT, call.id, f"attempt {attempt.request_id}")
+
+
+def _find_mixed(history: History) -> Iterator[Breach]:
+    for call in history.calls:
+        ids = {attempt.request_id for attempt in call.attempts}
+        for attempt in call.attempts:
+            if attempt.seen is not Seen.ANSWERED:
+                continue
+            own_id = attempt.answered_id in (ids if call.key else {attempt.request_id})
+            if not own_id or attempt.answered_digest != call.digest:
+                detail = f"{attempt.request_id} got the answer of {attempt.answered_id}"
+                yield Breach(Kind.MIXED, call.id, detail)
+
+
+def _find_falsely_refused(history: History) -> Iterator[Breach]:
+    runs_by_id = {run.request_id: run for run in history.runs}
+    runs_by_key = {(run.partner, run.key): run for run in history.runs if run.key}
+    for call in history.calls:
+        for attempt in call.attempts:
+            if attempt.seen is not Seen.NOT_RUN:
+                continue
+            run = runs_by_id.get(attempt.request_id)
+            if run is None and call.key:
+                run = _run_before(runs_by_key.get((call.partner, call.key)), attempt)
+            if run is not None:
+                detail = f"{attempt.request_id} said {attempt.reason}, ran on {run.vm}"
+                yield Breach(Kind.FALSELY_REFUSED, call.id, detail)
+
+
+def _run_before(run: UpstreamRun | None, attempt: Attempt) -> UpstreamRun | None:
+    """Return the key's run if it began before the refusal came."""
+    return run if run is not None and run.start < attempt.ended_at else None
+
+
+def _find_slots_over(history: History) -> Iterator[Breach]:
+    edges_by_vm: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    for run in history.runs:
+        edges_by_vm[run.vm].append((run.start, 1))
+        edges_by_vm[run.vm].append((run.end or history.ended_at, -1))
+    for vm, edges in edges_by_vm.items():
+        slots = history.slots_by_vm.get(vm)
+        most = _most_at_once(edges)
+        if slots is not None and most > slots:
+            yield Breach(Kind.SLOTS_OVER, vm, f"{most} runs at once in {slots} slots")
+
+
+def _most_at_once(edges: list[tuple[float, int]]) -> int:
+    running = most = 0
+    for _, step in sorted(edges):
+        running += step
+        most = max(most, running)
+    return most
+
+
+def _find_work_after_leaving(history: History) -> Iterator[Breach]:
+    times_by_vm: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for run in history.runs:
+        times_by_vm[run.vm].append((run.start, run.request_id))
+    for arrival in history.arrivals:
+        times_by_vm[arrival.vm].append((arrival.at, arrival.request_id))
+    for leaving in history.leavings:
+        limit = leaving.at + LEAVING_GRACE_SECONDS
+        for at, request_id in times_by_vm[leaving.vm]:
+            if limit < at < leaving.until:
+                detail = f"{request_id} came {at - leaving.at:.2f} s after the start"
+                yield Breach(Kind.WORK_AFTER_LEAVING, leaving.vm, detail)
+
+
+def _find_budgets_broken(history: History) -> Iterator[Breach]:
+    for sample in history.pool_samples:
+        if sample.available < sample.min_available:
+            detail = f"{sample.available} of {sample.min_available} at {sample.at:.3f}"
+            yield Breach(Kind.BUDGET_BROKEN, sample.pool, detail)
+
+
+def _find_vms_in_two_pools(history: History) -> Iterator[Breach]:
+    spans = [(span.vm, span.start, span.end, span.pool) for span in history.memberships]
+    for subject, first, second in _find_overlaps(spans):
+        yield Breach(Kind.VM_IN_TWO_POOLS, subject, f"{first} and {second}")
+
+
+def _find_holders_overlapping(history: History) -> Iterator[Breach]:
+    spans = [
+        (span.pool, span.start, span.end, span.holder) for span in history.holdings
+    ]
+    for subject, first, second in _find_overlaps(spans):
+        yield Breach(Kind.HOLDERS_OVERLAP, subject, f"{first} and {second}")
+
+
+def _find_overlaps(
+    spans: list[tuple[str, float, float, str]],
+) -> Iterator[tuple[str, str, str]]:
+    """Yield subjects that two different owners have at once."""
+    spans_by_subject: dict[str, list[tuple[float, float, str]]] = defaultdict(list)
+    for subject, start, end, owner in spans:
+        spans_by_subject[subject].append((start, end, owner))
+    for subject, owned in spans_by_subject.items():
+        latest_end_by_owner: dict[str, float] = {}
+        for start, end, owner in sorted(owned):
+            for other, other_end in latest_end_by_owner.items():
+                if other != owner and start < other_end:
+                    yield subject, other, owner
+            former = latest_end_by_owner.get(owner, end)
+            latest_end_by_owner[owner] = max(former, end)
+
+
+def _find_tables_reverted(history: History) -> Iterator[Breach]:
+    newest_by_vm: dict[str, int] = {}
+    for table in sorted(history.tables, key=lambda one: one.at):
+        newest = newest_by_vm.get(table.entry_vm, 0)
+        if table.revision < newest:
+            detail = f"from {newest} back to {table.revision} at {table.at:.3f}"
+            yield Breach(Kind.TABLE_REVERTED, table.entry_vm, detail)
+        newest_by_vm[table.entry_vm] = max(newest, table.revision)
+
+
+def describe_end(call: Call) -> str:
+    """Tell in one line how a call went, for reports."""
+    steps = (f"{one.seen.value}/{one.status}/{one.reason}" for one in call.attempts)
+    return f"{call.id} ({call.partner}): " + " -> ".join(steps)
+
+
+__all__ = ["Breach", "Kind", "count_by_kind", "describe_end", "find_breaches"]
