--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -0,0 +1,388 @@
+"""Client of the platform's key-value service over the etcd v3 JSON gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from typing import TYPE_CHECKING, TypeVar
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.etcd_messages import (
+    Fault,
+    LeaseGrantRequest,
+    LeaseGrantResponse,
+    LeaseKeepAliveResponse,
+    LeaseRequest,
+    RangeRequest,
+    RangeResponse,
+    RequestOp,
+    TxnRequest,
+    TxnResponse,
+    WatchCreate,
+    WatchRequest,
+    WatchResponse,
+    WatchResult,
+    encode_text,
+    prefix_end,
+    to_entry,
+    to_key,
+    to_txn,
+)
+from medlarspring_adapters.store import (
+    Committed,
+    Entry,
+    LeaseId,
+    Listing,
+    StoreError,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    Transaction,
+    WatchBatch,
+)
+from medlarspring_tables import Revision
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Sequence
+
+MAX_TRANSACTIONS_PER_CALL = 64
+MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
+KEEPALIVE_SECONDS = 5.0
+WATCH_SILENCE_SECONDS = 5.0
+HTTP_OK = 200
+HTTP_SERVER_ERROR = 500
+HTTP_NOT_FOUND = 404
+
+
+class LeaseGone(StoreUnavailable):
+    """The store does not know the lease any more; nothing was changed."""
+
+
+Message = TypeVar("Message", bound=msgspec.Struct)
+
+
+class NotSent(Exception):
+    """The request never left this process, or the server turned it down."""
+
+    def __init__(self, detail: str, *, lease_gone: bool = False) -> None:
+        super().__init__(detail)
+        self.lease_gone = lease_gone
+
+
+class Unanswered(Exception):
+    """The request left this process and no usable answer came back."""
+
+
+class EtcdGatewayStore:
+    """Implements ``Store``; endpoints are tried in turn, the last good one first."""
+
+    def __init__(
+        self,
+        endpoints: Sequence[str],
+        timeout_seconds: float,
+        watch_silence_seconds: float = WATCH_SILENCE_SECONDS,
+    ) -> None:
+        self._endpoints = tuple(endpoints)
+        self._current = 0
+        self._timeout_seconds = timeout_seconds
+        self._watch_silence_seconds = watch_silence_seconds
+        self._session: aiohttp.ClientSession | None = None
+        self._retired: set[asyncio.Task[None]] = set()
+
+    async def read(self, key: str) -> Result[Entry | None, StoreError]:
+        """Return the key's entry, or None if it is absent."""
+        request = RangeRequest(key=encode_text(key))
+        answer = await self._read("kv/range", request, RangeResponse)
+        return answer.map(lambda found: to_entry(found.kvs[0]) if found.kvs else None)
+
+    async def read_prefix(self, prefix: str) -> Result[Listing, StoreError]:
+        """Return all entries under a prefix."""
+        request = RangeRequest(key=encode_text(prefix), range_end=prefix_end(prefix))
+        answer = await self._read("kv/range", request, RangeResponse)
+        return answer.map(_to_listing)
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, StoreError]:
+        """Apply one transaction."""
+        answer = await self._write("kv/txn", to_txn(transaction), TxnResponse)
+        return answer.map(lambda txn: _to_committed(txn, txn.header.revision))
+
+    async def commit_each(
+        self, transactions: Sequence[Transaction]
+    ) -> Result[list[Committed], StoreError]:
+        """Decide many transactions on their own in one counted call."""
+        if len(transactions) > MAX_TRANSACTIONS_PER_CALL:
+            detail = f"{len(transactions)} transactions, {MAX_TRANSACTIONS_PER_CALL}"
+            return Failure(StoreUnavailable(f"{detail} are allowed in one call"))
+        nested = [RequestOp(request_txn=to_txn(each)) for each in transactions]
+        request = TxnRequest(compare=[], success=nested, failure=[])
+        answer = await self._write("kv/txn", request, TxnResponse)
+        return answer.bind(lambda txn: _to_committed_each(txn, len(transactions)))
+
+    async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
+        """Create a lease that lives ``ttl`` seconds unless kept alive."""
+        request = LeaseGrantRequest(TTL=str(math.ceil(ttl)))
+        answer = await self._write("lease/grant", request, LeaseGrantResponse)
+        return answer.map(lambda granted: LeaseId(granted.ID))
+
+    async def keep_lease(self, lease_id: LeaseId) -> Result[float, StoreError]:
+        """Renew a lease; returns the seconds left, 0 when it has lapsed."""
+        request = LeaseRequest(ID=str(lease_id))
+        answer = await self._write("lease/keepalive", request, LeaseKeepAliveResponse)
+        return answer.map(lambda kept: float(kept.result.TTL))
+
+    async def revoke_lease(self, lease_id: LeaseId) -> Result[None, StoreError]:
+        """End a lease and delete the keys bound to it."""
+        request = LeaseRequest(ID=str(lease_id))
+        answer = await self._write("lease/revoke", request, RangeResponse)
+        if isinstance(answer, Failure) and isinstance(answer.failure(), LeaseGone):
+            return Success(None)
+        return answer.map(lambda _: None)
+
+    async def watch(
+        self, prefix: str, start: Revision
+    ) -> AsyncGenerator[WatchBatch, None]:
+        """Yield changes from revision ``start`` on.
+
+        A batch without changes says that the store answered and how far it is.
+        A stream that is silent too long is opened anew at the next revision.
+        The iterator ends when that fails, when the revision was compacted, and
+        when the store has gone back behind ``start``.
+        """
+        following = start
+        while True:
+            silent = False
+            try:
+                stream = self._stream(prefix, following)
+                async with contextlib.aclosing(stream) as results:
+                    async for result in results:
+                        if result.canceled or result.compact_revision:
+                            return
+                        yield _to_batch(result)
+                        if result.header.revision + 1 < following:
+                            return
+                        following = _find_following(result, following)
+            except TimeoutError:
+                silent = True
+            except (aiohttp.ClientError, OSError, ValueError, msgspec.MsgspecError):
+                self._rotate()
+                return
+            # A watch gone silent looks like a table that nobody edits. The new
+            # connection answers at once if the store lives, and nothing between
+            # the two is lost because the revision is named.
+            self._rotate()
+            if not silent:
+                return
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+        for task in self._retired:
+            task.cancel()
+
+    async def _stream(
+        self, prefix: str, start: Revision
+    ) -> AsyncGenerator[WatchResult, None]:
+        create = WatchCreate(
+            key=encode_text(prefix),
+            range_end=prefix_end(prefix),
+            start_revision=str(start),
+        )
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._timeout_seconds,
+            sock_read=self._watch_silence_seconds,
+        )
+        async with self._open_session().post(
+            self._url("watch"),
+            data=msgspec.json.encode(WatchRequest(create_request=create)),
+            timeout=timeout,
+        ) as response:
+            if response.status != HTTP_OK:
+                raise aiohttp.ClientPayloadError(f"HTTP status {response.status}")
+            while line := await response.content.readline():
+                if line.strip():
+                    yield _decode(line, WatchResponse).result
+
+    async def _read(
+        self, path: str, request: msgspec.Struct, answer_type: type[Message]
+    ) -> Result[Message, StoreError]:
+        """Try each endpoint once: a read has no effect that could double."""
+        detail = ""
+        for _ in self._endpoints:
+            try:
+                return Success(await self._post(path, request, answer_type))
+            except (NotSent, Unanswered) as error:
+                detail = str(error)
+                self._rotate()
+        return Failure(StoreUnavailable(detail))
+
+    async def _write(
+        self, path: str, request: msgspec.Struct, answer_type: type[Message]
+    ) -> Result[Message, StoreError]:
+        """Try the next endpoint only while no endpoint can have seen the request.
+
+        A write whose answer was lost may have taken effect; sent again it would
+        fail its own condition, and the caller would be told "conflict" about
+        what was accepted. So the caller hears that the outcome is unknown.
+        """
+        detail = ""
+        for _ in self._endpoints:
+            try:
+                return Success(await self._post(path, request, answer_type))
+            except NotSent as error:
+                detail = str(error)
+                if error.lease_gone:
+                    return Failure(LeaseGone(detail))
+                self._rotate()
+            except Unanswered as error:
+                self._rotate()
+                return Failure(StoreOutcomeUnknown(str(error)))
+        return Failure(StoreUnavailable(detail))
+
+    async def _post(
+        self, path: str, request: msgspec.Struct, answer_type: type[Message]
+    ) -> Message:
+        body = msgspec.json.encode(request)
+        endpoint = self._endpoints[self._current]
+        try:
+            async with self._open_session().post(self._url(path), data=body) as reply:
+                content = await reply.read()
+                status = reply.status
+        except aiohttp.ClientConnectorError as error:
+            raise NotSent(f"{endpoint}: {error}") from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise NotSent(f"{endpoint}: no connection in time") from error
+        except TimeoutError as error:
+            self._retire_session()
+            raise Unanswered(f"{endpoint}: no answer in time") from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise Unanswered(f"{endpoint}: {error!r}") from error
+        if status != HTTP_OK:
+            raise _to_refusal(endpoint, status, content)
+        try:
+            return _decode(content, answer_type)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise Unanswered(f"{endpoint}: unreadable answer ({error})") from error
+
+    def _url(self, path: str) -> str:
+        return f"http://{self._endpoints[self._current]}/v3/{path}"
+
+    def _rotate(self) -> None:
+        self._current = (self._current + 1) % len(self._endpoints)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None or self._session.closed:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0, keepalive_timeout=KEEPALIVE_SECONDS
+                ),
+                timeout=aiohttp.ClientTimeout(
+                    total=self._timeout_seconds, sock_connect=self._timeout_seconds / 2
+                ),
+                headers={"Content-Type": "application/json"},
+                read_bufsize=MAX_WATCH_LINE_BYTES,
+                trust_env=False,
+            )
+        return self._session
+
+    def _retire_session(self) -> None:
+        """Use fresh connections from now on.
+
+        When something between the two ends has lost track of connections, all
+        pooled ones are dead at once and each would cost one timeout. Calls in
+        flight keep the old session until they are done or timed out.
+        """
+        session, self._session = self._session, None
+        if session is None:
+            return
+        task = asyncio.ensure_future(self._close_later(session))
+        self._retired.add(task)
+        task.add_done_callback(self._retired.discard)
+
+    async def _close_later(self, session: aiohttp.ClientSession) -> None:
+        try:
+            await asyncio.sleep(self._timeout_seconds)
+        finally:
+            await session.close()
+
+
+def _decode(content: bytes, message_type: type[Message]) -> Message:
+    # The gateway writes 64-bit integers as strings; strict=False reads them.
+    return msgspec.json.decode(content, type=message_type, strict=False)
+
+
+def _to_refusal(endpoint: str, status: int, content: bytes) -> Exception:
+    detail = f"{endpoint}: HTTP status {status}"
+    with contextlib.suppress(msgspec.MsgspecError, ValueError):
+        fault = _decode(content, Fault)
+        detail = f"{detail}: {fault.message or fault.error}"
+    # 5xx covers "request timed out" inside the store, after which the write
+    # may still be applied; 4xx is a request that was turned down.
+    if status >= HTTP_SERVER_ERROR:
+        return Unanswered(detail)
+    return NotSent(detail, lease_gone=status == HTTP_NOT_FOUND)
+
+
+def _to_listing(found: RangeResponse) -> Listing:
+    entries = tuple(to_entry(item) for item in found.kvs)
+    return Listing(entries=entries, revision=Revision(found.header.revision))
+
+
+def _to_committed(txn: TxnResponse, revision: int) -> Committed:
+    read_by_key: dict[str, Entry] = {}
+    for response in txn.responses:
+        found = response.response_range
+        for item in found.kvs if found else ():
+            entry = to_entry(item)
+            read_by_key[entry.key] = entry
+    return Committed(
+        succeeded=txn.succeeded,
+        revision=Revision(txn.header.revision or revision),
+        read_by_key=read_by_key,
+    )
+
+
+def _to_committed_each(
+    txn: TxnResponse, wanted: int
+) -> Result[list[Committed], StoreError]:
+    nested = [each.response_txn for each in txn.responses if each.response_txn]
+    if len(nested) != wanted:
+        return Failure(StoreOutcomeUnknown("an answer to some transactions is missing"))
+    return Success([_to_committed(each, txn.header.revision) for each in nested])
+
+
+def _to_batch(result: WatchResult) -> WatchBatch:
+    changed = [to_entry(each.kv) for each in result.events if each.type == "PUT"]
+    deleted = [to_key(each.kv) for each in result.events if each.type == "DELETE"]
+    return WatchBatch(
+        revision=Revision(result.header.revision),
+        changed=tuple(changed),
+        deleted=tuple(deleted),
+    )
+
+
+def _find_following(result: WatchResult, following: Revision) -> Revision:
+    """Return the revision from which a new watch would miss nothing.
+
+    The first message carries the store's present revision before the changes up
+    to it were sent, so it must not move the mark.
+    """
+    if result.created:
+        return following
+    if not result.events:
+        return Revision(max(following, result.header.revision + 1))
+    return Revision(max(each.kv.mod_revision for each in result.events) + 1)
+
+
+def create_etcd_gateway_store(
+    endpoints: Sequence[str], timeout_seconds: float
+) -> EtcdGatewayStore:
+    """Return a client; it connects at its first call."""
+    return EtcdGatewayStore(endpoints, timeout_seconds)
+
+
+__all__ = ["EtcdGatewayStore", "create_etcd_gateway_store"]
--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -24,6 +24,28 @@
     STOPPING = (1002, "shutdown began")
     STOPPED = (1003, "shutdown is complete")
 
+    TASK_FAILED = (1010, "a background task failed and is started again")
+
+    TABLE_IN_FORCE = (3001, "a newer configuration table is in force")
+    STORE_TABLE_OLDER = (3002, "the store's table is older; it is not taken")
+    STORE_TABLE_DIVERGED = (3003, "the store's table differs at the same revision")
+    TABLE_UNREADABLE = (3004, "a configuration table could not be read")
+    WATCH_STARTED = (3005, "this process watches the store for its zone")
+    WATCH_STOPPED = (3006, "this process no longer watches the store")
+    STORE_HAS_NO_TABLE = (3007, "the store holds no configuration table")
+    STORE_LOST = (3008, "the store gives no answer")
+    STORE_BACK = (3009, "the store answers again")
+
+    MEMBER_CHANGED = (4001, "another entry VM changed its state")
+    FROZEN = (4002, "this process did not run for a while")
+    VM_LIST_LOST = (4003, "the VM list gives no answer; the last one is used")
+    VM_LIST_BACK = (4004, "the VM list answers again")
+    VM_LIST_DOUBTFUL = (4005, "the VM list dropped most VMs; not taken yet")
+    PEER_TOKEN_WRONG = (4006, "a peer was refused for its token")
+    POOL_HELD = (4020, "this process holds a pool's control work")
+    POOL_RELEASED = (4021, "this process gave up a pool's control work")
+    HOLDER_LEASE_LAPSED = (4022, "the lease on control work has lapsed")
+
     @property
     def number(self) -> int:
         """The stable number of the event."""
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -16,6 +16,23 @@
     REQUESTS_UNKNOWN = "requests.unknown"
     REQUEST_MS = "requests.ms"
 
+    TABLE_REVISION = "configuration.revision"
+    STORE_FAILING_SECONDS = "store.failing_seconds"
+    STORE_CALLS = "store.calls"
+    STORE_CALLS_CONFIGURATION = "store.calls.configuration"
+    STORE_CALLS_EDITS = "store.calls.edits"
+    STORE_CALLS_CLAIMS = "store.calls.claims"
+    STORE_CALLS_CONTROL_WORK = "store.calls.control-work"
+    STORE_CALLS_HOLDERS = "store.calls.holders"
+    STORE_CALLS_AUDIT = "store.calls.audit"
+    STORE_CALLS_LEASES = "store.calls.leases"
+    STORE_CALLS_OTHER = "store.calls.other"
+    STORE_CALLS_OVER_BUDGET = "store.calls.over_budget"
+    PEERS_HEARD = "peers.heard"
+    PEER_CALLS = "peers.calls"
+    PEER_BYTES = "peers.bytes"
+    POOLS_HELD = "pools.held"
+
 
 class Metrics(Protocol):
     """Counters, gauges and timings by name."""
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/peer_server.py
@@ -0,0 +1,154 @@
+"""The peer port: a gRPC server for the other entry VMs."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING, Any, Protocol
+
+import grpc
+import grpc.aio
+
+from medlarspring_adapters import peer_pb2, peer_pb2_grpc
+from medlarspring_tables import MedlarspringError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+MIN_PING_MS = 5_000
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+GRACE_SECONDS = 0.5
+
+SERVER_OPTIONS: list[tuple[str, int]] = [
+    # Two daemons on one port would each get a part of the calls.
+    ("grpc.so_reuseport", 0),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.min_ping_interval_without_data_ms", MIN_PING_MS),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+]
+
+
+class PeerPortUnavailable(MedlarspringError):
+    """The peer port could not be opened."""
+
+    code = "peer-port"
+
+    def __init__(self, listen: str) -> None:
+        super().__init__(listen)
+        self.listen = listen
+
+    def message(self) -> str:
+        """Say what failed and what to do."""
+        return (
+            f"The peer port {self.listen} could not be opened."
+            " End the process that uses it or change [peer] listen."
+        )
+
+
+class PeerHandlers(Protocol):
+    """What the daemon answers to its peers."""
+
+    def exchange(self, report: peer_pb2.Report) -> peer_pb2.Report:
+        """Take a peer's report and return the own one."""
+        ...
+
+    def grant_slots(self, request: peer_pb2.SlotRequest) -> peer_pb2.SlotReply:
+        """Grant slots of upstream VMs."""
+        ...
+
+    def fetch_table(self, request: peer_pb2.TableRequest) -> peer_pb2.TableReply:
+        """Return the table in force if it is newer than the asker's."""
+        ...
+
+    def find_decisions(self, query: peer_pb2.DecisionQuery) -> peer_pb2.DecisionReply:
+        """Return what is remembered about a subject."""
+        ...
+
+    def note_wrong_token(self) -> None:
+        """Learn that a call was refused for its token."""
+        ...
+
+
+class _Servicer(peer_pb2_grpc.PeerServicer):
+    """Hands each call to the daemon; all answers are made without waiting."""
+
+    def __init__(self, handlers: PeerHandlers) -> None:
+        self._handlers = handlers
+
+    async def Exchange(self, request: Any, context: Any) -> Any:  # noqa: N802
+        return self._handlers.exchange(request)
+
+    async def GrantSlots(self, request: Any, context: Any) -> Any:  # noqa: N802
+        return self._handlers.grant_slots(request)
+
+    async def FetchTable(self, request: Any, context: Any) -> Any:  # noqa: N802
+        return self._handlers.fetch_table(request)
+
+    async def FindDecisions(self, request: Any, context: Any) -> Any:  # noqa: N802
+        return self._handlers.find_decisions(request)
+
+
+class _TokenCheck(grpc.aio.ServerInterceptor):
+    """Refuses calls without the fleet's token before any handler runs."""
+
+    def __init__(self, token: str, handlers: PeerHandlers) -> None:
+        self._wanted = f"Bearer {token}".encode()
+        self._handlers = handlers
+
+    async def intercept_service(
+        self,
+        continuation: Callable[[Any], Awaitable[Any]],
+        handler_call_details: Any,
+    ) -> Any:
+        metadata = dict(handler_call_details.invocation_metadata)
+        given = str(metadata.get("authorization", "")).encode()
+        if hmac.compare_digest(given, self._wanted):
+            return await continuation(handler_call_details)
+        self._handlers.note_wrong_token()
+        return grpc.unary_unary_rpc_method_handler(_refuse)
+
+
+async def _refuse(request: Any, context: Any) -> None:
+    await context.abort(
+        grpc.StatusCode.UNAUTHENTICATED,
+        "wrong token; all entry VMs need the same [peer] token_file",
+    )
+
+
+class PeerServer:
+    """The open peer port."""
+
+    def __init__(self, listen: str, token: str, handlers: PeerHandlers) -> None:
+        self._listen = listen
+        self._server = grpc.aio.server(
+            interceptors=[_TokenCheck(token, handlers)], options=SERVER_OPTIONS
+        )
+        peer_pb2_grpc.add_PeerServicer_to_server(  # type: ignore[no-untyped-call]
+            _Servicer(handlers), self._server
+        )
+
+    async def start(self) -> str:
+        """Open the port; returns its real ``ip:port``."""
+        try:
+            port = self._server.add_insecure_port(self._listen)
+        except RuntimeError as error:
+            raise PeerPortUnavailable(self._listen) from error
+        await self._server.start()
+        host, _, _ = self._listen.rpartition(":")
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the port; calls in flight get a short while."""
+        await self._server.stop(GRACE_SECONDS)
+
+
+def create_peer_server(listen: str, token: str, handlers: PeerHandlers) -> PeerServer:
+    """Return a server that is not open yet."""
+    return PeerServer(listen, token, handlers)
+
+
+__all__ = [
+    "PeerHandlers",
+    "PeerPortUnavailable",
+    "PeerServer",
+    "create_peer_server",
+]
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/vm_list.py
@@ -0,0 +1,160 @@
+"""Client of the platform's list of VMs (Prometheus HTTP service discovery)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+from msgspec import Struct, field
+from returns.result import Failure, Result, Success
+
+from medlarspring_tables import (
+    EntryVMId,
+    ListedEntryVM,
+    ListedState,
+    ListedVM,
+    MedlarspringError,
+    PoolId,
+    RackId,
+    RegionId,
+    VMId,
+    VMList,
+    ZoneId,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+
+ROLE_ENTRY = "entry"
+HTTP_OK = 200
+
+
+class Labels(Struct):
+    """Labels of one target; all strings, as published."""
+
+    id: str
+    role: str = "upstream"
+    state: str = "live"
+    pool: str = ""
+    rack: str = ""
+    zone: str = ""
+    region: str = ""
+    slots: str = "8"
+    connections: str = "64"
+    cpus: str = "32"
+    memory_gb: str = "64"
+    accelerators: str = "0"
+
+
+class TargetGroup(Struct):
+    """Targets that share their labels; a VM has one target."""
+
+    labels: Labels
+    targets: list[str] = field(default_factory=list)
+
+
+class VMListUnavailable(MedlarspringError):
+    """The list gave no usable answer; the last one goes on to be used."""
+
+    code = "vm-list-unavailable"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+    def message(self) -> str:
+        """Say what failed and what to do."""
+        return (
+            f"The VM list gave no usable answer ({self.detail})."
+            " The last one stays in use; check [vm_list] url."
+        )
+
+
+class VMListClient:
+    """Reads the list with one GET each time."""
+
+    def __init__(self, url: str, timeout_seconds: Seconds) -> None:
+        self._url = url
+        self._timeout_seconds = timeout_seconds
+
+    async def read(self, now: Seconds) -> Result[VMList, VMListUnavailable]:
+        """Return the list; a connection is made for each read.
+
+        Reads are seconds apart, and a kept connection that has gone silent
+        would cost a timeout while a new one works.
+        """
+        timeout = aiohttp.ClientTimeout(total=self._timeout_seconds)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(self._url) as response,
+            ):
+                if response.status != HTTP_OK:
+                    detail = f"HTTP status {response.status}"
+                    return Failure(VMListUnavailable(detail))
+                content = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Failure(VMListUnavailable(repr(error)))
+        return parse_vm_list(content, now)
+
+
+def parse_vm_list(content: bytes, now: Seconds) -> Result[VMList, VMListUnavailable]:
+    """Return the rows of one answer; one unreadable row spoils only itself."""
+    try:
+        groups = msgspec.json.decode(content, type=list[msgspec.Raw])
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Failure(VMListUnavailable(f"not a list of targets: {error}"))
+    vm_list = VMList(read_at=now)
+    for raw in groups:
+        try:
+            _add_group(vm_list, msgspec.json.decode(raw, type=TargetGroup))
+        except (msgspec.MsgspecError, ValueError):
+            continue
+    return Success(vm_list)
+
+
+def _add_group(vm_list: VMList, group: TargetGroup) -> None:
+    if not group.targets:
+        return
+    labels = group.labels
+    address = group.targets[0]
+    state = ListedState(labels.state)
+    if labels.role == ROLE_ENTRY:
+        entry_vm_id = EntryVMId(labels.id)
+        vm_list.entry_vms_by_id[entry_vm_id] = ListedEntryVM(
+            id=entry_vm_id,
+            peer_address=address,
+            zone_id=ZoneId(labels.zone),
+            region_id=RegionId(labels.region),
+            state=state,
+        )
+        return
+    vm_id = VMId(labels.id)
+    vm_list.vms_by_id[vm_id] = ListedVM(
+        id=vm_id,
+        address=address,
+        pool_id=PoolId(labels.pool),
+        rack_id=RackId(labels.rack),
+        zone_id=ZoneId(labels.zone),
+        region_id=RegionId(labels.region),
+        state=state,
+        slots=int(labels.slots),
+        connections=int(labels.connections),
+        cpus=float(labels.cpus),
+        memory_gb=float(labels.memory_gb),
+        accelerators=int(labels.accelerators),
+    )
+
+
+def create_vm_list_client(url: str, timeout_seconds: Seconds) -> VMListClient:
+    """Return a client of the list at ``url``."""
+    return VMListClient(url, timeout_seconds)
+
+
+__all__ = [
+    "VMListClient",
+    "VMListUnavailable",
+    "create_vm_list_client",
+    "parse_vm_list",
+]
--- a/packages/daemon/src/medlarspring_daemon/node.py
+++ b/packages/daemon/src/medlarspring_daemon/node.py
@@ -5,19 +5,30 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from returns.result import Failure, Result
+
 from medlarspring_adapters.decisions import DecisionLog
+from medlarspring_adapters.peer_client import PeerError, PeerUnreachable
+from medlarspring_adapters.store_meter import MeteredStore, create_metered_store
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from medlarspring_adapters import peer_pb2
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.events import EventLog
     from medlarspring_adapters.metrics import Metrics
-    from medlarspring_adapters.store import Store
+    from medlarspring_adapters.store import Expect, Store
     from medlarspring_daemon.settings import Settings
-    from medlarspring_tables import ConfigTable, EntryVMId, VMList
+    from medlarspring_tables import (
+        ConfigTable,
+        EntryVMId,
+        Member,
+        PoolId,
+        Seconds,
+        VMList,
+    )
 
 
 class Part(Protocol):
@@ -52,6 +63,89 @@
         ...
 
 
+class Peers(Protocol):
+    """The other entry VMs: who is heard, and calls to them."""
+
+    @property
+    def heard_by_id(self) -> Mapping[EntryVMId, Member]:
+        """Other entry VMs heard within the timeout and not leaving."""
+        ...
+
+    @property
+    def zone_members(self) -> tuple[EntryVMId, ...]:
+        """This entry VM and those heard in its availability zone, sorted."""
+        ...
+
+    @property
+    def refused_by_id(self) -> Mapping[EntryVMId, Seconds]:
+        """When a peer's port refused a connection and nothing was heard since.
+
+        The refusal proves that the process has ended; silence proves nothing.
+        """
+        ...
+
+    async def call_grant_slots(
+        self,
+        entry_vm_id: EntryVMId,
+        request: peer_pb2.SlotRequest,
+        timeout_seconds: Seconds,
+    ) -> Result[peer_pb2.SlotReply, PeerError]:
+        """Ask one peer for slots."""
+        ...
+
+    async def find_decisions(self, kind: str, id: str) -> list[bytes]:  # noqa: A002
+        """Return what this process and all heard peers remember, as JSON."""
+        ...
+
+
+class NoPeers:
+    """Stands in until the peer service has started."""
+
+    heard_by_id: Mapping[EntryVMId, Member] = {}
+    refused_by_id: Mapping[EntryVMId, Seconds] = {}
+    zone_members: tuple[EntryVMId, ...] = ()
+
+    async def call_grant_slots(
+        self,
+        entry_vm_id: EntryVMId,
+        request: peer_pb2.SlotRequest,
+        timeout_seconds: Seconds,
+    ) -> Result[peer_pb2.SlotReply, PeerError]:
+        """Fail: there is no peer."""
+        return Failure(PeerUnreachable(entry_vm_id, "the peer port is not open"))
+
+    async def find_decisions(self, kind: str, id: str) -> list[bytes]:  # noqa: A002
+        """Find nothing."""
+        return []
+
+
+class Holders(Protocol):
+    """Which pools' control work this process holds."""
+
+    def held_pools(self) -> frozenset[PoolId]:
+        """Return the pools held for certain, by this process's own clock."""
+        ...
+
+    def fence(self, pool_id: PoolId) -> Expect | None:
+        """Return the condition that each write of the pool's work must carry.
+
+        None when the pool is not held, or its lease may have lapsed.
+        """
+        ...
+
+
+class NoHolders:
+    """Holds nothing; stands in until the holder service has started."""
+
+    def held_pools(self) -> frozenset[PoolId]:
+        """Return no pool."""
+        return frozenset()
+
+    def fence(self, pool_id: PoolId) -> Expect | None:
+        """Return no fence."""
+        return None
+
+
 @dataclass(slots=True)
 class Node:
     """What every service of one daemon may read; each field has one writer."""
@@ -61,7 +155,7 @@
     rng: random.Random
     log: EventLog
     metrics: Metrics
-    store: Store
+    store: MeteredStore
     decisions: DecisionLog
     id: EntryVMId
     incarnation: int
@@ -73,6 +167,10 @@
     """The newest list; written by the VM list service."""
     report_parts: list[ReportPart] = field(default_factory=list)
     slot_granter: SlotGranter | None = None
+    peers: Peers = field(default_factory=NoPeers)
+    """Written by the peer service."""
+    holders: Holders = field(default_factory=NoHolders)
+    """Written by the holder service."""
     addresses: dict[str, str] = field(default_factory=dict)
     """Real addresses of the open ports by port name."""
     stopping: bool = False
@@ -94,11 +192,21 @@
         rng=rng,
         log=log,
         metrics=metrics,
-        store=store,
+        store=create_metered_store(store, clock),
         decisions=DecisionLog(clock, entry_vm_id),
         id=entry_vm_id,
         incarnation=rng.getrandbits(64),
     )
 
 
-__all__ = ["Node", "Part", "ReportPart", "SlotGranter", "create_node"]
+__all__ = [
+    "Holders",
+    "NoHolders",
+    "NoPeers",
+    "Node",
+    "Part",
+    "Peers",
+    "ReportPart",
+    "SlotGranter",
+    "create_node",
+]
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -4,6 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.etcd_gateway import create_etcd_gateway_store
+from medlarspring_daemon.services.config_service import create_config_service
+from medlarspring_daemon.services.control_metrics_service import (
+    create_control_metrics_service,
+)
+from medlarspring_daemon.services.holder_service import create_holder_service
+from medlarspring_daemon.services.peer_service import create_peer_service
+from medlarspring_daemon.services.vm_list_service import create_vm_list_service
+
 if TYPE_CHECKING:
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import Store
@@ -13,12 +22,22 @@
 
 def create_store(settings: Settings, clock: Clock) -> Store:
     """Return the client of the platform's key-value service."""
-    raise NotImplementedError
+    return create_etcd_gateway_store(
+        settings.store.endpoints, settings.store.timeout_seconds
+    )
 
 
 def create_parts(node: Node) -> list[Part]:
     """Return all services; the last one started is the first one stopped."""
-    return []
+    vm_list = create_vm_list_service(node)
+    peers = create_peer_service(node)
+    return [
+        vm_list,
+        peers,
+        create_config_service(node, peers),
+        create_holder_service(node, peers),
+        create_control_metrics_service(node, peers),
+    ]
 
 
 __all__ = ["create_parts", "create_store"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/config_service.py
@@ -0,0 +1,238 @@
+"""Keeps the newest accepted table in force, from the store or from peers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Success
+
+from medlarspring_adapters.events import Event
+from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems.distribution import (
+    Distribution,
+    Source,
+    Verdict,
+    choose_fetch,
+    is_watcher,
+    offer_table,
+    plan_retry,
+    release_held,
+)
+from medlarspring_tables import ConfigTable, Revision, ZoneId
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+    from typing import Any
+
+    from medlarspring_daemon.node import Node
+    from medlarspring_daemon.services.peer_service import PeerService
+
+CONFIG_KEY = "config/table"
+TICK_SECONDS = 0.25
+SHORT_WATCH_SECONDS = 1.0
+RESUME_SECONDS = 0.25
+
+
+class ConfigService:
+    """The only writer of ``node.config``."""
+
+    def __init__(self, node: Node, peers: PeerService) -> None:
+        self._node = node
+        self._peers = peers
+        self._tasks = Tasks(node.log)
+        self._failures = 0
+        self._watching = False
+        self._store_state: Verdict | None = None
+        self.distribution = Distribution()
+
+    async def start(self) -> None:
+        """Begin to ask the store and the peers; the first answer is not awaited."""
+        self.distribution.started_at = self._node.clock.now()
+        self._tasks.keep(self._run_store)
+        self._tasks.keep(self._run_peers)
+        self._tasks.keep(self._run_start)
+
+    async def stop(self) -> None:
+        """End watching."""
+        await self._tasks.cancel()
+
+    async def _run_start(self) -> None:
+        """Until a table is in force, see whether the peers were asked."""
+        while self.distribution.in_force is None:
+            self.distribution.peers_asked = self._peers.has_asked_zone()
+            held = self.distribution.held
+            verdict = release_held(self.distribution, self._node.clock.now())
+            if held is not None and verdict is not None:
+                self._settle(verdict, held, Source.STORE)
+            await asyncio.sleep(TICK_SECONDS / 5)
+        await asyncio.Event().wait()
+
+    async def _run_store(self) -> None:
+        while True:
+            if not self._should_ask():
+                await asyncio.sleep(TICK_SECONDS)
+                continue
+            revision = await self._read()
+            if revision is None:
+                self._failures += 1
+                await asyncio.sleep(plan_retry(self._failures, self._node.rng))
+                continue
+            await self._watch_while_due(Revision(revision + 1))
+
+    def _should_ask(self) -> bool:
+        """Return whether to ask the store now.
+
+        A process that got no answer goes on asking although it is no watcher,
+        seldom: it tells its peers that the store fails it, and would otherwise
+        never find out that this is over.
+        """
+        if self.distribution.in_force is None or self._failures > 0:
+            return True
+        return self._is_watcher()
+
+    def _is_watcher(self) -> bool:
+        zone_id = ZoneId(self._node.settings.entry_vm.zone)
+        steady = self._peers.list_steady(own_zone_only=True)
+        return is_watcher(self._node.id, zone_id, steady)
+
+    async def _read(self) -> Revision | None:
+        """Read the table; return the store's revision, None without an answer."""
+        answer = await self._node.store.read_prefix(CONFIG_KEY)
+        if not isinstance(answer, Success):
+            if self._failures == 0:
+                reason = str(answer.failure())
+                self._node.log.warning(Event.STORE_LOST, reason=reason)
+            return None
+        if self._failures > 0:
+            self._node.log.info(Event.STORE_BACK, failures=self._failures)
+        self._failures = 0
+        listing = answer.unwrap()
+        found = [entry for entry in listing.entries if entry.key == CONFIG_KEY]
+        if found:
+            self._take(found[0].value, Source.STORE)
+        else:
+            self._take_absent()
+        return Revision(listing.revision)
+
+    async def _watch_while_due(self, start: Revision) -> None:
+        if not self._is_watcher():
+            # Without a table the loop comes here at each turn.
+            await asyncio.sleep(self._node.rng.uniform(0.5, 1.5) * TICK_SECONDS)
+            return
+        began = self._node.clock.now()
+        self._note_watching(True)
+        watch = asyncio.ensure_future(self._watch(start))
+        try:
+            while not watch.done() and self._is_watcher():
+                await asyncio.wait([watch], timeout=TICK_SECONDS)
+        finally:
+            watch.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watch
+        if not self._is_watcher():
+            self._note_watching(False)
+            return
+        # A watch that ends at once would otherwise be a tight loop of calls.
+        if self._node.clock.now() - began < SHORT_WATCH_SECONDS:
+            self._failures += 1
+            await asyncio.sleep(plan_retry(self._failures, self._node.rng))
+            return
+        await asyncio.sleep(self._node.rng.uniform(0, RESUME_SECONDS))
+
+    async def _watch(self, start: Revision) -> None:
+        batches: AsyncGenerator[Any, None]
+        batches = self._node.store.watch(CONFIG_KEY, start)  # type: ignore[assignment]
+        async with contextlib.aclosing(batches):
+            async for batch in batches:
+                if batch.revision + 1 < start:
+                    return
+                for entry in batch.changed:
+                    if entry.key == CONFIG_KEY:
+                        self._take(entry.value, Source.STORE)
+                if CONFIG_KEY in batch.deleted:
+                    self._take_absent()
+
+    async def _run_peers(self) -> None:
+        """Fetch the table from a peer whenever one has a newer one."""
+        while True:
+            known = Revision(0)
+            if self.distribution.in_force is not None:
+                known = self.distribution.in_force.revision
+            chosen = choose_fetch(
+                known,
+                self._peers.heard_by_id,
+                ZoneId(self._node.settings.entry_vm.zone),
+                self._node.rng,
+            )
+            if chosen is None:
+                self._peers.news.clear()
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._peers.news.wait(), TICK_SECONDS * 4)
+                continue
+            answer = await self._peers.fetch_table(chosen, known)
+            if isinstance(answer, Success) and answer.unwrap():
+                self._take(answer.unwrap(), Source.PEER)
+                continue
+            await asyncio.sleep(self._node.rng.uniform(0.5, 1.0) * TICK_SECONDS)
+
+    def _take(self, encoded: bytes, source: Source) -> None:
+        try:
+            table = msgspec.json.decode(encoded, type=ConfigTable)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._node.log.error(
+                Event.TABLE_UNREADABLE, source=source.value, reason=str(error)
+            )
+            return
+        now = self._node.clock.now()
+        verdict = offer_table(self.distribution, table, source, now)
+        self._settle(verdict, table, source)
+
+    def _take_absent(self) -> None:
+        """The store has no table: a new fleet, or one that was emptied."""
+        if self.distribution.in_force is None:
+            self._note_store(Verdict.SAME, Event.STORE_HAS_NO_TABLE, Revision(0))
+            return
+        now = self._node.clock.now()
+        verdict = offer_table(self.distribution, ConfigTable(), Source.STORE, now)
+        self._settle(verdict, ConfigTable(), Source.STORE)
+
+    def _settle(self, verdict: Verdict, table: ConfigTable, source: Source) -> None:
+        if source is Source.STORE and verdict is Verdict.OLDER:
+            self._note_store(verdict, Event.STORE_TABLE_OLDER, table.revision)
+        elif source is Source.STORE and verdict is Verdict.DIVERGED:
+            self._note_store(verdict, Event.STORE_TABLE_DIVERGED, table.revision)
+        elif source is Source.STORE:
+            self._store_state = verdict
+        if verdict is not Verdict.TAKEN:
+            return
+        self._node.config = table
+        self._node.log.info(
+            Event.TABLE_IN_FORCE, revision=table.revision, source=source.value
+        )
+        for listener in self._node.config_listeners:
+            listener(table)
+
+    def _note_store(self, verdict: Verdict, event: Event, revision: Revision) -> None:
+        """Log a state of the store's table once, not at each read."""
+        if self._store_state is verdict:
+            return
+        self._store_state = verdict
+        in_force = self._node.config.revision if self._node.config else None
+        self._node.log.warning(event, store_revision=revision, in_force=in_force)
+
+    def _note_watching(self, watching: bool) -> None:
+        if watching == self._watching:
+            return
+        self._watching = watching
+        self._node.log.info(Event.WATCH_STARTED if watching else Event.WATCH_STOPPED)
+
+
+def create_config_service(node: Node, peers: PeerService) -> ConfigService:
+    """Return the service that keeps ``node.config``."""
+    return ConfigService(node, peers)
+
+
+__all__ = ["CONFIG_KEY", "ConfigService", "create_config_service"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/holder_service.py
@@ -0,0 +1,225 @@
+"""Holds the control work of pools under one store lease."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec import Struct
+from returns.result import Success
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.store import (
+    Committed,
+    Delete,
+    Expect,
+    LeaseId,
+    Put,
+    Transaction,
+)
+from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems.holders import (
+    LEASE_SECONDS,
+    RENEW_SECONDS,
+    HeldPool,
+    Holdings,
+    find_fence,
+    list_held,
+    note_lapsed,
+    note_lease,
+    plan_holders,
+)
+from medlarspring_tables import PoolId, Revision
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node
+    from medlarspring_daemon.services.peer_service import PeerService
+
+HOLDERS_PREFIX = "holders/"
+TICK_SECONDS = 0.5
+TRY_SECONDS = 1.0
+MAX_TRY_SECONDS = 8.0
+MAX_POOLS_PER_CALL = 64
+
+
+class HolderRecord(Struct, frozen=True):
+    """Value of a holder key, for people."""
+
+    entry_vm: str
+    incarnation: int
+    since: float
+    """Wall time in seconds since the epoch."""
+
+
+class HolderService:
+    """Implements ``Holders``; one lease keeps all keys of this process."""
+
+    def __init__(self, node: Node, peers: PeerService) -> None:
+        self._node = node
+        self._peers = peers
+        self._tasks = Tasks(node.log)
+        self.holdings = Holdings(node.id)
+        self._to_delete: list[HeldPool] = []
+        """Given up, but the key may still be there."""
+        self._renewed_at = 0.0
+        self._try_at = 0.0
+        self._failures = 0
+
+    async def start(self) -> None:
+        """Begin to hold what this process is preferred for."""
+        self._node.holders = self
+        self._tasks.keep(self._run)
+
+    async def stop(self) -> None:
+        """Give everything up at once, so that successors need not wait."""
+        await self._tasks.cancel()
+        lease_id = self.holdings.lease_id
+        note_lapsed(self.holdings)
+        if lease_id is not None:
+            await self._node.store.revoke_lease(LeaseId(lease_id))
+
+    def held_pools(self) -> frozenset[PoolId]:
+        """Return the pools held for certain, by this process's own clock."""
+        return list_held(self.holdings, self._node.clock.now())
+
+    def fence(self, pool_id: PoolId) -> Expect | None:
+        """Return the condition that each write of the pool's work must carry."""
+        revision = find_fence(self.holdings, pool_id, self._node.clock.now())
+        if revision is None:
+            return None
+        return Expect(_key(pool_id), revision)
+
+    async def _run(self) -> None:
+        while not self._node.stopping:
+            await self._renew()
+            await self._follow_plan()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _renew(self) -> None:
+        lease_id = self.holdings.lease_id
+        now = self._node.clock.now()
+        if lease_id is None or now - self._renewed_at < RENEW_SECONDS:
+            return
+        answer = await self._node.store.keep_lease(LeaseId(lease_id))
+        if not isinstance(answer, Success):
+            return
+        ttl = answer.unwrap()
+        if ttl <= 0:
+            pools = sorted(self.holdings.pools_by_id)
+            self._node.log.warning(Event.HOLDER_LEASE_LAPSED, pools=pools)
+            note_lapsed(self.holdings)
+            return
+        self._renewed_at = now
+        note_lease(self.holdings, lease_id, now, min(ttl, LEASE_SECONDS))
+
+    async def _follow_plan(self) -> None:
+        config = self._node.config
+        now = self._node.clock.now()
+        if config is None or now < self._try_at:
+            return
+        members = self._peers.list_steady()
+        plan = plan_holders(self.holdings, config.pools_by_id, members, now)
+        self._to_delete += [
+            self.holdings.pools_by_id.pop(each) for each in plan.release
+        ]
+        await self._delete_keys()
+        if plan.acquire:
+            await self._acquire(plan.acquire[:MAX_POOLS_PER_CALL])
+
+    async def _acquire(self, pool_ids: tuple[PoolId, ...]) -> None:
+        if not await self._ensure_lease():
+            self._back_off()
+            return
+        lease_id = self.holdings.lease_id
+        if lease_id is None or self._node.clock.now() >= self.holdings.safe_until:
+            return
+        record = HolderRecord(
+            self._node.id, self._node.incarnation, self._node.clock.wall()
+        )
+        value = msgspec.json.encode(record)
+        transactions = [
+            Transaction(
+                expects=(Expect(_key(pool_id), Revision(0)),),
+                writes=(Put(_key(pool_id), value, LeaseId(lease_id)),),
+                read_on_failure=(_key(pool_id),),
+            )
+            for pool_id in pool_ids
+        ]
+        answer = await self._node.store.commit_each(transactions)
+        if not isinstance(answer, Success):
+            self._back_off()
+            return
+        self._failures = 0
+        spread = self._node.rng.uniform(0.75, 1.25)
+        self._try_at = self._node.clock.now() + TRY_SECONDS * spread
+        for pool_id, committed in zip(pool_ids, answer.unwrap(), strict=True):
+            self._note_attempt(pool_id, committed, lease_id)
+
+    def _note_attempt(
+        self, pool_id: PoolId, committed: Committed, lease_id: int
+    ) -> None:
+        if self.holdings.lease_id != lease_id:
+            return
+        revision = committed.revision
+        if not committed.succeeded:
+            # After a lost answer the key is already there with this lease; taken
+            # for another holder's it would stay ours and unserved for ever.
+            found = committed.read_by_key.get(_key(pool_id))
+            if found is None or found.lease_id != lease_id:
+                return
+            revision = found.mod_revision
+        self._to_delete = [each for each in self._to_delete if each.pool_id != pool_id]
+        self.holdings.pools_by_id[pool_id] = HeldPool(pool_id, revision)
+        self._node.log.info(Event.POOL_HELD, pool=pool_id, fence=revision)
+
+    async def _ensure_lease(self) -> bool:
+        if self.holdings.lease_id is not None:
+            return True
+        sent_at = self._node.clock.now()
+        answer = await self._node.store.grant_lease(LEASE_SECONDS)
+        if not isinstance(answer, Success):
+            return False
+        note_lease(self.holdings, answer.unwrap(), sent_at, LEASE_SECONDS)
+        self._renewed_at = sent_at
+        return True
+
+    async def _delete_keys(self) -> None:
+        """Delete the keys of pools given up before; none is acted on any more.
+
+        A key whose deletion got no answer is tried again: the lease is kept
+        alive for the other pools, and the key would bar successors for ever.
+        """
+        for held in list(self._to_delete):
+            key = _key(held.pool_id)
+            expect = Expect(key, held.mod_revision)
+            answer = await self._node.store.commit(
+                Transaction((expect,), (Delete(key),))
+            )
+            if not isinstance(answer, Success):
+                return
+            self._to_delete.remove(held)
+            self._node.log.info(Event.POOL_RELEASED, pool=held.pool_id)
+
+    def _back_off(self) -> None:
+        """Wait longer after each failure, from a random part on.
+
+        When the store returns, every process would otherwise ask for a lease and
+        its keys in the same second.
+        """
+        self._failures += 1
+        longest = min(TRY_SECONDS * 2**self._failures, MAX_TRY_SECONDS)
+        wait = self._node.rng.uniform(TRY_SECONDS / 2, longest)
+        self._try_at = self._node.clock.now() + wait
+
+
+def _key(pool_id: PoolId) -> str:
+    return f"{HOLDERS_PREFIX}{pool_id}"
+
+
+def create_holder_service(node: Node, peers: PeerService) -> HolderService:
+    """Return the service that holds control work."""
+    return HolderService(node, peers)
+
+
+__all__ = ["HolderRecord", "HolderService", "create_holder_service"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_reports.py
@@ -0,0 +1,118 @@
+"""Builds the reports that peers exchange, and hands on those that arrive."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters import peer_pb2
+from medlarspring_systems.membership import Heartbeat, list_heard
+from medlarspring_tables import EntryVMId, Revision, ZoneId
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node
+    from medlarspring_tables import MemberTable, Seconds
+
+FILL_SECONDS = 0.2
+"""What the services say is collected at most so often, for all peers at once."""
+FULL_SECONDS = 5.0
+"""Unchanged usage is repeated so often, in case a report was lost."""
+
+Usage = tuple[int, int, int]
+
+
+@dataclass(slots=True)
+class SentUsage:
+    """What one peer was told last."""
+
+    usage_by_partner: dict[str, Usage] = field(default_factory=dict)
+    full_at: Seconds = 0.0
+
+
+class ReportBuilder:
+    """Makes one report per peer and call; only what changed goes into it."""
+
+    def __init__(self, node: Node, members: MemberTable) -> None:
+        self._node = node
+        self._members = members
+        self._sequence = 0
+        self._filled = peer_pb2.Report()
+        self._filled_at: Seconds | None = None
+        self._sent_by_id: dict[EntryVMId, SentUsage] = {}
+
+    def build(self, recipient: EntryVMId) -> peer_pb2.Report:
+        """Return the next report for one peer."""
+        now = self._node.clock.now()
+        self._fill(now)
+        report = peer_pb2.Report()
+        report.CopyFrom(self._filled)
+        self._sequence += 1
+        report.sequence = self._sequence
+        report.leaving = self._node.stopping
+        # All names would be most of a report in a large fleet; a peer only
+        # needs to know whether its own reports arrive.
+        if recipient in list_heard(self._members):
+            report.heard.append(recipient)
+        if self._node.config is not None:
+            report.table_revision = self._node.config.revision
+        self._leave_out_unchanged(report, recipient, now)
+        return report
+
+    def forget(self) -> None:
+        """Drop what is kept about members that are gone."""
+        for entry_vm_id in self._sent_by_id.keys() - self._members.members_by_id.keys():
+            del self._sent_by_id[entry_vm_id]
+
+    def _fill(self, now: Seconds) -> None:
+        if self._filled_at is not None and now - self._filled_at < FILL_SECONDS:
+            return
+        self._filled_at = now
+        report = peer_pb2.Report(
+            sender=self._node.id,
+            incarnation=self._node.incarnation,
+            zone=self._node.settings.entry_vm.zone,
+            operator_address=self._node.addresses.get("operator", ""),
+            peer_address=self._node.addresses.get("peer", ""),
+            store_failing_ms=int(self._node.store.failing_seconds() * 1000),
+        )
+        for part in self._node.report_parts:
+            part.fill_report(report)
+        self._filled = report
+
+    def _leave_out_unchanged(
+        self, report: peer_pb2.Report, recipient: EntryVMId, now: Seconds
+    ) -> None:
+        sent = self._sent_by_id.setdefault(recipient, SentUsage())
+        if now - sent.full_at >= FULL_SECONDS:
+            sent.full_at = now
+            sent.usage_by_partner.clear()
+        changed = []
+        for usage in report.usage:
+            facts = (usage.slot_ms, usage.waiting, usage.running)
+            if sent.usage_by_partner.get(usage.partner) != facts:
+                sent.usage_by_partner[usage.partner] = facts
+                changed.append(usage)
+        if len(changed) == len(report.usage):
+            return
+        kept = peer_pb2.Report(usage=changed)
+        report.ClearField("usage")
+        report.usage.extend(kept.usage)
+
+
+def to_heartbeat(report: peer_pb2.Report) -> Heartbeat:
+    """Return the facts that membership needs."""
+    return Heartbeat(
+        sender=EntryVMId(report.sender),
+        incarnation=report.incarnation,
+        zone_id=ZoneId(report.zone),
+        sequence=report.sequence,
+        table_revision=Revision(report.table_revision),
+        leaving=report.leaving,
+        operator_address=report.operator_address,
+        peer_address=report.peer_address,
+        store_failing=report.store_failing_ms / 1000,
+        heard=tuple(EntryVMId(each) for each in report.heard),
+    )
+
+
+__all__ = ["ReportBuilder", "to_heartbeat"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_service.py
@@ -0,0 +1,293 @@
+"""Exchanges reports with the other entry VMs and calls them for others."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters import peer_pb2
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.peer_client import (
+    PeerClient,
+    PeerError,
+    PeerRefused,
+    PeerUnreachable,
+    create_peer_client,
+)
+from medlarspring_adapters.peer_server import create_peer_server
+from medlarspring_daemon.services.peer_answers import PeerAnswers
+from medlarspring_daemon.services.peer_reports import ReportBuilder, to_heartbeat
+from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems import membership
+from medlarspring_systems.exchange import ExchangePlan, forget, list_due, note_bytes
+from medlarspring_tables import EntryVMId, Member, MemberTable, Revision, ZoneId
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from medlarspring_daemon.node import Node
+    from medlarspring_systems.membership import MemberChange
+    from medlarspring_tables import ConfigTable, Seconds, VMList
+
+TICK_SECONDS = 0.1
+EXCHANGE_SECONDS = 1.0
+FETCH_SECONDS = 3.0
+ASK_SECONDS = 2.0
+FAREWELL_SECONDS = 0.5
+FAILURES_BEFORE_RECONNECT = 2
+FRAMING_BYTES = 240
+"""HTTP/2 and TCP framing of one exchange, both directions."""
+
+
+class PeerService:
+    """Owns the member table; implements ``Peers`` for the other services."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        section = node.settings.peer
+        self._token = section.token_file.read_text(encoding="utf-8").strip()
+        self.members = MemberTable(node.id, ZoneId(node.settings.entry_vm.zone))
+        self.news = asyncio.Event()
+        """Set when a report named a newer table than that in force."""
+        self.bytes_exchanged = 0
+        self.calls = 0
+        self._reports = ReportBuilder(node, self.members)
+        self._answers = PeerAnswers(node, self._reports, self)
+        self._server = create_peer_server(section.listen, self._token, self._answers)
+        self._plan = ExchangePlan()
+        self._clients_by_id: dict[EntryVMId, PeerClient] = {}
+        self._failures_by_id: dict[EntryVMId, int] = {}
+        self._in_flight: set[EntryVMId] = set()
+        self._tried: set[EntryVMId] = set()
+        self._tasks = Tasks(node.log)
+        self._list_taken: VMList | None = None
+        self._ticked_at = node.clock.now()
+
+    async def start(self) -> None:
+        """Open the peer port and begin to exchange reports."""
+        self._node.addresses["peer"] = await self._server.start()
+        self._node.peers = self
+        self._node.config_listeners.append(self._spread_table)
+        self._ticked_at = self._node.clock.now()
+        self._tasks.keep(self._run)
+
+    async def stop(self) -> None:
+        """Tell the peers that this process leaves, then close the port."""
+        await self._tasks.cancel()
+        heard = list(self.heard_by_id.values())
+        farewells = [self._exchange(member, FAREWELL_SECONDS) for member in heard]
+        await asyncio.gather(*farewells)
+        for client in self._clients_by_id.values():
+            await client.close()
+        await self._server.stop()
+
+    @property
+    def heard_by_id(self) -> Mapping[EntryVMId, Member]:
+        """Other entry VMs heard within the timeout and not leaving."""
+        return membership.list_heard(self.members)
+
+    @property
+    def zone_members(self) -> tuple[EntryVMId, ...]:
+        """This entry VM and those heard in its availability zone, sorted."""
+        return membership.list_zone(self.members)
+
+    @property
+    def refused_by_id(self) -> Mapping[EntryVMId, Seconds]:
+        """When a peer's port refused a connection and nothing was heard since."""
+        return {
+            member.id: member.refused_at
+            for member in self.members.members_by_id.values()
+            if member.refused_at is not None
+        }
+
+    def list_steady(self, *, own_zone_only: bool = False) -> list[Member]:
+        """Return the heard peers that are fit for duties."""
+        now = self._node.clock.now()
+        ids = membership.list_steady(self.members, now, own_zone_only=own_zone_only)
+        return [self.members.members_by_id[each] for each in ids]
+
+    def has_asked_zone(self) -> bool:
+        """Return whether each listed peer of the zone answered or failed once."""
+        if self._list_taken is None:
+            return False
+        near = {
+            member.id
+            for member in self.members.members_by_id.values()
+            if member.listed and member.zone_id == self.members.own_zone_id
+        }
+        return near <= self._tried
+
+    async def call_grant_slots(
+        self,
+        entry_vm_id: EntryVMId,
+        request: peer_pb2.SlotRequest,
+        timeout_seconds: Seconds,
+    ) -> Result[peer_pb2.SlotReply, PeerError]:
+        """Ask one peer for slots."""
+        member = self.members.members_by_id.get(entry_vm_id)
+        if member is None:
+            return Failure(PeerUnreachable(entry_vm_id, "it is not known"))
+        answer = await self._open_client(member).grant_slots(request, timeout_seconds)
+        self._note_answer(member, answer)
+        return answer
+
+    async def fetch_table(
+        self, entry_vm_id: EntryVMId, known: Revision
+    ) -> Result[bytes, PeerError]:
+        """Return a peer's table as JSON, empty if it is not newer."""
+        member = self.members.members_by_id.get(entry_vm_id)
+        if member is None:
+            return Failure(PeerUnreachable(entry_vm_id, "it is not known"))
+        request = peer_pb2.TableRequest(known_revision=known)
+        answer = await self._open_client(member).fetch_table(request, FETCH_SECONDS)
+        self._note_answer(member, answer)
+        if not isinstance(answer, Success):
+            return Failure(answer.failure())
+        packed = answer.unwrap().table
+        self.bytes_exchanged += len(packed) + FRAMING_BYTES
+        return Success(zlib.decompress(packed) if packed else b"")
+
+    async def find_decisions(self, kind: str, id: str) -> list[bytes]:  # noqa: A002
+        """Return what this process and all heard peers remember, as JSON."""
+        query = peer_pb2.DecisionQuery(kind=kind, id=id)
+        found = list(self._answers.find_decisions(query).decisions)
+        clients = [self._open_client(each) for each in self.heard_by_id.values()]
+        answers = await asyncio.gather(
+            *(client.find_decisions(query, ASK_SECONDS) for client in clients)
+        )
+        for answer in answers:
+            if isinstance(answer, Success):
+                found += answer.unwrap().decisions
+        return found
+
+    def take_report(self, report: peer_pb2.Report) -> None:
+        """Learn from one report, unless it is late or sent twice."""
+        now = self._node.clock.now()
+        heartbeat = to_heartbeat(report)
+        is_news, changes = membership.take_heartbeat(self.members, heartbeat, now)
+        self._log_changes(changes)
+        if not is_news:
+            return
+        for part in self._node.report_parts:
+            part.take_report(report)
+        known = self._node.config.revision if self._node.config else 0
+        if heartbeat.table_revision > known:
+            self.news.set()
+
+    def note_bytes(self, sent: peer_pb2.Report, received: peer_pb2.Report) -> None:
+        """Count what one exchange took."""
+        exchanged = sent.ByteSize() + received.ByteSize() + FRAMING_BYTES
+        self.bytes_exchanged += exchanged
+        self.calls += 1
+        note_bytes(self._plan, exchanged)
+
+    async def _run(self) -> None:
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def _tick(self) -> None:
+        now = self._node.clock.now()
+        gap = now - self._ticked_at
+        self._ticked_at = now
+        if gap > membership.FREEZE_SECONDS:
+            membership.note_freeze(self.members, gap, now)
+            self._node.log.warning(Event.FROZEN, seconds=round(gap, 3))
+        vm_list = self._node.vm_list
+        if vm_list is not None and vm_list is not self._list_taken:
+            membership.take_list(self.members, vm_list, now)
+            self._list_taken = vm_list
+        self._log_changes(membership.tick(self.members, now))
+        for member in list_due(self._plan, self.members, now, self._node.rng):
+            self._begin_exchange(member)
+
+    def _begin_exchange(self, member: Member) -> None:
+        if member.id in self._in_flight:
+            return
+        self._in_flight.add(member.id)
+        self._tasks.start(self._exchange(member, EXCHANGE_SECONDS))
+
+    def _spread_table(self, table: ConfigTable) -> None:
+        """Tell the zone of a newer table at once, not at the next interval."""
+        for member in self.heard_by_id.values():
+            if member.zone_id != self.members.own_zone_id:
+                continue
+            if member.table_revision < table.revision:
+                self._begin_exchange(member)
+
+    async def _exchange(self, member: Member, timeout_seconds: Seconds) -> None:
+        try:
+            client = self._open_client(member)
+            report = self._reports.build(member.id)
+            answer = await client.exchange(report, timeout_seconds)
+        finally:
+            self._in_flight.discard(member.id)
+        self._note_answer(member, answer)
+        if not isinstance(answer, Success):
+            return
+        reply = answer.unwrap()
+        self.note_bytes(report, reply)
+        if reply.sender != member.id:
+            # The platform gave the address to a new VM before its list says so.
+            # Whoever had it is gone; waiting for its silence would keep its
+            # slots and duties bound to a VM that does not exist.
+            now = self._node.clock.now()
+            self._log_changes(membership.note_refused(self.members, member.id, now))
+        self.take_report(reply)
+
+    def _open_client(self, member: Member) -> PeerClient:
+        client = self._clients_by_id.get(member.id)
+        if client is not None and client.address == member.peer_address:
+            return client
+        if client is not None:
+            self._tasks.start(client.close())
+        client = create_peer_client(member.id, member.peer_address, self._token)
+        self._clients_by_id[member.id] = client
+        return client
+
+    def _note_answer(self, member: Member, answer: Result[Any, PeerError]) -> None:
+        now = self._node.clock.now()
+        self._tried.add(member.id)
+        if isinstance(answer, Success):
+            member.reached_at = now
+            self._failures_by_id[member.id] = 0
+            return
+        failures = self._failures_by_id.get(member.id, 0) + 1
+        self._failures_by_id[member.id] = failures
+        if isinstance(answer.failure(), PeerRefused):
+            self._log_changes(membership.note_refused(self.members, member.id, now))
+            return
+        if failures % FAILURES_BEFORE_RECONNECT == 0:
+            self._drop_client(member.id)
+
+    def _drop_client(self, entry_vm_id: EntryVMId) -> None:
+        """Connect afresh next time.
+
+        A connection that has gone silent for good fails call after call while a
+        new one would work; the keepalive finds out too, but only after 12 s.
+        """
+        client = self._clients_by_id.pop(entry_vm_id, None)
+        if client is not None:
+            self._tasks.start(client.close())
+
+    def _log_changes(self, changes: list[MemberChange]) -> None:
+        for change in changes:
+            self._node.log.info(
+                Event.MEMBER_CHANGED, member=change.id, became=change.event.value
+            )
+            if change.event is membership.MemberEvent.FORGOTTEN:
+                self._drop_client(change.id)
+                self._failures_by_id.pop(change.id, None)
+                forget(self._plan, self.members)
+                self._reports.forget()
+
+
+def create_peer_service(node: Node) -> PeerService:
+    """Return the service of the peer port."""
+    return PeerService(node)
+
+
+__all__ = ["PeerService", "create_peer_service"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/membership.py
@@ -0,0 +1,324 @@
+"""Membership of entry VMs: the lagging list plus heartbeats.
+
+Nobody has to agree on it. It decides whom to call, who is preferred for a duty
+and whose promises have ended; what needs one actor is under a store lease.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from medlarspring_tables import (
+    EntryVMId,
+    Member,
+    MemberState,
+    MemberTable,
+    Revision,
+    ZoneId,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds, VMList
+
+ZONE_SILENCE_SECONDS = 2.0
+REMOTE_SILENCE_SECONDS = 8.0
+FORGET_SECONDS = 60.0
+"""A member that is neither listed nor heard for so long is forgotten."""
+FREEZE_SECONDS = 1.5
+"""Two ticks further apart than this mean that this process did not run."""
+CALM_SECONDS = 60.0
+"""A member that stayed heard for so long is forgiven its falls."""
+TOLERATED_FALLS = 1
+HOLD_DOWN_SECONDS = 5.0
+MAX_HOLD_DOWN_SECONDS = 60.0
+FORMER_INCARNATIONS = 4
+ONE_WAY_SECONDS = 12.0
+"""A heard member that no call reached for so long is cut off in one direction."""
+
+
+class MemberEvent(Enum):
+    """What became of a member."""
+
+    JOINED = "joined"
+    BACK = "back"
+    SILENT = "silent"
+    LEFT = "left"
+    DEAD = "dead"
+    REPLACED = "replaced"
+    FORGOTTEN = "forgotten"
+    ONE_WAY = "one-way"
+    BOTH_WAYS = "both-ways"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """One change, for the log."""
+
+    id: EntryVMId
+    event: MemberEvent
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """The facts of one report that membership needs."""
+
+    sender: EntryVMId
+    incarnation: int
+    zone_id: ZoneId
+    sequence: int
+    table_revision: Revision
+    leaving: bool = False
+    operator_address: str = ""
+    peer_address: str = ""
+    store_failing: Seconds = 0.0
+    heard: tuple[EntryVMId, ...] = ()
+
+
+def take_list(table: MemberTable, vm_list: VMList, now: Seconds) -> None:
+    """Learn addresses from the list; it never says that a process is alive."""
+    for known in table.members_by_id.values():
+        known.listed = known.id in vm_list.entry_vms_by_id
+    for listed in vm_list.entry_vms_by_id.values():
+        if listed.id == table.own_id:
+            continue
+        member = table.members_by_id.get(listed.id)
+        if member is None:
+            table.members_by_id[listed.id] = Member(
+                id=listed.id,
+                peer_address=listed.peer_address,
+                zone_id=listed.zone_id,
+                listed=True,
+                changed_at=now,
+            )
+            continue
+        member.peer_address = listed.peer_address
+        member.zone_id = listed.zone_id
+
+
+def take_heartbeat(
+    table: MemberTable, heartbeat: Heartbeat, now: Seconds
+) -> tuple[bool, list[MemberChange]]:
+    """Learn from a report; return whether it is news, and what changed.
+
+    Reports arrive twice, late and out of order. The sequence orders those of one
+    process. A process that was replaced and thaws later still sends; its number
+    is remembered, so that it cannot push its successor out again.
+    """
+    if heartbeat.sender == table.own_id:
+        return False, []
+    member = table.members_by_id.get(heartbeat.sender)
+    if member is None:
+        member = Member(
+            id=heartbeat.sender,
+            peer_address=heartbeat.peer_address,
+            zone_id=heartbeat.zone_id,
+            changed_at=now,
+        )
+        table.members_by_id[heartbeat.sender] = member
+    if heartbeat.incarnation in member.former_incarnations:
+        return False, []
+    changes: list[MemberChange] = []
+    if heartbeat.incarnation != member.incarnation:
+        changes = _take_incarnation(member, heartbeat.incarnation)
+    elif heartbeat.sequence <= member.sequence:
+        return False, []
+    _take_facts(table, member, heartbeat, now)
+    if heartbeat.leaving:
+        return True, changes + _change(
+            member, MemberState.LEAVING, MemberEvent.LEFT, now
+        )
+    return True, changes + _become_alive(member, now, replaced=bool(changes))
+
+
+def _take_incarnation(member: Member, incarnation: int) -> list[MemberChange]:
+    replaced = member.incarnation != 0
+    if replaced:
+        former = (*member.former_incarnations, member.incarnation)
+        member.former_incarnations = former[-FORMER_INCARNATIONS:]
+    member.incarnation = incarnation
+    member.sequence = 0
+    return [MemberChange(member.id, MemberEvent.REPLACED)] if replaced else []
+
+
+def _take_facts(
+    table: MemberTable, member: Member, heartbeat: Heartbeat, now: Seconds
+) -> None:
+    member.sequence = heartbeat.sequence
+    member.heard_at = now
+    member.refused_at = None
+    member.table_revision = heartbeat.table_revision
+    member.operator_address = heartbeat.operator_address
+    member.store_failing = heartbeat.store_failing
+    member.hears_us = table.own_id in heartbeat.heard
+    if not member.listed and heartbeat.peer_address:
+        member.peer_address = heartbeat.peer_address
+
+
+def _become_alive(
+    member: Member, now: Seconds, *, replaced: bool
+) -> list[MemberChange]:
+    if member.state is MemberState.ALIVE:
+        if member.falls and now - member.changed_at > CALM_SECONDS:
+            member.falls = 0
+        return []
+    if member.state is MemberState.LISTED:
+        event = MemberEvent.JOINED
+    else:
+        event = MemberEvent.BACK
+    _hold_down(member, now)
+    change = _change(member, MemberState.ALIVE, event, now)
+    return [] if replaced else change
+
+
+def _hold_down(member: Member, now: Seconds) -> None:
+    """Give a member that comes and goes no new duties for a while.
+
+    Behind a flapping link a member would win its watches and pools back at each
+    return and lose them seconds later, and every move is a gap in that work. The
+    wait doubles with each fall, so that the work stays where it is.
+    """
+    if member.falls <= TOLERATED_FALLS:
+        return
+    doublings = member.falls - TOLERATED_FALLS - 1
+    wait = min(HOLD_DOWN_SECONDS * 2**doublings, MAX_HOLD_DOWN_SECONDS)
+    member.steady_at = now + wait
+
+
+def _change(
+    member: Member, state: MemberState, event: MemberEvent, now: Seconds
+) -> list[MemberChange]:
+    if member.state is state:
+        return []
+    member.state = state
+    member.changed_at = now
+    return [MemberChange(member.id, event)]
+
+
+def note_refused(
+    table: MemberTable, member_id: EntryVMId, now: Seconds
+) -> list[MemberChange]:
+    """Learn that the member's process has ended.
+
+    Its port refused a connection, or another entry VM answers at its address.
+    """
+    member = table.members_by_id.get(member_id)
+    if member is None:
+        return []
+    if member.refused_at is None:
+        member.refused_at = now
+    if member.state in (MemberState.LISTED, MemberState.LEAVING):
+        return []
+    return _change(member, MemberState.DEAD, MemberEvent.DEAD, now)
+
+
+def tick(table: MemberTable, now: Seconds) -> list[MemberChange]:
+    """Find members that fell silent, and forget those gone for long."""
+    changes: list[MemberChange] = []
+    for member in list(table.members_by_id.values()):
+        if member.state is MemberState.ALIVE and _is_silent(table, member, now):
+            member.falls += 1
+            changes += _change(member, MemberState.SILENT, MemberEvent.SILENT, now)
+        changes += _note_direction(member, now)
+        if _is_forgettable(member, now):
+            del table.members_by_id[member.id]
+            changes.append(MemberChange(member.id, MemberEvent.FORGOTTEN))
+    return changes
+
+
+def _is_silent(table: MemberTable, member: Member, now: Seconds) -> bool:
+    if member.heard_at is None:
+        return False
+    near = member.zone_id == table.own_zone_id
+    limit = ZONE_SILENCE_SECONDS if near else REMOTE_SILENCE_SECONDS
+    return now - member.heard_at > limit
+
+
+def _note_direction(member: Member, now: Seconds) -> list[MemberChange]:
+    """Notice a cut in one direction, which either side alone takes for health."""
+    one_way = False
+    if member.state is MemberState.ALIVE and now - member.changed_at > ONE_WAY_SECONDS:
+        late = _is_late(member.reached_at, now)
+        one_way = late or not member.hears_us
+    if one_way == member.one_way:
+        return []
+    member.one_way = one_way
+    event = MemberEvent.ONE_WAY if one_way else MemberEvent.BOTH_WAYS
+    return [MemberChange(member.id, event)]
+
+
+def _is_late(reached_at: Seconds | None, now: Seconds) -> bool:
+    return reached_at is None or now - reached_at > ONE_WAY_SECONDS
+
+
+def _is_forgettable(member: Member, now: Seconds) -> bool:
+    if member.listed or member.state is MemberState.ALIVE:
+        return False
+    return now - member.changed_at > FORGET_SECONDS
+
+
+def note_freeze(table: MemberTable, gap: Seconds, now: Seconds) -> None:
+    """Learn that this process did not run for ``gap`` seconds.
+
+    All peers look silent after a freeze although it was this process that did
+    not listen. Without the correction it would take over every duty of its zone
+    at once. The silence of others counts only while this process ran.
+    """
+    table.thawed_at = now
+    for member in table.members_by_id.values():
+        if member.heard_at is not None:
+            member.heard_at = min(member.heard_at + gap, now)
+        if member.reached_at is not None:
+            member.reached_at = min(member.reached_at + gap, now)
+
+
+def list_heard(table: MemberTable) -> dict[EntryVMId, Member]:
+    """Return the other members that are alive."""
+    return {
+        member.id: member
+        for member in table.members_by_id.values()
+        if member.state is MemberState.ALIVE
+    }
+
+
+def list_zone(table: MemberTable) -> tuple[EntryVMId, ...]:
+    """Return this process and the live members of its availability zone, sorted."""
+    near = [
+        member.id
+        for member in table.members_by_id.values()
+        if member.state is MemberState.ALIVE and member.zone_id == table.own_zone_id
+    ]
+    return tuple(sorted([table.own_id, *near]))
+
+
+def list_steady(
+    table: MemberTable, now: Seconds, *, own_zone_only: bool = False
+) -> list[EntryVMId]:
+    """Return the other members fit for duties that move when a member goes.
+
+    After a cut the views of who is preferred differ for as long as it lasts. Two
+    then claim one duty, which the lease settles, or watch twice, which is harmless.
+    """
+    return [
+        member.id
+        for member in table.members_by_id.values()
+        if member.state is MemberState.ALIVE
+        and now >= member.steady_at
+        and (not own_zone_only or member.zone_id == table.own_zone_id)
+    ]
+
+
+__all__ = [
+    "Heartbeat",
+    "MemberChange",
+    "MemberEvent",
+    "list_heard",
+    "list_steady",
+    "list_zone",
+    "note_freeze",
+    "note_refused",
+    "take_heartbeat",
+    "take_list",
+    "tick",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/rendezvous.py
@@ -0,0 +1,29 @@
+"""Rendezvous hashing: who of the present members is preferred for a key."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+HASH_BYTES = 8
+
+Id = TypeVar("Id", bound=str)
+
+
+def rank(key: str, ids: Iterable[Id]) -> list[Id]:
+    """Return the ids by preference for a key, the most preferred first.
+
+    Every process computes the same order from the same ids, and an id that goes
+    changes the order of no other two, so that only its own keys move.
+    """
+    return sorted(ids, key=lambda each: (_weigh(key, each), each), reverse=True)
+
+
+def _weigh(key: str, id: str) -> bytes:  # noqa: A002
+    return blake2b(f"{key}\0{id}".encode(), digest_size=HASH_BYTES).digest()
+
+
+__all__ = ["rank"]
--- a/packages/tables/src/medlarspring_tables/__init__.py
+++ b/packages/tables/src/medlarspring_tables/__init__.py
@@ -32,6 +32,7 @@
     WaveId,
     ZoneId,
 )
+from medlarspring_tables.members import Member, MemberState, MemberTable
 
 __all__ = [
     "ROW_TYPES_BY_KIND",
@@ -46,6 +47,9 @@
     "ListedState",
     "ListedVM",
     "MedlarspringError",
+    "Member",
+    "MemberState",
+    "MemberTable",
     "PartnerId",
     "PartnerRow",
     "PoolId",
