--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters.etcd_gateway import create_etcd_gateway_store
+from medlarspring_daemon.services.caller_service import create_caller_service
 from medlarspring_daemon.services.config_service import create_config_service
 from medlarspring_daemon.services.control_metrics_service import (
     create_control_metrics_service,
@@ -37,6 +38,8 @@
         create_config_service(node, peers),
         create_holder_service(node, peers),
         create_control_metrics_service(node, peers),
+        # Last, so that a shutdown lets callers finish while the rest still works.
+        create_caller_service(node),
     ]
 
 
--- a/packages/tables/src/medlarspring_tables/__init__.py
+++ b/packages/tables/src/medlarspring_tables/__init__.py
@@ -32,9 +32,35 @@
     WaveId,
     ZoneId,
 )
+from medlarspring_tables.jobs import (
+    NO_SIZE,
+    Attempt,
+    AttemptState,
+    Job,
+    JobState,
+    JobTables,
+    JobUrgency,
+    PartnerUse,
+    Ranked,
+    Size,
+    SizeBelief,
+    Worker,
+)
 from medlarspring_tables.members import Member, MemberState, MemberTable
 
 __all__ = [
+    "NO_SIZE",
+    "Attempt",
+    "AttemptState",
+    "Job",
+    "JobState",
+    "JobTables",
+    "JobUrgency",
+    "PartnerUse",
+    "Ranked",
+    "Size",
+    "SizeBelief",
+    "Worker",
     "ROW_TYPES_BY_KIND",
     "AcceptedEdit",
     "ConfigRow",
