--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/admission.py
@@ -0,0 +1,97 @@
+"""Whether a request may wait, and when a refused one should come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.fair_queue import get_partner_queue
+from medlarspring_tables.requests import Outcome, Refusal, RefusalKind, Urgency
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.requests import CallerRequest, PartnerQueue, PoolQueue
+
+MIN_RETRY_SECONDS = 1.0
+MIN_WAITING_PER_PARTNER = 16
+"""Each partner may have this many waiting, however small its weight."""
+
+
+def check_admission(
+    pool: PoolQueue,
+    request: CallerRequest,
+    usable_slots: int,
+    max_waiting: int,
+    now: Seconds,
+) -> Refusal | None:
+    """Return why a request that would have to wait is refused, if it is.
+
+    A request is refused at once when it would not be answered in time: it
+    would only take the place of one that can.
+    """
+    queue = get_partner_queue(pool, request.partner_id)
+    wait = estimate_wait(pool, queue, request.urgency, usable_slots)
+    bound = _bound_of_queue(pool, queue, max_waiting)
+    if queue.waiting < bound and now + wait + pool.service_seconds <= request.deadline:
+        return None
+    return refuse_for_load(pool, queue, wait)
+
+
+def refuse_for_load(pool: PoolQueue, queue: PartnerQueue, wait: Seconds) -> Refusal:
+    """Return the refusal of a request whose turn would come too late."""
+    retry_after = max(MIN_RETRY_SECONDS, wait)
+    others = pool.waiting > queue.waiting
+    if others and is_over_share(pool, queue):
+        return Refusal(
+            RefusalKind.OVER_SHARE,
+            Outcome.NOT_RUN,
+            "Others are owed the free slots; send again after Retry-After.",
+            retry_after,
+        )
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        Outcome.NOT_RUN,
+        "The queue is longer than the deadline; send again after Retry-After.",
+        retry_after,
+    )
+
+
+def estimate_wait(
+    pool: PoolQueue, queue: PartnerQueue, urgency: Urgency, usable_slots: int
+) -> Seconds:
+    """Return how long a new request would wait for a slot.
+
+    The partner is served at its share of the rate at least, and the whole
+    queue at the whole rate: the smaller of the two times holds.
+    """
+    rate = max(1, usable_slots) / max(pool.service_seconds, 0.001)
+    if urgency is Urgency.URGENT:
+        return (pool.urgent_waiting + 1) / rate
+    ahead = sum(
+        len(waiting)
+        for kind, waiting in queue.waiting_by_urgency.items()
+        if kind.value <= urgency.value
+    )
+    share = queue.weight / _sum_active_weights(pool, queue)
+    return min((pool.waiting + 1) / rate, (ahead + 1) / (rate * share))
+
+
+def is_over_share(pool: PoolQueue, queue: PartnerQueue) -> bool:
+    """Whether the partner has used more than its weight gives it."""
+    used = sum(other.used for other in pool.queues_by_partner.values())
+    return queue.used * _sum_active_weights(pool, queue) > used * queue.weight
+
+
+def _sum_active_weights(pool: PoolQueue, queue: PartnerQueue) -> float:
+    return sum(
+        other.weight
+        for other in pool.queues_by_partner.values()
+        if other is queue or other.waiting or other.running
+    )
+
+
+def _bound_of_queue(pool: PoolQueue, queue: PartnerQueue, max_waiting: int) -> int:
+    part = queue.weight / max(pool.total_weight, queue.weight)
+    return max(MIN_WAITING_PER_PARTNER, int(max_waiting * part))
+
+
+__all__ = ["check_admission", "estimate_wait", "is_over_share", "refuse_for_load"]
--- a/packages/tables/src/medlarspring_tables/requests.py
+++ b/packages/tables/src/medlarspring_tables/requests.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from medlarspring_tables.ids import (
+        EntryVMId,
         PartnerId,
         PoolId,
         RequestId,
@@ -90,4 +92,69 @@
     """The caller's ``Idempotency-Key``."""
 
 
-__all__ = ["CallerRequest", "Outcome", "Refusal", "RefusalKind", "Urgency"]
+@dataclass(slots=True, eq=False)
+class PartnerQueue:
+    """What one partner has waiting and running in one pool."""
+
+    partner_id: PartnerId
+    weight: float = 1.0
+    limit_percent: float = 100.0
+    waiting_by_urgency: dict[Urgency, deque[CallerRequest]] = field(
+        default_factory=lambda: {urgency: deque() for urgency in Urgency}
+    )
+    waiting: int = 0
+    running: int = 0
+    """Slots held through this entry VM."""
+    used: float = 0.0
+    """Slot seconds used in the whole fleet, old ones counting for less; in
+    units that grow with time, see ``PoolQueue.units_since``."""
+    slot_seconds: Seconds = 0.0
+    """Slot time used through this entry VM since its start."""
+    counted_at: Seconds = 0.0
+    """Time up to which ``slot_seconds`` counts the running requests."""
+
+
+@dataclass(slots=True, frozen=True)
+class PeerUsage:
+    """What a peer last reported of one partner in one pool."""
+
+    incarnation: int
+    slot_seconds: Seconds
+    waiting: int
+    running: int
+    reported_at: Seconds
+
+
+@dataclass(slots=True, eq=False)
+class PoolQueue:
+    """All that waits and runs in one pool through this entry VM."""
+
+    pool_id: PoolId
+    queues_by_partner: dict[PartnerId, PartnerQueue] = field(default_factory=dict)
+    waiting_by_partner: dict[PartnerId, PartnerQueue] = field(default_factory=dict)
+    """Only the queues in which something waits."""
+    total_weight: float = 0.0
+    """Sum of the weights of all partners of the table."""
+    peer_usage: dict[tuple[EntryVMId, PartnerId], PeerUsage] = field(
+        default_factory=dict
+    )
+    waiting: int = 0
+    urgent_waiting: int = 0
+    service_seconds: Seconds = 0.05
+    """Smoothed time that a request holds a slot."""
+    service_spread: Seconds = 0.05
+    """Smoothed distance of single requests from ``service_seconds``."""
+    units_since: Seconds | None = None
+    """Time at which one slot second was one unit of ``PartnerQueue.used``."""
+
+
+__all__ = [
+    "CallerRequest",
+    "Outcome",
+    "PartnerQueue",
+    "PeerUsage",
+    "PoolQueue",
+    "Refusal",
+    "RefusalKind",
+    "Urgency",
+]
