--- a/packages/daemon/src/medlarspring_daemon/services/peer_reports.py
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_reports.py
@@ -23,9 +23,9 @@
 
 @dataclass(slots=True)
 class SentUsage:
-    """What one peer was told last."""
+    """What one peer was told last, by partner and pool."""
 
-    usage_by_partner: dict[str, Usage] = field(default_factory=dict)
+    usage_by_share: dict[tuple[str, str], Usage] = field(default_factory=dict)
     full_at: Seconds = 0.0
 
 
@@ -85,12 +85,13 @@
         sent = self._sent_by_id.setdefault(recipient, SentUsage())
         if now - sent.full_at >= FULL_SECONDS:
             sent.full_at = now
-            sent.usage_by_partner.clear()
+            sent.usage_by_share.clear()
         changed = []
         for usage in report.usage:
             facts = (usage.slot_ms, usage.waiting, usage.running)
-            if sent.usage_by_partner.get(usage.partner) != facts:
-                sent.usage_by_partner[usage.partner] = facts
+            share = (usage.partner, usage.pool)
+            if sent.usage_by_share.get(share) != facts:
+                sent.usage_by_share[share] = facts
                 changed.append(usage)
         if len(changed) == len(report.usage):
             return
--- a/packages/systems/src/medlarspring_systems/membership.py
+++ b/packages/systems/src/medlarspring_systems/membership.py
@@ -206,8 +206,7 @@
     member = table.members_by_id.get(member_id)
     if member is None:
         return []
-    if member.refused_at is None:
-        member.refused_at = now
+    member.refused_at = now
     if member.state in (MemberState.LISTED, MemberState.LEAVING):
         return []
     return _change(member, MemberState.DEAD, MemberEvent.DEAD, now)
