--- a/packages/adapters/src/medlarspring_adapters/peer_server.py
+++ b/packages/adapters/src/medlarspring_adapters/peer_server.py
@@ -119,26 +119,33 @@
 
     def __init__(self, listen: str, token: str, handlers: PeerHandlers) -> None:
         self._listen = listen
-        self._server = grpc.aio.server(
-            interceptors=[_TokenCheck(token, handlers)], options=SERVER_OPTIONS
-        )
-        peer_pb2_grpc.add_PeerServicer_to_server(  # type: ignore[no-untyped-call]
-            _Servicer(handlers), self._server
-        )
+        self._token = token
+        self._handlers = handlers
+        self._server: grpc.aio.Server | None = None
 
     async def start(self) -> str:
         """Open the port; returns its real ``ip:port``."""
+        # Made here, since a server belongs to the loop that runs at the time.
+        server = grpc.aio.server(
+            interceptors=[_TokenCheck(self._token, self._handlers)],
+            options=SERVER_OPTIONS,
+        )
+        peer_pb2_grpc.add_PeerServicer_to_server(  # type: ignore[no-untyped-call]
+            _Servicer(self._handlers), server
+        )
         try:
-            port = self._server.add_insecure_port(self._listen)
+            port = server.add_insecure_port(self._listen)
         except RuntimeError as error:
             raise PeerPortUnavailable(self._listen) from error
-        await self._server.start()
+        await server.start()
+        self._server = server
         host, _, _ = self._listen.rpartition(":")
         return f"{host}:{port}"
 
     async def stop(self) -> None:
         """Close the port; calls in flight get a short while."""
-        await self._server.stop(GRACE_SECONDS)
+        if self._server is not None:
+            await self._server.stop(GRACE_SECONDS)
 
 
 def create_peer_server(listen: str, token: str, handlers: PeerHandlers) -> PeerServer:
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module states its command and prints its figures."""
