Add the records and systems of pools, waves, moves and spare

Cause: the availability budget, the one pool per VM and maintenance need decisions that are pure and records that a successor can resume from.

A VM's record holds its one pool and the intended state; a pool's list and a zone's list of disruptions are changed in the same draft, which is written all or none. Ruled out: progress per VM inside the wave's record (every pool's holder would contend for it); it is derived from the VM records instead. Ruled out: a zone limit counted from other pools' lists (two holders could count at once); a record per zone carries it.

A wave widens from one VM a zone to the budgets after the first return, and pauses on failures in a row. Seen to fail first: the wave drained further VMs in the tick in which it gave up others; it now waits for the verdict.

--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/adoption.py
@@ -0,0 +1,58 @@
+"""Takes listed VMs into the records and forgets those that have gone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.disruptions import MAX_CHANGES
+from medlarspring_tables.fleet_tables import key_of_vm
+from medlarspring_tables.vms import VMRecord, VMState
+
+if TYPE_CHECKING:
+    from medlarspring_systems.draft import Draft
+    from medlarspring_tables import PoolRow, VMList
+
+FORGET_SECONDS = 3_600.0
+"""A VM that is out and listed no more is forgotten after this long."""
+
+
+def plan_adoption(draft: Draft, pool: PoolRow, vm_list: VMList, now: float) -> None:
+    """Draft records for VMs that the list shows in the pool for the first time.
+
+    Afterwards the record alone says which pool a VM is in: the list lags, and
+    its label would undo a move.
+    """
+    for vm in vm_list.vms_by_id.values():
+        if vm.pool_id != pool.id or vm.id in draft.tables.vms_by_id:
+            continue
+        if len(draft.records_by_key) >= MAX_CHANGES:
+            return
+        draft.put(
+            VMRecord(
+                id=vm.id,
+                pool_id=pool.id,
+                rack_id=vm.rack_id,
+                zone_id=vm.zone_id,
+                since=now,
+                maintained_at=now,
+            )
+        )
+        draft.note("adopt", "first-listed", vm_id=vm.id, pool=pool.id)
+
+
+def plan_forgetting(draft: Draft, pool: PoolRow, vm_list: VMList, now: float) -> None:
+    """Draft the deletion of records of VMs that left the fleet."""
+    for vm_id in sorted(draft.tables.busy_vm_ids_by_pool.get(pool.id, ())):
+        record = draft.vm(vm_id)
+        is_gone = vm_id not in vm_list.vms_by_id
+        if (
+            record.state is VMState.OUT
+            and is_gone
+            and vm_id not in draft.tables.sightings_by_id
+            and now - record.since > FORGET_SECONDS
+        ):
+            draft.delete(key_of_vm(vm_id))
+            draft.note("forget", "no-longer-listed", vm_id=vm_id)
+
+
+__all__ = ["FORGET_SECONDS", "plan_adoption", "plan_forgetting"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/availability.py
@@ -0,0 +1,132 @@
+"""Counts what a pool can serve with, against its availability budget."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from medlarspring_tables.vms import VMCondition, VMState
+
+if TYPE_CHECKING:
+    from medlarspring_systems.draft import Draft
+    from medlarspring_tables import PoolId, PoolRow
+    from medlarspring_tables.fleet_tables import FleetTables
+    from medlarspring_tables.vms import VMRecord, VMSighting
+
+REPLACE_AFTER_SECONDS = 300.0
+"""A VM that failed on its own for this long is replaced in its pool's count."""
+
+
+class Health(Enum):
+    """Whether a VM counts towards its pool's budget, and why not."""
+
+    AVAILABLE = "available"
+    DISRUPTED = "disrupted"
+    """Taken out by control work."""
+    FAILED = "failed"
+    UNSEEN = "unseen"
+    OUT = "out"
+
+
+@dataclass(slots=True)
+class Availability:
+    """One pool's VMs by health."""
+
+    pool_id: PoolId
+    min_available: int
+    available: int = 0
+    disrupted: int = 0
+    failed: int = 0
+    unseen: int = 0
+    out: int = 0
+
+    @property
+    def room(self) -> int:
+        """VMs that may be disrupted now; below 0 the budget is broken."""
+        return self.available - self.min_available
+
+    @property
+    def members(self) -> int:
+        """VMs that belong to the pool and are not given up."""
+        return self.available + self.disrupted + self.failed + self.unseen
+
+
+def judge_vm(record: VMRecord, sighting: VMSighting | None) -> Health:
+    """Return a VM's health; without a fresh sighting nothing good is assumed."""
+    if record.state is VMState.OUT:
+        return Health.OUT
+    if record.state is not VMState.SERVING:
+        return Health.DISRUPTED
+    if sighting is None:
+        return Health.UNSEEN
+    if sighting.condition is not VMCondition.SERVING:
+        return Health.FAILED
+    return Health.AVAILABLE
+
+
+def count_availability(draft: Draft, row: PoolRow) -> Availability:
+    """Count a pool as it would stand after the draft."""
+    counted = Availability(row.id, row.min_available)
+    for vm_id in draft.tables.vm_ids_by_pool.get(row.id, ()):
+        record = draft.vm(vm_id)
+        if record.pool_id != row.id:
+            continue
+        match judge_vm(record, draft.tables.sightings_by_id.get(vm_id)):
+            case Health.AVAILABLE:
+                counted.available += 1
+            case Health.DISRUPTED:
+                counted.disrupted += 1
+            case Health.FAILED:
+                counted.failed += 1
+            case Health.UNSEEN:
+                counted.unseen += 1
+            case Health.OUT:
+                counted.out += 1
+    return counted
+
+
+def note_failing(tables: FleetTables, pool_id: PoolId, now: float) -> None:
+    """Remember since when each serving VM of a pool has been down or unseen."""
+    for vm_id in tables.vm_ids_by_pool.get(pool_id, ()):
+        health = judge_vm(tables.vms_by_id[vm_id], tables.sightings_by_id.get(vm_id))
+        if health in (Health.FAILED, Health.UNSEEN):
+            tables.failing_since_by_id.setdefault(vm_id, now)
+        else:
+            tables.failing_since_by_id.pop(vm_id, None)
+
+
+def is_rack_lost(tables: FleetTables, record: VMRecord) -> bool:
+    """Say whether most of a VM's rack-mates in its pool fail without any drain.
+
+    A rack that is lost takes VMs of the wave along with others; VMs that the
+    wave itself broke leave their rack-mates serving.
+    """
+    mates = [
+        vm_id
+        for vm_id in tables.vm_ids_by_pool.get(record.pool_id, ())
+        if vm_id != record.id and tables.vms_by_id[vm_id].rack_id == record.rack_id
+    ]
+    undrained = [
+        vm_id
+        for vm_id in mates
+        if tables.vms_by_id[vm_id].state is VMState.SERVING
+        or (
+            tables.vms_by_id[vm_id].state is VMState.OUT
+            and tables.vms_by_id[vm_id].cause is None
+        )
+    ]
+    failing = [vm_id for vm_id in undrained if vm_id in tables.failing_since_by_id]
+    out = [vm_id for vm_id in undrained if tables.vms_by_id[vm_id].state is VMState.OUT]
+    return 2 * (len(failing) + len(out)) > len(undrained) > 0
+
+
+__all__ = [
+    "REPLACE_AFTER_SECONDS",
+    "Availability",
+    "Health",
+    "count_availability",
+    "is_rack_lost",
+    "judge_vm",
+    "note_failing",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/draft.py
@@ -0,0 +1,120 @@
+"""Changes of fleet records under preparation, to be written all or none."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from medlarspring_tables.fleet_tables import (
+    key_of,
+    key_of_disruptions,
+    key_of_move,
+    key_of_vm,
+    key_of_zone,
+)
+from medlarspring_tables.moves import MoveRecord
+from medlarspring_tables.pools import PoolDisruptions, ZoneDisruptions
+from medlarspring_tables.vms import VMRecord
+
+if TYPE_CHECKING:
+    from medlarspring_tables import PoolId, VMId, WaveId, ZoneId
+    from medlarspring_tables.fleet_tables import FleetRecord, FleetTables
+    from medlarspring_tables.moves import MoveId
+    from medlarspring_tables.vms import Cause
+
+Fact = str | int | float | bool
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """One decision in words for ``explain``: about which VM or wave, and why."""
+
+    decided: str
+    rule: str
+    vm_id: VMId | None = None
+    wave_id: WaveId | None = None
+    facts: dict[str, Fact] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Draft:
+    """Reads through to the tables and collects what is to be written."""
+
+    tables: FleetTables
+    records_by_key: dict[str, FleetRecord | None] = field(default_factory=dict)
+    """New records; None deletes the key."""
+    notes: list[Note] = field(default_factory=list)
+
+    def vm(self, vm_id: VMId) -> VMRecord:
+        """Return a VM's record as it would stand."""
+        record = self.records_by_key.get(key_of_vm(vm_id))
+        if isinstance(record, VMRecord):
+            return record
+        return self.tables.vms_by_id[vm_id]
+
+    def move(self, move_id: MoveId) -> MoveRecord | None:
+        """Return a move as it would stand."""
+        record = self.records_by_key.get(key_of_move(move_id))
+        if isinstance(record, MoveRecord):
+            return record
+        return self.tables.moves_by_id.get(move_id)
+
+    def pool_disruptions(self, pool_id: PoolId) -> PoolDisruptions:
+        """Return a pool's list as it would stand."""
+        record = self.records_by_key.get(key_of_disruptions(pool_id))
+        if isinstance(record, PoolDisruptions):
+            return record
+        known = self.tables.disruptions_by_pool.get(pool_id)
+        return known or PoolDisruptions(pool_id=pool_id)
+
+    def zone_disruptions(self, zone_id: ZoneId) -> ZoneDisruptions:
+        """Return a zone's list as it would stand."""
+        record = self.records_by_key.get(key_of_zone(zone_id))
+        if isinstance(record, ZoneDisruptions):
+            return record
+        known = self.tables.disruptions_by_zone.get(zone_id)
+        return known or ZoneDisruptions(zone_id=zone_id)
+
+    def put(self, record: FleetRecord) -> None:
+        """Plan to write a record."""
+        self.records_by_key[key_of(record)] = record
+
+    def delete(self, key: str) -> None:
+        """Plan to delete a key."""
+        self.records_by_key[key] = None
+
+    def note(
+        self,
+        decided: str,
+        rule: str,
+        *,
+        vm_id: VMId | None = None,
+        wave_id: WaveId | None = None,
+        **facts: Fact,
+    ) -> None:
+        """Explain a part of the draft."""
+        self.notes.append(Note(decided, rule, vm_id, wave_id, facts))
+
+    def list_vm(self, vm: VMRecord, cause: Cause) -> None:
+        """Enter a VM in the lists of its pool and its zone."""
+        pool = self.pool_disruptions(vm.pool_id)
+        causes_by_vm = {**pool.causes_by_vm, vm.id: cause}
+        self.put(PoolDisruptions(pool_id=vm.pool_id, causes_by_vm=causes_by_vm))
+        zone = self.zone_disruptions(vm.zone_id)
+        causes_by_vm = {**zone.causes_by_vm, vm.id: cause}
+        self.put(ZoneDisruptions(zone_id=vm.zone_id, causes_by_vm=causes_by_vm))
+
+    def unlist_in_pool(self, vm: VMRecord) -> None:
+        """Take a VM off its pool's list."""
+        causes_by_vm = dict(self.pool_disruptions(vm.pool_id).causes_by_vm)
+        if causes_by_vm.pop(vm.id, None) is not None:
+            self.put(PoolDisruptions(pool_id=vm.pool_id, causes_by_vm=causes_by_vm))
+
+    def unlist_in_zone(self, vm: VMRecord) -> None:
+        """Take a VM off its zone's list."""
+        causes_by_vm = dict(self.zone_disruptions(vm.zone_id).causes_by_vm)
+        if causes_by_vm.pop(vm.id, None) is not None:
+            self.put(ZoneDisruptions(zone_id=vm.zone_id, causes_by_vm=causes_by_vm))
+
+
+__all__ = ["Draft", "Fact", "Note"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/fleet_plan.py
@@ -0,0 +1,74 @@
+"""One tick of a pool's control work: every system in its order."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.adoption import plan_adoption, plan_forgetting
+from medlarspring_systems.availability import note_failing
+from medlarspring_systems.disruptions import plan_give_up, plan_progress
+from medlarspring_systems.draft import Draft
+from medlarspring_systems.maintenance import (
+    CanaryWidth,
+    WidthRule,
+    plan_wave_drains,
+)
+from medlarspring_systems.moves import (
+    plan_forget_moves,
+    plan_move_drains,
+    plan_needs,
+)
+from medlarspring_systems.wave_control import plan_standing_wave, plan_wave_control
+
+if TYPE_CHECKING:
+    from medlarspring_tables import ConfigTable, PoolId, VMList
+    from medlarspring_tables.fleet_tables import FleetTables
+
+
+def plan_pool(
+    tables: FleetTables,
+    config: ConfigTable,
+    pool_id: PoolId,
+    vm_list: VMList | None,
+    now: float,
+    width: WidthRule | None = None,
+) -> Draft:
+    """Return all that one pool's control work wants written now.
+
+    Moves come before waves: a pool that lacks VMs serves worse than one whose
+    VMs are maintained a little later.
+    """
+    draft = Draft(tables)
+    pool = config.pools_by_id.get(pool_id)
+    if pool is None:
+        return draft
+    note_failing(tables, pool_id, now)
+    if vm_list is not None:
+        plan_adoption(draft, pool, vm_list, now)
+        plan_forgetting(draft, pool, vm_list, now)
+    plan_progress(draft, pool, now)
+    plan_give_up(draft, pool, now)
+    plan_needs(draft, pool, config.pools_by_id, now)
+    plan_move_drains(draft, pool, config.pools_by_id, config.fleet, now)
+    plan_wave_drains(draft, pool, config.fleet, width or CanaryWidth(), now)
+    plan_forget_moves(draft, pool, now)
+    return draft
+
+
+def plan_waves(
+    tables: FleetTables, config: ConfigTable, pool_id: PoolId, now: float
+) -> Draft:
+    """Return what the waves as a whole want written.
+
+    Every pool's holder judges waves: a pause must not wait for one process.
+    The record's revision lets only one of them write it.
+    """
+    draft = Draft(tables)
+    for wave in list(tables.open_waves_by_id.values()):
+        plan_wave_control(draft, wave, now)
+    if pool_id == min(config.pools_by_id, default=None):
+        plan_standing_wave(draft, now)
+    return draft
+
+
+__all__ = ["plan_pool", "plan_waves"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/spare.py
@@ -0,0 +1,114 @@
+"""How much spare the fleet holds, needs and lends, and where."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.availability import Health, judge_vm
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from medlarspring_tables import FleetRow, PoolId, PoolRow, ZoneId
+    from medlarspring_tables.fleet_tables import FleetTables
+    from medlarspring_tables.vms import VMRecord
+
+
+class FailureDomain(Enum):
+    """What may be lost at once without the fleet running short."""
+
+    RACK = "rack"
+    ZONE = "zone"
+
+
+@dataclass(slots=True)
+class SpareReport:
+    """Spare in VMs, pooled over pools and partners."""
+
+    held: int
+    """VMs that serve above all pools' budgets."""
+    needed: int
+    largest_domain: str
+    domain_vms: int
+    lent: int
+    """Of the held, lent to work that can be throttled or checkpointed."""
+    held_by_pool: dict[PoolId, int]
+    held_by_zone: dict[ZoneId, int]
+
+    @property
+    def short(self) -> int:
+        """VMs lacking; waves stay narrow until it is 0."""
+        return max(0, self.needed - self.held)
+
+
+def count_needed(vms: int, largest_domain: int, spare_percent: float) -> int:
+    """Return the spare for one loss of the largest domain, or the operators' part.
+
+    One domain is lost at a time, whichever pool or partner it serves, so the
+    need is one maximum and not a sum over pools.
+    """
+    return max(largest_domain, math.ceil(vms * spare_percent / 100))
+
+
+def report_spare(
+    tables: FleetTables,
+    pools_by_id: Mapping[PoolId, PoolRow],
+    fleet: FleetRow,
+    domain: FailureDomain = FailureDomain.RACK,
+    lent: int = 0,
+) -> SpareReport:
+    """Count the spare as it stands."""
+    available = [
+        record
+        for record in tables.vms_by_id.values()
+        if judge_vm(record, tables.sightings_by_id.get(record.id)) is Health.AVAILABLE
+    ]
+    by_pool = Counter(record.pool_id for record in available)
+    by_domain = Counter(_domain_of(record, domain) for record in available)
+    largest_domain, domain_vms = max(
+        by_domain.items(), key=lambda item: (item[1], item[0]), default=("", 0)
+    )
+    held_by_pool = {
+        pool_id: max(0, by_pool[pool_id] - row.min_available)
+        for pool_id, row in pools_by_id.items()
+    }
+    held = sum(held_by_pool.values())
+    return SpareReport(
+        held=held,
+        needed=count_needed(len(available), domain_vms, fleet.spare_percent),
+        largest_domain=largest_domain,
+        domain_vms=domain_vms,
+        lent=min(lent, held),
+        held_by_pool=held_by_pool,
+        held_by_zone=_spread(available, held_by_pool),
+    )
+
+
+def _domain_of(record: VMRecord, domain: FailureDomain) -> str:
+    if domain is FailureDomain.RACK:
+        return f"rack {record.zone_id}/{record.rack_id}"
+    return f"zone {record.zone_id}"
+
+
+def _spread(
+    available: list[VMRecord], held_by_pool: Mapping[PoolId, int]
+) -> dict[ZoneId, int]:
+    """Return each pool's spare by zone: it lies where most of its VMs are."""
+    zones_by_pool: dict[PoolId, Counter[ZoneId]] = {}
+    for record in available:
+        zones_by_pool.setdefault(record.pool_id, Counter())[record.zone_id] += 1
+    held_by_zone: Counter[ZoneId] = Counter()
+    for pool_id, held in held_by_pool.items():
+        zones = zones_by_pool.get(pool_id, Counter())
+        for _ in range(held):
+            zone_id = max(sorted(zones), key=zones.__getitem__)
+            zones[zone_id] -= 1
+            held_by_zone[zone_id] += 1
+    return dict(held_by_zone)
+
+
+__all__ = ["FailureDomain", "SpareReport", "count_needed", "report_spare"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/wave_control.py
@@ -0,0 +1,241 @@
+"""Starts, pauses, resumes and ends maintenance waves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from medlarspring_systems.maintenance import EVIDENCE_DEPTH, find_evidence
+from medlarspring_tables import MedlarspringError, WaveId
+from medlarspring_tables.vms import Outcome, VMState
+from medlarspring_tables.waves import WaveRecord, WaveState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from medlarspring_systems.draft import Draft
+    from medlarspring_tables import PoolId, VMId
+    from medlarspring_tables.fleet_tables import FinishedVM, FleetTables
+
+DAY_SECONDS = 86_400.0
+PERIOD_SECONDS = 42 * DAY_SECONDS
+"""Every VM is maintained once in this time."""
+LEAD_SECONDS = 7 * DAY_SECONDS
+"""The standing wave takes a VM this long before its time is up."""
+MAX_FAILURES_IN_A_ROW = 3
+MAX_RECENT_FAILURES = 5
+PROBATION_SECONDS = 600.0
+"""First wait of a wave paused by evidence; doubles with each pause."""
+MAX_PROBATION_SECONDS = 4 * 3_600.0
+
+
+class WaveRefused(MedlarspringError):
+    """An operator's command on a wave cannot be carried out."""
+
+    code = "wave-refused"
+
+    def __init__(self, wave_id: WaveId, reason: str, remedy: str) -> None:
+        super().__init__(wave_id, reason, remedy)
+        self.wave_id = wave_id
+        self.reason = reason
+        self.remedy = remedy
+
+    def message(self) -> str:
+        """Say why and what to do."""
+        return f"Wave {self.wave_id}: {self.reason}. {self.remedy}"
+
+
+def create_wave(
+    tables: FleetTables,
+    wave_id: WaveId,
+    vm_ids: Iterable[VMId],
+    pool_ids: Iterable[PoolId],
+    created_by: str,
+    now: float,
+) -> Result[WaveRecord, WaveRefused]:
+    """Return a new wave over VMs, whole pools, or all VMs if none is named."""
+    scope = set(vm_ids)
+    for pool_id in pool_ids:
+        members = tables.vm_ids_by_pool.get(pool_id, set())
+        if not members:
+            remedy = "See `medlarspring pools list` for the pools."
+            return Failure(WaveRefused(wave_id, f"pool {pool_id} has no VM", remedy))
+        scope |= members
+    unknown = sorted(scope - tables.vms_by_id.keys())
+    if unknown:
+        reason = f"there is no VM {', '.join(unknown)}"
+        remedy = "See `medlarspring vms list` for the VMs."
+        return Failure(WaveRefused(wave_id, reason, remedy))
+    if wave_id in tables.waves_by_id:
+        remedy = "Watch it with `medlarspring waves show`, or choose another id."
+        return Failure(WaveRefused(wave_id, "it exists already", remedy))
+    return Success(
+        WaveRecord(
+            id=wave_id,
+            vm_ids=frozenset(scope or tables.vms_by_id),
+            created_by=created_by,
+            started_at=now,
+            resumed_at=now,
+        )
+    )
+
+
+def pause_wave(
+    wave: WaveRecord, reason: str, now: float
+) -> Result[WaveRecord, WaveRefused]:
+    """Return the wave paused by an operator, until his word."""
+    if wave.state is not WaveState.RUNNING:
+        return Failure(_refuse_state(wave, "Only a running wave can be paused."))
+    paused = {"state": WaveState.PAUSED, "reason": reason, "resumes_at": 0.0}
+    return Success(msgspec.structs.replace(wave, **paused))
+
+
+def resume_wave(wave: WaveRecord, now: float) -> Result[WaveRecord, WaveRefused]:
+    """Return the wave running again; evidence from before does not count."""
+    if wave.state is not WaveState.PAUSED:
+        return Failure(_refuse_state(wave, "Only a paused wave can be resumed."))
+    return Success(_resume(wave, now, pauses=0))
+
+
+def abort_wave(
+    wave: WaveRecord, reason: str, now: float
+) -> Result[WaveRecord, WaveRefused]:
+    """Return the wave ended: drains are put back, reboots under way finish."""
+    if not wave.is_open:
+        return Failure(_refuse_state(wave, "It has ended; start another one."))
+    aborted = {"state": WaveState.ABORTED, "reason": reason, "ended_at": now}
+    return Success(msgspec.structs.replace(wave, **aborted))
+
+
+def _refuse_state(wave: WaveRecord, remedy: str) -> WaveRefused:
+    return WaveRefused(wave.id, f"it is {wave.state.value}", remedy)
+
+
+def _resume(wave: WaveRecord, now: float, pauses: int) -> WaveRecord:
+    return msgspec.structs.replace(
+        wave,
+        state=WaveState.RUNNING,
+        reason="",
+        resumed_at=now,
+        resumes_at=0.0,
+        pauses=pauses,
+    )
+
+
+def plan_wave_control(draft: Draft, wave: WaveRecord, now: float) -> None:
+    """Draft what evidence demands: a pause, a resumption or the end."""
+    changed = _judge_wave(draft.tables, wave, now)
+    if changed is None:
+        return
+    draft.put(changed)
+    draft.note(
+        changed.state.value,
+        changed.reason or "evidence",
+        wave_id=wave.id,
+        pauses=changed.pauses,
+    )
+
+
+def _judge_wave(tables: FleetTables, wave: WaveRecord, now: float) -> WaveRecord | None:
+    if wave.state is WaveState.PAUSED:
+        if 0.0 < wave.resumes_at <= now:
+            return _resume(wave, now, wave.pauses)
+        return None
+    reason = find_pause_reason(find_evidence(tables, wave), wave)
+    if reason:
+        wait = min(PROBATION_SECONDS * 2**wave.pauses, MAX_PROBATION_SECONDS)
+        return msgspec.structs.replace(
+            wave,
+            state=WaveState.PAUSED,
+            reason=reason,
+            resumes_at=now + wait,
+            pauses=wave.pauses + 1,
+        )
+    if _is_done(tables, wave):
+        done = {"state": WaveState.DONE, "reason": "all VMs done", "ended_at": now}
+        return msgspec.structs.replace(wave, **done)
+    return None
+
+
+def find_pause_reason(evidence: list[FinishedVM], wave: WaveRecord) -> str:
+    """Return why the failures of a wave look correlated, or an empty string.
+
+    One VM in fifty fails a reboot by itself; then three in a row come about
+    once in 125,000 VMs, and five of twenty as seldom. A wave on probation
+    has to show one return before its failures count singly again.
+    """
+    failed = [
+        finish.vm_id for finish in evidence if finish.outcome is Outcome.NOT_RETURNED
+    ]
+    in_a_row = _count_in_a_row(evidence)
+    is_on_probation = wave.pauses > 0 and in_a_row == len(evidence)
+    if is_on_probation and in_a_row > 0:
+        return f"the trial VM {failed[-1]} did not return"
+    if in_a_row >= MAX_FAILURES_IN_A_ROW:
+        names = ", ".join(failed[-in_a_row:])
+        return f"{in_a_row} VMs in a row did not return ({names})"
+    if len(failed) >= MAX_RECENT_FAILURES:
+        return f"{len(failed)} of the last {EVIDENCE_DEPTH} VMs did not return"
+    return ""
+
+
+def _count_in_a_row(evidence: list[FinishedVM]) -> int:
+    count = 0
+    for finish in reversed(evidence):
+        if finish.outcome is not Outcome.NOT_RETURNED:
+            break
+        count += 1
+    return count
+
+
+def _is_done(tables: FleetTables, wave: WaveRecord) -> bool:
+    for vm_id in wave.vm_ids:
+        record = tables.vms_by_id.get(vm_id)
+        if record is None or record.wave_id == wave.id:
+            continue
+        if record.state is not VMState.OUT:
+            return False
+    return True
+
+
+def plan_standing_wave(draft: Draft, now: float) -> None:
+    """Draft the next standing wave once any VM's time is nearly up."""
+    tables = draft.tables
+    if any(wave.created_by == STANDING for wave in tables.open_waves_by_id.values()):
+        return
+    due_before = now - (PERIOD_SECONDS - LEAD_SECONDS)
+    due = [
+        record.id
+        for record in tables.vms_by_id.values()
+        if record.maintained_at <= due_before and record.state is not VMState.OUT
+    ]
+    wave_id = WaveId(f"standing-{int(now // DAY_SECONDS)}")
+    if not due or wave_id in tables.waves_by_id:
+        return
+    draft.put(
+        WaveRecord(
+            id=wave_id,
+            vm_ids=frozenset(due),
+            created_by=STANDING,
+            started_at=now,
+            resumed_at=now,
+        )
+    )
+    draft.note("start", "once-in-six-weeks", wave_id=wave_id, vms=len(due))
+
+
+STANDING = "standing order"
+
+__all__ = [
+    "STANDING",
+    "WaveRefused",
+    "abort_wave",
+    "create_wave",
+    "find_pause_reason",
+    "pause_wave",
+    "plan_standing_wave",
+    "plan_wave_control",
+    "resume_wave",
+]
--- /dev/null
+++ b/packages/systems/tests/test_disruptions.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+from returns.pipeline import is_successful
+
+from medlarspring_systems.disruptions import (
+    DRAIN_LIMIT_SECONDS,
+    RETURN_LIMIT_SECONDS,
+    Action,
+    choose_action,
+    disrupt_vm,
+)
+from medlarspring_systems.draft import Draft
+from medlarspring_tables import FleetRow, PoolId, VMId, WaveId
+from medlarspring_tables.vms import (
+    Cause,
+    CauseKind,
+    Outcome,
+    VMCondition,
+    VMState,
+)
+
+CAUSE = Cause(CauseKind.WAVE, "w")
+
+
+def disrupt(fleet, draft, vm):
+    pool = fleet.config.pools_by_id[PoolId("a")]
+    return disrupt_vm(draft, VMId(vm), CAUSE, pool, fleet.config.fleet, fleet.now)
+
+
+@pytest.mark.parametrize(
+    ("condition", "allowed"),
+    [
+        (VMCondition.SERVING, 2),
+        (VMCondition.DOWN, 1),
+        (VMCondition.REBOOTING, 1),
+        (None, 1),
+    ],
+)
+def test_vms_failed_or_unseen_on_their_own_use_up_the_budget(fleet, condition, allowed):
+    if condition is None:
+        del fleet.tables.sightings_by_id[VMId("a7")]
+    else:
+        fleet.see("a7", condition)
+    draft = Draft(fleet.tables)
+    taken = [is_successful(disrupt(fleet, draft, f"a{n}")) for n in range(4)]
+    assert taken == [True] * allowed + [False] * (4 - allowed)
+    listed = draft.pool_disruptions(PoolId("a")).causes_by_vm
+    assert len(listed) == allowed
+
+
+def test_refusal_names_the_counts_and_the_remedy(fleet):
+    draft = Draft(fleet.tables)
+    for vm in ("a0", "a1"):
+        disrupt(fleet, draft, vm)
+    message = disrupt(fleet, draft, "a2").failure().message()
+    assert "6 VMs available of at least 6" in message
+    assert "lower min_available" in message
+
+
+def test_zone_limit_counts_the_vms_of_all_pools(fleet):
+    fleet.config = msgspec.structs.replace(
+        fleet.config, fleet=FleetRow(max_drains_per_zone=1)
+    )
+    draft = Draft(fleet.tables)
+    assert is_successful(disrupt(fleet, draft, "a0"))
+    refused = disrupt(fleet, draft, "a1").failure()
+    assert "zone z0 has 1 VMs out" in refused.reason
+    assert is_successful(disrupt(fleet, draft, "a4"))
+
+
+def test_vm_goes_through_each_step_only_on_evidence(fleet):
+    fleet.start_wave()
+    fleet.tick()
+    assert fleet.states(VMState.DRAINING) == ["a0", "a4"]
+    assert choose_action(fleet.tables, fleet.vm("a0")) is Action.DRAIN
+    fleet.see("a0", VMCondition.DRAINING)
+    fleet.tick()
+    assert fleet.vm("a0").state is VMState.DRAINING
+    fleet.see("a0", VMCondition.DRAINED)
+    fleet.tick()
+    assert fleet.vm("a0").state is VMState.REBOOTING
+    assert choose_action(fleet.tables, fleet.vm("a0")) is Action.REBOOT
+    fleet.see("a0", VMCondition.SERVING, boot=2)
+    fleet.tick()
+    assert fleet.vm("a0").outcome is Outcome.BACK
+    assert fleet.vm("a0").wave_id == WaveId("w")
+    listed = fleet.tables.disruptions_by_pool[PoolId("a")].causes_by_vm
+    assert VMId("a0") not in listed
+
+
+def test_drains_are_put_back_when_failures_take_the_pool_under_its_budget(fleet):
+    """
+    Two VMs are being drained when two others fail on their own. The pool is
+    then under its budget by failures, and the drains are taken back at once:
+    they have not rebooted yet, so they can serve within a second.
+    """
+    fleet.start_wave()
+    fleet.tick()
+    for vm in ("a6", "a7"):
+        fleet.see(vm, VMCondition.DOWN)
+    fleet.tick()
+    assert fleet.states(VMState.RESTORING) == ["a0", "a4"]
+    assert choose_action(fleet.tables, fleet.vm("a0")) is Action.RESTORE
+    for vm in ("a0", "a4"):
+        fleet.see(vm, VMCondition.SERVING)
+    fleet.tick()
+    assert fleet.states(VMState.SERVING) == [f"a{n}" for n in range(8)]
+
+
+def test_late_drain_and_lost_reboot_end_with_a_report(fleet):
+    fleet.start_wave()
+    fleet.tick()
+    fleet.see("a0", VMCondition.DRAINING)
+    fleet.reboot("a4", returns=False)
+    fleet.tick(seconds=DRAIN_LIMIT_SECONDS + 1)
+    assert fleet.vm("a0").state is VMState.RESTORING
+    assert fleet.vm("a0").outcome is Outcome.DRAIN_TIMED_OUT
+    fleet.tick(seconds=RETURN_LIMIT_SECONDS)
+    assert fleet.vm("a4").state is VMState.OUT
+    assert fleet.vm("a4").outcome is Outcome.NOT_RETURNED
+    fleet.see("a4", VMCondition.SERVING, boot=2)
+    fleet.tick()
+    assert fleet.vm("a4").state is VMState.SERVING
+
+
+def test_vm_put_back_by_a_cut_off_holder_is_drained_again_before_its_reboot(fleet):
+    """
+    The holder saw the VM drained and wrote the intent to reboot it. Meanwhile a
+    former holder, cut off from the store, had put the VM back, and requests run
+    on it. A reboot now would cut them, so the VM is drained once more.
+    """
+    fleet.start_wave()
+    fleet.tick()
+    fleet.see("a0", VMCondition.DRAINED)
+    fleet.tick()
+    fleet.tables.sightings_by_id[VMId("a0")].condition = VMCondition.SERVING
+    assert choose_action(fleet.tables, fleet.vm("a0")) is Action.DRAIN
--- /dev/null
+++ b/packages/systems/tests/test_maintenance.py
@@ -0,0 +1,164 @@
+from __future__ import annotations
+
+import msgspec
+
+from medlarspring_systems.disruptions import RETURN_LIMIT_SECONDS
+from medlarspring_systems.draft import Draft
+from medlarspring_systems.maintenance import (
+    SpareWidth,
+    Step,
+    measure_progress,
+    plan_wave_drains,
+)
+from medlarspring_systems.wave_control import (
+    PERIOD_SECONDS,
+    PROBATION_SECONDS,
+    abort_wave,
+    create_wave,
+    pause_wave,
+    resume_wave,
+)
+from medlarspring_tables import FleetRow, PoolId, VMId, WaveId
+from medlarspring_tables.vms import VMCondition, VMState
+from medlarspring_tables.waves import WaveState
+
+
+def progress(fleet):
+    return measure_progress(
+        Draft(fleet.tables),
+        fleet.wave(),
+        fleet.config.pools_by_id,
+        fleet.config.fleet,
+        fleet.now,
+    )
+
+
+def test_first_vm_of_each_zone_has_to_return_before_the_wave_widens(fleet):
+    fleet.add_pool("b", vms=8, wanted=8, min_available=4)
+    fleet.start_wave()
+    fleet.tick("b")
+    fleet.tick("a")
+    assert fleet.states(VMState.DRAINING) == ["b0", "b4"]
+    assert "waits for its first VM" in progress(fleet).blocks_by_pool[PoolId("a")]
+    fleet.reboot("b0", "b")
+    fleet.tick("b")
+    fleet.tick("a")
+    assert len(fleet.states(VMState.DRAINING)) == 4 + 2
+
+
+def test_wave_ends_with_every_vm_rebooted_once(fleet):
+    fleet.start_wave()
+    rebooted = []
+    while fleet.wave().is_open:
+        fleet.tick()
+        for vm in fleet.states(VMState.DRAINING):
+            assert len(fleet.states(VMState.SERVING)) >= 6
+            rebooted.append(vm)
+            fleet.reboot(vm)
+    assert sorted(rebooted) == [f"a{n}" for n in range(8)]
+    assert progress(fleet).counts_by_step == {Step.BACK: 8}
+
+
+def test_failures_in_a_row_pause_the_wave_and_a_failed_trial_doubles_the_wait(fleet):
+    """
+    A bad image: no VM survives its reboot. Operators see the wave pause with
+    the names before the pool is under its budget; after the probation one VM
+    a zone is tried, fails, and the next wait is twice as long.
+    """
+    fleet.add_pool("b", vms=8, wanted=8, min_available=1)
+    fleet.config = msgspec.structs.replace(
+        fleet.config, fleet=FleetRow(max_drains_per_zone=1)
+    )
+    fleet.start_wave()
+    for _ in range(2):
+        fleet.tick("b")
+        for vm in fleet.states(VMState.DRAINING):
+            fleet.reboot(vm, "b", returns=False)
+        fleet.tick("b", RETURN_LIMIT_SECONDS + 1)
+    fleet.tick("b")
+    wave = fleet.wave()
+    assert wave.state is WaveState.PAUSED
+    assert "in a row did not return" in wave.reason
+    lost = len(fleet.states(VMState.OUT))
+    for vm in fleet.states(VMState.RESTORING):
+        fleet.see(vm, VMCondition.SERVING)
+    fleet.tick("b", PROBATION_SECONDS + 1)
+    fleet.tick("b")
+    assert fleet.wave().state is WaveState.RUNNING
+    assert len(fleet.states(VMState.DRAINING)) <= 2
+    for vm in fleet.states(VMState.DRAINING):
+        fleet.reboot(vm, "b", returns=False)
+    fleet.tick("b", RETURN_LIMIT_SECONDS + 1)
+    fleet.tick("b")
+    assert fleet.wave().state is WaveState.PAUSED
+    assert fleet.wave().pauses == 2
+    assert len(fleet.states(VMState.OUT)) <= lost + 2
+
+
+def test_lost_rack_is_not_blamed_on_the_wave(fleet):
+    fleet.add_pool("b", vms=8, wanted=8, min_available=4)
+    fleet.start_wave()
+    fleet.tick("b")
+    fleet.reboot("b0", "b", returns=False)
+    for vm in ("b1", "b2", "b3"):
+        fleet.see(vm, VMCondition.DOWN)
+    fleet.tick("b", RETURN_LIMIT_SECONDS + 1)
+    fleet.tick("b", RETURN_LIMIT_SECONDS + 1)
+    assert fleet.wave().state is WaveState.RUNNING
+    assert progress(fleet).not_returned[0] == VMId("b0")
+
+
+def test_operator_pauses_resumes_and_aborts(fleet):
+    fleet.start_wave()
+    fleet.tick()
+    fleet.put(pause_wave(fleet.wave(), "storm", fleet.now).unwrap())
+    fleet.tick()
+    assert fleet.states(VMState.RESTORING) == ["a0", "a4"]
+    assert progress(fleet).blocks_by_pool[PoolId("a")].endswith("storm")
+    for vm in ("a0", "a4"):
+        fleet.see(vm, VMCondition.SERVING)
+    fleet.tick(seconds=10 * PROBATION_SECONDS)
+    assert fleet.states(VMState.DRAINING) == []
+    fleet.put(resume_wave(fleet.wave(), fleet.now).unwrap())
+    fleet.tick()
+    assert fleet.states(VMState.DRAINING) == ["a0", "a4"]
+    fleet.put(abort_wave(fleet.wave(), "wrong image", fleet.now).unwrap())
+    assert "aborted" in resume_wave(fleet.wave(), fleet.now).failure().message()
+
+
+def test_spare_for_failures_is_left_alone_by_a_wave(fleet):
+    fleet.add_pool("b", vms=8, wanted=8, min_available=6)
+    fleet.config = msgspec.structs.replace(
+        fleet.config, fleet=FleetRow(spare_percent=12.5)
+    )
+    fleet.start_wave()
+    draft = Draft(fleet.tables)
+
+    class Widest:
+        def allows(self, draft, wave, vm):
+            return True
+
+    width = SpareWidth(fleet.config.pools_by_id, fleet.config.fleet, Widest())
+    pools = fleet.config.pools_by_id.values()
+    for pool in pools:
+        plan_wave_drains(draft, pool, fleet.config.fleet, width, fleet.now)
+        fleet.take(draft)
+        draft = Draft(fleet.tables)
+    assert len(fleet.states(VMState.DRAINING)) == 2
+
+
+def test_standing_wave_takes_the_vms_whose_time_is_nearly_up(fleet):
+    fleet.tick(seconds=PERIOD_SECONDS / 2)
+    assert not fleet.tables.waves_by_id
+    fleet.tick(seconds=PERIOD_SECONDS / 2 - 86_400)
+    fleet.tick()
+    (wave,) = fleet.tables.waves_by_id.values()
+    assert len(wave.vm_ids) == 8
+
+
+def test_wave_over_unknown_vms_is_refused_with_the_remedy(fleet):
+    refused = create_wave(
+        fleet.tables, WaveId("x"), [VMId("zz")], [], "ana", fleet.now
+    ).failure()
+    assert "no VM zz" in refused.message()
+    assert "vms list" in refused.message()
--- /dev/null
+++ b/packages/systems/tests/test_moves.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from medlarspring_systems.moves import KEEP_ENDED_SECONDS, NEED_HOLD_SECONDS
+from medlarspring_tables import PoolId, Revision, VMId
+from medlarspring_tables.moves import MoveId, MoveRecord, MoveState
+from medlarspring_tables.vms import VMCondition, VMState
+
+
+def want(fleet, pool, wanted):
+    row = msgspec.structs.replace(
+        fleet.config.pools_by_id[PoolId(pool)], wanted_vms=wanted
+    )
+    pools_by_id = {**fleet.config.pools_by_id, row.id: row}
+    fleet.config = msgspec.structs.replace(fleet.config, pools_by_id=pools_by_id)
+
+
+def move_states(fleet):
+    return [move.state for move in fleet.tables.moves_by_id.values()]
+
+
+@pytest.fixture
+def two_pools(fleet):
+    """Return the fleet with a second pool that has three VMs too many."""
+    fleet.add_pool("b", vms=8, wanted=5, min_available=4)
+    return fleet
+
+
+def test_need_moves_exactly_what_lacks_and_only_after_a_while(two_pools):
+    fleet = two_pools
+    want(fleet, "a", 10)
+    fleet.tick("a")
+    assert move_states(fleet) == []
+    fleet.tick("a", NEED_HOLD_SECONDS)
+    fleet.tick("a", NEED_HOLD_SECONDS)
+    fleet.tick("b")
+    assert move_states(fleet) == [MoveState.DRAINING] * 2
+    for vm in fleet.states(VMState.DRAINING):
+        fleet.see(vm, VMCondition.DRAINED)
+    fleet.tick("b")
+    moved = fleet.states(VMState.JOINING)
+    assert [fleet.vm(vm).pool_id for vm in moved] == ["a", "a"]
+    for vm in moved:
+        fleet.see(vm, VMCondition.SERVING, pool_id=PoolId("a"))
+    fleet.tick("a")
+    assert move_states(fleet) == [MoveState.DONE] * 2
+    fleet.tick("a", KEEP_ENDED_SECONDS + 1)
+    assert move_states(fleet) == []
+
+
+def test_need_that_passes_is_withdrawn(two_pools):
+    fleet = two_pools
+    want(fleet, "a", 10)
+    fleet.tick("a")
+    fleet.tick("a", NEED_HOLD_SECONDS)
+    want(fleet, "a", 8)
+    fleet.tick("a")
+    fleet.tick("b")
+    assert move_states(fleet) == [MoveState.REFUSED] * 2
+    assert fleet.states(VMState.DRAINING) == []
+
+
+def test_giving_pool_keeps_its_budget(two_pools):
+    """
+    An operator wishes two VMs away from a pool whose others have failed. The
+    pool stands at its budget, so the moves wait; the VMs go on serving.
+    """
+    fleet = two_pools
+    for number in range(4):
+        fleet.see(f"b{number}", VMCondition.DOWN)
+    fleet.put(*wish(2))
+    fleet.tick("b")
+    assert move_states(fleet) == [MoveState.WANTED] * 2
+    fleet.see("b0", VMCondition.SERVING)
+    fleet.tick("b")
+    assert sorted(state.value for state in move_states(fleet)) == ["draining", "wanted"]
+
+
+def wish(count):
+    return [
+        MoveRecord(
+            id=MoveId(f"m{number}"), from_pool_id=PoolId("b"), to_pool_id=PoolId("a")
+        )
+        for number in range(count)
+    ]
+
+
+def test_operator_cannot_take_a_pool_under_its_budget_for_good(two_pools):
+    fleet = two_pools
+    fleet.put(*wish(5))
+    fleet.tick("b")
+    refused = [m for m in fleet.tables.moves_by_id.values() if not m.is_open]
+    assert len(refused) >= 1
+    assert "min_available" in refused[0].reason
+
+
+def test_move_taken_back_is_tried_again(two_pools):
+    fleet = two_pools
+    fleet.put(*wish(1))
+    fleet.tick("b")
+    (vm,) = fleet.states(VMState.DRAINING)
+    fleet.see(vm, VMCondition.SERVING)
+    fleet.tick("b")
+    assert fleet.vm(vm).pool_id == "b"
+    assert move_states(fleet) == [MoveState.DRAINING]
+    assert fleet.tables.sightings_by_id[VMId(vm)].revision < Revision(fleet.revision)
--- /dev/null
+++ b/packages/tables/src/medlarspring_tables/moves.py
@@ -0,0 +1,47 @@
+"""Records of moves of VMs between pools."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NewType
+
+from msgspec import Struct
+
+from medlarspring_tables.ids import PoolId, VMId
+
+MoveId = NewType("MoveId", str)
+
+
+class MoveState(Enum):
+    """Where a move stands."""
+
+    WANTED = "wanted"
+    DRAINING = "draining"
+    JOINING = "joining"
+    DONE = "done"
+    REFUSED = "refused"
+
+
+class MoveRecord(Struct, frozen=True, kw_only=True):
+    """Intent to move one VM from one pool to another."""
+
+    id: MoveId
+    from_pool_id: PoolId
+    to_pool_id: PoolId
+    vm_id: VMId | None = None
+    """The VM; chosen by the giving pool's holder unless an operator named it."""
+    is_by_need: bool = False
+    """Made by control work for a pool under its wanted size."""
+    state: MoveState = MoveState.WANTED
+    reason: str = ""
+    created_by: str = ""
+    created_at: float = 0.0
+    ended_at: float = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the move still has work to do."""
+        return self.state not in (MoveState.DONE, MoveState.REFUSED)
+
+
+__all__ = ["MoveId", "MoveRecord", "MoveState"]
