--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -24,6 +24,20 @@
     STOPPING = (1002, "shutdown began")
     STOPPED = (1003, "shutdown is complete")
 
+    VM_DRAIN_INTENDED = (5001, "VM is listed for a drain")
+    VM_REBOOT_INTENDED = (5002, "VM is drained and will be rebooted")
+    VM_SERVES = (5003, "VM serves again")
+    VM_MOVED = (5004, "VM belongs to another pool")
+    VM_PUT_BACK = (5005, "drain is taken back")
+    VM_GIVEN_UP = (5006, "VM is given up and replaced in the count")
+    VM_ACTION_REFUSED = (5007, "platform refused an action on a VM")
+    VM_CONTROL_LOST = (5008, "platform's VM control gives no answer")
+    FLEET_STORE_LOST = (5009, "fleet work waits for the store")
+    WAVE_STARTED = (5020, "wave started by the standing order")
+    WAVE_PAUSED = (5021, "wave paused by evidence")
+    WAVE_RESUMED = (5022, "wave resumed after its wait")
+    WAVE_DONE = (5023, "wave is done")
+
     @property
     def number(self) -> int:
         """The stable number of the event."""
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/fleet_records.py
@@ -0,0 +1,42 @@
+"""Fleet records as JSON values of the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from medlarspring_tables.fleet_tables import FLEET_PREFIX
+from medlarspring_tables.moves import MoveRecord
+from medlarspring_tables.pools import PoolDisruptions, ZoneDisruptions
+from medlarspring_tables.vms import VMRecord
+from medlarspring_tables.waves import WaveRecord
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.store import Entry
+    from medlarspring_tables.fleet_tables import FleetRecord, FleetTables
+
+TYPES_BY_PREFIX: dict[str, type[FleetRecord]] = {
+    f"{FLEET_PREFIX}vms/": VMRecord,
+    f"{FLEET_PREFIX}disruptions/": PoolDisruptions,
+    f"{FLEET_PREFIX}zones/": ZoneDisruptions,
+    f"{FLEET_PREFIX}waves/": WaveRecord,
+    f"{FLEET_PREFIX}moves/": MoveRecord,
+}
+
+
+def encode_record(record: FleetRecord) -> bytes:
+    """Return the value to store."""
+    return msgspec.json.encode(record)
+
+
+def take_entry(tables: FleetTables, entry: Entry) -> None:
+    """Decode an entry into the tables; other keys are passed over."""
+    kind = entry.key.removeprefix(FLEET_PREFIX).partition("/")[0]
+    record_type = TYPES_BY_PREFIX.get(f"{FLEET_PREFIX}{kind}/")
+    if record_type is not None:
+        record = msgspec.json.decode(entry.value, type=record_type)
+        tables.put(record, entry.mod_revision)
+
+
+__all__ = ["TYPES_BY_PREFIX", "encode_record", "take_entry"]
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/vm_control.py
@@ -0,0 +1,187 @@
+"""The platform's control of VMs: what they do, drain, reboot, restore, assign.
+
+Each action carries the revision of the record that intends it. The platform
+refuses an action older than one it has accepted for the VM, and repeats none.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from medlarspring_tables import MedlarspringError, PoolId, Revision, VMId
+from medlarspring_tables.vms import VMCondition, VMSighting
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from medlarspring_systems.disruptions import Action
+
+
+class VMControlError(MedlarspringError):
+    """The platform did not confirm what was asked."""
+
+
+class VMControlUnreachable(VMControlError):
+    """No answer: the action may have been carried out."""
+
+    code = "vm-control-unreachable"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+    def message(self) -> str:
+        """Say what failed and what follows."""
+        return (
+            f"The platform's VM control gave no answer ({self.detail}). The action"
+            " is asked again with the same revision; check [vm_control] url."
+        )
+
+
+class VMActionRefused(VMControlError):
+    """The platform refused an action; it had no effect."""
+
+    code = "vm-action-refused"
+
+    def __init__(self, vm_id: VMId, reason: str) -> None:
+        super().__init__(vm_id, reason)
+        self.vm_id = vm_id
+        self.reason = reason
+
+    def message(self) -> str:
+        """Say what was refused and what follows."""
+        return (
+            f"The platform refused an action on VM {self.vm_id}: {self.reason}."
+            " The VM's record is read again; nothing has to be done."
+        )
+
+
+class VMControl(Protocol):
+    """Shows VMs and changes what they do."""
+
+    async def read_vms(
+        self, pool_ids: Collection[PoolId], vm_ids: Collection[VMId]
+    ) -> Result[list[VMSighting], VMControlError]:
+        """Return the VMs that the platform holds in the pools, and the named ones."""
+        ...
+
+    async def act(
+        self,
+        vm_id: VMId,
+        action: Action,
+        revision: Revision,
+        pool_id: PoolId | None = None,
+    ) -> Result[VMSighting, VMControlError]:
+        """Ask for an action, idempotent by revision; ``pool_id`` is for assign."""
+        ...
+
+
+class _VMDocument(msgspec.Struct):
+    id: VMId
+    pool: PoolId
+    condition: VMCondition
+    boot: int
+    revision: Revision
+
+    def to_sighting(self) -> VMSighting:
+        return VMSighting(
+            vm_id=self.id,
+            pool_id=self.pool,
+            condition=self.condition,
+            boot=self.boot,
+            revision=self.revision,
+        )
+
+
+class _Refusal(msgspec.Struct):
+    reason: str = "no reason given"
+
+
+class HttpVMControl:
+    """The client of a VM control that speaks JSON over HTTP."""
+
+    def __init__(self, url: str, timeout_seconds: float = 2.0) -> None:
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_seconds)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_vms(
+        self, pool_ids: Collection[PoolId], vm_ids: Collection[VMId]
+    ) -> Result[list[VMSighting], VMControlError]:
+        """Return the VMs of the pools and the named ones."""
+        query: list[tuple[str, str]]
+        query = [("pool", pool_id) for pool_id in sorted(pool_ids)]
+        query += [("vm", vm_id) for vm_id in sorted(vm_ids)]
+        answered = await self._call("GET", "/vms", query=query)
+        if not isinstance(answered, Success):
+            return Failure(answered.failure())
+        _, body = answered.unwrap()
+        try:
+            documents = msgspec.json.decode(body, type=list[_VMDocument])
+        except msgspec.DecodeError as error:
+            return Failure(VMControlUnreachable(f"malformed answer: {error}"))
+        return Success([document.to_sighting() for document in documents])
+
+    async def act(
+        self,
+        vm_id: VMId,
+        action: Action,
+        revision: Revision,
+        pool_id: PoolId | None = None,
+    ) -> Result[VMSighting, VMControlError]:
+        """Ask for one action on one VM."""
+        document: dict[str, object] = {"revision": revision}
+        if pool_id is not None:
+            document["pool"] = pool_id
+        path = f"/vms/{vm_id}/{action.value}"
+        answered = await self._call("POST", path, body=msgspec.json.encode(document))
+        if not isinstance(answered, Success):
+            return Failure(answered.failure())
+        status, body = answered.unwrap()
+        try:
+            if status != 200:
+                refusal = msgspec.json.decode(body, type=_Refusal)
+                return Failure(VMActionRefused(vm_id, refusal.reason))
+            seen = msgspec.json.decode(body, type=_VMDocument)
+        except msgspec.DecodeError as error:
+            return Failure(VMControlUnreachable(f"malformed answer: {error}"))
+        return Success(seen.to_sighting())
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: list[tuple[str, str]] | None = None,
+        body: bytes | None = None,
+    ) -> Result[tuple[int, bytes], VMControlError]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=self._timeout)
+        headers = {"Content-Type": "application/json"} if body else None
+        try:
+            async with self._session.request(
+                method, self._url + path, params=query, data=body, headers=headers
+            ) as response:
+                content = await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Failure(VMControlUnreachable(str(error) or type(error).__name__))
+        if response.status >= 500:
+            return Failure(VMControlUnreachable(f"status {response.status}"))
+        return Success((response.status, content))
+
+
+__all__ = [
+    "HttpVMControl",
+    "VMActionRefused",
+    "VMControl",
+    "VMControlError",
+    "VMControlUnreachable",
+]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_controller.py
@@ -0,0 +1,284 @@
+"""Carries the fleet's decisions out: intent first, then the action."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.fleet_records import (
+    TYPES_BY_PREFIX,
+    encode_record,
+    take_entry,
+)
+from medlarspring_adapters.store import (
+    Delete,
+    Expect,
+    Put,
+    StoreOutcomeUnknown,
+    Transaction,
+)
+from medlarspring_adapters.vm_control import VMActionRefused
+from medlarspring_systems.disruptions import Action, choose_action
+from medlarspring_systems.draft import Decided
+from medlarspring_systems.fleet_plan import plan_pool, plan_waves
+from medlarspring_tables.fleet_tables import key_of_vm
+from medlarspring_tables.vms import VMState
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from medlarspring_adapters.decisions import DecisionLog
+    from medlarspring_adapters.events import EventLog
+    from medlarspring_adapters.store import Committed, Store
+    from medlarspring_adapters.vm_control import VMControl
+    from medlarspring_daemon.node import Holders
+    from medlarspring_systems.draft import Draft
+    from medlarspring_systems.maintenance import WidthRule
+    from medlarspring_tables import ConfigTable, PoolId, Revision, VMId, VMList
+    from medlarspring_tables.fleet_tables import FleetTables
+    from medlarspring_tables.vms import VMRecord
+
+MAX_TRIES = 3
+"""Plans per tick and pool while other holders change the same records."""
+
+_EVENTS_BY_DECIDED = {
+    Decided.DRAIN: Event.VM_DRAIN_INTENDED,
+    Decided.REBOOT: Event.VM_REBOOT_INTENDED,
+    Decided.MOVE: Event.VM_MOVED,
+    Decided.SERVE: Event.VM_SERVES,
+    Decided.PUT_BACK: Event.VM_PUT_BACK,
+    Decided.GIVE_UP: Event.VM_GIVEN_UP,
+    Decided.START: Event.WAVE_STARTED,
+    Decided.PAUSE: Event.WAVE_PAUSED,
+    Decided.RESUME: Event.WAVE_RESUMED,
+    Decided.FINISH: Event.WAVE_DONE,
+}
+_WARNINGS = (Decided.PUT_BACK, Decided.GIVE_UP, Decided.PAUSE)
+
+
+class FleetController:
+    """Brings the records of held pools forward and the platform after them."""
+
+    def __init__(
+        self,
+        tables: FleetTables,
+        store: Store,
+        vm_control: VMControl,
+        holders: Holders,
+        decisions: DecisionLog,
+        log: EventLog,
+        width: WidthRule | None = None,
+    ) -> None:
+        self.tables = tables
+        self._store = store
+        self._vm_control = vm_control
+        self._holders = holders
+        self._decisions = decisions
+        self._log = log
+        self._width = width
+        self._unsettled: dict[PoolId, tuple[Transaction, Draft]] = {}
+        self.is_store_lost = False
+        """Whether the last call of the store failed."""
+
+    async def load(self) -> bool:
+        """Read all fleet records; says whether that succeeded.
+
+        Every prefix is read before any is taken, and keys that are gone are
+        forgotten, so a plan never mixes records of two loads.
+        """
+        for prefix in TYPES_BY_PREFIX:
+            listed = await self._store.read_prefix(prefix)
+            if not isinstance(listed, Success):
+                self.is_store_lost = True
+                return False
+            listing = listed.unwrap()
+            present = {entry.key for entry in listing.entries}
+            known = [key for key in self.tables.revisions_by_key if key not in present]
+            for key in known:
+                if key.startswith(prefix):
+                    self.tables.remove(key)
+            for entry in listing.entries:
+                take_entry(self.tables, entry)
+        self.is_store_lost = False
+        return True
+
+    async def observe(
+        self, pool_ids: Collection[PoolId], vm_ids: Collection[VMId] = ()
+    ) -> bool:
+        """Look at the VMs of pools; what is not seen now counts as unseen."""
+        busy = {
+            vm_id
+            for pool_id in pool_ids
+            for vm_id in self.tables.busy_vm_ids_by_pool.get(pool_id, ())
+        }
+        seen = await self._vm_control.read_vms(pool_ids, busy | set(vm_ids))
+        if not isinstance(seen, Success):
+            return False
+        for pool_id in pool_ids:
+            for vm_id in self.tables.vm_ids_by_pool.get(pool_id, ()):
+                self.tables.sightings_by_id.pop(vm_id, None)
+        for sighting in seen.unwrap():
+            self.tables.sightings_by_id[sighting.vm_id] = sighting
+        return True
+
+    async def tick(
+        self, pool_id: PoolId, config: ConfigTable, vm_list: VMList | None, now: float
+    ) -> bool:
+        """Do one round of a held pool's work; says whether its records are sure."""
+        if not await self._settle(pool_id):
+            return False
+        for _ in range(MAX_TRIES):
+            draft = plan_pool(self.tables, config, pool_id, vm_list, now, self._width)
+            if not draft.records_by_key or await self._write(pool_id, draft):
+                break
+            if pool_id in self._unsettled or self.is_store_lost:
+                return False
+        draft = plan_waves(self.tables, config, pool_id, now)
+        if draft.records_by_key:
+            await self._write(pool_id, draft)
+        if pool_id in self._unsettled:
+            return False
+        await self._act(pool_id)
+        return True
+
+    async def put_back(self, pool_id: PoolId) -> None:
+        """Put drained VMs back to work while the store cannot be reached.
+
+        Without the store no reboot or move can be intended, so a drained VM
+        would stand idle for the whole outage. The restoration carries the
+        drain's own revision: it closes that intent for good, and whoever
+        holds the pool after the outage sees it and takes the VM off the list.
+        """
+        for vm_id in sorted(self.tables.busy_vm_ids_by_pool.get(pool_id, ())):
+            record = self.tables.vms_by_id[vm_id]
+            if record.state is VMState.DRAINING:
+                await self._ask(record, Action.RESTORE)
+
+    def forget_unsettled(self, pool_id: PoolId) -> None:
+        """Drop a write of unknown outcome of a pool that is held no more."""
+        self._unsettled.pop(pool_id, None)
+
+    async def _settle(self, pool_id: PoolId) -> bool:
+        """Find out what became of a write whose reply was lost.
+
+        Sent again as it was, it is applied at most once: had it taken effect,
+        the revisions it expects are gone, and the failed try reads the records
+        as they are. No action is taken before that.
+        """
+        unsettled = self._unsettled.pop(pool_id, None)
+        if unsettled is None:
+            return True
+        transaction, draft = unsettled
+        if self._holders.fence(pool_id) is None:
+            return False
+        await self._commit(pool_id, transaction, draft)
+        return pool_id not in self._unsettled and not self.is_store_lost
+
+    async def _write(self, pool_id: PoolId, draft: Draft) -> bool:
+        fence = self._holders.fence(pool_id)
+        if fence is None:
+            return False
+        return await self._commit(pool_id, self._to_transaction(draft, fence), draft)
+
+    def _to_transaction(self, draft: Draft, fence: Expect) -> Transaction:
+        # A holder paused past its lease would drain further VMs on top of its
+        # successor's. The write expects its own holder key and the revision of
+        # each record it was planned from; once a successor has taken the key
+        # or written any of them, the store refuses it whole.
+        expects = [fence]
+        writes: list[Put | Delete] = []
+        for key, record in draft.records_by_key.items():
+            expects.append(Expect(key, self.tables.revision_of(key)))
+            if record is None:
+                writes.append(Delete(key))
+            else:
+                writes.append(Put(key, encode_record(record)))
+        keys = tuple(draft.records_by_key)
+        return Transaction(tuple(expects), tuple(writes), keys)
+
+    async def _commit(
+        self, pool_id: PoolId, transaction: Transaction, draft: Draft
+    ) -> bool:
+        result = await self._store.commit(transaction)
+        if not isinstance(result, Success):
+            self.is_store_lost = True
+            if isinstance(result.failure(), StoreOutcomeUnknown):
+                self._unsettled[pool_id] = (transaction, draft)
+            return False
+        self.is_store_lost = False
+        committed = result.unwrap()
+        if not committed.succeeded:
+            self._take_refreshed(transaction, committed)
+            return False
+        for key, record in draft.records_by_key.items():
+            if record is None:
+                self.tables.remove(key)
+            else:
+                self.tables.put(record, committed.revision)
+        self._explain(draft)
+        return True
+
+    def _take_refreshed(self, transaction: Transaction, committed: Committed) -> None:
+        for key in transaction.read_on_failure:
+            entry = committed.read_by_key.get(key)
+            if entry is None:
+                self.tables.remove(key)
+            else:
+                take_entry(self.tables, entry)
+
+    def _explain(self, draft: Draft) -> None:
+        for note in draft.notes:
+            facts = dict(note.facts)
+            if note.vm_id is not None:
+                self._decisions.record(
+                    Subject.VM, note.vm_id, note.decided.value, note.rule, **facts
+                )
+                facts["vm"] = note.vm_id
+            if note.wave_id is not None:
+                self._decisions.record(
+                    Subject.WAVE, note.wave_id, note.decided.value, note.rule, **facts
+                )
+                facts["wave"] = note.wave_id
+            event = _EVENTS_BY_DECIDED.get(note.decided)
+            if event is not None:
+                write = self._log.info
+                if note.decided in _WARNINGS:
+                    write = self._log.warning
+                write(event, rule=note.rule, **facts)
+
+    async def _act(self, pool_id: PoolId) -> None:
+        for vm_id in sorted(self.tables.busy_vm_ids_by_pool.get(pool_id, ())):
+            if self._holders.fence(pool_id) is None:
+                return
+            record = self.tables.vms_by_id.get(vm_id)
+            if record is None or record.pool_id != pool_id:
+                continue
+            action = choose_action(self.tables, record)
+            if action is not None:
+                await self._ask(record, action)
+
+    async def _ask(self, record: VMRecord, action: Action) -> None:
+        revision = self._revision_of(record.id)
+        pool_id = record.pool_id if action is Action.ASSIGN else None
+        result = await self._vm_control.act(record.id, action, revision, pool_id)
+        if isinstance(result, Success):
+            self.tables.sightings_by_id[record.id] = result.unwrap()
+            return
+        if isinstance(result.failure(), VMActionRefused):
+            self._log.warning(
+                Event.VM_ACTION_REFUSED,
+                vm=record.id,
+                action=action.value,
+                reason=result.failure().message(),
+            )
+        # The sighting may be older than the refusal, so it is not used again.
+        self.tables.sightings_by_id.pop(record.id, None)
+
+    def _revision_of(self, vm_id: VMId) -> Revision:
+        return self.tables.revision_of(key_of_vm(vm_id))
+
+
+__all__ = ["FleetController"]
--- a/packages/daemon/src/medlarspring_daemon/settings.py
+++ b/packages/daemon/src/medlarspring_daemon/settings.py
@@ -101,6 +101,13 @@
     poll_seconds: PositiveFloat = 5.0
 
 
+class VMControlSection(Section):
+    """The platform's control of VMs: drain, reboot, state."""
+
+    url: Annotated[str, Field(pattern=r"^http://[0-9.]+:[0-9]+/.*$")]
+    timeout_seconds: PositiveFloat = 2.0
+
+
 class StatsdSection(Section):
     """Where metrics go."""
 
@@ -122,6 +129,8 @@
     peer: PeerSection
     store: StoreSection
     vm_list: VMListSection
+    vm_control: VMControlSection | None = None
+    """Without it this entry VM does no maintenance and no moves."""
     statsd: StatsdSection | None = None
     log: LogSection = LogSection()
 
--- a/packages/systems/src/medlarspring_systems/adoption.py
+++ b/packages/systems/src/medlarspring_systems/adoption.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.disruptions import MAX_CHANGES
+from medlarspring_systems.draft import Decided
 from medlarspring_tables.fleet_tables import key_of_vm
 from medlarspring_tables.vms import VMRecord, VMState
 
@@ -37,7 +38,7 @@
                 maintained_at=now,
             )
         )
-        draft.note("adopt", "first-listed", vm_id=vm.id, pool=pool.id)
+        draft.note(Decided.ADOPT, "first-listed", vm_id=vm.id, pool=pool.id)
 
 
 def plan_forgetting(draft: Draft, pool: PoolRow, vm_list: VMList, now: float) -> None:
@@ -52,7 +53,7 @@
             and now - record.since > FORGET_SECONDS
         ):
             draft.delete(key_of_vm(vm_id))
-            draft.note("forget", "no-longer-listed", vm_id=vm_id)
+            draft.note(Decided.FORGET, "no-longer-listed", vm_id=vm_id)
 
 
 __all__ = ["FORGET_SECONDS", "plan_adoption", "plan_forgetting"]
--- a/packages/systems/src/medlarspring_systems/availability.py
+++ b/packages/systems/src/medlarspring_systems/availability.py
@@ -53,7 +53,10 @@
 
 
 def judge_vm(record: VMRecord, sighting: VMSighting | None) -> Health:
-    """Return a VM's health; without a fresh sighting nothing good is assumed."""
+    """Return a VM's health; without a fresh sighting nothing good is assumed.
+
+    A VM that the platform still shows in another pool does not serve its own.
+    """
     if record.state is VMState.OUT:
         return Health.OUT
     if record.state is not VMState.SERVING:
@@ -62,17 +65,23 @@
         return Health.UNSEEN
     if sighting.condition is not VMCondition.SERVING:
         return Health.FAILED
+    if sighting.pool_id != record.pool_id:
+        return Health.FAILED
     return Health.AVAILABLE
 
 
 def count_availability(draft: Draft, row: PoolRow) -> Availability:
     """Count a pool as it would stand after the draft."""
     counted = Availability(row.id, row.min_available)
+    # A successor's records of single VMs may lag behind the list, which it has
+    # read under the revision it writes. A VM on the list is out in any case.
+    listed = draft.pool_disruptions(row.id).causes_by_vm
     for vm_id in draft.tables.vm_ids_by_pool.get(row.id, ()):
         record = draft.vm(vm_id)
         if record.pool_id != row.id:
             continue
-        match judge_vm(record, draft.tables.sightings_by_id.get(vm_id)):
+        health = judge_vm(record, draft.tables.sightings_by_id.get(vm_id))
+        match Health.DISRUPTED if vm_id in listed else health:
             case Health.AVAILABLE:
                 counted.available += 1
             case Health.DISRUPTED:
--- a/packages/systems/src/medlarspring_systems/disruptions.py
+++ b/packages/systems/src/medlarspring_systems/disruptions.py
@@ -13,6 +13,7 @@
     count_availability,
     is_rack_lost,
 )
+from medlarspring_systems.draft import Decided
 from medlarspring_tables import MedlarspringError, VMId, WaveId
 from medlarspring_tables.fleet_tables import key_of_vm
 from medlarspring_tables.moves import MoveId, MoveState
@@ -82,7 +83,7 @@
     state = {"state": VMState.DRAINING, "since": now, "cause": cause}
     draft.put(msgspec.structs.replace(record, **state))
     draft.note(
-        "drain",
+        Decided.DRAIN,
         "budget-has-room",
         vm_id=vm_id,
         cause=f"{cause.kind.value} {cause.id}",
@@ -171,7 +172,7 @@
         return
     state = {"state": VMState.REBOOTING, "since": now, "boot": sighting.boot}
     draft.put(msgspec.structs.replace(record, **state))
-    draft.note("reboot", "drained", vm_id=record.id, boot=sighting.boot)
+    draft.note(Decided.REBOOT, "drained", vm_id=record.id, boot=sighting.boot)
 
 
 def _join(draft: Draft, record: VMRecord, pool_id: PoolId, now: float) -> None:
@@ -187,7 +188,11 @@
     draft.put(joined)
     _set_move(draft, record, MoveState.JOINING, now)
     draft.note(
-        "move", "drained", vm_id=record.id, from_pool=record.pool_id, to_pool=pool_id
+        Decided.MOVE,
+        "drained",
+        vm_id=record.id,
+        from_pool=record.pool_id,
+        to_pool=pool_id,
     )
 
 
@@ -251,7 +256,7 @@
     if record.cause is not None:
         draft.list_vm(record, record.cause)
     draft.put(msgspec.structs.replace(record, state=VMState.JOINING, since=now))
-    draft.note("join again", "returned-late", vm_id=record.id)
+    draft.note(Decided.JOIN_AGAIN, "returned-late", vm_id=record.id)
 
 
 def plan_give_up(draft: Draft, pool: PoolRow, now: float) -> None:
@@ -314,7 +319,7 @@
     state = {"state": VMState.RESTORING, "since": now, "target_pool_id": None}
     draft.put(msgspec.structs.replace(record, **state))
     _set_move(draft, record, MoveState.WANTED, now)
-    draft.note("put back", rule, vm_id=record.id)
+    draft.note(Decided.PUT_BACK, rule, vm_id=record.id)
 
 
 def _serve(draft: Draft, record: VMRecord, rule: str, now: float) -> None:
@@ -331,7 +336,7 @@
             target_pool_id=None,
         )
     )
-    draft.note("serve", rule, vm_id=record.id)
+    draft.note(Decided.SERVE, rule, vm_id=record.id)
 
 
 def _give_up(draft: Draft, record: VMRecord, rule: str, now: float) -> None:
@@ -339,7 +344,7 @@
     draft.unlist_in_zone(record)
     state = {"state": VMState.OUT, "since": now, "target_pool_id": None}
     draft.put(msgspec.structs.replace(record, **state))
-    draft.note("give up", rule, vm_id=record.id)
+    draft.note(Decided.GIVE_UP, rule, vm_id=record.id)
 
 
 def _finish_wave(draft: Draft, record: VMRecord, outcome: Outcome, now: float) -> None:
@@ -356,7 +361,10 @@
         )
     )
     draft.note(
-        outcome.value, "wave-ended", vm_id=record.id, wave_id=WaveId(record.cause.id)
+        Decided.VM_ENDED,
+        outcome.value,
+        vm_id=record.id,
+        wave_id=WaveId(record.cause.id),
     )
 
 
--- a/packages/systems/src/medlarspring_systems/draft.py
+++ b/packages/systems/src/medlarspring_systems/draft.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from medlarspring_tables.fleet_tables import (
@@ -25,11 +26,30 @@
 Fact = str | int | float | bool
 
 
+class Decided(Enum):
+    """What a draft does to a VM or a wave."""
+
+    ADOPT = "adopt"
+    DRAIN = "drain"
+    REBOOT = "reboot"
+    MOVE = "move"
+    JOIN_AGAIN = "join again"
+    SERVE = "serve"
+    PUT_BACK = "put back"
+    GIVE_UP = "give up"
+    FORGET = "forget"
+    VM_ENDED = "VM ended"
+    START = "start"
+    PAUSE = "pause"
+    RESUME = "resume"
+    FINISH = "finish"
+
+
 @dataclass(slots=True, frozen=True)
 class Note:
-    """One decision in words for ``explain``: about which VM or wave, and why."""
+    """One decision for ``explain``: about which VM or wave, and why."""
 
-    decided: str
+    decided: Decided
     rule: str
     vm_id: VMId | None = None
     wave_id: WaveId | None = None
@@ -85,7 +105,7 @@
 
     def note(
         self,
-        decided: str,
+        decided: Decided,
         rule: str,
         *,
         vm_id: VMId | None = None,
@@ -117,4 +137,4 @@
             self.put(ZoneDisruptions(zone_id=vm.zone_id, causes_by_vm=causes_by_vm))
 
 
-__all__ = ["Draft", "Fact", "Note"]
+__all__ = ["Decided", "Draft", "Fact", "Note"]
--- a/packages/systems/src/medlarspring_systems/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/maintenance.py
@@ -157,7 +157,7 @@
     """Draft all drains of the pool that running waves want and budgets allow."""
     # A VM given up in this very draft may be the one that pauses the wave;
     # the next tick decides with it among the evidence.
-    if any(note.decided == Outcome.NOT_RETURNED.value for note in draft.notes):
+    if any(note.rule == Outcome.NOT_RETURNED.value for note in draft.notes):
         return
     waves = sorted(
         draft.tables.open_waves_by_id.values(), key=lambda wave: wave.started_at
--- a/packages/systems/src/medlarspring_systems/wave_control.py
+++ b/packages/systems/src/medlarspring_systems/wave_control.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from medlarspring_systems.draft import Decided
 from medlarspring_systems.maintenance import EVIDENCE_DEPTH, find_evidence
 from medlarspring_tables import MedlarspringError, WaveId
 from medlarspring_tables.vms import Outcome, VMState
@@ -131,13 +132,20 @@
         return
     draft.put(changed)
     draft.note(
-        changed.state.value,
+        _DECIDED_BY_STATE[changed.state],
         changed.reason or "evidence",
         wave_id=wave.id,
         pauses=changed.pauses,
     )
 
 
+_DECIDED_BY_STATE = {
+    WaveState.RUNNING: Decided.RESUME,
+    WaveState.PAUSED: Decided.PAUSE,
+    WaveState.DONE: Decided.FINISH,
+}
+
+
 def _judge_wave(tables: FleetTables, wave: WaveRecord, now: float) -> WaveRecord | None:
     if wave.state is WaveState.PAUSED:
         if 0.0 < wave.resumes_at <= now:
@@ -223,7 +231,7 @@
             resumed_at=now,
         )
     )
-    draft.note("start", "once-in-six-weeks", wave_id=wave_id, vms=len(due))
+    draft.note(Decided.START, "once-in-six-weeks", wave_id=wave_id, vms=len(due))
 
 
 STANDING = "standing order"
--- a/packages/tables/src/medlarspring_tables/fleet_tables.py
+++ b/packages/tables/src/medlarspring_tables/fleet_tables.py
@@ -127,8 +127,10 @@
                 if record.is_open:
                     self.open_moves_by_id[record.id] = record
 
-    def remove(self, key: str) -> None:
-        """Forget the record of a deleted key."""
+    def remove(self, key: str, revision: Revision | None = None) -> None:
+        """Forget a deleted key, unless it is known from after ``revision``."""
+        if revision is not None and self.revision_of(key) > revision:
+            return
         if self.revisions_by_key.pop(key, None) is None:
             return
         kind, _, id_ = key.removeprefix(FLEET_PREFIX).partition("/")
