--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -24,6 +24,11 @@
     STOPPING = (1002, "shutdown began")
     STOPPED = (1003, "shutdown is complete")
 
+    EDIT_ACCEPTED = (8001, "an edit of the table was accepted")
+    EDIT_REFUSED = (8002, "an edit of the table was not accepted")
+    OPERATOR_REFUSED = (8003, "an operator's request had no valid token")
+    OPERATOR_FAILED = (8004, "an operator's request failed inside the daemon")
+
     @property
     def number(self) -> int:
         """The stable number of the event."""
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/operator_api.py
@@ -0,0 +1,84 @@
+"""What the operator port answers; shared by the daemon and the command line."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from medlarspring_adapters.decisions import Decision
+from medlarspring_systems.table_edit import RowEdit
+from medlarspring_tables import ConfigTable, EntryVMId, Revision
+from medlarspring_tables.audit import AuditRecord, RowChange
+
+
+class TableAnswer(Struct, frozen=True, kw_only=True):
+    """The table, and where it was read."""
+
+    table: ConfigTable
+    from_store: bool
+    """False when the store gave no answer and the table in force is shown."""
+    entry_vm: EntryVMId
+    warning: str = ""
+
+
+class EditAnswer(Struct, frozen=True, kw_only=True):
+    """An accepted edit."""
+
+    revision: Revision
+    changes: tuple[RowChange, ...]
+    repeated: bool
+    """True when the edit had been accepted before under the same id."""
+    entry_vm: EntryVMId
+
+
+class PlanAnswer(Struct, frozen=True, kw_only=True):
+    """What an import would change; nothing has been changed yet."""
+
+    revision: Revision
+    """Table revision that the difference was made against."""
+    rows: tuple[RowEdit, ...]
+    changes: tuple[RowChange, ...]
+
+
+class AuditAnswer(Struct, frozen=True, kw_only=True):
+    """Audit records, oldest first."""
+
+    records: tuple[AuditRecord, ...]
+    next_before: Revision | None = None
+    """Ask again with this as ``before`` for older records."""
+
+
+class ExplainAnswer(Struct, frozen=True, kw_only=True):
+    """What the entry VMs remember about a subject, oldest first."""
+
+    decisions: tuple[Decision, ...]
+
+
+class StatusAnswer(Struct, frozen=True, kw_only=True):
+    """The state of one entry VM as it knows it."""
+
+    entry_vm: EntryVMId
+    zone: str
+    table_revision: Revision | None
+    """None when no table is in force yet; callers are refused as not run."""
+    stopping: bool
+
+
+class Problem(Struct, frozen=True, kw_only=True):
+    """A refusal; further members depend on ``code``."""
+
+    status: int
+    code: str
+    detail: str
+    type: str = ""
+    title: str = ""
+
+
+__all__ = [
+    "AuditAnswer",
+    "EditAnswer",
+    "ExplainAnswer",
+    "PlanAnswer",
+    "Problem",
+    "StatusAnswer",
+    "TableAnswer",
+]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/application.py
@@ -0,0 +1,42 @@
+"""Entry point of ``medlarspring``."""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import version
+from typing import TYPE_CHECKING
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+
+from medlarspring_cli.commands import COMMANDS
+from medlarspring_cli.exit_codes import ExitCode
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+def create_application() -> Application:
+    """Return the command line with all its commands."""
+    application = Application("medlarspring", version("medlarspring-cli"))
+    for command in COMMANDS:
+        application.add(command())
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    return application
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command; returns its exit status."""
+    given = list(sys.argv if arguments is None else ["medlarspring", *arguments])
+    try:
+        return int(create_application().run(ArgvInput(given)))
+    except CleoError as error:
+        print(f"error: {error}", file=sys.stderr)
+        print("See `medlarspring list`, or a command's --help.", file=sys.stderr)
+        return ExitCode.USAGE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/commands/edit_command.py
@@ -0,0 +1,184 @@
+"""What the commands share that edit one row."""
+
+from __future__ import annotations
+
+import getpass
+import hashlib
+import os
+import uuid
+from typing import TYPE_CHECKING, ClassVar
+
+from cleo.helpers import argument, option
+
+from medlarspring_adapters.operator_api import EditAnswer, TableAnswer
+from medlarspring_cli.commands.operator_command import OperatorCommand
+from medlarspring_cli.errors import UsageFault
+from medlarspring_cli.render import format_change
+from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit
+from medlarspring_systems.table_rows import FIELD_TYPES_BY_KIND, split_rows
+from medlarspring_tables import EditId, Revision, RowKind
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.argument import Argument
+    from cleo.io.inputs.option import Option
+
+    from medlarspring_cli.client import OperatorClient
+    from medlarspring_tables.audit import FieldValue
+
+OPERATOR_VARIABLE = "MEDLARSPRING_OPERATOR"
+NEW_ROW = Revision(0)
+KINDS = ", ".join(kind.value for kind in RowKind)
+
+KIND_ARGUMENT = argument("kind", f"Kind of row: {KINDS}")
+ID_ARGUMENT = argument("id", "Id of the row")
+FIELDS_ARGUMENT = argument(
+    "fields", "Fields as <comment>NAME=VALUE</comment>", optional=True, multiple=True
+)
+EDIT_OPTIONS: list[Option] = [
+    option(
+        "operator",
+        None,
+        "Your name for the audit trail"
+        f" [env: <comment>{OPERATOR_VARIABLE}</comment>, else your login]",
+        flag=False,
+    ),
+    option("note", None, "Why, for the audit trail", flag=False),
+    option(
+        "edit-id",
+        None,
+        "Id of an edit to repeat after its answer was lost",
+        flag=False,
+    ),
+]
+REVISION_OPTION = option(
+    "revision",
+    None,
+    "Row revision that you decided on; refused if the row has changed since",
+    flag=False,
+)
+CREDENTIAL_OPTION = option(
+    "credential-file",
+    None,
+    "File with a partner's credential; only its hash is sent",
+    flag=False,
+)
+
+
+class EditCommand(OperatorCommand):
+    """Base of the commands that edit one row."""
+
+    arguments: ClassVar[list[Argument]] = [KIND_ARGUMENT, ID_ARGUMENT]
+    own_options: ClassVar[list[Option]] = EDIT_OPTIONS
+
+    def read_kind(self) -> RowKind:
+        """Return the kind of row that was named."""
+        return read_kind(self.argument("kind"))
+
+    def read_fields(self, kind: RowKind) -> dict[str, FieldValue]:
+        """Return the fields that were given; the daemon checks the values."""
+        fields: dict[str, FieldValue] = {}
+        for text in self.argument("fields"):
+            name, separator, value = text.partition("=")
+            if not separator or not name:
+                raise UsageFault(f"{text!r} is not NAME=VALUE, for example weight=2.")
+            if name not in FIELD_TYPES_BY_KIND[kind]:
+                known = ", ".join(FIELD_TYPES_BY_KIND[kind])
+                raise UsageFault(f"A {kind.value} has no {name!r}; it has {known}.")
+            if name in fields:
+                raise UsageFault(f"{name!r} is given twice; keep one.")
+            fields[name] = value
+        if path := self.option("credential-file"):
+            fields["credential_sha256"] = self._hash_credential(kind, path)
+        return fields
+
+    def find_revision(
+        self, client: OperatorClient, kind: RowKind, row_id: str
+    ) -> Revision:
+        """Return the row revision that the edit is made for."""
+        given = self.option("revision")
+        if given is not None:
+            if not given.isdecimal():
+                raise UsageFault(f"--revision {given!r} is not a whole number.")
+            return Revision(int(given))
+        shown = client.get("/v1/table", TableAnswer)
+        row = split_rows(shown.table)[kind].get(row_id)
+        return row.revision if row is not None else Revision(0)
+
+    def send_row(
+        self,
+        client: OperatorClient,
+        action: RowAction,
+        fields: dict[str, FieldValue],
+        row_revision: Revision = NEW_ROW,
+    ) -> int:
+        """Send the edit of one row and print what became of it."""
+        row = RowEdit(
+            kind=self.read_kind(),
+            id=self.argument("id"),
+            action=action,
+            fields=fields,
+            row_revision=row_revision,
+        )
+        return self.send_edit(client, (row,))
+
+    def send_edit(self, client: OperatorClient, rows: tuple[RowEdit, ...]) -> int:
+        """Send an edit and print what became of it."""
+        edit = TableEdit(
+            id=EditId(self.option("edit-id") or str(uuid.uuid4())),
+            operator=self._find_operator(),
+            rows=rows,
+            note=self.option("note") or "",
+        )
+        accepted = client.post("/v1/table/edits", edit, EditAnswer, edit_id=edit.id)
+        if self.wants_json:
+            self.print_json(accepted)
+            return 0
+        for change in accepted.changes:
+            self.print_text(format_change(change))
+        when = "had been accepted before" if accepted.repeated else "accepted"
+        self.print_text(
+            f"edit {edit.id} {when}: table revision {accepted.revision}"
+            f" ({accepted.entry_vm})"
+        )
+        return 0
+
+    def _find_operator(self) -> str:
+        given = self.option("operator") or os.environ.get(OPERATOR_VARIABLE)
+        if given:
+            return str(given)
+        try:
+            return getpass.getuser()
+        except (KeyError, OSError):
+            raise UsageFault(
+                "Your name is not known. Give --operator NAME for the audit trail, or"
+                f" set {OPERATOR_VARIABLE}."
+            ) from None
+
+    def _hash_credential(self, kind: RowKind, path: str) -> str:
+        if kind is not RowKind.PARTNER:
+            raise UsageFault("--credential-file is for rows of kind partner only.")
+        credential = self.read_text(path, "Credential file").strip()
+        if not credential:
+            raise UsageFault(f"Credential file {path} is empty; write the credential.")
+        return hashlib.sha256(credential.encode()).hexdigest()
+
+
+def read_kind(name: str) -> RowKind:
+    """Return the kind of row with this name."""
+    try:
+        return RowKind(name)
+    except ValueError:
+        raise UsageFault(f"Kind {name!r} is none of {KINDS}.") from None
+
+
+__all__ = [
+    "CREDENTIAL_OPTION",
+    "EDIT_OPTIONS",
+    "EditCommand",
+    "FIELDS_ARGUMENT",
+    "ID_ARGUMENT",
+    "KINDS",
+    "KIND_ARGUMENT",
+    "REVISION_OPTION",
+    "read_kind",
+]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/commands/operator_command.py
@@ -0,0 +1,145 @@
+"""What all commands share: the options, the client, and how they fail."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING, ClassVar
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.outputs.output import Type
+
+from medlarspring_cli.client import OperatorClient
+from medlarspring_cli.errors import CommandError, UsageFault
+from medlarspring_cli.exit_codes import ExitCode
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.option import Option
+
+ADDRESS_VARIABLE = "MEDLARSPRING_ADDRESS"
+TOKEN_VARIABLE = "MEDLARSPRING_TOKEN_FILE"
+
+
+class OperatorCommand(Command):
+    """Base of the commands that ask a daemon."""
+
+    own_options: ClassVar[list[Option]] = []
+    """Options of the command itself; those of all commands are added."""
+
+    shared_options: ClassVar[list[Option]] = [
+        option(
+            "address",
+            "a",
+            "Operator port as <comment>IP:PORT</comment>; several are tried in turn"
+            f" [env: <comment>{ADDRESS_VARIABLE}</comment>, comma-separated]",
+            flag=False,
+            multiple=True,
+        ),
+        option(
+            "token-file",
+            "t",
+            f"File with the token [env: <comment>{TOKEN_VARIABLE}</comment>]",
+            flag=False,
+        ),
+        option("json", None, "Print JSON for programs instead of text for people"),
+    ]
+
+    def __init_subclass__(cls) -> None:
+        super().__init_subclass__()
+        cls.options = [*cls.own_options, *cls.shared_options]
+
+    def handle(self) -> int:
+        """Run the command; expected failures become an exit status."""
+        try:
+            return self.act()
+        except CommandError as error:
+            self.print_error(error)
+            return error.exit_code
+
+    def act(self) -> int:
+        """Do what the command is for."""
+        raise NotImplementedError
+
+    @property
+    def wants_json(self) -> bool:
+        """Whether a program reads the output."""
+        return bool(self.option("json"))
+
+    def create_client(self) -> OperatorClient:
+        """Return the client of the addresses and the token that were given."""
+        given = self.option("address") or [os.environ.get(ADDRESS_VARIABLE, "")]
+        addresses = [
+            address.strip()
+            for text in given
+            for address in text.split(",")
+            if address.strip()
+        ]
+        if not addresses:
+            raise UsageFault(
+                "No daemon is named. Give --address IP:PORT of an operator port, or"
+                f" set {ADDRESS_VARIABLE}."
+            )
+        for address in addresses:
+            _check_address(address)
+        return OperatorClient(addresses, self._read_token())
+
+    def print_text(self, text: str) -> None:
+        """Print lines as they are."""
+        self.io.write_line(text, type=Type.RAW)
+
+    def print_json(self, document: object) -> None:
+        """Print a document for programs."""
+        self.print_text(msgspec.json.format(msgspec.json.encode(document)).decode())
+
+    def print_warning(self, text: str) -> None:
+        """Print what the reader has to know about the answer."""
+        self.io.error_output.write_line(f"warning: {text}", type=Type.RAW)
+
+    def print_error(self, error: CommandError) -> None:
+        """Print a failure on standard error."""
+        if self.wants_json:
+            document = {**error.document(), "exit_code": int(error.exit_code)}
+            text = msgspec.json.format(msgspec.json.encode(document)).decode()
+        elif error.exit_code is ExitCode.OK:
+            text = error.message()
+        else:
+            text = f"error: {error.message()}"
+        self.io.error_output.write_line(text, type=Type.RAW)
+
+    def read_text(self, path: str, what: str) -> str:
+        """Return a file's text, or say why it can't be read."""
+        try:
+            return Path(path).read_text(encoding="utf-8")
+        except OSError as error:
+            reason = f"{what} {path} can't be read: {error.strerror}."
+            raise UsageFault(f"{reason} Name an existing file.") from None
+        except UnicodeDecodeError:
+            raise UsageFault(f"{what} {path} is not UTF-8; save it so.") from None
+
+    def _read_token(self) -> str:
+        path = self.option("token-file") or os.environ.get(TOKEN_VARIABLE)
+        if not path:
+            raise UsageFault(
+                "No token is given. Give --token-file FILE with the operators' token,"
+                f" or set {TOKEN_VARIABLE}."
+            )
+        token = self.read_text(path, "Token file").strip()
+        if not token or not token.isascii() or not token.isprintable():
+            raise UsageFault(
+                f"Token file {path} holds no token; it takes one line of printable"
+                " characters, the same as [operator] token_file of the daemon."
+            )
+        return token
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise UsageFault(
+            f"Address {address!r} is not IP:PORT, for example 10.0.0.7:8081."
+        )
+
+
+__all__ = ["ADDRESS_VARIABLE", "OperatorCommand", "TOKEN_VARIABLE"]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/commands/table_export.py
@@ -0,0 +1,45 @@
+"""``medlarspring table export``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from cleo.helpers import option
+
+from medlarspring_adapters.operator_api import TableAnswer
+from medlarspring_cli.commands.operator_command import OperatorCommand
+from medlarspring_cli.errors import UsageFault
+from medlarspring_systems.table_csv import write_sheet
+
+
+class TableExportCommand(OperatorCommand):
+    """Write the table as CSV."""
+
+    name = "table export"
+    description = "Write the whole table as CSV"
+    own_options = [
+        option("output", "o", "File to write; standard output by default", flag=False)
+    ]
+
+    def act(self) -> int:
+        """Print the sheet or write it to a file."""
+        shown = self.create_client().get("/v1/table", TableAnswer)
+        if shown.warning:
+            self.print_warning(shown.warning)
+        if self.wants_json:
+            self.print_json(shown.table)
+            return 0
+        sheet = write_sheet(shown.table)
+        path = self.option("output")
+        if path is None:
+            self.print_text(sheet.rstrip("\n"))
+            return 0
+        try:
+            Path(path).write_text(sheet, encoding="utf-8")
+        except OSError as error:
+            raise UsageFault(f"{path} can't be written: {error.strerror}.") from None
+        self.print_text(f"{path}: table revision {shown.table.revision}")
+        return 0
+
+
+__all__ = ["TableExportCommand"]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/commands/table_history.py
@@ -0,0 +1,47 @@
+"""``medlarspring table history``."""
+
+from __future__ import annotations
+
+from cleo.helpers import argument, option
+
+from medlarspring_adapters.operator_api import AuditAnswer
+from medlarspring_cli.commands.edit_command import KINDS, read_kind
+from medlarspring_cli.commands.operator_command import OperatorCommand
+from medlarspring_cli.render import format_record
+
+
+class TableHistoryCommand(OperatorCommand):
+    """Show who changed a row, or rows of a kind, and how."""
+
+    name = "table history"
+    description = "Show who changed the table, the rows of one kind, or one row"
+    arguments = [
+        argument("kind", f"Kind of row: {KINDS}", optional=True),
+        argument("id", "Id of the row", optional=True),
+    ]
+    own_options = [
+        option("limit", "l", "Newest records to show", flag=False, default="50")
+    ]
+
+    def act(self) -> int:
+        """Print the audit records of the rows."""
+        kind = self.argument("kind")
+        found = self.create_client().get(
+            "/v1/audit",
+            AuditAnswer,
+            kind=read_kind(kind).value if kind else None,
+            id=self.argument("id"),
+            limit=self.option("limit"),
+            table="1",
+        )
+        if self.wants_json:
+            self.print_json(found)
+            return 0
+        for record in found.records:
+            self.print_text("\n".join(format_record(record)))
+        if not found.records:
+            self.print_text("No change is on record.")
+        return 0
+
+
+__all__ = ["TableHistoryCommand"]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/commands/table_import.py
@@ -0,0 +1,59 @@
+"""``medlarspring table import``."""
+
+from __future__ import annotations
+
+from cleo.helpers import argument, option
+
+from medlarspring_adapters.operator_api import PlanAnswer
+from medlarspring_cli.commands.edit_command import EDIT_OPTIONS, EditCommand
+from medlarspring_cli.errors import UsageFault
+from medlarspring_cli.exit_codes import ExitCode
+from medlarspring_cli.render import format_change
+
+
+class TableImportCommand(EditCommand):
+    """Replace the whole table by a sheet, after showing the difference."""
+
+    name = "table import"
+    description = "Replace the whole table by a CSV file, after showing the difference"
+    arguments = [
+        argument("file", "CSV file, as <comment>table export</comment> writes")
+    ]
+    own_options = [option("yes", "y", "Accept the difference unasked"), *EDIT_OPTIONS]
+
+    def act(self) -> int:
+        """Show the difference, ask, and send it as one edit."""
+        sheet = self.read_text(self.argument("file"), "Sheet")
+        client = self.create_client()
+        plan = client.post("/v1/table/import-plan", sheet.encode(), PlanAnswer)
+        if not plan.rows:
+            self._print_unchanged(plan)
+            return ExitCode.OK
+        if not self.wants_json:
+            for change in plan.changes:
+                self.print_text(format_change(change))
+            self.print_text(
+                f"{len(plan.changes)} rows differ from table revision {plan.revision}."
+            )
+        if not self._is_accepted():
+            self.print_text("Nothing was changed.")
+            return ExitCode.REFUSED
+        return self.send_edit(client, plan.rows)
+
+    def _is_accepted(self) -> bool:
+        if self.option("yes"):
+            return True
+        if self.wants_json or not self.io.is_interactive():
+            raise UsageFault("Nobody can be asked here; accept with --yes.")
+        return bool(self.confirm("Accept all of them?", default=False))
+
+    def _print_unchanged(self, plan: PlanAnswer) -> None:
+        if self.wants_json:
+            self.print_json(plan)
+            return
+        self.print_text(
+            f"The table (revision {plan.revision}) is already as the sheet."
+        )
+
+
+__all__ = ["TableImportCommand"]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/errors.py
@@ -0,0 +1,131 @@
+"""Failures of a command, each with its exit status."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from medlarspring_cli.exit_codes import ExitCode, find_exit_code
+from medlarspring_tables import MedlarspringError
+
+
+class CommandError(MedlarspringError):
+    """The command did not do what was asked."""
+
+    code = "command"
+    exit_code = ExitCode.REFUSED
+
+    def document(self) -> dict[str, Any]:
+        """Return the failure for programs."""
+        return {"code": self.code, "detail": self.message()}
+
+
+class UsageFault(CommandError):
+    """The command line is not usable; nothing was sent."""
+
+    code = "usage"
+    exit_code = ExitCode.USAGE
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+    def message(self) -> str:
+        """Return the reason."""
+        return self.reason
+
+
+class RowUnknown(CommandError):
+    """The table has no such row."""
+
+    code = "row-missing"
+
+    def __init__(self, kind: str, row_id: str, known_ids: list[str]) -> None:
+        super().__init__(kind, row_id, known_ids)
+        self.kind = kind
+        self.row_id = row_id
+        self.known_ids = known_ids
+
+    def message(self) -> str:
+        """Name the rows that there are."""
+        known = ", ".join(self.known_ids) or "none yet"
+        return f"There is no {self.kind} {self.row_id}; there is {known}."
+
+
+class DaemonUnreachable(CommandError):
+    """No daemon could be connected to."""
+
+    code = "unreachable"
+    exit_code = ExitCode.UNREACHABLE
+
+    def __init__(self, reasons_by_address: dict[str, str]) -> None:
+        super().__init__(reasons_by_address)
+        self.reasons_by_address = reasons_by_address
+
+    def message(self) -> str:
+        """List what was tried."""
+        tried = "\n".join(
+            f"  {address}: {reason}"
+            for address, reason in self.reasons_by_address.items()
+        )
+        return (
+            f"No daemon answered:\n{tried}\n"
+            "Nothing was changed. Check that medlarspringd runs there, and that the"
+            " address is that of its operator port (event 1001 of its log names it)."
+        )
+
+
+class OutcomeUnknown(CommandError):
+    """The request was sent and its answer is missing."""
+
+    code = "outcome-unknown"
+    exit_code = ExitCode.UNKNOWN
+
+    def __init__(self, reasons_by_address: dict[str, str], edit_id: str) -> None:
+        super().__init__(reasons_by_address, edit_id)
+        self.reasons_by_address = reasons_by_address
+        self.edit_id = edit_id
+
+    def message(self) -> str:
+        """Name the id that makes a repetition safe."""
+        tried = "\n".join(
+            f"  {address}: {reason}"
+            for address, reason in self.reasons_by_address.items()
+        )
+        return (
+            f"The change may have been accepted; its answer was lost:\n{tried}\n"
+            f"Repeat the same command with --edit-id {self.edit_id}; the change is"
+            " made at most once."
+        )
+
+    def document(self) -> dict[str, Any]:
+        """Return the failure for programs, with the id to repeat."""
+        return {**super().document(), "edit_id": self.edit_id}
+
+
+class DaemonRefused(CommandError):
+    """The daemon answered with a problem."""
+
+    def __init__(self, problem: dict[str, Any], address: str) -> None:
+        super().__init__(problem, address)
+        self.problem = problem
+        self.address = address
+        self.code = str(problem.get("code", "refused"))
+        self.exit_code = find_exit_code(self.code, int(problem.get("status", 0)))
+
+    def message(self) -> str:
+        """Return what the daemon says."""
+        return str(self.problem.get("detail", "refused without a reason"))
+
+    def document(self) -> dict[str, Any]:
+        """Return the daemon's problem document."""
+        return self.problem
+
+
+__all__ = [
+    "CommandError",
+    "DaemonRefused",
+    "DaemonUnreachable",
+    "OutcomeUnknown",
+    "RowUnknown",
+    "UsageFault",
+]
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/exit_codes.py
@@ -0,0 +1,48 @@
+"""Exit statuses of ``medlarspring``; docs/OPERATORS.md lists them."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What became of a command."""
+
+    OK = 0
+    REFUSED = 1
+    """Understood and refused; nothing was changed."""
+    USAGE = 2
+    """Wrong arguments or settings; nothing was sent."""
+    CONFLICT = 3
+    """Somebody else's change came first; nothing was changed."""
+    UNREACHABLE = 4
+    """No daemon answered; nothing was changed."""
+    NOT_AUTHORISED = 5
+    STORE_UNAVAILABLE = 6
+    """The store is down, slow or old; nothing was changed."""
+    UNKNOWN = 7
+    """The change may have been accepted; repeat it with the same edit id."""
+
+
+_BY_CODE = {
+    "edit-empty": ExitCode.OK,
+    "row-conflict": ExitCode.CONFLICT,
+    "edit-raced": ExitCode.CONFLICT,
+    "bad-request": ExitCode.USAGE,
+    "sheet-unreadable": ExitCode.USAGE,
+}
+_BY_STATUS = {
+    400: ExitCode.USAGE,
+    401: ExitCode.NOT_AUTHORISED,
+    500: ExitCode.UNKNOWN,
+    503: ExitCode.STORE_UNAVAILABLE,
+    504: ExitCode.UNKNOWN,
+}
+
+
+def find_exit_code(code: str, status: int) -> ExitCode:
+    """Return the exit status for a problem that the daemon answered."""
+    return _BY_CODE.get(code, _BY_STATUS.get(status, ExitCode.REFUSED))
+
+
+__all__ = ["ExitCode", "find_exit_code"]
--- /dev/null
+++ b/packages/cli/tests/test_commands.py
@@ -0,0 +1,188 @@
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+
+from medlarspring_tables import ConfigTable
+
+SHEET = """\
+kind,id,weight,limit_percent,pool_id,wanted_vms,min_available
+pool,consent-vms,,,,8,6
+service,consent,,,consent-vms,,
+partner,ardhi,2,40,,,
+partner,bomba,1,,,,
+"""
+
+
+@pytest.fixture
+def sheet(tmp_path):
+    path = tmp_path / "table.csv"
+    path.write_text(SHEET)
+    return path
+
+
+@pytest.fixture
+def filled(desk, sheet):
+    assert desk.run("table", "import", str(sheet), "--yes")[0] == 0
+    return desk
+
+
+def test_import_shows_its_difference_and_is_one_edit(desk, sheet):
+    status, output, _ = desk.run("table", "import", str(sheet), "--yes")
+    assert status == 0
+    assert "add    partner ardhi: weight=2" in output
+    assert "accepted: table revision 1" in output
+    status, output, _ = desk.run("table", "import", str(sheet), "--yes")
+    assert (status, "already as the sheet" in output) == (0, True)
+
+
+def test_import_asks_before_it_changes_anything(desk, sheet):
+    status, output, errors = desk.run("table", "import", str(sheet), "-n")
+    assert status == 2
+    assert "--yes" in errors
+    assert "add    partner ardhi" in output
+    assert desk.run("table", "show")[1].endswith("table revision 0\n")
+
+
+def test_row_is_shown_changed_and_its_history_told(filled):
+    status, output, _ = filled.run("table", "set", "partner", "ardhi", "weight=3")
+    assert status == 0
+    assert "set    partner ardhi: weight 2 -> 3" in output
+    _, output, _ = filled.run("table", "show", "partner", "ardhi")
+    assert output.splitlines()[1].split()[:3] == ["ardhi", "3", "40"]
+    _, output, _ = filled.run("table", "history", "partner", "ardhi")
+    assert output.count("revision") == 2
+    assert "by asha from 127.0.0.1 by entry-1" in output
+    _, output, _ = filled.run("audit", "--operator", "juma")
+    assert output == "No change is on record.\n"
+
+
+def test_export_is_what_import_takes(filled, tmp_path):
+    path = tmp_path / "out.csv"
+    assert filled.run("table", "export", "--output", str(path))[0] == 0
+    status, output, _ = filled.run("table", "import", str(path), "--yes")
+    assert (status, "already as the sheet" in output) == (0, True)
+
+
+def test_row_is_added_and_removed(filled):
+    assert filled.run("table", "add", "partner", "chombo", "weight=1")[0] == 0
+    assert filled.run("table", "remove", "partner", "chombo")[0] == 0
+    assert filled.run("table", "show", "partner", "chombo")[0] == 1
+
+
+def test_credential_is_sent_as_its_hash(filled, tmp_path):
+    path = tmp_path / "credential"
+    path.write_text("s3cret\n")
+    command = ("table", "set", "partner", "ardhi", "--credential-file", str(path))
+    assert filled.run(*command)[0] == 0
+    _, output, _ = filled.run("table", "show", "partner", "ardhi", "--json")
+    row = json.loads(output)["rows"]["partner"][0]
+    assert row["credential_sha256"].startswith("1ec1c26b50d5d3c5")
+
+
+def test_repeated_edit_is_recognised_by_its_id(filled):
+    command = ("table", "set", "partner", "ardhi", "weight=3", "--edit-id", "e-1")
+    assert filled.run(*command)[0] == 0
+    status, output, _ = filled.run(*command)
+    assert (status, "had been accepted before" in output) == (0, True)
+    _, output, _ = filled.run("explain", "edit", "e-1")
+    assert output.count("accepted") == 3
+
+
+@pytest.mark.parametrize(
+    ("arguments", "status", "part"),
+    [
+        (("table", "set", "partner", "ardhi", "weight=0"), 1, "wanted a number above"),
+        (("table", "set", "partner", "ardhi", "weight=2"), 0, "already holds"),
+        (("table", "set", "partner", "gone", "weight=2"), 1, "There is no partner"),
+        (("table", "add", "partner", "ardhi", "weight=2"), 1, "exists already"),
+        (("table", "remove", "pool", "consent-vms"), 1, "add the pool first"),
+        (("table", "remove", "fleet", "fleet"), 1, "exactly one row"),
+        (
+            ("table", "set", "partner", "ardhi", "weight=9", "--revision", "7"),
+            3,
+            "Read it again with `medlarspring table show partner ardhi`",
+        ),
+        (("table", "set", "partner", "ardhi"), 2, "No field is given"),
+        (("table", "set", "partner", "ardhi", "weight"), 2, "is not NAME=VALUE"),
+        (("table", "set", "partner", "ardhi", "colour=red"), 2, "it has weight"),
+        (("table", "set", "team", "ardhi", "weight=1"), 2, "is none of partner"),
+        (("table", "set", "partner"), 2, 'missing: "id"'),
+        (("table", "sett"), 2, "does not exist"),
+        (("table", "show", "--colour"), 2, "colour"),
+        (("table", "import", "/nowhere.csv"), 2, "can't be read"),
+        (("explain", "mood", "x"), 2, "is none of request"),
+        (("audit", "--since", "noon"), 2, "is not a time"),
+        (("audit", "--limit", "many"), 2, "whole number"),
+    ],
+)
+def test_refused_command_says_why_and_ends_with_its_status(
+    filled, arguments, status, part
+):
+    found, _, errors = filled.run(*arguments)
+    assert part in errors
+    assert found == status
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("table", "show"),
+        ("table", "set", "partner", "ardhi", "weight=3", "--revision", "1"),
+        ("table", "export"),
+        ("audit",),
+        ("status",),
+        ("explain", "vm", "vm-1"),
+    ],
+)
+def test_command_without_daemon_or_token_says_so(desk, arguments, tmp_path):
+    status, _, errors = desk.run(*arguments, address="127.0.0.1:1")
+    assert (status, "Check that medlarspringd runs there" in errors) == (4, True)
+    wrong = tmp_path / "wrong.token"
+    wrong.write_text("guess")
+    status, _, errors = desk.run(*arguments, token_file=str(wrong))
+    assert (status, "--token-file" in errors) == (5, True)
+    status, _, errors = desk.run(*arguments, token_file="/nowhere")
+    assert (status, "can't be read" in errors) == (2, True)
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("table", "set", "partner", "ardhi", "weight=3", "--revision", "1"),
+        ("table", "add", "partner", "chombo", "weight=3"),
+        ("audit",),
+    ],
+)
+def test_command_while_the_store_is_down_says_that_nothing_changed(desk, arguments):
+    desk.store.faults.down = True
+    status, _, errors = desk.run(*arguments)
+    assert (status, "Nothing was changed" in errors) == (6, True)
+
+
+def test_table_in_force_is_shown_while_the_store_is_down(filled):
+    table = json.loads(filled.run("table", "export", "--json")[1])
+    filled.store.faults.down = True
+    assert filled.run("table", "show")[0] == 6
+    filled.node.config = msgspec.convert(table, ConfigTable)
+    status, output, errors = filled.run("table", "show")
+    assert (status, output.endswith("table revision 1\n")) == (0, True)
+    assert "warning: This is the table in force at entry-1." in errors
+
+
+def test_edit_is_taken_by_the_next_daemon_when_the_first_is_gone(filled):
+    address = f"127.0.0.1:1,{filled.address}"
+    command = ("table", "set", "partner", "ardhi", "weight=3")
+    assert filled.run(*command, address=address)[0] == 0
+
+
+def test_errors_are_json_when_asked_for(filled):
+    command = ("table", "set", "partner", "ardhi", "weight=0", "--json")
+    status, output, errors = filled.run(*command)
+    document = json.loads(errors)
+    assert (status, output) == (1, "")
+    assert document["code"] == "rows-refused"
+    assert document["faults"][0]["field"] == "weight"
+    assert document["exit_code"] == 1
--- a/packages/daemon/src/medlarspring_daemon/node.py
+++ b/packages/daemon/src/medlarspring_daemon/node.py
@@ -11,6 +11,8 @@
     import random
     from collections.abc import Callable
 
+    from aiohttp import web
+
     from medlarspring_adapters import peer_pb2
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.events import EventLog
@@ -69,10 +71,14 @@
     config: ConfigTable | None = None
     """The table in force; written by the configuration service."""
     config_listeners: list[Callable[[ConfigTable], None]] = field(default_factory=list)
+    offer_table: Callable[[ConfigTable], None] = lambda table: None
+    """Takes a table that was just accepted; written by the configuration service."""
     vm_list: VMList | None = None
     """The newest list; written by the VM list service."""
     report_parts: list[ReportPart] = field(default_factory=list)
     slot_granter: SlotGranter | None = None
+    operator_routes: list[web.RouteDef] = field(default_factory=list)
+    """Routes of the operator port; parts add theirs before it starts."""
     addresses: dict[str, str] = field(default_factory=dict)
     """Real addresses of the open ports by port name."""
     stopping: bool = False
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/audit_routes.py
@@ -0,0 +1,65 @@
+"""Routes of the operator port for the audit trail."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from medlarspring_daemon.services.audit_reader import read_audit
+from medlarspring_daemon.services.operator_answers import (
+    BadRequest,
+    Refusal,
+    answer,
+    read_number,
+    unwrap_or_refuse,
+)
+from medlarspring_daemon.services.table_editor import read_revision
+from medlarspring_systems.audit import AuditFilter
+from medlarspring_tables import Revision
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node
+
+DEFAULT_RECORDS = 50
+MAX_RECORDS = 1_000
+MAX_REVISION = 10**12
+
+
+class AuditRoutes:
+    """Search the audit trail."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the audit trail."""
+        return [web.get("/v1/audit", self._search)]
+
+    async def _search(self, request: web.Request) -> web.Response:
+        limit = read_number(request, "limit", DEFAULT_RECORDS, MAX_RECORDS)
+        before = read_number(request, "before", MAX_REVISION, MAX_REVISION)
+        wanted = _read_filter(request)
+        revision = unwrap_or_refuse(await read_revision(self._node.store))
+        newest = min(revision, Revision(before - 1))
+        found = await read_audit(self._node.store, newest, wanted, limit)
+        return answer(unwrap_or_refuse(found))
+
+
+def _read_filter(request: web.Request) -> AuditFilter:
+    query = request.query
+    try:
+        since = float(query.get("since", 0))
+    except ValueError:
+        reason = "since: wanted seconds since the epoch."
+        raise Refusal(BadRequest(reason)) from None
+    return AuditFilter(
+        since=since,
+        kind=query.get("kind", ""),
+        id=query.get("id", ""),
+        operator=query.get("operator", ""),
+        edit_id=query.get("edit", ""),
+    )
+
+
+__all__ = ["AuditRoutes"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/table_editor.py
@@ -0,0 +1,330 @@
+"""Takes operators' edits into the store, each at most once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.store import (
+    Entry,
+    Expect,
+    Put,
+    StoreOutcomeUnknown,
+    Transaction,
+)
+from medlarspring_systems.table_edit import AcceptedChange, TableEdit, apply_edit
+from medlarspring_systems.table_errors import TableError
+from medlarspring_tables import ConfigTable, MedlarspringError, Revision
+from medlarspring_tables.audit import format_audit_key
+
+if TYPE_CHECKING:
+    import random
+
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.store import Store
+
+TABLE_KEY = "config/table"
+MAX_ATTEMPTS = 100
+MAX_SECONDS = 20.0
+"""Longest time for one edit; the command line waits longer than this."""
+MAX_RETRY_SECONDS = 0.5
+MAX_WAITING_EDITS = 128
+"""Edits that wait for their turn at this entry VM."""
+
+
+class StoreTableOlder(TableError):
+    """The store holds an older table than the one in force."""
+
+    code = "store-older"
+
+    def __init__(self, stored: Revision, in_force: Revision) -> None:
+        super().__init__(stored, in_force)
+        self.stored = stored
+        self.in_force = in_force
+
+    def message(self) -> str:
+        """Name the command that puts the table in force back."""
+        return (
+            f"The store holds the table of revision {self.stored}, but revision"
+            f" {self.in_force} is in force: the store was restored from a backup, or"
+            " a replica of it lags. Nothing was changed. If it doesn't catch up, put"
+            " the table in force back with `medlarspring table republish`."
+        )
+
+    def details(self) -> dict[str, object]:
+        """Return both revisions."""
+        return {"stored_revision": self.stored, "in_force_revision": self.in_force}
+
+
+class TableUnreadable(TableError):
+    """The store's value isn't a table that this version can read."""
+
+    code = "table-unreadable"
+
+    def message(self) -> str:
+        """Name the ways out."""
+        return (
+            f"The value of {TABLE_KEY} in the store is not a table that this version"
+            " reads. Nothing was changed; upgrade this entry VM, or put the table in"
+            " force back with `medlarspring table republish`."
+        )
+
+
+class EditRaced(TableError):
+    """Other edits were accepted first at each attempt."""
+
+    code = "edit-raced"
+
+    def message(self) -> str:
+        """Ask for a repetition."""
+        return (
+            "Other edits were accepted first at each attempt. Nothing was changed;"
+            " repeat the command."
+        )
+
+
+class EditorBusy(TableError):
+    """Too many edits wait at this entry VM."""
+
+    code = "editor-busy"
+
+    def message(self) -> str:
+        """Ask for a repetition."""
+        return (
+            f"{MAX_WAITING_EDITS} edits wait at this entry VM already. Nothing was"
+            " changed; repeat the command in a few seconds, or at another entry VM."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class StoredTable:
+    """The table as it stands in the store."""
+
+    table: ConfigTable
+    mod_revision: Revision
+    """Store revision of the last write; 0 when there is no table yet."""
+
+
+Change = Callable[[ConfigTable], "Result[AcceptedChange, TableError]"]
+"""Makes the next table from the one in the store."""
+
+
+@dataclass(slots=True)
+class _Attempts:
+    """What the attempts to take one edit have shown so far."""
+
+    change: Change
+    stored: StoredTable | None = None
+    """The newest table read, if it is still worth trying on."""
+    unanswered: Revision | None = None
+    """Store revision named by a write whose reply was lost."""
+    error: MedlarspringError | None = None
+
+
+class TableEditor:
+    """Reads the table, applies an edit and commits it with its audit record."""
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        table_in_force: Callable[[], ConfigTable | None],
+        on_accepted: Callable[[ConfigTable], None],
+        retry_seconds: float = 0.02,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._table_in_force = table_in_force
+        self._on_accepted = on_accepted
+        self._retry_seconds = retry_seconds
+        self._lock = asyncio.Lock()
+        self._waiting = 0
+
+    async def read(self) -> Result[StoredTable, MedlarspringError]:
+        """Return the store's table; an older one than in force is an error."""
+        entry = await self._store.read(TABLE_KEY)
+        if not is_successful(entry):
+            return Failure(entry.failure())
+        return self._decode(entry.unwrap())
+
+    async def accept(
+        self, edit: TableEdit, origin: str
+    ) -> Result[AcceptedChange, MedlarspringError]:
+        """Apply one edit whole, or say why the table is as before.
+
+        Only ``StoreOutcomeUnknown`` leaves open whether it was accepted; the
+        operator repeats the edit with the same id.
+        """
+
+        def change(table: ConfigTable) -> Result[AcceptedChange, TableError]:
+            return apply_edit(table, edit, self._clock.wall(), origin)
+
+        return await self._accept_in_turn(change)
+
+    async def preview(
+        self, edit: TableEdit, origin: str
+    ) -> Result[AcceptedChange, MedlarspringError]:
+        """Return what an edit would do, without doing it."""
+        stored = await self.read()
+        if not is_successful(stored):
+            return Failure(stored.failure())
+        table = stored.unwrap().table
+        return apply_edit(table, edit, self._clock.wall(), origin).alt(_widen)
+
+    async def _accept_in_turn(
+        self, change: Change
+    ) -> Result[AcceptedChange, MedlarspringError]:
+        if self._waiting >= MAX_WAITING_EDITS:
+            return Failure(EditorBusy())
+        self._waiting += 1
+        try:
+            async with self._lock:
+                return await self._accept(_Attempts(change))
+        finally:
+            self._waiting -= 1
+
+    async def _accept(
+        self, attempts: _Attempts
+    ) -> Result[AcceptedChange, MedlarspringError]:
+        deadline = self._clock.now() + MAX_SECONDS
+        for number in range(MAX_ATTEMPTS):
+            if number:
+                await asyncio.sleep(self._retry_delay(number))
+            if self._clock.now() > deadline:
+                break
+            outcome = await self._attempt(attempts)
+            if outcome is not None:
+                return outcome
+        if attempts.unanswered is not None:
+            return Failure(StoreOutcomeUnknown("it gave no answer to later reads"))
+        return Failure(attempts.error or EditRaced())
+
+    async def _attempt(
+        self, attempts: _Attempts
+    ) -> Result[AcceptedChange, MedlarspringError] | None:
+        """Try once; None asks for another try."""
+        if attempts.stored is None:
+            read = await self.read()
+            if not is_successful(read):
+                attempts.error = read.failure()
+                if attempts.unanswered is not None:
+                    return None
+                return Failure(read.failure())
+            attempts.stored = read.unwrap()
+        stored, attempts.stored = attempts.stored, None
+        if (
+            attempts.unanswered is not None
+            and stored.mod_revision < attempts.unanswered
+        ):
+            # A lagging replica shows the table from before the write whose reply
+            # was lost. A refusal worked out from it would tell the operator that
+            # an accepted edit was not; only a table as new as the write decides.
+            return None
+        changed = attempts.change(stored.table)
+        if not is_successful(changed):
+            return Failure(changed.failure())
+        if changed.unwrap().record is None:
+            return Success(changed.unwrap())
+        return await self._commit(attempts, stored, changed.unwrap())
+
+    async def _commit(
+        self, attempts: _Attempts, stored: StoredTable, change: AcceptedChange
+    ) -> Result[AcceptedChange, MedlarspringError] | None:
+        assert change.record is not None
+        committed = await self._store.commit(
+            Transaction(
+                # Another entry VM may have written since the table was read. Its
+                # edit would vanish under ours; the store refuses our write unless
+                # the table is still the one that we changed.
+                expects=(Expect(TABLE_KEY, stored.mod_revision),),
+                writes=(
+                    Put(TABLE_KEY, msgspec.json.encode(change.table)),
+                    Put(
+                        format_audit_key(change.record),
+                        msgspec.json.encode(change.record),
+                    ),
+                ),
+                read_on_failure=(TABLE_KEY,),
+            )
+        )
+        if not is_successful(committed):
+            return self._note_failure(attempts, stored, committed.failure())
+        result = committed.unwrap()
+        if result.succeeded:
+            self._on_accepted(change.table)
+            return Success(change)
+        current = self._decode(result.read_by_key.get(TABLE_KEY))
+        attempts.stored = current.value_or(None)
+        return None
+
+    def _note_failure(
+        self, attempts: _Attempts, stored: StoredTable, error: MedlarspringError
+    ) -> Result[AcceptedChange, MedlarspringError] | None:
+        attempts.error = error
+        if isinstance(error, StoreOutcomeUnknown):
+            # The write may still take effect. Trying again is safe: either try
+            # names the same store revision, so that only one can win, and the
+            # loser finds the edit's id in the table.
+            attempts.unanswered = stored.mod_revision
+            return None
+        if attempts.unanswered is None:
+            return Failure(error)
+        return None
+
+    def _decode(self, entry: Entry | None) -> Result[StoredTable, MedlarspringError]:
+        stored = StoredTable(ConfigTable(), Revision(0))
+        if entry is not None:
+            try:
+                table = msgspec.json.decode(entry.value, type=ConfigTable)
+            except msgspec.DecodeError:
+                return Failure(TableUnreadable())
+            stored = StoredTable(table, entry.mod_revision)
+        in_force = self._table_in_force()
+        # A store restored from a backup, or a lagging replica, would take the edit
+        # on top of an old table: every node keeps the newer one, and the accepted
+        # edit would never be in force.
+        if in_force is not None and stored.table.revision < in_force.revision:
+            return Failure(StoreTableOlder(stored.table.revision, in_force.revision))
+        return Success(stored)
+
+    def _retry_delay(self, number: int) -> float:
+        longest = min(MAX_RETRY_SECONDS, self._retry_seconds * 2 ** min(number, 10))
+        return self._rng.uniform(0, longest)
+
+
+async def read_revision(store: Store) -> Result[Revision, MedlarspringError]:
+    """Return the revision of the store's table, whatever is in force here."""
+    entry = await store.read(TABLE_KEY)
+    if not is_successful(entry):
+        return Failure(entry.failure())
+    found = entry.unwrap()
+    if found is None:
+        return Success(Revision(0))
+    try:
+        return Success(msgspec.json.decode(found.value, type=ConfigTable).revision)
+    except msgspec.DecodeError:
+        return Failure(TableUnreadable())
+
+
+def _widen(error: TableError) -> MedlarspringError:
+    return error
+
+
+__all__ = [
+    "EditRaced",
+    "EditorBusy",
+    "StoreTableOlder",
+    "StoredTable",
+    "TABLE_KEY",
+    "TableEditor",
+    "TableUnreadable",
+    "read_revision",
+]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/table_routes.py
@@ -0,0 +1,147 @@
+"""Routes of the operator port for the operators' table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.operator_api import EditAnswer, PlanAnswer, TableAnswer
+from medlarspring_adapters.store import StoreError
+from medlarspring_daemon.services.operator_answers import (
+    BadRequest,
+    Refusal,
+    answer,
+    read_body,
+    unwrap_or_refuse,
+)
+from medlarspring_daemon.services.table_editor import StoreTableOlder
+from medlarspring_systems.table_csv import plan_import, read_sheet, write_sheet
+from medlarspring_systems.table_edit import TableEdit
+from medlarspring_tables import EditId
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node
+    from medlarspring_daemon.services.table_editor import TableEditor
+    from medlarspring_tables import MedlarspringError
+
+PREVIEW_ID = EditId("preview")
+
+
+class TableRoutes:
+    """Show, edit, import and export the table."""
+
+    def __init__(self, node: Node, editor: TableEditor) -> None:
+        self._node = node
+        self._editor = editor
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the table."""
+        return [
+            web.get("/v1/table", self._show),
+            web.get("/v1/table/export", self._export),
+            web.post("/v1/table/edits", self._edit),
+            web.post("/v1/table/import-plan", self._plan_import),
+        ]
+
+    async def _show(self, request: web.Request) -> web.Response:
+        return answer(await self._read())
+
+    async def _export(self, request: web.Request) -> web.Response:
+        shown = await self._read()
+        return web.Response(text=write_sheet(shown.table), content_type="text/csv")
+
+    async def _edit(self, request: web.Request) -> web.Response:
+        edit = await read_body(request, TableEdit)
+        if not edit.id or not edit.rows:
+            raise Refusal(BadRequest("An edit needs an id and at least one row."))
+        result = await self._editor.accept(edit, self._describe_origin(request))
+        if not is_successful(result):
+            self._note_refusal(edit, result.failure())
+        change = unwrap_or_refuse(result)
+        changes = change.record.changes if change.record else ()
+        repeated = change.record is None
+        self._node.decisions.record(
+            Subject.EDIT,
+            edit.id,
+            "accepted",
+            "accepted before" if repeated else "checks passed",
+            revision=change.revision,
+            operator=edit.operator,
+            rows=len(edit.rows),
+        )
+        self._node.log.info(
+            Event.EDIT_ACCEPTED,
+            edit=edit.id,
+            operator=edit.operator,
+            revision=change.revision,
+            repeated=repeated,
+        )
+        return answer(
+            EditAnswer(
+                revision=change.revision,
+                changes=changes,
+                repeated=repeated,
+                entry_vm=self._node.id,
+            )
+        )
+
+    async def _plan_import(self, request: web.Request) -> web.Response:
+        try:
+            text = (await request.read()).decode("utf-8")
+        except UnicodeDecodeError:
+            raise Refusal(BadRequest("The sheet is not UTF-8; save it so.")) from None
+        sheet = unwrap_or_refuse(read_sheet(text))
+        stored = unwrap_or_refuse(await self._editor.read())
+        rows = plan_import(stored.table, sheet)
+        if not rows:
+            return answer(
+                PlanAnswer(revision=stored.table.revision, rows=(), changes=())
+            )
+        edit = TableEdit(id=PREVIEW_ID, operator="", rows=rows)
+        change = unwrap_or_refuse(await self._editor.preview(edit, ""))
+        changes = change.record.changes if change.record else ()
+        return answer(
+            PlanAnswer(revision=stored.table.revision, rows=rows, changes=changes)
+        )
+
+    async def _read(self) -> TableAnswer:
+        stored = await self._editor.read()
+        if is_successful(stored):
+            table = stored.unwrap().table
+            return TableAnswer(table=table, from_store=True, entry_vm=self._node.id)
+        error = stored.failure()
+        in_force = self._node.config
+        if in_force is None or not isinstance(error, StoreError | StoreTableOlder):
+            raise Refusal(error)
+        return TableAnswer(
+            table=in_force,
+            from_store=False,
+            entry_vm=self._node.id,
+            warning=f"This is the table in force at {self._node.id}. {error.message()}",
+        )
+
+    def _describe_origin(self, request: web.Request) -> str:
+        return f"{request.remote} by {self._node.id}"
+
+    def _note_refusal(self, edit: TableEdit, error: MedlarspringError) -> None:
+        self._node.decisions.record(
+            Subject.EDIT,
+            edit.id,
+            "unknown" if error.code == "store-outcome-unknown" else "refused",
+            error.code,
+            operator=edit.operator,
+            reason=error.message(),
+        )
+        self._node.log.warning(
+            Event.EDIT_REFUSED,
+            edit=edit.id,
+            operator=edit.operator,
+            reason=error.code,
+        )
+
+
+__all__ = ["TableRoutes"]
--- /dev/null
+++ b/packages/daemon/tests/test_table_editor.py
@@ -0,0 +1,219 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from medlarspring_adapters.clock import ManualClock
+from medlarspring_adapters.store import Put, Transaction
+from medlarspring_bench.memory_store import MemoryStore, create_memory_store
+from medlarspring_daemon.services.audit_reader import read_audit
+from medlarspring_daemon.services.table_editor import TABLE_KEY, TableEditor
+from medlarspring_systems.audit import AuditFilter
+from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit
+from medlarspring_tables import ConfigTable, EditId, Revision, RowKind
+
+
+class Desk:
+    """One entry VM's editor, and the table that it has seen in force."""
+
+    def __init__(self, store: MemoryStore, seed: int) -> None:
+        self.in_force: ConfigTable | None = None
+        self.editor = TableEditor(
+            store,
+            ManualClock(),
+            random.Random(seed),
+            table_in_force=lambda: self.in_force,
+            on_accepted=self._take,
+            retry_seconds=0.0001,
+        )
+
+    def _take(self, table: ConfigTable) -> None:
+        self.in_force = table
+
+    async def accept(self, edit: TableEdit):
+        return await self.editor.accept(edit, "test")
+
+
+@pytest.fixture
+def store() -> MemoryStore:
+    return create_memory_store(ManualClock())
+
+
+@pytest.fixture
+def desk(store) -> Desk:
+    return Desk(store, 1)
+
+
+def add_pool(name: str, wanted: int = 8) -> TableEdit:
+    row = RowEdit(
+        kind=RowKind.POOL,
+        id=name,
+        action=RowAction.ADD,
+        fields={"wanted_vms": wanted, "min_available": 0},
+    )
+    return TableEdit(id=EditId(f"add-{name}"), operator="asha", rows=(row,))
+
+
+def set_pool(name: str, wanted: int, read_at: int, id: str) -> TableEdit:  # noqa: A002
+    row = RowEdit(
+        kind=RowKind.POOL,
+        id=name,
+        action=RowAction.SET,
+        fields={"wanted_vms": wanted},
+        row_revision=Revision(read_at),
+    )
+    return TableEdit(id=EditId(id), operator="asha", rows=(row,))
+
+
+async def read_table(store: MemoryStore) -> ConfigTable:
+    entry = (await store.read(TABLE_KEY)).unwrap()
+    return msgspec.json.decode(entry.value, type=ConfigTable)
+
+
+async def read_trail(store: MemoryStore) -> list[str]:
+    newest = (await read_table(store)).revision
+    answer = (await read_audit(store, newest, AuditFilter(), 1_000)).unwrap()
+    return [str(record.edit_id) for record in answer.records]
+
+
+async def test_edit_and_its_audit_record_are_written_together(store, desk):
+    accepted = (await desk.accept(add_pool("consent"))).unwrap()
+    table = await read_table(store)
+    assert table == accepted.table == desk.in_force
+    assert await read_trail(store) == ["add-consent"]
+    assert store.calls_by_kind["txn"] == 1
+
+
+async def test_edits_of_other_rows_through_other_entry_vms_are_all_taken(store):
+    """
+    Eight entry VMs take 48 edits of different rows at once. Each write replaces
+    the whole table, so each round one wins; the others find the table changed,
+    apply their edit to the new one and try again. None is lost or refused.
+    """
+    desks = [Desk(store, seed) for seed in range(8)]
+    edits = [add_pool(f"pool-{number}") for number in range(48)]
+    results = await asyncio.gather(
+        *(desks[number % 8].accept(edit) for number, edit in enumerate(edits))
+    )
+    assert all(result.unwrap().record for result in results)
+    table = await read_table(store)
+    assert table.revision == 48
+    assert set(table.pools_by_id) == {f"pool-{number}" for number in range(48)}
+    assert sorted(await read_trail(store)) == sorted(edit.id for edit in edits)
+
+
+async def test_edits_of_one_row_through_two_entry_vms_conflict(store, desk):
+    await desk.accept(add_pool("consent"))
+    first, second = Desk(store, 2), Desk(store, 3)
+    results = await asyncio.gather(
+        first.accept(set_pool("consent", 9, 1, "first")),
+        second.accept(set_pool("consent", 10, 1, "second")),
+    )
+    codes = sorted(
+        result.failure().code if result.swap().value_or(None) else "accepted"
+        for result in results
+    )
+    assert codes == ["accepted", "row-conflict"]
+    assert (await read_table(store)).revision == 2
+
+
+@pytest.mark.parametrize(
+    ("faults", "writes"),
+    [({"lose_replies": 1}, 1), ({"lose_requests": 1}, 2), ({"lose_replies": 2}, 1)],
+)
+async def test_edit_whose_reply_is_lost_is_accepted_once(store, desk, faults, writes):
+    """
+    The store's answer to the write is lost, after it took effect or before. The
+    editor reads the table again: it finds the edit's id there, or tries the same
+    write again. Either way the operator is told the truth and the row changed
+    once.
+    """
+    for name, count in faults.items():
+        setattr(store.faults, name, count)
+    accepted = (await desk.accept(add_pool("consent"))).unwrap()
+    assert accepted.revision == 1
+    assert await read_trail(store) == ["add-consent"]
+    assert store.calls_by_kind["txn"] == writes
+
+
+async def test_outcome_is_unknown_when_the_store_stays_down_after_a_lost_reply(
+    store, desk, monkeypatch
+):
+    """
+    The write took effect, its reply is lost and the store goes down. "Nothing
+    was changed" would be a lie, so the operator hears that it isn't known; the
+    same edit sent through another entry VM later finds itself accepted.
+    """
+    commit = store.commit
+
+    async def commit_then_go_down(transaction):
+        result = await commit(transaction)
+        store.go_down()
+        return result
+
+    store.faults.lose_replies = 1
+    monkeypatch.setattr(store, "commit", commit_then_go_down)
+    unknown = (await desk.accept(add_pool("consent"))).failure()
+    assert unknown.code == "store-outcome-unknown"
+
+    monkeypatch.undo()
+    store.come_up()
+    again = (await Desk(store, 2).accept(add_pool("consent"))).unwrap()
+    assert again.record is None
+    assert (await read_table(store)).revision == 1
+
+
+async def test_lagging_replica_does_not_turn_an_accepted_edit_into_a_refusal(
+    store, desk, monkeypatch
+):
+    """
+    The row is added and changed; the reply to the change is lost, and the next
+    read is served by a replica that doesn't have the row yet. Judged by that
+    table the edit would be refused, though it was accepted.
+    """
+    other = Desk(store, 2)
+    await other.accept(add_pool("rings"))
+    old = await store.read(TABLE_KEY)
+    await other.accept(add_pool("consent"))
+    read = store.read
+    answers = [None, old, old]
+
+    async def read_lagging(key):
+        answer = answers.pop(0) if answers else None
+        return answer or await read(key)
+
+    monkeypatch.setattr(store, "read", read_lagging)
+    store.faults.lose_replies = 1
+    accepted = await desk.accept(set_pool("consent", 9, 2, "change"))
+    assert accepted.unwrap().revision == 3
+
+
+async def test_store_that_is_down_refuses_without_effect(store, desk):
+    store.go_down()
+    assert (await desk.accept(add_pool("a"))).failure().code == "store-unavailable"
+
+
+async def test_store_restored_from_a_backup_takes_no_edit(store, desk):
+    """
+    The platform restores the store from a backup that is older than the table in
+    force. An edit on top of it would get a revision that every node has passed:
+    accepted, and never in force. It is refused with the remedy.
+    """
+    for name in ("a", "b", "c"):
+        await desk.accept(add_pool(name))
+    backup = msgspec.structs.replace(await read_table(store), revision=Revision(1))
+    put = Put(TABLE_KEY, msgspec.json.encode(backup))
+    await store.commit(Transaction(expects=(), writes=(put,)))
+    refusal = (await desk.accept(add_pool("d"))).failure()
+    assert refusal.code == "store-older"
+    assert "medlarspring table republish" in refusal.message()
+    assert (await read_table(store)).revision == 1
+
+
+async def test_value_of_another_version_is_not_overwritten(store, desk):
+    put = Put(TABLE_KEY, b'{"revision": "seven"}')
+    await store.commit(Transaction(expects=(), writes=(put,)))
+    assert (await desk.accept(add_pool("a"))).failure().code == "table-unreadable"
--- a/packages/systems/src/medlarspring_systems/table_edit.py
+++ b/packages/systems/src/medlarspring_systems/table_edit.py
@@ -143,8 +143,13 @@
 
 
 def digest_edit(edit: TableEdit) -> str:
-    """Return a short digest of what the edit does."""
-    content = msgspec.json.encode(edit.rows, order="deterministic")
+    """Return a short digest of what the edit does.
+
+    The revisions that the operator read are left out: repeated after it was
+    accepted, the command reads the row that the edit itself has written.
+    """
+    rows = [(row.kind.value, row.id, row.action.value, row.fields) for row in edit.rows]
+    content = msgspec.json.encode(rows, order="deterministic")
     return hashlib.sha256(content).hexdigest()[:16]
 
 
