--- a/packages/adapters/src/medlarspring_adapters/upstream_http.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -10,11 +12,13 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from medlarspring_adapters.upstream_connections import UpstreamConnector
 from medlarspring_tables import MedlarspringError
 
 if TYPE_CHECKING:
     from multidict import CIMultiDictProxy
 
+    from medlarspring_adapters.clock import Clock
     from medlarspring_tables import Seconds
 
 HOP_HEADERS = frozenset(
@@ -32,8 +36,13 @@
 )
 """Headers that concern one connection and are never passed on."""
 
-MAX_IDLE_SECONDS = 4.0
 CONNECT_SECONDS = 1.0
+STATE_HEADER = "Upstream-State"
+"""Set by an upstream VM that refuses work, with why: ``full`` or ``leaving``."""
+ID_HEADER = "Request-Id"
+
+
+NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class Reached(Enum):
@@ -44,6 +53,21 @@
     PERHAPS = "perhaps"
 
 
+@dataclass(slots=True, frozen=True)
+class Sending:
+    """One request as it goes to one upstream VM."""
+
+    address: str
+    method: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes
+    timeout: Seconds
+    """For the whole exchange, the answer's body included."""
+    header_timeout: Seconds
+    """For the answer's headers."""
+
+
 class UpstreamFault(MedlarspringError):
     """The upstream gave no usable answer."""
 
@@ -63,12 +87,9 @@
 class UpstreamClient:
     """One process's connections to all upstream VMs."""
 
-    def __init__(self) -> None:
-        self._pooled = _create_session(
-            aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=MAX_IDLE_SECONDS, use_dns_cache=False
-            )
-        )
+    def __init__(self, clock: Clock) -> None:
+        self.connector = UpstreamConnector(clock)
+        self._pooled = _create_session(self.connector)
         self._fresh = _create_session(
             aiohttp.TCPConnector(limit=0, force_close=True, use_dns_cache=False)
         )
@@ -79,32 +100,22 @@
         await self._fresh.close()
 
     async def send(
-        self,
-        address: str,
-        method: str,
-        target: str,
-        headers: CIMultiDict[str],
-        body: bytes,
-        *,
-        timeout: Seconds,
-        header_timeout: Seconds,
-        fresh: bool,
+        self, sending: Sending, *, fresh: bool
     ) -> Result[aiohttp.ClientResponse, UpstreamFault]:
         """Send a request and return once the answer's headers are in."""
         session = self._fresh if fresh else self._pooled
         try:
-            response = await session.request(
-                method,
-                URL(f"http://{address}{target}", encoded=True),
-                headers=headers,
-                data=body or None,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout,
-                    sock_connect=min(CONNECT_SECONDS, timeout),
-                    sock_read=header_timeout,
-                ),
-            )
+            async with asyncio.timeout(sending.header_timeout):
+                response = await session.request(
+                    sending.method,
+                    URL(f"http://{sending.address}{sending.target}", encoded=True),
+                    headers=sending.headers,
+                    data=sending.body or None,
+                    allow_redirects=False,
+                    timeout=aiohttp.ClientTimeout(
+                        total=sending.timeout, sock_connect=CONNECT_SECONDS
+                    ),
+                )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(UpstreamFault(Reached.NO, str(error), timed_out=False))
         except TimeoutError:
@@ -112,9 +123,61 @@
                 UpstreamFault(Reached.PERHAPS, "no answer in time", timed_out=True)
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            detail = f"{type(error).__name__}: {error}"
-            return Failure(UpstreamFault(Reached.PERHAPS, detail, timed_out=False))
-        return Success(response)
+            return Failure(_create_fault(error))
+        return _check_answer(response, sending)
+
+
+async def read_answer(
+    response: aiohttp.ClientResponse,
+) -> Result[bytes, UpstreamFault]:
+    """Read an answer's whole body; one that ends early is a fault."""
+    try:
+        return Success(await response.read())
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        response.close()
+        return Failure(_create_fault(error))
+    except asyncio.CancelledError:
+        response.close()
+        raise
+
+
+def _create_fault(error: Exception) -> UpstreamFault:
+    detail = f"{type(error).__name__}: {error}"
+    timed_out = isinstance(error, TimeoutError)
+    return UpstreamFault(Reached.PERHAPS, detail, timed_out=timed_out)
+
+
+def _check_answer(
+    response: aiohttp.ClientResponse, sending: Sending
+) -> Result[aiohttp.ClientResponse, UpstreamFault]:
+    """Refuse answers that are not certainly the whole answer to this request."""
+    answered_id = response.headers.get(ID_HEADER)
+    if answered_id is not None and answered_id != sending.headers[ID_HEADER]:
+        # An upstream that answers twice, or late on a reused connection, would
+        # hand one caller the answer of another. The id it echoes tells.
+        response.close()
+        return Failure(
+            UpstreamFault(
+                Reached.PERHAPS, "it answered another request", timed_out=False
+            )
+        )
+    if _has_no_end(response, sending.method):
+        # Without a length or chunks the end of the connection is the end of
+        # the body, and a cut answer looks like a whole one.
+        response.close()
+        return Failure(
+            UpstreamFault(
+                Reached.PERHAPS, "its answer states no length", timed_out=False
+            )
+        )
+    return Success(response)
+
+
+def _has_no_end(response: aiohttp.ClientResponse, method: str) -> bool:
+    if method == "HEAD" or response.status in NO_BODY_STATUSES:
+        return False
+    headers = response.headers
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
 def _create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
@@ -142,8 +205,11 @@
 
 __all__ = [
     "HOP_HEADERS",
+    "STATE_HEADER",
     "Reached",
+    "Sending",
     "UpstreamClient",
     "UpstreamFault",
     "copy_answer_headers",
+    "read_answer",
 ]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_answer.py
@@ -0,0 +1,137 @@
+"""Headers towards upstream VMs, and answers on their way to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.upstream_http import (
+    HOP_HEADERS,
+    UpstreamFault,
+    copy_answer_headers,
+    read_answer,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables import RequestId
+    from medlarspring_tables.requests import CallerRequest
+
+HELD_ANSWER_BYTES = 131_072
+"""Answers up to this size are held whole, so that a cut one can be told and
+a caller that reads slowly holds no slot."""
+
+MAX_ANSWER_BYTES = 67_108_864
+STALL_SECONDS = 10.0
+"""A caller that takes nothing for so long is cut off; it holds a slot."""
+
+WITHHELD_HEADERS = HOP_HEADERS | {
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+    "partner-id",
+    "repeatable",
+    "request-id",
+    "request-timeout",
+}
+
+
+@dataclass(slots=True, frozen=True)
+class WholeAnswer:
+    """An upstream's answer, held whole."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+def create_upstream_headers(
+    row: CallerRequest, caller_headers: CIMultiDict[str], remaining: float
+) -> CIMultiDict[str]:
+    """Return the headers that the upstream VM gets."""
+    headers = caller_headers.copy()
+    headers["Request-Id"] = row.id
+    headers["Partner-Id"] = row.partner_id
+    headers["Request-Timeout"] = f"{max(0.0, remaining):.3f}"
+    return headers
+
+
+def copy_caller_headers(request: web.BaseRequest) -> CIMultiDict[str]:
+    """Return the caller's headers that are passed on."""
+    headers: CIMultiDict[str] = CIMultiDict()
+    for name, value in request.headers.items():
+        if name.lower() not in WITHHELD_HEADERS:
+            headers.add(name, value)
+    return headers
+
+
+async def hold_answer(
+    answer: aiohttp.ClientResponse, request_id: RequestId
+) -> Result[WholeAnswer | None, UpstreamFault]:
+    """Return the whole answer, or None if it is too large to be held."""
+    length = answer.content_length
+    if length is None and answer.method != "HEAD" or (length or 0) > HELD_ANSWER_BYTES:
+        return Success(None)
+    body = await read_answer(answer)
+    if not is_successful(body):
+        return Failure(body.failure())
+    headers = copy_answer_headers(answer.headers)
+    headers["Request-Id"] = request_id
+    return Success(WholeAnswer(answer.status, headers, body.unwrap()))
+
+
+def create_response(answer: WholeAnswer, method: str) -> web.Response:
+    """Return the answer to the caller for one that was held whole."""
+    headers = answer.headers
+    if method != "HEAD":
+        headers.popall("Content-Length", None)
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+
+async def stream_answer(
+    answer: aiohttp.ClientResponse, request: web.BaseRequest, request_id: RequestId
+) -> tuple[web.StreamResponse, bool]:
+    """Pass a large answer on as it comes; return whether it came whole."""
+    headers = copy_answer_headers(answer.headers)
+    headers["Request-Id"] = request_id
+    response = web.StreamResponse(status=answer.status, headers=headers)
+    passed = 0
+    try:
+        await response.prepare(request)
+        async for chunk in answer.content.iter_any():
+            passed += len(chunk)
+            if passed > MAX_ANSWER_BYTES:
+                raise aiohttp.ClientPayloadError("the answer is too large")
+            async with asyncio.timeout(STALL_SECONDS):
+                await response.write(chunk)
+        await response.write_eof()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        # The status line is out, so no refusal can follow. Cutting the
+        # caller's connection before the end is the one sign left that the
+        # answer is not whole.
+        answer.close()
+        if request.transport is not None:
+            request.transport.abort()
+        return response, False
+    except asyncio.CancelledError:
+        answer.close()
+        raise
+    return response, True
+
+
+__all__ = [
+    "HELD_ANSWER_BYTES",
+    "WholeAnswer",
+    "copy_caller_headers",
+    "create_response",
+    "create_upstream_headers",
+    "hold_answer",
+    "stream_answer",
+]
--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -1,163 +1,263 @@
-"""Sends a caller's request to upstream VMs and carries the answer back."""
+"""Sends a caller's request to upstream VMs until one answers."""
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import aiohttp
-from aiohttp import web
-from multidict import CIMultiDict
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decisions import Subject
 from medlarspring_adapters.upstream_http import (
-    HOP_HEADERS,
+    STATE_HEADER,
     Reached,
+    Sending,
     UpstreamClient,
     UpstreamFault,
-    copy_answer_headers,
 )
-from medlarspring_systems.routing import adopt_vm_list, choose_upstream
-from medlarspring_tables import ZoneId
+from medlarspring_daemon.services.caller_answer import (
+    create_response,
+    create_upstream_headers,
+    hold_answer,
+    stream_answer,
+)
+from medlarspring_systems import retry, upstream_health
+from medlarspring_systems.leaving import note_leaving
 from medlarspring_tables.requests import Outcome, Refusal, RefusalKind
-from medlarspring_tables.upstreams import UpstreamTable
 
 if TYPE_CHECKING:
-    from medlarspring_daemon.node import Node
-    from medlarspring_tables import VMList
+    import aiohttp
+    from aiohttp import web
+    from multidict import CIMultiDict
+
+    from medlarspring_daemon.services.caller_dispatch import Dispatcher, Turn
+    from medlarspring_daemon.services.caller_state import CallerState
+    from medlarspring_tables import PoolId, VMId
     from medlarspring_tables.requests import CallerRequest
 
-SMALL_ANSWER_BYTES = 65_536
-"""Answers up to this size are held whole, so that a cut one is never passed on."""
+REFUSES = 503
+RETRIED_STATUSES = frozenset({500, 502, 503, 504})
+LINGER_SECONDS = 2.0
+"""How long a slot stays counted after an answer was given up."""
+SHORT_REST_SECONDS = 0.25
+"""A VM that said its slots are full gets nothing from here for so long."""
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One caller's request on its way, over all attempts."""
+
+    row: CallerRequest
+    caller_headers: CIMultiDict[str]
+    request: web.BaseRequest | None
+    """The caller's connection; None when the answer must be held whole."""
+    attempts: int = 0
+    perhaps_run: bool = False
+    """An earlier attempt reached an upstream VM and its end is not known."""
+    excluded: set[VMId] = field(default_factory=set)
 
-WITHHELD_HEADERS = HOP_HEADERS | {
-    "authorization",
-    "content-length",
-    "expect",
-    "host",
-    "partner-id",
-    "repeatable",
-    "request-id",
-    "request-timeout",
-}
+
+@dataclass(slots=True, frozen=True)
+class AttemptFailure:
+    """Why one attempt gave no answer to pass on."""
+
+    refusal: Refusal
+    not_run: bool
+    """No work was done for this attempt for certain."""
+    answer: web.StreamResponse | None = None
+    """The upstream's own failing answer, passed on when there is no retry."""
 
 
 class Forwarder:
     """Routes requests, sends them and passes answers on."""
 
-    def __init__(self, node: Node, client: UpstreamClient) -> None:
-        self._node = node
+    def __init__(
+        self, state: CallerState, dispatcher: Dispatcher, client: UpstreamClient
+    ) -> None:
+        self._state = state
+        self._node = state.node
+        self._dispatcher = dispatcher
         self._client = client
-        self._zone_id = ZoneId(node.settings.entry_vm.zone)
-        self._table = UpstreamTable()
-        self._vm_list: VMList | None = None
-
-    async def start(self) -> None:
-        """Prepare to forward."""
-
-    async def stop(self) -> None:
-        """Close all upstream connections."""
-        await self._client.close()
+        self._budget_by_pool: dict[PoolId, retry.RetryBudget] = {}
 
-    async def forward(
-        self, row: CallerRequest, request: web.BaseRequest
-    ) -> Result[web.StreamResponse, Refusal]:
+    async def forward(self, exchange: Exchange) -> Result[web.StreamResponse, Refusal]:
         """Answer one request from an upstream VM, or say why not."""
-        self._adopt_vm_list()
+        row = exchange.row
+        budget = self._budget_by_pool.setdefault(row.pool_id, retry.RetryBudget())
+        while True:
+            turn = await self._dispatcher.acquire(row, exchange.excluded)
+            if not is_successful(turn):
+                return Failure(_after_attempts(turn.failure(), exchange))
+            held = turn.unwrap()
+            tried = await self._try(exchange, held, budget)
+            exchange.attempts += 1
+            if is_successful(tried):
+                return Success(tried.unwrap())
+            failure = tried.failure()
+            exchange.excluded.add(held.upstream.id)
+            exchange.perhaps_run |= not failure.not_run
+            again = retry.may_retry(
+                budget,
+                row,
+                exchange.attempts,
+                held.pool.service_seconds,
+                self._node.clock.now(),
+                certainly_not_run=not exchange.perhaps_run,
+            )
+            self._record_failure(exchange, held, failure, again=again)
+            if again:
+                continue
+            if failure.answer is not None:
+                return Success(failure.answer)
+            return Failure(_after_attempts(failure.refusal, exchange))
+
+    async def _try(
+        self, exchange: Exchange, turn: Turn, budget: retry.RetryBudget
+    ) -> Result[web.StreamResponse, AttemptFailure]:
+        """Make one attempt; the slot is given back whatever happens."""
+        row = exchange.row
         now = self._node.clock.now()
-        upstream = choose_upstream(self._table, row.pool_id, self._zone_id, now)
-        if upstream is None:
-            return Failure(_NO_UPSTREAM)
-        upstream.in_use += 1
+        upstream = turn.upstream
+        if now >= upstream.credit_until:
+            # The process was frozen or held up since the slot was given. The
+            # slot may be another's by now, so it must not be used.
+            upstream_health.note_no_verdict(upstream)
+            self._dispatcher.release(turn)
+            return Failure(AttemptFailure(_SLOT_LAPSED, not_run=True))
+        linger = LINGER_SECONDS
         try:
             sent = await self._client.send(
-                upstream.address,
-                row.method,
-                row.target,
-                _create_headers(row, request, row.deadline - now),
-                row.body,
-                timeout=row.deadline - now,
-                header_timeout=row.deadline - now,
-                fresh=not row.repeatable,
+                Sending(
+                    address=upstream.address,
+                    method=row.method,
+                    target=row.target,
+                    headers=create_upstream_headers(
+                        row, exchange.caller_headers, row.deadline - now
+                    ),
+                    body=row.body,
+                    timeout=row.deadline - now,
+                    header_timeout=retry.choose_header_timeout(
+                        budget, row, turn.pool, exchange.attempts, now
+                    ),
+                ),
+                fresh=not row.repeatable or exchange.attempts > 0,
             )
             if not is_successful(sent):
-                return Failure(_refuse_fault(sent.failure()))
-            return await _pass_on(sent.unwrap(), row, request)
+                fault = sent.failure()
+                linger = LINGER_SECONDS if fault.timed_out else 0.0
+                return Failure(self._judge_fault(turn, fault))
+            result = await self._take_answer(exchange, turn, sent.unwrap(), budget)
+            linger = 0.0
+            return result
+        except asyncio.CancelledError:
+            upstream_health.note_no_verdict(upstream)
+            raise
         finally:
-            upstream.in_use -= 1
-
-    def _adopt_vm_list(self) -> None:
-        vm_list = self._node.vm_list
-        if vm_list is None or vm_list is self._vm_list:
-            return
-        self._vm_list = vm_list
-        adopt_vm_list(self._table, vm_list)
-        for upstream in self._table.upstreams_by_id.values():
-            upstream.credit = upstream.slots
-            upstream.credit_until = float("inf")
-
-
-def _create_headers(
-    row: CallerRequest, request: web.BaseRequest, remaining: float
-) -> CIMultiDict[str]:
-    headers: CIMultiDict[str] = CIMultiDict()
-    for name, value in request.headers.items():
-        if name.lower() not in WITHHELD_HEADERS:
-            headers.add(name, value)
-    headers["Request-Id"] = row.id
-    headers["Partner-Id"] = row.partner_id
-    headers["Request-Timeout"] = f"{remaining:.3f}"
-    return headers
-
-
-async def _pass_on(
-    answer: aiohttp.ClientResponse, row: CallerRequest, request: web.BaseRequest
-) -> Result[web.StreamResponse, Refusal]:
-    headers = copy_answer_headers(answer.headers)
-    headers["Request-Id"] = row.id
-    length = answer.content_length
-    if length is not None and length <= SMALL_ANSWER_BYTES:
-        try:
-            body = await answer.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
+            self._dispatcher.release(turn, linger)
+
+    async def _take_answer(
+        self,
+        exchange: Exchange,
+        turn: Turn,
+        answer: aiohttp.ClientResponse,
+        budget: retry.RetryBudget,
+    ) -> Result[web.StreamResponse, AttemptFailure]:
+        row = exchange.row
+        now = self._node.clock.now()
+        latency = now - turn.began_at
+        state = answer.headers.get(STATE_HEADER)
+        if state == "leaving":
+            self._note_leaving(turn)
+        if answer.status == REFUSES and state is not None:
             answer.close()
-            fault = UpstreamFault(Reached.PERHAPS, str(error), timed_out=False)
-            return Failure(_refuse_fault(fault))
-        headers.pop("Content-Length", None)
-        return Success(web.Response(status=answer.status, headers=headers, body=body))
-    response = web.StreamResponse(status=answer.status, headers=headers)
-    try:
-        await response.prepare(request)
-        async for chunk in answer.content.iter_any():
-            await response.write(chunk)
-        await response.write_eof()
-    except (aiohttp.ClientError, TimeoutError):
-        # The status line is out, so no refusal can follow. Cutting the
-        # caller's connection before the end is the one sign left that the
-        # answer is not whole.
-        answer.close()
-        if request.transport is not None:
-            request.transport.abort()
-    return Success(response)
-
-
-def _refuse_fault(fault: UpstreamFault) -> Refusal:
-    outcome = Outcome.NOT_RUN if fault.reached is Reached.NO else Outcome.UNKNOWN
-    kind = RefusalKind.TIMED_OUT if fault.timed_out else RefusalKind.UPSTREAM_FAILED
-    return Refusal(kind, outcome, fault.message(), retry_after=1.0)
-
-
-_NO_UPSTREAM = Refusal(
-    RefusalKind.NO_UPSTREAM,
-    Outcome.NOT_RUN,
-    "No upstream VM of the service is known to be able to serve; ask again.",
-    retry_after=1.0,
-)
+            upstream_health.note_no_verdict(turn.upstream)
+            if state != "leaving":
+                turn.upstream.credit_until = min(turn.upstream.credit_until, now)
+            return Failure(AttemptFailure(_UPSTREAM_REFUSED, not_run=True))
+        held = await hold_answer(answer, row.id)
+        if not is_successful(held):
+            return Failure(self._judge_fault(turn, held.failure()))
+        whole = held.unwrap()
+        if whole is None:
+            assert exchange.request is not None
+            response, complete = await stream_answer(answer, exchange.request, row.id)
+            self._judge_answer(turn, ok=complete, latency=latency)
+            return Success(response)
+        passed = create_response(whole, row.method)
+        ok = answer.status not in RETRIED_STATUSES
+        self._judge_answer(turn, ok=ok, latency=latency)
+        if not ok:
+            return Failure(
+                AttemptFailure(_UPSTREAM_FAILED, not_run=False, answer=passed)
+            )
+        config = self._node.config
+        if config is not None:
+            retry.earn(budget, config.fleet.retry_percent)
+        return Success(passed)
+
+    def _judge_answer(self, turn: Turn, *, ok: bool, latency: float) -> None:
+        upstreams = self._state.list_upstreams(turn.pool.pool_id)
+        now = self._node.clock.now()
+        if ok:
+            upstream_health.note_success(turn.upstream, upstreams, latency, now)
+        else:
+            upstream_health.note_failure(turn.upstream, upstreams, now)
+
+    def _judge_fault(self, turn: Turn, fault: UpstreamFault) -> AttemptFailure:
+        self._judge_answer(turn, ok=False, latency=0.0)
+        not_run = fault.reached is Reached.NO
+        kind = RefusalKind.TIMED_OUT if fault.timed_out else RefusalKind.UPSTREAM_FAILED
+        outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
+        refusal = Refusal(kind, outcome, fault.message(), retry_after=1.0)
+        return AttemptFailure(refusal, not_run=not_run)
+
+    def _note_leaving(self, turn: Turn) -> None:
+        now = self._node.clock.now()
+        if note_leaving(self._state.upstreams, turn.upstream.id, 0.0, now):
+            self._node.decisions.record(
+                Subject.VM, turn.upstream.id, "no new work", "upstream said leaving"
+            )
+
+    def _record_failure(
+        self, exchange: Exchange, turn: Turn, failure: AttemptFailure, *, again: bool
+    ) -> None:
+        self._node.decisions.record(
+            Subject.REQUEST,
+            exchange.row.id,
+            "send again" if again else "give up",
+            failure.refusal.kind.code,
+            upstream=turn.upstream.id,
+            attempt=exchange.attempts,
+            not_run=failure.not_run,
+        )
+
 
+def _after_attempts(refusal: Refusal, exchange: Exchange) -> Refusal:
+    """Never say "not run" once an earlier attempt may have run."""
+    if not exchange.perhaps_run or refusal.outcome is Outcome.UNKNOWN:
+        return refusal
+    return Refusal(refusal.kind, Outcome.UNKNOWN, refusal.detail, refusal.retry_after)
 
-def create_forwarder(node: Node) -> Forwarder:
-    """Return a forwarder with its own upstream connections."""
-    return Forwarder(node, UpstreamClient())
 
+_SLOT_LAPSED = Refusal(
+    RefusalKind.OVERLOADED,
+    Outcome.NOT_RUN,
+    "The slot lapsed before the request was sent; send it again.",
+    retry_after=1.0,
+)
+_UPSTREAM_REFUSED = Refusal(
+    RefusalKind.OVERLOADED,
+    Outcome.NOT_RUN,
+    "The upstream VMs refused the request before running it; send it again.",
+    retry_after=1.0,
+)
+_UPSTREAM_FAILED = Refusal(
+    RefusalKind.UPSTREAM_FAILED,
+    Outcome.UNKNOWN,
+    "The upstream VM failed; see its log.",
+    retry_after=1.0,
+)
 
-__all__ = ["Forwarder", "create_forwarder"]
+__all__ = ["Exchange", "Forwarder"]
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -10,11 +10,15 @@
 
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.problems import create_problem_response
-from medlarspring_daemon.services.caller_forwarding import Forwarder, create_forwarder
+from medlarspring_adapters.upstream_http import UpstreamClient
+from medlarspring_daemon.services.caller_answer import copy_caller_headers
+from medlarspring_daemon.services.caller_dispatch import Dispatcher
+from medlarspring_daemon.services.caller_forwarding import Exchange, Forwarder
 from medlarspring_daemon.services.caller_reading import (
     RequestReader,
     create_request_id,
 )
+from medlarspring_daemon.services.caller_state import CallerState
 from medlarspring_tables.requests import Outcome
 
 if TYPE_CHECKING:
@@ -31,6 +35,9 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._reader = RequestReader(node)
+        self._state = CallerState(node)
+        self._dispatcher = Dispatcher(self._state)
+        self._client: UpstreamClient | None = None
         self._forwarder: Forwarder | None = None
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
@@ -39,8 +46,9 @@
     async def start(self) -> None:
         """Open the port."""
         settings = self._node.settings.caller
-        self._forwarder = create_forwarder(self._node)
-        await self._forwarder.start()
+        self._client = UpstreamClient(self._node.clock)
+        self._forwarder = Forwarder(self._state, self._dispatcher, self._client)
+        await self._dispatcher.slots.start()
         self._server = web.Server(
             self._handle,
             handler_cancellation=True,
@@ -69,8 +77,9 @@
         self._listener.close()
         self._server.pre_shutdown()
         await self._server.shutdown(1.0)
-        if self._forwarder is not None:
-            await self._forwarder.stop()
+        await self._dispatcher.slots.stop()
+        if self._client is not None:
+            await self._client.close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == HEALTH_PATH:
@@ -91,7 +100,8 @@
             refusal = read.failure()
             self._node.metrics.count(Metric.REQUESTS_REFUSED)
             return create_problem_response(refusal, request_id)
-        answer = await self._forwarder.forward(read.unwrap(), request)
+        exchange = Exchange(read.unwrap(), copy_caller_headers(request), request)
+        answer = await self._forwarder.forward(exchange)
         if not is_successful(answer):
             refusal = answer.failure()
             unknown = refusal.outcome is Outcome.UNKNOWN
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_state.py
@@ -0,0 +1,68 @@
+"""Tables of the request path, kept in line with configuration and VM list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems import fair_queue
+from medlarspring_systems.routing import adopt_vm_list
+from medlarspring_tables import ZoneId
+from medlarspring_tables.requests import PoolQueue
+from medlarspring_tables.upstreams import UpstreamTable
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node
+    from medlarspring_tables import ConfigTable, PoolId, Seconds, VMList
+    from medlarspring_tables.upstreams import Upstream
+
+
+class CallerState:
+    """What the caller port and the exchange of slots both work on."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.zone_id = ZoneId(node.settings.entry_vm.zone)
+        self.upstreams = UpstreamTable()
+        self.pools_by_id: dict[PoolId, PoolQueue] = {}
+        self._config: ConfigTable | None = None
+        self._vm_list: VMList | None = None
+
+    def refresh(self) -> None:
+        """Take over a new table or list, if there is one."""
+        node = self.node
+        if node.vm_list is not self._vm_list and node.vm_list is not None:
+            self._vm_list = node.vm_list
+            adopt_vm_list(self.upstreams, node.vm_list)
+        if node.config is not self._config and node.config is not None:
+            self._config = node.config
+            for pool in self.pools_by_id.values():
+                fair_queue.adopt_config(pool, node.config)
+
+    def get_pool(self, pool_id: PoolId) -> PoolQueue:
+        """Return the queue of a pool, creating it at first use."""
+        pool = self.pools_by_id.get(pool_id)
+        if pool is None:
+            pool = PoolQueue(pool_id)
+            self.pools_by_id[pool_id] = pool
+            if self._config is not None:
+                fair_queue.adopt_config(pool, self._config)
+        return pool
+
+    def list_upstreams(self, pool_id: PoolId) -> list[Upstream]:
+        """Return all upstream VMs of a pool."""
+        return self.upstreams.upstreams_by_pool.get(pool_id, [])
+
+    def count_fleet_slots(self, pool_id: PoolId) -> int:
+        """Return the slots of the pool in the whole fleet."""
+        return sum(upstream.slots for upstream in self.list_upstreams(pool_id))
+
+    def count_usable_slots(self, pool_id: PoolId, now: Seconds) -> int:
+        """Return the slots that this entry VM may use now."""
+        return sum(
+            upstream.credit
+            for upstream in self.list_upstreams(pool_id)
+            if now < upstream.credit_until
+        )
+
+
+__all__ = ["CallerState"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_home.py
@@ -0,0 +1,139 @@
+"""Answers wishes for slots of the upstream VMs that this entry VM is home of."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters import peer_pb2
+from medlarspring_systems import slots
+from medlarspring_systems.leaving import takes_new_work
+from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId
+from medlarspring_tables.slots import HomeTable, SlotLedger
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from medlarspring_daemon.node import Node
+    from medlarspring_daemon.services.caller_state import CallerState
+    from medlarspring_tables import Seconds, ZoneId
+    from medlarspring_tables.slots import EntryVMView, Vote
+    from medlarspring_tables.upstreams import Upstream
+
+EPOCH_BITS = 50
+
+
+class SlotHome:
+    """The ledgers of one process; a new process starts with none."""
+
+    def __init__(
+        self, node: Node, state: CallerState, policy: slots.SlotPolicy
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._policy = policy
+        self._table = HomeTable()
+        # The machine's clock goes on when a process is replaced. The random
+        # offset keeps an echo of the old process from counting in the new one.
+        self._epoch_ms = node.rng.getrandbits(EPOCH_BITS)
+        self._started_at = node.clock.now()
+
+    def answer(
+        self,
+        request: peer_pb2.SlotRequest,
+        views: Sequence[EntryVMView],
+        votes_by_vm: Mapping[VMId, Vote],
+    ) -> peer_pb2.SlotReply:
+        """Grant what is free and fair of each VM that is wished for."""
+        now = self._node.clock.now()
+        asker = EntryVMId(request.sender)
+        zone_by_id = {view.id: view.zone_id for view in views}
+        self._take_demand(request, zone_by_id.get(asker), now)
+        reply = peer_pb2.SlotReply(
+            sender=self._node.id,
+            incarnation=self._node.incarnation,
+            time_ms=int(now * 1000) + self._epoch_ms,
+        )
+        echoed_at = self._read_echo(request.echo_ms, now)
+        dead = frozenset(view.id for view in views if view.dead and view.id != asker)
+        parts_by_pool: dict[tuple[PoolId, ZoneId], dict[EntryVMId, float]] = {}
+        for wish in request.wishes:
+            upstream = self._state.upstreams.upstreams_by_id.get(VMId(wish.vm))
+            if upstream is None:
+                continue
+            key = (upstream.pool_id, upstream.zone_id)
+            parts = parts_by_pool.get(key)
+            if parts is None:
+                parts = self._divide(upstream, now)
+                parts_by_pool[key] = parts
+            ledger = self._table.ledgers_by_vm.setdefault(upstream.id, SlotLedger())
+            if wish.backs and echoed_at is not None:
+                slots.take_vote(ledger, asker, echoed_at)
+            vote = votes_by_vm.get(upstream.id)
+            capacity = slots.count_capacity(
+                ledger,
+                upstream.slots,
+                slots.list_group(upstream.zone_id, views),
+                self._node.id,
+                own_vote=vote is not None
+                and vote.home == self._node.id
+                and now >= vote.blocked_until,
+                now=now,
+                policy=self._policy,
+            )
+            target = slots.round_parts(upstream.id, parts, upstream.slots)
+            granted = slots.grant(
+                ledger,
+                asker,
+                slots.Wish(upstream.id, wish.in_use, wish.held),
+                target=target.get(asker, 0) if takes_new_work(upstream, now) else 0,
+                capacity=capacity,
+                dead=dead,
+                now=now,
+                policy=self._policy,
+            )
+            reply.grants.add(
+                vm=upstream.id,
+                slots=granted,
+                ttl_ms=int(self._policy.grant_seconds * 1000),
+            )
+        return reply
+
+    def _read_echo(self, echo_ms: int, now: Seconds) -> Seconds | None:
+        echoed_at = (echo_ms - self._epoch_ms) / 1000.0
+        return echoed_at if self._started_at - 1.0 <= echoed_at <= now else None
+
+    def _take_demand(
+        self, request: peer_pb2.SlotRequest, zone_id: ZoneId | None, now: Seconds
+    ) -> None:
+        counts_by_pool: dict[PoolId, dict[PartnerId, int]] = defaultdict(dict)
+        for usage in request.demand:
+            counts = counts_by_pool[PoolId(usage.pool)]
+            if usage.partner:
+                counts[PartnerId(usage.partner)] = usage.waiting + usage.running
+        for pool_id, counts in counts_by_pool.items():
+            slots.take_demand(
+                self._table,
+                pool_id,
+                EntryVMId(request.sender),
+                counts,
+                same_zone=zone_id == self._state.zone_id,
+                now=now,
+            )
+
+    def _divide(self, upstream: Upstream, now: Seconds) -> dict[EntryVMId, float]:
+        config = self._node.config
+        weights = {}
+        if config is not None:
+            weights = {row.id: row.weight for row in config.partners_by_id.values()}
+        pool_slots = sum(
+            other.slots
+            for other in self._state.list_upstreams(upstream.pool_id)
+            if other.zone_id == upstream.zone_id and takes_new_work(other, now)
+        )
+        return slots.divide_pool(
+            self._table, upstream.pool_id, weights, pool_slots, now, self._policy
+        )
+
+
+__all__ = ["SlotHome"]
--- a/packages/systems/src/medlarspring_systems/admission.py
+++ b/packages/systems/src/medlarspring_systems/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.fair_queue import get_partner_queue
@@ -16,11 +17,20 @@
 """Each partner may have this many waiting, however small its weight."""
 
 
+@dataclass(slots=True, frozen=True)
+class WaitingRoom:
+    """How many requests wait in this process, over all services."""
+
+    places: int
+    taken: int
+    taken_by_partner: int
+
+
 def check_admission(
     pool: PoolQueue,
     request: CallerRequest,
     usable_slots: int,
-    max_waiting: int,
+    room: WaitingRoom,
     now: Seconds,
 ) -> Refusal | None:
     """Return why a request that would have to wait is refused, if it is.
@@ -30,8 +40,10 @@
     """
     queue = get_partner_queue(pool, request.partner_id)
     wait = estimate_wait(pool, queue, request.urgency, usable_slots)
-    bound = _bound_of_queue(pool, queue, max_waiting)
-    if queue.waiting < bound and now + wait + pool.service_seconds <= request.deadline:
+    if (
+        not _is_full(pool, queue, room)
+        and now + wait + pool.service_seconds <= request.deadline
+    ):
         return None
     return refuse_for_load(pool, queue, wait)
 
@@ -89,9 +101,23 @@
     )
 
 
-def _bound_of_queue(pool: PoolQueue, queue: PartnerQueue, max_waiting: int) -> int:
+def _is_full(pool: PoolQueue, queue: PartnerQueue, room: WaitingRoom) -> bool:
+    """Whether the partner's part of the places is taken, or all of them are.
+
+    Each partner's part goes by weight, so that one partner's flood over all
+    services never takes the places of the others.
+    """
+    if room.taken >= room.places:
+        return True
     part = queue.weight / max(pool.total_weight, queue.weight)
-    return max(MIN_WAITING_PER_PARTNER, int(max_waiting * part))
+    bound = max(MIN_WAITING_PER_PARTNER, int(room.places * part))
+    return room.taken_by_partner >= bound
 
 
-__all__ = ["check_admission", "estimate_wait", "is_over_share", "refuse_for_load"]
+__all__ = [
+    "WaitingRoom",
+    "check_admission",
+    "estimate_wait",
+    "is_over_share",
+    "refuse_for_load",
+]
--- a/packages/systems/src/medlarspring_systems/fair_queue.py
+++ b/packages/systems/src/medlarspring_systems/fair_queue.py
@@ -33,8 +33,9 @@
 SMOOTHING = 0.05
 """Weight of one request in the smoothed service time."""
 
-PEER_SILENCE_SECONDS = 5.0
-"""A peer's waiting and running count for nothing after this silence."""
+PEER_SILENCE_SECONDS = 12.0
+"""A peer's waiting and running count for nothing after this silence; longer
+than the time in which unchanged figures are repeated."""
 
 ENTITLED_TOLERANCE = 1.05
 """Urgent work of a partner up to this part of its share goes before others'."""
@@ -58,10 +59,14 @@
     pool.total_weight = sum(row.weight for row in config.partners_by_id.values())
 
 
-def enqueue(pool: PoolQueue, request: CallerRequest) -> None:
-    """Let a request wait for its turn."""
+def enqueue(pool: PoolQueue, request: CallerRequest, *, first: bool = False) -> None:
+    """Let a request wait for its turn, before all others if it had it already."""
     queue = get_partner_queue(pool, request.partner_id)
-    queue.waiting_by_urgency[request.urgency].append(request)
+    waiting = queue.waiting_by_urgency[request.urgency]
+    if first:
+        waiting.appendleft(request)
+    else:
+        waiting.append(request)
     _count_waiting(pool, queue, request, 1)
 
 
@@ -217,14 +222,17 @@
     peer: EntryVMId,
     partner_id: PartnerId,
     usage: PeerUsage,
+    elapsed: Seconds,
 ) -> None:
-    """Charge a partner for what a peer says it used since the last report."""
+    """Charge a partner for what a peer says it used since its last report.
+
+    ``elapsed`` is the time since the peer's last report of anything.
+    """
     known = pool.peer_usage.get((peer, partner_id))
     pool.peer_usage[peer, partner_id] = usage
     if known is None or known.incarnation != usage.incarnation:
         return
     used = usage.slot_seconds - known.slot_seconds
-    elapsed = usage.reported_at - known.reported_at
     if used <= 0.0 or elapsed <= 0.0:
         return
     # After a cut of minutes the whole use comes in one report. Only what is
--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -64,9 +64,7 @@
     return int.from_bytes(digest, "big") / HASH_RANGE
 
 
-def list_group(
-    zone_id: ZoneId, views: Sequence[EntryVMView]
-) -> list[EntryVMView]:
+def list_group(zone_id: ZoneId, views: Sequence[EntryVMView]) -> list[EntryVMView]:
     """Return the entry VMs that may back a home for a zone's upstream VMs.
 
     Those that are not heard but may live belong to it: they may be serving on
