--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/job_store.py
@@ -0,0 +1,130 @@
+"""Job records in the store: keys, encoding and fenced writes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.store import Expect, Put, Store, StoreError, Transaction
+from medlarspring_tables import Job, JobId, PoolId, Revision
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from returns.result import Result
+
+    from medlarspring_adapters.store import Committed, Listing
+
+JOBS_PREFIX = "fleet/jobs/"
+MAX_TRANSACTIONS_PER_CALL = 64
+
+
+class SaveOutcome(Enum):
+    """What became of one record's write."""
+
+    SAVED = "saved"
+    CONFLICT = "conflict"
+    """Somebody else wrote the record, or the fence no longer holds."""
+    NOT_APPLIED = "not applied"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class JobWrite:
+    """A job's new record and the revision it replaces; 0 creates it."""
+
+    job: Job
+    expected: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class SavedJob:
+    """The outcome of one write and the record's revision if it was saved."""
+
+    write: JobWrite
+    outcome: SaveOutcome
+    revision: Revision = Revision(0)
+
+
+def pool_prefix(pool_id: PoolId) -> str:
+    """Return the prefix of all job keys of a pool."""
+    return f"{JOBS_PREFIX}{pool_id}/"
+
+
+def job_key(pool_id: PoolId, job_id: JobId) -> str:
+    """Return the key of a job's record."""
+    return f"{JOBS_PREFIX}{pool_id}/{job_id}"
+
+
+def decode_job(value: bytes) -> Job:
+    """Return the job of a record."""
+    return msgspec.json.decode(value, type=Job)
+
+
+class JobStore:
+    """Reads and writes job records, many in one counted call."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def read_pool(self, pool_id: PoolId) -> Result[Listing, StoreError]:
+        """Return all job records of a pool."""
+        return await self._store.read_prefix(pool_prefix(pool_id))
+
+    async def save(
+        self, writes: Sequence[JobWrite], fence: Expect | None
+    ) -> list[SavedJob]:
+        """Write records, each on its own; the fence is a condition of each."""
+        saved: list[SavedJob] = []
+        for start in range(0, len(writes), MAX_TRANSACTIONS_PER_CALL):
+            batch = writes[start : start + MAX_TRANSACTIONS_PER_CALL]
+            saved += await self._save_batch(batch, fence)
+        return saved
+
+    async def _save_batch(
+        self, writes: Sequence[JobWrite], fence: Expect | None
+    ) -> list[SavedJob]:
+        transactions = [_create_transaction(write, fence) for write in writes]
+        answer = await self._store.commit_each(transactions)
+        if is_successful(answer):
+            committed = answer.unwrap()
+            return [
+                _read_outcome(write, each)
+                for write, each in zip(writes, committed, strict=True)
+            ]
+        unavailable = answer.failure().code == "store-unavailable"
+        outcome = SaveOutcome.NOT_APPLIED if unavailable else SaveOutcome.UNKNOWN
+        return [SavedJob(write, outcome) for write in writes]
+
+
+def _create_transaction(write: JobWrite, fence: Expect | None) -> Transaction:
+    key = job_key(write.job.pool_id, write.job.id)
+    expects: tuple[Expect, ...] = (Expect(key, write.expected),)
+    if fence is not None:
+        # A holder paused past its lease would start a job that its successor
+        # has placed elsewhere; the job would run twice. The holder key's
+        # revision changes with each holder, so the late write is refused.
+        expects = (*expects, fence)
+    return Transaction(expects, (Put(key, msgspec.json.encode(write.job)),))
+
+
+def _read_outcome(write: JobWrite, committed: Committed) -> SavedJob:
+    if committed.succeeded:
+        return SavedJob(write, SaveOutcome.SAVED, committed.revision)
+    return SavedJob(write, SaveOutcome.CONFLICT)
+
+
+__all__ = [
+    "JOBS_PREFIX",
+    "JobStore",
+    "JobWrite",
+    "SaveOutcome",
+    "SavedJob",
+    "decode_job",
+    "job_key",
+    "pool_prefix",
+]
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/worker_control.py
@@ -0,0 +1,211 @@
+"""The platform's workers: they run tasks under leases and report on them."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+import aiohttp
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from medlarspring_tables import JobId, MedlarspringError, Size
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class TaskState(Enum):
+    """What a worker says of a task."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CHECKPOINTED = "checkpointed"
+    STOPPED = "stopped"
+    """Stopped by order, or because its lease ran out."""
+
+
+class TaskOrder(Struct, frozen=True, kw_only=True):
+    """Start an attempt of a job; the same order again changes nothing."""
+
+    job_id: JobId
+    attempt: int
+    size: Size
+    declared_seconds: float
+    lease_seconds: float
+    """The worker stops the task when it is not renewed for this long."""
+    checkpoint: str = ""
+
+
+class TaskReport(Struct, frozen=True, kw_only=True):
+    """A worker's word on one attempt; use lags behind."""
+
+    job_id: JobId
+    attempt: int
+    state: TaskState
+    used: Size
+    peak: Size
+    checkpoint: str = ""
+
+
+class Renewal(Struct, frozen=True):
+    """An attempt whose lease is renewed."""
+
+    job_id: JobId
+    attempt: int
+
+
+class RenewalRequest(Struct, frozen=True, kw_only=True):
+    """Renew leases and drop ended tasks whose end is on record."""
+
+    lease_seconds: float
+    renewals: tuple[Renewal, ...] = ()
+    forget: tuple[Renewal, ...] = ()
+
+
+class RenewalReply(Struct, frozen=True):
+    """All tasks that the worker knows, ended ones included."""
+
+    reports: tuple[TaskReport, ...] = ()
+
+
+class StopOrder(Struct, frozen=True):
+    """Stop an attempt, after a checkpoint if it can make one."""
+
+    attempt: int
+    checkpoint: bool
+
+
+class ThrottleOrder(Struct, frozen=True):
+    """Let an attempt use at most this many processors."""
+
+    attempt: int
+    cpus: float
+
+
+class WorkerError(MedlarspringError):
+    """A worker gave no usable answer; the order may have arrived."""
+
+    code = "worker-unreachable"
+
+    def __init__(self, address: str, detail: str) -> None:
+        super().__init__(address, detail)
+        self.address = address
+        self.detail = detail
+
+    def message(self) -> str:
+        """Say what failed and what happens next."""
+        return (
+            f"Worker {self.address} did not answer ({self.detail})."
+            " The order is repeated; look at the VM if this goes on."
+        )
+
+
+class WorkerControl(Protocol):
+    """Orders to workers by address; every order may be repeated."""
+
+    async def start(self, address: str, order: TaskOrder) -> Result[None, WorkerError]:
+        """Start an attempt; refused when a newer attempt is known."""
+        ...
+
+    async def stop(
+        self, address: str, job_id: JobId, order: StopOrder
+    ) -> Result[None, WorkerError]:
+        """Begin to stop an attempt; its end comes with a later renewal."""
+        ...
+
+    async def throttle(
+        self, address: str, job_id: JobId, order: ThrottleOrder
+    ) -> Result[None, WorkerError]:
+        """Limit an attempt's processors."""
+        ...
+
+    async def renew(
+        self, address: str, request: RenewalRequest
+    ) -> Result[RenewalReply, WorkerError]:
+        """Renew leases and read all reports in one call."""
+        ...
+
+
+class HttpWorkerControl:
+    """Worker control over HTTP with JSON bodies."""
+
+    def __init__(self, session: aiohttp.ClientSession, timeout: float) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+
+    async def start(self, address: str, order: TaskOrder) -> Result[None, WorkerError]:
+        """Start an attempt."""
+        sent = await self._send("PUT", address, f"/tasks/{order.job_id}", order)
+        return sent.map(lambda _: None)
+
+    async def stop(
+        self, address: str, job_id: JobId, order: StopOrder
+    ) -> Result[None, WorkerError]:
+        """Begin to stop an attempt."""
+        sent = await self._send("POST", address, f"/tasks/{job_id}/stop", order)
+        return sent.map(lambda _: None)
+
+    async def throttle(
+        self, address: str, job_id: JobId, order: ThrottleOrder
+    ) -> Result[None, WorkerError]:
+        """Limit an attempt's processors."""
+        sent = await self._send("POST", address, f"/tasks/{job_id}/throttle", order)
+        return sent.map(lambda _: None)
+
+    async def renew(
+        self, address: str, request: RenewalRequest
+    ) -> Result[RenewalReply, WorkerError]:
+        """Renew leases and read all reports."""
+        sent = await self._send("POST", address, "/tasks/renew", request)
+        return sent.bind(lambda body: _decode_reply(address, body))
+
+    async def _send(
+        self, method: str, address: str, path: str, body: Struct
+    ) -> Result[bytes, WorkerError]:
+        url = f"http://{address}{path}"
+        try:
+            async with self._session.request(
+                method,
+                url,
+                data=msgspec.json.encode(body),
+                headers=JSON_HEADERS,
+                timeout=self._timeout,
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(WorkerError(address, type(error).__name__))
+        if response.status >= 400:
+            return Failure(WorkerError(address, f"status {response.status}"))
+        return Success(content)
+
+
+def _decode_reply(address: str, body: bytes) -> Result[RenewalReply, WorkerError]:
+    try:
+        return Success(msgspec.json.decode(body, type=RenewalReply))
+    except msgspec.DecodeError as error:
+        return Failure(WorkerError(address, str(error)))
+
+
+def create_worker_control(
+    session: aiohttp.ClientSession, timeout: float = 2.0
+) -> WorkerControl:
+    """Return the client of the platform's workers."""
+    return HttpWorkerControl(session, timeout)
+
+
+__all__ = [
+    "HttpWorkerControl",
+    "Renewal",
+    "RenewalReply",
+    "RenewalRequest",
+    "StopOrder",
+    "TaskOrder",
+    "TaskReport",
+    "TaskState",
+    "ThrottleOrder",
+    "WorkerControl",
+    "WorkerError",
+    "create_worker_control",
+]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/job_controller.py
@@ -0,0 +1,270 @@
+"""Runs the jobs of one pool: intent first, then the order to the worker."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.job_store import (
+    JobStore,
+    JobWrite,
+    SaveOutcome,
+    decode_job,
+)
+from medlarspring_adapters.worker_control import Renewal, TaskState
+from medlarspring_daemon.services.job_workers import JobWorkers
+from medlarspring_systems.job_lifecycle import (
+    AttemptEnd,
+    cancel_job,
+    confirm_running,
+    end_attempt,
+    list_stranded,
+    release_stale_reservations,
+)
+from medlarspring_systems.job_records import (
+    forget_job,
+    put_job,
+    resize_attempt,
+    take_back,
+)
+from medlarspring_systems.placement import place_jobs
+from medlarspring_systems.preemption import plan_preemptions
+from medlarspring_systems.size_beliefs import correct_attempt_size
+from medlarspring_tables import AttemptState, JobTables, Revision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.decisions import DecisionLog
+    from medlarspring_adapters.store import Expect
+    from medlarspring_adapters.worker_control import TaskReport, WorkerControl
+    from medlarspring_daemon.services.job_workers import WorkerAnswer
+    from medlarspring_tables import Job, JobId, PoolId
+
+MAX_STARTS_PER_TICK = 256
+
+END_BY_STATE = {
+    TaskState.SUCCEEDED: AttemptEnd.SUCCEEDED,
+    TaskState.FAILED: AttemptEnd.FAILED,
+    TaskState.CHECKPOINTED: AttemptEnd.CHECKPOINTED,
+    TaskState.STOPPED: AttemptEnd.STOPPED,
+}
+
+
+class JobController:
+    """The jobs of one pool, as long as this process holds the pool.
+
+    The record of a job decides who runs it. Every change is written with the
+    record's revision before a worker hears of it, and taken back in memory
+    when the store refuses it.
+    """
+
+    def __init__(
+        self,
+        pool_id: PoolId,
+        jobs: JobStore,
+        workers: WorkerControl,
+        clock: Clock,
+        decisions: DecisionLog,
+        fence: Callable[[], Expect | None],
+    ) -> None:
+        self.pool_id = pool_id
+        self.tables = JobTables()
+        self.workers = JobWorkers(self.tables, workers, clock)
+        self._jobs = jobs
+        self._clock = clock
+        self._decisions = decisions
+        self._fence = fence
+        self._must_load = True
+
+    async def load(self) -> bool:
+        """Read all records; False when the store does not answer.
+
+        Also done when a write's outcome is unknown or another writer was
+        first: the store, not memory, says what holds.
+        """
+        listing = await self._jobs.read_pool(self.pool_id)
+        if not is_successful(listing):
+            return False
+        entries = listing.unwrap().entries
+        seen = {self.take_record(entry.value, entry.mod_revision) for entry in entries}
+        for job_id in [key for key in self.tables.jobs_by_id if key not in seen]:
+            forget_job(self.tables, job_id)
+        self._must_load = False
+        return True
+
+    def take_record(self, value: bytes, revision: Revision) -> JobId:
+        """Take over a record from the store unless a newer one is known."""
+        job = decode_job(value)
+        known = self.tables.revisions_by_id.get(job.id, Revision(0))
+        if revision > known:
+            put_job(self.tables, job)
+            self.tables.revisions_by_id[job.id] = revision
+            if job.attempt is not None:
+                self.workers.ask_soon(job.attempt.vm_id)
+        return job.id
+
+    async def tick(self) -> None:
+        """Run one round: hear the workers, decide, write, tell the workers.
+
+        While the store is out of reach, leases are still renewed, so that
+        running work goes on; nothing new is decided.
+        """
+        self.tables.old_by_id.clear()
+        if self._must_load:
+            await self.load()
+        for answer in await self.workers.ask_due():
+            await self._take_answer(answer)
+        if self._must_load or self._fence() is None:
+            return
+        await self._decide()
+
+    async def cancel(self, job_ids: Iterable[JobId], reason: str) -> int:
+        """Cancel jobs; returns how many cancellations are on record."""
+        jobs = [cancel_job(self.tables, job_id, reason) for job_id in job_ids]
+        return len(await self._save([job for job in jobs if job is not None]))
+
+    async def _decide(self) -> None:
+        now = self._clock.wall()
+        release_stale_reservations(self.tables)
+        stops = list_stranded(self.tables)
+        starts = place_jobs(self.tables, now, MAX_STARTS_PER_TICK)
+        stops += plan_preemptions(self.tables, now)
+        decided = [(start.job, "start", start.reason) for start in starts]
+        decided += [(stop.job, "stop", stop.reason) for stop in stops]
+        saved_ids = await self._save([job for job, _, _ in decided])
+        orders = []
+        for job, action, reason in decided:
+            if job.id not in saved_ids:
+                continue
+            self._record(job, action, reason)
+            send = self.workers.send_start if action == "start" else self._stop
+            orders.append(send(job))
+        await asyncio.gather(*orders)
+
+    async def _stop(self, job: Job) -> None:
+        await self.workers.send_stop(job)
+
+    async def _save(self, jobs: list[Job]) -> set[JobId]:
+        """Write changed records; what is not saved is taken back in memory."""
+        fence = self._fence()
+        if fence is None or self._must_load:
+            for job in jobs:
+                take_back(self.tables, job.id)
+            return set()
+        revisions = self.tables.revisions_by_id
+        writes = [JobWrite(job, revisions.get(job.id, Revision(0))) for job in jobs]
+        saved_ids: set[JobId] = set()
+        for saved in await self._jobs.save(writes, fence):
+            job_id = saved.write.job.id
+            if saved.outcome is SaveOutcome.SAVED:
+                revisions[job_id] = saved.revision
+                self.tables.old_by_id.pop(job_id, None)
+                saved_ids.add(job_id)
+                continue
+            take_back(self.tables, job_id)
+            if saved.outcome is not SaveOutcome.NOT_APPLIED:
+                self._must_load = True
+        return saved_ids
+
+    async def _take_answer(self, answer: WorkerAnswer) -> None:
+        if not is_successful(answer.reply):
+            if self.workers.is_silent_past_lease(answer.link):
+                await self._give_up(answer.job_ids)
+            return
+        reports = {report.job_id: report for report in answer.reply.unwrap().reports}
+        jobs = [
+            await self._take_report(self.tables.jobs_by_id[job_id], reports)
+            for job_id in sorted(answer.job_ids)
+            if job_id in self.tables.jobs_by_id
+        ]
+        await self._save([job for job in jobs if job is not None])
+        for report in reports.values():
+            if report.state is not TaskState.RUNNING and self._is_on_record(report):
+                answer.link.forget.add(Renewal(report.job_id, report.attempt))
+
+    async def _give_up(self, job_ids: frozenset[JobId]) -> None:
+        jobs = [self.tables.jobs_by_id[job_id] for job_id in sorted(job_ids)]
+        ended = [self._end(job, AttemptEnd.LOST, "worker is silent") for job in jobs]
+        await self._save([job for job in ended if job is not None])
+
+    def _is_on_record(self, report: TaskReport) -> bool:
+        """Tell whether the worker may drop an ended task."""
+        job = self.tables.jobs_by_id.get(report.job_id)
+        if job is None or job.attempt is None:
+            return True
+        return job.attempt.number > report.attempt
+
+    async def _take_report(
+        self, job: Job, reports: dict[JobId, TaskReport]
+    ) -> Job | None:
+        """Return the job's new record if its worker's report changes it."""
+        if job.attempt is None:
+            return None
+        report = reports.get(job.id)
+        if report is None or report.attempt != job.attempt.number:
+            return await self._take_absence(job)
+        if report.state is TaskState.RUNNING:
+            return await self._take_progress(job, report)
+        return self._end(job, END_BY_STATE[report.state], "worker's report", report)
+
+    async def _take_progress(self, job: Job, report: TaskReport) -> Job | None:
+        assert job.attempt is not None
+        if job.attempt.state is AttemptState.STOPPING:
+            await self.workers.send_stop(job)
+            return None
+        size = correct_attempt_size(job, report.used)
+        if size is not None:
+            resize_attempt(self.tables, job, size)
+        return confirm_running(self.tables, job.id, job.attempt.number)
+
+    async def _take_absence(self, job: Job) -> Job | None:
+        """Act on an attempt that its worker does not know.
+
+        Its order may be lost or still on its way. A start is sent again; for
+        an attempt to be stopped, the stop is what keeps a late start from
+        running, so only its receipt ends the attempt.
+        """
+        assert job.attempt is not None
+        if job.attempt.state is AttemptState.INTENDED:
+            await self.workers.send_start(job)
+            return None
+        if job.attempt.state is AttemptState.RUNNING:
+            return self._end(job, AttemptEnd.LOST, "worker does not know it")
+        if not await self.workers.send_stop(job):
+            return None
+        return self._end(job, AttemptEnd.STOPPED, "worker does not run it")
+
+    def _end(
+        self, job: Job, end: AttemptEnd, rule: str, report: TaskReport | None = None
+    ) -> Job | None:
+        assert job.attempt is not None
+        self._record(job, end.value, rule)
+        return end_attempt(
+            self.tables,
+            job.id,
+            job.attempt.number,
+            end,
+            self._clock.wall(),
+            peak=report.peak if report else None,
+            checkpoint=report.checkpoint if report else "",
+        )
+
+    def _record(self, job: Job, decided: str, rule: str) -> None:
+        assert job.attempt is not None
+        self._decisions.record(
+            Subject.JOB,
+            job.id,
+            decided,
+            rule,
+            pool=self.pool_id,
+            vm=job.attempt.vm_id,
+            attempt=job.attempt.number,
+        )
+
+
+__all__ = ["JobController"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/job_workers.py
@@ -0,0 +1,159 @@
+"""The talk with the workers of one pool: orders out, renewals and reports in."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.worker_control import (
+    Renewal,
+    RenewalRequest,
+    StopOrder,
+    TaskOrder,
+)
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.worker_control import (
+        RenewalReply,
+        WorkerControl,
+        WorkerError,
+    )
+    from medlarspring_tables import Job, JobId, JobTables, Seconds, VMId
+
+TASK_LEASE_SECONDS = 30.0
+LEASE_MARGIN_SECONDS = 5.0
+"""Added before a silent worker's tasks are taken to have ended."""
+RENEW_SECONDS = 5.0
+RENEW_SOON_SECONDS = 0.25
+"""Pause between calls to a worker from which an answer is awaited."""
+
+
+@dataclass(slots=True)
+class WorkerLink:
+    """What is known of the talk with one worker."""
+
+    id: VMId
+    address: str
+    renewed_at: Seconds
+    """When its tasks' leases were last renewed, or the latest they can be."""
+    due_at: Seconds = 0.0
+    forget: set[Renewal] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerAnswer:
+    """One worker's answer to a renewal of the named jobs."""
+
+    link: WorkerLink
+    job_ids: frozenset[JobId]
+    reply: Result[RenewalReply, WorkerError]
+
+
+class JobWorkers:
+    """Sends orders to the workers of one pool and asks them for reports."""
+
+    def __init__(self, tables: JobTables, workers: WorkerControl, clock: Clock) -> None:
+        self._tables = tables
+        self._workers = workers
+        self._clock = clock
+        self._links_by_id: dict[VMId, WorkerLink] = {}
+
+    def set_addresses(self, addresses_by_id: dict[VMId, str]) -> None:
+        """Name the workers' addresses; new ones count as just renewed.
+
+        A successor does not know when its predecessor last renewed a worker's
+        tasks. Taking the present as that time only waits longer.
+        """
+        now = self._clock.now()
+        for vm_id, address in addresses_by_id.items():
+            link = self._links_by_id.get(vm_id)
+            if link is None:
+                self._links_by_id[vm_id] = WorkerLink(vm_id, address, now)
+            else:
+                link.address = address
+
+    def ask_soon(self, vm_id: VMId) -> None:
+        """Expect news from a worker: ask it again after a short pause."""
+        link = self._links_by_id.get(vm_id)
+        if link is not None:
+            link.due_at = min(link.due_at, self._clock.now() + RENEW_SOON_SECONDS)
+
+    async def send_start(self, job: Job) -> None:
+        """Order the start; a lost order is repeated at the next renewal."""
+        assert job.attempt is not None
+        link = self._links_by_id.get(job.attempt.vm_id)
+        if link is None:
+            return
+        self.ask_soon(link.id)
+        order = TaskOrder(
+            job_id=job.id,
+            attempt=job.attempt.number,
+            size=job.attempt.size,
+            declared_seconds=job.declared_seconds,
+            lease_seconds=TASK_LEASE_SECONDS,
+            checkpoint=job.checkpoint,
+        )
+        await self._workers.start(link.address, order)
+
+    async def send_stop(self, job: Job) -> bool:
+        """Order a stop; True when the worker confirmed that it has the order."""
+        assert job.attempt is not None
+        link = self._links_by_id.get(job.attempt.vm_id)
+        if link is None:
+            return False
+        self.ask_soon(link.id)
+        was_cancelled = bool(job.reason)
+        checkpoint = job.can_checkpoint and not was_cancelled
+        order = StopOrder(job.attempt.number, checkpoint=checkpoint)
+        return is_successful(await self._workers.stop(link.address, job.id, order))
+
+    async def ask_due(self) -> list[WorkerAnswer]:
+        """Renew at all workers that are due, at once, and return the answers."""
+        now = self._clock.now()
+        due: list[tuple[WorkerLink, frozenset[JobId]]] = []
+        for link in self._links_by_id.values():
+            worker = self._tables.workers_by_id.get(link.id)
+            job_ids = frozenset(worker.job_ids if worker else ())
+            if not job_ids and not link.forget:
+                # With nothing to renew, silence tells nothing.
+                link.renewed_at = now
+                continue
+            if link.due_at <= now:
+                due.append((link, job_ids))
+        return list(await asyncio.gather(*(self._ask(*each) for each in due)))
+
+    async def _ask(self, link: WorkerLink, job_ids: frozenset[JobId]) -> WorkerAnswer:
+        asked_at = self._clock.now()
+        link.due_at = asked_at + RENEW_SECONDS
+        request = RenewalRequest(
+            lease_seconds=TASK_LEASE_SECONDS,
+            renewals=tuple(self._list_renewals(job_ids)),
+            forget=tuple(link.forget),
+        )
+        reply = await self._workers.renew(link.address, request)
+        if is_successful(reply):
+            link.renewed_at = self._clock.now()
+            link.forget.difference_update(request.forget)
+        return WorkerAnswer(link, job_ids, reply)
+
+    def _list_renewals(self, job_ids: frozenset[JobId]) -> list[Renewal]:
+        jobs = [self._tables.jobs_by_id[job_id] for job_id in sorted(job_ids)]
+        return [Renewal(job.id, job.attempt.number) for job in jobs if job.attempt]
+
+    def is_silent_past_lease(self, link: WorkerLink) -> bool:
+        """Tell whether all tasks of a silent worker have certainly ended.
+
+        Placing them elsewhere sooner could run a job twice, since a worker
+        that only lost its network goes on until the lease runs out.
+        """
+        silent = self._clock.now() - link.renewed_at
+        return silent >= TASK_LEASE_SECONDS + LEASE_MARGIN_SECONDS
+
+
+__all__ = ["TASK_LEASE_SECONDS", "JobWorkers", "WorkerAnswer", "WorkerLink"]
--- a/packages/systems/src/medlarspring_systems/job_records.py
+++ b/packages/systems/src/medlarspring_systems/job_records.py
@@ -27,6 +27,7 @@
     """Insert or replace a job; queues and sums follow."""
     old = tables.jobs_by_id.get(job.id)
     if old is not None:
+        tables.old_by_id.setdefault(job.id, old)
         _uncount(tables, old)
     tables.jobs_by_id[job.id] = job
     _count(tables, job)
@@ -35,10 +36,19 @@
         enqueue(tables, job)
 
 
+def take_back(tables: JobTables, job_id: JobId) -> None:
+    """Restore a record whose change was not written."""
+    old = tables.old_by_id.pop(job_id, None)
+    if old is not None:
+        put_job(tables, old)
+        tables.old_by_id.pop(job_id, None)
+
+
 def forget_job(tables: JobTables, job_id: JobId) -> None:
     """Remove a job whose record is gone from the store."""
     old = tables.jobs_by_id.pop(job_id, None)
     tables.revisions_by_id.pop(job_id, None)
+    tables.old_by_id.pop(job_id, None)
     if old is not None:
         _uncount(tables, old)
 
@@ -164,4 +174,5 @@
     "rank_job",
     "recount_capacity",
     "resize_attempt",
+    "take_back",
 ]
--- a/packages/systems/src/medlarspring_systems/quarantine.py
+++ b/packages/systems/src/medlarspring_systems/quarantine.py
@@ -70,6 +70,8 @@
 
 
 def _quarantine(tables: JobTables, worker: Worker, now: Seconds) -> None:
+    if worker.quarantined_until > now:
+        return
     workers = tables.workers_by_id.values()
     quarantined = sum(each.quarantined_until > now for each in workers)
     if quarantined + 1 > max(1, len(workers) * MAX_QUARANTINED_PART):
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -200,6 +200,8 @@
     held: Size = NO_SIZE
     """Sum over all attempts."""
     spare_percent: float = 10.0
+    old_by_id: dict[JobId, Job] = field(default_factory=dict)
+    """Records as they stood before changes that are not yet written."""
 
 
 __all__ = [
