--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -10,7 +10,9 @@
 from medlarspring_daemon.services.control_metrics_service import (
     create_control_metrics_service,
 )
+from medlarspring_daemon.services.fleet_service import create_fleet_service
 from medlarspring_daemon.services.holder_service import create_holder_service
+from medlarspring_daemon.services.operator_service import create_operator_service
 from medlarspring_daemon.services.peer_service import create_peer_service
 from medlarspring_daemon.services.vm_list_service import create_vm_list_service
 
@@ -32,15 +34,18 @@
     """Return all services; the last one started is the first one stopped."""
     vm_list = create_vm_list_service(node)
     peers = create_peer_service(node)
-    return [
+    parts: list[Part | None] = [
         vm_list,
         peers,
         create_config_service(node, peers),
         create_holder_service(node, peers),
         create_control_metrics_service(node, peers),
+        create_fleet_service(node),
+        create_operator_service(node),
         # Last, so that a shutdown lets callers finish while the rest still works.
         create_caller_service(node),
     ]
+    return [part for part in parts if part is not None]
 
 
 __all__ = ["create_parts", "create_store"]
