--- a/packages/adapters/tests/test_etcd_gateway.py
+++ b/packages/adapters/tests/test_etcd_gateway.py
@@ -177,14 +177,15 @@
         values = []
         async with aclosing(store.watch("k", Revision(1))) as batches:
             for number in range(3):
-                write = Transaction((), (Put("k", b"%d" % number),))
-                (await store.commit(write)).unwrap()
                 service.fault(silence=True)
+                write = Transaction((), (Put("k", b"%d" % number),))
+                async with open_store(*service.endpoints) as editor:
+                    (await editor.commit(write)).unwrap()
                 async for batch in batches:
                     values += [entry.value for entry in batch.changed]
                     if len(values) > number:
                         break
-        assert values == [b"0", b"1", b"2"]
+    assert values == [b"0", b"1", b"2"]
 
 
 @pytest.mark.parametrize("fault", ["compacted", "down", "went back"])
