Test membership, distribution, holders and the pace of exchanges

Seen to fail first: a freeze counted as time in which peers were cut off one way, and 64 nodes exchanged 30 KB/s each; now the intervals give way and the call that proves reachability is a multiple of them (about 6 KB/s in the simulation of 63 nodes).

--- a/packages/daemon/src/medlarspring_daemon/services/holder_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/holder_service.py
@@ -38,6 +38,8 @@
 
 HOLDERS_PREFIX = "holders/"
 TICK_SECONDS = 0.5
+SETTLE_SECONDS = 3.0
+"""A new process first learns who else is there; alone it would take all pools."""
 TRY_SECONDS = 1.0
 MAX_TRY_SECONDS = 8.0
 MAX_POOLS_PER_CALL = 64
@@ -69,6 +71,7 @@
     async def start(self) -> None:
         """Begin to hold what this process is preferred for."""
         self._node.holders = self
+        self._try_at = self._node.clock.now() + SETTLE_SECONDS
         self._tasks.keep(self._run)
 
     async def stop(self) -> None:
--- a/packages/systems/src/medlarspring_systems/exchange.py
+++ b/packages/systems/src/medlarspring_systems/exchange.py
@@ -14,18 +14,20 @@
     from medlarspring_tables import MemberTable, Seconds
 
 ZONE_INTERVAL_SECONDS = 0.5
+MAX_ZONE_INTERVAL_SECONDS = 0.8
 REMOTE_INTERVAL_SECONDS = 2.0
 MAX_REMOTE_INTERVAL_SECONDS = 6.0
 """Stays under the silence that counts as a loss across zones."""
 OVERDUE = 1.5
 """The side that does not call does so after so many silent intervals."""
-REACH_SECONDS = 5.0
-"""Each side calls at least so often, so that a one-way cut is noticed."""
+REACH_INTERVALS = 8
+"""Each side calls at least so seldom, so that a one-way cut is noticed."""
 UNHEARD_FACTOR = 3.0
 """Peers that are not heard are tried so much more seldom."""
 JITTER = 0.1
 BYTES_PER_SECOND = 6_000.0
 """Of the 8 KB/s a node may spend; the rest is for the table itself."""
+ZONE_PART = 0.5
 
 
 @dataclass(slots=True)
@@ -46,16 +48,14 @@
     plan: ExchangePlan, table: MemberTable, now: Seconds, rng: random.Random
 ) -> list[Member]:
     """Return the peers to call now, and set when each is due next."""
-    remote = _plan_remote_interval(plan, table)
+    near, remote = _plan_intervals(plan, table)
     due: list[Member] = []
     for member in table.members_by_id.values():
         if not member.peer_address:
             continue
         if now < plan.next_at_by_id.get(member.id, 0.0):
             continue
-        interval = remote
-        if member.zone_id == table.own_zone_id:
-            interval = ZONE_INTERVAL_SECONDS
+        interval = near if member.zone_id == table.own_zone_id else remote
         if not _is_ours_to_call(table, member, interval, now):
             continue
         if member.state is not MemberState.ALIVE:
@@ -87,24 +87,39 @@
         return True
     if now - member.heard_at > OVERDUE * interval:
         return True
-    return member.reached_at is None or now - member.reached_at > REACH_SECONDS
+    if member.reached_at is None:
+        return True
+    return now - member.reached_at > REACH_INTERVALS * interval
 
 
-def _plan_remote_interval(plan: ExchangePlan, table: MemberTable) -> Seconds:
-    """Stretch the interval across zones until the bytes fit the budget.
+def _plan_intervals(plan: ExchangePlan, table: MemberTable) -> tuple[Seconds, Seconds]:
+    """Stretch the intervals in the zone and across until the bytes fit the budget.
 
     In a large fleet the exchanges with all zones would alone use up what a node
-    may spend. Reports within the zone carry what has to be fast and keep theirs.
+    may spend. Reports within the zone carry what has to be fast and give way
+    less; both have bounds that stay well under the silence that counts.
     """
-    near = 0
-    for member in table.members_by_id.values():
-        near += member.zone_id == table.own_zone_id
+    near = sum(
+        member.zone_id == table.own_zone_id for member in table.members_by_id.values()
+    )
     remote = len(table.members_by_id) - near
-    left = BYTES_PER_SECOND - near * plan.bytes_per_exchange / ZONE_INTERVAL_SECONDS
-    if left <= 0:
-        return MAX_REMOTE_INTERVAL_SECONDS
-    needed = remote * plan.bytes_per_exchange / left
-    return min(max(REMOTE_INTERVAL_SECONDS, needed), MAX_REMOTE_INTERVAL_SECONDS)
+    near_bytes = near * plan.bytes_per_exchange
+    near_interval = _clamp(
+        near_bytes / (ZONE_PART * BYTES_PER_SECOND),
+        ZONE_INTERVAL_SECONDS,
+        MAX_ZONE_INTERVAL_SECONDS,
+    )
+    left = max(BYTES_PER_SECOND - near_bytes / near_interval, 1.0)
+    remote_interval = _clamp(
+        remote * plan.bytes_per_exchange / left,
+        REMOTE_INTERVAL_SECONDS,
+        MAX_REMOTE_INTERVAL_SECONDS,
+    )
+    return near_interval, remote_interval
+
+
+def _clamp(value: float, low: float, high: float) -> float:
+    return min(max(value, low), high)
 
 
 __all__ = ["ExchangePlan", "forget", "list_due", "note_bytes"]
--- a/packages/systems/src/medlarspring_systems/membership.py
+++ b/packages/systems/src/medlarspring_systems/membership.py
@@ -34,7 +34,7 @@
 HOLD_DOWN_SECONDS = 5.0
 MAX_HOLD_DOWN_SECONDS = 60.0
 FORMER_INCARNATIONS = 4
-ONE_WAY_SECONDS = 12.0
+ONE_WAY_SECONDS = 60.0
 """A heard member that no call reached for so long is cut off in one direction."""
 
 
@@ -266,6 +266,7 @@
     """
     table.thawed_at = now
     for member in table.members_by_id.values():
+        member.changed_at = min(member.changed_at + gap, now)
         if member.heard_at is not None:
             member.heard_at = min(member.heard_at + gap, now)
         if member.reached_at is not None:
--- /dev/null
+++ b/packages/systems/tests/test_exchange.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from medlarspring_systems.exchange import (
+    BYTES_PER_SECOND,
+    MAX_REMOTE_INTERVAL_SECONDS,
+    REMOTE_INTERVAL_SECONDS,
+    ExchangePlan,
+    list_due,
+    note_bytes,
+)
+from medlarspring_tables import EntryVMId, Member, MemberState, MemberTable, ZoneId
+
+STEP_SECONDS = 0.1
+WARM_UP_SECONDS = 10.0
+"""At first nobody has heard anybody, and both sides of a pair call."""
+
+
+def create_tables(zone_count: int, per_zone: int) -> dict[EntryVMId, MemberTable]:
+    zones = {
+        EntryVMId(f"z{zone}-{number}"): ZoneId(f"z{zone}")
+        for zone in range(zone_count)
+        for number in range(per_zone)
+    }
+    return {
+        own: MemberTable(
+            own,
+            zones[own],
+            {
+                other: Member(other, "ip", zone, MemberState.ALIVE)
+                for other, zone in zones.items()
+                if other != own
+            },
+        )
+        for own in zones
+    }
+
+
+def count_calls(tables: dict[EntryVMId, MemberTable], seconds: float) -> float:
+    """Run all nodes; returns exchanges per node and second, of both directions."""
+    rng = random.Random(3)
+    plans = {own: ExchangePlan() for own in tables}
+    calls = 0
+    for step in range(int((WARM_UP_SECONDS + seconds) / STEP_SECONDS)):
+        now = step * STEP_SECONDS
+        for own, table in tables.items():
+            for member in list_due(plans[own], table, now, rng):
+                calls += 2 * (now >= WARM_UP_SECONDS)
+                member.heard_at = member.reached_at = now
+                tables[member.id].members_by_id[own].heard_at = now
+                note_bytes(plans[own], 300)
+                note_bytes(plans[member.id], 300)
+    return calls / seconds / len(tables)
+
+
+@pytest.mark.parametrize(("zone_count", "per_zone"), [(4, 2), (7, 9)])
+def test_bytes_stay_within_the_budget_at_todays_size_and_at_the_target(
+    zone_count: int, per_zone: int
+):
+    """
+    Every pair of entry VMs exchanges reports. With 64 of them a fixed interval
+    would use up the bytes a node may spend; the one across zones gives way.
+    """
+    calls = count_calls(create_tables(zone_count, per_zone), 30.0)
+    assert calls * 300 < BYTES_PER_SECOND * 1.15
+
+
+def test_one_side_of_a_pair_calls_and_the_other_when_it_hears_nothing():
+    rng = random.Random(3)
+    tables = create_tables(1, 2)
+    due_by_id = {}
+    for own, table in tables.items():
+        member = next(iter(table.members_by_id.values()))
+        member.heard_at = member.reached_at = 0.0
+        due_by_id[own] = list_due(ExchangePlan(), table, 0.1, rng)
+    assert sorted(len(due) for due in due_by_id.values()) == [0, 1]
+    for table in tables.values():
+        assert len(list_due(ExchangePlan(), table, 0.8, rng)) == 1
+
+
+def test_interval_across_zones_has_an_upper_bound():
+    rng = random.Random(3)
+    table = create_tables(400, 1)[EntryVMId("z0-0")]
+    plan = ExchangePlan()
+    due = list_due(plan, table, 100.0, rng)
+    waits = [plan.next_at_by_id[member.id] - 100.0 for member in due]
+    assert max(waits) <= MAX_REMOTE_INTERVAL_SECONDS * 1.1
+    assert min(waits) > REMOTE_INTERVAL_SECONDS
--- /dev/null
+++ b/packages/systems/tests/test_membership.py
@@ -0,0 +1,178 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from medlarspring_systems import membership
+from medlarspring_systems.membership import Heartbeat, MemberEvent
+from medlarspring_tables import (
+    EntryVMId,
+    ListedEntryVM,
+    MemberState,
+    MemberTable,
+    RegionId,
+    Revision,
+    VMList,
+    ZoneId,
+)
+
+OWN = EntryVMId("own")
+PEER = EntryVMId("peer")
+NEAR = ZoneId("zone-1")
+FAR = ZoneId("zone-2")
+
+
+def create_table(*listed: EntryVMId, zone: ZoneId = NEAR) -> MemberTable:
+    table = MemberTable(OWN, NEAR)
+    membership.take_list(table, create_list(*listed, zone=zone), 0.0)
+    return table
+
+
+def create_list(*listed: EntryVMId, zone: ZoneId = NEAR) -> VMList:
+    return VMList(
+        entry_vms_by_id={
+            each: ListedEntryVM(each, f"ip-of-{each}", zone, RegionId("r"))
+            for each in listed
+        }
+    )
+
+
+def beat(sequence: int, incarnation: int = 1, **facts: Any) -> Heartbeat:
+    facts = {"heard": (OWN,), "zone_id": NEAR, "table_revision": Revision(3)} | facts
+    return Heartbeat(sender=PEER, incarnation=incarnation, sequence=sequence, **facts)
+
+
+def hear(table: MemberTable, heartbeat: Heartbeat, now: float) -> list[MemberEvent]:
+    _, changes = membership.take_heartbeat(table, heartbeat, now)
+    return [change.event for change in changes]
+
+
+def test_listed_member_is_alive_only_once_heard():
+    table = create_table(PEER, OWN)
+    assert list(table.members_by_id) == [PEER]
+    assert membership.list_heard(table) == {}
+    assert hear(table, beat(1), 1.0) == [MemberEvent.JOINED]
+    assert membership.list_zone(table) == (OWN, PEER)
+    assert hear(table, beat(2), 1.5) == []
+
+
+def test_member_is_heard_before_the_list_shows_it():
+    table = create_table()
+    hear(table, beat(1, peer_address="10.0.0.9:1"), 1.0)
+    assert membership.list_heard(table)[PEER].peer_address == "10.0.0.9:1"
+    hear(table, beat(2, leaving=True), 2.0)
+    events = [change.event for change in membership.tick(table, 63.0)]
+    assert events == [MemberEvent.FORGOTTEN]
+
+
+@pytest.mark.parametrize(
+    ("zone", "silent_from"),
+    [
+        (NEAR, membership.ZONE_SILENCE_SECONDS),
+        (FAR, membership.REMOTE_SILENCE_SECONDS),
+    ],
+)
+def test_silence_is_noticed_sooner_within_the_zone(zone: ZoneId, silent_from: float):
+    table = create_table(PEER, zone=zone)
+    hear(table, beat(1, zone_id=zone), 0.0)
+    assert membership.tick(table, silent_from) == []
+    events = [change.event for change in membership.tick(table, silent_from + 0.1)]
+    assert events == [MemberEvent.SILENT]
+    assert membership.list_heard(table) == {}
+
+
+def test_leaving_counts_at_once_and_late_reports_do_not_undo_it():
+    """
+    A peer shuts down: its farewell overtakes a report it sent before. Taken in
+    the order of arrival the late one would make it a member again, and it would
+    be asked for slots until its silence is noticed.
+    """
+    table = create_table(PEER)
+    hear(table, beat(1), 0.0)
+    assert hear(table, beat(3, leaving=True), 1.0) == [MemberEvent.LEFT]
+    assert hear(table, beat(2), 1.1) == []
+    assert membership.list_heard(table) == {}
+
+
+def test_replaced_process_cannot_push_its_successor_out():
+    """
+    A process freezes, the platform starts another with the same id and address,
+    and the first one thaws. Its reports carry the former incarnation and must
+    not count, or slots would be granted twice.
+    """
+    table = create_table(PEER)
+    hear(table, beat(90, incarnation=1), 0.0)
+    assert hear(table, beat(1, incarnation=2), 1.0) == [MemberEvent.REPLACED]
+    is_news, _ = membership.take_heartbeat(table, beat(91, incarnation=1), 1.1)
+    assert not is_news
+    assert table.members_by_id[PEER].incarnation == 2
+
+
+def test_refused_connection_proves_the_end_and_hearing_withdraws_it():
+    table = create_table(PEER)
+    hear(table, beat(1), 0.0)
+    changes = membership.note_refused(table, PEER, 0.2)
+    assert [change.event for change in changes] == [MemberEvent.DEAD]
+    assert membership.list_heard(table) == {}
+    assert table.members_by_id[PEER].refused_at == 0.2
+    assert hear(table, beat(1, incarnation=2), 5.0) == [MemberEvent.REPLACED]
+    assert table.members_by_id[PEER].refused_at is None
+    assert table.members_by_id[PEER].state is MemberState.ALIVE
+
+
+def test_own_freeze_is_not_taken_for_the_silence_of_all_others():
+    """
+    This process is paused for a minute. On waking up every peer looks silent,
+    and it would take over each watch and each pool of its zone at once.
+    """
+    table = create_table(PEER)
+    hear(table, beat(1), 0.0)
+    membership.note_freeze(table, 60.0, 60.1)
+    assert membership.tick(table, 60.1) == []
+    assert membership.tick(table, 62.2) != []
+
+
+def test_flapping_member_gets_no_new_duties_for_a_growing_while():
+    """
+    A link comes and goes every few seconds. Each return would move watches and
+    pools back to the member, and each cut away again; it serves, but waits.
+    """
+    table = create_table(PEER)
+    now = 0.0
+    held_down = []
+    for sequence in range(1, 6):
+        hear(table, beat(sequence), now)
+        assert PEER in membership.list_heard(table)
+        held_down.append(table.members_by_id[PEER].steady_at - now)
+        assert (PEER in membership.list_steady(table, now)) == (held_down[-1] <= 0)
+        now += 3.0
+        membership.tick(table, now)
+    assert held_down[2:] == [5.0, 10.0, 20.0]
+    assert max(held_down[:2]) <= 0
+    hear(table, beat(6), now)
+    now += membership.CALM_SECONDS + 1
+    hear(table, beat(7), now)
+    assert table.members_by_id[PEER].falls == 0
+
+
+@pytest.mark.parametrize(
+    ("heard", "reached"), [((), True), ((OWN,), False)], ids=["deaf", "unreachable"]
+)
+def test_cut_in_one_direction_is_noticed(heard: tuple[EntryVMId, ...], reached: bool):
+    """
+    Reports of the peer arrive, but it does not hear this process or no call
+    reaches it. Either side alone looks healthy; status has to show the cut.
+    """
+    table = create_table(PEER)
+    seen = []
+    for now in range(70):
+        hear(table, beat(now + 1, heard=heard), now)
+        if reached:
+            table.members_by_id[PEER].reached_at = now
+        seen += [change.event for change in membership.tick(table, now)]
+    assert seen == [MemberEvent.ONE_WAY]
+    table.members_by_id[PEER].reached_at = 70.0
+    hear(table, beat(99), 70.0)
+    events = [change.event for change in membership.tick(table, 70.0)]
+    assert events == [MemberEvent.BOTH_WAYS]
--- /dev/null
+++ b/packages/systems/tests/test_vm_list_view.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+import pytest
+
+from medlarspring_systems.vm_list_view import CONFIRMATIONS, VMListView, take_answer
+from medlarspring_tables import ListedVM, PoolId, RackId, RegionId, VMId, VMList, ZoneId
+
+
+def create_list(count: int) -> VMList:
+    vms = [
+        ListedVM(
+            VMId(f"vm-{number}"),
+            "ip",
+            PoolId("p"),
+            RackId("r"),
+            ZoneId("z"),
+            RegionId("g"),
+        )
+        for number in range(count)
+    ]
+    return VMList(vms_by_id={vm.id: vm for vm in vms})
+
+
+@pytest.mark.parametrize(
+    ("left", "tries"),
+    [(10, 1), (9, 1), (5, 1), (4, CONFIRMATIONS), (0, CONFIRMATIONS)],
+)
+def test_answer_that_drops_most_vms_has_to_come_several_times(left: int, tries: int):
+    """
+    The platform rebuilds its list and answers with a part of it for a moment.
+    Taken at once, every request would be refused for want of an upstream.
+    """
+    view = VMListView()
+    assert take_answer(view, create_list(10))
+    used = [take_answer(view, create_list(left)) for _ in range(tries)]
+    assert used == [False] * (tries - 1) + [True]
+    assert view.current == create_list(left)
+
+
+def test_doubt_ends_with_a_whole_answer():
+    view = VMListView()
+    take_answer(view, create_list(10))
+    assert not take_answer(view, create_list(0))
+    assert take_answer(view, create_list(10))
+    assert not take_answer(view, create_list(0))
