--- a/packages/daemon/src/medlarspring_daemon/node.py
+++ b/packages/daemon/src/medlarspring_daemon/node.py
@@ -15,6 +15,8 @@
     import random
     from collections.abc import Callable, Mapping
 
+    from aiohttp import web
+
     from medlarspring_adapters import peer_pb2
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.events import EventLog
@@ -163,6 +165,8 @@
     config: ConfigTable | None = None
     """The table in force; written by the configuration service."""
     config_listeners: list[Callable[[ConfigTable], None]] = field(default_factory=list)
+    offer_table: Callable[[ConfigTable], None] = lambda table: None
+    """Takes a table that was just accepted; written by the configuration service."""
     vm_list: VMList | None = None
     """The newest list; written by the VM list service."""
     report_parts: list[ReportPart] = field(default_factory=list)
@@ -171,6 +175,8 @@
     """Written by the peer service."""
     holders: Holders = field(default_factory=NoHolders)
     """Written by the holder service."""
+    operator_routes: list[web.RouteDef] = field(default_factory=list)
+    """Routes of the operator port; parts add theirs before it starts."""
     addresses: dict[str, str] = field(default_factory=dict)
     """Real addresses of the open ports by port name."""
     stopping: bool = False
