--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/callers.py
@@ -0,0 +1,172 @@
+"""Callers of the demo and the scenarios: they retry as callers are told to."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+from msgspec import Struct
+
+from medlarspring_bench.history import Attempt, Call, Seen
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+PROBLEM = "application/problem+json"
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+GRACE_SECONDS = 3.0
+"""Beyond its deadline a request may take so long until the caller gives up."""
+FIRST_PAUSE_SECONDS = 0.1
+
+
+class Wish(Struct, kw_only=True):
+    """What a caller wants."""
+
+    id: str
+    partner: str
+    credential: str
+    method: str
+    path: str
+    """Service, path and query."""
+    body: bytes = b""
+    key: str = ""
+    urgency: int = 3
+    repeatable: bool = False
+    timeout_seconds: float = 5.0
+    patience_seconds: float = 15.0
+    """How long the caller goes on trying."""
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether an attempt of unknown outcome may be sent again."""
+        return bool(self.key) or self.repeatable or self.method in SAFE_METHODS
+
+
+class UpstreamAnswer(Struct):
+    """The part of the upstream stand-in's answer that callers check."""
+
+    request_id: str
+    digest: str
+
+
+class Refused(Struct):
+    """The part of a refusal that callers act on."""
+
+    outcome: str
+    reason: str = ""
+
+
+class Callers:
+    """Sends wishes to one address and keeps what came of them."""
+
+    def __init__(self, address: str, max_connections: int = 256) -> None:
+        self.address = address
+        self.calls: list[Call] = []
+        self._max_connections = max_connections
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Callers:
+        connector = aiohttp.TCPConnector(limit=self._max_connections)
+        self._session = aiohttp.ClientSession(connector=connector)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        assert self._session is not None
+        await self._session.close()
+
+    async def make(self, wish: Wish, address: str = "") -> Call:
+        """Try until the wish is answered or patience ends."""
+        call = Call(
+            id=wish.id,
+            partner=wish.partner,
+            repeatable=wish.may_repeat and not wish.key,
+            digest=hashlib.sha256(wish.body).hexdigest(),
+            key=wish.key,
+        )
+        self.calls.append(call)
+        patience_ends = time.monotonic() + wish.patience_seconds
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            attempt, retry_after = await self._try(wish, call, address)
+            call.attempts.append(attempt)
+            if not _goes_on(wish, attempt):
+                return call
+            pause = max(pause * 2, retry_after)
+            if time.monotonic() + pause > patience_ends:
+                return call
+            await asyncio.sleep(pause)
+
+    async def _try(self, wish: Wish, call: Call, address: str) -> tuple[Attempt, float]:
+        request_id = f"{wish.id}.{len(call.attempts) + 1}"
+        now = time.monotonic()
+        attempt = Attempt(request_id, now, now, Seen.NOTHING)
+        retry_after = 0.0
+        started = False
+        assert self._session is not None
+        try:
+            async with asyncio.timeout(wish.timeout_seconds + GRACE_SECONDS):
+                request = self._session.request(
+                    wish.method,
+                    f"http://{address or self.address}{wish.path}",
+                    data=wish.body or None,
+                    headers=_headers(wish, request_id),
+                )
+                async with request as response:
+                    started = True
+                    body = await response.read()
+                    attempt.status = response.status
+                    retry_after = float(response.headers.get("Retry-After", "0"))
+                    _read_answer(attempt, response.headers, body)
+        except TimeoutError:
+            attempt.seen = Seen.CUT if started else Seen.NOTHING
+        except (aiohttp.ClientError, OSError):
+            attempt.seen = Seen.CUT if started else Seen.RESET
+        attempt.ended_at = time.monotonic()
+        return attempt, retry_after
+
+
+def _headers(wish: Wish, request_id: str) -> dict[str, str]:
+    headers = {
+        "Authorization": f"Bearer {wish.credential}",
+        "Request-Id": request_id,
+        "Request-Timeout": f"{wish.timeout_seconds:g}",
+        "Priority": f"u={wish.urgency}",
+    }
+    if wish.key:
+        headers["Idempotency-Key"] = wish.key
+    if wish.repeatable:
+        headers["Repeatable"] = "?1"
+    return headers
+
+
+def _read_answer(attempt: Attempt, headers: Mapping[str, str], body: bytes) -> None:
+    if headers.get("Content-Type", "").startswith(PROBLEM):
+        refused = msgspec.json.decode(body, type=Refused)
+        attempt.seen = Seen(refused.outcome)
+        attempt.reason = refused.reason
+        return
+    try:
+        answer = msgspec.json.decode(body, type=UpstreamAnswer)
+    except msgspec.MsgspecError:
+        attempt.seen = Seen.UNKNOWN
+        attempt.reason = f"not an upstream's answer: {body[:80]!r}"
+        return
+    attempt.seen = Seen.ANSWERED
+    attempt.answered_id = answer.request_id
+    attempt.answered_digest = answer.digest
+
+
+def _goes_on(wish: Wish, attempt: Attempt) -> bool:
+    """Whether the caller may send the wish again."""
+    if attempt.seen is Seen.ANSWERED:
+        return False
+    if attempt.seen is Seen.NOT_RUN:
+        return attempt.status in (429, 503, 504)
+    return wish.may_repeat
+
+
+__all__ = ["Callers", "Wish"]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/cluster.py
@@ -0,0 +1,306 @@
+"""A whole deployment as real processes: stand-ins, daemons, command line."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+from msgspec import Struct
+
+from medlarspring_bench.control_client import call, control
+from medlarspring_bench.waiting import wait_for
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from medlarspring_bench.example import Example
+    from medlarspring_bench.processes import Process, Processes
+
+STANDINS = "medlarspring_bench.standins"
+OPERATOR_TOKEN = "operator-token-of-the-demo"
+PEER_TOKEN = "peer-token-of-the-demo"
+EXIT_SECONDS = 40.0
+
+
+class DaemonAddresses(Struct):
+    """Where one daemon listens."""
+
+    caller: str
+    operator: str
+    peer: str
+
+
+class ClusterOptions(Struct, kw_only=True):
+    """What differs between the demo and the scenarios."""
+
+    seed: int = 1
+    lag_seconds: float = 2.0
+    """Age of the VM list."""
+    service_ms: float = 20.0
+    upstream_processes: int = 2
+    skew: float = 1.0
+    """Weight of the first daemon at the balancer, all others having 1."""
+    linked: bool = False
+    """Lead the ways between zones over links that can be cut."""
+
+
+class Cluster:
+    """Starts everything concurrently and knows all addresses."""
+
+    def __init__(
+        self,
+        example: Example,
+        directory: Path,
+        processes: Processes,
+        options: ClusterOptions | None = None,
+    ) -> None:
+        self.example = example
+        self.platform = example.platform
+        self.processes = processes
+        self.options = options or ClusterOptions()
+        self.daemons_by_id: dict[str, DaemonAddresses] = {}
+        self.zones_by_id: dict[str, str] = dict(self.platform.entry_vms())
+        self.vm_addresses_by_id: dict[str, str] = {}
+        self.store: dict[str, Any] = {}
+        self.vm_list: dict[str, Any] = {}
+        self.balancer: dict[str, Any] = {}
+        self.upstream_controls: list[str] = []
+        self.links = ""
+        self._directory = directory
+        self._control_by_vm: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Start all processes and wait until every port is open."""
+        self._start_standins()
+        for id_ in self.zones_by_id:
+            self.start_daemon(id_)
+        for id_ in self.zones_by_id:
+            self.wait_for_daemon(id_)
+        self._fill_vm_list()
+        self.set_backends(
+            {
+                id_: self.options.skew if number == 0 else 1.0
+                for number, id_ in enumerate(self.zones_by_id)
+            }
+        )
+
+    def load_table(self) -> None:
+        """Import the operators' table and wait until every daemon is ready."""
+        self.run_cli("table", "import", str(self.example.table), "--yes")
+        for id_ in self.zones_by_id:
+            wait_for(lambda id_=id_: self.is_ready(id_), f"{id_} ready", 20.0)  # type: ignore[misc]
+
+    def start_daemon(self, id_: str) -> Process:
+        """Start a daemon, or start it again."""
+        settings = self._directory / f"{id_}.toml"
+        settings.write_text(self._settings(id_), encoding="utf-8")
+        return self.processes.start_daemon(id_, settings)
+
+    def wait_for_daemon(self, id_: str) -> DaemonAddresses:
+        """Wait until a daemon's ports are open."""
+        record = self.processes.by_name[id_].wait_until_listening()
+        addresses = DaemonAddresses(
+            record["caller"], record["operator"], record["peer"]
+        )
+        self.daemons_by_id[id_] = addresses
+        return addresses
+
+    def is_ready(self, id_: str) -> bool:
+        """Ask a daemon's readiness."""
+        try:
+            return call("GET", self.daemons_by_id[id_].caller, "/readyz").status == 200
+        except OSError:
+            return False
+
+    def set_backends(self, weights_by_id: dict[str, float]) -> None:
+        """Tell the balancer which daemons there are."""
+        backends = [
+            {"address": self.daemons_by_id[id_].caller, "weight": weight}
+            for id_, weight in weights_by_id.items()
+        ]
+        control("PUT", self.balancer["control"], "backends", backends)
+
+    def wait_for_balancer(self, count: int) -> None:
+        """Wait until the balancer finds so many daemons ready."""
+        wait_for(
+            lambda: (
+                len(control("GET", self.balancer["control"], "backends")["ready"])
+                == count
+            ),
+            f"balancer sees {count} ready daemons",
+        )
+
+    def run_cli(self, *arguments: str, status: int | None = 0) -> str:
+        """Run ``medlarspring`` against all daemons; returns what it wrote."""
+        name = f"medlarspring {' '.join(arguments[:2])}"
+        command = [sys.executable, "-m", "medlarspring_cli.application", *arguments]
+        addresses = ",".join(one.operator for one in self.daemons_by_id.values())
+        process = self.processes.start(
+            name,
+            command,
+            {
+                "MEDLARSPRING_ADDRESS": addresses,
+                "MEDLARSPRING_TOKEN_FILE": str(self._token_file("operator")),
+            },
+        )
+        found = process.wait(EXIT_SECONDS)
+        if status is not None and found != status:
+            raise AssertionError(f"{name}: status {found}\n{process.output()}")
+        return process.output()
+
+    def store_faults(self, **faults: object) -> None:
+        """Switch faults of the key-value service."""
+        control("POST", self.store["control"], "faults", faults)
+
+    def vm_faults(self, vm: str, **faults: object) -> None:
+        """Switch faults of one upstream VM's port."""
+        body = {"gate": vm, **faults}
+        control("POST", self._control_by_vm[vm], "faults", body)
+
+    def set_vm_state(self, vm: str, state: str) -> None:
+        """Let an upstream VM leave without a word to the list."""
+        control("POST", self._control_by_vm[vm], f"vms/{vm}", {"state": state})
+
+    def cut_zones(self, first: str, second: str, cut: bool = True) -> None:
+        """Cut two zones off from each other, or heal the cut."""
+        for group in (f"{first}>{second}", f"{second}>{first}"):
+            control("POST", self.links, "faults", {"gate": group, "down": cut})
+
+    def upstream_records(self, kind: str) -> list[Any]:
+        """Return ``runs`` or ``refusals`` of all upstream VMs."""
+        return [
+            record
+            for address in self.upstream_controls
+            for record in control("GET", address, kind)
+        ]
+
+    def _start_standins(self) -> None:
+        start = self.processes.start_module
+        zones = ",".join(self.platform.zones)
+        seed = str(self.options.seed)
+        gates = ("--gates", zones)
+        lag = ("--lag-seconds", str(self.options.lag_seconds))
+        store = start("key_value", f"{STANDINS}.key_value", *gates)
+        vm_list = start("vm_list", f"{STANDINS}.vm_list", *gates, *lag)
+        balancer = start("balancer", f"{STANDINS}.balancer", "--seed", seed)
+        upstreams = [
+            self._start_upstream(number)
+            for number in range(self.options.upstream_processes)
+        ]
+        if self.options.linked:
+            links = start("links", f"{STANDINS}.links")
+            self.links = links.wait_for_announcement()["control"]
+        self.store = store.wait_for_announcement()
+        self.vm_list = vm_list.wait_for_announcement()
+        self.balancer = balancer.wait_for_announcement()
+        for process in upstreams:
+            self._take_upstream(process.wait_for_announcement())
+
+    def _start_upstream(self, number: int) -> Process:
+        ids = [vm for rack in self.platform.racks for vm in rack.vm_ids()]
+        own = ids[number :: self.options.upstream_processes]
+        return self.processes.start_module(
+            f"upstream-{number + 1}",
+            f"{STANDINS}.upstream",
+            *("--vms", ",".join(own)),
+            *("--seed", str(self.options.seed)),
+            *("--service-ms", str(self.options.service_ms)),
+            *("--slots", str(self.platform.vm.slots)),
+            *("--connections", str(self.platform.vm.connections)),
+        )
+
+    def _take_upstream(self, announced: dict[str, Any]) -> None:
+        self.upstream_controls.append(announced["control"])
+        for vm, address in announced["addresses"].items():
+            self.vm_addresses_by_id[vm] = address
+            self._control_by_vm[vm] = announced["control"]
+
+    def _fill_vm_list(self) -> None:
+        entries = [*self._upstream_entries(), *self._entry_vm_entries()]
+        if self.options.linked:
+            self._link_zones(entries)
+        address = self.vm_list["control"]
+        control("PUT", address, "vms", entries)
+        control("POST", address, "upstreams", {"controls": self.upstream_controls})
+
+    def _upstream_entries(self) -> list[dict[str, Any]]:
+        size = self.platform.vm
+        return [
+            {
+                "targets": [self.vm_addresses_by_id[vm]],
+                "labels": {
+                    "id": vm,
+                    "role": "upstream",
+                    "state": "live",
+                    "pool": rack.pool,
+                    "rack": rack.id,
+                    "zone": rack.zone,
+                    "region": self.platform.region,
+                    "slots": str(size.slots),
+                    "connections": str(size.connections),
+                    "cpus": str(size.cpus),
+                    "memory_gb": str(size.memory_gb),
+                    "accelerators": str(size.accelerators),
+                },
+            }
+            for rack in self.platform.racks
+            for vm in rack.vm_ids()
+        ]
+
+    def _entry_vm_entries(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "targets": [addresses.peer],
+                "labels": {
+                    "id": id_,
+                    "role": "entry",
+                    "state": "live",
+                    "zone": self.zones_by_id[id_],
+                    "region": self.platform.region,
+                },
+            }
+            for id_, addresses in self.daemons_by_id.items()
+        ]
+
+    def _link_zones(self, entries: list[dict[str, Any]]) -> None:
+        """Show each zone the addresses of the others through links."""
+        for zone in self.platform.zones:
+            links = [
+                {
+                    "name": f"{zone}>{entry['labels']['id']}@{entry['targets'][0]}",
+                    "target": entry["targets"][0],
+                    "group": f"{zone}>{entry['labels']['zone']}",
+                }
+                for entry in entries
+                if entry["labels"]["zone"] != zone
+            ]
+            opened = control("POST", self.links, "links", links)
+            targets_by_id = {
+                name.split(">")[1].split("@")[0]: address
+                for name, address in opened.items()
+            }
+            body = {"gate": zone, "targets_by_id": targets_by_id}
+            control("POST", self.vm_list["control"], "targets", body)
+
+    def _settings(self, id_: str) -> str:
+        zone = self.zones_by_id[id_]
+        return self.example.fill_settings(
+            id=id_,
+            zone=zone,
+            region=self.platform.region,
+            store=self.store["gates"][zone],
+            vm_list=self.vm_list["gates"][zone],
+            operator_token_file=str(self._token_file("operator")),
+            peer_token_file=str(self._token_file("peer")),
+        )
+
+    def _token_file(self, port: str) -> Path:
+        path = self._directory / f"{port}.token"
+        if not path.exists():
+            token = OPERATOR_TOKEN if port == "operator" else PEER_TOKEN
+            path.write_text(token + "\n", encoding="utf-8")
+            path.chmod(0o600)
+        return path
+
+
+__all__ = ["Cluster", "ClusterOptions", "DaemonAddresses"]
--- a/packages/bench/src/medlarspring_bench/processes.py
+++ b/packages/bench/src/medlarspring_bench/processes.py
@@ -25,8 +25,10 @@
 KEPT_LINES = 50_000
 PR_SET_PDEATHSIG = 1
 
+RECEIVED_AT = "received_at"
+
 LogRecord = dict[str, Any]
-"""One JSON line that a process wrote."""
+"""One JSON line that a process wrote; ``received_at`` is monotonic time."""
 
 
 class ProcessFailed(Exception):
@@ -145,6 +147,7 @@
             with self._changed:
                 self._lines.append(line)
                 if isinstance(record, dict):
+                    record[RECEIVED_AT] = time.monotonic()
                     self._records.append(record)
                 self._changed.notify_all()
 
@@ -198,4 +201,4 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-__all__ = ["LogRecord", "Process", "ProcessFailed", "Processes"]
+__all__ = ["RECEIVED_AT", "LogRecord", "Process", "ProcessFailed", "Processes"]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/waiting.py
@@ -0,0 +1,32 @@
+"""Waits on conditions; nothing in the tests sleeps for luck."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+T = TypeVar("T")
+
+POLL_SECONDS = 0.02
+
+
+class WaitTimedOut(AssertionError):
+    """The condition did not come true in time."""
+
+
+def wait_for(condition: Callable[[], T | None], what: str, seconds: float = 10.0) -> T:
+    """Return the first true value of ``condition``; fail after ``seconds``."""
+    deadline = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise WaitTimedOut(f"{what}: not within {seconds} s (last: {value!r})")
+        time.sleep(POLL_SECONDS)
+
+
+__all__ = ["WaitTimedOut", "wait_for"]
