--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/demo.py
@@ -0,0 +1,167 @@
+"""``make demo``: an example deployment as real processes, with faults, in a minute."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from rich.console import Console
+
+from medlarspring_bench.background import BackgroundLoop
+from medlarspring_bench.callers import Callers
+from medlarspring_bench.cluster import Cluster
+from medlarspring_bench.control_client import call
+from medlarspring_bench.example import read_example
+from medlarspring_bench.history import History, Leaving, Seen
+from medlarspring_bench.history_checker import (
+    Kind,
+    count_by_kind,
+    describe_end,
+    find_breaches,
+)
+from medlarspring_bench.processes import Processes
+from medlarspring_bench.recording import record_history
+from medlarspring_bench.report import create_table, report_by_partner
+from medlarspring_bench.waiting import wait_for
+from medlarspring_bench.workload import create_wishes, send_paced
+
+if TYPE_CHECKING:
+    from medlarspring_bench.history import Call
+    from medlarspring_bench.history_checker import Breach
+
+FATAL = frozenset({Kind.LOST, Kind.DOUBLED, Kind.CUT})
+EDIT_AT = 0.25
+DRAIN_AT = 0.4
+KILL_AT = 0.6
+SHOWN_BREACHES = 20
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(
+        self, cluster: Cluster, console: Console, options: argparse.Namespace
+    ) -> None:
+        self._cluster = cluster
+        self._console = console
+        self._options = options
+        self._began = time.monotonic()
+        self._sent = 0
+        self._leavings: list[Leaving] = []
+
+    def run(self) -> int:
+        """Start, send, disturb, check; returns the exit status."""
+        cluster = self._cluster
+        cluster.start()
+        self._say(
+            f"{len(cluster.zones_by_id)} daemons in {len(cluster.platform.zones)} zones"
+            f" and {len(cluster.vm_addresses_by_id)} upstream VMs are up"
+        )
+        cluster.load_table()
+        cluster.wait_for_balancer(len(cluster.zones_by_id))
+        self._say("the operators' table is loaded; every daemon is ready")
+        loop = BackgroundLoop()
+        try:
+            calls = self._send_batch(loop)
+        finally:
+            loop.close()
+        return self._conclude(record_history(cluster, calls, self._leavings))
+
+    def _send_batch(self, loop: BackgroundLoop) -> list[Call]:
+        options = self._options
+        wishes = create_wishes(self._cluster.platform, options.requests, options.seed)
+        callers = Callers(self._cluster.balancer["address"])
+
+        async def send() -> None:
+            async with callers:
+                await send_paced(callers, wishes, options.seconds, self._count)
+
+        self._say(f"sending {len(wishes)} requests over {options.seconds:g} s")
+        sending = loop.submit(send())
+        for part, disturb in (
+            (EDIT_AT, self._edit_row),
+            (DRAIN_AT, self._drain_rack),
+            (KILL_AT, self._kill_daemon),
+        ):
+            wait_for(lambda part=part: self._sent >= part * len(wishes), "batch", 60.0)  # type: ignore[misc]
+            disturb()
+        sending.result(120.0)
+        self._say("every call has come to its end")
+        return callers.calls
+
+    def _count(self, number: int) -> None:
+        self._sent = number + 1
+
+    def _edit_row(self) -> None:
+        kind, id_, field = self._cluster.platform.events.edit_row
+        self._cluster.run_cli("table", "set", kind, id_, field)
+        self._say(f"row edited: {kind} {id_} {field}")
+
+    def _drain_rack(self) -> None:
+        cluster = self._cluster
+        wanted = cluster.platform.events.drain_rack
+        (rack,) = (rack for rack in cluster.platform.racks if rack.id == wanted)
+        for vm in rack.vm_ids():
+            path = f"/control/vms/{vm}/drain"
+            call("POST", cluster.vm_list["address"], path, {"revision": 1})
+            self._leavings.append(Leaving(vm, time.monotonic()))
+        self._say(f"rack {wanted} drains")
+
+    def _kill_daemon(self) -> None:
+        id_ = next(iter(self._cluster.zones_by_id))
+        self._cluster.processes.by_name[id_].kill()
+        self._say(f"daemon {id_} killed")
+
+    def _conclude(self, history: History) -> int:
+        breaches = find_breaches(history)
+        title = f"{self._cluster.platform.name}, seed {self._options.seed}"
+        reports = report_by_partner(history.calls, breaches)
+        self._console.print(create_table(title, reports))
+        self._print_faults(history, breaches)
+        fatal = [breach for breach in breaches if breach.kind in FATAL]
+        self._say(
+            f"{len(history.calls)} calls, {len(history.runs)} runs,"
+            f" {len(fatal)} lost, doubled or cut"
+        )
+        return 1 if fatal else 0
+
+    def _print_faults(self, history: History, breaches: list[Breach]) -> None:
+        for kind, count in count_by_kind(breaches).items():
+            self._console.print(f"{kind.value}: {count}")
+        for breach in breaches[:SHOWN_BREACHES]:
+            self._console.print(
+                f"  {breach.kind.value} {breach.subject}: {breach.detail}"
+            )
+        if not self._options.verbose:
+            return
+        for one in history.calls:
+            if one.seen is not Seen.ANSWERED or len(one.attempts) > 1:
+                self._console.print(describe_end(one))
+
+    def _say(self, text: str) -> None:
+        elapsed = time.monotonic() - self._began
+        self._console.print(f"[{elapsed:5.1f} s] {text}", markup=False, highlight=False)
+
+
+def main() -> int:
+    """Parse the command line and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--example", default="njia-moja")
+    parser.add_argument("--requests", type=int, default=800)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--verbose", action="store_true", help="show each retry")
+    options = parser.parse_args()
+    console = Console()
+    with tempfile.TemporaryDirectory() as directory, Processes() as processes:
+        example = read_example(options.example)
+        cluster = Cluster(example, Path(directory), processes)
+        return Demo(cluster, console, options).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
