--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/admission.py
@@ -0,0 +1,123 @@
+"""Whether a request may wait, and when a refused one should come back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.fair_queue import get_partner_queue
+from medlarspring_tables.requests import Outcome, Refusal, RefusalKind, Urgency
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.requests import CallerRequest, PartnerQueue, PoolQueue
+
+MIN_RETRY_SECONDS = 1.0
+MIN_WAITING_PER_PARTNER = 16
+"""Each partner may have this many waiting, however small its weight."""
+
+
+@dataclass(slots=True, frozen=True)
+class WaitingRoom:
+    """How many requests wait in this process, over all services."""
+
+    places: int
+    taken: int
+    taken_by_partner: int
+
+
+def check_admission(
+    pool: PoolQueue,
+    request: CallerRequest,
+    usable_slots: int,
+    room: WaitingRoom,
+    now: Seconds,
+) -> Refusal | None:
+    """Return why a request that would have to wait is refused, if it is.
+
+    A request is refused at once when it would not be answered in time: it
+    would only take the place of one that can.
+    """
+    queue = get_partner_queue(pool, request.partner_id)
+    wait = estimate_wait(pool, queue, request.urgency, usable_slots)
+    if (
+        not _is_full(pool, queue, room)
+        and now + wait + pool.service_seconds <= request.deadline
+    ):
+        return None
+    return refuse_for_load(pool, queue, wait)
+
+
+def refuse_for_load(pool: PoolQueue, queue: PartnerQueue, wait: Seconds) -> Refusal:
+    """Return the refusal of a request whose turn would come too late."""
+    retry_after = max(MIN_RETRY_SECONDS, wait)
+    others = pool.waiting > queue.waiting
+    if others and is_over_share(pool, queue):
+        return Refusal(
+            RefusalKind.OVER_SHARE,
+            Outcome.NOT_RUN,
+            "Others are owed the free slots; send again after Retry-After.",
+            retry_after,
+        )
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        Outcome.NOT_RUN,
+        "The queue is longer than the deadline; send again after Retry-After.",
+        retry_after,
+    )
+
+
+def estimate_wait(
+    pool: PoolQueue, queue: PartnerQueue, urgency: Urgency, usable_slots: int
+) -> Seconds:
+    """Return how long a new request would wait for a slot.
+
+    The partner is served at its share of the rate at least, and the whole
+    queue at the whole rate: the smaller of the two times holds.
+    """
+    rate = max(1, usable_slots) / max(pool.service_seconds, 0.001)
+    if urgency is Urgency.URGENT:
+        return (pool.urgent_waiting + 1) / rate
+    ahead = sum(
+        len(waiting)
+        for kind, waiting in queue.waiting_by_urgency.items()
+        if kind.value <= urgency.value
+    )
+    share = queue.weight / _sum_active_weights(pool, queue)
+    return min((pool.waiting + 1) / rate, (ahead + 1) / (rate * share))
+
+
+def is_over_share(pool: PoolQueue, queue: PartnerQueue) -> bool:
+    """Whether the partner has used more than its weight gives it."""
+    used = sum(other.used for other in pool.queues_by_partner.values())
+    return queue.used * _sum_active_weights(pool, queue) > used * queue.weight
+
+
+def _sum_active_weights(pool: PoolQueue, queue: PartnerQueue) -> float:
+    return sum(
+        other.weight
+        for other in pool.queues_by_partner.values()
+        if other is queue or other.waiting or other.running
+    )
+
+
+def _is_full(pool: PoolQueue, queue: PartnerQueue, room: WaitingRoom) -> bool:
+    """Whether the partner's part of the places is taken, or all of them are.
+
+    Each partner's part goes by weight, so that one partner's flood over all
+    services never takes the places of the others.
+    """
+    if room.taken >= room.places:
+        return True
+    part = queue.weight / max(pool.total_weight, queue.weight)
+    bound = max(MIN_WAITING_PER_PARTNER, int(room.places * part))
+    return room.taken_by_partner >= bound
+
+
+__all__ = [
+    "WaitingRoom",
+    "check_admission",
+    "estimate_wait",
+    "is_over_share",
+    "refuse_for_load",
+]
