Split the steps of VMs and the width of waves; run rounds apart from the loop

Each revision of a record now carries one kind of action, and a VM that came back by itself is closed to late actions before it counts. Seen to fail first: test_vm_that_came_back_by_itself_is_closed_to_late_actions_first, written with the change; before it a late drain could take out a VM that counted as serving.

--- a/packages/adapters/src/medlarspring_adapters/vm_control.py
+++ b/packages/adapters/src/medlarspring_adapters/vm_control.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from medlarspring_systems.disruptions import Action
+    from medlarspring_systems.vm_actions import Action
 
 
 class VMControlError(MedlarspringError):
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_controller.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_controller.py
@@ -21,22 +21,21 @@
     Transaction,
 )
 from medlarspring_adapters.vm_control import VMActionRefused
-from medlarspring_systems.disruptions import Action, choose_action
 from medlarspring_systems.draft import Decided
 from medlarspring_systems.fleet_plan import plan_pool, plan_waves
+from medlarspring_systems.vm_actions import Action, choose_action
 from medlarspring_tables.fleet_tables import key_of_vm
 from medlarspring_tables.vms import VMState
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from medlarspring_adapters.decisions import DecisionLog
     from medlarspring_adapters.events import EventLog
     from medlarspring_adapters.store import Committed, Store
     from medlarspring_adapters.vm_control import VMControl
-    from medlarspring_daemon.node import Holders
     from medlarspring_systems.draft import Draft
-    from medlarspring_systems.maintenance import WidthRule
+    from medlarspring_systems.wave_width import WidthRule
     from medlarspring_tables import ConfigTable, PoolId, Revision, VMId, VMList
     from medlarspring_tables.fleet_tables import FleetTables
     from medlarspring_tables.vms import VMRecord
@@ -67,7 +66,7 @@
         tables: FleetTables,
         store: Store,
         vm_control: VMControl,
-        holders: Holders,
+        fence: Callable[[PoolId], Expect | None],
         decisions: DecisionLog,
         log: EventLog,
         width: WidthRule | None = None,
@@ -75,7 +74,7 @@
         self.tables = tables
         self._store = store
         self._vm_control = vm_control
-        self._holders = holders
+        self._fence = fence
         self._decisions = decisions
         self._log = log
         self._width = width
@@ -172,13 +171,13 @@
         if unsettled is None:
             return True
         transaction, draft = unsettled
-        if self._holders.fence(pool_id) is None:
+        if self._fence(pool_id) is None:
             return False
         await self._commit(pool_id, transaction, draft)
         return pool_id not in self._unsettled and not self.is_store_lost
 
     async def _write(self, pool_id: PoolId, draft: Draft) -> bool:
-        fence = self._holders.fence(pool_id)
+        fence = self._fence(pool_id)
         if fence is None:
             return False
         return await self._commit(pool_id, self._to_transaction(draft, fence), draft)
@@ -251,7 +250,7 @@
 
     async def _act(self, pool_id: PoolId) -> None:
         for vm_id in sorted(self.tables.busy_vm_ids_by_pool.get(pool_id, ())):
-            if self._holders.fence(pool_id) is None:
+            if self._fence(pool_id) is None:
                 return
             record = self.tables.vms_by_id.get(vm_id)
             if record is None or record.pool_id != pool_id:
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_rounds.py
@@ -0,0 +1,139 @@
+"""One round of fleet control work over all pools that this process holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters.events import Event
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.events import EventLog
+    from medlarspring_daemon.node import Holders
+    from medlarspring_daemon.services.fleet_controller import FleetController
+    from medlarspring_tables import ConfigTable, PoolId, Revision, VMList
+
+IDLE_TICK_SECONDS = 5.0
+"""A pool without wave, move or busy VM is looked at this often."""
+SIGHTING_SECONDS = 5.0
+"""VMs not seen for this long count as unseen."""
+PROBE_SECONDS = (1.0, 3.0)
+"""A lost store is tried again after a random time between these."""
+PUT_BACK_AFTER_SECONDS = 10.0
+"""Drained VMs are put back once the store has been out of reach this long."""
+
+
+class FleetRounds:
+    """Takes pools over, looks at their VMs and ticks those that are due."""
+
+    def __init__(
+        self,
+        controller: FleetController,
+        clock: Clock,
+        rng: random.Random,
+        log: EventLog,
+    ) -> None:
+        self._controller = controller
+        self._tables = controller.tables
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._fences: dict[PoolId, Revision] = {}
+        """Holder key by pool, as of the last round with the store in reach."""
+        self._ticked_at: dict[PoolId, float] = {}
+        self._seen_at: dict[PoolId, float] = {}
+        self._store_lost_at: float | None = None
+        self._probe_at = 0.0
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether any pool was held in the last round."""
+        return bool(self._fences)
+
+    async def run(
+        self, holders: Holders, config: ConfigTable, vm_list: VMList | None
+    ) -> None:
+        """Do one round."""
+        now = self._clock.now()
+        if self._controller.is_store_lost and now >= self._probe_at:
+            self._probe_at = now + self._rng.uniform(*PROBE_SECONDS)
+            await self._controller.load()
+        self._note_store(now)
+        if self._store_lost_at is not None:
+            await self._wait_for_store(self._store_lost_at, now)
+            return
+        if not await self._take_over(holders):
+            return
+        due = [each for each in sorted(self._fences) if self._is_due(each, now)]
+        await self._observe(due, now)
+        for pool_id in due:
+            self._ticked_at[pool_id] = now
+            wall = self._clock.wall()
+            await self._controller.tick(pool_id, config, vm_list, wall)
+
+    def _note_store(self, now: float) -> None:
+        if not self._controller.is_store_lost:
+            self._store_lost_at = None
+        elif self._store_lost_at is None:
+            self._store_lost_at = now
+            self._log.warning(Event.FLEET_STORE_LOST, pools=len(self._fences))
+
+    async def _wait_for_store(self, lost_at: float, now: float) -> None:
+        if now - lost_at < PUT_BACK_AFTER_SECONDS:
+            return
+        await self._observe(sorted(self._fences), now)
+        for pool_id in sorted(self._fences):
+            await self._controller.put_back(pool_id)
+
+    async def _take_over(self, holders: Holders) -> bool:
+        fences: dict[PoolId, Revision] = {}
+        for pool_id in holders.held_pools():
+            fence = holders.fence(pool_id)
+            if fence is not None:
+                fences[pool_id] = fence.mod_revision
+        if fences == self._fences:
+            return True
+        # A pool is lost when another process takes it, or when the store cannot
+        # be reached and the lease lapses. In the second case drained VMs would
+        # stand idle with nobody to reboot them, so the pools are let go only
+        # once the store has answered.
+        if not await self._controller.load():
+            return False
+        for pool_id, revision in self._fences.items():
+            if fences.get(pool_id) != revision:
+                self._controller.forget_unsettled(pool_id)
+        self._fences = fences
+        return True
+
+    def _is_due(self, pool_id: PoolId, now: float) -> bool:
+        is_active = (
+            bool(self._tables.busy_vm_ids_by_pool.get(pool_id))
+            or bool(self._tables.open_waves_by_id)
+            or bool(self._tables.open_moves_by_id)
+        )
+        ticked_at = self._ticked_at.get(pool_id)
+        return is_active or ticked_at is None or now - ticked_at >= IDLE_TICK_SECONDS
+
+    async def _observe(self, pool_ids: list[PoolId], now: float) -> None:
+        if not pool_ids:
+            return
+        if await self._controller.observe(pool_ids):
+            self._seen_at.update(dict.fromkeys(pool_ids, now))
+            return
+        self._log.warning(Event.VM_CONTROL_LOST, pools=len(pool_ids))
+        self._forget_sightings(
+            pool_id
+            for pool_id in pool_ids
+            if now - self._seen_at.get(pool_id, 0.0) > SIGHTING_SECONDS
+        )
+
+    def _forget_sightings(self, pool_ids: Iterable[PoolId]) -> None:
+        for pool_id in pool_ids:
+            for vm_id in self._tables.vm_ids_by_pool.get(pool_id, ()):
+                self._tables.sightings_by_id.pop(vm_id, None)
+
+
+__all__ = ["FleetRounds"]
--- a/packages/systems/src/medlarspring_systems/draft.py
+++ b/packages/systems/src/medlarspring_systems/draft.py
@@ -33,7 +33,6 @@
     DRAIN = "drain"
     REBOOT = "reboot"
     MOVE = "move"
-    JOIN_AGAIN = "join again"
     SERVE = "serve"
     PUT_BACK = "put back"
     GIVE_UP = "give up"
--- a/packages/systems/src/medlarspring_systems/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/fleet_plan.py
@@ -6,21 +6,19 @@
 
 from medlarspring_systems.adoption import plan_adoption, plan_forgetting
 from medlarspring_systems.availability import note_failing
-from medlarspring_systems.disruptions import plan_give_up, plan_progress
 from medlarspring_systems.draft import Draft
-from medlarspring_systems.maintenance import (
-    CanaryWidth,
-    WidthRule,
-    plan_wave_drains,
-)
+from medlarspring_systems.maintenance import plan_wave_drains
 from medlarspring_systems.moves import (
     plan_forget_moves,
     plan_move_drains,
     plan_needs,
 )
+from medlarspring_systems.vm_progress import plan_give_up, plan_progress
 from medlarspring_systems.wave_control import plan_standing_wave, plan_wave_control
+from medlarspring_systems.wave_width import CanaryWidth
 
 if TYPE_CHECKING:
+    from medlarspring_systems.wave_width import WidthRule
     from medlarspring_tables import ConfigTable, PoolId, VMList
     from medlarspring_tables.fleet_tables import FleetTables
 
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/vm_progress.py
@@ -0,0 +1,217 @@
+"""Brings every VM that does not serve one step further, on evidence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from medlarspring_systems.availability import (
+    REPLACE_AFTER_SECONDS,
+    count_availability,
+    is_rack_lost,
+)
+from medlarspring_systems.disruptions import MAX_CHANGES
+from medlarspring_systems.draft import Decided
+from medlarspring_systems.vm_actions import has_accepted
+from medlarspring_systems.vm_steps import (
+    drain_again,
+    finish_wave,
+    give_up,
+    is_late_move,
+    join,
+    restore,
+    serve,
+    set_move,
+)
+from medlarspring_tables import VMId, WaveId
+from medlarspring_tables.fleet_tables import key_of_vm
+from medlarspring_tables.moves import MoveId, MoveState
+from medlarspring_tables.vms import CauseKind, Outcome, VMCondition, VMState
+from medlarspring_tables.waves import WaveState
+
+if TYPE_CHECKING:
+    from medlarspring_systems.draft import Draft
+    from medlarspring_tables import PoolRow
+    from medlarspring_tables.vms import VMRecord, VMSighting
+
+DRAIN_LIMIT_SECONDS = 600.0
+"""A drain that takes longer is taken back and reported."""
+RETURN_LIMIT_SECONDS = 900.0
+"""A VM that is not back this long after its reboot is given up."""
+
+
+def plan_progress(draft: Draft, pool: PoolRow, now: float) -> None:
+    """Draft the next step of every VM of the pool that does not serve."""
+    busy = sorted(draft.tables.busy_vm_ids_by_pool.get(pool.id, ()))
+    _put_back_for_budget(draft, pool, busy, now)
+    for vm_id in busy[:MAX_CHANGES]:
+        if key_of_vm(vm_id) not in draft.records_by_key:
+            _plan_vm(draft, vm_id, now)
+
+
+def _put_back_for_budget(
+    draft: Draft, pool: PoolRow, busy: list[VMId], now: float
+) -> None:
+    """Take drains back while unplanned failures hold the pool under its budget."""
+    lacking = -count_availability(draft, pool).room
+    for vm_id in busy:
+        if lacking <= 0:
+            return
+        record = draft.vm(vm_id)
+        if record.state is VMState.DRAINING and not is_late_move(record):
+            restore(draft, record, "budget-needs-it", now)
+            lacking -= 1
+        elif record.state is VMState.RESTORING:
+            lacking -= 1
+
+
+def _plan_vm(draft: Draft, vm_id: VMId, now: float) -> None:
+    record = draft.vm(vm_id)
+    sighting = draft.tables.sightings_by_id.get(vm_id)
+    match record.state:
+        case VMState.DRAINING:
+            _plan_draining(draft, record, sighting, now)
+        case VMState.REBOOTING:
+            _plan_rebooting(draft, record, sighting, now)
+        case VMState.RESTORING:
+            _plan_restoring(draft, record, sighting, now)
+        case VMState.JOINING:
+            _plan_joining(draft, record, sighting, now)
+        case VMState.OUT:
+            _plan_out(draft, record, sighting, now)
+
+
+def _plan_draining(
+    draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
+) -> None:
+    if not is_late_move(record):
+        if not _is_cause_open(draft, record):
+            restore(draft, record, "cause-ended", now)
+            return
+        if now - record.since > DRAIN_LIMIT_SECONDS:
+            finish_wave(draft, record, Outcome.DRAIN_TIMED_OUT, now)
+            restore(draft, draft.vm(record.id), "drain-timed-out", now)
+            return
+    if sighting is None or not has_accepted(draft.tables, record, sighting):
+        return
+    if sighting.condition is VMCondition.SERVING:
+        # A holder cut off from the store put the VM back, or it failed and came
+        # back by itself. A drain of this intent that is still on its way would
+        # take it out again unlisted, so the intent is closed before it counts.
+        restore(draft, record, "serves-again", now)
+    elif sighting.condition is VMCondition.DRAINED:
+        _use_drained(draft, record, sighting, now)
+
+
+def _use_drained(
+    draft: Draft, record: VMRecord, sighting: VMSighting, now: float
+) -> None:
+    if record.target_pool_id is not None:
+        join(draft, record, record.target_pool_id, now)
+        return
+    state = {"state": VMState.REBOOTING, "since": now, "boot": sighting.boot}
+    draft.put(msgspec.structs.replace(record, **state))
+    draft.note(Decided.REBOOT, "drained", vm_id=record.id, boot=sighting.boot)
+
+
+def _plan_rebooting(
+    draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
+) -> None:
+    if sighting is not None and sighting.condition is VMCondition.SERVING:
+        _plan_serving_again(draft, record, sighting, now)
+    elif now - record.since > RETURN_LIMIT_SECONDS:
+        is_lost = is_rack_lost(draft.tables, record)
+        outcome = Outcome.RACK_LOST if is_lost else Outcome.NOT_RETURNED
+        finish_wave(draft, record, outcome, now)
+        give_up(draft, draft.vm(record.id), outcome.value, now)
+
+
+def _plan_serving_again(
+    draft: Draft, record: VMRecord, sighting: VMSighting, now: float
+) -> None:
+    is_rebooted = sighting.boot > record.boot
+    if is_rebooted and has_accepted(draft.tables, record, sighting):
+        finish_wave(draft, record, Outcome.BACK, now)
+        serve(draft, draft.vm(record.id), "returned", now)
+    elif is_rebooted:
+        # It failed and came back before the reboot was asked. A reboot that is
+        # still on its way must not reach it once it serves.
+        finish_wave(draft, record, Outcome.BACK, now)
+        restore(draft, draft.vm(record.id), "rebooted-by-itself", now)
+    else:
+        # A holder cut off from the store put it back. Rebooting it now would
+        # cut requests, and a second drain under this revision could reach it
+        # after its return; so it is drained under an intent of its own.
+        drain_again(draft, record, record.target_pool_id, now)
+
+
+def _plan_restoring(
+    draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
+) -> None:
+    if (
+        sighting is not None
+        and sighting.condition is VMCondition.SERVING
+        and has_accepted(draft.tables, record, sighting)
+    ):
+        if sighting.pool_id != record.pool_id:
+            drain_again(draft, record, record.pool_id, now)
+        else:
+            serve(draft, record, "put-back", now)
+    elif now - record.since > RETURN_LIMIT_SECONDS:
+        give_up(draft, record, "put-back-failed", now)
+
+
+def _plan_joining(
+    draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
+) -> None:
+    if sighting is not None and sighting.condition is VMCondition.SERVING:
+        has_joined = sighting.pool_id == record.pool_id
+        if has_joined and has_accepted(draft.tables, record, sighting):
+            set_move(draft, record, MoveState.DONE, now)
+            serve(draft, record, "joined", now)
+        else:
+            drain_again(draft, record, record.pool_id, now)
+    elif now - record.since > RETURN_LIMIT_SECONDS:
+        set_move(draft, record, MoveState.DONE, now)
+        give_up(draft, record, "join-failed", now)
+
+
+def _plan_out(
+    draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
+) -> None:
+    if sighting is None or sighting.condition is not VMCondition.SERVING:
+        return
+    # The VM was given up with an action perhaps still on its way to it; the
+    # restoration makes the platform refuse that one from now on.
+    restore(draft, record, "returned-late", now)
+
+
+def plan_give_up(draft: Draft, pool: PoolRow, now: float) -> None:
+    """Give up VMs that failed on their own long ago, so that they are replaced."""
+    tables = draft.tables
+    for vm_id in sorted(tables.vm_ids_by_pool.get(pool.id, ())):
+        since = tables.failing_since_by_id.get(vm_id)
+        if since is None or now - since <= REPLACE_AFTER_SECONDS:
+            continue
+        record = draft.vm(vm_id)
+        if record.state is VMState.SERVING and record.pool_id == pool.id:
+            give_up(draft, record, "failed-on-its-own", now)
+
+
+def _is_cause_open(draft: Draft, record: VMRecord) -> bool:
+    if record.cause is None:
+        return False
+    if record.cause.kind is CauseKind.MOVE:
+        move = draft.move(MoveId(record.cause.id))
+        return move is not None and move.is_open
+    wave = draft.tables.waves_by_id.get(WaveId(record.cause.id))
+    return wave is not None and wave.state is WaveState.RUNNING
+
+
+__all__ = [
+    "DRAIN_LIMIT_SECONDS",
+    "RETURN_LIMIT_SECONDS",
+    "plan_give_up",
+    "plan_progress",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/vm_steps.py
@@ -0,0 +1,135 @@
+"""Single steps of a VM's record, each with what it drags along."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from medlarspring_systems.draft import Decided
+from medlarspring_tables import WaveId
+from medlarspring_tables.moves import MoveId, MoveState
+from medlarspring_tables.vms import CauseKind, Outcome, VMState
+
+if TYPE_CHECKING:
+    from medlarspring_systems.draft import Draft
+    from medlarspring_tables import PoolId
+    from medlarspring_tables.vms import VMRecord
+
+
+def join(draft: Draft, record: VMRecord, pool_id: PoolId, now: float) -> None:
+    """Move a drained VM: the one write that changes its pool."""
+    draft.unlist_in_pool(record)
+    joined = msgspec.structs.replace(
+        record,
+        pool_id=pool_id,
+        target_pool_id=None,
+        state=VMState.JOINING,
+        since=now,
+    )
+    draft.put(joined)
+    set_move(draft, record, MoveState.JOINING, now)
+    draft.note(
+        Decided.MOVE,
+        "drained",
+        vm_id=record.id,
+        from_pool=record.pool_id,
+        to_pool=pool_id,
+    )
+
+
+def drain_again(
+    draft: Draft, record: VMRecord, target_pool_id: PoolId | None, now: float
+) -> None:
+    """Drain a VM that serves although its record intends otherwise."""
+    again = {
+        "state": VMState.DRAINING,
+        "since": now,
+        "target_pool_id": target_pool_id,
+    }
+    draft.put(msgspec.structs.replace(record, **again))
+    draft.note(Decided.DRAIN, "put-back-seen", vm_id=record.id)
+
+
+def restore(draft: Draft, record: VMRecord, rule: str, now: float) -> None:
+    """Take a drain back, and close its intent to late actions."""
+    state = {"state": VMState.RESTORING, "since": now, "target_pool_id": None}
+    draft.put(msgspec.structs.replace(record, **state))
+    if record.state is VMState.DRAINING:
+        set_move(draft, record, MoveState.WANTED, now)
+    draft.note(Decided.PUT_BACK, rule, vm_id=record.id)
+
+
+def serve(draft: Draft, record: VMRecord, rule: str, now: float) -> None:
+    """Count the VM again and take it off both lists."""
+    draft.unlist_in_pool(record)
+    draft.unlist_in_zone(record)
+    draft.put(
+        msgspec.structs.replace(
+            draft.vm(record.id),
+            state=VMState.SERVING,
+            since=now,
+            cause=None,
+            target_pool_id=None,
+        )
+    )
+    draft.note(Decided.SERVE, rule, vm_id=record.id)
+
+
+def give_up(draft: Draft, record: VMRecord, rule: str, now: float) -> None:
+    """Count the VM no more, so that it is replaced."""
+    draft.unlist_in_pool(record)
+    draft.unlist_in_zone(record)
+    state = {"state": VMState.OUT, "since": now, "target_pool_id": None}
+    draft.put(msgspec.structs.replace(record, **state))
+    draft.note(Decided.GIVE_UP, rule, vm_id=record.id)
+
+
+def finish_wave(draft: Draft, record: VMRecord, outcome: Outcome, now: float) -> None:
+    """Note how the VM's part in its wave ended."""
+    if record.cause is None or record.cause.kind is not CauseKind.WAVE:
+        return
+    is_back = outcome is Outcome.BACK
+    draft.put(
+        msgspec.structs.replace(
+            record,
+            wave_id=WaveId(record.cause.id),
+            outcome=outcome,
+            finished_at=now,
+            maintained_at=now if is_back else record.maintained_at,
+        )
+    )
+    draft.note(
+        Decided.VM_ENDED,
+        outcome.value,
+        vm_id=record.id,
+        wave_id=WaveId(record.cause.id),
+    )
+
+
+def set_move(draft: Draft, record: VMRecord, state: MoveState, now: float) -> None:
+    """Bring the VM's move, if there is one, to a state."""
+    if record.cause is None or record.cause.kind is not CauseKind.MOVE:
+        return
+    move = draft.move(MoveId(record.cause.id))
+    if move is None or not move.is_open:
+        return
+    ended_at = now if state is MoveState.DONE else 0.0
+    draft.put(msgspec.structs.replace(move, state=state, ended_at=ended_at))
+
+
+def is_late_move(record: VMRecord) -> bool:
+    """Say whether the VM belongs to its new pool before the platform knows."""
+    return record.target_pool_id == record.pool_id
+
+
+__all__ = [
+    "drain_again",
+    "finish_wave",
+    "give_up",
+    "is_late_move",
+    "join",
+    "restore",
+    "serve",
+    "set_move",
+]
--- a/packages/systems/src/medlarspring_systems/wave_control.py
+++ b/packages/systems/src/medlarspring_systems/wave_control.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from medlarspring_systems.draft import Decided
-from medlarspring_systems.maintenance import EVIDENCE_DEPTH, find_evidence
+from medlarspring_systems.wave_width import EVIDENCE_DEPTH, find_evidence
 from medlarspring_tables import MedlarspringError, WaveId
 from medlarspring_tables.vms import Outcome, VMState
 from medlarspring_tables.waves import WaveRecord, WaveState
--- a/packages/systems/tests/test_disruptions.py
+++ b/packages/systems/tests/test_disruptions.py
@@ -4,14 +4,14 @@
 import pytest
 from returns.pipeline import is_successful
 
-from medlarspring_systems.disruptions import (
+from medlarspring_systems.disruptions import disrupt_vm
+from medlarspring_systems.draft import Draft
+from medlarspring_systems.vm_actions import Action, choose_action
+from medlarspring_systems.vm_progress import (
     DRAIN_LIMIT_SECONDS,
     RETURN_LIMIT_SECONDS,
-    Action,
-    choose_action,
-    disrupt_vm,
 )
-from medlarspring_systems.draft import Draft
+from medlarspring_systems.wave_control import pause_wave
 from medlarspring_tables import FleetRow, PoolId, VMId, WaveId
 from medlarspring_tables.vms import (
     Cause,
@@ -122,6 +122,8 @@
     assert fleet.vm("a4").outcome is Outcome.NOT_RETURNED
     fleet.see("a4", VMCondition.SERVING, boot=2)
     fleet.tick()
+    fleet.see("a4", VMCondition.SERVING)
+    fleet.tick()
     assert fleet.vm("a4").state is VMState.SERVING
 
 
@@ -129,11 +131,46 @@
     """
     The holder saw the VM drained and wrote the intent to reboot it. Meanwhile a
     former holder, cut off from the store, had put the VM back, and requests run
-    on it. A reboot now would cut them, so the VM is drained once more.
+    on it. A reboot now would cut them, so the VM is drained once more, under a
+    revision of its own.
     """
     fleet.start_wave()
     fleet.tick()
     fleet.see("a0", VMCondition.DRAINED)
     fleet.tick()
+    assert fleet.vm("a0").state is VMState.REBOOTING
     fleet.tables.sightings_by_id[VMId("a0")].condition = VMCondition.SERVING
+    fleet.tick()
+    assert fleet.vm("a0").state is VMState.DRAINING
     assert choose_action(fleet.tables, fleet.vm("a0")) is Action.DRAIN
+
+
+@pytest.mark.parametrize("state", [VMState.DRAINING, VMState.REBOOTING, VMState.OUT])
+def test_vm_that_came_back_by_itself_is_closed_to_late_actions_first(fleet, state):
+    """
+    A VM fails in the middle of its maintenance and boots by itself. A drain or
+    reboot sent by a frozen holder may still arrive; were the VM counted at
+    once, it would then be taken out unlisted. It counts only after the platform
+    has accepted a newer revision.
+    """
+    fleet.start_wave()
+    fleet.tick()
+    if state is not VMState.DRAINING:
+        fleet.see("a0", VMCondition.DRAINED)
+        fleet.tick()
+    if state is VMState.OUT:
+        fleet.tables.sightings_by_id[VMId("a0")].condition = VMCondition.DOWN
+        fleet.tick(seconds=RETURN_LIMIT_SECONDS + 1)
+    assert fleet.vm("a0").state is state
+    seen = fleet.tables.sightings_by_id[VMId("a0")]
+    if state is VMState.DRAINING:
+        fleet.see("a0", VMCondition.DRAINING)
+    seen = fleet.tables.sightings_by_id[VMId("a0")]
+    seen.condition, seen.boot = VMCondition.SERVING, 2
+    fleet.tick()
+    assert fleet.vm("a0").state is VMState.RESTORING
+    assert choose_action(fleet.tables, fleet.vm("a0")) is Action.RESTORE
+    fleet.put(pause_wave(fleet.wave(), "enough", fleet.now).unwrap())
+    fleet.see("a0", VMCondition.SERVING)
+    fleet.tick()
+    assert fleet.vm("a0").state is VMState.SERVING
--- a/packages/systems/tests/test_maintenance.py
+++ b/packages/systems/tests/test_maintenance.py
@@ -2,14 +2,9 @@
 
 import msgspec
 
-from medlarspring_systems.disruptions import RETURN_LIMIT_SECONDS
 from medlarspring_systems.draft import Draft
-from medlarspring_systems.maintenance import (
-    SpareWidth,
-    Step,
-    measure_progress,
-    plan_wave_drains,
-)
+from medlarspring_systems.maintenance import plan_wave_drains
+from medlarspring_systems.vm_progress import RETURN_LIMIT_SECONDS
 from medlarspring_systems.wave_control import (
     PERIOD_SECONDS,
     PROBATION_SECONDS,
@@ -18,6 +13,8 @@
     pause_wave,
     resume_wave,
 )
+from medlarspring_systems.wave_progress import Step, measure_progress
+from medlarspring_systems.wave_width import SpareWidth
 from medlarspring_tables import FleetRow, PoolId, VMId, WaveId
 from medlarspring_tables.vms import VMCondition, VMState
 from medlarspring_tables.waves import WaveState
--- a/packages/systems/tests/test_moves.py
+++ b/packages/systems/tests/test_moves.py
@@ -101,8 +101,9 @@
     fleet.put(*wish(1))
     fleet.tick("b")
     (vm,) = fleet.states(VMState.DRAINING)
-    fleet.see(vm, VMCondition.SERVING)
-    fleet.tick("b")
+    for _ in range(2):
+        fleet.see(vm, VMCondition.SERVING)
+        fleet.tick("b")
     assert fleet.vm(vm).pool_id == "b"
     assert move_states(fleet) == [MoveState.DRAINING]
     assert fleet.tables.sightings_by_id[VMId(vm)].revision < Revision(fleet.revision)
