--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -58,6 +58,10 @@
     POOL_HELD = (4020, "this process holds a pool's control work")
     POOL_RELEASED = (4021, "this process gave up a pool's control work")
     HOLDER_LEASE_LAPSED = (4022, "the lease on control work has lapsed")
+    EDIT_ACCEPTED = (8001, "an edit of the table was accepted")
+    EDIT_REFUSED = (8002, "an edit of the table was not accepted")
+    OPERATOR_REFUSED = (8003, "an operator's request had no valid token")
+    OPERATOR_FAILED = (8004, "an operator's request failed inside the daemon")
 
     @property
     def number(self) -> int:
