Keep a cancellation that a watch brings while the holder writes

Cause: a refused write was taken back to the record from before the watch's news, under the newer revision, so that the next round placed a cancelled job. Seen to fail first: test_cancellation_that_a_watch_brings...

--- a/packages/adapters/src/medlarspring_adapters/job_store.py
+++ b/packages/adapters/src/medlarspring_adapters/job_store.py
@@ -9,7 +9,14 @@
 import msgspec
 from returns.pipeline import is_successful
 
-from medlarspring_adapters.store import Expect, Put, Store, StoreError, Transaction
+from medlarspring_adapters.store import (
+    Delete,
+    Expect,
+    Put,
+    Store,
+    StoreError,
+    Transaction,
+)
 from medlarspring_tables import Job, JobId, PoolId, Revision
 
 if TYPE_CHECKING:
@@ -17,7 +24,7 @@
 
     from returns.result import Result
 
-    from medlarspring_adapters.store import Committed, Listing
+    from medlarspring_adapters.store import Committed, Entry, Listing
 
 JOBS_PREFIX = "fleet/jobs/"
 MAX_TRANSACTIONS_PER_CALL = 64
@@ -85,6 +92,26 @@
             saved += await self._save_batch(batch, fence)
         return saved
 
+    async def read_job(
+        self, pool_id: PoolId, job_id: JobId
+    ) -> Result[Entry | None, StoreError]:
+        """Return one job's entry, or None."""
+        return await self._store.read(job_key(pool_id, job_id))
+
+    async def delete(self, writes: Sequence[JobWrite], fence: Expect | None) -> None:
+        """Remove records that have not changed; what is not removed is tried later."""
+        for start in range(0, len(writes), MAX_TRANSACTIONS_PER_CALL):
+            batch = writes[start : start + MAX_TRANSACTIONS_PER_CALL]
+            await self._store.commit_each(
+                [
+                    Transaction(
+                        _list_conditions(write, fence),
+                        (Delete(job_key(write.job.pool_id, write.job.id)),),
+                    )
+                    for write in batch
+                ]
+            )
+
     async def _save_batch(
         self, writes: Sequence[JobWrite], fence: Expect | None
     ) -> list[SavedJob]:
@@ -103,13 +130,19 @@
 
 def _create_transaction(write: JobWrite, fence: Expect | None) -> Transaction:
     key = job_key(write.job.pool_id, write.job.id)
-    expects: tuple[Expect, ...] = (Expect(key, write.expected),)
-    if fence is not None:
-        # A holder paused past its lease would start a job that its successor
-        # has placed elsewhere; the job would run twice. The holder key's
-        # revision changes with each holder, so the late write is refused.
-        expects = (*expects, fence)
-    return Transaction(expects, (Put(key, msgspec.json.encode(write.job)),))
+    put = Put(key, msgspec.json.encode(write.job))
+    return Transaction(_list_conditions(write, fence), (put,))
+
+
+def _list_conditions(write: JobWrite, fence: Expect | None) -> tuple[Expect, ...]:
+    unchanged = Expect(job_key(write.job.pool_id, write.job.id), write.expected)
+    if fence is None:
+        return (unchanged,)
+    # A holder paused past its lease would start jobs that nobody touched since,
+    # beside those its successor started, and the partner's quota would break.
+    # The holder key's revision changes with each holder, so that the late
+    # write is refused.
+    return (unchanged, fence)
 
 
 def _read_outcome(write: JobWrite, committed: Committed) -> SavedJob:
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/prefix_follower.py
@@ -0,0 +1,79 @@
+"""Follows all keys under a prefix: one listing, then a watch from there on."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING, Protocol
+
+from returns.pipeline import is_successful
+
+from medlarspring_tables import Revision
+
+if TYPE_CHECKING:
+    import random
+
+    from medlarspring_adapters.store import Listing, Store, WatchBatch
+
+MIN_RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 10.0
+
+
+class PrefixListener(Protocol):
+    """Takes over what the store holds under a prefix."""
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take all entries; what is not among them is gone."""
+        ...
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take changes since the last call."""
+        ...
+
+
+class PrefixFollower:
+    """Keeps a listener current until it is stopped."""
+
+    def __init__(
+        self, store: Store, prefix: str, listener: PrefixListener, rng: random.Random
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._listener = listener
+        self._rng = rng
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to follow; nothing happens if that has begun already."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """End the watch."""
+        task, self._task = self._task, None
+        if task is None:
+            return
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+    async def _run(self) -> None:
+        retry_seconds = MIN_RETRY_SECONDS
+        while True:
+            listed = await self._store.read_prefix(self._prefix)
+            if is_successful(listed):
+                retry_seconds = MIN_RETRY_SECONDS
+                listing = listed.unwrap()
+                self._listener.take_listing(listing)
+                await self._watch(listing.revision)
+            # All followers lose the store at once; without jitter they would
+            # all read whole prefixes in the moment in which it comes back.
+            await asyncio.sleep(retry_seconds * self._rng.uniform(0.5, 1.5))
+            retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
+
+    async def _watch(self, revision: Revision) -> None:
+        async for batch in self._store.watch(self._prefix, Revision(revision + 1)):
+            self._listener.take_batch(batch)
+
+
+__all__ = ["PrefixFollower", "PrefixListener"]
--- a/packages/bench/src/medlarspring_bench/job_histories.py
+++ b/packages/bench/src/medlarspring_bench/job_histories.py
@@ -19,7 +19,7 @@
 from medlarspring_bench.memory_store import MemoryStore
 from medlarspring_bench.worker_tasks import DirectWorkerControl, TrueTask, WorkerTasks
 from medlarspring_daemon.services.job_controller import JobController
-from medlarspring_systems.job_lifecycle import FINAL_STATES
+from medlarspring_systems.job_lifecycle import FINAL_STATES, cancel_job
 from medlarspring_systems.job_records import put_partner, put_worker
 from medlarspring_tables import (
     Job,
@@ -189,6 +189,15 @@
             await self.submitter.save([JobWrite(job, Revision(0))], None)
         self.holder.controller.reload_soon()
 
+    async def cancel(self, job_id: JobId) -> None:
+        """Cancel a job as an operator does through any daemon."""
+        found = (await self.submitter.read_job(POOL_ID, job_id)).unwrap()
+        assert found is not None
+        job = cancel_job(decode_job(found.value), "by operator", self.clock.wall())
+        if job is not None:
+            await self.submitter.save([JobWrite(job, found.mod_revision)], None)
+        self.holder.controller.reload_soon()
+
     async def inject_fault(self) -> None:
         """Bring about one random fault."""
         fault = self.rng.choice(
@@ -270,6 +279,8 @@
     for _ in range(rounds):
         if pool.rng.random() < 0.3:
             await pool.submit(pool.rng.randint(1, 4))
+        if pool.jobs_by_id and pool.rng.random() < 0.1:
+            await pool.cancel(pool.rng.choice(list(pool.jobs_by_id)))
         if pool.rng.random() < faults:
             await pool.inject_fault()
         if pool.frozen and pool.rng.random() < 0.1:
--- a/packages/daemon/src/medlarspring_daemon/services/job_controller.py
+++ b/packages/daemon/src/medlarspring_daemon/services/job_controller.py
@@ -17,8 +17,8 @@
 from medlarspring_adapters.worker_control import Renewal, TaskState
 from medlarspring_daemon.services.job_workers import JobWorkers
 from medlarspring_systems.job_lifecycle import (
+    FINAL_STATES,
     AttemptEnd,
-    cancel_job,
     confirm_running,
     end_attempt,
     list_stranded,
@@ -33,17 +33,17 @@
 from medlarspring_systems.placement import place_jobs
 from medlarspring_systems.preemption import plan_preemptions
 from medlarspring_systems.size_beliefs import correct_attempt_size
-from medlarspring_tables import AttemptState, JobTables, Revision
+from medlarspring_tables import AttemptState, JobId, JobTables, Revision
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.decisions import DecisionLog
-    from medlarspring_adapters.store import Expect
+    from medlarspring_adapters.store import Expect, Listing, WatchBatch
     from medlarspring_adapters.worker_control import TaskReport, WorkerControl
     from medlarspring_daemon.services.job_workers import WorkerAnswer
-    from medlarspring_tables import Job, JobId, PoolId
+    from medlarspring_tables import Job, PoolId, Seconds
 
 MAX_STARTS_PER_TICK = 256
 
@@ -94,13 +94,28 @@
         listing = await self._jobs.read_pool(self.pool_id)
         if not is_successful(listing):
             return False
-        entries = listing.unwrap().entries
-        seen = {self.take_record(entry.value, entry.mod_revision) for entry in entries}
-        for job_id in [key for key in self.tables.jobs_by_id if key not in seen]:
-            forget_job(self.tables, job_id)
+        self.take_listing(listing.unwrap())
         self._must_load = False
         return True
 
+    def take_listing(self, listing: Listing) -> None:
+        """Take all records; a known job that is not among them is gone."""
+        seen = {
+            self.take_record(entry.value, entry.mod_revision)
+            for entry in listing.entries
+        }
+        revisions = self.tables.revisions_by_id
+        for job_id in [key for key in self.tables.jobs_by_id if key not in seen]:
+            if revisions.get(job_id, Revision(0)) <= listing.revision:
+                forget_job(self.tables, job_id)
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take changes that a watch brought."""
+        for entry in batch.changed:
+            self.take_record(entry.value, entry.mod_revision)
+        for key in batch.deleted:
+            forget_job(self.tables, JobId(key.rpartition("/")[2]))
+
     def take_record(self, value: bytes, revision: Revision) -> JobId:
         """Take over a record from the store unless a newer one is known."""
         job = decode_job(value)
@@ -108,6 +123,9 @@
         if revision > known:
             put_job(self.tables, job)
             self.tables.revisions_by_id[job.id] = revision
+            # A write in flight will be refused; taking it back would restore
+            # the record from before this one, and undo a cancellation.
+            self.tables.old_by_id.pop(job.id, None)
             if job.attempt is not None:
                 self.workers.ask_soon(job.attempt.vm_id)
         return job.id
@@ -127,10 +145,17 @@
             return
         await self._decide()
 
-    async def cancel(self, job_ids: Iterable[JobId], reason: str) -> int:
-        """Cancel jobs; returns how many cancellations are on record."""
-        jobs = [cancel_job(self.tables, job_id, reason) for job_id in job_ids]
-        return len(await self._save([job for job in jobs if job is not None]))
+    async def drop_ended(self, kept_seconds: Seconds) -> None:
+        """Remove the records of jobs that ended longer ago than given."""
+        fence = self._fence()
+        oldest = self._clock.wall() - kept_seconds
+        ended = [
+            JobWrite(job, self.tables.revisions_by_id[job.id])
+            for job in self.tables.jobs_by_id.values()
+            if job.state in FINAL_STATES and job.ended_at < oldest
+        ]
+        if fence is not None and ended:
+            await self._jobs.delete(ended, fence)
 
     async def _decide(self) -> None:
         now = self._clock.wall()
@@ -164,7 +189,7 @@
         for saved in await self._jobs.save(writes, fence):
             job_id = saved.write.job.id
             if saved.outcome is SaveOutcome.SAVED:
-                revisions[job_id] = saved.revision
+                revisions[job_id] = max(revisions[job_id], saved.revision)
                 self.tables.old_by_id.pop(job_id, None)
                 saved_ids.add(job_id)
                 continue
--- a/packages/daemon/tests/test_job_controller.py
+++ b/packages/daemon/tests/test_job_controller.py
@@ -119,7 +119,7 @@
         declared_seconds=1000.0,
         lease_seconds=30.0,
     )
-    await pool.holder.controller.cancel([placed.id], "by operator")
+    await pool.cancel(placed.id)
     pool.control.unreachable.clear()
     await run_rounds(pool)
     worker = pool.workers_by_id[placed.attempt.vm_id]
@@ -127,6 +127,25 @@
     assert worker.start(order) is False
 
 
+async def test_cancellation_that_a_watch_brings_during_a_write_is_not_undone():
+    """
+    The holder writes "placed" while an operator's cancellation gets there
+    first, and the watch tells the holder before its write is refused.
+    Taking back the refused change must not bring back the waiting job.
+    """
+    pool = FakePool(seed=1, workers=2)
+    await submit(pool, "job")
+    holder = pool.holder
+    holder.store.running.clear()
+    await holder.run_round()
+    await pool.cancel(JobId("job"))
+    entry = (await pool.submitter.read_job(PoolId("survey"), JobId("job"))).unwrap()
+    holder.controller.take_record(entry.value, entry.mod_revision)
+    holder.store.running.set()
+    await run_rounds(pool)
+    assert read_job(pool, "job").state is JobState.CANCELLED
+
+
 async def test_running_work_goes_on_through_a_long_store_outage():
     """
     The store is down for ten minutes. Nothing new is placed, but leases are
--- a/packages/systems/src/medlarspring_systems/job_lifecycle.py
+++ b/packages/systems/src/medlarspring_systems/job_lifecycle.py
@@ -62,26 +62,26 @@
     if peak is not None and end is AttemptEnd.SUCCEEDED:
         learn_use(tables, job, peak)
     ended = _apply_end(tables, job, end, now)
+    if ended.state in FINAL_STATES:
+        ended = replace(ended, ended_at=now)
     if checkpoint:
         ended = replace(ended, checkpoint=checkpoint)
     put_job(tables, ended)
     return ended
 
 
-def cancel_job(tables: JobTables, job_id: JobId, reason: str) -> Job | None:
-    """Cancel a job; a running attempt is stopped first.
+def cancel_job(job: Job, reason: str, now: Seconds) -> Job | None:
+    """Return the record of a cancelled job; a running attempt is stopped first.
 
-    Returns the new record, or None when there is nothing left to cancel. A
-    waiting job costs no search: its queue entry is dropped when it comes up.
+    None when there is nothing left to cancel. A waiting job costs no search:
+    its queue entry is dropped when it comes up.
     """
-    job = tables.jobs_by_id.get(job_id)
-    if job is None or job.state in FINAL_STATES:
+    if job.state in FINAL_STATES:
         return None
     if job.attempt is None:
-        cancelled = replace(job, state=JobState.CANCELLED, reason=reason)
-        put_job(tables, cancelled)
-        return cancelled
-    return mark_stopping(tables, replace(job, reason=reason), reason).job
+        return replace(job, state=JobState.CANCELLED, reason=reason, ended_at=now)
+    attempt = replace(job.attempt, state=AttemptState.STOPPING)
+    return replace(job, attempt=attempt, reason=reason)
 
 
 def list_stranded(tables: JobTables) -> list[StopAttempt]:
--- a/packages/systems/tests/test_placement.py
+++ b/packages/systems/tests/test_placement.py
@@ -257,9 +257,11 @@
     put_job(tables, make_job("running"))
     run_until_confirmed(tables)
     put_job(tables, make_job("waiting"))
-    assert cancel_job(tables, JobId("waiting"), "by operator").attempt is None
-    stopping = cancel_job(tables, JobId("running"), "by operator")
-    assert stopping.attempt.state is AttemptState.STOPPING
+    for id in ("waiting", "running"):
+        put_job(tables, cancel_job(tables.jobs_by_id[JobId(id)], "by operator", 0.0))
+    assert tables.jobs_by_id[JobId("waiting")].state is JobState.CANCELLED
+    running = tables.jobs_by_id[JobId("running")]
+    assert running.attempt.state is AttemptState.STOPPING
     assert tables.held.cpus == 8.0
     end_attempt(tables, JobId("running"), 1, AttemptEnd.STOPPED, 1.0)
     assert tables.jobs_by_id[JobId("running")].state is JobState.CANCELLED
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -120,6 +120,9 @@
     can_throttle: bool = False
     submitted_at: Seconds
     """Wall time."""
+    submitted_by: str = ""
+    ended_at: Seconds = 0.0
+    """Wall time of the end; 0 before it."""
     state: JobState = JobState.WAITING
     attempt: Attempt | None = None
     attempts_made: int = 0
