--- a/packages/daemon/src/medlarspring_daemon/node.py
+++ b/packages/daemon/src/medlarspring_daemon/node.py
@@ -10,6 +10,7 @@
 from medlarspring_adapters.decisions import DecisionLog
 from medlarspring_adapters.peer_client import PeerError, PeerUnreachable
 from medlarspring_adapters.store_meter import MeteredStore, create_metered_store
+from medlarspring_tables.fleet_tables import FleetTables
 
 if TYPE_CHECKING:
     import random
@@ -175,6 +176,8 @@
     """Written by the peer service."""
     holders: Holders = field(default_factory=NoHolders)
     """Written by the holder service."""
+    fleet_tables: FleetTables = field(default_factory=FleetTables)
+    """Records of VMs and waves; written by the fleet service while pools are held."""
     operator_routes: list[web.RouteDef] = field(default_factory=list)
     """Routes of the operator port; parts add theirs before it starts."""
     addresses: dict[str, str] = field(default_factory=dict)
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -12,6 +12,7 @@
 )
 from medlarspring_daemon.services.fleet_service import create_fleet_service
 from medlarspring_daemon.services.holder_service import create_holder_service
+from medlarspring_daemon.services.job_service import create_job_service
 from medlarspring_daemon.services.operator_service import create_operator_service
 from medlarspring_daemon.services.peer_service import create_peer_service
 from medlarspring_daemon.services.vm_list_service import create_vm_list_service
@@ -41,6 +42,7 @@
         create_holder_service(node, peers),
         create_control_metrics_service(node, peers),
         create_fleet_service(node),
+        create_job_service(node),
         create_operator_service(node),
         # Last, so that a shutdown lets callers finish while the rest still works.
         create_caller_service(node),
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
@@ -43,7 +43,7 @@
 
     async def _run(self, vm_control: VMControl) -> None:
         node = self._node
-        tables = FleetTables()
+        tables = node.fleet_tables = FleetTables()
         controller = FleetController(
             tables,
             node.store,
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/job_desk.py
@@ -0,0 +1,285 @@
+"""Takes jobs and cancellations from operators, at any entry VM."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.job_api import (
+    CancelAnswer,
+    JobsAnswer,
+    JobView,
+    RefusedJob,
+    SubmitAnswer,
+)
+from medlarspring_adapters.job_store import (
+    JobStore,
+    JobWrite,
+    SaveOutcome,
+    decode_job,
+)
+from medlarspring_systems.job_admission import JobRefused, check_job
+from medlarspring_systems.job_lifecycle import cancel_job
+from medlarspring_systems.job_records import put_job
+from medlarspring_systems.placement import explain_waiting
+from medlarspring_tables import Job, JobState, JobTables, Revision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.job_api import (
+        CancelRequest,
+        JobRequest,
+        SubmitRequest,
+    )
+    from medlarspring_adapters.job_store import SavedJob
+    from medlarspring_adapters.store import StoreError
+    from medlarspring_tables import JobId, PartnerId, PoolId
+
+MAX_SHOWN = 200
+SAVE_ROUNDS = 40
+SAVE_PAUSE_SECONDS = 0.25
+"""A wave of cancellations is spread over the budget of store calls."""
+
+
+class JobIdTaken(JobRefused):
+    """Another job has this id."""
+
+    code = "job-id-taken"
+
+    def __init__(self, job_id: JobId) -> None:
+        super().__init__(job_id)
+        self.job_id = job_id
+
+    def message(self) -> str:
+        """Say what to do."""
+        return (
+            f"Job {self.job_id} is on record with other content. Submit it under"
+            " another id, or look at it with `medlarspring job show`."
+        )
+
+
+class JobNotSaved(JobRefused):
+    """The store did not confirm the record."""
+
+    code = "job-not-saved"
+
+    def __init__(self, job_id: JobId) -> None:
+        super().__init__(job_id)
+        self.job_id = job_id
+
+    def message(self) -> str:
+        """Say what to do."""
+        return (
+            f"The store did not confirm job {self.job_id}. Submit it again under"
+            " the same id: it is recorded once."
+        )
+
+
+class JobDesk:
+    """Reads and writes job records without holding their pools."""
+
+    def __init__(
+        self,
+        jobs: JobStore,
+        clock: Clock,
+        build_tables: Callable[[PoolId], JobTables],
+    ) -> None:
+        self._jobs = jobs
+        self._clock = clock
+        self._build_tables = build_tables
+
+    async def submit(self, request: SubmitRequest) -> SubmitAnswer:
+        """Accept or refuse each job on its own."""
+        now = self._clock.wall()
+        refused: list[RefusedJob] = []
+        writes: list[JobWrite] = []
+        tables_by_pool: dict[PoolId, JobTables] = {}
+        for wanted in request.jobs:
+            if wanted.pool_id not in tables_by_pool:
+                tables_by_pool[wanted.pool_id] = self._build_tables(wanted.pool_id)
+            job = _create_job(wanted, request.operator, now)
+            checked = check_job(tables_by_pool[wanted.pool_id], job)
+            if is_successful(checked):
+                writes.append(JobWrite(job, Revision(0)))
+            else:
+                refused.append(_describe_refusal(job, checked.failure()))
+        return await self._settle(writes, refused)
+
+    async def cancel(self, request: CancelRequest) -> Result[CancelAnswer, StoreError]:
+        """Cancel jobs of a pool; races with the holder are tried again."""
+        cancelled: set[JobId] = set()
+        ended = remaining = 0
+        for _ in range(SAVE_ROUNDS):
+            listing = await self._jobs.read_pool(request.pool_id)
+            if not is_successful(listing):
+                return Failure(listing.failure())
+            entries = listing.unwrap().entries
+            matching = [
+                (job, entry.mod_revision)
+                for entry in entries
+                if _matches(job := decode_job(entry.value), request)
+            ]
+            writes, ended = self._plan_cancels(matching, request, cancelled)
+            saved = await self._jobs.save(writes, None)
+            cancelled |= _list_saved(saved)
+            remaining = len(writes) - len(_list_saved(saved))
+            if not remaining:
+                break
+            await asyncio.sleep(SAVE_PAUSE_SECONDS)
+        return Success(
+            CancelAnswer(
+                cancelled=len(cancelled), already_ended=ended, remaining=remaining
+            )
+        )
+
+    async def list_jobs(
+        self, pool_id: PoolId, partner_id: PartnerId | None, state: JobState | None
+    ) -> Result[JobsAnswer, StoreError]:
+        """Return the newest jobs of a pool that match."""
+        listing = await self._jobs.read_pool(pool_id)
+        if not is_successful(listing):
+            return Failure(listing.failure())
+        tables = self._build_tables(pool_id)
+        for entry in listing.unwrap().entries:
+            put_job(tables, decode_job(entry.value))
+        jobs = [
+            job
+            for job in tables.jobs_by_id.values()
+            if partner_id in (None, job.partner_id) and state in (None, job.state)
+        ]
+        jobs.sort(key=lambda job: job.submitted_at, reverse=True)
+        counts = Counter(job.state.value for job in tables.jobs_by_id.values())
+        shown = tuple(self._view(tables, job) for job in jobs[:MAX_SHOWN])
+        return Success(JobsAnswer(jobs=shown, counts_by_state=dict(counts)))
+
+    async def find_job(
+        self, pool_id: PoolId, job_id: JobId
+    ) -> Result[JobView | None, StoreError]:
+        """Return one job and, while it waits, why."""
+        listed = await self._jobs.read_pool(pool_id)
+        if not is_successful(listed):
+            return Failure(listed.failure())
+        tables = self._build_tables(pool_id)
+        for entry in listed.unwrap().entries:
+            put_job(tables, decode_job(entry.value))
+        job = tables.jobs_by_id.get(job_id)
+        return Success(self._view(tables, job) if job else None)
+
+    def _view(self, tables: JobTables, job: Job) -> JobView:
+        if job.state is not JobState.WAITING:
+            return JobView(job=job)
+        if job.partner_id not in tables.partners_by_id:
+            return JobView(job=job, waits_for="its partner has no row in the table")
+        block = explain_waiting(tables, job, self._clock.wall())
+        return JobView(job=job, waits_for=block.value if block else "its turn")
+
+    def _plan_cancels(
+        self,
+        matching: list[tuple[Job, Revision]],
+        request: CancelRequest,
+        cancelled: set[JobId],
+    ) -> tuple[list[JobWrite], int]:
+        reason = f"cancelled by {request.operator}"
+        if request.reason:
+            reason = f"{reason}: {request.reason}"
+        now = self._clock.wall()
+        writes: list[JobWrite] = []
+        ended = 0
+        for job, revision in matching:
+            if job.id in cancelled or job.reason:
+                continue
+            record = cancel_job(job, reason, now)
+            if record is None:
+                ended += 1
+            else:
+                writes.append(JobWrite(record, revision))
+        return writes, ended
+
+    async def _settle(
+        self, writes: list[JobWrite], refused: list[RefusedJob]
+    ) -> SubmitAnswer:
+        accepted: list[JobId] = []
+        repeated: list[JobId] = []
+        for saved in await self._jobs.save(writes, None):
+            job = saved.write.job
+            if saved.outcome is SaveOutcome.SAVED:
+                accepted.append(job.id)
+                continue
+            answer = await self._find_same(job)
+            if is_successful(answer):
+                repeated.append(job.id)
+            else:
+                refused.append(_describe_refusal(job, answer.failure()))
+        return SubmitAnswer(
+            accepted=tuple(accepted), repeated=tuple(repeated), refused=tuple(refused)
+        )
+
+    async def _find_same(self, job: Job) -> Result[Job, JobRefused]:
+        """Find a job on record with the same content, written before.
+
+        Also after a lost reply: the submitter's retry would otherwise find its
+        own job and take it for somebody else's.
+        """
+        found = await self._jobs.read_job(job.pool_id, job.id)
+        if not is_successful(found):
+            return Failure(JobNotSaved(job.id))
+        entry = found.unwrap()
+        if entry is None:
+            return Failure(JobNotSaved(job.id))
+        recorded = decode_job(entry.value)
+        if _content_of(recorded) != _content_of(job):
+            return Failure(JobIdTaken(job.id))
+        return Success(recorded)
+
+
+def _create_job(wanted: JobRequest, operator: str, now: float) -> Job:
+    return Job(
+        id=wanted.id,
+        partner_id=wanted.partner_id,
+        pool_id=wanted.pool_id,
+        kind=wanted.kind,
+        declared=wanted.declared,
+        declared_seconds=wanted.declared_seconds,
+        urgency=wanted.urgency,
+        can_checkpoint=wanted.can_checkpoint,
+        can_throttle=wanted.can_throttle,
+        submitted_at=now,
+        submitted_by=operator,
+    )
+
+
+def _content_of(job: Job) -> tuple[object, ...]:
+    return (
+        job.partner_id,
+        job.kind,
+        job.declared,
+        job.declared_seconds,
+        job.urgency,
+        job.can_checkpoint,
+        job.can_throttle,
+    )
+
+
+def _describe_refusal(job: Job, error: JobRefused) -> RefusedJob:
+    return RefusedJob(job.id, error.code, error.message())
+
+
+def _matches(job: Job, request: CancelRequest) -> bool:
+    return (
+        (not request.ids or job.id in request.ids)
+        and request.partner_id in (None, job.partner_id)
+        and request.kind in (None, job.kind)
+    )
+
+
+def _list_saved(saved: list[SavedJob]) -> set[JobId]:
+    return {each.write.job.id for each in saved if each.outcome is SaveOutcome.SAVED}
+
+
+__all__ = ["JobDesk", "JobIdTaken", "JobNotSaved"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/job_service.py
@@ -0,0 +1,187 @@
+"""Runs the jobs of all pools that this process holds."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from medlarspring_adapters.job_store import JobStore, pool_prefix
+from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_adapters.worker_control import create_worker_control
+from medlarspring_daemon.services.job_controller import JobController
+from medlarspring_daemon.services.job_desk import JobDesk
+from medlarspring_daemon.services.job_routes import JobRoutes
+from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems.job_records import (
+    forget_worker,
+    put_partner,
+    put_worker,
+)
+from medlarspring_tables import (
+    JobTables,
+    ListedState,
+    PartnerUse,
+    Size,
+    Worker,
+)
+from medlarspring_tables.vms import VMState
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.worker_control import WorkerControl
+    from medlarspring_daemon.node import Node
+    from medlarspring_tables import ListedVM, PoolId, Seconds, VMId
+
+TICK_SECONDS = 0.25
+REFRESH_SECONDS = 1.0
+"""How often workers and partners are brought up to date."""
+DROP_EVERY_SECONDS = 60.0
+KEEP_ENDED_SECONDS = 3600.0
+"""How long the record of an ended job is kept."""
+
+
+@dataclass(slots=True)
+class HeldPool:
+    """The work on one pool's jobs."""
+
+    controller: JobController
+    follower: PrefixFollower
+    dropped_at: Seconds
+    refreshed_at: Seconds = float("-inf")
+
+
+class JobService:
+    """One controller for each held pool, all run by one loop."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._jobs = JobStore(node.store)
+        self._tasks = Tasks(node.log)
+        self._pools_by_id: dict[PoolId, HeldPool] = {}
+        self._session: aiohttp.ClientSession | None = None
+        self._workers: WorkerControl | None = None
+        desk = JobDesk(self._jobs, node.clock, self.build_tables)
+        node.operator_routes.extend(JobRoutes(desk).routes())
+
+    async def start(self) -> None:
+        """Start the loop."""
+        self._session = aiohttp.ClientSession()
+        self._workers = create_worker_control(self._session)
+        self._tasks.keep(self._run)
+
+    async def stop(self) -> None:
+        """Stop between two rounds; a successor goes on from the records."""
+        await self._tasks.cancel()
+        for pool in self._pools_by_id.values():
+            await pool.follower.stop()
+        if self._session is not None:
+            await self._session.close()
+
+    def build_tables(self, pool_id: PoolId) -> JobTables:
+        """Return tables with a pool's workers and partners, without jobs."""
+        tables = JobTables()
+        self._fill_tables(tables, pool_id)
+        return tables
+
+    async def _run(self) -> None:
+        while True:
+            started_at = self._node.clock.now()
+            await self._run_round()
+            spent = self._node.clock.now() - started_at
+            await asyncio.sleep(max(0.0, TICK_SECONDS - spent))
+
+    async def _run_round(self) -> None:
+        await self._follow_holding()
+        await asyncio.gather(
+            *(self._run_pool(pool) for pool in self._pools_by_id.values())
+        )
+
+    async def _follow_holding(self) -> None:
+        """Begin with pools taken; let go of pools that others hold.
+
+        A pool whose lease lapsed because the store is out of reach is kept:
+        without a fence its controller writes nothing, but it renews the tasks'
+        leases, so that running work outlives the outage.
+        """
+        held = self._node.holders.held_pools()
+        for pool_id in held - self._pools_by_id.keys():
+            self._pools_by_id[pool_id] = self._create_pool(pool_id)
+        if self._node.store.failing_seconds() > 0:
+            return
+        for pool_id in self._pools_by_id.keys() - held:
+            await self._pools_by_id.pop(pool_id).follower.stop()
+
+    def _create_pool(self, pool_id: PoolId) -> HeldPool:
+        node = self._node
+        assert self._workers is not None
+        controller = JobController(
+            pool_id,
+            self._jobs,
+            self._workers,
+            node.clock,
+            node.decisions,
+            lambda: node.holders.fence(pool_id),
+        )
+        prefix = pool_prefix(pool_id)
+        follower = PrefixFollower(node.store, prefix, controller, node.rng)
+        follower.start()
+        return HeldPool(controller, follower, node.clock.now())
+
+    async def _run_pool(self, pool: HeldPool) -> None:
+        controller = pool.controller
+        now = self._node.clock.now()
+        if now - pool.refreshed_at >= REFRESH_SECONDS:
+            pool.refreshed_at = now
+            addresses = self._fill_tables(controller.tables, controller.pool_id)
+            controller.workers.set_addresses(addresses)
+        await controller.tick()
+        if now - pool.dropped_at >= DROP_EVERY_SECONDS:
+            pool.dropped_at = now
+            await controller.drop_ended(KEEP_ENDED_SECONDS)
+
+    def _fill_tables(self, tables: JobTables, pool_id: PoolId) -> dict[VMId, str]:
+        """Bring workers and partners up to date; returns the workers' addresses."""
+        config = self._node.config
+        vm_list = self._node.vm_list
+        if config is None or vm_list is None:
+            return {}
+        tables.spare_percent = config.fleet.spare_percent
+        for row in config.partners_by_id.values():
+            quota = Size(row.quota_cpus, row.quota_memory_gb, row.quota_accelerators)
+            put_partner(tables, PartnerUse(row.id, row.weight, quota))
+        addresses: dict[VMId, str] = {}
+        for vm in vm_list.vms_by_id.values():
+            if self._pool_of(vm) != pool_id:
+                continue
+            addresses[vm.id] = vm.address
+            put_worker(tables, self._create_worker(vm, pool_id))
+        for vm_id in tables.workers_by_id.keys() - addresses.keys():
+            forget_worker(tables, vm_id)
+        return addresses
+
+    def _pool_of(self, vm: ListedVM) -> PoolId:
+        """Return the VM's pool by its record, or by the list if it has none."""
+        record = self._node.fleet_tables.vms_by_id.get(vm.id)
+        return record.pool_id if record else vm.pool_id
+
+    def _create_worker(self, vm: ListedVM, pool_id: PoolId) -> Worker:
+        record = self._node.fleet_tables.vms_by_id.get(vm.id)
+        serves = record is None or record.state is VMState.SERVING
+        return Worker(
+            id=vm.id,
+            pool_id=pool_id,
+            rack_id=vm.rack_id,
+            zone_id=vm.zone_id,
+            capacity=Size(vm.cpus, vm.memory_gb, vm.accelerators),
+            accepts_work=serves and vm.state is ListedState.LIVE,
+        )
+
+
+def create_job_service(node: Node) -> JobService:
+    """Return the service; its routes are added to the operator port."""
+    return JobService(node)
+
+
+__all__ = ["JobService", "create_job_service"]
--- /dev/null
+++ b/packages/daemon/tests/test_job_desk.py
@@ -0,0 +1,113 @@
+from __future__ import annotations
+
+import pytest
+
+from medlarspring_adapters.clock import ManualClock
+from medlarspring_adapters.job_api import CancelRequest, JobRequest, SubmitRequest
+from medlarspring_adapters.job_store import JobStore
+from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_bench.memory_store import MemoryStore
+from medlarspring_daemon.services.job_desk import JobDesk
+from medlarspring_systems.job_records import put_partner, put_worker
+from medlarspring_tables import (
+    JobId,
+    JobState,
+    JobTables,
+    PartnerId,
+    PartnerUse,
+    PoolId,
+    RackId,
+    Size,
+    VMId,
+    Worker,
+    ZoneId,
+)
+
+POOL = PoolId("survey")
+
+
+def build_tables(pool_id: PoolId) -> JobTables:
+    tables = JobTables()
+    put_partner(tables, PartnerUse(PartnerId("north"), 1.0, Size(64, 64)))
+    worker = Worker(VMId("v"), pool_id, RackId("r"), ZoneId("a"), Size(32, 64))
+    put_worker(tables, worker)
+    return tables
+
+
+@pytest.fixture
+def store() -> MemoryStore:
+    return MemoryStore(KeyValueState(ManualClock()))
+
+
+@pytest.fixture
+def desk(store) -> JobDesk:
+    return JobDesk(JobStore(store), ManualClock(), build_tables)
+
+
+def wish(id: str, cpus: float = 1.0, partner: str = "north") -> JobRequest:
+    return JobRequest(
+        id=JobId(id),
+        partner_id=PartnerId(partner),
+        pool_id=POOL,
+        declared=Size(cpus, 1),
+        declared_seconds=1.0,
+    )
+
+
+def submission(*wishes: JobRequest) -> SubmitRequest:
+    return SubmitRequest(jobs=wishes, operator="asha")
+
+
+@pytest.mark.parametrize(
+    ("again", "accepted", "repeated", "code"),
+    [
+        (wish("a"), 0, 1, ""),
+        (wish("a", cpus=2.0), 0, 0, "job-id-taken"),
+        (wish("b"), 1, 0, ""),
+        (wish("b", cpus=48.0), 0, 0, "no-worker-large-enough"),
+        (wish("b", partner="nobody"), 0, 0, "partner-unknown"),
+    ],
+)
+async def test_each_job_is_accepted_once_or_told_why_not(
+    desk, again, accepted, repeated, code
+):
+    await desk.submit(submission(wish("a")))
+    answer = await desk.submit(submission(again))
+    assert (len(answer.accepted), len(answer.repeated)) == (accepted, repeated)
+    assert [refusal.code for refusal in answer.refused] == ([code] if code else [])
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome"), [("lose_replies", "repeated"), ("lose_requests", "refused")]
+)
+async def test_submitter_is_not_left_in_doubt_by_a_lost_reply(
+    desk, store, fault, outcome
+):
+    """
+    The record is written, or not, and the store's reply is lost either way.
+    The desk reads the record back, so the submitter learns what holds, and
+    its retry never finds its own job and takes it for somebody else's.
+    """
+    setattr(store.faults, fault, 1)
+    answer = await desk.submit(submission(wish("a")))
+    assert len(getattr(answer, outcome)) == 1
+    again = await desk.submit(submission(wish("a")))
+    assert len(again.accepted) + len(again.repeated) == 1
+
+
+async def test_ten_thousand_cancellations_cost_store_calls_by_the_batch(desk, store):
+    for start in range(0, 10_000, 1000):
+        wishes = [wish(f"j{number:05}") for number in range(start, start + 1000)]
+        await desk.submit(submission(*wishes))
+    store.calls_by_kind.clear()
+    answer = await desk.cancel(CancelRequest(pool_id=POOL, operator="asha"))
+    assert (answer.unwrap().cancelled, answer.unwrap().remaining) == (10_000, 0)
+    assert sum(store.calls_by_kind.values()) <= 10_000 / 64 + 3
+    listed = await desk.list_jobs(POOL, None, JobState.CANCELLED)
+    assert listed.unwrap().counts_by_state == {"cancelled": 10_000}
+
+
+async def test_waiting_job_shows_what_it_waits_for(desk):
+    await desk.submit(submission(wish("a", cpus=30.0)))
+    view = (await desk.find_job(POOL, JobId("a"))).unwrap()
+    assert "spare" in view.waits_for
