--- a/packages/adapters/src/medlarspring_adapters/peer_client.py
+++ b/packages/adapters/src/medlarspring_adapters/peer_client.py
@@ -124,10 +124,10 @@
     async def _call(
         self, method: Any, request: Any, timeout_seconds: Seconds
     ) -> Result[Any, PeerError]:
-        call: Awaitable[Any] = method(
-            request, timeout=timeout_seconds, metadata=self._metadata
-        )
         try:
+            call: Awaitable[Any] = method(
+                request, timeout=timeout_seconds, metadata=self._metadata
+            )
             return Success(await call)
         except grpc.aio.AioRpcError as error:
             return Failure(self._describe(error))
--- a/packages/daemon/src/medlarspring_daemon/services/peer_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_service.py
@@ -82,6 +82,8 @@
         await asyncio.gather(*farewells)
         for client in self._clients_by_id.values():
             await client.close()
+        self._clients_by_id.clear()
+        self.members.members_by_id.clear()
         await self._server.stop()
 
     @property
