--- a/packages/daemon/src/medlarspring_daemon/services/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/config_service.py
@@ -44,7 +44,7 @@
         self._peers = peers
         self._tasks = Tasks(node.log)
         self._failures = 0
-        self._watching = False
+        self.is_watching = False
         self._store_state: Verdict | None = None
         self.distribution = Distribution()
 
@@ -224,9 +224,9 @@
         self._node.log.warning(event, store_revision=revision, in_force=in_force)
 
     def _note_watching(self, watching: bool) -> None:
-        if watching == self._watching:
+        if watching == self.is_watching:
             return
-        self._watching = watching
+        self.is_watching = watching
         self._node.log.info(Event.WATCH_STARTED if watching else Event.WATCH_STOPPED)
 
 
--- /dev/null
+++ b/packages/daemon/tests/test_config_service.py
@@ -0,0 +1,193 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from medlarspring_adapters.clock import SystemClock
+from medlarspring_bench.control_nodes import (
+    ControlNode,
+    create_control_node,
+    list_nodes,
+)
+from medlarspring_bench.key_value_ops import DeleteOp, PutOp
+from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_daemon.services.config_service import CONFIG_KEY
+from medlarspring_tables import ConfigTable, Revision
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+    from pathlib import Path
+
+WAIT_SECONDS = 10.0
+TABLE_IN_FORCE = 3001
+STORE_TABLE_OLDER = 3002
+TABLE_UNREADABLE = 3004
+STORE_HAS_NO_TABLE = 3007
+
+Start = "Callable[..., Awaitable[ControlNode]]"
+
+
+@pytest.fixture
+async def start(tmp_path: Path) -> AsyncIterator[Start]:
+    async with AsyncExitStack() as stack:
+
+        async def start_node(
+            name: str, state: KeyValueState, *, down: bool = False, **options: str
+        ) -> ControlNode:
+            node = create_control_node(name, state, tmp_path, **options)
+            node.store.faults.down = down
+            await node.start()
+            stack.push_async_callback(node.stop)
+            return node
+
+        yield start_node
+
+
+def create_state(revision: int = 0) -> KeyValueState:
+    state = KeyValueState(SystemClock())
+    if revision:
+        write_table(state, revision)
+    return state
+
+
+def write_table(state: KeyValueState, revision: int) -> None:
+    table = ConfigTable(revision=Revision(revision))
+    state.apply(PutOp(CONFIG_KEY.encode(), msgspec.json.encode(table)))
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def is_in_force(revision: int, *nodes: ControlNode) -> bool:
+    tables = [each.node.config for each in nodes]
+    return all(table is not None and table.revision == revision for table in tables)
+
+
+def taken(node: ControlNode) -> list[object]:
+    return [record["revision"] for record in node.events(TABLE_IN_FORCE)]
+
+
+async def test_two_of_a_zone_watch_and_the_others_hear_from_them(start: Start):
+    state = create_state(1)
+    nodes = [await start(name, state) for name in "abcd"]
+    list_nodes(nodes)
+    await wait_until(lambda: is_in_force(1, *nodes))
+    await wait_until(lambda: all(len(each.peers.heard_by_id) == 3 for each in nodes))
+    await wait_until(lambda: len(state.listeners) == 2)
+    for revision in range(2, 6):
+        write_table(state, revision)
+        await wait_until(lambda wanted=revision: is_in_force(wanted, *nodes))
+    sources = [each.events(TABLE_IN_FORCE)[-1]["source"] for each in nodes]
+    assert sorted(sources) == ["peer", "peer", "store", "store"]
+
+
+async def test_edit_known_to_one_peer_spreads_while_the_store_is_down(start: Start):
+    """
+    The store goes down right after it accepted an edit that only one entry VM
+    has seen. The edit is accepted, so the others must get it from that one.
+    """
+    state = create_state(1)
+    nodes = [await start(name, state) for name in "abc"]
+    list_nodes(nodes)
+    await wait_until(lambda: is_in_force(1, *nodes))
+    for each in nodes[1:]:
+        each.store.go_down()
+    write_table(state, 2)
+    await wait_until(lambda: is_in_force(2, nodes[0]))
+    nodes[0].store.go_down()
+    await wait_until(lambda: is_in_force(2, *nodes))
+
+
+async def test_older_answer_of_the_store_is_reported_and_not_taken(start: Start):
+    """
+    The store is restored from a backup: the table it gives out is older than
+    the one in force. Callers must not see accepted limits revert; operators
+    must learn that the store has to be mended.
+    """
+    state = create_state(5)
+    node = await start("a", state)
+    list_nodes([node])
+    await wait_until(lambda: is_in_force(5, node))
+    write_table(state, 3)
+    await wait_until(lambda: node.events(STORE_TABLE_OLDER))
+    state.apply(DeleteOp(CONFIG_KEY.encode()))
+    state.apply(PutOp(CONFIG_KEY.encode(), b"{not json"))
+    await wait_until(lambda: node.events(TABLE_UNREADABLE))
+    assert is_in_force(5, node)
+    assert len(node.events(STORE_TABLE_OLDER)) == 1
+    assert node.config.distribution.store_older_since is not None
+    write_table(state, 6)
+    await wait_until(lambda: is_in_force(6, node))
+    assert node.config.distribution.store_older_since is None
+
+
+async def test_start_with_a_lagging_replica_never_shows_the_old_table(start: Start):
+    """
+    A VM is replaced, and the replica that the new one asks lags behind. Its
+    peers have a newer table in force; it must not put the older one in force
+    even for a moment.
+    """
+    first = await start("a", create_state(5))
+    list_nodes([first])
+    await wait_until(lambda: is_in_force(5, first))
+    second = await start("b", create_state(4))
+    list_nodes([first, second])
+    await wait_until(lambda: is_in_force(5, second))
+    assert taken(second) == [5]
+
+
+async def test_start_while_the_store_is_down(start: Start):
+    """
+    The store is down. A VM with a peer learns the table from it; one without
+    any peer has nothing true to say and stays unready rather than guess.
+    """
+    first = await start("a", create_state(5))
+    list_nodes([first])
+    await wait_until(lambda: is_in_force(5, first))
+    second = await start("b", create_state(), down=True)
+    alone = await start("c", create_state(5), down=True)
+    list_nodes([first, second])
+    list_nodes([alone])
+    await wait_until(lambda: is_in_force(5, second))
+    await wait_until(lambda: alone.node.store.failing_seconds() > 1.0)
+    assert alone.node.config is None
+    alone.store.come_up()
+    await wait_until(lambda: is_in_force(5, alone))
+
+
+async def test_empty_store_of_a_new_fleet_is_no_table(start: Start):
+    state = create_state()
+    node = await start("a", state)
+    list_nodes([node])
+    await wait_until(lambda: node.events(STORE_HAS_NO_TABLE))
+    assert node.node.config is None
+    write_table(state, 1)
+    await wait_until(lambda: is_in_force(1, node))
+
+
+async def test_watcher_that_loses_the_store_is_replaced_by_one_that_reaches_it(
+    start: Start,
+):
+    """
+    Both watchers of a zone are cut off from the store, the third is not. It
+    would go on to wait for reports that never come; told that the store fails
+    the others, it watches for the zone.
+    """
+    state = create_state(1)
+    nodes = [await start(name, state) for name in "abc"]
+    list_nodes(nodes)
+    await wait_until(lambda: all(len(each.peers.heard_by_id) == 2 for each in nodes))
+    await wait_until(lambda: is_in_force(1, *nodes) and len(state.listeners) == 2)
+    watching = [each for each in nodes if each.config.is_watching]
+    for each in watching:
+        each.store.go_down()
+    await wait_until(lambda: len(state.listeners) == 1)
+    write_table(state, 2)
+    await wait_until(lambda: is_in_force(2, *nodes))
--- /dev/null
+++ b/packages/daemon/tests/test_holder_service.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from medlarspring_adapters.clock import SystemClock
+from medlarspring_adapters.store import Expect, Put, Transaction
+from medlarspring_bench.control_nodes import (
+    ControlNode,
+    create_control_node,
+    list_nodes,
+)
+from medlarspring_bench.key_value_ops import PutOp
+from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_tables import ConfigTable, PoolId, PoolRow, Revision
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+    from pathlib import Path
+
+WAIT_SECONDS = 12.0
+HOLDER_LEASE_LAPSED = 4022
+POOLS = frozenset(PoolId(f"pool-{number}") for number in range(8))
+
+Start = "Callable[[str], Awaitable[ControlNode]]"
+
+
+@pytest.fixture
+def state() -> KeyValueState:
+    state = KeyValueState(SystemClock())
+    rows = {each: PoolRow(id=each, wanted_vms=2, min_available=1) for each in POOLS}
+    table = ConfigTable(revision=Revision(1), pools_by_id=rows)
+    state.apply(PutOp(b"config/table", msgspec.json.encode(table)))
+    return state
+
+
+@pytest.fixture
+async def start(state: KeyValueState, tmp_path: Path) -> AsyncIterator[Start]:
+    async with AsyncExitStack() as stack:
+
+        async def start_node(name: str) -> ControlNode:
+            node = create_control_node(name, state, tmp_path)
+            await node.start()
+            stack.push_async_callback(node.stop)
+            return node
+
+        yield start_node
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def held(*nodes: ControlNode) -> list[PoolId]:
+    return sorted(pool for each in nodes for pool in each.holders.held_pools())
+
+
+async def test_pools_are_spread_and_released_at_once_on_shutdown(start: Start):
+    """
+    An entry VM shuts down. Its pools' waves and jobs would stand still until
+    its lease lapses; it gives the lease up, and the others take over at once.
+    """
+    nodes = [await start(name) for name in "ab"]
+    list_nodes(nodes)
+    await wait_until(lambda: held(*nodes) == sorted(POOLS))
+    assert all(0 < len(each.holders.held_pools()) < len(POOLS) for each in nodes)
+    began = asyncio.get_running_loop().time()
+    await nodes[0].stop()
+    await wait_until(lambda: held(nodes[1]) == sorted(POOLS))
+    assert asyncio.get_running_loop().time() - began < 3.0
+
+
+async def test_write_of_a_paused_holder_is_refused(start: Start, state: KeyValueState):
+    """
+    A holder reads its fence and is paused past its lease. A successor takes the
+    pool and writes; the late write of the first one must fail at the store.
+    """
+    node = await start("a")
+    list_nodes([node])
+    await wait_until(lambda: held(node) == sorted(POOLS))
+    pool_id = min(POOLS)
+    fence = node.holders.fence(pool_id)
+    assert isinstance(fence, Expect)
+    late = Transaction((fence,), (Put("fleet/vms/vm-1", b"late"),))
+    assert (await node.node.store.commit(late)).unwrap().succeeded
+    state.revoke(node.holders.holdings.lease_id)
+    state.apply(PutOp(f"holders/{pool_id}".encode(), b"successor"))
+    assert not (await node.node.store.commit(late)).unwrap().succeeded
+    await wait_until(lambda: node.events(HOLDER_LEASE_LAPSED))
+    assert node.holders.fence(pool_id) is None
+
+
+async def test_holder_without_the_store_stops_by_its_own_clock(start: Start):
+    """
+    The store stops answering the holder but not the others. Before the lease
+    can lapse there, the holder has stopped by itself.
+    """
+    node = await start("a")
+    list_nodes([node])
+    await wait_until(lambda: held(node) == sorted(POOLS))
+    node.store.go_down()
+    await wait_until(lambda: held(node) == [])
+    lease = node.store.state.leases_by_id[node.holders.holdings.lease_id]
+    assert lease.expires_at > SystemClock().now()
+    node.store.come_up()
+    await wait_until(lambda: held(node) == sorted(POOLS))
+
+
+async def test_key_written_with_a_lost_answer_is_recognised(start: Start):
+    """
+    The store writes the holder keys and the answer is lost. On the next try the
+    keys are there; taken for another holder's, the pools would have none.
+    """
+    node = await start("a")
+    list_nodes([node])
+    node.store.faults.lose_replies = 2
+    await wait_until(lambda: held(node) == sorted(POOLS))
+    assert node.store.faults.lose_replies == 0
