--- a/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -35,6 +35,7 @@
 from medlarspring_adapters.store import (
     Committed,
     Entry,
+    LeaseGone,
     LeaseId,
     Listing,
     StoreError,
@@ -57,10 +58,6 @@
 HTTP_NOT_FOUND = 404
 
 
-class LeaseGone(StoreUnavailable):
-    """The store does not know the lease any more; nothing was changed."""
-
-
 Message = TypeVar("Message", bound=msgspec.Struct)
 
 
--- a/packages/adapters/src/medlarspring_adapters/store.py
+++ b/packages/adapters/src/medlarspring_adapters/store.py
@@ -41,6 +41,33 @@
         )
 
 
+class LeaseGone(StoreUnavailable):
+    """The store does not know the lease any more; nothing was changed."""
+
+    code = "store-lease-gone"
+
+    def message(self) -> str:
+        """Say what failed and what to do."""
+        return (
+            f"The lease has lapsed ({self.detail}). Nothing was changed; repeat the"
+            " command, which takes a new lease."
+        )
+
+
+class StoreOverBudget(StoreUnavailable):
+    """This process keeps to its budget of calls; the store was not asked."""
+
+    code = "store-over-budget"
+
+    def message(self) -> str:
+        """Say what failed and what to do."""
+        return (
+            f"This entry VM has used up its store calls ({self.detail})."
+            " Nothing was changed; repeat the command in a few seconds, or at"
+            " another entry VM."
+        )
+
+
 class StoreOutcomeUnknown(StoreError):
     """The call may have taken effect; only a later read tells."""
 
@@ -180,12 +207,14 @@
     "Delete",
     "Entry",
     "Expect",
+    "LeaseGone",
     "LeaseId",
     "Listing",
     "Put",
     "Store",
     "StoreError",
     "StoreOutcomeUnknown",
+    "StoreOverBudget",
     "StoreUnavailable",
     "Transaction",
     "WatchBatch",
--- a/packages/adapters/src/medlarspring_adapters/store_meter.py
+++ b/packages/adapters/src/medlarspring_adapters/store_meter.py
@@ -17,11 +17,12 @@
 from medlarspring_adapters.store import (
     Committed,
     Entry,
+    LeaseGone,
     LeaseId,
     Listing,
     Store,
     StoreError,
-    StoreUnavailable,
+    StoreOverBudget,
     Transaction,
     WatchBatch,
 )
@@ -179,8 +180,8 @@
         argument: Argument,
     ) -> Result[Value, StoreError]:
         if not self._may_call(mechanism):
-            detail = f"over the budget of {CALLS_PER_SECOND[mechanism]:g} calls/s"
-            return Failure(StoreUnavailable(f"{detail} for {mechanism.value}"))
+            detail = f"{CALLS_PER_SECOND[mechanism]:g} calls/s for {mechanism.value}"
+            return Failure(StoreOverBudget(detail))
         return self._note(await call(argument))
 
     def _may_call(self, mechanism: Mechanism) -> bool:
@@ -196,7 +197,7 @@
         calls[mechanism] = calls.get(mechanism, 0) + 1
 
     def _note(self, answer: Result[Value, StoreError]) -> Result[Value, StoreError]:
-        if isinstance(answer, Failure):
+        if isinstance(answer, Failure) and not isinstance(answer.failure(), LeaseGone):
             if self.calls.failing_since is None:
                 self.calls.failing_since = self._clock.now()
             return answer
--- a/packages/daemon/src/medlarspring_daemon/services/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/config_service.py
@@ -47,6 +47,7 @@
         self.is_watching = False
         self._store_state: Verdict | None = None
         self.distribution = Distribution()
+        node.offer_table = self.take_accepted
 
     async def start(self) -> None:
         """Begin to ask the store and the peers; the first answer is not awaited."""
@@ -59,6 +60,14 @@
         """End watching."""
         await self._tasks.cancel()
 
+    def take_accepted(self, table: ConfigTable) -> None:
+        """Put a table in force that this process has just committed itself.
+
+        The store may go down before its watch says so, and this process would be
+        the only one that knows of the accepted edit.
+        """
+        self._offer(table, Source.STORE)
+
     async def _run_start(self) -> None:
         """Until a table is in force, see whether the peers were asked."""
         while self.distribution.in_force is None:
@@ -186,18 +195,18 @@
                 Event.TABLE_UNREADABLE, source=source.value, reason=str(error)
             )
             return
-        now = self._node.clock.now()
-        verdict = offer_table(self.distribution, table, source, now)
-        self._settle(verdict, table, source)
+        self._offer(table, source)
 
     def _take_absent(self) -> None:
         """The store has no table: a new fleet, or one that was emptied."""
         if self.distribution.in_force is None:
             self._note_store(Verdict.SAME, Event.STORE_HAS_NO_TABLE, Revision(0))
             return
+        self._offer(ConfigTable(), Source.STORE)
+
+    def _offer(self, table: ConfigTable, source: Source) -> None:
         now = self._node.clock.now()
-        verdict = offer_table(self.distribution, ConfigTable(), Source.STORE, now)
-        self._settle(verdict, ConfigTable(), Source.STORE)
+        self._settle(offer_table(self.distribution, table, source, now), table, source)
 
     def _settle(self, verdict: Verdict, table: ConfigTable, source: Source) -> None:
         if source is Source.STORE and verdict is Verdict.OLDER:
--- a/packages/daemon/tests/test_config_service.py
+++ b/packages/daemon/tests/test_config_service.py
@@ -105,6 +105,20 @@
     await wait_until(lambda: is_in_force(2, *nodes))
 
 
+async def test_edit_known_only_to_its_editor_spreads(start: Start):
+    """
+    The entry VM that committed the edit is the only one that got an answer; the
+    store is gone before any watch has told of it.
+    """
+    nodes = [await start(name, create_state(1)) for name in "ab"]
+    list_nodes(nodes)
+    await wait_until(lambda: is_in_force(1, *nodes))
+    for each in nodes:
+        each.store.go_down()
+    nodes[0].node.offer_table(ConfigTable(revision=Revision(2)))
+    await wait_until(lambda: is_in_force(2, *nodes))
+
+
 async def test_older_answer_of_the_store_is_reported_and_not_taken(start: Start):
     """
     The store is restored from a backup: the table it gives out is older than
