--- a/packages/bench/src/medlarspring_bench/cluster.py
+++ b/packages/bench/src/medlarspring_bench/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from msgspec import Struct
@@ -88,7 +89,21 @@
         """Import the operators' table and wait until every daemon is ready."""
         self.run_cli("table", "import", str(self.example.table), "--yes")
         for id_ in self.zones_by_id:
-            wait_for(lambda id_=id_: self.is_ready(id_), f"{id_} ready", 20.0)  # type: ignore[misc]
+            self.wait_until_serving(id_)
+
+    def wait_until_serving(self, id_: str) -> None:
+        """Wait until a daemon is ready and reaches each service."""
+        wait_for(lambda: self.is_ready(id_), f"{id_} ready", 20.0)
+        for service in dict.fromkeys(rack.pool for rack in self.platform.racks):
+            what = f"{id_} serves {service}"
+            wait_for(partial(self._serves, id_, service), what, 20.0)
+
+    def _serves(self, id_: str, service: str) -> bool:
+        credential = next(iter(self.platform.credentials.values()))
+        headers = {"Authorization": f"Bearer {credential}"}
+        address = self.daemons_by_id[id_].caller
+        path = f"/{service}/probe?work_ms=1"
+        return call("GET", address, path, headers=headers).status == 200
 
     def start_daemon(self, id_: str) -> Process:
         """Start a daemon, or start it again."""
--- a/packages/bench/src/medlarspring_bench/demo.py
+++ b/packages/bench/src/medlarspring_bench/demo.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,7 @@
 DRAIN_AT = 0.4
 KILL_AT = 0.6
 SHOWN_BREACHES = 20
+TABLE_WIDTH = 100
 
 
 class Demo:
@@ -87,12 +89,15 @@
             (DRAIN_AT, self._drain_rack),
             (KILL_AT, self._kill_daemon),
         ):
-            wait_for(lambda part=part: self._sent >= part * len(wishes), "batch", 60.0)  # type: ignore[misc]
+            wait_for(partial(self._has_sent, part * len(wishes)), "the batch", 60.0)
             disturb()
         sending.result(120.0)
         self._say("every call has come to its end")
         return callers.calls
 
+    def _has_sent(self, count: float) -> bool:
+        return self._sent >= count
+
     def _count(self, number: int) -> None:
         self._sent = number + 1
 
@@ -156,7 +161,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--verbose", action="store_true", help="show each retry")
     options = parser.parse_args()
-    console = Console()
+    console = Console(width=TABLE_WIDTH)
     with tempfile.TemporaryDirectory() as directory, Processes() as processes:
         example = read_example(options.example)
         cluster = Cluster(example, Path(directory), processes)
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -11,6 +11,7 @@
     create_control_metrics_service,
 )
 from medlarspring_daemon.services.holder_service import create_holder_service
+from medlarspring_daemon.services.operator_service import create_operator_service
 from medlarspring_daemon.services.peer_service import create_peer_service
 from medlarspring_daemon.services.vm_list_service import create_vm_list_service
 
@@ -38,6 +39,7 @@
         create_config_service(node, peers),
         create_holder_service(node, peers),
         create_control_metrics_service(node, peers),
+        create_operator_service(node),
         # Last, so that a shutdown lets callers finish while the rest still works.
         create_caller_service(node),
     ]
