--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -35,7 +35,7 @@
     """Return all services; the last one started is the first one stopped."""
     vm_list = create_vm_list_service(node)
     peers = create_peer_service(node)
-    parts: list[Part | None] = [
+    return [
         vm_list,
         peers,
         create_config_service(node, peers),
@@ -47,7 +47,6 @@
         # Last, so that a shutdown lets callers finish while the rest still works.
         create_caller_service(node),
     ]
-    return [part for part in parts if part is not None]
 
 
 __all__ = ["create_parts", "create_store"]
