--- a/packages/daemon/src/medlarspring_daemon/services/status_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/services/status_routes.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
 from aiohttp import web
 
-from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.decisions import Decision, Subject
 from medlarspring_adapters.operator_api import ExplainAnswer
 from medlarspring_daemon.services.operator_answers import BadRequest, Refusal, answer
-from medlarspring_daemon.services.status import describe_status
+from medlarspring_daemon.services.status import StatusReporter
 
 if TYPE_CHECKING:
     from medlarspring_daemon.node import Node
@@ -20,6 +21,7 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        self._reporter = StatusReporter(node)
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of state and decisions."""
@@ -29,7 +31,7 @@
         ]
 
     async def _status(self, request: web.Request) -> web.Response:
-        return answer(describe_status(self._node))
+        return answer(self._reporter.describe())
 
     async def _explain(self, request: web.Request) -> web.Response:
         name = request.match_info["subject"]
@@ -38,8 +40,12 @@
             reason = f"subject: found {name!r}, wanted one of {', '.join(subjects)}."
             raise Refusal(BadRequest(reason))
         subject_id = request.match_info["id"]
-        decisions = self._node.decisions.find(Subject(name), subject_id)
-        return answer(ExplainAnswer(decisions=tuple(decisions)))
+        own = self._node.decisions.find(Subject(name), subject_id)
+        found = set(await self._node.peers.find_decisions(name, subject_id))
+        found.update(map(msgspec.json.encode, own))
+        decisions = [msgspec.json.decode(each, type=Decision) for each in found]
+        ordered = sorted(decisions, key=lambda decision: decision.at)
+        return answer(ExplainAnswer(decisions=tuple(ordered)))
 
 
 __all__ = ["StatusRoutes"]
--- a/packages/daemon/src/medlarspring_daemon/services/table_editor.py
+++ b/packages/daemon/src/medlarspring_daemon/services/table_editor.py
@@ -121,7 +121,9 @@
 
     change: Change
     stored: StoredTable | None = None
-    """The newest table read, if it is still worth trying on."""
+    """The newest table known, if it is still worth trying on."""
+    remembered: bool = False
+    """Whether it comes from an earlier edit instead of from the store."""
     unanswered: Revision | None = None
     """Store revision named by a write whose reply was lost."""
     error: MedlarspringError | None = None
@@ -147,6 +149,8 @@
         self._retry_seconds = retry_seconds
         self._lock = asyncio.Lock()
         self._waiting = 0
+        self._remembered: StoredTable | None = None
+        """The table that the last write or conflict showed."""
 
     async def read(self) -> Result[StoredTable, MedlarspringError]:
         """Return the store's table; an older one than in force is an error."""
@@ -187,10 +191,22 @@
         self._waiting += 1
         try:
             async with self._lock:
-                return await self._accept(_Attempts(change))
+                known = self._recall()
+                return await self._accept(_Attempts(change, known, known is not None))
         finally:
             self._waiting -= 1
 
+    def _recall(self) -> StoredTable | None:
+        """Return the table known from the edit before, to save a read.
+
+        Each call to the store counts, and edits come in bursts; the condition of
+        the write shows it when the table has changed since.
+        """
+        known, in_force = self._remembered, self._table_in_force()
+        if known is None or in_force is None:
+            return known
+        return known if known.table.revision >= in_force.revision else None
+
     async def _accept(
         self, attempts: _Attempts
     ) -> Result[AcceptedChange, MedlarspringError]:
@@ -218,8 +234,9 @@
                 if attempts.unanswered is not None:
                     return None
                 return Failure(read.failure())
-            attempts.stored = read.unwrap()
+            attempts.stored, attempts.remembered = read.unwrap(), False
         stored, attempts.stored = attempts.stored, None
+        remembered, attempts.remembered = attempts.remembered, False
         if (
             attempts.unanswered is not None
             and stored.mod_revision < attempts.unanswered
@@ -230,7 +247,8 @@
             return None
         changed = attempts.change(stored.table)
         if not is_successful(changed):
-            return Failure(changed.failure())
+            # A remembered table may be out of date; only the store refuses.
+            return None if remembered else Failure(changed.failure())
         if changed.unwrap().record is None:
             return Success(changed.unwrap())
         return await self._commit(attempts, stored, changed.unwrap())
@@ -259,10 +277,11 @@
             return self._note_failure(attempts, stored, committed.failure())
         result = committed.unwrap()
         if result.succeeded:
+            self._remembered = StoredTable(change.table, result.revision)
             self._on_accepted(change.table)
             return Success(change)
         current = self._decode(result.read_by_key.get(TABLE_KEY))
-        attempts.stored = current.value_or(None)
+        self._remembered = attempts.stored = current.value_or(None)
         return None
 
     def _note_failure(
--- a/packages/tables/src/medlarspring_tables/__init__.py
+++ b/packages/tables/src/medlarspring_tables/__init__.py
@@ -46,6 +46,7 @@
     SizeBelief,
     Worker,
 )
+from medlarspring_tables.members import Member, MemberState, MemberTable
 
 __all__ = [
     "NO_SIZE",
@@ -72,6 +73,9 @@
     "ListedState",
     "ListedVM",
     "MedlarspringError",
+    "Member",
+    "MemberState",
+    "MemberTable",
     "PartnerId",
     "PartnerRow",
     "PoolId",
