Tell every fault of the settings with key, found, wanted and remedy

Token files are read before any port opens (an empty one would have failed at the first command only), two ports on one address are a fault, and a misspelt key is answered with the likely one. Paths of token files are relative to the settings file.

--- a/packages/daemon/src/medlarspring_daemon/settings.py
+++ b/packages/daemon/src/medlarspring_daemon/settings.py
@@ -5,71 +5,112 @@
 import ipaddress
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import (
     AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
-    PositiveFloat,
-    PositiveInt,
     ValidationError,
 )
 from returns.result import Failure, Result, Success
 
-from medlarspring_tables import MedlarspringError
+from medlarspring_daemon.settings_faults import (
+    SettingsFaults,
+    Wanted,
+    check_token,
+    describe_faults,
+)
 
 
 def _check_address(value: str) -> str:
-    host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > 65535:
-        raise ValueError("write it as IP:PORT, for example 10.0.0.7:8080")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        raise ValueError("name the host by its IP number, not by a name") from None
+    host, _, port = value.rpartition(":")
+    if not port.isdecimal() or int(port) > 65_535:
+        raise ValueError("not IP:PORT")
+    ipaddress.ip_address(host.strip("[]"))
     return value
 
 
-Address = Annotated[str, AfterValidator(_check_address)]
-"""``ip:port``; port 0 in a ``listen`` key lets the kernel choose."""
+def _check_not_empty(value: tuple[str, ...]) -> tuple[str, ...]:
+    if not value:
+        raise ValueError("empty")
+    return value
 
-Identifier = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-"""Lower-case letters, digits, dots and hyphens."""
 
+Address = Annotated[
+    str,
+    AfterValidator(_check_address),
+    Wanted("IP:PORT with an IP number, for example 10.0.0.7:8080"),
+]
+"""``ip:port``; port 0 in a ``listen`` key lets the kernel choose."""
 
-TokenFile = Annotated[Path, Field(strict=False)]
-"""Path of a file that holds one bearer token."""
+Identifier = Annotated[
+    str,
+    Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$"),
+    Wanted("at most 63 lower-case letters, digits, dots and hyphens"),
+]
+
+TokenFile = Annotated[
+    Path,
+    Field(strict=False),
+    Wanted("the path of a file that holds one token"),
+]
+"""Path of a file that holds one bearer token; relative to the settings file."""
+
+Url = Annotated[
+    str,
+    Field(pattern=r"^http://(\[[0-9a-f:]+\]|[0-9.]+):[0-9]+(/\S*)?$"),
+    Wanted("http://IP:PORT/PATH with an IP number"),
+]
+
+Count = Annotated[int, Field(gt=0), Wanted("a whole number above 0")]
+Duration = Annotated[
+    float, Field(gt=0, allow_inf_nan=False), Wanted("seconds, a number above 0")
+]
+Level = Annotated[
+    Literal["DEBUG", "INFO", "WARNING", "ERROR"],
+    Wanted("DEBUG, INFO, WARNING or ERROR"),
+]
 
 
 class Section(BaseModel):
     """Base of all sections: unknown keys are faults, values are not coerced."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, strict=True, use_attribute_docstrings=True
+    )
 
 
 class EntryVMSection(Section):
     """Who this entry VM is."""
 
     id: Identifier
+    """Its id in the platform's VM list."""
     zone: Identifier
+    """Its availability zone."""
     region: Identifier
+    """Its region."""
 
 
 class CallerSection(Section):
     """The port that callers use, and its limits."""
 
     listen: Address
-    max_body_bytes: PositiveInt = 1_048_576
-    max_header_bytes: PositiveInt = 16_384
-    max_connections: PositiveInt = 2_000
-    max_waiting: PositiveInt = 2_000
+    """Where callers, or the platform's balancer, connect."""
+    max_body_bytes: Count = 1_048_576
+    """Largest body of a request; a service's own limit may be smaller."""
+    max_header_bytes: Count = 16_384
+    """Largest size of all headers of a request."""
+    max_connections: Count = 2_000
+    """Connections open at once."""
+    max_waiting: Count = 2_000
     """Requests that may wait for a slot, over all partners."""
-    idle_seconds: PositiveFloat = 60.0
-    body_seconds: PositiveFloat = 10.0
+    idle_seconds: Duration = 60.0
+    """Longest time that a connection may stay open without a request."""
+    body_seconds: Duration = 10.0
     """Longest time a caller may take to send a request."""
-    drain_seconds: PositiveFloat = 30.0
+    drain_seconds: Duration = 30.0
     """Longest time that shutdown waits for requests in flight."""
 
 
@@ -77,40 +118,64 @@
     """The port that operators use."""
 
     listen: Address
+    """Where ``medlarspring`` connects."""
     token_file: TokenFile
+    """File with the token that operators show."""
 
 
 class PeerSection(Section):
     """The port that the other entry VMs use."""
 
     listen: Address
+    """Where the other entry VMs connect."""
     token_file: TokenFile
+    """File with the token that all entry VMs share."""
 
 
 class StoreSection(Section):
     """The platform's key-value service."""
 
-    endpoints: Annotated[tuple[Address, ...], Field(min_length=1, strict=False)]
-    timeout_seconds: PositiveFloat = 2.0
+    endpoints: Annotated[
+        tuple[Address, ...],
+        Field(strict=False),
+        AfterValidator(_check_not_empty),
+        Wanted("a list of at least one IP:PORT"),
+    ]
+    """Its addresses, tried in turn."""
+    timeout_seconds: Duration = 2.0
+    """Longest time for one call."""
 
 
 class VMListSection(Section):
     """The platform's list of live and leaving VMs."""
 
-    url: Annotated[str, Field(pattern=r"^http://[0-9.]+:[0-9]+/.*$")]
-    poll_seconds: PositiveFloat = 5.0
+    url: Url
+    """Where the list is read."""
+    poll_seconds: Duration = 5.0
+    """Time between two reads."""
+
+
+class VMControlSection(Section):
+    """The platform's control of VMs: drain, reboot, state."""
+
+    url: Url
+    """Where the control answers."""
+    timeout_seconds: Duration = 2.0
+    """Longest time for one call."""
 
 
 class StatsdSection(Section):
     """Where metrics go."""
 
     address: Address
+    """UDP address of the statsd daemon."""
 
 
 class LogSection(Section):
     """What is logged."""
 
-    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    level: Level = "INFO"
+    """Least severe level that is written."""
 
 
 class Settings(Section):
@@ -122,47 +187,69 @@
     peer: PeerSection
     store: StoreSection
     vm_list: VMListSection
+    vm_control: VMControlSection | None = None
+    """Without it this entry VM does no maintenance and no moves."""
     statsd: StatsdSection | None = None
+    """Without it no metrics are sent."""
     log: LogSection = LogSection()
 
 
-class SettingsFaults(MedlarspringError):
-    """The settings cannot be used; lists every fault at once."""
-
-    code = "settings"
-
-    def __init__(self, faults: list[str]) -> None:
-        super().__init__(faults)
-        self.faults = faults
-
-    def message(self) -> str:
-        """Return one line a fault: file, key, found, wanted and remedy."""
-        return "\n".join(self.faults)
-
-
 def read_settings(path: Path) -> Result[Settings, SettingsFaults]:
-    """Read and check a settings file; token files have to be readable too."""
+    """Read and check a settings file, with the token files that it names."""
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
-        fault = f"{path}: cannot be read ({error.strerror}); name an existing file"
-        return Failure(SettingsFaults([fault]))
+        reason = f"{path}: can't be read ({error.strerror}); name an existing file"
+        return Failure(SettingsFaults([reason]))
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        fault = f"{path}: is not TOML ({error}); mend the named line"
-        return Failure(SettingsFaults([fault]))
+        reason = f"{path}: is not TOML ({error}); mend the named line"
+        return Failure(SettingsFaults([reason]))
+    _resolve_token_files(path, document)
+    faults: list[str] = []
+    settings: Settings | None = None
     try:
         settings = Settings.model_validate(document)
     except ValidationError as error:
-        faults = [
-            _describe_fault(path, ".".join(map(str, fault["loc"])), fault["msg"])
-            for fault in error.errors()
-        ]
+        faults.extend(describe_faults(path, Settings, error))
+    faults.extend(_check_token_files(path, document))
+    faults.extend(_check_listens_differ(path, document))
+    if settings is None or faults:
         return Failure(SettingsFaults(faults))
     return Success(settings)
 
 
-def _describe_fault(path: Path, key: str, reason: str) -> str:
-    return f"{path}: {key}: {reason}"
-
-
-__all__ = ["Settings", "SettingsFaults", "read_settings"]
+def _resolve_token_files(path: Path, document: dict[str, Any]) -> None:
+    for name in ("operator", "peer"):
+        section = document.get(name)
+        if isinstance(section, dict) and isinstance(section.get("token_file"), str):
+            section["token_file"] = str(path.parent / section["token_file"])
+
+
+def _check_token_files(path: Path, document: dict[str, Any]) -> list[str]:
+    faults = []
+    for name in ("operator", "peer"):
+        section = document.get(name)
+        if isinstance(section, dict) and isinstance(section.get("token_file"), str):
+            fault = check_token(Path(section["token_file"]))
+            faults += [f"{path}: {name}.token_file: {fault}"] if fault else []
+    return faults
+
+
+def _check_listens_differ(path: Path, document: dict[str, Any]) -> list[str]:
+    faults = []
+    sections_by_address: dict[str, str] = {}
+    for name in ("caller", "operator", "peer"):
+        section = document.get(name)
+        address = section.get("listen") if isinstance(section, dict) else None
+        if not isinstance(address, str) or address.endswith(":0"):
+            continue
+        first = sections_by_address.setdefault(address, name)
+        if first != name:
+            faults.append(
+                f"{path}: {name}.listen: found {address!r}, which is {first}.listen"
+                " too, wanted an address of its own; change the port of one"
+            )
+    return faults
+
+
+__all__ = ["Section", "Settings", "SettingsFaults", "read_settings"]
