--- a/packages/adapters/src/medlarspring_adapters/store_meter.py
+++ b/packages/adapters/src/medlarspring_adapters/store_meter.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING, TypeVar, cast
@@ -115,6 +116,7 @@
     def __init__(self, inner: Store, clock: Clock) -> None:
         self._inner = inner
         self._clock = clock
+        self._billed_to: Mechanism | None = None
         self.calls = StoreCalls()
         now = clock.now()
         self._buckets_by_mechanism = {
@@ -122,6 +124,12 @@
             for mechanism, rate in CALLS_PER_SECOND.items()
         }
 
+    def bill_to(self, mechanism: Mechanism) -> MeteredStore:
+        """Return the same store with all calls counted for one mechanism."""
+        view = copy.copy(self)
+        view._billed_to = mechanism
+        return view
+
     def failing_seconds(self) -> Seconds:
         """Return for how long the store has not answered; 0 while it does."""
         if self.calls.failing_since is None:
@@ -179,6 +187,7 @@
         call: Callable[[Argument], Awaitable[Result[Value, StoreError]]],
         argument: Argument,
     ) -> Result[Value, StoreError]:
+        mechanism = self._billed_to or mechanism
         if not self._may_call(mechanism):
             detail = f"{CALLS_PER_SECOND[mechanism]:g} calls/s for {mechanism.value}"
             return Failure(StoreOverBudget(detail))
--- a/packages/daemon/src/medlarspring_daemon/services/operator_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/operator_service.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_daemon.services.audit_routes import AuditRoutes
 from medlarspring_daemon.services.operator_answers import (
     BadRequest,
@@ -43,12 +44,13 @@
         self._node = node
         self._token = b""
         self._runner: web.AppRunner | None = None
+        self._status = StatusRoutes(node)
         self._editor = TableEditor(
-            node.store,
+            node.store.bill_to(Mechanism.EDITS),
             node.clock,
             node.rng,
             table_in_force=lambda: node.config,
-            on_accepted=node.offer_table,
+            on_accepted=lambda table: node.offer_table(table),
         )
 
     async def start(self) -> None:
@@ -61,7 +63,7 @@
         )
         app.add_routes(TableRoutes(self._node, self._editor).routes())
         app.add_routes(AuditRoutes(self._node).routes())
-        app.add_routes(StatusRoutes(self._node).routes())
+        app.add_routes(self._status.routes())
         app.add_routes(self._node.operator_routes)
         self._runner = web.AppRunner(
             app, access_log=None, keepalive_timeout=IDLE_SECONDS, shutdown_timeout=5.0
