--- a/packages/daemon/src/medlarspring_daemon/node.py
+++ b/packages/daemon/src/medlarspring_daemon/node.py
@@ -189,8 +189,6 @@
     """Written by the holder service."""
     fleet_tables: FleetTables = field(default_factory=FleetTables)
     """Records of VMs and waves; written by the fleet service while pools are held."""
-    operator_routes: list[web.RouteDef] = field(default_factory=list)
-    """Routes of the operator port; parts add theirs before it starts."""
     addresses: dict[str, str] = field(default_factory=dict)
     """Real addresses of the open ports by port name."""
     stopping: bool = False
