Share slots, queue fairly, retry within a budget and claim idempotency keys

Admission, fair queue, slot credits, retries, upstream health and claims as systems over tables; the caller port carries them out.

Found by the tests on the way: header names of aiohttp are of its own string kind that msgspec cannot encode, so that no outcome of a payment was recorded (test_repeat_through_another_entry_vm_gets_the_first_answer failed with it).

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -26,6 +26,10 @@
 
     TASK_FAILED = (1010, "a background task failed and is started again")
 
+    REQUEST_FAILED = (2001, "a caller's request met a fault of this process")
+    UPSTREAM_SET_ASIDE = (2002, "an upstream VM is set aside for its answers")
+    UPSTREAM_LEAVING = (2003, "an upstream VM leaves; it gets no new work")
+
     TABLE_IN_FORCE = (3001, "a newer configuration table is in force")
     STORE_TABLE_OLDER = (3002, "the store's table is older; it is not taken")
     STORE_TABLE_DIVERGED = (3003, "the store's table differs at the same revision")
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/group_commit.py
@@ -0,0 +1,106 @@
+"""Carries many transactions to the store in few counted calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.store import Committed, StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.store import (
+        Store,
+        Transaction,
+    )
+    from medlarspring_tables import Seconds
+
+MAX_PER_CALL = 64
+MAX_CALLS_AT_ONCE = 4
+"""One call that hangs must not hold up all that come after it."""
+
+Answer = Result[Committed, StoreError]
+
+
+class GroupCommit:
+    """Sends the first transaction at once; those that follow share calls."""
+
+    def __init__(
+        self, store: Store, clock: Clock, choose_interval: Callable[[], Seconds]
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._choose_interval = choose_interval
+        self._waiting: deque[tuple[Transaction, asyncio.Future[Answer]]] = deque()
+        self._calls: set[asyncio.Task[None]] = set()
+        self._called_at = float("-inf")
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def commit(self, transaction: Transaction) -> Answer:
+        """Commit one transaction, together with others that wait."""
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._waiting.append((transaction, future))
+        self._call_when_due()
+        return await future
+
+    def _call_when_due(self) -> None:
+        if self._timer is not None or not self._waiting:
+            return
+        if len(self._calls) >= MAX_CALLS_AT_ONCE:
+            return
+        wait = self._called_at + self._choose_interval() - self._clock.now()
+        if wait > 0.0:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(wait, self._end_wait)
+            return
+        self._called_at = self._clock.now()
+        call = asyncio.create_task(self._call(self._take_batch()))
+        self._calls.add(call)
+        call.add_done_callback(self._end_call)
+
+    def _end_wait(self) -> None:
+        self._timer = None
+        self._call_when_due()
+
+    def _end_call(self, call: asyncio.Task[None]) -> None:
+        self._calls.discard(call)
+        self._call_when_due()
+
+    def _take_batch(self) -> list[tuple[Transaction, asyncio.Future[Answer]]]:
+        """Take what goes into one call; no key is written twice by it."""
+        batch: list[tuple[Transaction, asyncio.Future[Answer]]] = []
+        left: deque[tuple[Transaction, asyncio.Future[Answer]]] = deque()
+        keys: set[str] = set()
+        while self._waiting and len(batch) < MAX_PER_CALL:
+            transaction, future = self._waiting.popleft()
+            written = {write.key for write in transaction.writes}
+            if keys & written:
+                left.append((transaction, future))
+                continue
+            keys |= written
+            batch.append((transaction, future))
+        self._waiting.extendleft(reversed(left))
+        return batch
+
+    async def _call(
+        self, batch: list[tuple[Transaction, asyncio.Future[Answer]]]
+    ) -> None:
+        answer = await self._store.commit_each(
+            [transaction for transaction, _ in batch]
+        )
+        for index, (_, future) in enumerate(batch):
+            if future.done():
+                continue
+            if is_successful(answer):
+                future.set_result(Success(answer.unwrap()[index]))
+            else:
+                future.set_result(Failure(answer.failure()))
+
+
+__all__ = ["MAX_PER_CALL", "GroupCommit"]
--- a/packages/adapters/src/medlarspring_adapters/problems.py
+++ b/packages/adapters/src/medlarspring_adapters/problems.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import math
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import web
 
+from medlarspring_tables import RequestId
+
 if TYPE_CHECKING:
-    from medlarspring_tables import RequestId
     from medlarspring_tables.requests import Refusal
 
 CONTENT_TYPE = "application/problem+json"
@@ -58,10 +60,32 @@
     )
 
 
+def encode_raw_problem(refusal: Refusal) -> bytes:
+    """Return a refusal as HTTP bytes, for connections without a request."""
+    kind = refusal.kind
+    body = encode_problem(refusal, RequestId(""))
+    head = [
+        f"HTTP/1.1 {kind.status} {HTTPStatus(kind.status).phrase}",
+        f"Content-Type: {CONTENT_TYPE}",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    ]
+    retry_after = _whole_seconds(refusal)
+    if retry_after is not None:
+        head.append(f"Retry-After: {retry_after}")
+    return "\r\n".join([*head, "", ""]).encode() + body
+
+
 def _whole_seconds(refusal: Refusal) -> int | None:
     if refusal.retry_after is None:
         return None
     return max(1, math.ceil(refusal.retry_after))
 
 
-__all__ = ["CONTENT_TYPE", "Problem", "create_problem_response", "encode_problem"]
+__all__ = [
+    "CONTENT_TYPE",
+    "Problem",
+    "create_problem_response",
+    "encode_problem",
+    "encode_raw_problem",
+]
--- a/packages/adapters/src/medlarspring_adapters/upstream_http.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_http.py
@@ -123,7 +123,7 @@
                 UpstreamFault(Reached.PERHAPS, "no answer in time", timed_out=True)
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return Failure(_create_fault(error))
+            return Failure(create_fault(error))
         return _check_answer(response, sending)
 
 
@@ -135,13 +135,14 @@
         return Success(await response.read())
     except (aiohttp.ClientError, OSError, ValueError) as error:
         response.close()
-        return Failure(_create_fault(error))
+        return Failure(create_fault(error))
     except asyncio.CancelledError:
         response.close()
         raise
 
 
-def _create_fault(error: Exception) -> UpstreamFault:
+def create_fault(error: Exception) -> UpstreamFault:
+    """Return the fault of a request that may have been run."""
     detail = f"{type(error).__name__}: {error}"
     timed_out = isinstance(error, TimeoutError)
     return UpstreamFault(Reached.PERHAPS, detail, timed_out=timed_out)
@@ -211,5 +212,6 @@
     "UpstreamClient",
     "UpstreamFault",
     "copy_answer_headers",
+    "create_fault",
     "read_answer",
 ]
--- a/packages/daemon/src/medlarspring_daemon/services/caller_answer.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_answer.py
@@ -9,13 +9,13 @@
 import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters.upstream_http import (
     HOP_HEADERS,
     UpstreamFault,
     copy_answer_headers,
+    create_fault,
     read_answer,
 )
 
@@ -27,6 +27,8 @@
 """Answers up to this size are held whole, so that a cut one can be told and
 a caller that reads slowly holds no slot."""
 
+MAX_KEYED_ANSWER_BYTES = 8_388_608
+"""Answers to requests with a key are always held whole."""
 MAX_ANSWER_BYTES = 67_108_864
 STALL_SECONDS = 10.0
 """A caller that takes nothing for so long is cut off; it holds a slot."""
@@ -44,12 +46,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class WholeAnswer:
-    """An upstream's answer, held whole."""
+class HeldBody:
+    """The body of an answer, or its beginning."""
 
-    status: int
-    headers: CIMultiDict[str]
     body: bytes
+    complete: bool
 
 
 def create_upstream_headers(
@@ -73,38 +74,54 @@
 
 
 async def hold_answer(
-    answer: aiohttp.ClientResponse, request_id: RequestId
-) -> Result[WholeAnswer | None, UpstreamFault]:
-    """Return the whole answer, or None if it is too large to be held."""
+    answer: aiohttp.ClientResponse, limit: int
+) -> Result[HeldBody, UpstreamFault]:
+    """Read an answer's body up to a limit."""
     length = answer.content_length
-    if length is None and answer.method != "HEAD" or (length or 0) > HELD_ANSWER_BYTES:
-        return Success(None)
-    body = await read_answer(answer)
-    if not is_successful(body):
-        return Failure(body.failure())
-    headers = copy_answer_headers(answer.headers)
-    headers["Request-Id"] = request_id
-    return Success(WholeAnswer(answer.status, headers, body.unwrap()))
+    if length is not None and length <= limit:
+        body = await read_answer(answer)
+        return body.map(lambda whole: HeldBody(whole, complete=True))
+    held = bytearray()
+    try:
+        async for chunk in answer.content.iter_any():
+            held += chunk
+            if len(held) > limit:
+                return Success(HeldBody(bytes(held), complete=False))
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        answer.close()
+        return Failure(create_fault(error))
+    except asyncio.CancelledError:
+        answer.close()
+        raise
+    return Success(HeldBody(bytes(held), complete=True))
 
 
-def create_response(answer: WholeAnswer, method: str) -> web.Response:
+def create_response(
+    answer: aiohttp.ClientResponse, body: bytes, row: CallerRequest
+) -> web.Response:
     """Return the answer to the caller for one that was held whole."""
-    headers = answer.headers
-    if method != "HEAD":
+    headers = copy_answer_headers(answer.headers)
+    headers["Request-Id"] = row.id
+    if row.method != "HEAD":
         headers.popall("Content-Length", None)
-    return web.Response(status=answer.status, headers=headers, body=answer.body)
+    return web.Response(status=answer.status, headers=headers, body=body)
 
 
 async def stream_answer(
-    answer: aiohttp.ClientResponse, request: web.BaseRequest, request_id: RequestId
+    answer: aiohttp.ClientResponse,
+    begin: bytes,
+    request: web.BaseRequest,
+    request_id: RequestId,
 ) -> tuple[web.StreamResponse, bool]:
     """Pass a large answer on as it comes; return whether it came whole."""
     headers = copy_answer_headers(answer.headers)
     headers["Request-Id"] = request_id
     response = web.StreamResponse(status=answer.status, headers=headers)
-    passed = 0
+    passed = len(begin)
     try:
         await response.prepare(request)
+        if begin:
+            await response.write(begin)
         async for chunk in answer.content.iter_any():
             passed += len(chunk)
             if passed > MAX_ANSWER_BYTES:
@@ -128,7 +145,8 @@
 
 __all__ = [
     "HELD_ANSWER_BYTES",
-    "WholeAnswer",
+    "MAX_KEYED_ANSWER_BYTES",
+    "HeldBody",
     "copy_caller_headers",
     "create_response",
     "create_upstream_headers",
--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -18,6 +18,8 @@
     UpstreamFault,
 )
 from medlarspring_daemon.services.caller_answer import (
+    HELD_ANSWER_BYTES,
+    MAX_KEYED_ANSWER_BYTES,
     create_response,
     create_upstream_headers,
     hold_answer,
@@ -120,7 +122,7 @@
         row = exchange.row
         now = self._node.clock.now()
         upstream = turn.upstream
-        if now >= upstream.credit_until:
+        if now >= upstream.credit_until or now >= row.deadline:
             # The process was frozen or held up since the slot was given. The
             # slot may be another's by now, so it must not be used.
             upstream_health.note_no_verdict(upstream)
@@ -176,16 +178,16 @@
             if state != "leaving":
                 turn.upstream.credit_until = min(turn.upstream.credit_until, now)
             return Failure(AttemptFailure(_UPSTREAM_REFUSED, not_run=True))
-        held = await hold_answer(answer, row.id)
+        streams = exchange.request is not None
+        held = await hold_answer(
+            answer, HELD_ANSWER_BYTES if streams else MAX_KEYED_ANSWER_BYTES
+        )
         if not is_successful(held):
             return Failure(self._judge_fault(turn, held.failure()))
-        whole = held.unwrap()
-        if whole is None:
-            assert exchange.request is not None
-            response, complete = await stream_answer(answer, exchange.request, row.id)
-            self._judge_answer(turn, ok=complete, latency=latency)
-            return Success(response)
-        passed = create_response(whole, row.method)
+        body = held.unwrap()
+        if not body.complete:
+            return await self._pass_large(exchange, turn, answer, body.body, latency)
+        passed = create_response(answer, body.body, row)
         ok = answer.status not in RETRIED_STATUSES
         self._judge_answer(turn, ok=ok, latency=latency)
         if not ok:
@@ -197,6 +199,26 @@
             retry.earn(budget, config.fleet.retry_percent)
         return Success(passed)
 
+    async def _pass_large(
+        self,
+        exchange: Exchange,
+        turn: Turn,
+        answer: aiohttp.ClientResponse,
+        begin: bytes,
+        latency: float,
+    ) -> Result[web.StreamResponse, AttemptFailure]:
+        if exchange.request is None:
+            answer.close()
+            fault = UpstreamFault(
+                Reached.PERHAPS, "its answer is too large", timed_out=False
+            )
+            return Failure(self._judge_fault(turn, fault))
+        response, whole = await stream_answer(
+            answer, begin, exchange.request, exchange.row.id
+        )
+        self._judge_answer(turn, ok=whole, latency=latency)
+        return Success(response)
+
     def _judge_answer(self, turn: Turn, *, ok: bool, latency: float) -> None:
         upstreams = self._state.list_upstreams(turn.pool.pool_id)
         now = self._node.clock.now()
--- a/packages/daemon/src/medlarspring_daemon/services/caller_reading.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_reading.py
@@ -73,6 +73,7 @@
         self._node = node
         self._credentials = Credentials()
         self._body_seconds = node.settings.caller.body_seconds
+        self._max_header_bytes = node.settings.caller.max_header_bytes
         self._max_body_bytes = node.settings.caller.max_body_bytes
 
     async def read(
@@ -82,6 +83,8 @@
         config = self._node.config
         if config is None or self._node.vm_list is None:
             return Failure(_NOT_READY)
+        if sum(map(_measure, request.raw_headers)) > self._max_header_bytes:
+            return Failure(HEADERS_TOO_LARGE)
         partner = self._credentials.find_partner(
             config, request.headers.get("Authorization", "")
         )
@@ -113,7 +116,9 @@
                 arrived_at=now,
                 deadline=now + timeout,
                 urgency=_read_urgency(request.headers.get("Priority")),
-                repeatable=(
+                # A key promises one run at most, whatever else is stated.
+                repeatable=key is None
+                and (
                     request.method in SAFE_METHODS
                     or request.headers.get("Repeatable") == TRUE
                 ),
@@ -151,6 +156,10 @@
     return RequestId(uuid.uuid4().hex)
 
 
+def _measure(header: tuple[bytes, bytes]) -> int:
+    return len(header[0]) + len(header[1])
+
+
 def _split_path(raw_path: str) -> tuple[ServiceId, str]:
     """Return the service and the rest, percent-encoding left as it came."""
     path, mark, query = raw_path.partition("?")
@@ -222,6 +231,11 @@
     Outcome.NOT_RUN,
     "The body ended early or is malformed; send it again whole.",
 )
+HEADERS_TOO_LARGE = Refusal(
+    RefusalKind.HEADERS_TOO_LARGE,
+    Outcome.NOT_RUN,
+    "Send less than max_header_bytes of the entry VM's settings.",
+)
 _CALLER_TOO_SLOW = Refusal(
     RefusalKind.CALLER_TOO_SLOW,
     Outcome.NOT_RUN,
@@ -229,4 +243,4 @@
     retry_after=1.0,
 )
 
-__all__ = ["Credentials", "RequestReader", "create_request_id"]
+__all__ = ["HEADERS_TOO_LARGE", "Credentials", "RequestReader", "create_request_id"]
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -8,12 +8,15 @@
 from aiohttp import web
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.problems import create_problem_response
 from medlarspring_adapters.upstream_http import UpstreamClient
 from medlarspring_daemon.services.caller_answer import copy_caller_headers
+from medlarspring_daemon.services.caller_connections import CallerServer
 from medlarspring_daemon.services.caller_dispatch import Dispatcher
 from medlarspring_daemon.services.caller_forwarding import Exchange, Forwarder
+from medlarspring_daemon.services.caller_keyed import KeyedRunner
 from medlarspring_daemon.services.caller_reading import (
     RequestReader,
     create_request_id,
@@ -27,6 +30,8 @@
 HEALTH_PATH = "/healthz"
 READINESS_PATH = "/readyz"
 DRAIN_CHECK_SECONDS = 0.02
+FAREWELL_SECONDS = 1.5
+"""How long the port stays open on shutdown, for the balancer to notice."""
 
 
 class CallerService:
@@ -39,7 +44,9 @@
         self._dispatcher = Dispatcher(self._state)
         self._client: UpstreamClient | None = None
         self._forwarder: Forwarder | None = None
-        self._server: web.Server | None = None
+        self._keyed: KeyedRunner | None = None
+        self._server: CallerServer | None = None
+        self._sweep: asyncio.Task[None] | None = None
         self._listener: asyncio.Server | None = None
         self._in_flight = 0
 
@@ -49,15 +56,9 @@
         self._client = UpstreamClient(self._node.clock)
         self._forwarder = Forwarder(self._state, self._dispatcher, self._client)
         await self._dispatcher.slots.start()
-        self._server = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=settings.idle_seconds,
-            max_line_size=settings.max_header_bytes,
-            max_field_size=settings.max_header_bytes,
-            auto_decompress=False,
-        )
+        self._keyed = KeyedRunner(self._node, self._forwarder)
+        self._server = CallerServer(self._handle, settings, self._note_failure)
+        self._sweep = asyncio.create_task(self._server.sweep())
         host, _, port = settings.listen.rpartition(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -67,16 +68,27 @@
         self._node.addresses["caller"] = f"{bound[0]}:{bound[1]}"
 
     async def stop(self) -> None:
-        """Let every request in flight finish, then close."""
-        if self._server is None or self._listener is None:
+        """Let every request in flight finish, then close.
+
+        The balancer learns from the readiness check that this entry VM goes,
+        and sends requests until then. They are served, each with the word that
+        its connection closes; closing the port at once would cut them.
+        """
+        if self._server is None or self._listener is None or self._keyed is None:
             return
         loop = asyncio.get_running_loop()
         limit = loop.time() + self._node.settings.caller.drain_seconds
-        while self._in_flight and loop.time() < limit:
+        farewell = min(limit, loop.time() + FAREWELL_SECONDS)
+        if not self._node.stopping:
+            farewell = loop.time()
+        while loop.time() < farewell or (self._in_flight and loop.time() < limit):
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         self._listener.close()
+        await self._keyed.stop(max(0.1, limit - loop.time()))
         self._server.pre_shutdown()
         await self._server.shutdown(1.0)
+        if self._sweep is not None:
+            self._sweep.cancel()
         await self._dispatcher.slots.stop()
         if self._client is not None:
             await self._client.close()
@@ -88,20 +100,29 @@
             return self._answer_readiness()
         self._in_flight += 1
         try:
-            return await self._answer(request)
+            response = await self._answer(request)
         finally:
             self._in_flight -= 1
+        if self._node.stopping and not response.prepared:
+            response.force_close()
+        return response
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         assert self._forwarder is not None
+        assert self._keyed is not None
         request_id = create_request_id(request)
         read = await self._reader.read(request, request_id)
         if not is_successful(read):
             refusal = read.failure()
             self._node.metrics.count(Metric.REQUESTS_REFUSED)
             return create_problem_response(refusal, request_id)
-        exchange = Exchange(read.unwrap(), copy_caller_headers(request), request)
-        answer = await self._forwarder.forward(exchange)
+        row = read.unwrap()
+        headers = copy_caller_headers(request)
+        if row.key is not None:
+            answer = await self._keyed.run(row, headers)
+        else:
+            exchange = Exchange(row, headers, request)
+            answer = await self._forwarder.forward(exchange)
         if not is_successful(answer):
             refusal = answer.failure()
             unknown = refusal.outcome is Outcome.UNKNOWN
@@ -112,6 +133,9 @@
         self._node.metrics.count(Metric.REQUESTS_ANSWERED)
         return answer.unwrap()
 
+    def _note_failure(self, error: BaseException | None) -> None:
+        self._node.log.error(Event.REQUEST_FAILED, error=repr(error))
+
     def _answer_readiness(self) -> web.Response:
         node = self._node
         if node.stopping:
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -18,6 +18,7 @@
 from medlarspring_adapters.clock import SystemClock
 from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
+from medlarspring_bench.memory_store import MemoryStore, create_memory_store
 from medlarspring_daemon.node import create_node
 from medlarspring_daemon.services.caller_service import create_caller_service
 from medlarspring_daemon.settings import (
@@ -50,6 +51,7 @@
 
     from medlarspring_daemon.node import Node, Part
 
+    Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 WAIT_SECONDS = 10.0
@@ -130,6 +132,7 @@
         self.upstreams: list[ScriptedUpstream] = []
         self.vm_list = VMList()
         self.config = create_config()
+        self.store = create_memory_store(SystemClock())
 
     async def add_upstream(
         self, handler: Handler | None = None, zone: str = "a"
@@ -145,6 +148,13 @@
         self.upstreams.append(upstream)
         return upstream
 
+    async def add_raw_upstream(self, script: Script, zone: str = "a") -> VMId:
+        """Add an upstream VM that speaks bytes: one call per connection."""
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        self._stack.callback(server.close)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        return self.list_vm(address, zone)
+
     def list_vm(self, address: str, zone: str = "a", **fields: object) -> VMId:
         vm_id = VMId(f"vm-{len(self.vm_list.vms_by_id)}")
         self.vm_list.vms_by_id[vm_id] = ListedVM(
@@ -159,7 +169,7 @@
         return vm_id
 
     async def start_entry_vm(
-        self, name: str = "e1", store: object = None, **caller: object
+        self, name: str = "e1", store: MemoryStore | None = None, **caller: object
     ) -> EntryVM:
         node = create_node(
             create_settings(name, **caller),
@@ -167,7 +177,7 @@
             random.Random(7),
             create_event_log(EntryVMId(name), "ERROR"),
             NoMetrics(),
-            store,  # type: ignore[arg-type]
+            store or self.store,
         )
         node.config = self.config
         node.vm_list = self.vm_list
@@ -207,6 +217,14 @@
     )
 
 
+def encode_answer(body: bytes, *, length: int | None = None, extra: str = "") -> bytes:
+    """Return an answer's bytes; ``length`` lies about the body."""
+    stated = len(body) if length is None else length
+    return (
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%b\r\n" % (stated, extra.encode())
+    ) + body
+
+
 @pytest.fixture
 async def bench() -> AsyncIterator[Bench]:
     async with AsyncExitStack() as stack:
--- /dev/null
+++ b/packages/daemon/tests/callers/test_caller_keyed.py
@@ -0,0 +1,230 @@
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from aiohttp import web
+
+from medlarspring_bench.memory_store import MemoryStore
+
+from .conftest import encode_answer, wait_until
+
+PAY = {"method": "POST", "data": b"pay 100", "Idempotency_Key": "batch-7"}
+
+
+async def count_runs(request: web.BaseRequest) -> web.Response:
+    return web.Response(status=201, text="paid", headers={"Location": "/payments/1"})
+
+
+async def test_repeat_through_another_entry_vm_gets_the_first_answer(bench):
+    """The answer of a payment was lost on its way. The caller sends it again
+    through another entry VM and gets the recorded answer; nothing runs twice."""
+    upstream = await bench.add_upstream(count_runs)
+    first = await bench.start_entry_vm("e1")
+    second = await bench.start_entry_vm("e2")
+    paid = await first.ask(**PAY)
+    again = await second.ask(**PAY)
+    assert (paid.status, again.status) == (201, 201)
+    assert (paid.body, again.body) == (b"paid", b"paid")
+    assert again.headers["Idempotent-Replay"] == "?1"
+    assert again.headers["Location"] == "/payments/1"
+    assert len(upstream.runs) == 1
+
+
+async def test_concurrent_repeats_run_once(bench):
+    """A caller in a hurry sends one payment ten times at once over two entry
+    VMs. One runs; the others are told that it is in progress."""
+    release = asyncio.Event()
+
+    async def work(request: web.BaseRequest) -> web.Response:
+        await release.wait()
+        return web.Response(text="paid")
+
+    upstream = await bench.add_upstream(work)
+    entry_vms = [await bench.start_entry_vm(name) for name in ("e1", "e2")]
+    asked = [asyncio.create_task(entry_vm.ask(**PAY)) for entry_vm in entry_vms * 5]
+    await wait_until(lambda: sum(task.done() for task in asked) == 9)
+    release.set()
+    answers = await asyncio.gather(*asked)
+    assert sorted(answer.status for answer in answers) == [200] + [409] * 9
+    refused = next(answer for answer in answers if answer.status == 409)
+    assert json.loads(refused.body)["outcome"] == "unknown"
+    assert int(refused.headers["Retry-After"]) >= 1
+    assert len(upstream.runs) == 1
+
+
+@pytest.mark.parametrize("change", [{"data": b"pay 999"}, {"path": "/consent/other"}])
+async def test_key_with_another_request_is_a_conflict(bench, change):
+    await bench.add_upstream(count_runs)
+    first = await bench.start_entry_vm("e1")
+    second = await bench.start_entry_vm("e2")
+    await first.ask(**PAY)
+    answer = await second.ask(**{**PAY, **change})
+    assert answer.status == 422
+    assert json.loads(answer.body)["reason"] == "key-conflict"
+
+
+async def test_keys_of_two_partners_have_nothing_to_do_with_each_other(bench):
+    upstream = await bench.add_upstream(count_runs)
+    entry_vm = await bench.start_entry_vm()
+    await entry_vm.ask(**PAY, partner="njia")
+    answer = await entry_vm.ask(**PAY, partner="mto")
+    assert answer.status == 201
+    assert len(upstream.runs) == 2
+
+
+async def test_lost_reply_of_the_claim_neither_loses_nor_doubles_the_run(bench):
+    """The store takes the claim and its reply is lost. The entry VM finds its
+    own claim when it writes again, and runs the payment once."""
+    upstream = await bench.add_upstream(count_runs)
+    entry_vm = await bench.start_entry_vm()
+    await entry_vm.ask(**{**PAY, "Idempotency_Key": "takes the lease"})
+    bench.store.faults.lose_replies = 1
+    answer = await entry_vm.ask(**PAY)
+    assert answer.status == 201
+    assert len(upstream.runs) == 2
+
+
+async def test_store_down_before_the_send_means_not_run(bench):
+    """With the store out of reach no claim can be taken. The caller is told at
+    once that nothing ran, and the repeat after the outage runs once."""
+    upstream = await bench.add_upstream(count_runs)
+    entry_vm = await bench.start_entry_vm()
+    bench.store.go_down()
+    refused = await entry_vm.ask(**PAY)
+    assert refused.status == 503
+    assert json.loads(refused.body)["outcome"] == "not-run"
+    assert upstream.runs == []
+    bench.store.come_up()
+    assert (await entry_vm.ask(**PAY)).status == 201
+    assert len(upstream.runs) == 1
+
+
+async def test_claim_that_was_refused_is_given_back(bench):
+    """All upstreams refuse after the claim was taken. The caller is told "not
+    run", and its repeat through another entry VM runs instead of meeting the
+    claim of the first."""
+    refusing = True
+
+    async def work(request: web.BaseRequest) -> web.Response:
+        if refusing:
+            return web.Response(status=503, headers={"Upstream-State": "full"})
+        return web.Response(text="paid")
+
+    await bench.add_upstream(work)
+    first = await bench.start_entry_vm("e1")
+    second = await bench.start_entry_vm("e2")
+    refused = await first.ask(**PAY, Request_Timeout="0.5")
+    assert json.loads(refused.body)["outcome"] == "not-run"
+    refusing = False
+    assert (await second.ask(**PAY)).status == 200
+
+
+async def test_run_without_known_outcome_is_never_repeated(bench):
+    """The upstream takes the payment and its connection breaks. Nobody can
+    tell whether it ran, so the repeat is refused and says so."""
+    heads = []
+
+    async def break_off(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+
+    await bench.add_raw_upstream(break_off)
+    first = await bench.start_entry_vm("e1")
+    second = await bench.start_entry_vm("e2")
+    unknown = await first.ask(**PAY)
+    again = await second.ask(**PAY)
+    assert json.loads(unknown.body)["outcome"] == "unknown"
+    assert json.loads(again.body)["reason"] == "outcome-lost"
+    assert len(heads) == 1
+
+
+async def test_caller_that_leaves_gets_the_outcome_by_its_repeat(bench):
+    """The caller's connection breaks while its payment runs. The run goes on
+    to its end, and the repeat gets its answer."""
+    release = asyncio.Event()
+
+    async def work(request: web.BaseRequest) -> web.Response:
+        await release.wait()
+        return web.Response(text="paid")
+
+    upstream = await bench.add_upstream(work)
+    first = await bench.start_entry_vm("e1")
+    second = await bench.start_entry_vm("e2")
+    asked = asyncio.create_task(first.ask(**PAY))
+    await wait_until(lambda: upstream.running == 1)
+    asked.cancel()
+    await asyncio.gather(asked, return_exceptions=True)
+    release.set()
+    await wait_until(lambda: upstream.running == 0)
+    async with asyncio.timeout(5):
+        while (answer := await second.ask(**PAY)).status == 409:
+            await asyncio.sleep(0.02)
+    assert answer.body == b"paid"
+    assert len(upstream.runs) == 1
+
+
+async def test_answer_too_large_to_keep_is_not_replayed_in_part(bench):
+    async def work(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"x" * 20_000)
+
+    upstream = await bench.add_upstream(work)
+    entry_vm = await bench.start_entry_vm()
+    assert len((await entry_vm.ask(**PAY)).body) == 20_000
+    again = await entry_vm.ask(**PAY)
+    assert again.status == 409
+    assert json.loads(again.body)["outcome"] == "run"
+    assert len(upstream.runs) == 1
+
+
+async def test_slow_store_does_not_lose_the_record(bench):
+    """The store takes seconds per call. The answer does not wait for its
+    record, and the record is written in the end."""
+    upstream = await bench.add_upstream(count_runs)
+    slow = MemoryStore(bench.store.state)
+    first = await bench.start_entry_vm("e1", store=slow)
+    second = await bench.start_entry_vm("e2")
+    await first.ask(**{**PAY, "Idempotency_Key": "takes the lease"})
+    slow.faults.slow_seconds = 0.6
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    assert (await first.ask(**PAY)).status == 201
+    assert loop.time() - began < 1.1
+    async with asyncio.timeout(5):
+        while (answer := await second.ask(**PAY)).status == 409:
+            await asyncio.sleep(0.02)
+    assert answer.headers["Idempotent-Replay"] == "?1"
+    assert len(upstream.runs) == 2
+
+
+async def test_payments_share_store_calls(bench):
+    """A batch of 200 payments costs far fewer counted calls than the two
+    writes that each of them needs."""
+
+    async def work(request: web.BaseRequest) -> web.Response:
+        return web.Response(text="paid")
+
+    for _ in range(4):
+        await bench.add_upstream(work)
+    entry_vm = await bench.start_entry_vm(max_waiting=500)
+    bench.store.faults.slow_seconds = 0.005
+    asked = [
+        entry_vm.ask(method="POST", data=b"pay", Idempotency_Key=f"k{number}")
+        for number in range(200)
+    ]
+    answers = await asyncio.gather(*asked)
+    assert {answer.status for answer in answers} == {200}
+    assert bench.store.calls_by_kind["txn"] < 200
+
+
+async def test_raw_answer_is_kept_with_its_type(bench):
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(encode_answer(b"{}", extra="Content-Type: application/json\r\n"))
+
+    await bench.add_raw_upstream(answer)
+    entry_vm = await bench.start_entry_vm()
+    first = await entry_vm.ask(**PAY)
+    again = await entry_vm.ask(**PAY)
+    assert first.headers["Content-Type"] == again.headers["Content-Type"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/claims.py
@@ -0,0 +1,132 @@
+"""What a request may do, given the claim that stands in the store.
+
+A run is allowed only to the one whose compare-and-swap wrote the claim. A
+claim is taken over only when its claimant said that it certainly did not run.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from medlarspring_tables.claims import Claim, ClaimedAnswer, ClaimState
+from medlarspring_tables.requests import Outcome, Refusal, RefusalKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from medlarspring_tables import PartnerId, Seconds
+    from medlarspring_tables.requests import CallerRequest
+
+CLAIM_SECONDS = 24 * 3600.0
+"""Shortest life of a claim; a key may be used again only after it."""
+LEASE_PERIOD_SECONDS = 3600.0
+"""Claims of one period share a lease that outlives the last of them."""
+LEASE_SECONDS = CLAIM_SECONDS + LEASE_PERIOD_SECONDS
+GRACE_SECONDS = 30.0
+"""After the deadline and this time a claim without outcome is given up on."""
+MAX_KEPT_BODY_BYTES = 16_384
+KEPT_HEADERS = frozenset({"content-type", "location", "etag"})
+IN_PROGRESS_RETRY_SECONDS = 1.0
+
+
+class Verdict(Enum):
+    """What to do about a claim that was found."""
+
+    OURS = "ours"
+    """The claim is this attempt's own: an earlier reply was lost."""
+    REPLAY = "replay"
+    TAKE_OVER = "take-over"
+    REFUSE = "refuse"
+
+
+def get_claim_key(partner_id: PartnerId, key: str) -> str:
+    """Return the store key of a claim."""
+    return f"claims/{partner_id}/{hashlib.sha256(key.encode()).hexdigest()}"
+
+
+def digest_request(request: CallerRequest) -> str:
+    """Return what a repeat of the request must have in common with it."""
+    digest = hashlib.sha256()
+    for part in (request.service_id, request.method, request.target):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def judge_claim(found: Claim, attempt_id: str, request_digest: str) -> Verdict:
+    """Say what a request may do about the claim that stands."""
+    if found.attempt_id == attempt_id:
+        return Verdict.OURS
+    if found.request_digest != request_digest:
+        return Verdict.REFUSE
+    if found.state is ClaimState.ABANDONED:
+        return Verdict.TAKE_OVER
+    if found.answer is not None and found.answer.body is not None:
+        return Verdict.REPLAY
+    return Verdict.REFUSE
+
+
+def refuse_claimed(found: Claim, request_digest: str, wall: Seconds) -> Refusal:
+    """Return the refusal for a claim that allows neither run nor replay."""
+    if found.request_digest != request_digest:
+        return KEY_CONFLICT
+    if found.state is ClaimState.DONE:
+        return _ANSWER_NOT_KEPT
+    if found.state is ClaimState.UNKNOWN or wall > found.deadline_wall + GRACE_SECONDS:
+        return _OUTCOME_LOST
+    return IN_PROGRESS
+
+
+def keep_answer(
+    status: int, headers: Iterable[tuple[str, str]], body: bytes
+) -> ClaimedAnswer:
+    """Return what is kept of an answer for replays."""
+    # Lower case also makes a plain string of the HTTP library's own kind of
+    # string, which the store's codec does not know.
+    kept = tuple(
+        (name.lower(), value) for name, value in headers if name.lower() in KEPT_HEADERS
+    )
+    if len(body) > MAX_KEPT_BODY_BYTES:
+        return ClaimedAnswer(status=status, headers=kept)
+    return ClaimedAnswer(status=status, headers=kept, body=body)
+
+
+KEY_CONFLICT = Refusal(
+    RefusalKind.KEY_CONFLICT,
+    Outcome.NOT_RUN,
+    "Use a new Idempotency-Key for a request with another path or body.",
+)
+IN_PROGRESS = Refusal(
+    RefusalKind.IN_PROGRESS,
+    Outcome.UNKNOWN,
+    "The first request with this key has no outcome yet; send it again later.",
+    retry_after=IN_PROGRESS_RETRY_SECONDS,
+)
+_OUTCOME_LOST = Refusal(
+    RefusalKind.OUTCOME_LOST,
+    Outcome.UNKNOWN,
+    "The first request may have run; ask the service about its effect before"
+    " using a new key.",
+)
+_ANSWER_NOT_KEPT = Refusal(
+    RefusalKind.ANSWER_NOT_KEPT,
+    Outcome.RUN,
+    "The request ran once; its answer was too large to be kept for repeats.",
+)
+
+__all__ = [
+    "CLAIM_SECONDS",
+    "IN_PROGRESS",
+    "KEY_CONFLICT",
+    "LEASE_PERIOD_SECONDS",
+    "LEASE_SECONDS",
+    "MAX_KEPT_BODY_BYTES",
+    "Verdict",
+    "digest_request",
+    "get_claim_key",
+    "judge_claim",
+    "keep_answer",
+    "refuse_claimed",
+]
--- a/packages/tables/src/medlarspring_tables/requests.py
+++ b/packages/tables/src/medlarspring_tables/requests.py
@@ -31,6 +31,8 @@
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
+    RUN = "run"
+    """It ran once, but its answer cannot be given any more."""
 
 
 class RefusalKind(Enum):
@@ -41,10 +43,13 @@
     UNKNOWN_SERVICE = ("unknown-service", 404, "There is no such service")
     CALLER_TOO_SLOW = ("caller-too-slow", 408, "The request did not arrive in time")
     IN_PROGRESS = ("in-progress", 409, "The first request with this key has no answer")
+    OUTCOME_LOST = ("outcome-lost", 409, "The first request's outcome is not known")
+    ANSWER_NOT_KEPT = ("answer-not-kept", 409, "The request ran; its answer is gone")
     BODY_TOO_LARGE = ("body-too-large", 413, "The body is too large")
     KEY_CONFLICT = ("key-conflict", 422, "The key was used with another request")
     OVER_SHARE = ("over-share", 429, "The partner's share is in use")
     HEADERS_TOO_LARGE = ("headers-too-large", 431, "The headers are too large")
+    INTERNAL = ("internal", 500, "The entry VM failed")
     UPSTREAM_FAILED = ("upstream-failed", 502, "The upstream gave no usable answer")
     NOT_READY = ("not-ready", 503, "The entry VM cannot serve yet")
     OVERLOADED = ("overloaded", 503, "The service is busy")
