Bound the audit trail, and put a table back into a restored store

Records go when 20,000 table revisions or 90 days have passed them, but the newest 1,000 stay: one entry VM with a wrong clock must not empty the trail. Each step names the revision of the mark it read, so racing entry VMs need no holder. 'table republish' writes the table in force above its own revision when the store was restored from a backup.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -28,6 +28,7 @@
     EDIT_REFUSED = (8002, "an edit of the table was not accepted")
     OPERATOR_REFUSED = (8003, "an operator's request had no valid token")
     OPERATOR_FAILED = (8004, "an operator's request failed inside the daemon")
+    AUDIT_TRIMMED = (8005, "audit records past their retention were removed")
     VM_DRAIN_INTENDED = (5001, "VM is listed for a drain")
     VM_REBOOT_INTENDED = (5002, "VM is drained and will be rebooted")
     VM_SERVES = (5003, "VM serves again")
--- a/packages/cli/src/medlarspring_cli/commands/__init__.py
+++ b/packages/cli/src/medlarspring_cli/commands/__init__.py
@@ -10,6 +10,7 @@
 from medlarspring_cli.commands.table_history import TableHistoryCommand
 from medlarspring_cli.commands.table_import import TableImportCommand
 from medlarspring_cli.commands.table_remove import TableRemoveCommand
+from medlarspring_cli.commands.table_republish import TableRepublishCommand
 from medlarspring_cli.commands.table_set import TableSetCommand
 from medlarspring_cli.commands.table_show import TableShowCommand
 
@@ -21,6 +22,7 @@
     TableHistoryCommand,
     TableExportCommand,
     TableImportCommand,
+    TableRepublishCommand,
     AuditCommand,
     StatusCommand,
     ExplainCommand,
--- a/packages/cli/src/medlarspring_cli/commands/edit_command.py
+++ b/packages/cli/src/medlarspring_cli/commands/edit_command.py
@@ -124,12 +124,20 @@
     def send_edit(self, client: OperatorClient, rows: tuple[RowEdit, ...]) -> int:
         """Send an edit and print what became of it."""
         edit = TableEdit(
-            id=EditId(self.option("edit-id") or str(uuid.uuid4())),
-            operator=self._find_operator(),
+            id=self.create_edit_id(),
+            operator=self.find_operator(),
             rows=rows,
             note=self.option("note") or "",
         )
         accepted = client.post("/v1/table/edits", edit, EditAnswer, edit_id=edit.id)
+        return self.print_accepted(edit.id, accepted)
+
+    def create_edit_id(self) -> EditId:
+        """Return the id of an edit to repeat, or a new one."""
+        return EditId(self.option("edit-id") or str(uuid.uuid4()))
+
+    def print_accepted(self, edit_id: EditId, accepted: EditAnswer) -> int:
+        """Print what became of an edit."""
         if self.wants_json:
             self.print_json(accepted)
             return 0
@@ -137,12 +145,13 @@
             self.print_text(format_change(change))
         when = "had been accepted before" if accepted.repeated else "accepted"
         self.print_text(
-            f"edit {edit.id} {when}: table revision {accepted.revision}"
+            f"edit {edit_id} {when}: table revision {accepted.revision}"
             f" ({accepted.entry_vm})"
         )
         return 0
 
-    def _find_operator(self) -> str:
+    def find_operator(self) -> str:
+        """Return the operator's name for the audit trail."""
         given = self.option("operator") or os.environ.get(OPERATOR_VARIABLE)
         if given:
             return str(given)
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters.etcd_gateway import create_etcd_gateway_store
+from medlarspring_daemon.services.audit_trimmer import create_audit_trimmer
 from medlarspring_daemon.services.caller_service import create_caller_service
 from medlarspring_daemon.services.config_service import create_config_service
 from medlarspring_daemon.services.control_metrics_service import (
@@ -41,6 +42,7 @@
         create_holder_service(node, peers),
         create_control_metrics_service(node, peers),
         create_fleet_service(node),
+        create_audit_trimmer(node),
         create_operator_service(node),
         # Last, so that a shutdown lets callers finish while the rest still works.
         create_caller_service(node),
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/editor_errors.py
@@ -0,0 +1,102 @@
+"""Why the table editor took no edit, each with its remedy."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.table_errors import TableError
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Revision
+
+TABLE_KEY = "config/table"
+MAX_WAITING_EDITS = 128
+"""Edits that wait for their turn at this entry VM."""
+
+
+class StoreTableOlder(TableError):
+    """The store holds an older table than the one in force."""
+
+    code = "store-older"
+
+    def __init__(self, stored: Revision, in_force: Revision) -> None:
+        super().__init__(stored, in_force)
+        self.stored = stored
+        self.in_force = in_force
+
+    def message(self) -> str:
+        """Name the command that puts the table in force back."""
+        return (
+            f"The store holds the table of revision {self.stored}, but revision"
+            f" {self.in_force} is in force: the store was restored from a backup, or"
+            " a replica of it lags. Nothing was changed. If it doesn't catch up, put"
+            " the table in force back with `medlarspring table republish`."
+        )
+
+    def details(self) -> dict[str, object]:
+        """Return both revisions."""
+        return {"stored_revision": self.stored, "in_force_revision": self.in_force}
+
+
+class TableUnreadable(TableError):
+    """The store's value isn't a table that this version can read."""
+
+    code = "table-unreadable"
+
+    def message(self) -> str:
+        """Name the ways out."""
+        return (
+            f"The value of {TABLE_KEY} in the store is not a table that this version"
+            " reads. Nothing was changed; upgrade this entry VM, or put the table in"
+            " force back with `medlarspring table republish`."
+        )
+
+
+class EditRaced(TableError):
+    """Other edits were accepted first at each attempt."""
+
+    code = "edit-raced"
+
+    def message(self) -> str:
+        """Ask for a repetition."""
+        return (
+            "Other edits were accepted first at each attempt. Nothing was changed;"
+            " repeat the command."
+        )
+
+
+class EditorBusy(TableError):
+    """Too many edits wait at this entry VM."""
+
+    code = "editor-busy"
+
+    def message(self) -> str:
+        """Ask for a repetition."""
+        return (
+            f"{MAX_WAITING_EDITS} edits wait at this entry VM already. Nothing was"
+            " changed; repeat the command in a few seconds, or at another entry VM."
+        )
+
+
+class NothingInForce(TableError):
+    """This entry VM has no table to put back."""
+
+    code = "not-ready"
+
+    def message(self) -> str:
+        """Send the operator to another entry VM."""
+        return (
+            "This entry VM has no table in force. Nothing was changed; give the"
+            " --address of one whose `medlarspring status` shows a table revision."
+        )
+
+
+__all__ = [
+    "EditRaced",
+    "EditorBusy",
+    "MAX_WAITING_EDITS",
+    "NothingInForce",
+    "StoreTableOlder",
+    "TABLE_KEY",
+    "TableUnreadable",
+]
--- a/packages/daemon/src/medlarspring_daemon/services/table_editor.py
+++ b/packages/daemon/src/medlarspring_daemon/services/table_editor.py
@@ -18,8 +18,17 @@
     StoreOutcomeUnknown,
     Transaction,
 )
+from medlarspring_daemon.services.editor_errors import (
+    MAX_WAITING_EDITS,
+    TABLE_KEY,
+    EditorBusy,
+    EditRaced,
+    NothingInForce,
+    StoreTableOlder,
+    TableUnreadable,
+)
 from medlarspring_systems.table_edit import AcceptedChange, TableEdit, apply_edit
-from medlarspring_systems.table_errors import TableError
+from medlarspring_systems.table_republish import Republish, republish
 from medlarspring_tables import ConfigTable, MedlarspringError, Revision
 from medlarspring_tables.audit import format_audit_key
 
@@ -28,78 +37,12 @@
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import Store
+    from medlarspring_systems.table_errors import TableError
 
-TABLE_KEY = "config/table"
 MAX_ATTEMPTS = 100
 MAX_SECONDS = 20.0
 """Longest time for one edit; the command line waits longer than this."""
 MAX_RETRY_SECONDS = 0.5
-MAX_WAITING_EDITS = 128
-"""Edits that wait for their turn at this entry VM."""
-
-
-class StoreTableOlder(TableError):
-    """The store holds an older table than the one in force."""
-
-    code = "store-older"
-
-    def __init__(self, stored: Revision, in_force: Revision) -> None:
-        super().__init__(stored, in_force)
-        self.stored = stored
-        self.in_force = in_force
-
-    def message(self) -> str:
-        """Name the command that puts the table in force back."""
-        return (
-            f"The store holds the table of revision {self.stored}, but revision"
-            f" {self.in_force} is in force: the store was restored from a backup, or"
-            " a replica of it lags. Nothing was changed. If it doesn't catch up, put"
-            " the table in force back with `medlarspring table republish`."
-        )
-
-    def details(self) -> dict[str, object]:
-        """Return both revisions."""
-        return {"stored_revision": self.stored, "in_force_revision": self.in_force}
-
-
-class TableUnreadable(TableError):
-    """The store's value isn't a table that this version can read."""
-
-    code = "table-unreadable"
-
-    def message(self) -> str:
-        """Name the ways out."""
-        return (
-            f"The value of {TABLE_KEY} in the store is not a table that this version"
-            " reads. Nothing was changed; upgrade this entry VM, or put the table in"
-            " force back with `medlarspring table republish`."
-        )
-
-
-class EditRaced(TableError):
-    """Other edits were accepted first at each attempt."""
-
-    code = "edit-raced"
-
-    def message(self) -> str:
-        """Ask for a repetition."""
-        return (
-            "Other edits were accepted first at each attempt. Nothing was changed;"
-            " repeat the command."
-        )
-
-
-class EditorBusy(TableError):
-    """Too many edits wait at this entry VM."""
-
-    code = "editor-busy"
-
-    def message(self) -> str:
-        """Ask for a repetition."""
-        return (
-            f"{MAX_WAITING_EDITS} edits wait at this entry VM already. Nothing was"
-            " changed; repeat the command in a few seconds, or at another entry VM."
-        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +63,8 @@
     """What the attempts to take one edit have shown so far."""
 
     change: Change
+    takes_older: bool = False
+    """Whether the store's table may be older than the one in force."""
     stored: StoredTable | None = None
     """The newest table known, if it is still worth trying on."""
     remembered: bool = False
@@ -152,12 +97,14 @@
         self._remembered: StoredTable | None = None
         """The table that the last write or conflict showed."""
 
-    async def read(self) -> Result[StoredTable, MedlarspringError]:
+    async def read(
+        self, takes_older: bool = False
+    ) -> Result[StoredTable, MedlarspringError]:
         """Return the store's table; an older one than in force is an error."""
         entry = await self._store.read(TABLE_KEY)
         if not is_successful(entry):
             return Failure(entry.failure())
-        return self._decode(entry.unwrap())
+        return self._decode(entry.unwrap(), takes_older)
 
     async def accept(
         self, edit: TableEdit, origin: str
@@ -173,6 +120,19 @@
 
         return await self._accept_in_turn(change)
 
+    async def republish(
+        self, wish: Republish, origin: str
+    ) -> Result[AcceptedChange, MedlarspringError]:
+        """Put the table in force back into a store that holds an older one."""
+        in_force = self._table_in_force()
+        if in_force is None:
+            return Failure(NothingInForce())
+
+        def change(table: ConfigTable) -> Result[AcceptedChange, TableError]:
+            return republish(table, in_force, wish, self._clock.wall(), origin)
+
+        return await self._accept_in_turn(change, takes_older=True)
+
     async def preview(
         self, edit: TableEdit, origin: str
     ) -> Result[AcceptedChange, MedlarspringError]:
@@ -184,15 +144,17 @@
         return apply_edit(table, edit, self._clock.wall(), origin).alt(_widen)
 
     async def _accept_in_turn(
-        self, change: Change
+        self, change: Change, takes_older: bool = False
     ) -> Result[AcceptedChange, MedlarspringError]:
         if self._waiting >= MAX_WAITING_EDITS:
             return Failure(EditorBusy())
         self._waiting += 1
         try:
             async with self._lock:
-                known = self._recall()
-                return await self._accept(_Attempts(change, known, known is not None))
+                known = None if takes_older else self._recall()
+                is_known = known is not None
+                attempts = _Attempts(change, takes_older, known, is_known)
+                return await self._accept(attempts)
         finally:
             self._waiting -= 1
 
@@ -228,7 +190,7 @@
     ) -> Result[AcceptedChange, MedlarspringError] | None:
         """Try once; None asks for another try."""
         if attempts.stored is None:
-            read = await self.read()
+            read = await self.read(attempts.takes_older)
             if not is_successful(read):
                 attempts.error = read.failure()
                 if attempts.unanswered is not None:
@@ -280,7 +242,8 @@
             self._remembered = StoredTable(change.table, result.revision)
             self._on_accepted(change.table)
             return Success(change)
-        current = self._decode(result.read_by_key.get(TABLE_KEY))
+        entry = result.read_by_key.get(TABLE_KEY)
+        current = self._decode(entry, attempts.takes_older)
         self._remembered = attempts.stored = current.value_or(None)
         return None
 
@@ -298,7 +261,9 @@
             return Failure(error)
         return None
 
-    def _decode(self, entry: Entry | None) -> Result[StoredTable, MedlarspringError]:
+    def _decode(
+        self, entry: Entry | None, takes_older: bool
+    ) -> Result[StoredTable, MedlarspringError]:
         stored = StoredTable(ConfigTable(), Revision(0))
         if entry is not None:
             try:
@@ -307,6 +272,8 @@
                 return Failure(TableUnreadable())
             stored = StoredTable(table, entry.mod_revision)
         in_force = self._table_in_force()
+        if takes_older:
+            return Success(stored)
         # A store restored from a backup, or a lagging replica, would take the edit
         # on top of an old table: every node keeps the newer one, and the accepted
         # edit would never be in force.
@@ -337,13 +304,4 @@
     return error
 
 
-__all__ = [
-    "EditRaced",
-    "EditorBusy",
-    "StoreTableOlder",
-    "StoredTable",
-    "TABLE_KEY",
-    "TableEditor",
-    "TableUnreadable",
-    "read_revision",
-]
+__all__ = ["StoredTable", "TABLE_KEY", "TableEditor", "read_revision"]
--- a/packages/daemon/src/medlarspring_daemon/services/table_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/services/table_routes.py
@@ -10,7 +10,8 @@
 from medlarspring_adapters.decisions import Subject
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.operator_api import EditAnswer, PlanAnswer, TableAnswer
-from medlarspring_adapters.store import StoreError
+from medlarspring_adapters.store import StoreError, StoreOutcomeUnknown
+from medlarspring_daemon.services.editor_errors import StoreTableOlder
 from medlarspring_daemon.services.operator_answers import (
     BadRequest,
     Refusal,
@@ -18,14 +19,17 @@
     read_body,
     unwrap_or_refuse,
 )
-from medlarspring_daemon.services.table_editor import StoreTableOlder
 from medlarspring_systems.table_csv import plan_import, read_sheet, write_sheet
 from medlarspring_systems.table_edit import TableEdit
+from medlarspring_systems.table_republish import Republish
 from medlarspring_tables import EditId
 
 if TYPE_CHECKING:
+    from returns.result import Result
+
     from medlarspring_daemon.node import Node
     from medlarspring_daemon.services.table_editor import TableEditor
+    from medlarspring_systems.table_edit import AcceptedChange
     from medlarspring_tables import MedlarspringError
 
 PREVIEW_ID = EditId("preview")
@@ -45,6 +49,7 @@
             web.get("/v1/table/export", self._export),
             web.post("/v1/table/edits", self._edit),
             web.post("/v1/table/import-plan", self._plan_import),
+            web.post("/v1/table/republish", self._republish),
         ]
 
     async def _show(self, request: web.Request) -> web.Response:
@@ -59,31 +64,42 @@
         if not edit.id or not edit.rows:
             raise Refusal(BadRequest("An edit needs an id and at least one row."))
         result = await self._editor.accept(edit, self._describe_origin(request))
+        return self._answer_change(edit.id, edit.operator, result)
+
+    async def _republish(self, request: web.Request) -> web.Response:
+        wish = await read_body(request, Republish)
+        result = await self._editor.republish(wish, self._describe_origin(request))
+        return self._answer_change(wish.id, wish.operator, result)
+
+    def _answer_change(
+        self,
+        edit_id: EditId,
+        operator: str,
+        result: Result[AcceptedChange, MedlarspringError],
+    ) -> web.Response:
         if not is_successful(result):
-            self._note_refusal(edit, result.failure())
+            self._note_refusal(edit_id, operator, result.failure())
         change = unwrap_or_refuse(result)
-        changes = change.record.changes if change.record else ()
         repeated = change.record is None
         self._node.decisions.record(
             Subject.EDIT,
-            edit.id,
+            edit_id,
             "accepted",
             "accepted before" if repeated else "checks passed",
             revision=change.revision,
-            operator=edit.operator,
-            rows=len(edit.rows),
+            operator=operator,
         )
         self._node.log.info(
             Event.EDIT_ACCEPTED,
-            edit=edit.id,
-            operator=edit.operator,
+            edit=edit_id,
+            operator=operator,
             revision=change.revision,
             repeated=repeated,
         )
         return answer(
             EditAnswer(
                 revision=change.revision,
-                changes=changes,
+                changes=change.record.changes if change.record else (),
                 repeated=repeated,
                 entry_vm=self._node.id,
             )
@@ -127,20 +143,20 @@
     def _describe_origin(self, request: web.Request) -> str:
         return f"{request.remote} by {self._node.id}"
 
-    def _note_refusal(self, edit: TableEdit, error: MedlarspringError) -> None:
+    def _note_refusal(
+        self, edit_id: EditId, operator: str, error: MedlarspringError
+    ) -> None:
+        is_unknown = isinstance(error, StoreOutcomeUnknown)
         self._node.decisions.record(
             Subject.EDIT,
-            edit.id,
-            "unknown" if error.code == "store-outcome-unknown" else "refused",
+            edit_id,
+            "unknown" if is_unknown else "refused",
             error.code,
-            operator=edit.operator,
+            operator=operator,
             reason=error.message(),
         )
         self._node.log.warning(
-            Event.EDIT_REFUSED,
-            edit=edit.id,
-            operator=edit.operator,
-            reason=error.code,
+            Event.EDIT_REFUSED, edit=edit_id, operator=operator, reason=error.code
         )
 
 
--- a/packages/daemon/tests/test_table_editor.py
+++ b/packages/daemon/tests/test_table_editor.py
@@ -13,6 +13,7 @@
 from medlarspring_daemon.services.table_editor import TABLE_KEY, TableEditor
 from medlarspring_systems.audit import AuditFilter
 from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit
+from medlarspring_systems.table_republish import Republish
 from medlarspring_tables import ConfigTable, EditId, Revision, RowKind
 
 
@@ -217,3 +218,30 @@
     put = Put(TABLE_KEY, b'{"revision": "seven"}')
     await store.commit(Transaction(expects=(), writes=(put,)))
     assert (await desk.accept(add_pool("a"))).failure().code == "table-unreadable"
+
+
+async def test_table_in_force_is_put_back_into_a_restored_store(store, desk):
+    """
+    The store came back from a backup at revision 1 while revision 3 is in force.
+    An operator puts the table in force back: it becomes revision 4, which every
+    node takes, edits go on from there, and the trail says what was put back.
+    """
+    for name in ("a", "b", "c"):
+        await desk.accept(add_pool(name))
+    backup = msgspec.structs.replace(
+        await read_table(store), revision=Revision(1), pools_by_id={}
+    )
+    put = Put(TABLE_KEY, msgspec.json.encode(backup))
+    await store.commit(Transaction(expects=(), writes=(put,)))
+
+    wish = Republish(id=EditId("back"), operator="asha")
+    change = (await desk.editor.republish(wish, "test")).unwrap()
+    assert change.revision == 4
+    assert {row.id for row in change.record.changes} == {"a", "b", "c"}
+    again = (await desk.editor.republish(wish, "test")).unwrap()
+    assert again.record is None
+    assert (await desk.accept(add_pool("d"))).unwrap().revision == 5
+
+    other = Republish(id=EditId("other"), operator="asha")
+    refusal = (await desk.editor.republish(other, "test")).failure()
+    assert refusal.code == "store-current"
--- a/packages/systems/src/medlarspring_systems/audit.py
+++ b/packages/systems/src/medlarspring_systems/audit.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from medlarspring_tables import Revision
 from medlarspring_tables.audit import AUDIT_PREFIX, REVISION_DIGITS
 
@@ -17,6 +19,11 @@
 KEPT_REVISIONS = 20_000
 """Records of this many table revisions are kept, unless they are too old."""
 KEPT_SECONDS = 90 * 86_400.0
+KEPT_WHATEVER_AGE = 1_000
+"""Records of this many table revisions stay, however old they seem to be."""
+MAX_DELETES = 50
+"""Records that one write removes; the store bounds a transaction."""
+TRIM_MARK_KEY = "trims/audit"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,16 +69,65 @@
     """Tell whether retention lets a record go; ``now`` is wall time."""
     if record.revision <= newest - KEPT_REVISIONS:
         return True
+    # An entry VM whose clock is wrong by months would take the whole trail for
+    # too old. What it can remove is bounded: the newest records always stay.
+    if record.revision > newest - KEPT_WHATEVER_AGE:
+        return False
     return record.at < now - KEPT_SECONDS
 
 
+class TrimMark(Struct, frozen=True, kw_only=True):
+    """How far the trail has been trimmed; each write of a trim names it."""
+
+    next_page: Revision = Revision(0)
+    """First revision of the oldest page that may still hold records."""
+    removed: int = 0
+    """Records removed so far."""
+
+
+@dataclass(frozen=True, slots=True)
+class Trim:
+    """One step of trimming."""
+
+    keys: tuple[str, ...]
+    """Records to remove."""
+    mark: TrimMark
+    """The mark after the step."""
+
+
+def plan_trim(
+    mark: TrimMark, page: dict[str, AuditRecord], newest: Revision, now: float
+) -> Trim | None:
+    """Return the next step on the page at the mark; None when it is done.
+
+    ``page`` holds the page's records by key, ``now`` is wall time.
+    """
+    expired = [key for key, each in page.items() if has_expired(each, newest, now)]
+    keys = tuple(expired[:MAX_DELETES])
+    is_passed = len(keys) == len(page) and mark.next_page < page_start(newest)
+    if not keys and not is_passed:
+        return None
+    following = Revision(mark.next_page + PAGE_REVISIONS)
+    return Trim(
+        keys=keys,
+        mark=TrimMark(
+            next_page=following if is_passed else mark.next_page,
+            removed=mark.removed + len(keys),
+        ),
+    )
+
+
 __all__ = [
     "AuditFilter",
     "KEPT_REVISIONS",
     "KEPT_SECONDS",
     "PAGE_REVISIONS",
+    "TRIM_MARK_KEY",
+    "Trim",
+    "TrimMark",
     "has_expired",
     "matches",
     "page_prefix",
     "page_start",
+    "plan_trim",
 ]
