Give a job that ran out of memory more at its next attempt

Cause, seen in the pool model: a job declared at a tenth of its need was ended for want of memory and placed again at the same size, over and over.

--- a/packages/adapters/src/medlarspring_adapters/worker_control.py
+++ b/packages/adapters/src/medlarspring_adapters/worker_control.py
@@ -23,6 +23,7 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     CHECKPOINTED = "checkpointed"
+    OUT_OF_MEMORY = "out-of-memory"
     STOPPED = "stopped"
     """Stopped by order, or because its lease ran out."""
 
--- a/packages/daemon/src/medlarspring_daemon/services/job_controller.py
+++ b/packages/daemon/src/medlarspring_daemon/services/job_controller.py
@@ -51,6 +51,7 @@
     TaskState.SUCCEEDED: AttemptEnd.SUCCEEDED,
     TaskState.FAILED: AttemptEnd.FAILED,
     TaskState.CHECKPOINTED: AttemptEnd.CHECKPOINTED,
+    TaskState.OUT_OF_MEMORY: AttemptEnd.OUT_OF_MEMORY,
     TaskState.STOPPED: AttemptEnd.STOPPED,
 }
 
--- a/packages/systems/src/medlarspring_systems/job_lifecycle.py
+++ b/packages/systems/src/medlarspring_systems/job_lifecycle.py
@@ -10,7 +10,7 @@
 from medlarspring_systems.job_records import put_job
 from medlarspring_systems.preemption import StopAttempt, mark_stopping
 from medlarspring_systems.quarantine import note_failure, note_success
-from medlarspring_systems.size_beliefs import learn_use
+from medlarspring_systems.size_beliefs import learn_use, raise_least
 from medlarspring_tables import AttemptState, JobState
 
 if TYPE_CHECKING:
@@ -24,6 +24,8 @@
     FAILED = "failed"
     CHECKPOINTED = "checkpointed"
     STOPPED = "stopped"
+    OUT_OF_MEMORY = "out-of-memory"
+    """The worker ended it because it used more memory than there was."""
     LOST = "lost"
     """The worker is gone and the task's lease has certainly run out."""
 
@@ -59,9 +61,11 @@
     job = _find_current(tables, job_id, number)
     if job is None or job.attempt is None:
         return None
-    if peak is not None and end is AttemptEnd.SUCCEEDED:
+    if peak is not None and end in TELLING_ENDS:
         learn_use(tables, job, peak)
     ended = _apply_end(tables, job, end, now)
+    if peak is not None and end is AttemptEnd.OUT_OF_MEMORY:
+        ended = replace(ended, least=raise_least(job, peak))
     if ended.state in FINAL_STATES:
         ended = replace(ended, ended_at=now)
     if checkpoint:
@@ -111,6 +115,9 @@
             worker.reserved_for = None
 
 
+TELLING_ENDS = frozenset({AttemptEnd.SUCCEEDED, AttemptEnd.OUT_OF_MEMORY})
+"""Ends after which the peak of use tells of the job's true size."""
+
 FINAL_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED})
 
 
--- a/packages/systems/src/medlarspring_systems/size_beliefs.py
+++ b/packages/systems/src/medlarspring_systems/size_beliefs.py
@@ -28,18 +28,26 @@
     Accelerators are whole devices that a job opens itself: the declaration
     holds.
     """
-    belief = tables.beliefs_by_kind.get((job.partner_id, job.kind))
-    if belief is None or len(belief.cpu_ratios) < MIN_OBSERVATIONS:
-        return job.declared
-    cpu_ratio = _quantile(belief.cpu_ratios, CPU_QUANTILE) * ROOM
-    memory_ratio = _quantile(belief.memory_ratios, MEMORY_QUANTILE) * ROOM
+    believed = _believe_by_kind(tables, job)
     return Size(
-        min(job.declared.cpus * cpu_ratio, largest.cpus),
-        min(job.declared.memory_gb * memory_ratio, largest.memory_gb),
+        min(max(believed.cpus, job.least.cpus), largest.cpus),
+        min(max(believed.memory_gb, job.least.memory_gb), largest.memory_gb),
         job.declared.accelerators,
     )
 
 
+def raise_least(job: Job, peak: Size) -> Size:
+    """Return the least to set aside after an attempt ran out of memory.
+
+    Placed again with the same size, the job would be ended again and again
+    wherever it starts. Doubling reaches a whole worker within a few attempts
+    even when the reported peak is cut off at the worker's limit.
+    """
+    assert job.attempt is not None
+    memory = max(peak.memory_gb * ROOM, job.attempt.size.memory_gb * 2)
+    return Size(job.least.cpus, max(memory, job.least.memory_gb))
+
+
 def learn_use(tables: JobTables, job: Job, peak: Size) -> None:
     """Remember the largest use seen of one attempt that ran for a while."""
     key = (job.partner_id, job.kind)
@@ -66,6 +74,15 @@
     )
 
 
+def _believe_by_kind(tables: JobTables, job: Job) -> Size:
+    belief = tables.beliefs_by_kind.get((job.partner_id, job.kind))
+    if belief is None or len(belief.cpu_ratios) < MIN_OBSERVATIONS:
+        return job.declared
+    cpu_ratio = _quantile(belief.cpu_ratios, CPU_QUANTILE) * ROOM
+    memory_ratio = _quantile(belief.memory_ratios, MEMORY_QUANTILE) * ROOM
+    return Size(job.declared.cpus * cpu_ratio, job.declared.memory_gb * memory_ratio)
+
+
 def _remember(ratios: deque[float], used: float, declared: float) -> None:
     if declared > 0:
         ratios.append(min(max(used / declared, MIN_RATIO), MAX_RATIO))
@@ -76,4 +93,4 @@
     return ordered[min(int(len(ordered) * quantile), len(ordered) - 1)]
 
 
-__all__ = ["believe_size", "correct_attempt_size", "learn_use"]
+__all__ = ["believe_size", "correct_attempt_size", "learn_use", "raise_least"]
--- a/packages/systems/tests/test_placement.py
+++ b/packages/systems/tests/test_placement.py
@@ -337,3 +337,22 @@
     put_job(tables, make_job("now", "south", urgency=JobUrgency.URGENT))
     assert place_jobs(tables, 1.0, 10) == []
     assert [stop.job.id for stop in plan_preemptions(tables, 1.0)] == stops
+
+
+def test_job_that_ran_out_of_memory_gets_more_at_its_next_attempt():
+    """
+    The declaration is a tenth of the need. Placed again at the same size the
+    job would be ended again and again, on every worker it starts on.
+    """
+    tables = make_tables()
+    put_job(tables, make_job("j", declared=Size(1, 4)))
+    sizes = []
+    for _ in range(3):
+        (job,) = run_until_confirmed(tables)
+        sizes.append(job.attempt.size.memory_gb)
+        peak = Size(1, job.attempt.size.memory_gb)
+        number = job.attempt.number
+        end = AttemptEnd.OUT_OF_MEMORY
+        end_attempt(tables, job.id, number, end, 1.0, peak=peak)
+    assert sizes == [4, 8, 16]
+    assert not any(worker.blamed_by for worker in tables.workers_by_id.values())
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -50,6 +50,10 @@
     """The worker was told to checkpoint or stop; it may still run it."""
 
 
+ROUNDING = 1e-9
+"""Sums of floats that went up and down again may be off by this much."""
+
+
 class Size(Struct, frozen=True):
     """Processors, memory and accelerators."""
 
@@ -82,9 +86,6 @@
         )
 
 
-ROUNDING = 1e-9
-"""Sums of floats that went up and down again may be off by this much."""
-
 NO_SIZE = Size(0.0, 0.0, 0)
 
 
@@ -126,6 +127,8 @@
     state: JobState = JobState.WAITING
     attempt: Attempt | None = None
     attempts_made: int = 0
+    least: Size = NO_SIZE
+    """Least to set aside, from attempts that ended for want of memory."""
     failed_on: tuple[VMId, ...] = ()
     """Different workers on which the job failed, oldest first."""
     checkpoint: str = ""
