Grant slots by votes that are echoed, and order requests for them

Cause: the seeded histories of test_slot_exchange saw 9 requests on 8 slots. Two causes were found and mended: a home that took over granted at once by part of the votes while holders that had not asked yet still ran work of the former home (now it waits until that work has ended); and a request that was held up on the way was taken for new and freed slots granted since (now sequences order them).

Ruled out: lost replies (a lowered grant stays reserved until the holder asks again) and freezes (credits count from the asking, by the holder's clock).

--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.events import Event
 from medlarspring_adapters.upstream_http import (
     STATE_HEADER,
     Reached,
@@ -26,7 +27,6 @@
     stream_answer,
 )
 from medlarspring_systems import retry, upstream_health
-from medlarspring_systems.leaving import note_leaving
 from medlarspring_tables.requests import Outcome, Refusal, RefusalKind
 
 if TYPE_CHECKING:
@@ -35,6 +35,7 @@
     from multidict import CIMultiDict
 
     from medlarspring_daemon.services.caller_dispatch import Dispatcher, Turn
+    from medlarspring_daemon.services.caller_reports import CallerReports
     from medlarspring_daemon.services.caller_state import CallerState
     from medlarspring_tables import PoolId, VMId
     from medlarspring_tables.requests import CallerRequest
@@ -76,12 +77,17 @@
     """Routes requests, sends them and passes answers on."""
 
     def __init__(
-        self, state: CallerState, dispatcher: Dispatcher, client: UpstreamClient
+        self,
+        state: CallerState,
+        dispatcher: Dispatcher,
+        client: UpstreamClient,
+        reports: CallerReports,
     ) -> None:
         self._state = state
         self._node = state.node
         self._dispatcher = dispatcher
         self._client = client
+        self._reports = reports
         self._budget_by_pool: dict[PoolId, retry.RetryBudget] = {}
 
     async def forward(self, exchange: Exchange) -> Result[web.StreamResponse, Refusal]:
@@ -171,7 +177,7 @@
         latency = now - turn.began_at
         state = answer.headers.get(STATE_HEADER)
         if state == "leaving":
-            self._note_leaving(turn)
+            self._reports.note_leaving(turn.upstream.id, 0.0, "answer")
         if answer.status == REFUSES and state is not None:
             answer.close()
             upstream_health.note_no_verdict(turn.upstream)
@@ -223,9 +229,16 @@
         upstreams = self._state.list_upstreams(turn.pool.pool_id)
         now = self._node.clock.now()
         if ok:
-            upstream_health.note_success(turn.upstream, upstreams, latency, now)
+            aside = upstream_health.note_success(turn.upstream, upstreams, latency, now)
         else:
-            upstream_health.note_failure(turn.upstream, upstreams, now)
+            aside = upstream_health.note_failure(turn.upstream, upstreams, now)
+        if aside:
+            self._node.log.warning(
+                Event.UPSTREAM_SET_ASIDE,
+                vm=turn.upstream.id,
+                failures=turn.upstream.failures,
+                latency_ms=round(turn.upstream.latency * 1000, 1),
+            )
 
     def _judge_fault(self, turn: Turn, fault: UpstreamFault) -> AttemptFailure:
         self._judge_answer(turn, ok=False, latency=0.0)
@@ -235,13 +248,6 @@
         refusal = Refusal(kind, outcome, fault.message(), retry_after=1.0)
         return AttemptFailure(refusal, not_run=not_run)
 
-    def _note_leaving(self, turn: Turn) -> None:
-        now = self._node.clock.now()
-        if note_leaving(self._state.upstreams, turn.upstream.id, 0.0, now):
-            self._node.decisions.record(
-                Subject.VM, turn.upstream.id, "no new work", "upstream said leaving"
-            )
-
     def _record_failure(
         self, exchange: Exchange, turn: Turn, failure: AttemptFailure, *, again: bool
     ) -> None:
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_reports.py
@@ -0,0 +1,74 @@
+"""What entry VMs tell each other of the request path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters.events import Event
+from medlarspring_systems import fair_queue
+from medlarspring_systems.leaving import list_leaving, note_leaving
+from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId
+from medlarspring_tables.requests import PeerUsage
+
+if TYPE_CHECKING:
+    from medlarspring_adapters import peer_pb2
+    from medlarspring_daemon.services.caller_state import CallerState
+    from medlarspring_tables import Seconds
+
+
+class CallerReports:
+    """Use by partner and upstream VMs that leave; implements ``ReportPart``."""
+
+    def __init__(self, state: CallerState) -> None:
+        self._state = state
+        self._reported_at: dict[EntryVMId, Seconds] = {}
+
+    def fill_report(self, report: peer_pb2.Report) -> None:
+        """Add use, waiting and running by partner and pool."""
+        now = self._state.node.clock.now()
+        for pool in self._state.pools_by_id.values():
+            for queue in pool.queues_by_partner.values():
+                fair_queue.count_slot_time(queue, now)
+                if not queue.slot_seconds and not queue.waiting:
+                    continue
+                report.usage.add(
+                    partner=queue.partner_id,
+                    pool=pool.pool_id,
+                    slot_ms=int(queue.slot_seconds * 1000),
+                    waiting=queue.waiting,
+                    running=queue.running,
+                )
+        for vm_id, age in list_leaving(self._state.upstreams, now):
+            report.leaving_upstreams.add(vm=vm_id, age_ms=int(age * 1000))
+
+    def take_report(self, report: peer_pb2.Report) -> None:
+        """Charge partners for their use elsewhere, and note VMs that leave."""
+        now = self._state.node.clock.now()
+        peer = EntryVMId(report.sender)
+        elapsed = now - self._reported_at.get(peer, now)
+        self._reported_at[peer] = now
+        for usage in report.usage:
+            fair_queue.take_peer_usage(
+                self._state.get_pool(PoolId(usage.pool)),
+                peer,
+                PartnerId(usage.partner),
+                PeerUsage(
+                    incarnation=report.incarnation,
+                    slot_seconds=usage.slot_ms / 1000.0,
+                    waiting=usage.waiting,
+                    running=usage.running,
+                    reported_at=now,
+                ),
+                elapsed,
+            )
+        for leaving in report.leaving_upstreams:
+            self.note_leaving(VMId(leaving.vm), leaving.age_ms / 1000.0, peer)
+
+    def note_leaving(self, vm_id: VMId, age: Seconds, source: str) -> None:
+        """Remember that an upstream VM leaves, and log it if it is news."""
+        node = self._state.node
+        if note_leaving(self._state.upstreams, vm_id, age, node.clock.now()):
+            node.log.info(Event.UPSTREAM_LEAVING, vm=vm_id, source=source)
+
+
+__all__ = ["CallerReports"]
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -21,6 +21,7 @@
     RequestReader,
     create_request_id,
 )
+from medlarspring_daemon.services.caller_reports import CallerReports
 from medlarspring_daemon.services.caller_state import CallerState
 from medlarspring_tables.requests import Outcome
 
@@ -54,7 +55,11 @@
         """Open the port."""
         settings = self._node.settings.caller
         self._client = UpstreamClient(self._node.clock)
-        self._forwarder = Forwarder(self._state, self._dispatcher, self._client)
+        reports = CallerReports(self._state)
+        self._node.report_parts.append(reports)
+        self._forwarder = Forwarder(
+            self._state, self._dispatcher, self._client, reports
+        )
         await self._dispatcher.slots.start()
         self._keyed = KeyedRunner(self._node, self._forwarder)
         self._server = CallerServer(self._handle, settings, self._note_failure)
--- a/packages/daemon/src/medlarspring_daemon/services/caller_state.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_state.py
@@ -33,6 +33,8 @@
         if node.vm_list is not self._vm_list and node.vm_list is not None:
             self._vm_list = node.vm_list
             adopt_vm_list(self.upstreams, node.vm_list)
+            for pool in self.pools_by_id.values():
+                fair_queue.keep_peers(pool, node.vm_list.entry_vms_by_id)
         if node.config is not self._config and node.config is not None:
             self._config = node.config
             for pool in self.pools_by_id.values():
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
@@ -0,0 +1,278 @@
+"""Which home to ask for slots, when, and what to make of its reply.
+
+No calls are made here: ``SlotService`` carries the requests over the wire, and
+simulations carry them by hand.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters import peer_pb2
+from medlarspring_daemon.services.slot_home import SlotHome
+from medlarspring_systems import slots
+from medlarspring_systems.leaving import takes_new_work
+from medlarspring_tables import EntryVMId, PoolId, VMId, ZoneId
+from medlarspring_tables.slots import EntryVMView, Vote
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node
+    from medlarspring_daemon.services.caller_state import CallerState
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.upstreams import Upstream
+
+MIN_PAUSE_SECONDS = 0.05
+"""A holder that is short of slots asks a home at most so often."""
+DEAD_SECONDS = 2.0
+"""A refused connection proves a dead process for so long only: a new process
+of the same entry VM waits longer than this before it grants."""
+
+
+@dataclass(slots=True, frozen=True)
+class Asking:
+    """One request for slots that is due."""
+
+    home: EntryVMId
+    request: peer_pb2.SlotRequest
+    sent_at: Seconds
+
+
+class SlotExchange:
+    """Keeps the credits of one entry VM fresh, and grants as a home."""
+
+    def __init__(
+        self,
+        node: Node,
+        state: CallerState,
+        policy: slots.SlotPolicy | None = None,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._policy = policy or slots.SlotPolicy()
+        self._home = SlotHome(node, state, self._policy)
+        self._votes_by_vm: dict[VMId, Vote] = {}
+        self._echo_by_home: dict[EntryVMId, int] = {}
+        self._renewed_at = self._hurried_at = float("-inf")
+        self._sequence = 0
+        self._unanswered: set[EntryVMId] = set()
+        self._short_pools: set[PoolId] = set()
+        # A former process of this entry VM may have voted just before its end.
+        # Its votes and grants are waited out like those of a home that moved.
+        self._blocked_until = node.clock.now() + self._policy.switch_seconds
+
+    def want(self, pool_id: PoolId) -> None:
+        """Ask soon, because work of this pool waits for a slot."""
+        self._short_pools.add(pool_id)
+
+    def answer(self, request: peer_pb2.SlotRequest) -> peer_pb2.SlotReply:
+        """Grant slots to an asker, as a home."""
+        self._state.refresh()
+        return self._home.answer(request, self.list_views(), self._votes_by_vm)
+
+    def list_due(self) -> list[Asking]:
+        """Return the requests to send now, the one to the own home included.
+
+        All homes are asked at the renewal time; in between only those of pools
+        that are short of slots, so that an idle entry VM does little.
+        """
+        now = self._node.clock.now()
+        if now - self._renewed_at >= self._policy.renew_seconds:
+            self._state.refresh()
+            self._renewed_at = self._hurried_at = now
+            upstreams = list(self._state.upstreams.upstreams_by_id.values())
+        elif self._short_pools and now - self._hurried_at >= MIN_PAUSE_SECONDS:
+            self._hurried_at = now
+            upstreams = [
+                upstream
+                for pool_id in self._short_pools
+                for upstream in self._state.list_upstreams(pool_id)
+            ]
+        else:
+            return []
+        self._short_pools.clear()
+        by_home = self._sort_by_home(upstreams, self.list_views(), now)
+        due = [
+            Asking(home, self._create_request(home, wished, now), now)
+            for home, wished in by_home.items()
+            if home not in self._unanswered
+        ]
+        self._unanswered.update(asking.home for asking in due)
+        return due
+
+    def note_failure(self, asking: Asking) -> None:
+        """Give a request up; the credits lapse unless the next one is answered."""
+        self._unanswered.discard(asking.home)
+
+    def take_reply(self, asking: Asking, reply: peer_pb2.SlotReply) -> set[PoolId]:
+        """Use the slots granted; return the pools that may go on with them."""
+        self._unanswered.discard(asking.home)
+        if reply.time_ms:
+            self._echo_by_home[asking.home] = reply.time_ms
+        now = self._node.clock.now()
+        pools: set[PoolId] = set()
+        for granted in reply.grants:
+            upstream = self._state.upstreams.upstreams_by_id.get(VMId(granted.vm))
+            if upstream is None:
+                continue
+            vote = self._votes_by_vm.get(upstream.id)
+            if vote is not None and vote.home == asking.home:
+                vote.foreign = granted.foreign
+            upstream.credit = granted.slots
+            # Counted from the asking: the home's own count starts later, so a
+            # slow reply or a freeze makes the credit end too early, never late.
+            upstream.credit_until = asking.sent_at + granted.ttl_ms / 1000.0
+            if now < upstream.credit_until:
+                pools.add(upstream.pool_id)
+        return pools
+
+    def list_views(self) -> list[EntryVMView]:
+        """Return all entry VMs as they are seen now."""
+        node = self._node
+        now = node.clock.now()
+        views = [EntryVMView(node.id, self._state.zone_id, heard=not node.stopping)]
+        heard = node.peers.heard_by_id
+        refused = node.peers.refused_by_id
+        listed = {} if node.vm_list is None else node.vm_list.entry_vms_by_id
+        zones: dict[EntryVMId, ZoneId] = {
+            entry_vm_id: entry_vm.zone_id for entry_vm_id, entry_vm in listed.items()
+        }
+        zones.update({member_id: member.zone_id for member_id, member in heard.items()})
+        for entry_vm_id, zone_id in zones.items():
+            if entry_vm_id == node.id:
+                continue
+            refused_at = refused.get(entry_vm_id)
+            is_heard = entry_vm_id in heard
+            dead = (
+                not is_heard
+                and refused_at is not None
+                and now - refused_at < DEAD_SECONDS
+            )
+            views.append(EntryVMView(entry_vm_id, zone_id, is_heard, dead))
+        return views
+
+    def _sort_by_home(
+        self, upstreams: list[Upstream], views: list[EntryVMView], now: Seconds
+    ) -> dict[EntryVMId, list[Upstream]]:
+        upstreams_by_home: dict[EntryVMId, list[Upstream]] = defaultdict(list)
+        dead = {view.id for view in views if view.dead}
+        groups: dict[ZoneId, list[EntryVMView]] = {}
+        alone = len(views) == 1
+        for upstream in upstreams:
+            group = groups.get(upstream.zone_id)
+            if group is None:
+                group = slots.list_group(upstream.zone_id, views)
+                groups[upstream.zone_id] = group
+            home = slots.choose_home(upstream.id, group)
+            if any(view.id == self._node.id for view in group):
+                vote = self._votes_by_vm.setdefault(
+                    upstream.id,
+                    Vote(blocked_until=0.0 if alone else self._blocked_until),
+                )
+                home = slots.move_vote(
+                    vote,
+                    home,
+                    self._node.id,
+                    old_home_dead=vote.home in dead,
+                    now=now,
+                    policy=self._policy,
+                )
+            elif not self._needs_foreign(upstream, now):
+                continue
+            if home is not None:
+                upstreams_by_home[home].append(upstream)
+        return upstreams_by_home
+
+    def _needs_foreign(self, upstream: Upstream, now: Seconds) -> bool:
+        if upstream.in_use:
+            return True
+        if self._node.stopping:
+            return False
+        return self._count_overflow(upstream.pool_id, now) > 0
+
+    def _count_overflow(self, pool_id: PoolId, now: Seconds) -> int:
+        """Return how much of the demand the own zone has no slots for."""
+        pool = self._state.pools_by_id.get(pool_id)
+        if pool is None:
+            return 0
+        running = sum(queue.running for queue in pool.queues_by_partner.values())
+        own = sum(
+            upstream.credit
+            for upstream in self._state.list_upstreams(pool_id)
+            if upstream.zone_id == self._state.zone_id
+            and now < upstream.credit_until
+            and takes_new_work(upstream, now)
+        )
+        return max(0, pool.waiting + running - own)
+
+    def _create_request(
+        self, home: EntryVMId, upstreams: list[Upstream], now: Seconds
+    ) -> peer_pb2.SlotRequest:
+        self._sequence += 1
+        request = peer_pb2.SlotRequest(
+            sender=self._node.id,
+            incarnation=self._node.incarnation,
+            echo_ms=self._echo_by_home.get(home, 0),
+            sequence=self._sequence,
+        )
+        zones_by_pool: dict[PoolId, set[ZoneId]] = defaultdict(set)
+        for upstream in upstreams:
+            vote = self._votes_by_vm.get(upstream.id)
+            backs = vote is not None and vote.home == home
+            if backs and vote is not None:
+                vote.last_asked = now
+            zones_by_pool[upstream.pool_id].add(upstream.zone_id)
+            request.wishes.add(
+                vm=upstream.id,
+                in_use=upstream.in_use,
+                held=upstream.credit if now < upstream.credit_until else 0,
+                backs=backs,
+            )
+        for pool_id, zones in zones_by_pool.items():
+            self._add_demand(request, pool_id, self._state.zone_id in zones, now)
+        return request
+
+    def _add_demand(
+        self, request: peer_pb2.SlotRequest, pool_id: PoolId, own: bool, now: Seconds
+    ) -> None:
+        pool = self._state.pools_by_id.get(pool_id)
+        part = 1.0 if own else self._share_overflow(pool_id, now)
+        queues = () if pool is None else pool.queues_by_partner.values()
+        told = False
+        for queue in queues:
+            waiting = 0 if self._node.stopping else queue.waiting
+            if not waiting and not queue.running:
+                continue
+            told = True
+            request.demand.add(
+                partner=queue.partner_id,
+                pool=pool_id,
+                waiting=_scale(waiting, part),
+                running=_scale(queue.running, part),
+            )
+        if not told:
+            request.demand.add(pool=pool_id)
+
+    def _share_overflow(self, pool_id: PoolId, now: Seconds) -> float:
+        """Return the part of the demand to tell to each foreign zone."""
+        pool = self._state.pools_by_id.get(pool_id)
+        zones = {
+            upstream.zone_id
+            for upstream in self._state.list_upstreams(pool_id)
+            if upstream.zone_id != self._state.zone_id
+        }
+        if pool is None or not zones:
+            return 0.0
+        running = sum(queue.running for queue in pool.queues_by_partner.values())
+        total = pool.waiting + running
+        return self._count_overflow(pool_id, now) / max(1, total) / len(zones)
+
+
+def _scale(count: int, part: float) -> int:
+    """Return a part of a count, rounded up so that small demand is told at all."""
+    return math.ceil(count * part)
+
+
+__all__ = ["Asking", "SlotExchange"]
--- a/packages/daemon/src/medlarspring_daemon/services/slot_home.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_home.py
@@ -9,7 +9,7 @@
 from medlarspring_systems import slots
 from medlarspring_systems.leaving import takes_new_work
 from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId
-from medlarspring_tables.slots import HomeTable, SlotLedger
+from medlarspring_tables.slots import HomeTable, SlotLedger, Vote
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -17,7 +17,7 @@
     from medlarspring_daemon.node import Node
     from medlarspring_daemon.services.caller_state import CallerState
     from medlarspring_tables import Seconds, ZoneId
-    from medlarspring_tables.slots import EntryVMView, Vote
+    from medlarspring_tables.slots import EntryVMView
     from medlarspring_tables.upstreams import Upstream
 
 EPOCH_BITS = 50
@@ -37,6 +37,9 @@
         # offset keeps an echo of the old process from counting in the new one.
         self._epoch_ms = node.rng.getrandbits(EPOCH_BITS)
         self._started_at = node.clock.now()
+        self._newest_by_asker: dict[EntryVMId, tuple[int, int]] = {}
+        """Incarnation and sequence of the newest request of each asker."""
+        self._former: set[tuple[EntryVMId, int]] = set()
 
     def answer(
         self,
@@ -47,6 +50,10 @@
         """Grant what is free and fair of each VM that is wished for."""
         now = self._node.clock.now()
         asker = EntryVMId(request.sender)
+        if self._is_late(asker, request):
+            return peer_pb2.SlotReply(
+                sender=self._node.id, incarnation=self._node.incarnation
+            )
         zone_by_id = {view.id: view.zone_id for view in views}
         self._take_demand(request, zone_by_id.get(asker), now)
         reply = peer_pb2.SlotReply(
@@ -69,15 +76,13 @@
             ledger = self._table.ledgers_by_vm.setdefault(upstream.id, SlotLedger())
             if wish.backs and echoed_at is not None:
                 slots.take_vote(ledger, asker, echoed_at)
-            vote = votes_by_vm.get(upstream.id)
+            group = slots.list_group(upstream.zone_id, views)
             capacity = slots.count_capacity(
                 ledger,
                 upstream.slots,
-                slots.list_group(upstream.zone_id, views),
+                group,
                 self._node.id,
-                own_vote=vote is not None
-                and vote.home == self._node.id
-                and now >= vote.blocked_until,
+                votes_by_vm.get(upstream.id, Vote()),
                 now=now,
                 policy=self._policy,
             )
@@ -96,9 +101,27 @@
                 vm=upstream.id,
                 slots=granted,
                 ttl_ms=int(self._policy.grant_seconds * 1000),
+                foreign=slots.count_foreign(ledger, group, now, self._policy),
             )
         return reply
 
+    def _is_late(self, asker: EntryVMId, request: peer_pb2.SlotRequest) -> bool:
+        """Whether a newer request of the asker was answered already.
+
+        A request that was held up says what its asker held then. Taken for
+        new, it would free slots that the asker was granted since.
+        """
+        newest = self._newest_by_asker.get(asker)
+        this = (request.incarnation, request.sequence)
+        if newest is not None and newest[0] == this[0] and this[1] <= newest[1]:
+            return True
+        if (asker, request.incarnation) in self._former:
+            return True
+        if newest is not None and newest[0] != this[0]:
+            self._former.add((asker, newest[0]))
+        self._newest_by_asker[asker] = this
+        return False
+
     def _read_echo(self, echo_ms: int, now: Seconds) -> Seconds | None:
         echoed_at = (echo_ms - self._epoch_ms) / 1000.0
         return echoed_at if self._started_at - 1.0 <= echoed_at <= now else None
--- a/packages/daemon/tests/callers/test_caller_forwarding.py
+++ b/packages/daemon/tests/callers/test_caller_forwarding.py
@@ -107,7 +107,8 @@
     await bench.add_raw_upstream(cut_large)
     entry_vm = await bench.start_entry_vm()
     with pytest.raises(aiohttp.ClientError):
-        await entry_vm.ask()
+        async with asyncio.timeout(5):
+            await entry_vm.ask()
 
 
 async def test_second_answer_on_a_connection_reaches_nobody(bench):
@@ -179,6 +180,7 @@
     silent = True
     loop = asyncio.get_running_loop()
     began = loop.time()
+    assert (await entry_vm.ask()).status == 200
     reads = await asyncio.gather(*(entry_vm.ask() for _ in range(4)))
     assert {answer.status for answer in reads} == {200}
     assert loop.time() - began < 2.0
--- a/packages/daemon/tests/callers/test_caller_keyed.py
+++ b/packages/daemon/tests/callers/test_caller_keyed.py
@@ -91,13 +91,35 @@
     once that nothing ran, and the repeat after the outage runs once."""
     upstream = await bench.add_upstream(count_runs)
     entry_vm = await bench.start_entry_vm()
+    await entry_vm.ask(**{**PAY, "Idempotency_Key": "takes the lease"})
     bench.store.go_down()
     refused = await entry_vm.ask(**PAY)
     assert refused.status == 503
     assert json.loads(refused.body)["outcome"] == "not-run"
-    assert upstream.runs == []
+    assert len(upstream.runs) == 1
     bench.store.come_up()
     assert (await entry_vm.ask(**PAY)).status == 201
+    assert len(upstream.runs) == 2
+
+
+async def test_outcome_is_recorded_after_an_outage_of_the_store(bench):
+    """The store goes down while the payment runs. The caller has its answer,
+    and the record is written when the store is back."""
+
+    async def work(request: web.BaseRequest) -> web.Response:
+        bench.store.go_down()
+        return web.Response(text="paid")
+
+    upstream = await bench.add_upstream(work)
+    first = await bench.start_entry_vm("e1")
+    second = await bench.start_entry_vm("e2")
+    assert (await first.ask(**PAY)).status == 200
+    await asyncio.sleep(0.2)
+    bench.store.come_up()
+    async with asyncio.timeout(8):
+        while (answer := await second.ask(**PAY)).status == 409:
+            await asyncio.sleep(0.05)
+    assert answer.headers["Idempotent-Replay"] == "?1"
     assert len(upstream.runs) == 1
 
 
--- /dev/null
+++ b/packages/daemon/tests/callers/test_slot_exchange.py
@@ -0,0 +1,252 @@
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import pytest
+
+from medlarspring_adapters import peer_pb2
+from medlarspring_adapters.clock import ManualClock
+from medlarspring_adapters.events import create_event_log
+from medlarspring_adapters.metrics import NoMetrics
+from medlarspring_daemon.node import create_node
+from medlarspring_daemon.services.caller_state import CallerState
+from medlarspring_daemon.services.slot_exchange import Asking, SlotExchange
+from medlarspring_systems import fair_queue
+from medlarspring_tables import (
+    EntryVMId,
+    ListedEntryVM,
+    ListedVM,
+    PartnerId,
+    PoolId,
+    RackId,
+    RegionId,
+    VMId,
+    VMList,
+    ZoneId,
+)
+
+from .conftest import create_config, create_settings
+
+TICK_SECONDS = 0.05
+CALL_SECONDS = 0.5
+HEARD_SECONDS = 1.5
+POOL = PoolId("consent")
+PARTNER = PartnerId("njia")
+SLOTS = 8
+
+
+@dataclass
+class SimulatedEntryVM:
+    """One process: its exchange of slots and the work it has running."""
+
+    id: EntryVMId
+    state: CallerState
+    exchange: SlotExchange
+    alive: bool = True
+    frozen_until: float = 0.0
+    heard_at: dict[EntryVMId, float] = field(default_factory=dict)
+    refused_at: dict[EntryVMId, float] = field(default_factory=dict)
+
+
+class Fleet:
+    """Entry VMs of one zone under kills, freezes, cuts and slow messages."""
+
+    def __init__(self, seed: int, entry_vms: int, upstreams: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.vm_list = VMList()
+        for number in range(upstreams):
+            vm_id = VMId(f"vm-{number}")
+            self.vm_list.vms_by_id[vm_id] = ListedVM(
+                vm_id,
+                f"10.0.0.{number}:80",
+                POOL,
+                RackId("r"),
+                ZoneId("a"),
+                RegionId("c"),
+            )
+        self.ids = [EntryVMId(f"e{number}") for number in range(entry_vms)]
+        for entry_vm_id in self.ids:
+            self.vm_list.entry_vms_by_id[entry_vm_id] = ListedEntryVM(
+                entry_vm_id, "10.0.1.1:1", ZoneId("a"), RegionId("c")
+            )
+        self.cuts: set[tuple[EntryVMId, EntryVMId]] = set()
+        self.mail: list[tuple[float, int, object]] = []
+        self.runs: list[tuple[float, VMId, EntryVMId, int]] = []
+        self.most_running = 0
+        self.open_calls: dict[int, tuple[float, SimulatedEntryVM, Asking]] = {}
+        self.delays = [0.001, 0.01, 0.05, 0.2, 2.5]
+        self.generation = dict.fromkeys(self.ids, 0)
+        self.entry_vms = {each: self.start(each) for each in self.ids}
+
+    def start(self, entry_vm_id: EntryVMId) -> SimulatedEntryVM:
+        node = create_node(
+            create_settings(entry_vm_id),
+            self.clock,
+            random.Random(self.rng.getrandbits(32)),
+            create_event_log(entry_vm_id, "ERROR"),
+            NoMetrics(),
+            None,  # type: ignore[arg-type]
+        )
+        node.config = create_config()
+        node.vm_list = self.vm_list
+        state = CallerState(node)
+        state.refresh()
+        entry_vm = SimulatedEntryVM(entry_vm_id, state, SlotExchange(node, state))
+        node.peers = SimpleNamespace(heard_by_id={}, refused_by_id={})  # type: ignore[assignment]
+        return entry_vm
+
+    def step(self) -> None:
+        self.clock.advance(TICK_SECONDS)
+        now = self.clock.now()
+        self.runs = [run for run in self.runs if run[0] > now and self.is_current(run)]
+        self.hear(now)
+        self.deliver(now)
+        for call, (ends, entry_vm, asking) in list(self.open_calls.items()):
+            if now >= max(ends, entry_vm.frozen_until):
+                del self.open_calls[call]
+                entry_vm.exchange.note_failure(asking)
+        for entry_vm in self.entry_vms.values():
+            if entry_vm.alive and now >= entry_vm.frozen_until:
+                self.act(entry_vm, now)
+        for vm_id in self.vm_list.vms_by_id:
+            running = sum(1 for run in self.runs if run[1] == vm_id)
+            self.most_running = max(self.most_running, running)
+
+    def is_current(self, run: tuple[float, VMId, EntryVMId, int]) -> bool:
+        """A killed process's connections are closed, which ends its work."""
+        return run[3] == self.generation[run[2]]
+
+    def is_cut(self, sender: EntryVMId, receiver: EntryVMId) -> bool:
+        return (sender, receiver) in self.cuts
+
+    def hear(self, now: float) -> None:
+        for entry_vm in self.entry_vms.values():
+            for other in self.entry_vms.values():
+                if other is entry_vm or self.is_cut(other.id, entry_vm.id):
+                    continue
+                if other.alive and now >= other.frozen_until:
+                    entry_vm.heard_at[other.id] = now
+                    entry_vm.refused_at.pop(other.id, None)
+                elif not other.alive and not self.is_cut(entry_vm.id, other.id):
+                    entry_vm.refused_at[other.id] = now
+            peers = entry_vm.state.node.peers
+            if now < entry_vm.frozen_until:
+                continue
+            peers.refused_by_id = dict(entry_vm.refused_at)
+            peers.heard_by_id = {
+                each: SimpleNamespace(zone_id=ZoneId("a"))
+                for each, at in entry_vm.heard_at.items()
+                if now - at < HEARD_SECONDS and each not in entry_vm.refused_at
+            }
+
+    def act(self, entry_vm: SimulatedEntryVM, now: float) -> None:
+        for asking in entry_vm.exchange.list_due():
+            if asking.home == entry_vm.id:
+                reply = entry_vm.exchange.answer(asking.request)
+                entry_vm.exchange.take_reply(asking, reply)
+            else:
+                call = self.rng.getrandbits(60)
+                self.open_calls[call] = (now + CALL_SECONDS, entry_vm, asking)
+                self.post(entry_vm.id, asking.home, (call, asking.request))
+        self.start_runs(entry_vm, now)
+
+    def start_runs(self, entry_vm: SimulatedEntryVM, now: float) -> None:
+        """Use every credit, with work of up to two seconds."""
+        running = [run for run in self.runs if run[2] == entry_vm.id]
+        pool = entry_vm.state.get_pool(POOL)
+        queue = fair_queue.get_partner_queue(pool, PARTNER)
+        queue.waiting, pool.waiting, queue.running = 30, 30, len(running)
+        for upstream in entry_vm.state.list_upstreams(POOL):
+            upstream.in_use = sum(1 for run in running if run[1] == upstream.id)
+            while upstream.in_use < upstream.credit and now < upstream.credit_until:
+                upstream.in_use += 1
+                ends = now + self.rng.uniform(0.05, 2.0)
+                generation = self.generation[entry_vm.id]
+                self.runs.append((ends, upstream.id, entry_vm.id, generation))
+
+    def post(self, sender: EntryVMId, receiver: EntryVMId, content: object) -> None:
+        delay = self.rng.choice(self.delays)
+        letter = (sender, receiver, content)
+        due = self.clock.now() + delay
+        heapq.heappush(self.mail, (due, self.rng.getrandbits(60), letter))
+
+    def deliver(self, now: float) -> None:
+        while self.mail and self.mail[0][0] <= now:
+            _, _, (sender, receiver, content) = heapq.heappop(self.mail)
+            target = self.entry_vms[receiver]
+            if now < target.frozen_until:
+                # The kernel keeps it until the process runs again.
+                heapq.heappush(
+                    self.mail,
+                    (target.frozen_until + TICK_SECONDS, self.rng.getrandbits(60),
+                     (sender, receiver, content)),
+                )  # fmt: skip
+                continue
+            self.receive(sender, target, content)
+
+    def receive(self, sender: EntryVMId, target: SimulatedEntryVM, content) -> None:
+        if self.is_cut(sender, target.id) or not target.alive:
+            return
+        call, message = content
+        if isinstance(message, peer_pb2.SlotRequest):
+            reply = target.exchange.answer(message)
+            self.post(target.id, sender, (call, reply))
+        elif call in self.open_calls:
+            _, entry_vm, asking = self.open_calls.pop(call)
+            entry_vm.exchange.take_reply(asking, message)
+
+    def hurt(self) -> None:
+        """Bring about one random fault, or heal one."""
+        one, other = self.rng.sample(self.ids, 2)
+        match self.rng.randrange(6):
+            case 0:
+                self.entry_vms[one].frozen_until = self.clock.now() + self.rng.uniform(
+                    0.2, 6.0
+                )
+            case 1:
+                self.generation[one] += 1
+                self.entry_vms[one].alive = False
+            case 2 if not self.entry_vms[one].alive:
+                self.entry_vms[one] = self.start(one)
+            case 3:
+                self.cuts.add((one, other))
+            case 4:
+                self.cuts |= {(one, other), (other, one)}
+            case 5:
+                self.cuts.clear()
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        self.delays = [0.002]
+        for each in self.ids:
+            self.entry_vms[each].frozen_until = 0.0
+            if not self.entry_vms[each].alive:
+                self.entry_vms[each] = self.start(each)
+
+
+@pytest.mark.parametrize("entry_vms", [2, 3, 5])
+@pytest.mark.parametrize("seed", range(8))
+def test_no_upstream_gets_more_work_than_slots(seed, entry_vms):
+    """Entry VMs freeze, die, restart and lose each other in one direction or
+    both, while requests for slots are late or lost. Whoever believes to be
+    home grants; all grants together never pass the eight slots. After the
+    faults every slot comes back into use."""
+    fleet = Fleet(seed, entry_vms)
+    for _ in range(1200):
+        fleet.step()
+        if fleet.rng.random() < 0.03:
+            fleet.hurt()
+    assert fleet.most_running <= SLOTS
+    fleet.heal()
+    for _ in range(200):
+        fleet.step()
+    used = 0
+    for _ in range(40):
+        fleet.step()
+        used += len(fleet.runs)
+    assert fleet.most_running == SLOTS
+    assert used >= 0.9 * 40 * SLOTS * len(fleet.vm_list.vms_by_id)
--- a/packages/systems/src/medlarspring_systems/fair_queue.py
+++ b/packages/systems/src/medlarspring_systems/fair_queue.py
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
     from medlarspring_tables import ConfigTable, EntryVMId, PartnerId, Seconds
     from medlarspring_tables.requests import CallerRequest
@@ -242,11 +242,10 @@
     queue.used += to_units(pool, recent, usage.reported_at)
 
 
-def drop_peer(pool: PoolQueue, peers: Iterable[EntryVMId]) -> None:
+def keep_peers(pool: PoolQueue, peers: Collection[EntryVMId]) -> None:
     """Forget peers that the VM list no longer shows."""
-    gone = set(peers)
     pool.peer_usage = {
-        key: usage for key, usage in pool.peer_usage.items() if key[0] not in gone
+        key: usage for key, usage in pool.peer_usage.items() if key[0] in peers
     }
 
 
@@ -256,10 +255,10 @@
     "begin",
     "count_allowed",
     "count_slot_time",
-    "drop_peer",
     "enqueue",
     "finish",
     "get_partner_queue",
+    "keep_peers",
     "pick_next",
     "remove",
     "take_peer_usage",
--- a/packages/systems/src/medlarspring_systems/leaving.py
+++ b/packages/systems/src/medlarspring_systems/leaving.py
@@ -30,6 +30,8 @@
     if upstream is None:
         return False
     since = now - age
+    if since <= upstream.returned_at:
+        return False
     known = upstream.leaving_since
     if known is not None and now - known < LEAVING_MEMORY_SECONDS:
         # The earliest sign stands: peers that repeat each other's news must
@@ -42,6 +44,17 @@
     return True
 
 
+def note_listed(upstream: Upstream, now: Seconds, *, leaving: bool) -> None:
+    """Take over what a new list says of a VM."""
+    if leaving and upstream.leaving_since is None:
+        # Told to peers too, whose own copy of the list may be older.
+        upstream.leaving_since = now
+    if upstream.listed_leaving and not leaving:
+        upstream.leaving_since = None
+        upstream.returned_at = now
+    upstream.listed_leaving = leaving
+
+
 def list_leaving(table: UpstreamTable, now: Seconds) -> list[tuple[VMId, Seconds]]:
     """Return the signs to tell peers, each with its age."""
     return [
@@ -52,4 +65,10 @@
     ]
 
 
-__all__ = ["LEAVING_MEMORY_SECONDS", "list_leaving", "note_leaving", "takes_new_work"]
+__all__ = [
+    "LEAVING_MEMORY_SECONDS",
+    "list_leaving",
+    "note_leaving",
+    "note_listed",
+    "takes_new_work",
+]
--- a/packages/systems/src/medlarspring_systems/routing.py
+++ b/packages/systems/src/medlarspring_systems/routing.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.leaving import takes_new_work
+from medlarspring_systems.leaving import note_listed, takes_new_work
 from medlarspring_tables.fleet import ListedState
 from medlarspring_tables.upstreams import Upstream, UpstreamTable
 
@@ -25,7 +25,7 @@
     """Bring the table in line with a new list; what is in use stays counted."""
     known = table.upstreams_by_id
     table.upstreams_by_id = {
-        listed.id: _adopt(known.get(listed.id), listed)
+        listed.id: _adopt(known.get(listed.id), listed, vm_list.read_at)
         for listed in vm_list.vms_by_id.values()
     }
     by_pool: dict[PoolId, list[Upstream]] = {}
@@ -34,26 +34,25 @@
     table.upstreams_by_pool = by_pool
 
 
-def _adopt(known: Upstream | None, listed: ListedVM) -> Upstream:
-    leaving = listed.state is ListedState.LEAVING
-    if known is None or known.address != listed.address:
+def _adopt(known: Upstream | None, listed: ListedVM, read_at: Seconds) -> Upstream:
+    upstream = known
+    if upstream is None or upstream.address != listed.address:
         # A new address under an old id is a replaced VM: its health and its
         # leaving are not the old one's.
-        return Upstream(
+        upstream = Upstream(
             id=listed.id,
             address=listed.address,
             pool_id=listed.pool_id,
             zone_id=listed.zone_id,
             slots=listed.slots,
             connections=listed.connections,
-            listed_leaving=leaving,
         )
-    known.pool_id = listed.pool_id
-    known.zone_id = listed.zone_id
-    known.slots = listed.slots
-    known.connections = listed.connections
-    known.listed_leaving = leaving
-    return known
+    upstream.pool_id = listed.pool_id
+    upstream.zone_id = listed.zone_id
+    upstream.slots = listed.slots
+    upstream.connections = listed.connections
+    note_listed(upstream, read_at, leaving=listed.state is ListedState.LEAVING)
+    return upstream
 
 
 def choose_upstream(
--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -100,11 +100,12 @@
     """
     if vote.home == wanted:
         return wanted if now >= vote.blocked_until else None
+    ends = now
     if vote.home is not None:
         ends = vote.last_asked + policy.switch_seconds
         if old_home_dead or vote.home == own_id:
             ends = min(ends, now + policy.grant_seconds)
-        vote.blocked_until = max(vote.blocked_until, ends)
+    vote.blocked_until = max(vote.blocked_until, ends, now)
     vote.home = wanted
     return wanted if now >= vote.blocked_until else None
 
@@ -114,24 +115,53 @@
     slots: int,
     group: Sequence[EntryVMView],
     own_id: EntryVMId,
+    own_vote: Vote,
     *,
-    own_vote: bool,
     now: Seconds,
     policy: SlotPolicy,
 ) -> int:
-    """Return the slots that this home may grant by the votes it has."""
-    if not group:
+    """Return the slots that this home may grant by the votes it has.
+
+    A home that is new does not know what the former one's holders still have
+    running. Those that ask say so; until work begun before has surely ended,
+    it grants nothing while one of them is missing, and leaves free what the
+    former home had last lent to other zones.
+    """
+    if own_vote.home != own_id or now < own_vote.blocked_until:
+        return 0
+    votes = sum(
+        view.id == own_id or _has_voted(ledger, view.id, now, policy) for view in group
+    )
+    settled = now >= own_vote.blocked_until + policy.hold_seconds
+    if settled:
+        return slots * votes // len(group)
+    if votes < len(group):
         return 0
-    votes = 0
-    for view in group:
-        if view.id == own_id:
-            votes += own_vote
-            continue
-        holding = ledger.holdings_by_holder.get(view.id)
-        if holding is None or holding.vote_at is None:
-            continue
-        votes += now < holding.vote_at + policy.vote_seconds
-    return slots * votes // len(group)
+    return max(0, slots - own_vote.foreign)
+
+
+def _has_voted(
+    ledger: SlotLedger, voter: EntryVMId, now: Seconds, policy: SlotPolicy
+) -> bool:
+    holding = ledger.holdings_by_holder.get(voter)
+    if holding is None or holding.vote_at is None:
+        return False
+    return now < holding.vote_at + policy.vote_seconds
+
+
+def count_foreign(
+    ledger: SlotLedger,
+    group: Sequence[EntryVMView],
+    now: Seconds,
+    policy: SlotPolicy,
+) -> int:
+    """Return the slots lent to entry VMs outside the group that votes."""
+    own = {view.id for view in group}
+    return sum(
+        _count_reserved(holding, now, policy)
+        for holder, holding in ledger.holdings_by_holder.items()
+        if holder not in own
+    )
 
 
 def take_demand(
@@ -289,6 +319,7 @@
     "Wish",
     "choose_home",
     "count_capacity",
+    "count_foreign",
     "divide_fairly",
     "divide_pool",
     "get_holding",
--- /dev/null
+++ b/packages/systems/tests/test_slots.py
@@ -0,0 +1,169 @@
+from __future__ import annotations
+
+import pytest
+
+from medlarspring_systems import slots
+from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId, ZoneId
+from medlarspring_tables.slots import EntryVMView, HomeTable, SlotLedger, Vote
+
+POLICY = slots.SlotPolicy()
+A, B, C = (EntryVMId(name) for name in "abc")
+VM = VMId("vm-1")
+POOL = PoolId("consent")
+ZONE = ZoneId("z1")
+
+
+def see(*ids: EntryVMId, silent: str = "", dead: str = "") -> list[EntryVMView]:
+    return [
+        EntryVMView(each, ZONE, heard=each not in silent, dead=each in dead)
+        for each in ids
+    ]
+
+
+def capacity(
+    ledger: SlotLedger, views: list[EntryVMView], now: float, since: float = 0.0
+) -> int:
+    vote = Vote(home=A, blocked_until=since)
+    return slots.count_capacity(ledger, 8, views, A, vote, now=now, policy=POLICY)
+
+
+def give(
+    ledger: SlotLedger,
+    asker: EntryVMId,
+    now: float,
+    *,
+    target: int = 8,
+    held: int = 0,
+    in_use: int = 0,
+    dead: frozenset[EntryVMId] = frozenset(),
+) -> int:
+    wish = slots.Wish(VM, in_use, held)
+    return slots.grant(
+        ledger,
+        asker,
+        wish,
+        target=target,
+        capacity=8,
+        dead=dead,
+        now=now,
+        policy=POLICY,
+    )
+
+
+@pytest.mark.parametrize(
+    ("voters", "now", "expected"),
+    [
+        ([], 100.0, 2),
+        ([B], 100.0, 5),
+        ([B, C], 100.0, 8),
+        ([B, C], 100.0 + POLICY.vote_seconds, 2),
+    ],
+)
+def test_home_grants_only_the_part_that_its_voters_stand_for(voters, now, expected):
+    ledger = SlotLedger()
+    for voter in voters:
+        slots.take_vote(ledger, voter, 100.0)
+    assert capacity(ledger, see(A, B, C), now) == expected
+
+
+def test_new_home_waits_for_what_its_predecessor_left_running():
+    """The former home is cut off with a holder that is not heard. What they
+    have running is not known here, so nothing is granted until it has ended."""
+    ledger = SlotLedger()
+    views = see(A, B, silent="b")
+    assert capacity(ledger, views, now=100.5, since=100.0) == 0
+    assert capacity(ledger, views, 100.0 + POLICY.hold_seconds, since=100.0) == 4
+
+
+def test_new_home_with_every_vote_leaves_what_was_lent_to_other_zones():
+    ledger = SlotLedger()
+    slots.take_vote(ledger, B, 100.0)
+    vote = Vote(home=A, blocked_until=100.0, foreign=3)
+    counted = slots.count_capacity(
+        ledger, 8, see(A, B), A, vote, now=100.5, policy=POLICY
+    )
+    assert counted == 5
+
+
+@pytest.mark.parametrize(
+    ("dead", "allowed_at"),
+    [
+        (False, 100.0 + POLICY.vote_seconds + POLICY.grant_seconds),
+        (True, 100.2 + POLICY.grant_seconds),
+    ],
+)
+def test_vote_moves_only_after_all_that_it_allowed_has_lapsed(dead, allowed_at):
+    """The home of an upstream VM changes. Until the old home's vote and the
+    grants made by it have lapsed, the new one is not asked; else both could
+    grant by one vote."""
+    vote = Vote(home=B, last_asked=100.0)
+
+    def move(now: float) -> EntryVMId | None:
+        return slots.move_vote(vote, C, A, old_home_dead=dead, now=now, policy=POLICY)
+
+    assert move(100.2) is None
+    assert move(allowed_at - 0.01) is None
+    assert move(allowed_at) == C
+
+
+def test_lowered_grant_is_free_only_when_its_holder_knows_of_it():
+    """A holder of eight is granted four, and the reply may be lost. The other
+    four go to the next asker only after the holder has asked again."""
+    ledger = SlotLedger()
+    assert give(ledger, A, 100.0) == 8
+    assert give(ledger, A, 100.3, target=4, held=8) == 4
+    assert give(ledger, B, 100.4) == 0
+    assert give(ledger, A, 100.6, target=4, held=4) == 4
+    assert give(ledger, B, 100.7) == 4
+
+
+def test_work_in_use_stays_reserved_below_the_grant():
+    ledger = SlotLedger()
+    assert give(ledger, A, 100.0, target=0, in_use=6) == 0
+    assert give(ledger, B, 100.1) == 2
+
+
+def test_silent_holder_keeps_its_slots_until_its_work_has_ended():
+    ledger = SlotLedger()
+    give(ledger, A, 100.0)
+    ended = 100.0 + POLICY.grant_seconds + POLICY.hold_seconds
+    assert give(ledger, B, ended - 0.1) == 0
+    assert give(ledger, B, 102.0, dead=frozenset({A})) == 8
+
+
+def test_homes_spread_and_few_move_when_one_goes():
+    ids = [EntryVMId(f"e{number}") for number in range(4)]
+    views = [EntryVMView(each, ZONE, heard=True) for each in ids]
+    vms = [VMId(f"vm-{number}") for number in range(400)]
+    before = {vm: slots.choose_home(vm, views) for vm in vms}
+    counts = [list(before.values()).count(each) for each in ids]
+    assert min(counts) > 60
+    after = {vm: slots.choose_home(vm, views[1:]) for vm in vms}
+    assert {before[vm] for vm in vms if before[vm] != after[vm]} == {ids[0]}
+
+
+@pytest.mark.parametrize(
+    ("demand", "weights", "expected"),
+    [
+        ({"p": 100, "q": 100}, {"p": 1.0, "q": 1.0}, {"p": 8.0, "q": 8.0}),
+        ({"p": 100, "q": 100}, {"p": 3.0, "q": 1.0}, {"p": 12.0, "q": 4.0}),
+        ({"p": 100, "q": 2}, {"p": 1.0, "q": 1.0}, {"p": 14.0, "q": 2.0}),
+        ({"p": 100, "q": 0}, {"p": 1.0, "q": 1.0}, {"p": 16.0, "q": 0.0}),
+    ],
+)
+def test_slots_are_divided_by_weight_and_idle_share_is_lent(demand, weights, expected):
+    assert slots.divide_fairly(demand, weights, 16.0) == expected
+
+
+def test_parts_add_up_to_all_slots_of_each_vm():
+    table = HomeTable()
+    flood = {PartnerId("p"): 300}
+    slots.take_demand(table, POOL, A, flood, same_zone=True, now=1.0)
+    victim = {PartnerId("q"): 9, PartnerId("p"): 30}
+    slots.take_demand(table, POOL, B, victim, same_zone=True, now=1.0)
+    weights = {PartnerId("p"): 1.0, PartnerId("q"): 1.0}
+    parts = slots.divide_pool(table, POOL, weights, 16, 1.0, POLICY)
+    rounded = [slots.round_parts(VMId(f"vm-{n}"), parts, 8) for n in range(200)]
+    assert {sum(each.values()) for each in rounded} == {8}
+    mean = sum(each[B] for each in rounded) / len(rounded)
+    assert mean == pytest.approx(parts[B] * 8, abs=0.15)
--- a/packages/tables/src/medlarspring_tables/slots.py
+++ b/packages/tables/src/medlarspring_tables/slots.py
@@ -74,6 +74,8 @@
     blocked_until: Seconds = 0.0
     """A new home is not asked before the old one's grants have lapsed."""
     last_asked: Seconds = 0.0
+    foreign: int = 0
+    """Slots that the home said it has lent to other zones."""
 
 
 __all__ = [
--- a/packages/tables/src/medlarspring_tables/upstreams.py
+++ b/packages/tables/src/medlarspring_tables/upstreams.py
@@ -22,6 +22,8 @@
     listed_leaving: bool = False
     leaving_since: Seconds | None = None
     """First sign of leaving that this entry VM saw or was told of."""
+    returned_at: Seconds = float("-inf")
+    """When the list showed it live again; older signs of leaving are void."""
     in_use: int = 0
     """Slots held by requests of this entry VM, given-up ones included."""
     credit: int = 0
