--- a/packages/daemon/src/medlarspring_daemon/node.py
+++ b/packages/daemon/src/medlarspring_daemon/node.py
@@ -10,15 +10,19 @@
 from medlarspring_adapters.decisions import DecisionLog
 from medlarspring_adapters.peer_client import PeerError, PeerUnreachable
 from medlarspring_adapters.store_meter import MeteredStore, create_metered_store
+from medlarspring_tables.fleet_tables import FleetTables
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
+
+    from aiohttp import web
 
     from medlarspring_adapters import peer_pb2
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.events import EventLog
     from medlarspring_adapters.metrics import Metrics
+    from medlarspring_adapters.operator_api import Finding
     from medlarspring_adapters.store import Expect, Store
     from medlarspring_daemon.settings import Settings
     from medlarspring_tables import (
@@ -71,6 +75,11 @@
         """Other entry VMs heard within the timeout and not leaving."""
         ...
 
+    @property
+    def known_by_id(self) -> Mapping[EntryVMId, Member]:
+        """All other entry VMs that are listed or were heard lately."""
+        ...
+
     @property
     def zone_members(self) -> tuple[EntryVMId, ...]:
         """This entry VM and those heard in its availability zone, sorted."""
@@ -102,6 +111,7 @@
     """Stands in until the peer service has started."""
 
     heard_by_id: Mapping[EntryVMId, Member] = {}
+    known_by_id: Mapping[EntryVMId, Member] = {}
     refused_by_id: Mapping[EntryVMId, Seconds] = {}
     zone_members: tuple[EntryVMId, ...] = ()
 
@@ -163,14 +173,22 @@
     config: ConfigTable | None = None
     """The table in force; written by the configuration service."""
     config_listeners: list[Callable[[ConfigTable], None]] = field(default_factory=list)
+    offer_table: Callable[[ConfigTable], None] = lambda table: None
+    """Takes a table that was just accepted; written by the configuration service."""
     vm_list: VMList | None = None
     """The newest list; written by the VM list service."""
     report_parts: list[ReportPart] = field(default_factory=list)
     slot_granter: SlotGranter | None = None
+    operator_routes: list[web.RouteDef] = field(default_factory=list)
+    """Routes of the operator port; parts add theirs before it starts."""
+    status_sources: list[Callable[[], Iterable[Finding]]] = field(default_factory=list)
+    """What parts know of that is cut off, stale or degraded."""
     peers: Peers = field(default_factory=NoPeers)
     """Written by the peer service."""
     holders: Holders = field(default_factory=NoHolders)
     """Written by the holder service."""
+    fleet_tables: FleetTables = field(default_factory=FleetTables)
+    """Records of VMs and waves; written by the fleet service while pools are held."""
     addresses: dict[str, str] = field(default_factory=dict)
     """Real addresses of the open ports by port name."""
     stopping: bool = False
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
@@ -0,0 +1,82 @@
+"""Runs the control work of the pools that this process holds."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters.vm_control import HttpVMControl
+from medlarspring_daemon.services.fleet_controller import FleetController
+from medlarspring_daemon.services.fleet_feed import FleetFeed
+from medlarspring_daemon.services.fleet_rounds import FleetRounds
+from medlarspring_tables.fleet_tables import FleetTables
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.vm_control import VMControl
+    from medlarspring_daemon.node import Node
+
+TICK_SECONDS = 1.0
+
+
+class FleetService:
+    """Does a round each second and follows the records while it holds pools."""
+
+    def __init__(self, node: Node, vm_control: VMControl | None) -> None:
+        self._node = node
+        self._vm_control = vm_control
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the loop, unless the settings name no VM control."""
+        if self._vm_control is not None:
+            self._task = asyncio.create_task(self._run(self._vm_control))
+
+    async def stop(self) -> None:
+        """Stop between two calls; the records let a successor go on."""
+        if self._task is not None:
+            self._task.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._task
+        if isinstance(self._vm_control, HttpVMControl):
+            await self._vm_control.close()
+
+    async def _run(self, vm_control: VMControl) -> None:
+        node = self._node
+        tables = node.fleet_tables = FleetTables()
+        controller = FleetController(
+            tables,
+            node.store,
+            vm_control,
+            lambda pool_id: node.holders.fence(pool_id),
+            node.decisions,
+            node.log,
+        )
+        rounds = FleetRounds(controller, node.clock, node.rng, node.log)
+        feed = FleetFeed(node.store, tables, node.rng)
+        try:
+            while True:
+                started_at = node.clock.now()
+                if node.config is not None:
+                    await rounds.run(node.holders, node.config, node.vm_list)
+                if rounds.is_holding:
+                    feed.start()
+                else:
+                    await feed.stop()
+                spent = node.clock.now() - started_at
+                await asyncio.sleep(max(0.0, TICK_SECONDS - spent))
+        finally:
+            await feed.stop()
+
+
+def create_fleet_service(
+    node: Node, vm_control: VMControl | None = None
+) -> FleetService:
+    """Return the service; without a VM control it does nothing."""
+    section = node.settings.vm_control
+    if vm_control is None and section is not None:
+        vm_control = HttpVMControl(section.url, section.timeout_seconds)
+    return FleetService(node, vm_control)
+
+
+__all__ = ["FleetService", "create_fleet_service"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/status_routes.py
@@ -0,0 +1,51 @@
+"""Routes of the operator port for the state and the decisions of the daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+
+from medlarspring_adapters.decisions import Decision, Subject
+from medlarspring_adapters.operator_api import ExplainAnswer
+from medlarspring_daemon.services.operator_answers import BadRequest, Refusal, answer
+from medlarspring_daemon.services.status import StatusReporter
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.node import Node
+
+
+class StatusRoutes:
+    """What is degraded, and what was decided."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._reporter = StatusReporter(node)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of state and decisions."""
+        return [
+            web.get("/v1/status", self._status),
+            web.get("/v1/explain/{subject}/{id}", self._explain),
+        ]
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return answer(self._reporter.describe())
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        name = request.match_info["subject"]
+        subjects = [subject.value for subject in Subject]
+        if name not in subjects:
+            reason = f"subject: found {name!r}, wanted one of {', '.join(subjects)}."
+            raise Refusal(BadRequest(reason))
+        subject_id = request.match_info["id"]
+        own = self._node.decisions.find(Subject(name), subject_id)
+        found = set(await self._node.peers.find_decisions(name, subject_id))
+        found.update(map(msgspec.json.encode, own))
+        decisions = [msgspec.json.decode(each, type=Decision) for each in found]
+        ordered = sorted(decisions, key=lambda decision: decision.at)
+        return answer(ExplainAnswer(decisions=tuple(ordered)))
+
+
+__all__ = ["StatusRoutes"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/disruptions.py
@@ -0,0 +1,85 @@
+"""Takes VMs out of service within the budgets of pools and zones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from medlarspring_systems.availability import count_availability
+from medlarspring_systems.draft import Decided
+from medlarspring_tables import MedlarspringError, VMId
+from medlarspring_tables.vms import VMState
+
+if TYPE_CHECKING:
+    from medlarspring_systems.availability import Availability
+    from medlarspring_systems.draft import Draft
+    from medlarspring_tables import FleetRow, PoolRow
+    from medlarspring_tables.vms import Cause
+
+MAX_CHANGES = 32
+"""VMs changed by one transaction; keeps it under the store's limit of parts."""
+
+
+class DisruptionRefused(MedlarspringError):
+    """A VM may not be taken out of service now."""
+
+    code = "disruption-refused"
+
+    def __init__(self, vm_id: VMId, reason: str, remedy: str) -> None:
+        super().__init__(vm_id, reason, remedy)
+        self.vm_id = vm_id
+        self.reason = reason
+        self.remedy = remedy
+
+    def message(self) -> str:
+        """Say what blocks the VM and what ends it."""
+        return f"VM {self.vm_id} is not drained: {self.reason}. {self.remedy}"
+
+
+def disrupt_vm(
+    draft: Draft, vm_id: VMId, cause: Cause, pool: PoolRow, fleet: FleetRow, now: float
+) -> Result[None, DisruptionRefused]:
+    """Draft the intent to drain one VM, if every budget allows it."""
+    record = draft.vm(vm_id)
+    if record.pool_id != pool.id or record.state is not VMState.SERVING:
+        reason = f"it is {record.state.value} in pool {record.pool_id}"
+        return Failure(DisruptionRefused(vm_id, reason, "Wait until it serves."))
+    counted = count_availability(draft, pool)
+    # Two VMs drained on one count would take the pool under its budget. The
+    # count includes the draft, and the list that it was made from is written
+    # under its revision, so a count that is out of date is never acted on.
+    if counted.room < 1:
+        return Failure(_refuse_for_budget(vm_id, counted))
+    zone = draft.zone_disruptions(record.zone_id)
+    if len(zone.causes_by_vm) >= fleet.max_drains_per_zone:
+        reason = f"zone {zone.zone_id} has {len(zone.causes_by_vm)} VMs out already"
+        remedy = "Wait for one, or raise max_drains_per_zone in the fleet row."
+        return Failure(DisruptionRefused(vm_id, reason, remedy))
+    draft.list_vm(record, cause)
+    state = {"state": VMState.DRAINING, "since": now, "cause": cause}
+    draft.put(msgspec.structs.replace(record, **state))
+    draft.note(
+        Decided.DRAIN,
+        "budget-has-room",
+        vm_id=vm_id,
+        cause=f"{cause.kind.value} {cause.id}",
+        available=counted.available,
+        min_available=counted.min_available,
+    )
+    return Success(None)
+
+
+def _refuse_for_budget(vm_id: VMId, counted: Availability) -> DisruptionRefused:
+    reason = (
+        f"pool {counted.pool_id} has {counted.available} VMs available"
+        f" of at least {counted.min_available}"
+        f" ({counted.disrupted} disrupted, {counted.failed} failed,"
+        f" {counted.unseen} unseen, {counted.out} out)"
+    )
+    remedy = "Mend the failed VMs, move VMs in, or lower min_available."
+    return DisruptionRefused(vm_id, reason, remedy)
+
+
+__all__ = ["MAX_CHANGES", "DisruptionRefused", "disrupt_vm"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/maintenance.py
@@ -0,0 +1,84 @@
+"""Drains the VMs of maintenance waves, as many at a time as is safe."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.availability import Health, judge_vm
+from medlarspring_systems.disruptions import MAX_CHANGES, disrupt_vm
+from medlarspring_tables.vms import Cause, CauseKind, Outcome, VMState
+from medlarspring_tables.waves import WaveState
+
+if TYPE_CHECKING:
+    from medlarspring_systems.draft import Draft
+    from medlarspring_systems.wave_width import WidthRule
+    from medlarspring_tables import FleetRow, PoolId, PoolRow
+    from medlarspring_tables.vms import VMRecord
+    from medlarspring_tables.waves import WaveRecord
+
+
+def find_wanted(draft: Draft, wave: WaveRecord, pool_id: PoolId) -> list[VMRecord]:
+    """Return the pool's VMs that the wave still wants, in order of choice."""
+    tables = draft.tables
+    wanted = [
+        record
+        for record in map(draft.vm, tables.vm_ids_by_pool.get(pool_id, ()))
+        if record.id in wave.vm_ids
+        and record.wave_id != wave.id
+        and record.state is VMState.SERVING
+    ]
+    left_by_rack = Counter(record.rack_id for record in wanted)
+    out_by_rack = Counter(
+        tables.vms_by_id[vm_id].rack_id
+        for vm_id in tables.busy_vm_ids_by_pool.get(pool_id, ())
+    )
+    # Taking the racks one after another keeps the VMs out of service in one
+    # failure domain, so that its loss costs the pool the least.
+    wanted.sort(
+        key=lambda record: (
+            -out_by_rack[record.rack_id],
+            left_by_rack[record.rack_id],
+            record.rack_id,
+            record.id,
+        )
+    )
+    return wanted
+
+
+def plan_wave_drains(
+    draft: Draft, pool: PoolRow, fleet: FleetRow, width: WidthRule, now: float
+) -> None:
+    """Draft all drains of the pool that running waves want and budgets allow."""
+    # A VM given up in this very draft may be the one that pauses the wave;
+    # the next tick decides with it among the evidence.
+    if any(note.rule == Outcome.NOT_RETURNED.value for note in draft.notes):
+        return
+    waves = sorted(
+        draft.tables.open_waves_by_id.values(), key=lambda wave: wave.started_at
+    )
+    for wave in waves:
+        if wave.state is WaveState.RUNNING:
+            _plan_wave(draft, wave, pool, fleet, width, now)
+
+
+def _plan_wave(
+    draft: Draft,
+    wave: WaveRecord,
+    pool: PoolRow,
+    fleet: FleetRow,
+    width: WidthRule,
+    now: float,
+) -> None:
+    cause = Cause(CauseKind.WAVE, wave.id)
+    for record in find_wanted(draft, wave, pool.id):
+        if len(draft.records_by_key) >= MAX_CHANGES:
+            return
+        sighting = draft.tables.sightings_by_id.get(record.id)
+        if judge_vm(record, sighting) is not Health.AVAILABLE:
+            continue
+        if width.allows(draft, wave, record):
+            disrupt_vm(draft, record.id, cause, pool, fleet, now)
+
+
+__all__ = ["find_wanted", "plan_wave_drains"]
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -120,6 +120,9 @@
     can_throttle: bool = False
     submitted_at: Seconds
     """Wall time."""
+    submitted_by: str = ""
+    ended_at: Seconds = 0.0
+    """Wall time of the end; 0 before it."""
     state: JobState = JobState.WAITING
     attempt: Attempt | None = None
     attempts_made: int = 0
@@ -200,6 +203,8 @@
     held: Size = NO_SIZE
     """Sum over all attempts."""
     spare_percent: float = 10.0
+    old_by_id: dict[JobId, Job] = field(default_factory=dict)
+    """Records as they stood before changes that are not yet written."""
 
 
 __all__ = [
