Lend idle slots in small parts, so that the first request elsewhere finds one

Now each asker holds at most 2 idle slots of a VM beyond its work, the rest stays with the home, and an entry VM without own VMs of a pool asks for it all the time. test_idle_slots_stay_with_the_home_for_whoever_asks_first failed before.

--- a/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
@@ -190,8 +190,18 @@
             return True
         if self._node.stopping:
             return False
+        if not self._has_own(upstream.pool_id):
+            # Every request of this pool goes to another zone; it should find
+            # a slot there as soon as one in its own zone would.
+            return True
         return self._count_overflow(upstream.pool_id, now) > 0
 
+    def _has_own(self, pool_id: PoolId) -> bool:
+        return any(
+            upstream.zone_id == self._state.zone_id
+            for upstream in self._state.list_upstreams(pool_id)
+        )
+
     def _count_overflow(self, pool_id: PoolId, now: Seconds) -> int:
         """Return how much of the demand the own zone has no slots for."""
         pool = self._state.pools_by_id.get(pool_id)
--- a/packages/daemon/src/medlarspring_daemon/services/slot_home.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_home.py
@@ -54,8 +54,7 @@
             return peer_pb2.SlotReply(
                 sender=self._node.id, incarnation=self._node.incarnation
             )
-        zone_by_id = {view.id: view.zone_id for view in views}
-        self._take_demand(request, zone_by_id.get(asker), now)
+        self._take_demand(request, now)
         reply = peer_pb2.SlotReply(
             sender=self._node.id,
             incarnation=self._node.incarnation,
@@ -126,23 +125,15 @@
         echoed_at = (echo_ms - self._epoch_ms) / 1000.0
         return echoed_at if self._started_at - 1.0 <= echoed_at <= now else None
 
-    def _take_demand(
-        self, request: peer_pb2.SlotRequest, zone_id: ZoneId | None, now: Seconds
-    ) -> None:
+    def _take_demand(self, request: peer_pb2.SlotRequest, now: Seconds) -> None:
         counts_by_pool: dict[PoolId, dict[PartnerId, int]] = defaultdict(dict)
         for usage in request.demand:
             counts = counts_by_pool[PoolId(usage.pool)]
             if usage.partner:
                 counts[PartnerId(usage.partner)] = usage.waiting + usage.running
         for pool_id, counts in counts_by_pool.items():
-            slots.take_demand(
-                self._table,
-                pool_id,
-                EntryVMId(request.sender),
-                counts,
-                same_zone=zone_id == self._state.zone_id,
-                now=now,
-            )
+            asker = EntryVMId(request.sender)
+            slots.take_demand(self._table, pool_id, asker, counts, now)
 
     def _divide(self, upstream: Upstream, now: Seconds) -> dict[EntryVMId, float]:
         config = self._node.config
--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -23,6 +23,9 @@
     from medlarspring_tables import EntryVMId, PartnerId, PoolId, Seconds, VMId, ZoneId
     from medlarspring_tables.slots import EntryVMView, HomeTable, SlotLedger, Vote
 
+MAX_SPARE = 2
+"""Slots of one VM that an asker may hold beyond what its work is due."""
+ROUNDING = 1e-9
 HASH_RANGE = float(1 << 64)
 
 
@@ -169,13 +172,11 @@
     pool_id: PoolId,
     asker: EntryVMId,
     count_by_partner: dict[PartnerId, int],
-    *,
-    same_zone: bool,
     now: Seconds,
 ) -> None:
     """Remember what an asker has to do."""
     demand = table.demand_by_pool.setdefault(pool_id, {})
-    demand[asker] = AskerDemand(count_by_partner, now, same_zone)
+    demand[asker] = AskerDemand(count_by_partner, now)
 
 
 def divide_pool(
@@ -186,12 +187,10 @@
     now: Seconds,
     policy: SlotPolicy,
 ) -> dict[EntryVMId, float]:
-    """Return the part of the pool's slots that each asker should have.
+    """Return the part of the pool's slots that each asker's work is due.
 
     Partners get theirs by weight, none more than it has to do; a partner's
-    part goes to the askers where its work is. What is left over is spread
-    evenly over the zone's own askers, so that a request that comes next finds
-    a slot without asking.
+    part goes to the askers where its work is.
     """
     demand = table.demand_by_pool.get(pool_id, {})
     fresh = {
@@ -207,19 +206,15 @@
             total = total_by_partner.get(partner_id, 0)
             total_by_partner[partner_id] = total + count
     share_by_partner = divide_fairly(total_by_partner, weights_by_partner, pool_slots)
-    parts = {
+    return {
         asker: sum(
             share_by_partner[partner_id] * count / total_by_partner[partner_id]
             for partner_id, count in told.count_by_partner.items()
             if count
         )
+        / max(1, pool_slots)
         for asker, told in fresh.items()
     }
-    own = [asker for asker, told in fresh.items() if told.same_zone] or list(fresh)
-    left = max(0.0, pool_slots - sum(parts.values()))
-    for asker in own:
-        parts[asker] += left / len(own)
-    return {asker: part / max(1, pool_slots) for asker, part in parts.items()}
 
 
 def divide_fairly(
@@ -256,15 +251,22 @@
     """Turn parts into whole slots of one VM; they add up to no more than all.
 
     Where the rounding falls differs from VM to VM, so that small parts come
-    out right over the pool.
+    out right over the pool. Of the slots that no work is due, each asker may
+    have a few, so that its next requests find a slot without asking; the rest
+    stays with the home for whoever asks first.
     """
     rounded: dict[EntryVMId, int] = {}
-    offset = _hash(vm_id, "offset")
-    reached = offset
+    reached = _hash(vm_id, "offset")
     for asker in sorted(parts, key=lambda asker: _hash(vm_id, asker)):
         before = int(reached)
         reached += parts[asker] * slots
-        rounded[asker] = int(reached + 1e-9) - before
+        rounded[asker] = int(reached + ROUNDING) - before
+    left = slots - sum(rounded.values())
+    if left > 0:
+        spare = min(MAX_SPARE, left // (len(rounded) + 1))
+        for asker, due in rounded.items():
+            short = not due and parts[asker] > 0.0
+            rounded[asker] = due + max(spare, short)
     return rounded
 
 
--- a/packages/systems/tests/test_slots.py
+++ b/packages/systems/tests/test_slots.py
@@ -131,6 +131,22 @@
     assert give(ledger, B, 102.0, dead=frozenset({A})) == 8
 
 
+def test_idle_slots_stay_with_the_home_for_whoever_asks_first():
+    """Two entry VMs of the zone idle. A third of another zone asks for its
+    first request; it must find slots that are not lent out already."""
+    table = HomeTable()
+    for asker in (A, B):
+        slots.take_demand(table, POOL, asker, {}, 1.0)
+    parts = slots.divide_pool(table, POOL, {}, 16, 1.0, POLICY)
+    idle = slots.round_parts(VM, parts, 8)
+    assert 1 <= idle[A] <= 2
+    assert 1 <= idle[B] <= 2
+    slots.take_demand(table, POOL, C, {PartnerId("p"): 1}, 1.0)
+    parts = slots.divide_pool(table, POOL, {}, 16, 1.0, POLICY)
+    for number in range(50):
+        assert slots.round_parts(VMId(f"vm-{number}"), parts, 8)[C] >= 1
+
+
 def test_homes_spread_and_few_move_when_one_goes():
     ids = [EntryVMId(f"e{number}") for number in range(4)]
     views = [EntryVMView(each, ZONE, heard=True) for each in ids]
@@ -158,9 +174,9 @@
 def test_parts_add_up_to_all_slots_of_each_vm():
     table = HomeTable()
     flood = {PartnerId("p"): 300}
-    slots.take_demand(table, POOL, A, flood, same_zone=True, now=1.0)
+    slots.take_demand(table, POOL, A, flood, 1.0)
     victim = {PartnerId("q"): 9, PartnerId("p"): 30}
-    slots.take_demand(table, POOL, B, victim, same_zone=True, now=1.0)
+    slots.take_demand(table, POOL, B, victim, 1.0)
     weights = {PartnerId("p"): 1.0, PartnerId("q"): 1.0}
     parts = slots.divide_pool(table, POOL, weights, 16, 1.0, POLICY)
     rounded = [slots.round_parts(VMId(f"vm-{n}"), parts, 8) for n in range(200)]
--- a/packages/tables/src/medlarspring_tables/slots.py
+++ b/packages/tables/src/medlarspring_tables/slots.py
@@ -41,7 +41,6 @@
 
     count_by_partner: dict[PartnerId, int] = field(default_factory=dict)
     told_at: Seconds = 0.0
-    same_zone: bool = True
 
 
 @dataclass(slots=True)
