--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -28,6 +28,7 @@
     EDIT_REFUSED = (8002, "an edit of the table was not accepted")
     OPERATOR_REFUSED = (8003, "an operator's request had no valid token")
     OPERATOR_FAILED = (8004, "an operator's request failed inside the daemon")
+    AUDIT_TRIMMED = (8005, "audit records past their retention were removed")
     VM_DRAIN_INTENDED = (5001, "VM is listed for a drain")
     VM_REBOOT_INTENDED = (5002, "VM is drained and will be rebooted")
     VM_SERVES = (5003, "VM serves again")
@@ -43,6 +44,10 @@
     WAVE_DONE = (5023, "wave is done")
     TASK_FAILED = (1010, "a background task failed and is started again")
 
+    REQUEST_FAILED = (2001, "a caller's request met a fault of this process")
+    UPSTREAM_SET_ASIDE = (2002, "an upstream VM is set aside for its answers")
+    UPSTREAM_LEAVING = (2003, "an upstream VM leaves; it gets no new work")
+
     TABLE_IN_FORCE = (3001, "a newer configuration table is in force")
     STORE_TABLE_OLDER = (3002, "the store's table is older; it is not taken")
     STORE_TABLE_DIVERGED = (3003, "the store's table differs at the same revision")
