--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -14,6 +14,7 @@
     REQUESTS_ANSWERED = "requests.answered"
     REQUESTS_REFUSED = "requests.refused"
     REQUESTS_UNKNOWN = "requests.unknown"
+    REQUESTS_REPLAYED = "requests.replayed"
     REQUEST_MS = "requests.ms"
 
     TABLE_REVISION = "configuration.revision"
--- a/packages/daemon/src/medlarspring_daemon/services/caller_dispatch.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_dispatch.py
@@ -35,6 +35,7 @@
     upstream: Upstream
     pool: PoolQueue
     began_at: Seconds
+    waited: Seconds = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -44,6 +45,7 @@
     answer: asyncio.Future[Result[Turn, Refusal]]
     excluded: Collection[VMId]
     timer: asyncio.TimerHandle
+    since: Seconds
 
 
 class Dispatcher:
@@ -109,6 +111,7 @@
                 self._put_back(pool, request, waiter)
                 break
             turn = self._begin(request, upstream, pool, now)
+            turn.waited = now - waiter.since
             waiter.answer.set_result(Success(turn))
         if pool.waiting:
             self.slots.want(pool_id)
@@ -185,7 +188,7 @@
             asyncio.get_running_loop().create_future()
         )
         timer = self._start_timer(pool, request, now)
-        self._add_waiter(request, Waiter(answer, excluded, timer))
+        self._add_waiter(request, Waiter(answer, excluded, timer, now))
         fair_queue.enqueue(pool, request)
         self.slots.want(pool.pool_id)
         try:
--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -37,7 +37,7 @@
     from medlarspring_daemon.services.caller_dispatch import Dispatcher, Turn
     from medlarspring_daemon.services.caller_reports import CallerReports
     from medlarspring_daemon.services.caller_state import CallerState
-    from medlarspring_tables import PoolId, VMId
+    from medlarspring_tables import PoolId, Seconds, VMId
     from medlarspring_tables.requests import CallerRequest
 
 REFUSES = 503
@@ -60,6 +60,12 @@
     perhaps_run: bool = False
     """An earlier attempt reached an upstream VM and its end is not known."""
     excluded: set[VMId] = field(default_factory=set)
+    upstream_id: str = ""
+    """Upstream VM of the last attempt."""
+    waited: Seconds = 0.0
+    """Time spent waiting for slots."""
+    replayed: bool = False
+    """Whether the answer is that of an earlier request with the same key."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -99,6 +105,8 @@
             if not is_successful(turn):
                 return Failure(_after_attempts(turn.failure(), exchange))
             held = turn.unwrap()
+            exchange.upstream_id = held.upstream.id
+            exchange.waited += held.waited
             tried = await self._try(exchange, held, budget)
             exchange.attempts += 1
             if is_successful(tried):
--- a/packages/daemon/src/medlarspring_daemon/services/caller_keyed.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_keyed.py
@@ -10,15 +10,12 @@
 from returns.result import Failure, Result, Success
 
 from medlarspring_daemon.services.caller_claims import ClaimBook, Ticket
-from medlarspring_daemon.services.caller_forwarding import Exchange
 from medlarspring_systems.claims import keep_answer
 from medlarspring_tables.requests import Outcome
 
 if TYPE_CHECKING:
-    from multidict import CIMultiDict
-
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.caller_forwarding import Forwarder
+    from medlarspring_daemon.services.caller_forwarding import Exchange, Forwarder
     from medlarspring_tables import Seconds
     from medlarspring_tables.claims import ClaimedAnswer
     from medlarspring_tables.requests import CallerRequest, Refusal
@@ -40,29 +37,27 @@
             await asyncio.wait(self._runs, timeout=timeout)
         await self._book.stop(timeout)
 
-    async def run(
-        self, row: CallerRequest, caller_headers: CIMultiDict[str]
-    ) -> Result[web.StreamResponse, Refusal]:
+    async def run(self, exchange: Exchange) -> Result[web.StreamResponse, Refusal]:
         """Answer a keyed request.
 
         A caller that leaves does not end the run: its outcome could not be
         learnt any more, and the caller's repeat would be left without answer.
         """
-        run = asyncio.create_task(self._run(row, caller_headers))
+        exchange.request = None
+        run = asyncio.create_task(self._run(exchange))
         self._runs.add(run)
         run.add_done_callback(self._runs.discard)
         return await asyncio.shield(run)
 
-    async def _run(
-        self, row: CallerRequest, caller_headers: CIMultiDict[str]
-    ) -> Result[web.StreamResponse, Refusal]:
-        claimed = await self._book.claim(row)
+    async def _run(self, exchange: Exchange) -> Result[web.StreamResponse, Refusal]:
+        claimed = await self._book.claim(exchange.row)
         if not is_successful(claimed):
             return Failure(claimed.failure())
         held = claimed.unwrap()
         if not isinstance(held, Ticket):
-            return Success(_replay(held, row))
-        answer = await self._forwarder.forward(Exchange(row, caller_headers, None))
+            exchange.replayed = True
+            return Success(_replay(held, exchange.row))
+        answer = await self._forwarder.forward(exchange)
         await self._record(held, answer)
         return answer
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -9,7 +9,6 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
-from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.problems import create_problem_response
 from medlarspring_adapters.upstream_http import UpstreamClient
 from medlarspring_daemon.services.caller_answer import copy_caller_headers
@@ -21,12 +20,14 @@
     RequestReader,
     create_request_id,
 )
+from medlarspring_daemon.services.caller_records import CallerRecords
 from medlarspring_daemon.services.caller_reports import CallerReports
 from medlarspring_daemon.services.caller_state import CallerState
-from medlarspring_tables.requests import Outcome
 
 if TYPE_CHECKING:
     from medlarspring_daemon.node import Node, Part
+    from medlarspring_tables import RequestId
+    from medlarspring_tables.requests import Refusal
 
 HEALTH_PATH = "/healthz"
 READINESS_PATH = "/readyz"
@@ -45,9 +46,10 @@
         self._dispatcher = Dispatcher(self._state)
         self._client: UpstreamClient | None = None
         self._forwarder: Forwarder | None = None
+        self._records = CallerRecords(node)
         self._keyed: KeyedRunner | None = None
         self._server: CallerServer | None = None
-        self._sweep: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._listener: asyncio.Server | None = None
         self._in_flight = 0
 
@@ -63,7 +65,10 @@
         await self._dispatcher.slots.start()
         self._keyed = KeyedRunner(self._node, self._forwarder)
         self._server = CallerServer(self._handle, settings, self._note_failure)
-        self._sweep = asyncio.create_task(self._server.sweep())
+        self._tasks = [
+            asyncio.create_task(self._server.sweep()),
+            asyncio.create_task(self._records.run()),
+        ]
         host, _, port = settings.listen.rpartition(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -92,8 +97,9 @@
         await self._keyed.stop(max(0.1, limit - loop.time()))
         self._server.pre_shutdown()
         await self._server.shutdown(1.0)
-        if self._sweep is not None:
-            self._sweep.cancel()
+        for task in self._tasks:
+            task.cancel()
+        self._records.flush()
         await self._dispatcher.slots.stop()
         if self._client is not None:
             await self._client.close()
@@ -118,25 +124,25 @@
         request_id = create_request_id(request)
         read = await self._reader.read(request, request_id)
         if not is_successful(read):
-            refusal = read.failure()
-            self._node.metrics.count(Metric.REQUESTS_REFUSED)
-            return create_problem_response(refusal, request_id)
+            return self._refuse(read.failure(), request_id)
         row = read.unwrap()
-        headers = copy_caller_headers(request)
+        exchange = Exchange(row, copy_caller_headers(request), request)
         if row.key is not None:
-            answer = await self._keyed.run(row, headers)
+            answer = await self._keyed.run(exchange)
         else:
-            exchange = Exchange(row, headers, request)
             answer = await self._forwarder.forward(exchange)
         if not is_successful(answer):
-            refusal = answer.failure()
-            unknown = refusal.outcome is Outcome.UNKNOWN
-            self._node.metrics.count(
-                Metric.REQUESTS_UNKNOWN if unknown else Metric.REQUESTS_REFUSED
-            )
-            return create_problem_response(refusal, request_id)
-        self._node.metrics.count(Metric.REQUESTS_ANSWERED)
-        return answer.unwrap()
+            return self._refuse(answer.failure(), request_id)
+        response = answer.unwrap()
+        if exchange.replayed:
+            self._records.note_replay(row, response.status)
+        else:
+            self._records.note_answer(row, response.status, exchange)
+        return response
+
+    def _refuse(self, refusal: Refusal, request_id: RequestId) -> web.Response:
+        self._records.note_refusal(request_id, refusal)
+        return create_problem_response(refusal, request_id)
 
     def _note_failure(self, error: BaseException | None) -> None:
         self._node.log.error(Event.REQUEST_FAILED, error=repr(error))
