--- a/packages/cli/src/medlarspring_cli/commands/status.py
+++ b/packages/cli/src/medlarspring_cli/commands/status.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
-from medlarspring_adapters.operator_api import StatusAnswer
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters.operator_api import Health, StatusAnswer
 from medlarspring_cli.commands.operator_command import OperatorCommand
+from medlarspring_cli.render import format_time, render_table
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from medlarspring_adapters.operator_api import Finding, PeerStatus
 
 
 class StatusCommand(OperatorCommand):
@@ -13,14 +21,52 @@
     description = "Show what is cut off, stale or degraded, and since when"
 
     def act(self) -> int:
-        """Print the state of the daemon that answers."""
+        """Print the state of the first daemon that answers."""
         status = self.create_client().get("/v1/status", StatusAnswer)
         if self.wants_json:
             self.print_json(status)
             return 0
-        self.print_text(f"{status.entry_vm} in zone {status.zone}")
-        self.print_text(f"table revision {status.table_revision}")
+        self.print_text("\n".join(_describe(status)))
         return 0
 
 
+def _describe(status: StatusAnswer) -> Iterator[str]:
+    place = f"zone {status.zone}, region {status.region}"
+    yield f"{status.entry_vm} ({place}): {status.health.value}"
+    yield ""
+    ordered = sorted(status.findings, key=lambda finding: finding.health is Health.OK)
+    yield render_table(
+        ["area", "state", "since", "detail"], map(_list_finding, ordered)
+    )
+    yield ""
+    yield render_table(
+        ["entry VM", "zone", "state", "heard", "table", "operator port"],
+        map(_list_peer, status.peers),
+    )
+    yield ""
+    yield f"control work held for pools: {', '.join(status.held_pools) or 'none'}"
+    calls = ", ".join(f"{name} {count}" for name, count in status.store_calls.items())
+    yield f"store calls since the start: {calls or 'none'}"
+
+
+def _list_finding(finding: Finding) -> list[object]:
+    since = None if finding.since is None else format_time(finding.since)
+    return [finding.area, finding.health.value, since, finding.detail]
+
+
+def _list_peer(peer: PeerStatus) -> list[object]:
+    heard = None
+    if peer.heard_seconds_ago is not None:
+        heard = f"{peer.heard_seconds_ago:.1f} s ago"
+    state = f"{peer.state}, one way" if peer.one_way else peer.state
+    return [
+        peer.id,
+        peer.zone,
+        state,
+        heard,
+        peer.table_revision,
+        peer.operator_address,
+    ]
+
+
 __all__ = ["StatusCommand"]
--- a/packages/daemon/src/medlarspring_daemon/services/peer_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_service.py
@@ -91,6 +91,11 @@
         """Other entry VMs heard within the timeout and not leaving."""
         return membership.list_heard(self.members)
 
+    @property
+    def known_by_id(self) -> Mapping[EntryVMId, Member]:
+        """All other entry VMs that are listed or were heard lately."""
+        return self.members.members_by_id
+
     @property
     def zone_members(self) -> tuple[EntryVMId, ...]:
         """This entry VM and those heard in its availability zone, sorted."""
