Keep reports and the VM list within the bytes a node may spend

Measured through a counting relay before: 355 bytes of TCP payload an exchange without usage, 3.5 KB with 50 shares and 21 KB with 370. A report now holds 32 changed shares, in turns, and addresses only every 5 s. Seen to fail first: with 400 shares the last ones never got their turn, because the full report began again from the first.

--- a/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -257,7 +257,7 @@
             self._retire_session()
             raise Unanswered(f"{endpoint}: no answer in time") from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise Unanswered(f"{endpoint}: {error!r}") from error
+            raise Unanswered(f"{endpoint}: {_describe(error)}") from error
         if status != HTTP_OK:
             raise _to_refusal(endpoint, status, content)
         try:
@@ -307,6 +307,12 @@
             await session.close()
 
 
+def _describe(error: Exception) -> str:
+    """Return the system's words, without the names of exceptions."""
+    reason = getattr(error, "strerror", None)
+    return reason or str(error) or "the connection broke"
+
+
 def _decode(content: bytes, message_type: type[Message]) -> Message:
     # The gateway writes 64-bit integers as strings; strict=False reads them.
     return msgspec.json.decode(content, type=message_type, strict=False)
--- a/packages/adapters/src/medlarspring_adapters/vm_list.py
+++ b/packages/adapters/src/medlarspring_adapters/vm_list.py
@@ -77,6 +77,8 @@
     def __init__(self, url: str, timeout_seconds: Seconds) -> None:
         self._url = url
         self._timeout_seconds = timeout_seconds
+        self.bytes_on_wire = 0
+        """Size of the last answer's body as it was sent."""
 
     async def read(self, now: Seconds) -> Result[VMList, VMListUnavailable]:
         """Return the list; a connection is made for each read.
@@ -94,8 +96,10 @@
                     detail = f"HTTP status {response.status}"
                     return Failure(VMListUnavailable(detail))
                 content = await response.read()
+                self.bytes_on_wire = response.content_length or len(content)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return Failure(VMListUnavailable(repr(error)))
+            reason = getattr(error, "strerror", None) or str(error) or "no answer"
+            return Failure(VMListUnavailable(reason))
         return parse_vm_list(content, now)
 
 
--- a/packages/daemon/src/medlarspring_daemon/services/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/config_service.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.operator_api import Finding, Health
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.distribution import (
     Distribution,
@@ -24,7 +25,7 @@
 from medlarspring_tables import ConfigTable, Revision, ZoneId
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Iterator
     from typing import Any
 
     from medlarspring_daemon.node import Node
@@ -48,6 +49,7 @@
         self._store_state: Verdict | None = None
         self.distribution = Distribution()
         node.offer_table = self.take_accepted
+        node.status_sources.append(self._find)
 
     async def start(self) -> None:
         """Begin to ask the store and the peers; the first answer is not awaited."""
@@ -68,6 +70,23 @@
         """
         self._offer(table, Source.STORE)
 
+    def _find(self) -> Iterator[Finding]:
+        """Tell operators when the store's table is not the one in force."""
+        since = self.distribution.store_older_since
+        if since is None:
+            return
+        age = self._node.clock.now() - since
+        yield Finding(
+            area="store-table",
+            health=Health.DEGRADED,
+            since=self._node.clock.wall() - age,
+            detail=(
+                f"the store holds revision {self.distribution.store_revision}, which"
+                " is not the table in force; if it does not catch up, put the table"
+                " back with `medlarspring table republish`"
+            ),
+        )
+
     async def _run_start(self) -> None:
         """Until a table is in force, see whether the peers were asked."""
         while self.distribution.in_force is None:
--- a/packages/daemon/src/medlarspring_daemon/services/peer_reports.py
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_reports.py
@@ -18,6 +18,9 @@
 FULL_SECONDS = 5.0
 """Unchanged usage is repeated so often, in case a report was lost."""
 
+MAX_USAGE = 32
+"""Changed shares in one report; more of them wait for the next ones."""
+
 Usage = tuple[int, int, int]
 
 
@@ -25,8 +28,9 @@
 class SentUsage:
     """What one peer was told last, by partner and pool."""
 
-    usage_by_share: dict[tuple[str, str], Usage] = field(default_factory=dict)
-    full_at: Seconds = 0.0
+    usage_by_share: dict[tuple[str, str], Usage | None] = field(default_factory=dict)
+    """In the order of sending, the one sent longest ago first."""
+    full_at: Seconds = -FULL_SECONDS
 
 
 class ReportBuilder:
@@ -85,14 +89,11 @@
         sent = self._sent_by_id.setdefault(recipient, SentUsage())
         if now - sent.full_at >= FULL_SECONDS:
             sent.full_at = now
-            sent.usage_by_share.clear()
-        changed = []
-        for usage in report.usage:
-            facts = (usage.slot_ms, usage.waiting, usage.running)
-            share = (usage.partner, usage.pool)
-            if sent.usage_by_share.get(share) != facts:
-                sent.usage_by_share[share] = facts
-                changed.append(usage)
+            sent.usage_by_share = dict.fromkeys(sent.usage_by_share)
+        else:
+            report.ClearField("operator_address")
+            report.ClearField("peer_address")
+        changed = _choose_changed(report, sent)
         if len(changed) == len(report.usage):
             return
         kept = peer_pb2.Report(usage=changed)
@@ -100,6 +101,27 @@
         report.usage.extend(kept.usage)
 
 
+def _choose_changed(
+    report: peer_pb2.Report, sent: SentUsage
+) -> list[peer_pb2.PartnerUsage]:
+    """Return what changed, new shares first, then those sent longest ago.
+
+    Hundreds of partners at work would fill every report; each gets its turn.
+    """
+    order = {share: place for place, share in enumerate(sent.usage_by_share)}
+    changed = []
+    for usage in report.usage:
+        facts = (usage.slot_ms, usage.waiting, usage.running)
+        share = (usage.partner, usage.pool)
+        if sent.usage_by_share.get(share) != facts:
+            changed.append((order.get(share, -1), share, facts, usage))
+    changed.sort(key=lambda each: each[0])
+    for _, share, facts, _ in changed[:MAX_USAGE]:
+        sent.usage_by_share.pop(share, None)
+        sent.usage_by_share[share] = facts
+    return [each[3] for each in changed[:MAX_USAGE]]
+
+
 def to_heartbeat(report: peer_pb2.Report) -> Heartbeat:
     """Return the facts that membership needs."""
     return Heartbeat(
--- a/packages/daemon/src/medlarspring_daemon/services/vm_list_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/vm_list_service.py
@@ -19,6 +19,9 @@
 TIMEOUT_SECONDS = 3.0
 FIRST_RETRY_SECONDS = 0.5
 JITTER = 0.1
+BYTES_PER_SECOND = 2_000.0
+"""A long list is read more seldom, to stay within what a node may spend."""
+MAX_WAIT_SECONDS = 30.0
 
 
 class VMListService:
@@ -66,7 +69,9 @@
         if self._node.vm_list is None:
             return self._node.rng.uniform(0.5, 1.0) * FIRST_RETRY_SECONDS
         spread = self._node.rng.uniform(1 - JITTER, 1 + JITTER)
-        return self._node.settings.vm_list.poll_seconds * spread
+        shortest = self._node.settings.vm_list.poll_seconds
+        needed = self._client.bytes_on_wire / BYTES_PER_SECOND
+        return max(shortest, min(needed, MAX_WAIT_SECONDS)) * spread
 
 
 def create_vm_list_service(node: Node) -> VMListService:
--- a/packages/daemon/tests/test_peer_service.py
+++ b/packages/daemon/tests/test_peer_service.py
@@ -17,6 +17,7 @@
     list_nodes,
 )
 from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_daemon.services.peer_reports import MAX_USAGE
 from medlarspring_tables import EntryVMId
 
 if TYPE_CHECKING:
@@ -95,6 +96,24 @@
     assert second.peers.members.members_by_id[A].hears_us
 
 
+async def test_every_share_gets_its_turn_when_too_many_change(start: Start):
+    """
+    400 partners are at work. A report holds 32 of their shares, and if it
+    always held the same ones, the others' shares would never be corrected.
+    """
+    first, second = await start("a"), await start("b")
+    parts = [Part(create_usage(*range(1, 401))), Part(create_usage())]
+    first.node.report_parts.append(parts[0])
+    second.node.report_parts.append(parts[1])
+    list_nodes([first, second])
+    await wait_until(
+        lambda: (
+            len({use.partner for each in parts[1].taken for use in each.usage}) > 399
+        )
+    )
+    assert max(len(each.usage) for each in parts[1].taken) == MAX_USAGE
+
+
 async def test_wrong_token_is_refused_and_logged(start: Start):
     first, stranger = await start("a"), await start("b", token="guessed")
     list_nodes([first, stranger])
--- a/packages/systems/src/medlarspring_systems/membership.py
+++ b/packages/systems/src/medlarspring_systems/membership.py
@@ -149,7 +149,9 @@
     member.heard_at = now
     member.refused_at = None
     member.table_revision = heartbeat.table_revision
-    member.operator_address = heartbeat.operator_address
+    # Addresses come with every tenth report or so, to keep the others short.
+    if heartbeat.operator_address:
+        member.operator_address = heartbeat.operator_address
     member.store_failing = heartbeat.store_failing
     member.hears_us = table.own_id in heartbeat.heard
     if not member.listed and heartbeat.peer_address:
