Prove the fleet's control work by histories of kills, freezes and losses

Controllers run one call at a time over the store and the platform in memory; a history stops them at any call, kills, freezes past the lease, cuts off, loses requests and replies, fails VMs and racks, and operators interfere.

--- a/packages/adapters/src/medlarspring_adapters/fleet_records.py
+++ b/packages/adapters/src/medlarspring_adapters/fleet_records.py
@@ -13,7 +13,7 @@
 from medlarspring_tables.waves import WaveRecord
 
 if TYPE_CHECKING:
-    from medlarspring_adapters.store import Entry
+    from medlarspring_adapters.store import Entry, Listing
     from medlarspring_tables.fleet_tables import FleetRecord, FleetTables
 
 TYPES_BY_PREFIX: dict[str, type[FleetRecord]] = {
@@ -39,4 +39,19 @@
         tables.put(record, entry.mod_revision)
 
 
-__all__ = ["TYPES_BY_PREFIX", "encode_record", "take_entry"]
+def take_listing(tables: FleetTables, prefix: str, listing: Listing) -> None:
+    """Take all records under a prefix, and forget those that are gone.
+
+    A watch may have brought newer records while the listing was on its way;
+    those are not in it and must not be forgotten, for no watch brings them
+    again.
+    """
+    present = {entry.key for entry in listing.entries}
+    for key in list(tables.revisions_by_key):
+        if key.startswith(prefix) and key not in present:
+            tables.remove(key, listing.revision)
+    for entry in listing.entries:
+        take_entry(tables, entry)
+
+
+__all__ = ["TYPES_BY_PREFIX", "encode_record", "take_entry", "take_listing"]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/fleet_world.py
@@ -0,0 +1,428 @@
+"""Fleet controllers over a store and a platform in memory, one call at a time.
+
+Each call of a controller stops before and after its effect, so that a history
+can kill the process there, freeze it, or let others run first.
+"""
+
+from __future__ import annotations
+
+import io
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.clock import ManualClock
+from medlarspring_adapters.decisions import DecisionLog
+from medlarspring_adapters.events import create_event_log
+from medlarspring_adapters.fleet_records import encode_record, take_entry
+from medlarspring_adapters.store import Entry, Expect
+from medlarspring_adapters.vm_control import (
+    VMActionRefused,
+    VMControlError,
+    VMControlUnreachable,
+)
+from medlarspring_bench.key_value_ops import PutOp, PutReply
+from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_bench.memory_store import MemoryStore
+from medlarspring_bench.vm_control_state import (
+    ActionRefused,
+    Condition,
+    VMControlState,
+    VMRow,
+    VMTimes,
+)
+from medlarspring_daemon.services.fleet_controller import FleetController
+from medlarspring_daemon.services.fleet_feed import WATCHED_PREFIXES
+from medlarspring_daemon.services.fleet_rounds import FleetRounds
+from medlarspring_systems.vm_actions import Action
+from medlarspring_tables import (
+    ConfigTable,
+    EntryVMId,
+    FleetRow,
+    PoolId,
+    PoolRow,
+    RackId,
+    Revision,
+    VMId,
+    ZoneId,
+)
+from medlarspring_tables.fleet_tables import FleetTables, key_of
+from medlarspring_tables.vms import VMCondition, VMRecord, VMSighting
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Coroutine, Generator
+
+    from medlarspring_adapters.store import (
+        Committed,
+        Listing,
+        StoreError,
+        Transaction,
+    )
+    from medlarspring_systems.wave_width import WidthRule
+    from medlarspring_tables.fleet_tables import FleetRecord
+
+Sight = dict[VMId, VMSighting]
+
+FEED_CHANCE = 0.3
+"""Part of the steps before which the watches have caught up."""
+
+
+class Pause:
+    """Hands control back to the history."""
+
+    def __await__(self) -> Generator[None, None, None]:
+        yield
+
+
+class SteppedStore(MemoryStore):
+    """A store that pauses before and after the effect of each call."""
+
+    async def read(self, key: str) -> Result[Entry | None, StoreError]:
+        """Read with pauses."""
+        await Pause()
+        result = await super().read(key)
+        await Pause()
+        return result
+
+    async def read_prefix(self, prefix: str) -> Result[Listing, StoreError]:
+        """Read with pauses."""
+        await Pause()
+        result = await super().read_prefix(prefix)
+        await Pause()
+        return result
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, StoreError]:
+        """Write with pauses."""
+        await Pause()
+        result = await super().commit(transaction)
+        await Pause()
+        return result
+
+
+class SteppedVMControl:
+    """The platform's VM control with pauses and lost replies."""
+
+    def __init__(
+        self, state: VMControlState, on_action: Callable[[VMRow, Action, int], None]
+    ) -> None:
+        self._state = state
+        self._on_action = on_action
+        self.lose_replies = 0
+        self.is_down = False
+        self.last_seen: Sight = {}
+
+    async def read_vms(
+        self, pool_ids: Collection[PoolId], vm_ids: Collection[VMId]
+    ) -> Result[list[VMSighting], VMControlError]:
+        """Show VMs."""
+        await Pause()
+        rows = self._state.find(pool_ids, vm_ids)
+        seen = [_to_sighting(row) for row in rows]
+        await Pause()
+        if self._loses_reply():
+            return Failure(VMControlUnreachable("lost"))
+        self.last_seen.update({sighting.vm_id: sighting for sighting in seen})
+        return Success([_to_sighting_copy(sighting) for sighting in seen])
+
+    async def act(
+        self,
+        vm_id: VMId,
+        action: Action,
+        revision: Revision,
+        pool_id: PoolId | None = None,
+    ) -> Result[VMSighting, VMControlError]:
+        """Carry one action out."""
+        await Pause()
+        if self.is_down:
+            return Failure(VMControlUnreachable("down"))
+        try:
+            row = self._carry_out(vm_id, action, revision, pool_id)
+        except ActionRefused as error:
+            return Failure(VMActionRefused(vm_id, error.reason))
+        seen = _to_sighting(row)
+        await Pause()
+        if self._loses_reply():
+            return Failure(VMControlUnreachable("lost"))
+        self.last_seen[vm_id] = _to_sighting_copy(seen)
+        return Success(seen)
+
+    def _carry_out(
+        self, vm_id: VMId, action: Action, revision: Revision, pool_id: PoolId | None
+    ) -> VMRow:
+        self._state.step()
+        before = self._state.rows_by_id[vm_id].condition
+        match action:
+            case Action.DRAIN:
+                row = self._state.drain(vm_id, revision)
+            case Action.REBOOT:
+                row = self._state.reboot(vm_id, revision)
+            case Action.RESTORE:
+                row = self._state.restore(vm_id, revision)
+            case Action.ASSIGN:
+                row = self._state.assign(vm_id, revision, pool_id or "")
+        if row.condition is not before:
+            self._on_action(row, action, revision)
+        return row
+
+    def _loses_reply(self) -> bool:
+        if self.is_down:
+            return True
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            return True
+        return False
+
+
+def _to_sighting(row: VMRow) -> VMSighting:
+    return VMSighting(
+        vm_id=VMId(row.id),
+        pool_id=PoolId(row.pool),
+        condition=VMCondition(row.condition.value),
+        boot=row.boot,
+        revision=Revision(row.revision),
+    )
+
+
+def _to_sighting_copy(sighting: VMSighting) -> VMSighting:
+    return VMSighting(
+        sighting.vm_id,
+        sighting.pool_id,
+        sighting.condition,
+        sighting.boot,
+        sighting.revision,
+    )
+
+
+class FleetProcess:
+    """One entry VM's control work; implements ``Holders`` for itself."""
+
+    def __init__(self, number: int, world: FleetWorld) -> None:
+        self.number = number
+        self.store = SteppedStore(world.store_state)
+        self.vm_control = SteppedVMControl(world.platform, world.note_action)
+        self.fences: dict[PoolId, Expect] = {}
+        self.tables = FleetTables()
+        clock, entry_vm_id = world.clock, EntryVMId(f"e{number}")
+        log = create_event_log(entry_vm_id, "CRITICAL", io.StringIO())
+        self.controller = FleetController(
+            self.tables,
+            self.store,
+            self.vm_control,
+            self.fence,
+            DecisionLog(clock, entry_vm_id),
+            log,
+            world.width,
+        )
+        self._rng = random.Random(number)
+        self._rounds = FleetRounds(self.controller, clock, self._rng, log)
+        self._world = world
+        self._fed_revision = world.store_state.revision
+        self._work: Coroutine[None, None, None] | None = None
+        self.is_frozen = False
+
+    def held_pools(self) -> frozenset[PoolId]:
+        """Return what the process believes to hold."""
+        return frozenset(self.fences)
+
+    def fence(self, pool_id: PoolId) -> Expect | None:
+        """Return the holder key as the process knows it."""
+        return self.fences.get(pool_id)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a round is under way."""
+        return self._work is not None
+
+    def step(self) -> bool:
+        """Run to the next pause, beginning a round if none is under way."""
+        if self._work is None:
+            self._work = self._rounds.run(self, self._world.config, None)
+        if self._rng.random() < FEED_CHANCE:
+            self._feed()
+        self._world.stepping = self
+        try:
+            self._work.send(None)
+        except StopIteration:
+            self._work = None
+        finally:
+            self._world.stepping = None
+        return self._work is not None
+
+    def finish(self) -> None:
+        """Run the round under way to its end."""
+        while self._work is not None:
+            self.step()
+
+    def _feed(self) -> None:
+        """Take what the watches have brought since the last time."""
+        if self.store.faults.down:
+            return
+        commits = self._world.store_state.commits_since(self._fed_revision + 1)
+        for commit in commits:
+            self._fed_revision = commit.revision
+            for change in commit.changes:
+                key, revision = change.kv.key.decode(), Revision(commit.revision)
+                if not key.startswith(WATCHED_PREFIXES):
+                    continue
+                if change.deleted:
+                    self.tables.remove(key, revision)
+                else:
+                    entry = Entry(key, change.kv.value, revision, revision)
+                    take_entry(self.tables, entry)
+
+    def kill(self) -> None:
+        """End in the middle of whatever is under way."""
+        if self._work is not None:
+            self._work.close()
+            self._work = None
+
+
+@dataclass(frozen=True, slots=True)
+class FleetShape:
+    """Pools and VMs of a world."""
+
+    pools: int = 3
+    vms_in_pool: int = 8
+    vms_in_rack: int = 4
+    zones: int = 4
+    min_available: int = 6
+    wanted_vms: int = 8
+    max_drains_per_zone: int = 8
+    spare_percent: float = 10.0
+
+
+class FleetWorld:
+    """A store, a platform and the processes that share them."""
+
+    def __init__(
+        self,
+        shape: FleetShape,
+        processes: int = 2,
+        times: VMTimes | None = None,
+        width: WidthRule | None = None,
+    ) -> None:
+        self.clock = ManualClock(100_000.0)
+        self.width = width
+        self.store_state = KeyValueState(self.clock)
+        self.platform = VMControlState(self.clock, times or VMTimes(3.0, 20.0))
+        self.stepping: FleetProcess | None = None
+        self.action_listeners: list[Callable[[VMRow, Action, int], None]] = []
+        self.config = _create_config(shape)
+        self._create_vms(shape)
+        self._next_number = 0
+        self.processes: list[FleetProcess] = []
+        self.owners_by_pool: dict[PoolId, FleetProcess] = {}
+        for _ in range(processes):
+            self.start_process()
+        for index, pool_id in enumerate(sorted(self.config.pools_by_id)):
+            self.grant(pool_id, self.processes[index % processes])
+
+    def note_action(self, row: VMRow, action: Action, revision: int) -> None:
+        """Tell the listeners of an action that changed a VM."""
+        for listener in self.action_listeners:
+            listener(row, action, revision)
+
+    def put(self, record: FleetRecord) -> None:
+        """Write a record as an operator's command does."""
+        self.store_state.apply(PutOp(key_of(record).encode(), encode_record(record)))
+
+    def start_process(self) -> FleetProcess:
+        """Add a process that holds nothing yet."""
+        self._next_number += 1
+        process = FleetProcess(self._next_number, self)
+        self.processes.append(process)
+        return process
+
+    def grant(self, pool_id: PoolId, process: FleetProcess) -> None:
+        """Let a process hold a pool; a frozen former holder does not notice."""
+        former = self.owners_by_pool.get(pool_id)
+        if former is not None and not former.is_frozen:
+            former.fences.pop(pool_id, None)
+        key = f"holders/{pool_id}"
+        reply = self.store_state.apply(PutOp(key.encode(), b"%d" % process.number))
+        assert isinstance(reply, PutReply)
+        process.fences[pool_id] = Expect(key, Revision(self.store_state.revision))
+        self.owners_by_pool[pool_id] = process
+
+    def replace_process(self, process: FleetProcess) -> None:
+        """Kill a process; another one takes over what it held."""
+        process.kill()
+        self.processes.remove(process)
+        self.hand_over(process, self.start_process())
+
+    def hand_over(self, process: FleetProcess, successor: FleetProcess) -> None:
+        """Let a successor hold all that a process held."""
+        for pool_id, owner in list(self.owners_by_pool.items()):
+            if owner is process:
+                self.grant(pool_id, successor)
+
+    def set_wanted(self, pool_id: PoolId, wanted_vms: int, min_available: int) -> None:
+        """Change a pool's row."""
+        row = PoolRow(id=pool_id, wanted_vms=wanted_vms, min_available=min_available)
+        pools_by_id = {**self.config.pools_by_id, pool_id: row}
+        self.config = msgspec.structs.replace(self.config, pools_by_id=pools_by_id)
+
+    def fail_vm(self, vm_id: str) -> None:
+        """Let a VM fail by itself."""
+        self.platform.rows_by_id[vm_id].condition = Condition.DOWN
+
+    def mend_all(self) -> None:
+        """Bring every failed VM back."""
+        self.platform.faults.fail.clear()
+        self.platform.faults.never_return.clear()
+        for row in self.platform.rows_by_id.values():
+            if row.condition is Condition.DOWN:
+                row.boot += 1
+                row.condition = Condition.SERVING
+
+    def run_rounds(self, rounds: int, seconds: float = 5.0) -> None:
+        """Let all processes that are not frozen do whole rounds."""
+        for _ in range(rounds):
+            self.clock.advance(seconds)
+            for process in self.processes:
+                if not process.is_frozen:
+                    process.step()
+                    process.finish()
+
+    def _create_vms(self, shape: FleetShape) -> None:
+        for number, pool_id in enumerate(self.config.pools_by_id):
+            for index in range(shape.vms_in_pool):
+                rack = number * -(-shape.vms_in_pool // shape.vms_in_rack)
+                rack += index // shape.vms_in_rack
+                record = VMRecord(
+                    id=VMId(f"{pool_id}-{index:02}"),
+                    pool_id=pool_id,
+                    rack_id=RackId(f"r{rack:03}"),
+                    zone_id=ZoneId(f"z{rack % shape.zones}"),
+                    maintained_at=self.clock.wall(),
+                )
+                self.put(record)
+                row = VMRow(
+                    id=record.id,
+                    pool=pool_id,
+                    rack=record.rack_id,
+                    zone=record.zone_id,
+                )
+                self.platform.add(row)
+
+
+def _create_config(shape: FleetShape) -> ConfigTable:
+    rows = [
+        PoolRow(
+            id=PoolId(f"p{number:02}"),
+            wanted_vms=shape.wanted_vms,
+            min_available=shape.min_available,
+        )
+        for number in range(shape.pools)
+    ]
+    fleet = FleetRow(
+        max_drains_per_zone=shape.max_drains_per_zone,
+        spare_percent=shape.spare_percent,
+    )
+    return ConfigTable(fleet=fleet, pools_by_id={row.id: row for row in rows})
+
+
+__all__ = ["FleetProcess", "FleetShape", "FleetWorld"]
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_controller.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_controller.py
@@ -12,6 +12,7 @@
     TYPES_BY_PREFIX,
     encode_record,
     take_entry,
+    take_listing,
 )
 from medlarspring_adapters.store import (
     Delete,
@@ -24,7 +25,7 @@
 from medlarspring_systems.draft import Decided
 from medlarspring_systems.fleet_plan import plan_pool, plan_waves
 from medlarspring_systems.vm_actions import Action, choose_action
-from medlarspring_tables.fleet_tables import key_of_vm
+from medlarspring_tables.fleet_tables import ABSENT, key_of_vm
 from medlarspring_tables.vms import VMState
 
 if TYPE_CHECKING:
@@ -78,29 +79,18 @@
         self._decisions = decisions
         self._log = log
         self._width = width
-        self._unsettled: dict[PoolId, tuple[Transaction, Draft]] = {}
+        self._unsettled: dict[PoolId, Draft] = {}
         self.is_store_lost = False
         """Whether the last call of the store failed."""
 
     async def load(self) -> bool:
-        """Read all fleet records; says whether that succeeded.
-
-        Every prefix is read before any is taken, and keys that are gone are
-        forgotten, so a plan never mixes records of two loads.
-        """
+        """Read all fleet records; says whether that succeeded."""
         for prefix in TYPES_BY_PREFIX:
             listed = await self._store.read_prefix(prefix)
             if not isinstance(listed, Success):
                 self.is_store_lost = True
                 return False
-            listing = listed.unwrap()
-            present = {entry.key for entry in listing.entries}
-            known = [key for key in self.tables.revisions_by_key if key not in present]
-            for key in known:
-                if key.startswith(prefix):
-                    self.tables.remove(key)
-            for entry in listing.entries:
-                take_entry(self.tables, entry)
+            take_listing(self.tables, prefix, listed.unwrap())
         self.is_store_lost = False
         return True
 
@@ -163,18 +153,37 @@
     async def _settle(self, pool_id: PoolId) -> bool:
         """Find out what became of a write whose reply was lost.
 
-        Sent again as it was, it is applied at most once: had it taken effect,
-        the revisions it expects are gone, and the failed try reads the records
-        as they are. No action is taken before that.
+        No action is taken before that. The write is not sent again: its plan
+        is from before the loss, and VMs may have failed since, so the pool
+        could fall under its budget. One call reads all its records instead; it
+        names the holder key as absent, which fails while the pool is held.
         """
-        unsettled = self._unsettled.pop(pool_id, None)
-        if unsettled is None:
+        draft = self._unsettled.get(pool_id)
+        if draft is None:
             return True
-        transaction, draft = unsettled
-        if self._fence(pool_id) is None:
+        fence = self._fence(pool_id)
+        if fence is None:
             return False
-        await self._commit(pool_id, transaction, draft)
-        return pool_id not in self._unsettled and not self.is_store_lost
+        keys = tuple(draft.records_by_key)
+        query = Transaction((Expect(fence.key, ABSENT),), (), keys)
+        result = await self._store.commit(query)
+        if not isinstance(result, Success):
+            self.is_store_lost = True
+            return False
+        self.is_store_lost = False
+        if result.unwrap().succeeded:
+            return False
+        del self._unsettled[pool_id]
+        self._take_refreshed(keys, result.unwrap())
+        if all(self._has_taken_effect(draft, key) for key in keys):
+            self._explain(draft)
+        return True
+
+    def _has_taken_effect(self, draft: Draft, key: str) -> bool:
+        record = draft.records_by_key[key]
+        if record is None:
+            return self.tables.revision_of(key) == ABSENT
+        return self.tables.find(key) == record
 
     async def _write(self, pool_id: PoolId, draft: Draft) -> bool:
         fence = self._fence(pool_id)
@@ -205,12 +214,12 @@
         if not isinstance(result, Success):
             self.is_store_lost = True
             if isinstance(result.failure(), StoreOutcomeUnknown):
-                self._unsettled[pool_id] = (transaction, draft)
+                self._unsettled[pool_id] = draft
             return False
         self.is_store_lost = False
         committed = result.unwrap()
         if not committed.succeeded:
-            self._take_refreshed(transaction, committed)
+            self._take_refreshed(transaction.read_on_failure, committed)
             return False
         for key, record in draft.records_by_key.items():
             if record is None:
@@ -220,8 +229,8 @@
         self._explain(draft)
         return True
 
-    def _take_refreshed(self, transaction: Transaction, committed: Committed) -> None:
-        for key in transaction.read_on_failure:
+    def _take_refreshed(self, keys: Collection[str], committed: Committed) -> None:
+        for key in keys:
             entry = committed.read_by_key.get(key)
             if entry is None:
                 self.tables.remove(key)
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_feed.py
@@ -7,14 +7,14 @@
 
 from returns.result import Success
 
-from medlarspring_adapters.fleet_records import take_entry
+from medlarspring_adapters.fleet_records import take_entry, take_listing
 from medlarspring_tables import Revision
 from medlarspring_tables.fleet_tables import FLEET_PREFIX
 
 if TYPE_CHECKING:
     import random
 
-    from medlarspring_adapters.store import Listing, Store
+    from medlarspring_adapters.store import Store
     from medlarspring_tables.fleet_tables import FleetTables
 
 WATCHED_PREFIXES = tuple(f"{FLEET_PREFIX}{kind}/" for kind in ("vms", "waves", "moves"))
@@ -56,21 +56,13 @@
             listed = await self._store.read_prefix(prefix)
             if isinstance(listed, Success):
                 retry_seconds = MIN_RETRY_SECONDS
-                self._take_listing(prefix, listed.unwrap())
+                take_listing(self._tables, prefix, listed.unwrap())
                 await self._watch(prefix, listed.unwrap().revision)
             # All holders lose the store at once; without jitter they would all
             # read whole prefixes in the moment in which it comes back.
             await asyncio.sleep(retry_seconds * self._rng.uniform(0.5, 1.5))
             retry_seconds = min(2 * retry_seconds, MAX_RETRY_SECONDS)
 
-    def _take_listing(self, prefix: str, listing: Listing) -> None:
-        present = {entry.key for entry in listing.entries}
-        for key in list(self._tables.revisions_by_key):
-            if key.startswith(prefix) and key not in present:
-                self._tables.remove(key, listing.revision)
-        for entry in listing.entries:
-            take_entry(self._tables, entry)
-
     async def _watch(self, prefix: str, revision: Revision) -> None:
         async for batch in self._store.watch(prefix, Revision(revision + 1)):
             for key in batch.deleted:
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters.vm_control import HttpVMControl
 from medlarspring_daemon.services.fleet_controller import FleetController
 from medlarspring_daemon.services.fleet_feed import FleetFeed
 from medlarspring_daemon.services.fleet_rounds import FleetRounds
+from medlarspring_daemon.tasks import Tasks
 from medlarspring_tables.fleet_tables import FleetTables
 
 if TYPE_CHECKING:
@@ -25,19 +25,17 @@
     def __init__(self, node: Node, vm_control: VMControl | None) -> None:
         self._node = node
         self._vm_control = vm_control
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = Tasks(node.log)
 
     async def start(self) -> None:
         """Start the loop, unless the settings name no VM control."""
         if self._vm_control is not None:
-            self._task = asyncio.create_task(self._run(self._vm_control))
+            vm_control = self._vm_control
+            self._tasks.keep(lambda: self._run(vm_control))
 
     async def stop(self) -> None:
         """Stop between two calls; the records let a successor go on."""
-        if self._task is not None:
-            self._task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._task
+        await self._tasks.cancel()
         if isinstance(self._vm_control, HttpVMControl):
             await self._vm_control.close()
 
--- a/packages/systems/src/medlarspring_systems/draft.py
+++ b/packages/systems/src/medlarspring_systems/draft.py
@@ -130,9 +130,16 @@
             self.put(PoolDisruptions(pool_id=vm.pool_id, causes_by_vm=causes_by_vm))
 
     def unlist_in_zone(self, vm: VMRecord) -> None:
-        """Take a VM off its zone's list."""
+        """Take a VM off its zone's list.
+
+        Holders of other pools write the list too, so the one known here may be
+        from before the VM was listed. Left as it is, the VM would use up the
+        zone's limit for ever. Written under its old revision, the list
+        conflicts, is read again, and the next try takes the VM off.
+        """
         causes_by_vm = dict(self.zone_disruptions(vm.zone_id).causes_by_vm)
-        if causes_by_vm.pop(vm.id, None) is not None:
+        causes_by_vm.pop(vm.id, None)
+        if vm.cause is not None:
             self.put(ZoneDisruptions(zone_id=vm.zone_id, causes_by_vm=causes_by_vm))
 
 
--- a/packages/systems/src/medlarspring_systems/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/maintenance.py
@@ -18,6 +18,15 @@
     from medlarspring_tables.waves import WaveRecord
 
 
+def has_ended(wave: WaveRecord, record: VMRecord) -> bool:
+    """Say whether a VM's part in a wave is over.
+
+    A VM that another wave rebooted after this one had started counts too:
+    overlapping waves would otherwise reboot it once each, in turns.
+    """
+    return record.finished_at >= wave.started_at
+
+
 def find_wanted(draft: Draft, wave: WaveRecord, pool_id: PoolId) -> list[VMRecord]:
     """Return the pool's VMs that the wave still wants, in order of choice."""
     tables = draft.tables
@@ -25,7 +34,7 @@
         record
         for record in map(draft.vm, tables.vm_ids_by_pool.get(pool_id, ()))
         if record.id in wave.vm_ids
-        and record.wave_id != wave.id
+        and not has_ended(wave, record)
         and record.state is VMState.SERVING
     ]
     left_by_rack = Counter(record.rack_id for record in wanted)
@@ -81,4 +90,4 @@
             disrupt_vm(draft, record.id, cause, pool, fleet, now)
 
 
-__all__ = ["find_wanted", "plan_wave_drains"]
+__all__ = ["find_wanted", "has_ended", "plan_wave_drains"]
--- a/packages/systems/src/medlarspring_systems/vm_progress.py
+++ b/packages/systems/src/medlarspring_systems/vm_progress.py
@@ -35,6 +35,7 @@
     from medlarspring_tables import PoolRow
     from medlarspring_tables.vms import VMRecord, VMSighting
 
+_ALIVE = (VMCondition.SERVING, VMCondition.DRAINING, VMCondition.DRAINED)
 DRAIN_LIMIT_SECONDS = 600.0
 """A drain that takes longer is taken back and reported."""
 RETURN_LIMIT_SECONDS = 900.0
@@ -180,7 +181,7 @@
 def _plan_out(
     draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
 ) -> None:
-    if sighting is None or sighting.condition is not VMCondition.SERVING:
+    if sighting is None or sighting.condition not in _ALIVE:
         return
     # The VM was given up with an action perhaps still on its way to it; the
     # restoration makes the platform refuse that one from now on.
--- a/packages/systems/src/medlarspring_systems/wave_control.py
+++ b/packages/systems/src/medlarspring_systems/wave_control.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from medlarspring_systems.draft import Decided
+from medlarspring_systems.maintenance import has_ended
 from medlarspring_systems.wave_width import EVIDENCE_DEPTH, find_evidence
 from medlarspring_tables import MedlarspringError, WaveId
 from medlarspring_tables.vms import Outcome, VMState
@@ -201,7 +202,7 @@
 def _is_done(tables: FleetTables, wave: WaveRecord) -> bool:
     for vm_id in wave.vm_ids:
         record = tables.vms_by_id.get(vm_id)
-        if record is None or record.wave_id == wave.id:
+        if record is None or has_ended(wave, record):
             continue
         if record.state is not VMState.OUT:
             return False
--- a/packages/systems/src/medlarspring_systems/wave_progress.py
+++ b/packages/systems/src/medlarspring_systems/wave_progress.py
@@ -12,7 +12,7 @@
 from medlarspring_systems.availability import Health, judge_vm
 from medlarspring_systems.disruptions import disrupt_vm
 from medlarspring_systems.draft import Draft
-from medlarspring_systems.maintenance import find_wanted
+from medlarspring_systems.maintenance import find_wanted, has_ended
 from medlarspring_systems.wave_width import CanaryWidth
 from medlarspring_tables.vms import Cause, CauseKind, Outcome, VMCondition, VMState
 from medlarspring_tables.waves import WaveState
@@ -43,7 +43,7 @@
     record = tables.vms_by_id.get(vm_id)
     if record is None:
         return Step.GONE
-    if record.wave_id == wave.id:
+    if has_ended(wave, record):
         return _STEPS_BY_OUTCOME[record.outcome or Outcome.BACK]
     if record.cause != Cause(CauseKind.WAVE, wave.id):
         return Step.WANTED
--- a/packages/tables/src/medlarspring_tables/fleet_tables.py
+++ b/packages/tables/src/medlarspring_tables/fleet_tables.py
@@ -103,6 +103,23 @@
         """Return the revision of a key's last known change; 0 if absent."""
         return self.revisions_by_key.get(key, ABSENT)
 
+    def find(self, key: str) -> FleetRecord | None:
+        """Return the record kept under a store key."""
+        kind, _, id_ = key.removeprefix(FLEET_PREFIX).partition("/")
+        match kind:
+            case "vms":
+                return self.vms_by_id.get(VMId(id_))
+            case "disruptions":
+                return self.disruptions_by_pool.get(PoolId(id_))
+            case "zones":
+                return self.disruptions_by_zone.get(ZoneId(id_))
+            case "waves":
+                return self.waves_by_id.get(WaveId(id_))
+            case "moves":
+                return self.moves_by_id.get(MoveId(id_))
+            case _:
+                return None
+
     def put(self, record: FleetRecord, revision: Revision) -> None:
         """Take a record unless a newer one is known."""
         key = key_of(record)
