--- a/packages/adapters/src/medlarspring_adapters/operator_api.py
+++ b/packages/adapters/src/medlarspring_adapters/operator_api.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from msgspec import Struct
 
 from medlarspring_adapters.decisions import Decision
@@ -53,14 +55,56 @@
     decisions: tuple[Decision, ...]
 
 
+class Health(Enum):
+    """How well something works, from best to worst."""
+
+    OK = "ok"
+    DEGRADED = "degraded"
+    STALE = "stale"
+    CUT_OFF = "cut-off"
+
+
+class Finding(Struct, frozen=True, kw_only=True):
+    """What one entry VM knows of one of the things it depends on."""
+
+    area: str
+    health: Health
+    detail: str
+    since: float | None = None
+    """Wall time of the change to this state; None when it isn't known."""
+
+
+class PeerStatus(Struct, frozen=True, kw_only=True):
+    """Another entry VM as this one sees it."""
+
+    id: EntryVMId
+    zone: str
+    state: str
+    heard_seconds_ago: float | None
+    table_revision: Revision
+    operator_address: str
+    one_way: bool = False
+
+
 class StatusAnswer(Struct, frozen=True, kw_only=True):
     """The state of one entry VM as it knows it."""
 
     entry_vm: EntryVMId
     zone: str
+    region: str
+    at: float
+    health: Health
+    """The worst of the findings."""
     table_revision: Revision | None
     """None when no table is in force yet; callers are refused as not run."""
     stopping: bool
+    findings: tuple[Finding, ...]
+    peers: tuple[PeerStatus, ...]
+    held_pools: tuple[str, ...]
+    """Pools whose control work this entry VM does."""
+    store_calls: dict[str, int]
+    """Calls since the start, by mechanism."""
+    addresses: dict[str, str]
 
 
 class Problem(Struct, frozen=True, kw_only=True):
@@ -77,6 +121,9 @@
     "AuditAnswer",
     "EditAnswer",
     "ExplainAnswer",
+    "Finding",
+    "Health",
+    "PeerStatus",
     "PlanAnswer",
     "Problem",
     "StatusAnswer",
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -5,12 +5,16 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters.etcd_gateway import create_etcd_gateway_store
+from medlarspring_daemon.services.audit_trimmer import create_audit_trimmer
 from medlarspring_daemon.services.caller_service import create_caller_service
 from medlarspring_daemon.services.config_service import create_config_service
 from medlarspring_daemon.services.control_metrics_service import (
     create_control_metrics_service,
 )
+from medlarspring_daemon.services.fleet_service import create_fleet_service
 from medlarspring_daemon.services.holder_service import create_holder_service
+from medlarspring_daemon.services.job_service import create_job_service
+from medlarspring_daemon.services.operator_service import create_operator_service
 from medlarspring_daemon.services.peer_service import create_peer_service
 from medlarspring_daemon.services.vm_list_service import create_vm_list_service
 
@@ -38,6 +42,10 @@
         create_config_service(node, peers),
         create_holder_service(node, peers),
         create_control_metrics_service(node, peers),
+        create_fleet_service(node),
+        create_job_service(node),
+        create_audit_trimmer(node),
+        create_operator_service(node),
         # Last, so that a shutdown lets callers finish while the rest still works.
         create_caller_service(node),
     ]
--- a/packages/daemon/src/medlarspring_daemon/services/audit_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/services/audit_routes.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_daemon.services.audit_reader import read_audit
 from medlarspring_daemon.services.operator_answers import (
     BadRequest,
@@ -31,6 +32,7 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        self._store = node.store.bill_to(Mechanism.AUDIT)
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the audit trail."""
@@ -40,11 +42,16 @@
         limit = read_number(request, "limit", DEFAULT_RECORDS, MAX_RECORDS)
         before = read_number(request, "before", MAX_REVISION, MAX_REVISION)
         wanted = _read_filter(request)
-        revision = unwrap_or_refuse(await read_revision(self._node.store))
-        newest = min(revision, Revision(before - 1))
-        found = await read_audit(self._node.store, newest, wanted, limit)
+        newest = min(await self._find_newest(), Revision(before - 1))
+        found = await read_audit(self._store, newest, wanted, limit)
         return answer(unwrap_or_refuse(found))
 
+    async def _find_newest(self) -> Revision:
+        """Return the revision to begin at; the one in force saves a store call."""
+        if self._node.config is not None:
+            return self._node.config.revision
+        return unwrap_or_refuse(await read_revision(self._store))
+
 
 def _read_filter(request: web.Request) -> AuditFilter:
     query = request.query
--- a/packages/daemon/src/medlarspring_daemon/services/table_editor.py
+++ b/packages/daemon/src/medlarspring_daemon/services/table_editor.py
@@ -18,8 +18,17 @@
     StoreOutcomeUnknown,
     Transaction,
 )
+from medlarspring_daemon.services.editor_errors import (
+    MAX_WAITING_EDITS,
+    TABLE_KEY,
+    EditorBusy,
+    EditRaced,
+    NothingInForce,
+    StoreTableOlder,
+    TableUnreadable,
+)
 from medlarspring_systems.table_edit import AcceptedChange, TableEdit, apply_edit
-from medlarspring_systems.table_errors import TableError
+from medlarspring_systems.table_republish import Republish, republish
 from medlarspring_tables import ConfigTable, MedlarspringError, Revision
 from medlarspring_tables.audit import format_audit_key
 
@@ -28,78 +37,12 @@
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import Store
+    from medlarspring_systems.table_errors import TableError
 
-TABLE_KEY = "config/table"
 MAX_ATTEMPTS = 100
 MAX_SECONDS = 20.0
 """Longest time for one edit; the command line waits longer than this."""
 MAX_RETRY_SECONDS = 0.5
-MAX_WAITING_EDITS = 128
-"""Edits that wait for their turn at this entry VM."""
-
-
-class StoreTableOlder(TableError):
-    """The store holds an older table than the one in force."""
-
-    code = "store-older"
-
-    def __init__(self, stored: Revision, in_force: Revision) -> None:
-        super().__init__(stored, in_force)
-        self.stored = stored
-        self.in_force = in_force
-
-    def message(self) -> str:
-        """Name the command that puts the table in force back."""
-        return (
-            f"The store holds the table of revision {self.stored}, but revision"
-            f" {self.in_force} is in force: the store was restored from a backup, or"
-            " a replica of it lags. Nothing was changed. If it doesn't catch up, put"
-            " the table in force back with `medlarspring table republish`."
-        )
-
-    def details(self) -> dict[str, object]:
-        """Return both revisions."""
-        return {"stored_revision": self.stored, "in_force_revision": self.in_force}
-
-
-class TableUnreadable(TableError):
-    """The store's value isn't a table that this version can read."""
-
-    code = "table-unreadable"
-
-    def message(self) -> str:
-        """Name the ways out."""
-        return (
-            f"The value of {TABLE_KEY} in the store is not a table that this version"
-            " reads. Nothing was changed; upgrade this entry VM, or put the table in"
-            " force back with `medlarspring table republish`."
-        )
-
-
-class EditRaced(TableError):
-    """Other edits were accepted first at each attempt."""
-
-    code = "edit-raced"
-
-    def message(self) -> str:
-        """Ask for a repetition."""
-        return (
-            "Other edits were accepted first at each attempt. Nothing was changed;"
-            " repeat the command."
-        )
-
-
-class EditorBusy(TableError):
-    """Too many edits wait at this entry VM."""
-
-    code = "editor-busy"
-
-    def message(self) -> str:
-        """Ask for a repetition."""
-        return (
-            f"{MAX_WAITING_EDITS} edits wait at this entry VM already. Nothing was"
-            " changed; repeat the command in a few seconds, or at another entry VM."
-        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,8 +63,12 @@
     """What the attempts to take one edit have shown so far."""
 
     change: Change
+    takes_older: bool = False
+    """Whether the store's table may be older than the one in force."""
     stored: StoredTable | None = None
-    """The newest table read, if it is still worth trying on."""
+    """The newest table known, if it is still worth trying on."""
+    remembered: bool = False
+    """Whether it comes from an earlier edit instead of from the store."""
     unanswered: Revision | None = None
     """Store revision named by a write whose reply was lost."""
     error: MedlarspringError | None = None
@@ -147,13 +94,17 @@
         self._retry_seconds = retry_seconds
         self._lock = asyncio.Lock()
         self._waiting = 0
+        self._remembered: StoredTable | None = None
+        """The table that the last write or conflict showed."""
 
-    async def read(self) -> Result[StoredTable, MedlarspringError]:
+    async def read(
+        self, takes_older: bool = False
+    ) -> Result[StoredTable, MedlarspringError]:
         """Return the store's table; an older one than in force is an error."""
         entry = await self._store.read(TABLE_KEY)
         if not is_successful(entry):
             return Failure(entry.failure())
-        return self._decode(entry.unwrap())
+        return self._decode(entry.unwrap(), takes_older)
 
     async def accept(
         self, edit: TableEdit, origin: str
@@ -169,6 +120,19 @@
 
         return await self._accept_in_turn(change)
 
+    async def republish(
+        self, wish: Republish, origin: str
+    ) -> Result[AcceptedChange, MedlarspringError]:
+        """Put the table in force back into a store that holds an older one."""
+        in_force = self._table_in_force()
+        if in_force is None:
+            return Failure(NothingInForce())
+
+        def change(table: ConfigTable) -> Result[AcceptedChange, TableError]:
+            return republish(table, in_force, wish, self._clock.wall(), origin)
+
+        return await self._accept_in_turn(change, takes_older=True)
+
     async def preview(
         self, edit: TableEdit, origin: str
     ) -> Result[AcceptedChange, MedlarspringError]:
@@ -180,17 +144,31 @@
         return apply_edit(table, edit, self._clock.wall(), origin).alt(_widen)
 
     async def _accept_in_turn(
-        self, change: Change
+        self, change: Change, takes_older: bool = False
     ) -> Result[AcceptedChange, MedlarspringError]:
         if self._waiting >= MAX_WAITING_EDITS:
             return Failure(EditorBusy())
         self._waiting += 1
         try:
             async with self._lock:
-                return await self._accept(_Attempts(change))
+                known = None if takes_older else self._recall()
+                is_known = known is not None
+                attempts = _Attempts(change, takes_older, known, is_known)
+                return await self._accept(attempts)
         finally:
             self._waiting -= 1
 
+    def _recall(self) -> StoredTable | None:
+        """Return the table known from the edit before, to save a read.
+
+        Each call to the store counts, and edits come in bursts; the condition of
+        the write shows it when the table has changed since.
+        """
+        known, in_force = self._remembered, self._table_in_force()
+        if known is None or in_force is None:
+            return known
+        return known if known.table.revision >= in_force.revision else None
+
     async def _accept(
         self, attempts: _Attempts
     ) -> Result[AcceptedChange, MedlarspringError]:
@@ -212,14 +190,15 @@
     ) -> Result[AcceptedChange, MedlarspringError] | None:
         """Try once; None asks for another try."""
         if attempts.stored is None:
-            read = await self.read()
+            read = await self.read(attempts.takes_older)
             if not is_successful(read):
                 attempts.error = read.failure()
                 if attempts.unanswered is not None:
                     return None
                 return Failure(read.failure())
-            attempts.stored = read.unwrap()
+            attempts.stored, attempts.remembered = read.unwrap(), False
         stored, attempts.stored = attempts.stored, None
+        remembered, attempts.remembered = attempts.remembered, False
         if (
             attempts.unanswered is not None
             and stored.mod_revision < attempts.unanswered
@@ -230,7 +209,8 @@
             return None
         changed = attempts.change(stored.table)
         if not is_successful(changed):
-            return Failure(changed.failure())
+            # A remembered table may be out of date; only the store refuses.
+            return None if remembered else Failure(changed.failure())
         if changed.unwrap().record is None:
             return Success(changed.unwrap())
         return await self._commit(attempts, stored, changed.unwrap())
@@ -259,10 +239,12 @@
             return self._note_failure(attempts, stored, committed.failure())
         result = committed.unwrap()
         if result.succeeded:
+            self._remembered = StoredTable(change.table, result.revision)
             self._on_accepted(change.table)
             return Success(change)
-        current = self._decode(result.read_by_key.get(TABLE_KEY))
-        attempts.stored = current.value_or(None)
+        entry = result.read_by_key.get(TABLE_KEY)
+        current = self._decode(entry, attempts.takes_older)
+        self._remembered = attempts.stored = current.value_or(None)
         return None
 
     def _note_failure(
@@ -279,7 +261,9 @@
             return Failure(error)
         return None
 
-    def _decode(self, entry: Entry | None) -> Result[StoredTable, MedlarspringError]:
+    def _decode(
+        self, entry: Entry | None, takes_older: bool
+    ) -> Result[StoredTable, MedlarspringError]:
         stored = StoredTable(ConfigTable(), Revision(0))
         if entry is not None:
             try:
@@ -288,6 +272,8 @@
                 return Failure(TableUnreadable())
             stored = StoredTable(table, entry.mod_revision)
         in_force = self._table_in_force()
+        if takes_older:
+            return Success(stored)
         # A store restored from a backup, or a lagging replica, would take the edit
         # on top of an old table: every node keeps the newer one, and the accepted
         # edit would never be in force.
@@ -318,13 +304,4 @@
     return error
 
 
-__all__ = [
-    "EditRaced",
-    "EditorBusy",
-    "StoreTableOlder",
-    "StoredTable",
-    "TABLE_KEY",
-    "TableEditor",
-    "TableUnreadable",
-    "read_revision",
-]
+__all__ = ["StoredTable", "TABLE_KEY", "TableEditor", "read_revision"]
