Let operators start, pause, resume, abort and watch waves and moves

The desk writes what operators want with its audit record in one transaction; routes answer from the records on any entry VM.

Ran: make lint; pytest packages/daemon/tests/test_fleet*.py: 9 passed.

--- a/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
@@ -5,10 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_adapters.vm_control import HttpVMControl
 from medlarspring_daemon.services.fleet_controller import FleetController
+from medlarspring_daemon.services.fleet_desk import FleetDesk
 from medlarspring_daemon.services.fleet_feed import FleetFeed
 from medlarspring_daemon.services.fleet_rounds import FleetRounds
+from medlarspring_daemon.services.fleet_routes import FleetRoutes
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_tables.fleet_tables import FleetTables
 
@@ -26,6 +29,9 @@
         self._node = node
         self._vm_control = vm_control
         self._tasks = Tasks(node.log)
+        self._store = node.store.bill_to(Mechanism.CONTROL_WORK)
+        desk = FleetDesk(self._store, node.clock, node.id)
+        node.operator_routes.extend(FleetRoutes(node, desk, vm_control).routes())
 
     async def start(self) -> None:
         """Start the loop, unless the settings name no VM control."""
@@ -44,14 +50,14 @@
         tables = node.fleet_tables = FleetTables()
         controller = FleetController(
             tables,
-            node.store,
+            self._store,
             vm_control,
             lambda pool_id: node.holders.fence(pool_id),
             node.decisions,
             node.log,
         )
         rounds = FleetRounds(controller, node.clock, node.rng, node.log)
-        feed = FleetFeed(node.store, tables, node.rng)
+        feed = FleetFeed(self._store, tables, node.rng)
         try:
             while True:
                 started_at = node.clock.now()
