--- a/packages/cli/src/medlarspring_cli/commands/edit_command.py
+++ b/packages/cli/src/medlarspring_cli/commands/edit_command.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import getpass
 import hashlib
-import os
 import uuid
 from typing import TYPE_CHECKING, ClassVar
 
 from cleo.helpers import argument, option
 
 from medlarspring_adapters.operator_api import EditAnswer, TableAnswer
-from medlarspring_cli.commands.operator_command import OperatorCommand
+from medlarspring_cli.commands.operator_command import (
+    OPERATOR_OPTION,
+    OperatorCommand,
+)
 from medlarspring_cli.errors import UsageFault
 from medlarspring_cli.render import format_change
 from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit
@@ -25,7 +26,6 @@
     from medlarspring_cli.client import OperatorClient
     from medlarspring_tables.audit import FieldValue
 
-OPERATOR_VARIABLE = "MEDLARSPRING_OPERATOR"
 NEW_ROW = Revision(0)
 KINDS = ", ".join(kind.value for kind in RowKind)
 
@@ -35,13 +35,7 @@
     "fields", "Fields as <comment>NAME=VALUE</comment>", optional=True, multiple=True
 )
 EDIT_OPTIONS: list[Option] = [
-    option(
-        "operator",
-        None,
-        "Your name for the audit trail"
-        f" [env: <comment>{OPERATOR_VARIABLE}</comment>, else your login]",
-        flag=False,
-    ),
+    OPERATOR_OPTION,
     option("note", None, "Why, for the audit trail", flag=False),
     option(
         "edit-id",
@@ -129,7 +123,9 @@
             rows=rows,
             note=self.option("note") or "",
         )
-        accepted = client.post("/v1/table/edits", edit, EditAnswer, edit_id=edit.id)
+        accepted = client.post(
+            "/v1/table/edits", edit, EditAnswer, f"--edit-id {edit.id}"
+        )
         return self.print_accepted(edit.id, accepted)
 
     def create_edit_id(self) -> EditId:
@@ -150,19 +146,6 @@
         )
         return 0
 
-    def find_operator(self) -> str:
-        """Return the operator's name for the audit trail."""
-        given = self.option("operator") or os.environ.get(OPERATOR_VARIABLE)
-        if given:
-            return str(given)
-        try:
-            return getpass.getuser()
-        except (KeyError, OSError):
-            raise UsageFault(
-                "Your name is not known. Give --operator NAME for the audit trail, or"
-                f" set {OPERATOR_VARIABLE}."
-            ) from None
-
     def _hash_credential(self, kind: RowKind, path: str) -> str:
         if kind is not RowKind.PARTNER:
             raise UsageFault("--credential-file is for rows of kind partner only.")
--- a/packages/cli/src/medlarspring_cli/errors.py
+++ b/packages/cli/src/medlarspring_cli/errors.py
@@ -80,26 +80,26 @@
     code = "outcome-unknown"
     exit_code = ExitCode.UNKNOWN
 
-    def __init__(self, reasons_by_address: dict[str, str], edit_id: str) -> None:
-        super().__init__(reasons_by_address, edit_id)
+    def __init__(self, reasons_by_address: dict[str, str], repeat_with: str) -> None:
+        super().__init__(reasons_by_address, repeat_with)
         self.reasons_by_address = reasons_by_address
-        self.edit_id = edit_id
+        self.repeat_with = repeat_with
 
     def message(self) -> str:
-        """Name the id that makes a repetition safe."""
+        """Name the option that makes a repetition safe."""
         tried = "\n".join(
             f"  {address}: {reason}"
             for address, reason in self.reasons_by_address.items()
         )
         return (
             f"The change may have been accepted; its answer was lost:\n{tried}\n"
-            f"Repeat the same command with --edit-id {self.edit_id}; the change is"
-            " made at most once."
+            f"Repeat the same command with {self.repeat_with}; the change is made at"
+            " most once."
         )
 
     def document(self) -> dict[str, Any]:
-        """Return the failure for programs, with the id to repeat."""
-        return {**super().document(), "edit_id": self.edit_id}
+        """Return the failure for programs, with the option to repeat it."""
+        return {**super().document(), "repeat_with": self.repeat_with}
 
 
 class DaemonRefused(CommandError):
