--- a/packages/cli/src/medlarspring_cli/commands/job_submit.py
+++ b/packages/cli/src/medlarspring_cli/commands/job_submit.py
@@ -4,7 +4,6 @@
 
 import uuid
 
-import msgspec
 from cleo.helpers import argument, option
 
 from medlarspring_adapters.job_api import JobRequest, SubmitAnswer, SubmitRequest
@@ -14,6 +13,7 @@
 )
 from medlarspring_cli.errors import UsageFault
 from medlarspring_cli.exit_codes import ExitCode
+from medlarspring_cli.job_files import read_jobs
 from medlarspring_tables import JobId, JobUrgency, PartnerId, PoolId, Size
 
 URGENCIES = ", ".join(urgency.value for urgency in JobUrgency)
@@ -39,7 +39,9 @@
         option("urgency", None, f"One of {URGENCIES}", flag=False, default="normal"),
         option("can-checkpoint", None, "The job can be stopped and resumed"),
         option("can-throttle", None, "The job can run with less"),
-        option("file", None, "File of jobs, one JSON document a line", flag=False),
+        option(
+            "file", None, "CSV file of jobs, or one JSON document a line", flag=False
+        ),
         OPERATOR_OPTION,
     ]
 
@@ -91,14 +93,9 @@
             raise UsageFault(f"--{name}: found {found}, wanted a number.") from None
 
     def _read_file(self, path: str) -> tuple[JobRequest, ...]:
-        jobs: list[JobRequest] = []
-        for number, line in enumerate(self.read_text(path, "Job file").splitlines(), 1):
-            if not line.strip():
-                continue
-            try:
-                jobs.append(msgspec.json.decode(line, type=JobRequest))
-            except msgspec.DecodeError as error:
-                raise UsageFault(f"{path}, line {number}: {error}.") from None
+        jobs, faults = read_jobs(self.read_text(path, "Job file"))
+        if faults:
+            raise UsageFault("\n".join(f"{path}: {fault}" for fault in faults))
         if not jobs:
             raise UsageFault(f"{path} holds no job.")
         return tuple(jobs)
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -43,8 +43,8 @@
         create_holder_service(node, peers),
         create_control_metrics_service(node, peers),
         create_fleet_service(node),
-        create_audit_trimmer(node),
         create_job_service(node),
+        create_audit_trimmer(node),
         create_operator_service(node),
         # Last, so that a shutdown lets callers finish while the rest still works.
         create_caller_service(node),
