--- a/packages/cli/src/medlarspring_cli/application.py
+++ b/packages/cli/src/medlarspring_cli/application.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cleo.application import Application
+from cleo.commands.completions_command import CompletionsCommand
 from cleo.exceptions import CleoError
 from cleo.io.inputs.argv_input import ArgvInput
 
@@ -22,6 +23,7 @@
     application = Application("medlarspring", version("medlarspring-cli"))
     for command in COMMANDS:
         application.add(command())
+    application.add(CompletionsCommand())
     application.auto_exits(False)
     application.catch_exceptions(False)
     return application
--- a/packages/cli/src/medlarspring_cli/client.py
+++ b/packages/cli/src/medlarspring_cli/client.py
@@ -101,7 +101,8 @@
             body = await response.read()
             if response.status < 400:
                 return body
-            raise DaemonRefused(_read_problem(body, response.status), address)
+            problem = _read_problem(body, response.status)
+            raise DaemonRefused(problem, address, is_change=bool(call.repeat_with))
 
     def _decode(self, body: bytes, answer_type: type[T]) -> T:
         return msgspec.json.decode(body, type=answer_type)
--- a/packages/cli/src/medlarspring_cli/errors.py
+++ b/packages/cli/src/medlarspring_cli/errors.py
@@ -105,12 +105,16 @@
 class DaemonRefused(CommandError):
     """The daemon answered with a problem."""
 
-    def __init__(self, problem: dict[str, Any], address: str) -> None:
-        super().__init__(problem, address)
+    def __init__(
+        self, problem: dict[str, Any], address: str, is_change: bool = True
+    ) -> None:
+        super().__init__(problem, address, is_change)
         self.problem = problem
         self.address = address
         self.code = str(problem.get("code", "refused"))
         self.exit_code = find_exit_code(self.code, int(problem.get("status", 0)))
+        if self.exit_code is ExitCode.UNKNOWN and not is_change:
+            self.exit_code = ExitCode.REFUSED
 
     def message(self) -> str:
         """Return what the daemon says."""
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -1,10 +1,14 @@
 from __future__ import annotations
 
+import http.server
 import json
+import threading
 
 import msgspec
 import pytest
 
+from medlarspring_cli.application import main
+from medlarspring_cli.commands import COMMANDS
 from medlarspring_tables import ConfigTable
 
 SHEET = """\
@@ -126,42 +130,90 @@
     assert found == status
 
 
-@pytest.mark.parametrize(
-    "arguments",
-    [
-        ("table", "show"),
-        ("table", "set", "partner", "ardhi", "weight=3", "--revision", "1"),
-        ("table", "export"),
-        ("audit",),
-        ("status",),
-        ("explain", "vm", "vm-1"),
-    ],
-)
-def test_command_without_daemon_or_token_says_so(desk, arguments, tmp_path):
-    status, _, errors = desk.run(*arguments, address="127.0.0.1:1")
+EXAMPLES = {
+    "audit": "audit",
+    "explain": "explain vm vm-1",
+    "job cancel": "job cancel consent-vms job-1",
+    "job list": "job list consent-vms",
+    "job show": "job show consent-vms job-1",
+    "job submit": "job submit consent-vms ardhi --cpus 1 --memory-gb 1 --seconds 5",
+    "status": "status",
+    "table add": "table add partner chombo weight=1",
+    "table export": "table export",
+    "table history": "table history",
+    "table import": "table import SHEET --yes",
+    "table remove": "table remove partner ardhi",
+    "table republish": "table republish",
+    "table set": "table set partner ardhi weight=3 --revision 1",
+    "table show": "table show",
+}
+"""A command line for each command that needs a daemon."""
+OF_OTHER_PARTS = {"job cancel", "job list", "job show", "job submit"}
+"""Their routes belong to parts that this test's daemon doesn't have."""
+WITHOUT_STORE = {"explain", "status"}
+
+
+def test_every_command_has_an_example_here():
+    assert set(EXAMPLES) == {command.name for command in COMMANDS}
+
+
+@pytest.mark.parametrize("name", EXAMPLES)
+def test_help_tells_what_the_command_is_for(desk, name):
+    status, output, _ = desk.run(*name.split(), "--help")
+    assert status == 0
+    assert "MEDLARSPRING_ADDRESS" in output
+
+
+@pytest.mark.parametrize("name", EXAMPLES)
+def test_command_without_daemon_or_token_says_so(desk, sheet, name, tmp_path):
+    line = EXAMPLES[name].replace("SHEET", str(sheet)).split()
+    status, _, errors = desk.run(*line, address="127.0.0.1:1")
     assert (status, "Check that medlarspringd runs there" in errors) == (4, True)
+    status, _, errors = desk.run(*line, address="localhost")
+    assert (status, "is not IP:PORT" in errors) == (2, True)
     wrong = tmp_path / "wrong.token"
     wrong.write_text("guess")
-    status, _, errors = desk.run(*arguments, token_file=str(wrong))
+    status, _, errors = desk.run(*line, token_file=str(wrong))
     assert (status, "--token-file" in errors) == (5, True)
-    status, _, errors = desk.run(*arguments, token_file="/nowhere")
+    status, _, errors = desk.run(*line, token_file="/nowhere")
     assert (status, "can't be read" in errors) == (2, True)
+    status, _, errors = desk.run(*line, "--colour")
+    assert (status, "colour" in errors) == (2, True)
 
 
-@pytest.mark.parametrize(
-    "arguments",
-    [
-        ("table", "set", "partner", "ardhi", "weight=3", "--revision", "1"),
-        ("table", "add", "partner", "chombo", "weight=3"),
-        ("audit",),
-    ],
-)
-def test_command_while_the_store_is_down_says_that_nothing_changed(desk, arguments):
+@pytest.mark.parametrize("name", sorted(set(EXAMPLES) - OF_OTHER_PARTS))
+def test_command_while_the_store_is_down_says_that_nothing_changed(desk, sheet, name):
     desk.store.faults.down = True
-    status, _, errors = desk.run(*arguments)
+    line = EXAMPLES[name].replace("SHEET", str(sheet)).split()
+    status, _, errors = desk.run(*line)
+    if name in WITHOUT_STORE:
+        assert status == 0
+        return
     assert (status, "Nothing was changed" in errors) == (6, True)
 
 
+def test_answer_of_something_else_than_a_daemon_is_named(desk):
+    """
+    The operator gives the caller port's address instead of the operator port's.
+    Its answer is no answer of this interface; the message says so.
+    """
+    with http.server.HTTPServer(
+        ("127.0.0.1", 0), http.server.BaseHTTPRequestHandler
+    ) as server:
+        threading.Thread(target=server.handle_request).start()
+        status, _, errors = desk.run(
+            "status", address=f"127.0.0.1:{server.server_port}"
+        )
+    assert "not that of an operator port" in errors
+    assert status == 1
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completions_are_written_for_each_shell(capsys, shell):
+    assert main(["completions", shell]) == 0
+    assert "republish" in capsys.readouterr().out
+
+
 def test_table_in_force_is_shown_while_the_store_is_down(filled):
     table = json.loads(filled.run("table", "export", "--json")[1])
     filled.store.faults.down = True
