--- a/packages/cli/src/medlarspring_cli/client.py
+++ b/packages/cli/src/medlarspring_cli/client.py
@@ -36,8 +36,9 @@
     path: str
     query: Mapping[str, str]
     body: bytes = b""
-    edit_id: str = ""
-    """Set for changes; makes them safe to send to several daemons in turn."""
+    repeat_with: str = ""
+    """Set for changes: the option that makes a repetition safe. The change carries
+    an id, so that it may also be sent to several daemons in turn."""
 
 
 class OperatorClient:
@@ -53,11 +54,11 @@
         return self._decode(self.send(Call("GET", path, given)), answer_type)
 
     def post(
-        self, path: str, body: object, answer_type: type[T], edit_id: str = ""
+        self, path: str, body: object, answer_type: type[T], repeat_with: str = ""
     ) -> T:
-        """Send a document; with an edit id it is applied at most once."""
+        """Send a document; a change says with which option it may be repeated."""
         content = body if isinstance(body, bytes) else msgspec.json.encode(body)
-        call = Call("POST", path, {}, content, edit_id)
+        call = Call("POST", path, {}, content, repeat_with)
         return self._decode(self.send(call), answer_type)
 
     def send(self, call: Call) -> bytes:
@@ -100,7 +101,8 @@
             body = await response.read()
             if response.status < 400:
                 return body
-            raise DaemonRefused(_read_problem(body, response.status), address)
+            problem = _read_problem(body, response.status)
+            raise DaemonRefused(problem, address, is_change=bool(call.repeat_with))
 
     def _decode(self, body: bytes, answer_type: type[T]) -> T:
         return msgspec.json.decode(body, type=answer_type)
@@ -115,8 +117,8 @@
     # One daemon may have accepted the edit and died before its answer. That a
     # later one couldn't reach the store proves nothing about the first, so the
     # operator must not be told that nothing was changed.
-    if call.edit_id and is_unknown:
-        return OutcomeUnknown(reasons_by_address, call.edit_id)
+    if call.repeat_with and is_unknown:
+        return OutcomeUnknown(reasons_by_address, call.repeat_with)
     return refusal or DaemonUnreachable(reasons_by_address)
 
 
--- a/packages/cli/src/medlarspring_cli/commands/table_history.py
+++ b/packages/cli/src/medlarspring_cli/commands/table_history.py
@@ -25,20 +25,20 @@
 
     def act(self) -> int:
         """Print the audit records of the rows."""
-        kind = self.argument("kind")
+        name, row_id = self.argument("kind") or "", self.argument("id") or ""
+        kind = read_kind(name).value if name else ""
         found = self.create_client().get(
             "/v1/audit",
             AuditAnswer,
-            kind=read_kind(kind).value if kind else None,
-            id=self.argument("id"),
+            kind=kind,
+            id=row_id,
             limit=self.option("limit"),
-            table="1",
         )
         if self.wants_json:
             self.print_json(found)
             return 0
         for record in found.records:
-            self.print_text("\n".join(format_record(record)))
+            self.print_text("\n".join(format_record(record, kind, row_id)))
         if not found.records:
             self.print_text("No change is on record.")
         return 0
--- a/packages/cli/src/medlarspring_cli/errors.py
+++ b/packages/cli/src/medlarspring_cli/errors.py
@@ -80,37 +80,41 @@
     code = "outcome-unknown"
     exit_code = ExitCode.UNKNOWN
 
-    def __init__(self, reasons_by_address: dict[str, str], edit_id: str) -> None:
-        super().__init__(reasons_by_address, edit_id)
+    def __init__(self, reasons_by_address: dict[str, str], repeat_with: str) -> None:
+        super().__init__(reasons_by_address, repeat_with)
         self.reasons_by_address = reasons_by_address
-        self.edit_id = edit_id
+        self.repeat_with = repeat_with
 
     def message(self) -> str:
-        """Name the id that makes a repetition safe."""
+        """Name the option that makes a repetition safe."""
         tried = "\n".join(
             f"  {address}: {reason}"
             for address, reason in self.reasons_by_address.items()
         )
         return (
             f"The change may have been accepted; its answer was lost:\n{tried}\n"
-            f"Repeat the same command with --edit-id {self.edit_id}; the change is"
-            " made at most once."
+            f"Repeat the same command with {self.repeat_with}; the change is made at"
+            " most once."
         )
 
     def document(self) -> dict[str, Any]:
-        """Return the failure for programs, with the id to repeat."""
-        return {**super().document(), "edit_id": self.edit_id}
+        """Return the failure for programs, with the option to repeat it."""
+        return {**super().document(), "repeat_with": self.repeat_with}
 
 
 class DaemonRefused(CommandError):
     """The daemon answered with a problem."""
 
-    def __init__(self, problem: dict[str, Any], address: str) -> None:
-        super().__init__(problem, address)
+    def __init__(
+        self, problem: dict[str, Any], address: str, is_change: bool = True
+    ) -> None:
+        super().__init__(problem, address, is_change)
         self.problem = problem
         self.address = address
         self.code = str(problem.get("code", "refused"))
         self.exit_code = find_exit_code(self.code, int(problem.get("status", 0)))
+        if self.exit_code is ExitCode.UNKNOWN and not is_change:
+            self.exit_code = ExitCode.REFUSED
 
     def message(self) -> str:
         """Return what the daemon says."""
