Make a placement round cost nothing without news and less with it

Cause, by profile: 8 tries for each of 370 partners, each scanning all workers and sorting 64 ratios; and confirmations counted as news.

--- a/packages/bench/src/medlarspring_bench/job_pool_model.py
+++ b/packages/bench/src/medlarspring_bench/job_pool_model.py
@@ -45,6 +45,7 @@
 
     done: int = 0
     useful_cpu_seconds: float = 0.0
+    """True need of the jobs that finished."""
     lost_cpu_seconds: float = 0.0
     """Used by attempts that the worker ended for want of memory."""
     memory_kills: int = 0
@@ -64,6 +65,10 @@
 
     size: Size
     seconds_left: float
+    seconds: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.seconds = self.seconds_left
 
 
 class PoolModel:
@@ -184,8 +189,7 @@
             self.tables, job.id, number, AttemptEnd.SUCCEEDED, self.now, peak=peak
         )
         self.figures.done += 1
-        ran = self.now - job.attempt.started_at
-        self.figures.useful_cpu_seconds += ran * need.size.cpus * speed
+        self.figures.useful_cpu_seconds += need.seconds * need.size.cpus
 
     def count_waiting(self) -> int:
         """Return how many jobs wait; cancelled ones in the queues count too."""
--- a/packages/systems/src/medlarspring_systems/job_records.py
+++ b/packages/systems/src/medlarspring_systems/job_records.py
@@ -31,8 +31,11 @@
         _uncount(tables, old)
     tables.jobs_by_id[job.id] = job
     _count(tables, job)
+    if old is not None and old.attempt is not None and _frees_room(old, job):
+        tables.changes += 1
     was_waiting = old is not None and old.state is JobState.WAITING
     if job.state is JobState.WAITING and not was_waiting:
+        tables.changes += 1
         enqueue(tables, job)
 
 
@@ -50,6 +53,7 @@
     tables.revisions_by_id.pop(job_id, None)
     tables.old_by_id.pop(job_id, None)
     if old is not None:
+        tables.changes += 1
         _uncount(tables, old)
 
 
@@ -60,6 +64,11 @@
         tables.workers_by_id[worker.id] = worker
         _recount_worker(tables, worker)
     else:
+        if (known.capacity, known.accepts_work) == (
+            worker.capacity,
+            worker.accepts_work,
+        ):
+            return
         known.capacity = worker.capacity
         known.accepts_work = worker.accepts_work
     recount_capacity(tables)
@@ -78,6 +87,7 @@
         if worker.accepts_work:
             total = total.plus(worker.capacity)
     tables.capacity = total
+    tables.changes += 1
 
 
 def put_partner(tables: JobTables, partner: PartnerUse) -> None:
@@ -85,7 +95,10 @@
     known = tables.partners_by_id.get(partner.id)
     if known is None:
         tables.partners_by_id[partner.id] = partner
+        tables.changes += 1
         return
+    if (known.weight, known.quota) != (partner.weight, partner.quota):
+        tables.changes += 1
     known.weight = partner.weight
     known.quota = partner.quota
 
@@ -124,6 +137,13 @@
     return can_yield and job.urgency is not JobUrgency.URGENT
 
 
+def _frees_room(old: Job, job: Job) -> bool:
+    """Tell whether a change of a running job may let others start."""
+    if job.attempt is None or old.attempt is None:
+        return True
+    return job.attempt.size != old.attempt.size
+
+
 def _count(tables: JobTables, job: Job) -> None:
     if job.attempt is None:
         return
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/placement_rules.py
@@ -0,0 +1,254 @@
+"""The rules by which a job may or may not start on a worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.job_records import is_lent
+from medlarspring_systems.size_beliefs import believe_size
+from medlarspring_tables import NO_SIZE, JobUrgency, Size
+
+if TYPE_CHECKING:
+    from medlarspring_tables import (
+        Job,
+        JobId,
+        JobTables,
+        PartnerUse,
+        Seconds,
+        Worker,
+    )
+
+RESERVE_AFTER_SECONDS = 120.0
+"""A job that waited this long for a large enough worker gets one reserved."""
+RESERVED_PART = 8
+"""At most one worker in so many is reserved, but always one."""
+
+
+class Blocked(Enum):
+    """Why a waiting job was not placed."""
+
+    SPARE = "the rest of the capacity is held back as spare"
+    QUOTA = "the partner's quota is in use"
+    NO_ROOM = "no worker has room now"
+    TRIED = "it failed on every worker that has room"
+
+
+@dataclass(slots=True)
+class PlacementRound:
+    """Facts that hold for one round, so that they are worked out once."""
+
+    now: Seconds
+    """Wall time."""
+    largest: Size
+    """The largest worker, accelerators aside."""
+    total_weight: float
+    reserved: Size
+    """What is reserved for jobs that cannot yield."""
+    reserved_ids: set[JobId]
+    """Jobs that have a worker reserved."""
+    too_large: list[Size] = field(default_factory=list)
+    """Sizes for which no worker had room; room only shrinks in a round."""
+
+    def is_too_large(self, size: Size) -> bool:
+        """Tell whether a size is no smaller than one that found no room."""
+        return any(other.fits_in(size) for other in self.too_large)
+
+    def note_too_large(self, size: Size) -> None:
+        """Remember a size that found no room, in place of larger ones."""
+        smaller = [other for other in self.too_large if not size.fits_in(other)]
+        self.too_large = [*smaller, size]
+
+
+def create_round(tables: JobTables, now: Seconds) -> PlacementRound:
+    """Return the facts of a round that begins now."""
+    return PlacementRound(
+        now=now,
+        largest=largest_worker(tables),
+        total_weight=sum(each.weight for each in tables.partners_by_id.values()),
+        reserved=_sum_reserved(tables),
+        reserved_ids={
+            worker.reserved_for
+            for worker in tables.workers_by_id.values()
+            if worker.reserved_for is not None
+        },
+    )
+
+
+def largest_worker(tables: JobTables) -> Size:
+    """Return the size of the worker with the most processors."""
+    workers = tables.workers_by_id.values()
+    if not workers:
+        return NO_SIZE
+    return max((worker.capacity for worker in workers), key=lambda size: size.cpus)
+
+
+def dominant_part(held: Size, capacity: Size) -> float:
+    """Return the largest part held of any one kind of capacity."""
+    return max(
+        part_of(held.cpus, capacity.cpus),
+        part_of(held.memory_gb, capacity.memory_gb),
+        part_of(held.accelerators, capacity.accelerators),
+    )
+
+
+def is_within_share(
+    tables: JobTables, partner: PartnerUse, total_weight: float
+) -> bool:
+    """Tell whether a partner holds less than its weight entitles it to."""
+    if total_weight <= 0:
+        return False
+    share = partner.weight / total_weight
+    return dominant_part(partner.held, tables.capacity) < share
+
+
+def find_block(
+    tables: JobTables, job: Job, size: Size, round_: PlacementRound
+) -> Blocked | Worker:
+    """Return the worker on which a job may start now, or why there is none."""
+    partner = tables.partners_by_id[job.partner_id]
+    if not partner.held.plus(size).fits_in(partner.quota):
+        return Blocked.QUOTA
+    if not is_lent(job) and not _leaves_spare(tables, job, size, round_):
+        return Blocked.SPARE
+    if job.id not in round_.reserved_ids and round_.is_too_large(size):
+        return Blocked.NO_ROOM
+    worker = find_worker(tables, job, size, round_.now)
+    if worker is None:
+        round_.note_too_large(size)
+        return Blocked.NO_ROOM
+    if worker.id in job.failed_on and _has_untried(tables, job):
+        return Blocked.TRIED
+    return worker
+
+
+def find_worker(tables: JobTables, job: Job, size: Size, now: Seconds) -> Worker | None:
+    """Return the usable worker that the job would leave with least room.
+
+    Best fit keeps whole workers free for large jobs. Workers on which the job
+    failed come last; reserved ones take only the job they wait for.
+    """
+    best: Worker | None = None
+    best_key: tuple[bool, float] | None = None
+    for worker in tables.workers_by_id.values():
+        if worker.capacity.cpus - worker.set_aside.cpus < size.cpus:
+            continue
+        if not is_usable(worker, job.id, now):
+            continue
+        free = worker.capacity.minus(worker.set_aside)
+        if not size.fits_in(free):
+            continue
+        left = part_of(free.cpus - size.cpus, worker.capacity.cpus)
+        wasted = free.accelerators if size.accelerators == 0 else 0
+        key = (worker.id in job.failed_on, wasted + left)
+        if best_key is None or key < best_key:
+            best, best_key = worker, key
+    return best
+
+
+def is_usable(worker: Worker, job_id: JobId, now: Seconds) -> bool:
+    """Tell whether a worker may take this job now."""
+    if not worker.accepts_work or worker.quarantined_until > now:
+        return False
+    if worker.quarantines and worker.job_ids:
+        return False  # On probation: one job at a time until one succeeds.
+    return worker.reserved_for is None or worker.reserved_for == job_id
+
+
+def reserve_worker(
+    tables: JobTables, job: Job, size: Size, round_: PlacementRound
+) -> None:
+    """Keep small jobs off one worker once a large job has waited for long."""
+    if round_.now - job.submitted_at < RESERVE_AFTER_SECONDS:
+        return
+    if job.id in round_.reserved_ids:
+        return
+    workers = tables.workers_by_id.values()
+    if len(round_.reserved_ids) >= max(1, len(workers) // RESERVED_PART):
+        return
+    candidates = [
+        worker
+        for worker in workers
+        if worker.reserved_for is None
+        and worker.accepts_work
+        and worker.quarantined_until <= round_.now
+        and size.fits_in(worker.capacity)
+    ]
+    if not candidates:
+        return
+    emptiest = min(
+        candidates,
+        key=lambda worker: part_of(worker.set_aside.cpus, worker.capacity.cpus),
+    )
+    emptiest.reserved_for = job.id
+    round_.reserved = _sum_reserved(tables)
+    round_.reserved_ids.add(job.id)
+
+
+def part_of(amount: float, whole: float) -> float:
+    """Return a part of a whole; 0 of nothing."""
+    return amount / whole if whole > 0 else 0.0
+
+
+def _leaves_spare(
+    tables: JobTables, job: Job, size: Size, round_: PlacementRound
+) -> bool:
+    """Tell whether work that cannot yield stays out of the spare.
+
+    Spare that is held by work nobody can stop would be gone when a rack
+    fails, and urgent work would wait for hours. Work that can be stopped or
+    throttled within seconds may use it meanwhile; urgent work may always.
+    """
+    if job.urgency is JobUrgency.URGENT:
+        return True
+    firm = tables.held.minus(tables.lent).plus(size)
+    if job.id not in round_.reserved_ids:
+        firm = firm.plus(round_.reserved)
+    usable = 1.0 - tables.spare_percent / 100.0
+    return (
+        firm.cpus <= tables.capacity.cpus * usable
+        and firm.memory_gb <= tables.capacity.memory_gb * usable
+    )
+
+
+def _sum_reserved(tables: JobTables) -> Size:
+    """Return what is reserved for jobs that cannot yield.
+
+    Counting only what runs, small jobs elsewhere would fill the capacity up
+    to the spare, and the worker emptied for a large job would stay unused.
+    """
+    total = NO_SIZE
+    for worker in tables.workers_by_id.values():
+        if worker.reserved_for is None:
+            continue
+        job = tables.jobs_by_id.get(worker.reserved_for)
+        if job is not None and not is_lent(job):
+            total = total.plus(believe_size(tables, job, worker.capacity))
+    return total
+
+
+def _has_untried(tables: JobTables, job: Job) -> bool:
+    """Tell whether a worker that could hold the job has not been tried."""
+    return any(
+        worker.accepts_work
+        and worker.id not in job.failed_on
+        and job.declared.fits_in(worker.capacity)
+        for worker in tables.workers_by_id.values()
+    )
+
+
+__all__ = [
+    "RESERVE_AFTER_SECONDS",
+    "Blocked",
+    "PlacementRound",
+    "create_round",
+    "dominant_part",
+    "find_block",
+    "find_worker",
+    "is_usable",
+    "is_within_share",
+    "largest_worker",
+    "part_of",
+    "reserve_worker",
+]
--- a/packages/systems/src/medlarspring_systems/preemption.py
+++ b/packages/systems/src/medlarspring_systems/preemption.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from medlarspring_systems.job_records import put_job
-from medlarspring_systems.placement import dominant_part, is_within_share
+from medlarspring_systems.placement_rules import dominant_part, is_within_share
 from medlarspring_systems.size_beliefs import believe_size
 from medlarspring_tables import AttemptState, JobState, JobUrgency
 
@@ -78,7 +78,8 @@
         return True
     partner = tables.partners_by_id[urgent.partner_id]
     has_quota = partner.held.plus(urgent.declared).fits_in(partner.quota)
-    return has_quota and is_within_share(tables, partner)
+    total = sum(each.weight for each in tables.partners_by_id.values())
+    return has_quota and is_within_share(tables, partner, total)
 
 
 def _has_reserved_worker(tables: JobTables, job: Job) -> bool:
--- a/packages/systems/src/medlarspring_systems/size_beliefs.py
+++ b/packages/systems/src/medlarspring_systems/size_beliefs.py
@@ -20,6 +20,8 @@
 """Set aside this much more than the quantile of what was seen."""
 MIN_RATIO = 0.05
 MAX_RATIO = 12.0
+NOTHING_SEEN = SizeBelief()
+"""Until a few attempts of a kind were seen, the declaration holds."""
 
 
 def believe_size(tables: JobTables, job: Job, largest: Size) -> Size:
@@ -28,10 +30,12 @@
     Accelerators are whole devices that a job opens itself: the declaration
     holds.
     """
-    believed = _believe_by_kind(tables, job)
+    belief = tables.beliefs_by_kind.get((job.partner_id, job.kind), NOTHING_SEEN)
+    cpus = job.declared.cpus * belief.cpu_ratio
+    memory_gb = job.declared.memory_gb * belief.memory_ratio
     return Size(
-        min(max(believed.cpus, job.least.cpus), largest.cpus),
-        min(max(believed.memory_gb, job.least.memory_gb), largest.memory_gb),
+        min(max(cpus, job.least.cpus), largest.cpus),
+        min(max(memory_gb, job.least.memory_gb), largest.memory_gb),
         job.declared.accelerators,
     )
 
@@ -54,6 +58,10 @@
     belief = tables.beliefs_by_kind.setdefault(key, SizeBelief())
     _remember(belief.cpu_ratios, peak.cpus, job.declared.cpus)
     _remember(belief.memory_ratios, peak.memory_gb, job.declared.memory_gb)
+    if len(belief.cpu_ratios) >= MIN_OBSERVATIONS:
+        belief.cpu_ratio = _quantile(belief.cpu_ratios, CPU_QUANTILE) * ROOM
+    if len(belief.memory_ratios) >= MIN_OBSERVATIONS:
+        belief.memory_ratio = _quantile(belief.memory_ratios, MEMORY_QUANTILE) * ROOM
 
 
 def correct_attempt_size(job: Job, used: Size) -> Size | None:
@@ -74,15 +82,6 @@
     )
 
 
-def _believe_by_kind(tables: JobTables, job: Job) -> Size:
-    belief = tables.beliefs_by_kind.get((job.partner_id, job.kind))
-    if belief is None or len(belief.cpu_ratios) < MIN_OBSERVATIONS:
-        return job.declared
-    cpu_ratio = _quantile(belief.cpu_ratios, CPU_QUANTILE) * ROOM
-    memory_ratio = _quantile(belief.memory_ratios, MEMORY_QUANTILE) * ROOM
-    return Size(job.declared.cpus * cpu_ratio, job.declared.memory_gb * memory_ratio)
-
-
 def _remember(ratios: deque[float], used: float, declared: float) -> None:
     if declared > 0:
         ratios.append(min(max(used / declared, MIN_RATIO), MAX_RATIO))
--- a/packages/systems/tests/test_placement.py
+++ b/packages/systems/tests/test_placement.py
@@ -17,7 +17,8 @@
     list_stranded,
 )
 from medlarspring_systems.job_records import put_job, put_partner, put_worker
-from medlarspring_systems.placement import Blocked, explain_waiting, place_jobs
+from medlarspring_systems.placement import explain_waiting, place_jobs
+from medlarspring_systems.placement_rules import Blocked
 from medlarspring_systems.preemption import plan_preemptions
 from medlarspring_tables import (
     AttemptState,
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -176,6 +176,9 @@
 
     cpu_ratios: deque[float] = field(default_factory=lambda: deque(maxlen=64))
     memory_ratios: deque[float] = field(default_factory=lambda: deque(maxlen=64))
+    cpu_ratio: float = 1.0
+    """What to set aside for each declared processor."""
+    memory_ratio: float = 1.0
 
 
 Ranked = tuple[Seconds, JobId]
@@ -206,6 +209,11 @@
     held: Size = NO_SIZE
     """Sum over all attempts."""
     spare_percent: float = 10.0
+    changes: int = 0
+    """Counts what may let a waiting job start: ends, workers, partners, jobs."""
+    settled_at_change: int = -1
+    """The count at which the last round found nothing more to place."""
+    settled_at: Seconds = 0.0
     old_by_id: dict[JobId, Job] = field(default_factory=dict)
     """Records as they stood before changes that are not yet written."""
 
