--- a/packages/adapters/src/medlarspring_adapters/upstream_connections.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_connections.py
@@ -32,8 +32,8 @@
         self._opened_at: WeakKeyDictionary[ResponseHandler, Seconds] = (
             WeakKeyDictionary()
         )
-        self.idle_by_address: dict[tuple[str, int | None], int] = {}
-        """How many idle connections each ``(host, port)`` may have."""
+        self.idle_by_address: dict[str, int] = {}
+        """How many idle connections each ``ip:port`` may have."""
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         kept = self._conns.get(key)
@@ -55,7 +55,7 @@
         should_close: bool = False,
     ) -> None:
         allowed = self.idle_by_address.get(
-            (key.host, key.port), DEFAULT_IDLE_PER_ADDRESS
+            f"{key.host}:{key.port}", DEFAULT_IDLE_PER_ADDRESS
         )
         full = len(self._conns.get(key, ())) >= allowed
         super()._release(
--- a/packages/adapters/src/medlarspring_adapters/upstream_http.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_http.py
@@ -36,7 +36,9 @@
 )
 """Headers that concern one connection and are never passed on."""
 
-CONNECT_SECONDS = 1.0
+CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+"""The library's own timers are left out but for connecting: a second set of
+timers for each request costs more than the whole admission."""
 STATE_HEADER = "Upstream-State"
 """Set by an upstream VM that refuses work, with why: ``full`` or ``leaving``."""
 ID_HEADER = "Request-Id"
@@ -62,8 +64,6 @@
     target: str
     headers: CIMultiDict[str]
     body: bytes
-    timeout: Seconds
-    """For the whole exchange, the answer's body included."""
     header_timeout: Seconds
     """For the answer's headers."""
 
@@ -112,9 +112,7 @@
                     headers=sending.headers,
                     data=sending.body or None,
                     allow_redirects=False,
-                    timeout=aiohttp.ClientTimeout(
-                        total=sending.timeout, sock_connect=CONNECT_SECONDS
-                    ),
+                    timeout=CONNECT_TIMEOUT,
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(UpstreamFault(Reached.NO, str(error), timed_out=False))
@@ -128,11 +126,15 @@
 
 
 async def read_answer(
-    response: aiohttp.ClientResponse,
+    response: aiohttp.ClientResponse, timeout: Seconds
 ) -> Result[bytes, UpstreamFault]:
     """Read an answer's whole body; one that ends early is a fault."""
     try:
-        return Success(await response.read())
+        if response.content.is_eof():
+            # It came with the headers, as small answers do.
+            return Success(await response.read())
+        async with asyncio.timeout(timeout):
+            return Success(await response.read())
     except (aiohttp.ClientError, OSError, ValueError) as error:
         response.close()
         return Failure(create_fault(error))
--- a/packages/daemon/src/medlarspring_daemon/services/caller_answer.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_answer.py
@@ -20,7 +20,7 @@
 )
 
 if TYPE_CHECKING:
-    from medlarspring_tables import RequestId
+    from medlarspring_tables import RequestId, Seconds
     from medlarspring_tables.requests import CallerRequest
 
 HELD_ANSWER_BYTES = 131_072
@@ -30,9 +30,6 @@
 MAX_KEYED_ANSWER_BYTES = 8_388_608
 """Answers to requests with a key are always held whole."""
 MAX_ANSWER_BYTES = 67_108_864
-STALL_SECONDS = 10.0
-"""A caller that takes nothing for so long is cut off; it holds a slot."""
-
 WITHHELD_HEADERS = HOP_HEADERS | {
     "authorization",
     "content-length",
@@ -54,39 +51,33 @@
 
 
 def create_upstream_headers(
-    row: CallerRequest, caller_headers: CIMultiDict[str], remaining: float
+    request: web.BaseRequest, row: CallerRequest
 ) -> CIMultiDict[str]:
-    """Return the headers that the upstream VM gets."""
-    headers = caller_headers.copy()
-    headers["Request-Id"] = row.id
-    headers["Partner-Id"] = row.partner_id
-    headers["Request-Timeout"] = f"{max(0.0, remaining):.3f}"
-    return headers
-
-
-def copy_caller_headers(request: web.BaseRequest) -> CIMultiDict[str]:
-    """Return the caller's headers that are passed on."""
+    """Return the headers that upstream VMs get, but for the time left."""
     headers: CIMultiDict[str] = CIMultiDict()
     for name, value in request.headers.items():
         if name.lower() not in WITHHELD_HEADERS:
             headers.add(name, value)
+    headers.add("Request-Id", row.id)
+    headers.add("Partner-Id", row.partner_id)
     return headers
 
 
 async def hold_answer(
-    answer: aiohttp.ClientResponse, limit: int
+    answer: aiohttp.ClientResponse, limit: int, timeout: Seconds
 ) -> Result[HeldBody, UpstreamFault]:
     """Read an answer's body up to a limit."""
     length = answer.content_length
     if length is not None and length <= limit:
-        body = await read_answer(answer)
+        body = await read_answer(answer, timeout)
         return body.map(lambda whole: HeldBody(whole, complete=True))
     held = bytearray()
     try:
-        async for chunk in answer.content.iter_any():
-            held += chunk
-            if len(held) > limit:
-                return Success(HeldBody(bytes(held), complete=False))
+        async with asyncio.timeout(timeout):
+            async for chunk in answer.content.iter_any():
+                held += chunk
+                if len(held) > limit:
+                    return Success(HeldBody(bytes(held), complete=False))
     except (aiohttp.ClientError, OSError, ValueError) as error:
         answer.close()
         return Failure(create_fault(error))
@@ -112,6 +103,7 @@
     begin: bytes,
     request: web.BaseRequest,
     request_id: RequestId,
+    timeout: Seconds,
 ) -> tuple[web.StreamResponse, bool]:
     """Pass a large answer on as it comes; return whether it came whole."""
     headers = copy_answer_headers(answer.headers)
@@ -119,16 +111,16 @@
     response = web.StreamResponse(status=answer.status, headers=headers)
     passed = len(begin)
     try:
-        await response.prepare(request)
-        if begin:
-            await response.write(begin)
-        async for chunk in answer.content.iter_any():
-            passed += len(chunk)
-            if passed > MAX_ANSWER_BYTES:
-                raise aiohttp.ClientPayloadError("the answer is too large")
-            async with asyncio.timeout(STALL_SECONDS):
+        async with asyncio.timeout(timeout):
+            await response.prepare(request)
+            if begin:
+                await response.write(begin)
+            async for chunk in answer.content.iter_any():
+                passed += len(chunk)
+                if passed > MAX_ANSWER_BYTES:
+                    raise aiohttp.ClientPayloadError("the answer is too large")
                 await response.write(chunk)
-        await response.write_eof()
+            await response.write_eof()
     except (aiohttp.ClientError, TimeoutError, OSError):
         # The status line is out, so no refusal can follow. Cutting the
         # caller's connection before the end is the one sign left that the
@@ -147,7 +139,6 @@
     "HELD_ANSWER_BYTES",
     "MAX_KEYED_ANSWER_BYTES",
     "HeldBody",
-    "copy_caller_headers",
     "create_response",
     "create_upstream_headers",
     "hold_answer",
--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -22,7 +22,6 @@
     HELD_ANSWER_BYTES,
     MAX_KEYED_ANSWER_BYTES,
     create_response,
-    create_upstream_headers,
     hold_answer,
     stream_answer,
 )
@@ -53,7 +52,8 @@
     """One caller's request on its way, over all attempts."""
 
     row: CallerRequest
-    caller_headers: CIMultiDict[str]
+    headers: CIMultiDict[str]
+    """As upstream VMs get them."""
     request: web.BaseRequest | None
     """The caller's connection; None when the answer must be held whole."""
     attempts: int = 0
@@ -143,17 +143,16 @@
             self._dispatcher.release(turn)
             return Failure(AttemptFailure(_SLOT_LAPSED, not_run=True))
         linger = LINGER_SECONDS
+        remaining = row.deadline - now
+        exchange.headers["Request-Timeout"] = f"{remaining:.3f}"
         try:
             sent = await self._client.send(
                 Sending(
                     address=upstream.address,
                     method=row.method,
                     target=row.target,
-                    headers=create_upstream_headers(
-                        row, exchange.caller_headers, row.deadline - now
-                    ),
+                    headers=exchange.headers,
                     body=row.body,
-                    timeout=row.deadline - now,
                     header_timeout=retry.choose_header_timeout(
                         budget, row, turn.pool, exchange.attempts, now
                     ),
@@ -194,7 +193,9 @@
             return Failure(AttemptFailure(_UPSTREAM_REFUSED, not_run=True))
         streams = exchange.request is not None
         held = await hold_answer(
-            answer, HELD_ANSWER_BYTES if streams else MAX_KEYED_ANSWER_BYTES
+            answer,
+            HELD_ANSWER_BYTES if streams else MAX_KEYED_ANSWER_BYTES,
+            row.deadline - now,
         )
         if not is_successful(held):
             return Failure(self._judge_fault(turn, held.failure()))
@@ -228,7 +229,11 @@
             )
             return Failure(self._judge_fault(turn, fault))
         response, whole = await stream_answer(
-            answer, begin, exchange.request, exchange.row.id
+            answer,
+            begin,
+            exchange.request,
+            exchange.row.id,
+            exchange.row.deadline - self._node.clock.now(),
         )
         self._judge_answer(turn, ok=whole, latency=latency)
         return Success(response)
--- a/packages/daemon/src/medlarspring_daemon/services/caller_reading.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_reading.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import hashlib
-import uuid
+import random
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+from multidict import istr
 from returns.result import Failure, Result, Success
 
 from medlarspring_tables import PartnerId, RequestId, ServiceId
@@ -30,6 +32,14 @@
 URGENT_LIMIT = 1
 NORMAL_LIMIT = 4
 TRUE = "?1"
+ID_BITS = 128
+
+AUTHORIZATION = istr("Authorization")
+IDEMPOTENCY_KEY = istr("Idempotency-Key")
+PRIORITY = istr("Priority")
+REPEATABLE = istr("Repeatable")
+REQUEST_ID = istr("Request-Id")
+REQUEST_TIMEOUT = istr("Request-Timeout")
 
 
 class Credentials:
@@ -83,10 +93,11 @@
         config = self._node.config
         if config is None or self._node.vm_list is None:
             return Failure(_NOT_READY)
-        if sum(map(_measure, request.raw_headers)) > self._max_header_bytes:
+        header_bytes = len(b"".join(chain.from_iterable(request.raw_headers)))
+        if header_bytes > self._max_header_bytes:
             return Failure(HEADERS_TOO_LARGE)
         partner = self._credentials.find_partner(
-            config, request.headers.get("Authorization", "")
+            config, request.headers.get(AUTHORIZATION, "")
         )
         if partner is None:
             return Failure(_UNAUTHORISED)
@@ -98,7 +109,7 @@
         timeout = _read_timeout(request, service)
         if timeout is None:
             return Failure(_BAD_TIMEOUT)
-        key = request.headers.get("Idempotency-Key")
+        key = request.headers.get(IDEMPOTENCY_KEY)
         if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
             return Failure(_BAD_KEY)
         body = await self._read_body(request, service)
@@ -115,12 +126,12 @@
                 body=body,
                 arrived_at=now,
                 deadline=now + timeout,
-                urgency=_read_urgency(request.headers.get("Priority")),
+                urgency=_read_urgency(request.headers.get(PRIORITY)),
                 # A key promises one run at most, whatever else is stated.
                 repeatable=key is None
                 and (
                     request.method in SAFE_METHODS
-                    or request.headers.get("Repeatable") == TRUE
+                    or request.headers.get(REPEATABLE) == TRUE
                 ),
                 key=key,
             )
@@ -150,14 +161,10 @@
 
 def create_request_id(request: web.BaseRequest) -> RequestId:
     """Return the caller's own id if it is usable, else a new one."""
-    stated = request.headers.get("Request-Id", "")
+    stated = request.headers.get(REQUEST_ID, "")
     if 0 < len(stated) <= MAX_ID_LENGTH and stated.isascii() and stated.isprintable():
         return RequestId(stated)
-    return RequestId(uuid.uuid4().hex)
-
-
-def _measure(header: tuple[bytes, bytes]) -> int:
-    return len(header[0]) + len(header[1])
+    return RequestId(f"{random.getrandbits(ID_BITS):032x}")
 
 
 def _split_path(raw_path: str) -> tuple[ServiceId, str]:
@@ -168,7 +175,7 @@
 
 
 def _read_timeout(request: web.BaseRequest, service: ServiceRow) -> Seconds | None:
-    stated = request.headers.get("Request-Timeout")
+    stated = request.headers.get(REQUEST_TIMEOUT)
     if stated is None:
         return service.timeout_ms / 1000.0
     try:
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -11,7 +11,7 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.problems import create_problem_response
 from medlarspring_adapters.upstream_http import UpstreamClient
-from medlarspring_daemon.services.caller_answer import copy_caller_headers
+from medlarspring_daemon.services.caller_answer import create_upstream_headers
 from medlarspring_daemon.services.caller_connections import CallerServer
 from medlarspring_daemon.services.caller_dispatch import Dispatcher
 from medlarspring_daemon.services.caller_forwarding import Exchange, Forwarder
@@ -23,10 +23,11 @@
 from medlarspring_daemon.services.caller_records import CallerRecords
 from medlarspring_daemon.services.caller_reports import CallerReports
 from medlarspring_daemon.services.caller_state import CallerState
+from medlarspring_systems.routing import count_idle_connections
 
 if TYPE_CHECKING:
     from medlarspring_daemon.node import Node, Part
-    from medlarspring_tables import RequestId
+    from medlarspring_tables import RequestId, VMList
     from medlarspring_tables.requests import Refusal
 
 HEALTH_PATH = "/healthz"
@@ -57,6 +58,7 @@
         """Open the port."""
         settings = self._node.settings.caller
         self._client = UpstreamClient(self._node.clock)
+        self._state.list_listeners.append(self._bound_connections)
         reports = CallerReports(self._state)
         self._node.report_parts.append(reports)
         self._forwarder = Forwarder(
@@ -126,7 +128,7 @@
         if not is_successful(read):
             return self._refuse(read.failure(), request_id)
         row = read.unwrap()
-        exchange = Exchange(row, copy_caller_headers(request), request)
+        exchange = Exchange(row, create_upstream_headers(request, row), request)
         if row.key is not None:
             answer = await self._keyed.run(exchange)
         else:
@@ -144,6 +146,14 @@
         self._records.note_refusal(request_id, refusal)
         return create_problem_response(refusal, request_id)
 
+    def _bound_connections(self, vm_list: VMList) -> None:
+        assert self._client is not None
+        entry_vms = len(vm_list.entry_vms_by_id)
+        self._client.connector.idle_by_address = {
+            upstream.address: count_idle_connections(upstream, entry_vms)
+            for upstream in self._state.upstreams.upstreams_by_id.values()
+        }
+
     def _note_failure(self, error: BaseException | None) -> None:
         self._node.log.error(Event.REQUEST_FAILED, error=repr(error))
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_state.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_state.py
@@ -11,6 +11,8 @@
 from medlarspring_tables.upstreams import UpstreamTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from medlarspring_daemon.node import Node
     from medlarspring_tables import ConfigTable, PoolId, Seconds, VMList
     from medlarspring_tables.upstreams import Upstream
@@ -24,6 +26,7 @@
         self.zone_id = ZoneId(node.settings.entry_vm.zone)
         self.upstreams = UpstreamTable()
         self.pools_by_id: dict[PoolId, PoolQueue] = {}
+        self.list_listeners: list[Callable[[VMList], None]] = []
         self._config: ConfigTable | None = None
         self._vm_list: VMList | None = None
 
@@ -35,6 +38,8 @@
             adopt_vm_list(self.upstreams, node.vm_list)
             for pool in self.pools_by_id.values():
                 fair_queue.keep_peers(pool, node.vm_list.entry_vms_by_id)
+            for listener in self.list_listeners:
+                listener(node.vm_list)
         if node.config is not self._config and node.config is not None:
             self._config = node.config
             for pool in self.pools_by_id.values():
--- a/packages/systems/src/medlarspring_systems/routing.py
+++ b/packages/systems/src/medlarspring_systems/routing.py
@@ -55,6 +55,15 @@
     return upstream
 
 
+def count_idle_connections(upstream: Upstream, entry_vms: int) -> int:
+    """Return how many idle connections one entry VM may keep to an upstream VM.
+
+    Connections in use are bounded by the slots. What is left of the upstream's
+    connections is divided, so that all entry VMs together never pass it.
+    """
+    return max(0, upstream.connections - upstream.slots) // max(1, entry_vms)
+
+
 def choose_upstream(
     table: UpstreamTable,
     pool_id: PoolId,
@@ -91,4 +100,4 @@
     return best
 
 
-__all__ = ["adopt_vm_list", "choose_upstream"]
+__all__ = ["adopt_vm_list", "choose_upstream", "count_idle_connections"]
--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -23,8 +23,6 @@
     from medlarspring_tables import EntryVMId, PartnerId, PoolId, Seconds, VMId, ZoneId
     from medlarspring_tables.slots import EntryVMView, HomeTable, SlotLedger, Vote
 
-MAX_SPARE = 2
-"""Slots of one VM that an asker may hold beyond what its work is due."""
 ROUNDING = 1e-9
 HASH_RANGE = float(1 << 64)
 
@@ -263,7 +261,7 @@
         rounded[asker] = int(reached + ROUNDING) - before
     left = slots - sum(rounded.values())
     if left > 0:
-        spare = min(MAX_SPARE, left // (len(rounded) + 1))
+        spare = left // (len(rounded) + 1)
         for asker, due in rounded.items():
             short = not due and parts[asker] > 0.0
             rounded[asker] = due + max(spare, short)
