--- a/packages/cli/src/medlarspring_cli/commands/__init__.py
+++ b/packages/cli/src/medlarspring_cli/commands/__init__.py
@@ -4,6 +4,10 @@
 
 from medlarspring_cli.commands.audit import AuditCommand
 from medlarspring_cli.commands.explain import ExplainCommand
+from medlarspring_cli.commands.job_cancel import JobCancelCommand
+from medlarspring_cli.commands.job_list import JobListCommand
+from medlarspring_cli.commands.job_show import JobShowCommand
+from medlarspring_cli.commands.job_submit import JobSubmitCommand
 from medlarspring_cli.commands.status import StatusCommand
 from medlarspring_cli.commands.table_add import TableAddCommand
 from medlarspring_cli.commands.table_export import TableExportCommand
@@ -23,6 +27,10 @@
     TableExportCommand,
     TableImportCommand,
     TableRepublishCommand,
+    JobSubmitCommand,
+    JobListCommand,
+    JobShowCommand,
+    JobCancelCommand,
     AuditCommand,
     StatusCommand,
     ExplainCommand,
--- a/packages/cli/src/medlarspring_cli/commands/audit.py
+++ b/packages/cli/src/medlarspring_cli/commands/audit.py
@@ -88,7 +88,8 @@
         if self.wants_json:
             self.print_text(msgspec.json.encode(record).decode())
             return
-        self.print_text("\n".join(format_record(record)))
+        kind, row_id = self.option("kind") or "", self.option("id") or ""
+        self.print_text("\n".join(format_record(record, kind, row_id)))
 
 
 def _read_time(text: str | None) -> float:
--- /dev/null
+++ b/packages/cli/src/medlarspring_cli/job_files.py
@@ -0,0 +1,55 @@
+"""Reads files of jobs: CSV with a header line, or one JSON document a line."""
+
+from __future__ import annotations
+
+import csv
+import io
+
+import msgspec
+
+from medlarspring_adapters.job_api import JobRequest
+
+SIZE_COLUMNS = ("cpus", "memory_gb", "accelerators")
+
+
+def read_jobs(text: str) -> tuple[list[JobRequest], list[str]]:
+    """Return the jobs, and what is wrong with the file, one fault a line."""
+    if text.lstrip("\ufeff \n").startswith("{"):
+        return _read_documents(text)
+    return _read_sheet(text)
+
+
+def _read_documents(text: str) -> tuple[list[JobRequest], list[str]]:
+    jobs: list[JobRequest] = []
+    faults: list[str] = []
+    for number, line in enumerate(text.removeprefix("\ufeff").splitlines(), 1):
+        if not line.strip():
+            continue
+        try:
+            jobs.append(msgspec.json.decode(line, type=JobRequest))
+        except msgspec.DecodeError as error:
+            faults.append(f"line {number}: {error}")
+    return jobs, faults
+
+
+def _read_sheet(text: str) -> tuple[list[JobRequest], list[str]]:
+    reader = csv.DictReader(io.StringIO(text.removeprefix("\ufeff")))
+    jobs: list[JobRequest] = []
+    faults: list[str] = []
+    for cells in reader:
+        if None in cells:
+            faults.append(f"line {reader.line_num}: more cells than columns")
+            continue
+        filled = {name: cell.strip() for name, cell in cells.items() if cell}
+        declared = {name: filled.pop(name) for name in SIZE_COLUMNS if name in filled}
+        if not filled and not declared:
+            continue
+        document = {**filled, "declared": declared}
+        try:
+            jobs.append(msgspec.convert(document, JobRequest, strict=False))
+        except msgspec.ValidationError as error:
+            faults.append(f"line {reader.line_num}: {error}")
+    return jobs, faults
+
+
+__all__ = ["read_jobs"]
--- a/packages/daemon/src/medlarspring_daemon/services/status.py
+++ b/packages/daemon/src/medlarspring_daemon/services/status.py
@@ -121,13 +121,13 @@
 
     def _describe_lost(self, zone: str, peers: list[Member]) -> Finding:
         lost = [peer for peer in peers if _is_lost(peer)]
-        names = ", ".join(sorted(peer.id for peer in lost))
+        names = ", ".join(sorted(f"{peer.id} {peer.state.value}" for peer in lost))
         since = self._to_wall(min(peer.changed_at for peer in lost))
         area = f"zone {zone}"
         if len(lost) == len(peers) and zone != self._node.settings.entry_vm.zone:
             detail = f"no entry VM of the zone is heard ({names})"
             return Finding(area=area, health=Health.CUT_OFF, detail=detail, since=since)
-        detail = f"{len(lost)} of {len(peers)} entry VMs not heard ({names})"
+        detail = f"{len(lost)} of {len(peers)} other entry VMs not heard ({names})"
         return Finding(area=area, health=Health.DEGRADED, detail=detail, since=since)
 
     def _check_vm_list(self) -> Finding:
@@ -172,7 +172,7 @@
 
 
 def _is_lost(peer: Member) -> bool:
-    return peer.state in (MemberState.SILENT, MemberState.LISTED)
+    return peer.state in (MemberState.SILENT, MemberState.LISTED, MemberState.DEAD)
 
 
 __all__ = ["StatusReporter", "worst"]
