--- a/packages/daemon/src/medlarspring_daemon/node.py
+++ b/packages/daemon/src/medlarspring_daemon/node.py
@@ -31,6 +31,7 @@
         Member,
         PoolId,
         Seconds,
+        VMId,
         VMList,
     )
 
@@ -173,6 +174,8 @@
     config: ConfigTable | None = None
     """The table in force; written by the configuration service."""
     config_listeners: list[Callable[[ConfigTable], None]] = field(default_factory=list)
+    note_leaving: Callable[[VMId], None] = lambda vm_id: None
+    """Tells the request path that a VM leaves, before any list shows it."""
     offer_table: Callable[[ConfigTable], None] = lambda table: None
     """Takes a table that was just accepted; written by the configuration service."""
     vm_list: VMList | None = None
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -61,6 +62,9 @@
         self._state.list_listeners.append(self._bound_connections)
         reports = CallerReports(self._state)
         self._node.report_parts.append(reports)
+        self._node.note_leaving = partial(
+            reports.note_leaving, age=0.0, source="order to drain"
+        )
         self._forwarder = Forwarder(
             self._state, self._dispatcher, self._client, reports
         )
--- a/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
@@ -234,12 +234,17 @@
             if backs and vote is not None:
                 vote.last_asked = now
             zones_by_pool[upstream.pool_id].add(upstream.zone_id)
-            request.wishes.add(
+            wish = request.wishes.add(
                 vm=upstream.id,
                 in_use=upstream.in_use,
                 held=upstream.credit if now < upstream.credit_until else 0,
                 backs=backs,
             )
+            if upstream.leaving_since is not None and not takes_new_work(upstream, now):
+                # The home stops all grants at once. Reports reach other zones
+                # only every few seconds.
+                wish.leaving = True
+                wish.leaving_age_ms = int((now - upstream.leaving_since) * 1000)
         for pool_id, zones in zones_by_pool.items():
             self._add_demand(request, pool_id, self._state.zone_id in zones, now)
         return request
--- a/packages/daemon/src/medlarspring_daemon/services/slot_home.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_home.py
@@ -7,7 +7,7 @@
 
 from medlarspring_adapters import peer_pb2
 from medlarspring_systems import slots
-from medlarspring_systems.leaving import takes_new_work
+from medlarspring_systems.leaving import note_leaving, takes_new_work
 from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId
 from medlarspring_tables.slots import HomeTable, SlotLedger, Vote
 
@@ -67,6 +67,9 @@
             upstream = self._state.upstreams.upstreams_by_id.get(VMId(wish.vm))
             if upstream is None:
                 continue
+            if wish.leaving:
+                age = wish.leaving_age_ms / 1000.0
+                note_leaving(self._state.upstreams, upstream.id, age, now)
             key = (upstream.pool_id, upstream.zone_id)
             parts = parts_by_pool.get(key)
             if parts is None:
--- a/packages/daemon/tests/callers/test_slot_exchange.py
+++ b/packages/daemon/tests/callers/test_slot_exchange.py
@@ -15,6 +15,7 @@
 from medlarspring_daemon.services.caller_state import CallerState
 from medlarspring_daemon.services.slot_exchange import Asking, SlotExchange
 from medlarspring_systems import fair_queue
+from medlarspring_systems.leaving import note_leaving
 from medlarspring_tables import (
     EntryVMId,
     ListedEntryVM,
@@ -36,6 +37,8 @@
 POOL = PoolId("consent")
 PARTNER = PartnerId("njia")
 SLOTS = 8
+Run = tuple[float, VMId, EntryVMId, int, float]
+"""End, upstream VM, entry VM with its process's number, begin."""
 
 
 @dataclass
@@ -75,7 +78,7 @@
             )
         self.cuts: set[tuple[EntryVMId, EntryVMId]] = set()
         self.mail: list[tuple[float, int, object]] = []
-        self.runs: list[tuple[float, VMId, EntryVMId, int]] = []
+        self.runs: list[Run] = []
         self.most_running = 0
         self.open_calls: dict[int, tuple[float, SimulatedEntryVM, Asking]] = {}
         self.delays = [0.001, 0.01, 0.05, 0.2, 2.5]
@@ -116,7 +119,7 @@
             running = sum(1 for run in self.runs if run[1] == vm_id)
             self.most_running = max(self.most_running, running)
 
-    def is_current(self, run: tuple[float, VMId, EntryVMId, int]) -> bool:
+    def is_current(self, run: Run) -> bool:
         """A killed process's connections are closed, which ends its work."""
         return run[3] == self.generation[run[2]]
 
@@ -166,7 +169,7 @@
                 upstream.in_use += 1
                 ends = now + self.rng.uniform(0.05, 2.0)
                 generation = self.generation[entry_vm.id]
-                self.runs.append((ends, upstream.id, entry_vm.id, generation))
+                self.runs.append((ends, upstream.id, entry_vm.id, generation, now))
 
     def post(self, sender: EntryVMId, receiver: EntryVMId, content: object) -> None:
         delay = self.rng.choice(self.delays)
@@ -250,3 +253,22 @@
         used += len(fleet.runs)
     assert fleet.most_running == SLOTS
     assert used >= 0.9 * 40 * SLOTS * len(fleet.vm_list.vms_by_id)
+
+
+def test_sign_of_leaving_stops_work_everywhere_within_a_second():
+    """One entry VM alone sees that an upstream VM leaves, while the list goes
+    on to show it as live. The VM's home is told with the next wish for slots
+    and grants no more; soon nobody can send it anything."""
+    fleet = Fleet(seed=1, entry_vms=4)
+    fleet.delays = [0.002]
+    for _ in range(120):
+        fleet.step()
+    leaving = VMId("vm-1")
+    now = fleet.clock.now()
+    note_leaving(fleet.entry_vms[EntryVMId("e2")].state.upstreams, leaving, 0.0, now)
+    for _ in range(24):
+        fleet.step()
+    sent = [began for _, vm_id, _, _, began in fleet.runs if vm_id == leaving]
+    assert all(began <= now + 1.0 for began in sent)
+    for entry_vm in fleet.entry_vms.values():
+        assert entry_vm.state.upstreams.upstreams_by_id[leaving].credit == 0
