--- a/packages/bench/src/medlarspring_bench/cluster.py
+++ b/packages/bench/src/medlarspring_bench/cluster.py
@@ -163,6 +163,20 @@
             raise AssertionError(f"{name}: status {found}\n{process.output()}")
         return process.output()
 
+    def restart_daemon(self, id_: str) -> None:
+        """Start a daemon that ended, on new ports, and tell the platform."""
+        self.start_daemon(id_)
+        self.wait_for_daemon(id_)
+        entries = self._list_entries()
+        address = self.vm_list["control"]
+        for entry in entries:
+            if entry["labels"]["id"] == id_:
+                control("PUT", address, f"vms/{id_}", entry)
+        if self.options.linked:
+            self._link_zones(entries)
+        self.set_backends(dict.fromkeys(self.zones_by_id, 1.0))
+        self.wait_until_serving(id_)
+
     def store_faults(self, **faults: object) -> None:
         """Switch faults of the key-value service."""
         control("POST", self.store["control"], "faults", faults)
@@ -176,10 +190,14 @@
         """Let an upstream VM leave without a word to the list."""
         control("POST", self._control_by_vm[vm], f"vms/{vm}", {"state": state})
 
-    def cut_zones(self, first: str, second: str, cut: bool = True) -> None:
-        """Cut two zones off from each other, or heal the cut."""
-        for group in (f"{first}>{second}", f"{second}>{first}"):
-            control("POST", self.links, "faults", {"gate": group, "down": cut})
+    def cut_zone(self, zone: str, cut: bool) -> None:
+        """Cut a zone off from all others and from the platform, or heal the cut."""
+        for other in self.platform.zones:
+            for group in (f"{zone}>{other}", f"{other}>{zone}"):
+                control("POST", self.links, "faults", {"gate": group, "down": cut})
+        for platform in (self.store, self.vm_list):
+            body = {"gate": zone, "down": cut}
+            control("POST", platform["control"], "faults", body)
 
     def upstream_records(self, kind: str) -> list[Any]:
         """Return ``runs`` or ``refusals`` of all upstream VMs."""
@@ -231,13 +249,16 @@
             self._control_by_vm[vm] = announced["control"]
 
     def _fill_vm_list(self) -> None:
-        entries = [*self._upstream_entries(), *self._entry_vm_entries()]
+        entries = self._list_entries()
         if self.options.linked:
             self._link_zones(entries)
         address = self.vm_list["control"]
         control("PUT", address, "vms", entries)
         control("POST", address, "upstreams", {"controls": self.upstream_controls})
 
+    def _list_entries(self) -> list[dict[str, Any]]:
+        return [*self._upstream_entries(), *self._entry_vm_entries()]
+
     def _upstream_entries(self) -> list[dict[str, Any]]:
         size = self.platform.vm
         return [
--- a/packages/bench/src/medlarspring_bench/example.py
+++ b/packages/bench/src/medlarspring_bench/example.py
@@ -100,7 +100,11 @@
 
 def read_example(name: str) -> Example:
     """Read ``examples/<name>``."""
-    directory = EXAMPLES / name
+    return read_example_directory(EXAMPLES / name)
+
+
+def read_example_directory(directory: Path) -> Example:
+    """Read a directory laid out like an example."""
     platform = msgspec.toml.decode(
         (directory / "platform.toml").read_bytes(), type=Platform
     )
@@ -108,4 +112,12 @@
     return Example(directory, platform, settings)
 
 
-__all__ = ["Example", "Platform", "Rack", "RequestKind", "VMSize", "read_example"]
+__all__ = [
+    "Example",
+    "Platform",
+    "Rack",
+    "RequestKind",
+    "VMSize",
+    "read_example",
+    "read_example_directory",
+]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/story.py
@@ -0,0 +1,144 @@
+"""One scenario on a running cluster: load, disturbances and the verdict."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from medlarspring_bench.callers import Callers, Wish
+from medlarspring_bench.disturbances import DISTURBANCES
+from medlarspring_bench.history import History, Leaving, Seen
+from medlarspring_bench.history_checker import describe_end, find_breaches
+from medlarspring_bench.recording import record_history
+from medlarspring_bench.waiting import wait_for
+from medlarspring_bench.workload import create_wishes, send_paced
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+
+    from medlarspring_bench.background import BackgroundLoop
+    from medlarspring_bench.cluster import Cluster
+    from medlarspring_bench.example import RequestKind
+    from medlarspring_bench.history import Call
+
+END_SECONDS = 45.0
+SHOWN = 10
+
+
+class Story:
+    """What a scenario has done so far; ends every fault it began."""
+
+    def __init__(self, cluster: Cluster, loop: BackgroundLoop, name: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.callers = Callers(cluster.balancer["address"])
+        self.leavings: list[Leaving] = []
+        self._loop = loop
+        self._sent = 0
+        self._count = 0
+        self._sending: Future[None] | None = None
+        self._open_faults: list[str] = []
+        self._singles: list[Future[Call]] = []
+        loop.run(self.callers.__aenter__())
+
+    @property
+    def calls(self) -> list[Call]:
+        """All calls of this story."""
+        return self.callers.calls
+
+    def send(self, count: int, seconds: float, seed: int = 1) -> None:
+        """Begin to send a mixed batch of all partners."""
+        wishes = create_wishes(self.cluster.platform, count, seed, self.name)
+        self._count = count
+        self._sending = self._loop.submit(
+            send_paced(self.callers, wishes, seconds, self._count_sent)
+        )
+
+    def wait_until_sent(self, percent: float) -> None:
+        """Wait until so many of the batch are sent."""
+        wanted = self._count * percent / 100
+        wait_for(lambda: self._sent >= wanted, f"{percent} % sent", 60.0)
+
+    def begin(self, fault: str) -> None:
+        """Begin a disturbance."""
+        DISTURBANCES[fault].begin(self.cluster)
+        self._open_faults.append(fault)
+
+    def end_faults(self) -> None:
+        """End every disturbance, the newest first."""
+        while self._open_faults:
+            DISTURBANCES[self._open_faults.pop()].end(self.cluster)
+
+    def create_wish(self, kind: str, name: str, work_ms: float | None = None) -> Wish:
+        """Return one wish of the first partner."""
+        platform = self.cluster.platform
+        (found,) = (one for one in platform.requests if one.kind == kind)
+        partner, credential = next(iter(platform.credentials.items()))
+        return Wish(
+            id=f"{self.name}-{name}",
+            partner=partner,
+            credential=credential,
+            method=found.method,
+            path=_path(found, name, work_ms),
+            body=b"" if found.method == "GET" else f"{kind} {name}".encode(),
+            key=f"{self.name}-{name}" if found.keyed else "",
+            urgency=found.urgency,
+        )
+
+    def call(self, wish: Wish, address: str = "") -> Future[Call]:
+        """Begin one call, through the balancer or straight to a daemon."""
+        single = self._loop.submit(self.callers.make(wish, address))
+        self._singles.append(single)
+        return single
+
+    def finish(self) -> None:
+        """Wait until every call has come to its end."""
+        if self._sending is not None:
+            self._sending.result(END_SECONDS)
+        for single in self._singles:
+            single.result(END_SECONDS)
+
+    def history(self) -> History:
+        """Return what was recorded of this story."""
+        return record_history(self.cluster, self.calls, self.leavings)
+
+    def answered_percent(self) -> float:
+        """Return the part of the calls that were answered in the end."""
+        answered = sum(call.seen is Seen.ANSWERED for call in self.calls)
+        return 100.0 * answered / len(self.calls)
+
+    def check_promises(self) -> None:
+        """Fail with every broken promise."""
+        breaches = find_breaches(self.history())
+        shown = "\n".join(
+            f"{breach.kind.value} {breach.subject}: {breach.detail}"
+            for breach in breaches[:SHOWN]
+        )
+        assert not breaches, f"{len(breaches)} broken promises:\n{shown}"
+
+    def describe_unanswered(self) -> str:
+        """Return some of the calls that got no answer."""
+        unanswered = [call for call in self.calls if call.seen is not Seen.ANSWERED]
+        return "\n".join(describe_end(call) for call in unanswered[:SHOWN])
+
+    def note_leaving(self, vm: str) -> None:
+        """Remember that a VM leaves from now on."""
+        self.leavings.append(Leaving(vm, time.monotonic()))
+
+    def close(self) -> None:
+        """End faults and calls."""
+        self.end_faults()
+        if self._sending is not None:
+            self._sending.cancel()
+        self._loop.run(self.callers.__aexit__())
+
+    def _count_sent(self, number: int) -> None:
+        self._sent = number + 1
+
+
+def _path(kind: RequestKind, name: str, work_ms: float | None) -> str:
+    mean = kind.work_ms if work_ms is None else work_ms
+    return f"/{kind.service}{kind.path}/{name}?work_ms={mean:g}"
+
+
+__all__ = ["Story"]
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+import itertools
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import pytest
+from pytest_bdd import given, parsers, then, when
+
+from medlarspring_bench.background import BackgroundLoop
+from medlarspring_bench.cluster import Cluster, ClusterOptions
+from medlarspring_bench.example import read_example_directory
+from medlarspring_bench.processes import Processes
+from medlarspring_bench.story import Story
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+HERE = Path(__file__).parent
+STORY_NUMBERS = itertools.count(1)
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Keep a module's scenarios on one worker: they share its cluster."""
+    for item in items:
+        if HERE in item.path.parents:
+            item.add_marker(pytest.mark.xdist_group(item.path.stem))
+
+
+@pytest.fixture(scope="module")
+def cluster_options() -> ClusterOptions:
+    """Overridden by modules that need another cluster."""
+    return ClusterOptions(upstream_processes=1, lag_seconds=1.0)
+
+
+@pytest.fixture(scope="module")
+def cluster(
+    cluster_options: ClusterOptions, tmp_path_factory: pytest.TempPathFactory
+) -> Iterator[Cluster]:
+    example = read_example_directory(HERE / "fleet")
+    directory = tmp_path_factory.mktemp("cluster")
+    with Processes() as processes:
+        cluster = Cluster(example, directory, processes, cluster_options)
+        cluster.start()
+        cluster.load_table()
+        yield cluster
+
+
+@pytest.fixture(scope="module")
+def background() -> Iterator[BackgroundLoop]:
+    loop = BackgroundLoop()
+    yield loop
+    loop.close()
+
+
+@pytest.fixture
+def story(cluster: Cluster, background: BackgroundLoop) -> Iterator[Story]:
+    story = Story(cluster, background, f"s{next(STORY_NUMBERS)}")
+    yield story
+    story.close()
+
+
+@given("a running fleet")
+def running_fleet(story: Story) -> None:
+    cluster = story.cluster
+    for id_ in cluster.zones_by_id:
+        cluster.wait_until_serving(id_)
+    cluster.wait_for_balancer(len(cluster.zones_by_id))
+
+
+@when(
+    parsers.parse("the partners send {count:d} mixed requests over {seconds:g} seconds")
+)
+def send_batch(story: Story, count: int, seconds: float) -> None:
+    story.send(count, seconds)
+
+
+@when(parsers.parse("at {percent:d} % {fault}"))
+def begin_fault(story: Story, percent: int, fault: str) -> None:
+    story.wait_until_sent(percent)
+    story.begin(fault)
+
+
+@when(parsers.parse("all is well again at {percent:d} %"))
+def end_faults(story: Story, percent: int) -> None:
+    story.wait_until_sent(percent)
+    story.end_faults()
+
+
+@then("every call comes to its end")
+def finish(story: Story) -> None:
+    story.finish()
+
+
+@then("no promise is broken")
+def no_promise_broken(story: Story) -> None:
+    story.check_promises()
+
+
+@then(parsers.parse("at least {percent:g} % are answered"))
+def answered(story: Story, percent: float) -> None:
+    found = story.answered_percent()
+    assert found >= percent, f"{found:.1f} %\n{story.describe_unanswered()}"
