--- a/packages/cli/src/medlarspring_cli/commands/table_republish.py
+++ b/packages/cli/src/medlarspring_cli/commands/table_republish.py
@@ -23,7 +23,9 @@
             note=self.option("note") or "",
         )
         client = self.create_client()
-        accepted = client.post("/v1/table/republish", wish, EditAnswer, wish.id)
+        accepted = client.post(
+            "/v1/table/republish", wish, EditAnswer, f"--edit-id {wish.id}"
+        )
         return self.print_accepted(wish.id, accepted)
 
 
