--- a/packages/bench/src/medlarspring_bench/standins/vm_control.py
+++ b/packages/bench/src/medlarspring_bench/standins/vm_control.py
@@ -134,7 +134,9 @@
 
     async def _show(self, session: aiohttp.ClientSession, row: VMRow) -> None:
         self._shown_by_id[row.id] = row.condition
-        listed = "live" if row.condition is Condition.SERVING else "leaving"
+        serves = row.condition is Condition.SERVING
+        listed = "live" if serves else "leaving"
+        state = "live" if serves else "draining"
         self._listing.change(row.id, state=listed, pool=row.pool)
         control = self._control_by_id.get(row.id)
         if control is None:
@@ -146,7 +148,7 @@
                 f"{url}/faults", json={"gate": row.id, "down": gone}
             ):
                 pass
-            async with session.post(f"{url}/vms/{row.id}", json={"state": listed}):
+            async with session.post(f"{url}/vms/{row.id}", json={"state": state}):
                 pass
 
     async def _get_vms(self, request: web.Request) -> web.Response:
