--- a/packages/bench/src/medlarspring_bench/callers.py
+++ b/packages/bench/src/medlarspring_bench/callers.py
@@ -14,7 +14,7 @@
 from medlarspring_bench.history import Attempt, Call, Seen
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
 PROBLEM = "application/problem+json"
 SAFE_METHODS = frozenset({"GET", "HEAD"})
@@ -78,8 +78,13 @@
         assert self._session is not None
         await self._session.close()
 
-    async def make(self, wish: Wish, address: str = "") -> Call:
-        """Try until the wish is answered or patience ends."""
+    async def make(self, wish: Wish, addresses: Sequence[str] = ()) -> Call:
+        """Try until the wish is answered or patience ends.
+
+        Attempts go to the given addresses in turn, the last one for all that
+        follow; by default all go to the balancer.
+        """
+        targets = [*addresses] or [self.address]
         call = Call(
             id=wish.id,
             partner=wish.partner,
@@ -91,7 +96,8 @@
         patience_ends = time.monotonic() + wish.patience_seconds
         pause = FIRST_PAUSE_SECONDS
         while True:
-            attempt, retry_after = await self._try(wish, call, address)
+            target = targets[min(len(call.attempts), len(targets) - 1)]
+            attempt, retry_after = await self._try(wish, call, target)
             call.attempts.append(attempt)
             if not _goes_on(wish, attempt):
                 return call
@@ -100,7 +106,7 @@
                 return call
             await asyncio.sleep(pause)
 
-    async def _try(self, wish: Wish, call: Call, address: str) -> tuple[Attempt, float]:
+    async def _try(self, wish: Wish, call: Call, target: str) -> tuple[Attempt, float]:
         request_id = f"{wish.id}.{len(call.attempts) + 1}"
         now = time.monotonic()
         attempt = Attempt(request_id, now, now, Seen.NOTHING)
@@ -111,7 +117,7 @@
             async with asyncio.timeout(wish.timeout_seconds + GRACE_SECONDS):
                 request = self._session.request(
                     wish.method,
-                    f"http://{address or self.address}{wish.path}",
+                    f"http://{target}{wish.path}",
                     data=wish.body or None,
                     headers=_headers(wish, request_id),
                 )
--- a/packages/bench/src/medlarspring_bench/cluster.py
+++ b/packages/bench/src/medlarspring_bench/cluster.py
@@ -120,6 +120,18 @@
         self.daemons_by_id[id_] = addresses
         return addresses
 
+    def daemon_id(self, number: int) -> str:
+        """Return the id of a daemon by its place, from 1 on."""
+        return list(self.zones_by_id)[number - 1]
+
+    def daemon(self, number: int) -> DaemonAddresses:
+        """Return the addresses of a daemon by its place, from 1 on."""
+        return self.daemons_by_id[self.daemon_id(number)]
+
+    def daemon_process(self, number: int) -> Process:
+        """Return the process of a daemon by its place, from 1 on."""
+        return self.processes.by_name[self.daemon_id(number)]
+
     def is_ready(self, id_: str) -> bool:
         """Ask a daemon's readiness."""
         try:
--- a/packages/bench/src/medlarspring_bench/history_checker.py
+++ b/packages/bench/src/medlarspring_bench/history_checker.py
@@ -109,12 +109,18 @@
 
 
 def _find_mixed(history: History) -> Iterator[Breach]:
+    ids_by_key: dict[tuple[str, str], set[str]] = defaultdict(set)
+    for call in history.calls:
+        ids_by_key[call.partner, call.key].update(
+            attempt.request_id for attempt in call.attempts
+        )
     for call in history.calls:
-        ids = {attempt.request_id for attempt in call.attempts}
         for attempt in call.attempts:
             if attempt.seen is not Seen.ANSWERED:
                 continue
-            own_id = attempt.answered_id in (ids if call.key else {attempt.request_id})
+            # A key's one answer goes to everyone who sent the key.
+            ids = ids_by_key[call.partner, call.key] if call.key else set()
+            own_id = attempt.answered_id in ids | {attempt.request_id}
             if not own_id or attempt.answered_digest != call.digest:
                 detail = f"{attempt.request_id} got the answer of {attempt.answered_id}"
                 yield Breach(Kind.MIXED, call.id, detail)
--- a/packages/bench/src/medlarspring_bench/story.py
+++ b/packages/bench/src/medlarspring_bench/story.py
@@ -23,6 +23,7 @@
 
 END_SECONDS = 45.0
 SHOWN = 10
+SINGLE_TIMEOUT_SECONDS = 2.0
 
 
 class Story:
@@ -82,12 +83,14 @@
             path=_path(found, name, work_ms),
             body=b"" if found.method == "GET" else f"{kind} {name}".encode(),
             key=f"{self.name}-{name}" if found.keyed else "",
+            timeout_seconds=SINGLE_TIMEOUT_SECONDS,
             urgency=found.urgency,
         )
 
-    def call(self, wish: Wish, address: str = "") -> Future[Call]:
-        """Begin one call, through the balancer or straight to a daemon."""
-        single = self._loop.submit(self.callers.make(wish, address))
+    def call(self, wish: Wish, *daemons: int) -> Future[Call]:
+        """Begin one call, through the balancer or straight to daemons in turn."""
+        addresses = [self.cluster.daemon(number).caller for number in daemons]
+        single = self._loop.submit(self.callers.make(wish, addresses))
         self._singles.append(single)
         return single
 
@@ -98,6 +101,27 @@
         for single in self._singles:
             single.result(END_SECONDS)
 
+    def wait_until_running(self, wish: Wish) -> None:
+        """Wait until an upstream VM runs the wish."""
+
+        def runs() -> bool:
+            records = self.cluster.upstream_records("runs")
+            return any(record["request_id"].startswith(wish.id) for record in records)
+
+        wait_for(runs, f"{wish.id} runs")
+
+    def wait_for_attempts(self, count: int) -> None:
+        """Wait until the first call has seen the end of so many attempts."""
+        wait_for(
+            lambda: self.calls and len(self.calls[0].attempts) >= count,
+            f"attempt {count}",
+            20.0,
+        )
+
+    def count_runs(self, key: str) -> int:
+        """Return how often upstream VMs ran a key."""
+        return sum(run.key == key for run in self.history().runs)
+
     def history(self) -> History:
         """Return what was recorded of this story."""
         return record_history(self.cluster, self.calls, self.leavings)
--- a/packages/bench/tests/test_history_checker.py
+++ b/packages/bench/tests/test_history_checker.py
@@ -54,6 +54,13 @@
         [call(saw("r1", Seen.UNKNOWN), answered("r2", 2, of="r1"), key="k")],
         [run("r1", key="k")],
     ),
+    "one key sent twice at once, both get its one answer": History(
+        [
+            call(answered("r1"), key="k"),
+            call(answered("r2", of="r1"), key="k"),
+        ],
+        [run("r1", key="k")],
+    ),
     "refused, then run": History(
         [call(saw("r1", Seen.NOT_RUN), answered("r2", 2), key="k")],
         [run("r2", 2.1, key="k")],
@@ -118,6 +125,14 @@
         "answer to another body",
         History([call(answered("r", digest="other"))], [run("r")]),
     ),
+    (
+        Kind.MIXED,
+        "the answer of another key",
+        History(
+            [call(answered("r1"), key="k"), call(answered("r2", of="r1"), key="l")],
+            [run("r1", key="k"), run("r2", key="l")],
+        ),
+    ),
     (
         Kind.FALSELY_REFUSED,
         "refused as not run, but ran",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import itertools
+import re
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 
 from medlarspring_bench.background import BackgroundLoop
 from medlarspring_bench.cluster import Cluster, ClusterOptions
+from medlarspring_bench.disturbances import DISTURBANCES
 from medlarspring_bench.example import read_example_directory
 from medlarspring_bench.processes import Processes
 from medlarspring_bench.story import Story
@@ -17,6 +19,7 @@
     from collections.abc import Iterator
 
 HERE = Path(__file__).parent
+FAULTS = "|".join(map(re.escape, DISTURBANCES))
 STORY_NUMBERS = itertools.count(1)
 
 
@@ -81,6 +84,16 @@
     story.begin(fault)
 
 
+@when(parsers.re(f"(?P<fault>{FAULTS})$"))
+def begin_fault_now(story: Story, fault: str) -> None:
+    story.begin(fault)
+
+
+@when("all is well again")
+def end_faults_now(story: Story) -> None:
+    story.end_faults()
+
+
 @when(parsers.parse("all is well again at {percent:d} %"))
 def end_faults(story: Story, percent: int) -> None:
     story.wait_until_sent(percent)
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pytest_bdd import parsers, scenarios, then, when
+
+from medlarspring_bench.history import Seen
+
+if TYPE_CHECKING:
+    from medlarspring_bench.story import Story
+
+scenarios("features/at_most_once.feature")
+
+LONG_MS = 700.0
+
+
+@when("a payment is sent to daemon 1, and repeated through daemon 2")
+def send_payment(story: Story) -> None:
+    story.call(story.create_wish("payment", "p"), 1, 2)
+
+
+@when("a long payment is sent to daemon 1, and repeated through daemon 2")
+def send_long_payment(story: Story) -> None:
+    story.call(story.create_wish("payment", "p", LONG_MS), 1, 2)
+
+
+@when("a payment is sent once to daemon 1")
+def send_payment_once(story: Story) -> None:
+    wish = story.create_wish("payment", "p")
+    wish.patience_seconds = 0.0
+    story.call(wish, 1)
+
+
+@when("it runs")
+def wait_until_running(story: Story) -> None:
+    story.wait_until_running(story.create_wish("payment", "p"))
+
+
+@when("all is well again after the first attempt")
+def end_faults_after_first(story: Story) -> None:
+    story.wait_for_attempts(1)
+    story.end_faults()
+
+
+@when("20 payments are sent to daemons 1 and 2 at the same moment")
+def send_twins(story: Story) -> None:
+    for number in range(20):
+        first = story.create_wish("payment", f"p{number}")
+        second = story.create_wish("payment", f"p{number}")
+        second.id += "-twin"
+        story.call(first, 1)
+        story.call(second, 2)
+
+
+@when("the same key is sent with another body to daemon 3")
+def send_other_body(story: Story) -> None:
+    story.finish()
+    wish = story.create_wish("payment", "p")
+    wish.id += "-other"
+    wish.body = b"another body"
+    story.call(wish, 3)
+
+
+@then("the other body is refused with status 422")
+def refused_as_conflict(story: Story) -> None:
+    assert story.calls[-1].attempts[-1].status == 422
+
+
+@then("the payment is refused as not run")
+def refused_as_not_run(story: Story) -> None:
+    assert story.calls[-1].seen is Seen.NOT_RUN
+
+
+@then("the payment ran once")
+def ran_once(story: Story) -> None:
+    assert story.count_runs(story.calls[0].key) == 1
+
+
+@then(parsers.parse("the payment ran {count:d} times"))
+def ran_times(story: Story, count: int) -> None:
+    assert story.count_runs(story.calls[0].key) == count
+
+
+@then("each payment ran once")
+def each_ran_once(story: Story) -> None:
+    runs_by_key = {call.key: story.count_runs(call.key) for call in story.calls}
+    assert set(runs_by_key.values()) == {1}, runs_by_key
