--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/measure/configuration.py
@@ -0,0 +1,129 @@
+"""Measures configuration and membership with real daemons on this machine.
+
+Run ``python -m medlarspring_bench.measure.configuration PART --daemons 8 16``;
+parts: latency, store-down, cost, takeover, cuts.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import psutil
+
+from medlarspring_bench.measure.configuration_cost import measure_cost
+from medlarspring_bench.measure.configuration_cuts import measure_cuts
+from medlarspring_bench.measure.configuration_fleet import (
+    Fleet,
+    FleetPlan,
+    start_ready,
+    touch,
+)
+from medlarspring_bench.measure.configuration_takeover import measure_takeover
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+
+EDITS = 20
+EDIT_GAP_SECONDS = 0.3
+STORE_DOWN_EDITS = 3
+HEAL_SECONDS = 9.0
+"""Longest wait of a daemon before it asks a store that failed it again."""
+BURST = 50
+
+
+def measure_latency(daemons: int, folder: Path) -> None:
+    """Print the time from acceptance to in force on the last daemon."""
+    fleet = start_ready(FleetPlan(daemons, zones=4), folder)
+    try:
+        spaced = [
+            asyncio.run(_time_edits(fleet, 1, EDIT_GAP_SECONDS)) for _ in range(EDITS)
+        ]
+        report(daemons, "spaced edits", [late for group in spaced for late in group])
+        report(daemons, f"burst of {BURST}", asyncio.run(_time_edits(fleet, BURST, 0)))
+    finally:
+        fleet.close()
+
+
+async def _time_edits(fleet: Fleet, count: int, gap: float) -> list[float]:
+    accepted = []
+    for _ in range(count):
+        at = await fleet.edit(touch)
+        accepted.append((fleet.table.revision, at))
+    lateness = []
+    for revision, at in accepted:
+        in_force = fleet.wait_in_force(revision)
+        lateness.append(max(in_force.values()) - at)
+    await asyncio.sleep(gap)
+    return lateness
+
+
+def measure_store_down(daemons: int, folder: Path) -> None:
+    """Print how an edit spreads that one daemon of each zone has heard of.
+
+    The others are cut off from the store before the edit, the one that knows as
+    soon as it has the table in force.
+    """
+    fleet = start_ready(FleetPlan(daemons, zones=4), folder)
+    try:
+        knowing = [fleet.list_zone(zone)[0] for zone in fleet.zone_names]
+        others = [each for each in fleet.ids if each not in knowing]
+        lateness = []
+        for _ in range(STORE_DOWN_EDITS):
+            fleet.cut_store(others, down=True)
+            at = asyncio.run(fleet.edit(touch))
+            fleet.wait_in_force(fleet.table.revision, ids=knowing)
+            fleet.cut_store(knowing, down=True)
+            in_force = fleet.wait_in_force(fleet.table.revision)
+            lateness.append(max(in_force.values()) - at)
+            fleet.cut_store(fleet.ids, down=False)
+            time.sleep(HEAL_SECONDS)
+        report(daemons, "store down right after acceptance", lateness)
+    finally:
+        fleet.close()
+
+
+def report(daemons: int, what: str, seconds: list[float]) -> None:
+    """Print the middle, the 99th percentile and the largest value."""
+    ordered = sorted(seconds)
+    middle = ordered[len(ordered) // 2]
+    late = ordered[min(int(len(ordered) * 0.99), len(ordered) - 1)]
+    print(
+        f"{daemons:3d} daemons  {what}: n={len(ordered)}"
+        f" p50={middle * 1000:.0f} ms p99={late * 1000:.0f} ms"
+        f" max={ordered[-1] * 1000:.0f} ms",
+        flush=True,
+    )
+
+
+PARTS: dict[str, Callable[[int, Path], None]] = {
+    "latency": measure_latency,
+    "store-down": measure_store_down,
+    "cost": measure_cost,
+    "takeover": measure_takeover,
+    "cuts": measure_cuts,
+}
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the parts that were asked for, one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", default=list(PARTS))
+    parser.add_argument("--daemons", type=int, nargs="+", default=[8])
+    options = parser.parse_args(arguments)
+    print(f"{psutil.cpu_count()} cores, load {psutil.getloadavg()[0]:.1f}")
+    for part in options.parts:
+        for daemons in options.daemons:
+            with tempfile.TemporaryDirectory() as folder:
+                PARTS[part](daemons, Path(folder))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/measure/configuration_cost.py
@@ -0,0 +1,143 @@
+"""What control costs a daemon: processor, memory, bytes and store calls."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import psutil
+
+from medlarspring_bench.measure.configuration_fleet import (
+    Fleet,
+    FleetPlan,
+    start_ready,
+    touch,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+SETTLE_SECONDS = 14.0
+"""Pools are handed over 10 s after the fleet is complete."""
+MEASURED_SECONDS = 20.0
+EDIT_SECONDS = 2.0
+POLL_SECONDS = 5.0
+ZONES = 4
+MEGABYTE = 1_048_576
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a fleet holds while its cost is measured."""
+
+    partners: int
+    upstream_vms: int
+    edits: bool = False
+
+
+LOADS = (
+    Load(5, 40),
+    Load(5, 40, edits=True),
+    Load(370, 40),
+    Load(370, 40, edits=True),
+    Load(5, 830),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Counters of one daemon at one instant."""
+
+    cpu_seconds: float
+    resident_bytes: int
+    http_bytes: int
+    """Through read and write calls: store, VM list, logs; gRPC uses others."""
+
+
+def measure_cost(daemons: int, folder: Path) -> None:
+    """Print the cost of each load, the worst daemon and the mean."""
+    for load in LOADS:
+        plan = FleetPlan(
+            daemons,
+            zones=ZONES,
+            poll_seconds=POLL_SECONDS,
+            upstream_vms=load.upstream_vms,
+        )
+        fleet = start_ready(plan, folder, partners=load.partners)
+        try:
+            _measure_load(fleet, load)
+        finally:
+            fleet.close()
+
+
+def _measure_load(fleet: Fleet, load: Load) -> None:
+    time.sleep(SETTLE_SECONDS)
+    before = _read_all(fleet)
+    calls_before = fleet.send("key_value", "GET", "calls")
+    peer_before = _read_peer_bytes(fleet)
+    began = time.monotonic()
+    while time.monotonic() - began < MEASURED_SECONDS:
+        if load.edits:
+            asyncio.run(fleet.edit(touch))
+        time.sleep(EDIT_SECONDS)
+    seconds = time.monotonic() - began
+    after = _read_all(fleet)
+    calls = _count_calls(calls_before, fleet.send("key_value", "GET", "calls"))
+    peer_bytes = (_read_peer_bytes(fleet) - peer_before) / seconds
+    cpu = [
+        100 * (after[each].cpu_seconds - before[each].cpu_seconds) / seconds
+        for each in before
+    ]
+    http = [
+        (after[each].http_bytes - before[each].http_bytes) / seconds for each in before
+    ]
+    memory = [usage.resident_bytes / MEGABYTE for usage in after.values()]
+    count = len(before)
+    edits = f"one each {EDIT_SECONDS:g} s" if load.edits else "none"
+    print(
+        f"{count:3d} daemons  partners={load.partners} vms={load.upstream_vms}"
+        f" edits={edits}:"
+        f" cpu mean {sum(cpu) / count:.2f}% worst {max(cpu):.2f}%"
+        f"  memory mean {sum(memory) / count:.1f} worst {max(memory):.1f} MB"
+        f"  http mean {sum(http) / count / 1000:.2f} worst {max(http) / 1000:.2f} KB/s"
+        f"  peers mean {peer_bytes / count / 1000:.2f} KB/s"
+        f"  store calls/s { ({k: round(v / seconds, 2) for k, v in calls.items()}) }",
+        flush=True,
+    )
+
+
+def _read_all(fleet: Fleet) -> dict[str, Usage]:
+    return {
+        entry_vm_id: _read_usage(process.pid)
+        for entry_vm_id, process in fleet.daemons_by_id.items()
+    }
+
+
+def _read_usage(pid: int) -> Usage:
+    process = psutil.Process(pid)
+    times = process.cpu_times()
+    counters = process.io_counters()
+    return Usage(
+        cpu_seconds=times.user + times.system,
+        resident_bytes=process.memory_info().rss,
+        http_bytes=counters.read_chars + counters.write_chars,
+    )
+
+
+def _read_peer_bytes(fleet: Fleet) -> float:
+    """Return what all daemons together have exchanged, as they counted it."""
+    metrics: dict[str, Any] = fleet.send("statsd", "GET", "metrics")
+    return float(metrics.get("counters", metrics).get("medlarspring.peers.bytes", 0))
+
+
+def _count_calls(before: dict[str, Any], after: dict[str, Any]) -> dict[str, int]:
+    counts = {
+        kind: count - before["by_kind"].get(kind, 0)
+        for kind, count in after["by_kind"].items()
+    }
+    return {kind: count for kind, count in counts.items() if count}
+
+
+__all__ = ["measure_cost"]
--- a/packages/bench/src/medlarspring_bench/measure/configuration_fleet.py
+++ b/packages/bench/src/medlarspring_bench/measure/configuration_fleet.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import tomllib
-import urllib.request
 from dataclasses import dataclass, field
 from datetime import datetime
+from hashlib import sha256
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -14,16 +15,28 @@
 
 from medlarspring_adapters.etcd_gateway import create_etcd_gateway_store
 from medlarspring_adapters.store import Expect, Put, Transaction
+from medlarspring_bench.control_client import control
 from medlarspring_bench.processes import Process, Processes
-from medlarspring_tables import ConfigTable, PoolId, PoolRow, Revision
+from medlarspring_bench.waiting import wait_for
+from medlarspring_tables import (
+    ConfigTable,
+    FleetRow,
+    PartnerId,
+    PartnerRow,
+    PoolId,
+    PoolRow,
+    Revision,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
     from pathlib import Path
 
 CONFIG_KEY = "config/table"
 TABLE_IN_FORCE = 3001
 POOL_HELD = 4020
+MEMBER_CHANGED = 4001
+POOLS = 6
 POLL_SECONDS = 0.02
 STORE_TIMEOUT_SECONDS = 1.0
 SETTINGS = """
@@ -45,6 +58,8 @@
 [vm_list]
 url = "http://{vm_list}/targets"
 poll_seconds = {poll_seconds}
+[statsd]
+address = "{statsd}"
 """
 
 
@@ -56,6 +71,8 @@
     zones: int = 2
     poll_seconds: float = 0.5
     list_lag_seconds: float = 0.0
+    upstream_vms: int = 0
+    """Upstream VMs that the list shows; none of them runs."""
     via_links: bool = False
     """Whether calls between zones lead over links that can be cut."""
 
@@ -79,22 +96,28 @@
         """Names of the availability zones."""
         return [f"zone-{number}" for number in range(1, self.plan.zones + 1)]
 
+    @property
+    def ids(self) -> list[str]:
+        """Ids of the planned daemons."""
+        return [f"entry-{number:02d}" for number in range(1, self.plan.daemons + 1)]
+
     def start_platform(self) -> None:
-        """Start the stand-ins, one gate a zone."""
-        gates = ",".join(["operators", *self.zone_names])
-        self._start_standin("key_value", "--gates", gates)
+        """Start the stand-ins; each daemon has its own way to the store."""
+        clients = ",".join(["operators", *self.ids])
+        self._start_standin("key_value", "--gates", clients)
+        zones = ",".join(self.zone_names)
         lag = str(self.plan.list_lag_seconds)
-        self._start_standin("vm_list", "--gates", gates, "--lag-seconds", lag)
+        self._start_standin("vm_list", "--gates", zones, "--lag-seconds", lag)
+        self._start_standin("statsd")
         if self.plan.via_links:
             self._start_standin("links")
 
     def start_daemons(self) -> None:
         """Start all daemons, list them, and wait for their ports."""
-        ids = [f"entry-{number:02d}" for number in range(1, self.plan.daemons + 1)]
-        for number, entry_vm_id in enumerate(ids):
+        for number, entry_vm_id in enumerate(self.ids):
             zone = self.zone_names[number % self.plan.zones]
             self.start_daemon(entry_vm_id, zone)
-        for entry_vm_id in ids:
+        for entry_vm_id in self.ids:
             self.wait_listening(entry_vm_id)
         self.list_daemons()
 
@@ -111,10 +134,11 @@
                 zone=zone,
                 token_file=token_file,
                 peer_listen=peer_listen,
-                store=self.standins["key_value"]["gates"][zone],
+                store=self.standins["key_value"]["gates"][entry_vm_id],
                 store_timeout=STORE_TIMEOUT_SECONDS,
                 vm_list=self.standins["vm_list"]["gates"][zone],
                 poll_seconds=self.plan.poll_seconds,
+                statsd=self.standins["statsd"]["address"],
             )
         )
         assert tomllib.loads(path.read_text())
@@ -145,26 +169,32 @@
             }
             for entry_vm_id, zone in self.zones_by_id.items()
         ]
+        entries += [
+            _describe_upstream(number, self.zone_names)
+            for number in range(self.plan.upstream_vms)
+        ]
         if self.plan.via_links:
             self._open_links()
-        self.send("vm_list", "PUT", "/control/vms", entries)
+        self.send("vm_list", "PUT", "vms", entries)
 
     def send(self, standin: str, method: str, path: str, body: object = None) -> Any:
         """Call the control port of a stand-in."""
-        url = f"http://{self.standins[standin]['control']}{path}"
-        content = None if body is None else msgspec.json.encode(body)
-        request = urllib.request.Request(url, data=content, method=method)
-        with urllib.request.urlopen(request, timeout=10) as reply:
-            return msgspec.json.decode(reply.read() or b"null")
+        return control(method, self.standins[standin]["control"], path, body)
 
-    def change_store(self, **faults: object) -> None:
-        """Switch faults of the store; ``gate`` names one zone's way to it."""
-        self.send("key_value", "POST", "/control/faults", faults)
+    def cut_store(self, ids: Iterable[str], *, down: bool) -> None:
+        """Cut daemons off from the store, or let them through again."""
+        for entry_vm_id in ids:
+            body = {"gate": entry_vm_id, "down": down}
+            self.send("key_value", "POST", "faults", body)
+
+    def list_zone(self, zone: str) -> list[str]:
+        """Return the daemons of one availability zone."""
+        return [each for each, other in self.zones_by_id.items() if other == zone]
 
     def cut(self, from_zone: str, to_zone: str, *, down: bool) -> None:
         """Cut calls that one zone makes to another, or let them through."""
         group = f"{from_zone}|{to_zone}"
-        self.send("links", "POST", "/control/faults", {"gate": group, "down": down})
+        self.send("links", "POST", "faults", {"gate": group, "down": down})
 
     async def edit(self, change: Callable[[ConfigTable], ConfigTable]) -> float:
         """Accept an edit as an editor does; returns the wall time of acceptance."""
@@ -245,11 +275,29 @@
                         "group": f"{zone}|{other}",
                     }
                 )
-            addresses = self.send("links", "POST", "/control/links", links)
+            addresses = self.send("links", "POST", "links", links)
             for name, address in addresses.items():
                 targets_by_id[name.partition("|")[2]] = address
             body = {"gate": zone, "targets_by_id": targets_by_id}
-            self.send("vm_list", "POST", "/control/targets", body)
+            self.send("vm_list", "POST", "targets", body)
+
+
+def _describe_upstream(number: int, zones: list[str]) -> dict[str, Any]:
+    labels = {
+        "id": f"vm-{number:04d}",
+        "role": "upstream",
+        "state": "live",
+        "pool": f"pool-{number % 46 + 1:02d}",
+        "rack": f"rack-{number // 4:03d}",
+        "zone": zones[number % len(zones)],
+        "region": "region-1",
+        "slots": "8",
+        "connections": "64",
+        "cpus": "32",
+        "memory_gb": "64",
+        "accelerators": "1",
+    }
+    return {"targets": [f"127.0.0.1:{number % 60000 + 1}"], "labels": labels}
 
 
 def read_time(record: Mapping[str, Any]) -> float:
@@ -257,6 +305,20 @@
     return datetime.fromisoformat(record["timestamp"]).timestamp()
 
 
+def add_partners(table: ConfigTable, count: int) -> ConfigTable:
+    """Return the table with so many partners, credentials included."""
+    rows = [
+        PartnerRow(
+            id=PartnerId(f"partner-{number:03d}"),
+            weight=1.0 + number % 7,
+            credential_sha256=sha256(b"%d" % number).hexdigest(),
+            quota_cpus=64.0,
+        )
+        for number in range(count)
+    ]
+    return msgspec.structs.replace(table, partners_by_id={row.id: row for row in rows})
+
+
 def add_pools(table: ConfigTable, count: int) -> ConfigTable:
     """Return the table with so many pools more."""
     pools_by_id = dict(table.pools_by_id)
@@ -278,4 +340,43 @@
     return fleet
 
 
-__all__ = ["Fleet", "FleetPlan", "add_pools", "read_time", "start_fleet"]
+def touch(table: ConfigTable) -> ConfigTable:
+    """Change one value."""
+    spare = 10.0 if table.fleet.spare_percent != 10.0 else 11.0
+    return msgspec.structs.replace(table, fleet=FleetRow(spare_percent=spare))
+
+
+def start_ready(plan: FleetPlan, folder: Path, partners: int = 5) -> Fleet:
+    """Return a fleet with a table in force in which all daemons hear each other."""
+    fleet = start_fleet(plan, folder)
+    try:
+        asyncio.run(fleet.edit(lambda table: add_partners(table, partners)))
+        asyncio.run(fleet.edit(lambda table: add_pools(table, POOLS)))
+        fleet.wait_in_force(2)
+        wait_for(lambda: _all_joined(fleet), "all daemons hear each other", 60.0)
+    except BaseException:
+        fleet.close()
+        raise
+    return fleet
+
+
+def _all_joined(fleet: Fleet) -> bool:
+    others = len(fleet.daemons_by_id) - 1
+    return all(
+        len({each["member"] for each in process.records(MEMBER_CHANGED)}) >= others
+        for process in fleet.daemons_by_id.values()
+    )
+
+
+__all__ = [
+    "Fleet",
+    "FleetPlan",
+    "POOL_HELD",
+    "TABLE_IN_FORCE",
+    "add_partners",
+    "add_pools",
+    "read_time",
+    "start_fleet",
+    "start_ready",
+    "touch",
+]
