--- a/packages/bench/src/medlarspring_bench/measure/configuration_fleet.py
+++ b/packages/bench/src/medlarspring_bench/measure/configuration_fleet.py
@@ -126,7 +126,8 @@
     ) -> Process:
         """Start one daemon; its ports are open after ``wait_listening``."""
         token_file = self.folder / "token"
-        token_file.write_text("measure-token\n")
+        if not token_file.exists():
+            token_file.write_text("measure-token\n")
         path = self.folder / f"{entry_vm_id}.toml"
         path.write_text(
             SETTINGS.format(
--- a/packages/daemon/src/medlarspring_daemon/services/peer_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_service.py
@@ -244,6 +244,15 @@
             now = self._node.clock.now()
             self._log_changes(membership.note_refused(self.members, member.id, now))
         self.take_report(reply)
+        self._repeat_if_outdated(member, report)
+
+    def _repeat_if_outdated(self, member: Member, sent: peer_pb2.Report) -> None:
+        """Tell the zone at once of a table that came in force during the call."""
+        table = self._node.config
+        if table is None or member.zone_id != self.members.own_zone_id:
+            return
+        if sent.table_revision < table.revision > member.table_revision:
+            self._begin_exchange(member)
 
     def _open_client(self, member: Member) -> PeerClient:
         client = self._clients_by_id.get(member.id)
