--- a/packages/cli/src/medlarspring_cli/commands/operator_command.py
+++ b/packages/cli/src/medlarspring_cli/commands/operator_command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import getpass
 import os
 from pathlib import Path
 from typing import TYPE_CHECKING, ClassVar
@@ -20,6 +21,15 @@
 
 ADDRESS_VARIABLE = "MEDLARSPRING_ADDRESS"
 TOKEN_VARIABLE = "MEDLARSPRING_TOKEN_FILE"
+OPERATOR_VARIABLE = "MEDLARSPRING_OPERATOR"
+
+OPERATOR_OPTION = option(
+    "operator",
+    None,
+    "Your name for the audit trail"
+    f" [env: <comment>{OPERATOR_VARIABLE}</comment>, else your login]",
+    flag=False,
+)
 
 
 class OperatorCommand(Command):
@@ -118,6 +128,19 @@
         except UnicodeDecodeError:
             raise UsageFault(f"{what} {path} is not UTF-8; save it so.") from None
 
+    def find_operator(self) -> str:
+        """Return the operator's name for the audit trail."""
+        given = self.option("operator") or os.environ.get(OPERATOR_VARIABLE)
+        if given:
+            return str(given)
+        try:
+            return getpass.getuser()
+        except (KeyError, OSError):
+            raise UsageFault(
+                "Your name is not known. Give --operator NAME for the audit trail, or"
+                f" set {OPERATOR_VARIABLE}."
+            ) from None
+
     def _read_token(self) -> str:
         path = self.option("token-file") or os.environ.get(TOKEN_VARIABLE)
         if not path:
@@ -142,4 +165,10 @@
         )
 
 
-__all__ = ["ADDRESS_VARIABLE", "OperatorCommand", "TOKEN_VARIABLE"]
+__all__ = [
+    "ADDRESS_VARIABLE",
+    "OPERATOR_OPTION",
+    "OPERATOR_VARIABLE",
+    "OperatorCommand",
+    "TOKEN_VARIABLE",
+]
--- a/packages/cli/src/medlarspring_cli/render.py
+++ b/packages/cli/src/medlarspring_cli/render.py
@@ -60,14 +60,21 @@
     return f"set    {name}: {', '.join(_differences(change.before, change.after))}"
 
 
-def format_record(record: AuditRecord) -> list[str]:
-    """Return the lines of one audit record."""
+def format_record(record: AuditRecord, kind: str = "", row_id: str = "") -> list[str]:
+    """Return the lines of one audit record; only the changes that are named."""
+    changes = [
+        change
+        for change in record.changes
+        if kind in ("", change.kind) and row_id in ("", change.id)
+    ]
+    left_out = len(record.changes) - len(changes)
     head = (
         f"{format_time(record.at)}  revision {record.revision}  {record.action}"
         f"  by {record.operator} from {record.origin}  edit {record.edit_id}"
     )
     note = [f"    note: {record.note}"] if record.note else []
-    return [head, *note, *(f"    {format_change(change)}" for change in record.changes)]
+    rest = [f"    and {left_out} other changes"] if left_out else []
+    return [head, *note, *(f"    {format_change(each)}" for each in changes), *rest]
 
 
 def _differences(
--- a/packages/daemon/src/medlarspring_daemon/services/table_editor.py
+++ b/packages/daemon/src/medlarspring_daemon/services/table_editor.py
@@ -38,11 +38,14 @@
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import Store
     from medlarspring_systems.table_errors import TableError
+    from medlarspring_tables import Seconds
 
 MAX_ATTEMPTS = 100
 MAX_SECONDS = 20.0
 """Longest time for one edit; the command line waits longer than this."""
 MAX_RETRY_SECONDS = 0.5
+REMEMBER_SECONDS = 1.0
+"""Time between two edits of a burst in which the table is not read anew."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,7 @@
         self._waiting = 0
         self._remembered: StoredTable | None = None
         """The table that the last write or conflict showed."""
+        self._remembered_at: Seconds = 0.0
 
     async def read(
         self, takes_older: bool = False
@@ -162,9 +166,13 @@
         """Return the table known from the edit before, to save a read.
 
         Each call to the store counts, and edits come in bursts; the condition of
-        the write shows it when the table has changed since.
+        the write shows it when the table has changed since. After a pause the
+        read comes first: in an outage it fails without effect, where a write
+        would leave open whether it took effect.
         """
         known, in_force = self._remembered, self._table_in_force()
+        if self._clock.now() > self._remembered_at + REMEMBER_SECONDS:
+            return None
         if known is None or in_force is None:
             return known
         return known if known.table.revision >= in_force.revision else None
@@ -239,14 +247,19 @@
             return self._note_failure(attempts, stored, committed.failure())
         result = committed.unwrap()
         if result.succeeded:
-            self._remembered = StoredTable(change.table, result.revision)
+            self._remember(StoredTable(change.table, result.revision))
             self._on_accepted(change.table)
             return Success(change)
         entry = result.read_by_key.get(TABLE_KEY)
         current = self._decode(entry, attempts.takes_older)
-        self._remembered = attempts.stored = current.value_or(None)
+        attempts.stored = current.value_or(None)
+        self._remember(attempts.stored)
         return None
 
+    def _remember(self, stored: StoredTable | None) -> None:
+        self._remembered = stored
+        self._remembered_at = self._clock.now()
+
     def _note_failure(
         self, attempts: _Attempts, stored: StoredTable, error: MedlarspringError
     ) -> Result[AcceptedChange, MedlarspringError] | None:
--- a/packages/daemon/tests/test_table_editor.py
+++ b/packages/daemon/tests/test_table_editor.py
@@ -245,3 +245,23 @@
     other = Republish(id=EditId("other"), operator="asha")
     refusal = (await desk.editor.republish(other, "test")).failure()
     assert refusal.code == "store-current"
+
+
+async def test_outage_between_two_edits_is_told_as_not_applied(store):
+    """
+    An edit was accepted, minutes pass, the store goes down and an operator edits
+    again. The store is asked for the table first, which fails without effect: he
+    hears at once that nothing was changed, not that the outcome is unknown.
+    """
+    clock = ManualClock()
+    editor = TableEditor(
+        store, clock, random.Random(1), lambda: None, lambda table: None, 0.0001
+    )
+    await editor.accept(add_pool("a"), "test")
+    clock.advance(60.0)
+    store.faults.lose_requests = 1_000
+    store.go_down()
+    calls = sum(store.calls_by_kind.values())
+    refusal = (await editor.accept(add_pool("b"), "test")).failure()
+    assert refusal.code == "store-unavailable"
+    assert sum(store.calls_by_kind.values()) == calls + 1
--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -23,6 +23,9 @@
     from medlarspring_tables import EntryVMId, PartnerId, PoolId, Seconds, VMId, ZoneId
     from medlarspring_tables.slots import EntryVMView, HomeTable, SlotLedger, Vote
 
+MAX_SPARE = 2
+"""Slots of one VM that an asker may hold beyond what its work is due."""
+ROUNDING = 1e-9
 HASH_RANGE = float(1 << 64)
 
 
@@ -100,11 +103,12 @@
     """
     if vote.home == wanted:
         return wanted if now >= vote.blocked_until else None
+    ends = now
     if vote.home is not None:
         ends = vote.last_asked + policy.switch_seconds
         if old_home_dead or vote.home == own_id:
             ends = min(ends, now + policy.grant_seconds)
-        vote.blocked_until = max(vote.blocked_until, ends)
+    vote.blocked_until = max(vote.blocked_until, ends, now)
     vote.home = wanted
     return wanted if now >= vote.blocked_until else None
 
@@ -114,24 +118,53 @@
     slots: int,
     group: Sequence[EntryVMView],
     own_id: EntryVMId,
+    own_vote: Vote,
     *,
-    own_vote: bool,
     now: Seconds,
     policy: SlotPolicy,
 ) -> int:
-    """Return the slots that this home may grant by the votes it has."""
-    if not group:
+    """Return the slots that this home may grant by the votes it has.
+
+    A home that is new does not know what the former one's holders still have
+    running. Those that ask say so; until work begun before has surely ended,
+    it grants nothing while one of them is missing, and leaves free what the
+    former home had last lent to other zones.
+    """
+    if own_vote.home != own_id or now < own_vote.blocked_until:
         return 0
-    votes = 0
-    for view in group:
-        if view.id == own_id:
-            votes += own_vote
-            continue
-        holding = ledger.holdings_by_holder.get(view.id)
-        if holding is None or holding.vote_at is None:
-            continue
-        votes += now < holding.vote_at + policy.vote_seconds
-    return slots * votes // len(group)
+    votes = sum(
+        view.id == own_id or _has_voted(ledger, view.id, now, policy) for view in group
+    )
+    settled = now >= own_vote.blocked_until + policy.hold_seconds
+    if settled:
+        return slots * votes // len(group)
+    if votes < len(group):
+        return 0
+    return max(0, slots - own_vote.foreign)
+
+
+def _has_voted(
+    ledger: SlotLedger, voter: EntryVMId, now: Seconds, policy: SlotPolicy
+) -> bool:
+    holding = ledger.holdings_by_holder.get(voter)
+    if holding is None or holding.vote_at is None:
+        return False
+    return now < holding.vote_at + policy.vote_seconds
+
+
+def count_foreign(
+    ledger: SlotLedger,
+    group: Sequence[EntryVMView],
+    now: Seconds,
+    policy: SlotPolicy,
+) -> int:
+    """Return the slots lent to entry VMs outside the group that votes."""
+    own = {view.id for view in group}
+    return sum(
+        _count_reserved(holding, now, policy)
+        for holder, holding in ledger.holdings_by_holder.items()
+        if holder not in own
+    )
 
 
 def take_demand(
@@ -139,13 +172,11 @@
     pool_id: PoolId,
     asker: EntryVMId,
     count_by_partner: dict[PartnerId, int],
-    *,
-    same_zone: bool,
     now: Seconds,
 ) -> None:
     """Remember what an asker has to do."""
     demand = table.demand_by_pool.setdefault(pool_id, {})
-    demand[asker] = AskerDemand(count_by_partner, now, same_zone)
+    demand[asker] = AskerDemand(count_by_partner, now)
 
 
 def divide_pool(
@@ -156,12 +187,10 @@
     now: Seconds,
     policy: SlotPolicy,
 ) -> dict[EntryVMId, float]:
-    """Return the part of the pool's slots that each asker should have.
+    """Return the part of the pool's slots that each asker's work is due.
 
     Partners get theirs by weight, none more than it has to do; a partner's
-    part goes to the askers where its work is. What is left over is spread
-    evenly over the zone's own askers, so that a request that comes next finds
-    a slot without asking.
+    part goes to the askers where its work is.
     """
     demand = table.demand_by_pool.get(pool_id, {})
     fresh = {
@@ -177,19 +206,15 @@
             total = total_by_partner.get(partner_id, 0)
             total_by_partner[partner_id] = total + count
     share_by_partner = divide_fairly(total_by_partner, weights_by_partner, pool_slots)
-    parts = {
+    return {
         asker: sum(
             share_by_partner[partner_id] * count / total_by_partner[partner_id]
             for partner_id, count in told.count_by_partner.items()
             if count
         )
+        / max(1, pool_slots)
         for asker, told in fresh.items()
     }
-    own = [asker for asker, told in fresh.items() if told.same_zone] or list(fresh)
-    left = max(0.0, pool_slots - sum(parts.values()))
-    for asker in own:
-        parts[asker] += left / len(own)
-    return {asker: part / max(1, pool_slots) for asker, part in parts.items()}
 
 
 def divide_fairly(
@@ -226,15 +251,22 @@
     """Turn parts into whole slots of one VM; they add up to no more than all.
 
     Where the rounding falls differs from VM to VM, so that small parts come
-    out right over the pool.
+    out right over the pool. Of the slots that no work is due, each asker may
+    have a few, so that its next requests find a slot without asking; the rest
+    stays with the home for whoever asks first.
     """
     rounded: dict[EntryVMId, int] = {}
-    offset = _hash(vm_id, "offset")
-    reached = offset
+    reached = _hash(vm_id, "offset")
     for asker in sorted(parts, key=lambda asker: _hash(vm_id, asker)):
         before = int(reached)
         reached += parts[asker] * slots
-        rounded[asker] = int(reached + 1e-9) - before
+        rounded[asker] = int(reached + ROUNDING) - before
+    left = slots - sum(rounded.values())
+    if left > 0:
+        spare = min(MAX_SPARE, left // (len(rounded) + 1))
+        for asker, due in rounded.items():
+            short = not due and parts[asker] > 0.0
+            rounded[asker] = due + max(spare, short)
     return rounded
 
 
@@ -289,6 +321,7 @@
     "Wish",
     "choose_home",
     "count_capacity",
+    "count_foreign",
     "divide_fairly",
     "divide_pool",
     "get_holding",
