Measure the width of waves, replace lost racks sooner, drop the spare rule

VMs of the lost rack that were in maintenance were waited for like single ones, and a VM that did not return kept its pool's room for 900 s.

Now a rack's VMs are given up after 120 s, and a rebooting VM after 2.5 times the median of those that returned.

Ran: make lint; pytest packages/systems, the histories and the roll-out.

--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/measure/fleet_rollout.py
@@ -0,0 +1,255 @@
+"""Roll-out time of a full wave, by the rule that limits its width.
+
+Command: ``python -m medlarspring_bench.measure.fleet rollout``
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from medlarspring_bench.fleet_checker import FleetChecker
+from medlarspring_bench.fleet_world import FleetShape, FleetWorld
+from medlarspring_bench.vm_control_state import Condition, VMTimes
+from medlarspring_systems.wave_width import BudgetWidth, CanaryWidth
+from medlarspring_tables import WaveId
+from medlarspring_tables.vms import Outcome, VMState
+from medlarspring_tables.waves import WaveRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_systems.draft import Draft
+    from medlarspring_systems.wave_width import WidthRule
+    from medlarspring_tables import FleetRow, PoolId, PoolRow
+    from medlarspring_tables.vms import VMRecord
+
+DRAIN_SECONDS = 60.0
+REBOOT_SECONDS = 180.0
+RACK_LOST_SECONDS = 1_800.0
+FAILING_PART = 0.02
+MAX_SECONDS = 400_000.0
+BAD_IMAGE_SECONDS = 10_000.0
+WAVE = WaveId("w")
+
+TODAY = FleetShape(pools=5, vms_in_pool=8, min_available=6, wanted_vms=8, spare_vms=4)
+TARGET = FleetShape(
+    pools=46,
+    vms_in_pool=18,
+    min_available=15,
+    wanted_vms=18,
+    zones=7,
+    max_drains_per_zone=30,
+    spare_vms=4,
+)
+
+
+class RackWidth:
+    """One rack of the whole fleet at a time; the baseline."""
+
+    def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
+        """Allow a VM of the first rack that is not through."""
+        left = (
+            record.rack_id
+            for record in draft.tables.vms_by_id.values()
+            if record.finished_at < wave.started_at and record.state is not VMState.OUT
+        )
+        return vm.rack_id == min(left, default=vm.rack_id)
+
+
+class SpareWidth:
+    """As the inner rule, but leaves the fleet's spare to failures.
+
+    Weighed and dropped: slower, and no pool was under its budget for less
+    time. Spare is counted over the fleet, as what serves above all budgets
+    together; a wave with no VM out may always take one.
+    """
+
+    def __init__(
+        self, pools_by_id: dict[PoolId, PoolRow], fleet: FleetRow, inner: WidthRule
+    ) -> None:
+        self._min_available = sum(row.min_available for row in pools_by_id.values())
+        self._spare_percent = fleet.spare_percent
+        self._inner = inner
+
+    def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
+        """Allow what the inner rule allows while spare stays whole."""
+        if not self._inner.allows(draft, wave, vm):
+            return False
+        tables = draft.tables
+        out = sum(map(len, tables.busy_vm_ids_by_pool.values()))
+        listed_now = len(draft.pool_disruptions(vm.pool_id).causes_by_vm)
+        listed = tables.disruptions_by_pool.get(vm.pool_id)
+        out += listed_now - len(listed.causes_by_vm if listed else ())
+        if out == 0:
+            return True
+        size = len(tables.vms_by_id)
+        spare = size - out - self._min_available
+        return spare > size * self._spare_percent / 100
+
+
+@dataclass(slots=True)
+class Rollout:
+    """What one wave took."""
+
+    seconds: float
+    is_done: bool
+    broken_by_drains: int
+    seconds_under_budget: float
+    """Summed over pools, whatever the cause."""
+    rebooted: int
+    given_up: int
+    idle_vms: float
+    """VMs that served above the budgets, on average."""
+
+
+def run_rollout(
+    shape: FleetShape,
+    create_width: Callable[[FleetWorld], WidthRule],
+    seed: int,
+    tick_seconds: float,
+    *,
+    has_faults: bool = True,
+    bad_image: bool = False,
+) -> Rollout:
+    """Run one wave over the whole fleet to its end."""
+    rng = random.Random(seed)
+    world = FleetWorld(shape, 1, VMTimes(DRAIN_SECONDS, REBOOT_SECONDS))
+    # The rule needs the table that the world makes, so it is set afterwards.
+    world.processes[0].controller.width = create_width(world)
+    checker = FleetChecker(world)
+    rows = world.platform.rows_by_id
+    if bad_image:
+        world.platform.faults.fail = set(rows)
+    elif has_faults:
+        failing = max(1, round(len(rows) * FAILING_PART))
+        world.platform.faults.fail = set(rng.sample(sorted(rows), failing))
+    started_at = world.clock.now()
+    wave = WaveRecord(
+        id=WAVE,
+        vm_ids=frozenset(checker.truth.vms_by_id),
+        started_at=started_at,
+        resumed_at=started_at,
+    )
+    world.put(wave)
+    lost_at = started_at + rng.uniform(200.0, 600.0) if has_faults else math.inf
+    lost_rack = rng.choice(sorted({row.rack for row in rows.values()}))
+    under_budget = idle = 0.0
+    is_lost = False
+    longest = BAD_IMAGE_SECONDS if bad_image else MAX_SECONDS
+    while world.clock.now() - started_at < longest:
+        now = world.clock.now()
+        if not is_lost and now >= lost_at:
+            is_lost = True
+            world.platform.set_rack_down(lost_rack, down=True)
+        if is_lost and now >= lost_at + RACK_LOST_SECONDS:
+            _mend_rack(world, lost_rack)
+            lost_at, is_lost = math.inf, False
+        world.run_rounds(1, tick_seconds)
+        short, spare = _count(world, checker)
+        under_budget += short * tick_seconds
+        idle += spare * tick_seconds
+        if not checker.truth.open_waves_by_id:
+            break
+        if bad_image and checker.truth.waves_by_id[WAVE].pauses:
+            break
+    seconds = world.clock.now() - started_at
+    outcomes = [finish.outcome for finish in checker.truth.finished_by_wave[WAVE]]
+    return Rollout(
+        seconds=seconds,
+        is_done=not checker.truth.open_waves_by_id,
+        broken_by_drains=len(checker.violations),
+        seconds_under_budget=under_budget,
+        rebooted=outcomes.count(Outcome.BACK),
+        given_up=len(outcomes) - outcomes.count(Outcome.BACK),
+        idle_vms=idle / seconds,
+    )
+
+
+def _mend_rack(world: FleetWorld, rack: str) -> None:
+    for row in world.platform.rows_by_id.values():
+        if row.rack == rack and row.condition is Condition.DOWN:
+            row.boot += 1
+            row.condition = Condition.SERVING
+
+
+def _count(world: FleetWorld, checker: FleetChecker) -> tuple[int, int]:
+    """Return the pools under their budget and the VMs above all budgets."""
+    short = spare = 0
+    for pool in world.config.pools_by_id.values():
+        serving = sum(
+            checker.truth.vms_by_id[vm_id].state is VMState.SERVING
+            and world.platform.rows_by_id[vm_id].condition is Condition.SERVING
+            for vm_id in checker.truth.vm_ids_by_pool[pool.id]
+        )
+        short += serving < pool.min_available
+        spare += max(0, serving - pool.min_available)
+    return short, spare
+
+
+def bound_by_budgets(shape: FleetShape) -> float:
+    """Return the shortest time that budgets and zones alone would allow."""
+    seconds = DRAIN_SECONDS + REBOOT_SECONDS
+    room = shape.vms_in_pool - shape.min_available
+    by_pool = math.ceil(shape.vms_in_pool / room)
+    vms = shape.pools * shape.vms_in_pool
+    by_zone = math.ceil(vms / (shape.zones * shape.max_drains_per_zone))
+    return max(by_pool, by_zone) * seconds
+
+
+def create_widths() -> dict[str, Callable[[FleetWorld], WidthRule]]:
+    """Return the rules that are compared, the baseline first."""
+    return {
+        "one rack at a time": lambda world: RackWidth(),
+        "budgets alone": lambda world: BudgetWidth(),
+        "canary, then budgets": lambda world: CanaryWidth(),
+        "canary, then budgets less spare": lambda world: SpareWidth(
+            world.config.pools_by_id, world.config.fleet, CanaryWidth()
+        ),
+    }
+
+
+def measure_rollout(seeds: int = 5) -> None:
+    """Print the roll-out times of all rules at today's and the target's size."""
+    for name, shape, tick_seconds, runs in (
+        ("40 VMs, 5 pools", TODAY, 5.0, seeds),
+        ("828 VMs, 46 pools", TARGET, 30.0, 1),
+    ):
+        bound = bound_by_budgets(shape)
+        print(f"{name}: bound by budgets and zones alone {bound:.0f} s")
+        baseline = 0.0
+        for rule, create_width in create_widths().items():
+            done = [
+                run_rollout(shape, create_width, seed, tick_seconds)
+                for seed in range(runs)
+            ]
+            seconds = sum(each.seconds for each in done) / runs
+            baseline = baseline or seconds
+            bad = run_rollout(
+                shape, create_width, 0, tick_seconds, has_faults=False, bad_image=True
+            )
+            print(
+                f"  {rule:32} {seconds:8.0f} s"
+                f"  {seconds / baseline:5.2f} of the baseline"
+                f"  {seconds / bound:5.2f} of the bound"
+                f"  broken by drains {sum(each.broken_by_drains for each in done)}"
+                f"  pool-seconds under budget"
+                f" {sum(each.seconds_under_budget for each in done) / runs:.0f}"
+                f"  all done {all(each.is_done for each in done)}"
+                f"  bad image: {bad.given_up} VMs lost before the pause"
+            )
+
+
+__all__ = [
+    "TARGET",
+    "TODAY",
+    "RackWidth",
+    "Rollout",
+    "SpareWidth",
+    "bound_by_budgets",
+    "create_widths",
+    "measure_rollout",
+    "run_rollout",
+]
--- /dev/null
+++ b/packages/bench/tests/test_fleet_rollout.py
@@ -0,0 +1,39 @@
+from __future__ import annotations
+
+from medlarspring_bench.fleet_world import FleetShape, FleetWorld
+from medlarspring_bench.measure.fleet_rollout import (
+    TODAY,
+    SpareWidth,
+    bound_by_budgets,
+    create_widths,
+    run_rollout,
+)
+from medlarspring_systems.wave_width import BudgetWidth
+from medlarspring_tables import VMId, WaveId
+from medlarspring_tables.vms import VMState
+from medlarspring_tables.waves import WaveRecord
+
+
+def test_wave_without_faults_takes_what_the_budgets_alone_allow():
+    width = create_widths()["budgets alone"]
+    rollout = run_rollout(TODAY, width, 0, 1.0, has_faults=False)
+    assert rollout.is_done
+    assert rollout.broken_by_drains == rollout.seconds_under_budget == 0
+    assert rollout.seconds <= 1.05 * bound_by_budgets(TODAY)
+
+
+def test_spare_for_failures_is_left_alone_by_the_rule_that_was_dropped():
+    shape = FleetShape(
+        pools=2, min_available=6, spare_percent=12.5, vms_in_pool=8, zones=4
+    )
+    world = FleetWorld(shape, 1)
+    process = world.processes[0]
+    process.controller.width = SpareWidth(
+        world.config.pools_by_id, world.config.fleet, BudgetWidth()
+    )
+    vm_ids = frozenset(map(VMId, world.platform.rows_by_id))
+    now = world.clock.wall()
+    world.put(WaveRecord(id=WaveId("w"), vm_ids=vm_ids, started_at=now, resumed_at=now))
+    world.run_rounds(1)
+    states = [record.state for record in process.tables.vms_by_id.values()]
+    assert states.count(VMState.DRAINING) == 2
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_controller.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_controller.py
@@ -78,7 +78,7 @@
         self._fence = fence
         self._decisions = decisions
         self._log = log
-        self._width = width
+        self.width = width
         self._unsettled: dict[PoolId, Draft] = {}
         self.is_store_lost = False
         """Whether the last call of the store failed."""
@@ -120,7 +120,7 @@
         if not await self._settle(pool_id):
             return False
         for _ in range(MAX_TRIES):
-            draft = plan_pool(self.tables, config, pool_id, vm_list, now, self._width)
+            draft = plan_pool(self.tables, config, pool_id, vm_list, now, self.width)
             if not draft.records_by_key or await self._write(pool_id, draft):
                 break
             if pool_id in self._unsettled or self.is_store_lost:
--- a/packages/systems/src/medlarspring_systems/availability.py
+++ b/packages/systems/src/medlarspring_systems/availability.py
@@ -16,6 +16,8 @@
 
 REPLACE_AFTER_SECONDS = 300.0
 """A VM that failed on its own for this long is replaced in its pool's count."""
+REPLACE_RACK_AFTER_SECONDS = 120.0
+"""The same for a VM of a lost rack, which no restart of single VMs brings back."""
 
 
 class Health(Enum):
@@ -132,6 +134,7 @@
 
 __all__ = [
     "REPLACE_AFTER_SECONDS",
+    "REPLACE_RACK_AFTER_SECONDS",
     "Availability",
     "Health",
     "count_availability",
--- a/packages/systems/src/medlarspring_systems/vm_progress.py
+++ b/packages/systems/src/medlarspring_systems/vm_progress.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import statistics
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from medlarspring_systems.availability import (
     REPLACE_AFTER_SECONDS,
+    REPLACE_RACK_AFTER_SECONDS,
     count_availability,
     is_rack_lost,
 )
@@ -24,6 +26,7 @@
     serve,
     set_move,
 )
+from medlarspring_systems.wave_width import EVIDENCE_DEPTH
 from medlarspring_tables import VMId, WaveId
 from medlarspring_tables.fleet_tables import key_of_vm
 from medlarspring_tables.moves import MoveId, MoveState
@@ -33,6 +36,7 @@
 if TYPE_CHECKING:
     from medlarspring_systems.draft import Draft
     from medlarspring_tables import PoolRow
+    from medlarspring_tables.fleet_tables import FleetTables
     from medlarspring_tables.vms import VMRecord, VMSighting
 
 _ALIVE = (VMCondition.SERVING, VMCondition.DRAINING, VMCondition.DRAINED)
@@ -40,6 +44,10 @@
 """A drain that takes longer is taken back and reported."""
 RETURN_LIMIT_SECONDS = 900.0
 """A VM that is not back this long after its reboot is given up."""
+MIN_RETURN_LIMIT_SECONDS = 120.0
+LATE_RATIO = 2.5
+"""Given up earlier at this many times the median of those that returned."""
+MIN_RETURNED = 3
 
 
 def plan_progress(draft: Draft, pool: PoolRow, now: float) -> None:
@@ -70,6 +78,10 @@
 def _plan_vm(draft: Draft, vm_id: VMId, now: float) -> None:
     record = draft.vm(vm_id)
     sighting = draft.tables.sightings_by_id.get(vm_id)
+    if _is_lost_with_rack(draft.tables, record, sighting, now):
+        finish_wave(draft, record, Outcome.RACK_LOST, now)
+        give_up(draft, draft.vm(vm_id), Outcome.RACK_LOST.value, now)
+        return
     match record.state:
         case VMState.DRAINING:
             _plan_draining(draft, record, sighting, now)
@@ -83,6 +95,24 @@
             _plan_out(draft, record, sighting, now)
 
 
+def _is_lost_with_rack(
+    tables: FleetTables, record: VMRecord, sighting: VMSighting | None, now: float
+) -> bool:
+    """Say whether a VM in the middle of its maintenance went with its rack.
+
+    Waited for like a single VM, it would keep its pool from being refilled
+    long after the others of the rack have been replaced.
+    """
+    is_down = sighting is None or sighting.condition is VMCondition.DOWN
+    is_waited_for = record.state in (
+        VMState.DRAINING,
+        VMState.REBOOTING,
+        VMState.RESTORING,
+    )
+    is_long = now - record.since > REPLACE_RACK_AFTER_SECONDS
+    return is_waited_for and is_down and is_long and is_rack_lost(tables, record)
+
+
 def _plan_draining(
     draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
 ) -> None:
@@ -121,13 +151,34 @@
 ) -> None:
     if sighting is not None and sighting.condition is VMCondition.SERVING:
         _plan_serving_again(draft, record, sighting, now)
-    elif now - record.since > RETURN_LIMIT_SECONDS:
+    elif now - record.since > find_return_limit(draft.tables, record):
         is_lost = is_rack_lost(draft.tables, record)
         outcome = Outcome.RACK_LOST if is_lost else Outcome.NOT_RETURNED
         finish_wave(draft, record, outcome, now)
         give_up(draft, draft.vm(record.id), outcome.value, now)
 
 
+def find_return_limit(tables: FleetTables, record: VMRecord) -> float:
+    """Return how long a rebooting VM is waited for.
+
+    Once others of its wave have returned, theirs is the measure: a VM that
+    takes several times as long is lost, and each minute it is waited for keeps
+    the room that it takes from the rest of its pool.
+    """
+    if record.cause is None or record.cause.kind is not CauseKind.WAVE:
+        return RETURN_LIMIT_SECONDS
+    finished = tables.finished_by_wave.get(WaveId(record.cause.id), [])
+    returned = [
+        finish.reboot_seconds
+        for finish in finished[-EVIDENCE_DEPTH:]
+        if finish.outcome is Outcome.BACK
+    ]
+    if len(returned) < MIN_RETURNED:
+        return RETURN_LIMIT_SECONDS
+    limit = LATE_RATIO * statistics.median(returned)
+    return min(max(limit, MIN_RETURN_LIMIT_SECONDS), RETURN_LIMIT_SECONDS)
+
+
 def _plan_serving_again(
     draft: Draft, record: VMRecord, sighting: VMSighting, now: float
 ) -> None:
@@ -159,7 +210,7 @@
             drain_again(draft, record, record.pool_id, now)
         else:
             serve(draft, record, "put-back", now)
-    elif now - record.since > RETURN_LIMIT_SECONDS:
+    elif now - record.since > REPLACE_AFTER_SECONDS:
         give_up(draft, record, "put-back-failed", now)
 
 
@@ -193,10 +244,14 @@
     tables = draft.tables
     for vm_id in sorted(tables.vm_ids_by_pool.get(pool.id, ())):
         since = tables.failing_since_by_id.get(vm_id)
-        if since is None or now - since <= REPLACE_AFTER_SECONDS:
+        if since is None or now - since <= REPLACE_RACK_AFTER_SECONDS:
             continue
         record = draft.vm(vm_id)
-        if record.state is VMState.SERVING and record.pool_id == pool.id:
+        if record.state is not VMState.SERVING or record.pool_id != pool.id:
+            continue
+        if is_rack_lost(tables, record):
+            give_up(draft, record, "rack-lost", now)
+        elif now - since > REPLACE_AFTER_SECONDS:
             give_up(draft, record, "failed-on-its-own", now)
 
 
@@ -213,6 +268,7 @@
 __all__ = [
     "DRAIN_LIMIT_SECONDS",
     "RETURN_LIMIT_SECONDS",
+    "find_return_limit",
     "plan_give_up",
     "plan_progress",
 ]
--- a/packages/tables/src/medlarspring_tables/fleet_tables.py
+++ b/packages/tables/src/medlarspring_tables/fleet_tables.py
@@ -69,6 +69,7 @@
     at: float
     vm_id: VMId
     outcome: Outcome = field(compare=False)
+    reboot_seconds: float = field(compare=False)
 
 
 @dataclass(slots=True)
@@ -184,7 +185,9 @@
     def _index_finish(self, record: VMRecord) -> None:
         if record.wave_id is None or record.outcome is None:
             return
-        finish = FinishedVM(record.finished_at, record.id, record.outcome)
+        finish = FinishedVM(
+            record.finished_at, record.id, record.outcome, record.reboot_seconds
+        )
         insort(self.finished_by_wave[record.wave_id], finish)
 
 
