--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.events import Event
 from medlarspring_adapters.upstream_http import (
     STATE_HEADER,
     Reached,
@@ -21,12 +22,10 @@
     HELD_ANSWER_BYTES,
     MAX_KEYED_ANSWER_BYTES,
     create_response,
-    create_upstream_headers,
     hold_answer,
     stream_answer,
 )
 from medlarspring_systems import retry, upstream_health
-from medlarspring_systems.leaving import note_leaving
 from medlarspring_tables.requests import Outcome, Refusal, RefusalKind
 
 if TYPE_CHECKING:
@@ -35,8 +34,9 @@
     from multidict import CIMultiDict
 
     from medlarspring_daemon.services.caller_dispatch import Dispatcher, Turn
+    from medlarspring_daemon.services.caller_reports import CallerReports
     from medlarspring_daemon.services.caller_state import CallerState
-    from medlarspring_tables import PoolId, VMId
+    from medlarspring_tables import PoolId, Seconds, VMId
     from medlarspring_tables.requests import CallerRequest
 
 REFUSES = 503
@@ -52,13 +52,20 @@
     """One caller's request on its way, over all attempts."""
 
     row: CallerRequest
-    caller_headers: CIMultiDict[str]
+    headers: CIMultiDict[str]
+    """As upstream VMs get them."""
     request: web.BaseRequest | None
     """The caller's connection; None when the answer must be held whole."""
     attempts: int = 0
     perhaps_run: bool = False
     """An earlier attempt reached an upstream VM and its end is not known."""
     excluded: set[VMId] = field(default_factory=set)
+    upstream_id: str = ""
+    """Upstream VM of the last attempt."""
+    waited: Seconds = 0.0
+    """Time spent waiting for slots."""
+    replayed: bool = False
+    """Whether the answer is that of an earlier request with the same key."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,12 +83,17 @@
     """Routes requests, sends them and passes answers on."""
 
     def __init__(
-        self, state: CallerState, dispatcher: Dispatcher, client: UpstreamClient
+        self,
+        state: CallerState,
+        dispatcher: Dispatcher,
+        client: UpstreamClient,
+        reports: CallerReports,
     ) -> None:
         self._state = state
         self._node = state.node
         self._dispatcher = dispatcher
         self._client = client
+        self._reports = reports
         self._budget_by_pool: dict[PoolId, retry.RetryBudget] = {}
 
     async def forward(self, exchange: Exchange) -> Result[web.StreamResponse, Refusal]:
@@ -93,6 +105,8 @@
             if not is_successful(turn):
                 return Failure(_after_attempts(turn.failure(), exchange))
             held = turn.unwrap()
+            exchange.upstream_id = held.upstream.id
+            exchange.waited += held.waited
             tried = await self._try(exchange, held, budget)
             exchange.attempts += 1
             if is_successful(tried):
@@ -129,17 +143,16 @@
             self._dispatcher.release(turn)
             return Failure(AttemptFailure(_SLOT_LAPSED, not_run=True))
         linger = LINGER_SECONDS
+        remaining = row.deadline - now
+        exchange.headers["Request-Timeout"] = f"{remaining:.3f}"
         try:
             sent = await self._client.send(
                 Sending(
                     address=upstream.address,
                     method=row.method,
                     target=row.target,
-                    headers=create_upstream_headers(
-                        row, exchange.caller_headers, row.deadline - now
-                    ),
+                    headers=exchange.headers,
                     body=row.body,
-                    timeout=row.deadline - now,
                     header_timeout=retry.choose_header_timeout(
                         budget, row, turn.pool, exchange.attempts, now
                     ),
@@ -171,7 +184,7 @@
         latency = now - turn.began_at
         state = answer.headers.get(STATE_HEADER)
         if state == "leaving":
-            self._note_leaving(turn)
+            self._reports.note_leaving(turn.upstream.id, 0.0, "answer")
         if answer.status == REFUSES and state is not None:
             answer.close()
             upstream_health.note_no_verdict(turn.upstream)
@@ -180,7 +193,9 @@
             return Failure(AttemptFailure(_UPSTREAM_REFUSED, not_run=True))
         streams = exchange.request is not None
         held = await hold_answer(
-            answer, HELD_ANSWER_BYTES if streams else MAX_KEYED_ANSWER_BYTES
+            answer,
+            HELD_ANSWER_BYTES if streams else MAX_KEYED_ANSWER_BYTES,
+            row.deadline - now,
         )
         if not is_successful(held):
             return Failure(self._judge_fault(turn, held.failure()))
@@ -214,7 +229,11 @@
             )
             return Failure(self._judge_fault(turn, fault))
         response, whole = await stream_answer(
-            answer, begin, exchange.request, exchange.row.id
+            answer,
+            begin,
+            exchange.request,
+            exchange.row.id,
+            exchange.row.deadline - self._node.clock.now(),
         )
         self._judge_answer(turn, ok=whole, latency=latency)
         return Success(response)
@@ -223,9 +242,16 @@
         upstreams = self._state.list_upstreams(turn.pool.pool_id)
         now = self._node.clock.now()
         if ok:
-            upstream_health.note_success(turn.upstream, upstreams, latency, now)
+            aside = upstream_health.note_success(turn.upstream, upstreams, latency, now)
         else:
-            upstream_health.note_failure(turn.upstream, upstreams, now)
+            aside = upstream_health.note_failure(turn.upstream, upstreams, now)
+        if aside:
+            self._node.log.warning(
+                Event.UPSTREAM_SET_ASIDE,
+                vm=turn.upstream.id,
+                failures=turn.upstream.failures,
+                latency_ms=round(turn.upstream.latency * 1000, 1),
+            )
 
     def _judge_fault(self, turn: Turn, fault: UpstreamFault) -> AttemptFailure:
         self._judge_answer(turn, ok=False, latency=0.0)
@@ -235,13 +261,6 @@
         refusal = Refusal(kind, outcome, fault.message(), retry_after=1.0)
         return AttemptFailure(refusal, not_run=not_run)
 
-    def _note_leaving(self, turn: Turn) -> None:
-        now = self._node.clock.now()
-        if note_leaving(self._state.upstreams, turn.upstream.id, 0.0, now):
-            self._node.decisions.record(
-                Subject.VM, turn.upstream.id, "no new work", "upstream said leaving"
-            )
-
     def _record_failure(
         self, exchange: Exchange, turn: Turn, failure: AttemptFailure, *, again: bool
     ) -> None:
--- a/packages/daemon/src/medlarspring_daemon/services/slot_home.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_home.py
@@ -7,9 +7,9 @@
 
 from medlarspring_adapters import peer_pb2
 from medlarspring_systems import slots
-from medlarspring_systems.leaving import takes_new_work
+from medlarspring_systems.leaving import note_leaving, takes_new_work
 from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId
-from medlarspring_tables.slots import HomeTable, SlotLedger
+from medlarspring_tables.slots import HomeTable, SlotLedger, Vote
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -17,7 +17,7 @@
     from medlarspring_daemon.node import Node
     from medlarspring_daemon.services.caller_state import CallerState
     from medlarspring_tables import Seconds, ZoneId
-    from medlarspring_tables.slots import EntryVMView, Vote
+    from medlarspring_tables.slots import EntryVMView
     from medlarspring_tables.upstreams import Upstream
 
 EPOCH_BITS = 50
@@ -37,6 +37,9 @@
         # offset keeps an echo of the old process from counting in the new one.
         self._epoch_ms = node.rng.getrandbits(EPOCH_BITS)
         self._started_at = node.clock.now()
+        self._newest_by_asker: dict[EntryVMId, tuple[int, int]] = {}
+        """Incarnation and sequence of the newest request of each asker."""
+        self._former: set[tuple[EntryVMId, int]] = set()
 
     def answer(
         self,
@@ -47,8 +50,11 @@
         """Grant what is free and fair of each VM that is wished for."""
         now = self._node.clock.now()
         asker = EntryVMId(request.sender)
-        zone_by_id = {view.id: view.zone_id for view in views}
-        self._take_demand(request, zone_by_id.get(asker), now)
+        if self._is_late(asker, request):
+            return peer_pb2.SlotReply(
+                sender=self._node.id, incarnation=self._node.incarnation
+            )
+        self._take_demand(request, now)
         reply = peer_pb2.SlotReply(
             sender=self._node.id,
             incarnation=self._node.incarnation,
@@ -61,6 +67,9 @@
             upstream = self._state.upstreams.upstreams_by_id.get(VMId(wish.vm))
             if upstream is None:
                 continue
+            if wish.leaving:
+                age = wish.leaving_age_ms / 1000.0
+                note_leaving(self._state.upstreams, upstream.id, age, now)
             key = (upstream.pool_id, upstream.zone_id)
             parts = parts_by_pool.get(key)
             if parts is None:
@@ -69,15 +78,13 @@
             ledger = self._table.ledgers_by_vm.setdefault(upstream.id, SlotLedger())
             if wish.backs and echoed_at is not None:
                 slots.take_vote(ledger, asker, echoed_at)
-            vote = votes_by_vm.get(upstream.id)
+            group = slots.list_group(upstream.zone_id, views)
             capacity = slots.count_capacity(
                 ledger,
                 upstream.slots,
-                slots.list_group(upstream.zone_id, views),
+                group,
                 self._node.id,
-                own_vote=vote is not None
-                and vote.home == self._node.id
-                and now >= vote.blocked_until,
+                votes_by_vm.get(upstream.id, Vote()),
                 now=now,
                 policy=self._policy,
             )
@@ -96,30 +103,40 @@
                 vm=upstream.id,
                 slots=granted,
                 ttl_ms=int(self._policy.grant_seconds * 1000),
+                foreign=slots.count_foreign(ledger, group, now, self._policy),
             )
         return reply
 
+    def _is_late(self, asker: EntryVMId, request: peer_pb2.SlotRequest) -> bool:
+        """Whether a newer request of the asker was answered already.
+
+        A request that was held up says what its asker held then. Taken for
+        new, it would free slots that the asker was granted since.
+        """
+        newest = self._newest_by_asker.get(asker)
+        this = (request.incarnation, request.sequence)
+        if newest is not None and newest[0] == this[0] and this[1] <= newest[1]:
+            return True
+        if (asker, request.incarnation) in self._former:
+            return True
+        if newest is not None and newest[0] != this[0]:
+            self._former.add((asker, newest[0]))
+        self._newest_by_asker[asker] = this
+        return False
+
     def _read_echo(self, echo_ms: int, now: Seconds) -> Seconds | None:
         echoed_at = (echo_ms - self._epoch_ms) / 1000.0
         return echoed_at if self._started_at - 1.0 <= echoed_at <= now else None
 
-    def _take_demand(
-        self, request: peer_pb2.SlotRequest, zone_id: ZoneId | None, now: Seconds
-    ) -> None:
+    def _take_demand(self, request: peer_pb2.SlotRequest, now: Seconds) -> None:
         counts_by_pool: dict[PoolId, dict[PartnerId, int]] = defaultdict(dict)
         for usage in request.demand:
             counts = counts_by_pool[PoolId(usage.pool)]
             if usage.partner:
                 counts[PartnerId(usage.partner)] = usage.waiting + usage.running
         for pool_id, counts in counts_by_pool.items():
-            slots.take_demand(
-                self._table,
-                pool_id,
-                EntryVMId(request.sender),
-                counts,
-                same_zone=zone_id == self._state.zone_id,
-                now=now,
-            )
+            asker = EntryVMId(request.sender)
+            slots.take_demand(self._table, pool_id, asker, counts, now)
 
     def _divide(self, upstream: Upstream, now: Seconds) -> dict[EntryVMId, float]:
         config = self._node.config
--- a/packages/tables/src/medlarspring_tables/fleet_tables.py
+++ b/packages/tables/src/medlarspring_tables/fleet_tables.py
@@ -69,6 +69,7 @@
     at: float
     vm_id: VMId
     outcome: Outcome = field(compare=False)
+    reboot_seconds: float = field(compare=False)
 
 
 @dataclass(slots=True)
@@ -103,6 +104,23 @@
         """Return the revision of a key's last known change; 0 if absent."""
         return self.revisions_by_key.get(key, ABSENT)
 
+    def find(self, key: str) -> FleetRecord | None:
+        """Return the record kept under a store key."""
+        kind, _, id_ = key.removeprefix(FLEET_PREFIX).partition("/")
+        match kind:
+            case "vms":
+                return self.vms_by_id.get(VMId(id_))
+            case "disruptions":
+                return self.disruptions_by_pool.get(PoolId(id_))
+            case "zones":
+                return self.disruptions_by_zone.get(ZoneId(id_))
+            case "waves":
+                return self.waves_by_id.get(WaveId(id_))
+            case "moves":
+                return self.moves_by_id.get(MoveId(id_))
+            case _:
+                return None
+
     def put(self, record: FleetRecord, revision: Revision) -> None:
         """Take a record unless a newer one is known."""
         key = key_of(record)
@@ -167,7 +185,9 @@
     def _index_finish(self, record: VMRecord) -> None:
         if record.wave_id is None or record.outcome is None:
             return
-        finish = FinishedVM(record.finished_at, record.id, record.outcome)
+        finish = FinishedVM(
+            record.finished_at, record.id, record.outcome, record.reboot_seconds
+        )
         insort(self.finished_by_wave[record.wave_id], finish)
 
 
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -50,6 +50,10 @@
     """The worker was told to checkpoint or stop; it may still run it."""
 
 
+ROUNDING = 1e-9
+"""Sums of floats that went up and down again may be off by this much."""
+
+
 class Size(Struct, frozen=True):
     """Processors, memory and accelerators."""
 
@@ -82,9 +86,6 @@
         )
 
 
-ROUNDING = 1e-9
-"""Sums of floats that went up and down again may be off by this much."""
-
 NO_SIZE = Size(0.0, 0.0, 0)
 
 
@@ -126,6 +127,8 @@
     state: JobState = JobState.WAITING
     attempt: Attempt | None = None
     attempts_made: int = 0
+    least: Size = NO_SIZE
+    """Least to set aside, from attempts that ended for want of memory."""
     failed_on: tuple[VMId, ...] = ()
     """Different workers on which the job failed, oldest first."""
     checkpoint: str = ""
@@ -173,6 +176,9 @@
 
     cpu_ratios: deque[float] = field(default_factory=lambda: deque(maxlen=64))
     memory_ratios: deque[float] = field(default_factory=lambda: deque(maxlen=64))
+    cpu_ratio: float = 1.0
+    """What to set aside for each declared processor."""
+    memory_ratio: float = 1.0
 
 
 Ranked = tuple[Seconds, JobId]
@@ -203,6 +209,11 @@
     held: Size = NO_SIZE
     """Sum over all attempts."""
     spare_percent: float = 10.0
+    changes: int = 0
+    """Counts what may let a waiting job start: ends, workers, partners, jobs."""
+    settled_at_change: int = -1
+    """The count at which the last round found nothing more to place."""
+    settled_at: Seconds = 0.0
     old_by_id: dict[JobId, Job] = field(default_factory=dict)
     """Records as they stood before changes that are not yet written."""
 
