--- a/packages/bench/src/medlarspring_bench/measure/requests_processes.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_processes.py
@@ -126,7 +126,7 @@
     """Open the caller port of one entry VM with all its policy."""
     clock = SystemClock()
     node = create_node(
-        _create_settings(),
+        create_settings(),
         clock,
         random.Random(1),
         create_event_log(EntryVMId("e1"), "WARNING"),
@@ -162,12 +162,13 @@
     await part.stop()
 
 
-def _create_settings() -> Settings:
+def create_settings(entry_vm: str = "e1", zone: str = "a") -> Settings:
+    """Return settings that open ports of the kernel's choice."""
     local = "127.0.0.1:0"
     nowhere = "127.0.0.1:1"
     token_file = Path("unused")
     return Settings(
-        entry_vm=EntryVMSection(id="e1", zone="a", region="c"),
+        entry_vm=EntryVMSection(id=entry_vm, zone=zone, region="c"),
         caller=CallerSection(listen=local),
         operator=OperatorSection(listen=local, token_file=token_file),
         peer=PeerSection(listen=local, token_file=token_file),
--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import TYPE_CHECKING
@@ -23,6 +24,9 @@
     from medlarspring_tables import EntryVMId, PartnerId, PoolId, Seconds, VMId, ZoneId
     from medlarspring_tables.slots import EntryVMView, HomeTable, SlotLedger, Vote
 
+FADE_SECONDS = 1.0
+"""Time constant with which demand that is gone fades."""
+NO_DEMAND = 0.5
 ROUNDING = 1e-9
 HASH_RANGE = float(1 << 64)
 
@@ -172,9 +176,22 @@
     count_by_partner: dict[PartnerId, int],
     now: Seconds,
 ) -> None:
-    """Remember what an asker has to do."""
+    """Remember what an asker has to do; less than before counts gradually.
+
+    Queues of the moment go up and down. If each dip moved a slot to another
+    entry VM, slots would always be on their way and never in use.
+    """
     demand = table.demand_by_pool.setdefault(pool_id, {})
-    demand[asker] = AskerDemand(count_by_partner, now)
+    counts: dict[PartnerId, float] = dict(count_by_partner)
+    former = demand.get(asker)
+    if former is not None:
+        kept = math.exp((former.told_at - now) / FADE_SECONDS)
+        for partner_id, before in former.count_by_partner.items():
+            count = counts.get(partner_id, 0.0)
+            faded = count + kept * (before - count)
+            if count < before and faded > NO_DEMAND:
+                counts[partner_id] = faded
+    demand[asker] = AskerDemand(counts, now)
 
 
 def divide_pool(
@@ -198,10 +215,10 @@
     }
     if len(fresh) < len(demand):
         table.demand_by_pool[pool_id] = fresh
-    total_by_partner: dict[PartnerId, int] = {}
+    total_by_partner: dict[PartnerId, float] = {}
     for told in fresh.values():
         for partner_id, count in told.count_by_partner.items():
-            total = total_by_partner.get(partner_id, 0)
+            total = total_by_partner.get(partner_id, 0.0)
             total_by_partner[partner_id] = total + count
     share_by_partner = divide_fairly(total_by_partner, weights_by_partner, pool_slots)
     return {
@@ -216,7 +233,7 @@
 
 
 def divide_fairly(
-    demand: Mapping[PartnerId, int],
+    demand: Mapping[PartnerId, float],
     weights: Mapping[PartnerId, float],
     slots: float,
 ) -> dict[PartnerId, float]:
@@ -237,7 +254,7 @@
                 shares[partner] = level * weights.get(partner, 1.0)
             break
         for partner in full:
-            shares[partner] = float(demand[partner])
+            shares[partner] = demand[partner]
             left -= demand[partner]
         open_partners = [partner for partner in open_partners if partner not in full]
     return shares
--- a/packages/tables/src/medlarspring_tables/slots.py
+++ b/packages/tables/src/medlarspring_tables/slots.py
@@ -39,7 +39,7 @@
 class AskerDemand:
     """What one entry VM has running and waiting in one pool, by partner."""
 
-    count_by_partner: dict[PartnerId, int] = field(default_factory=dict)
+    count_by_partner: dict[PartnerId, float] = field(default_factory=dict)
     told_at: Seconds = 0.0
 
 
