--- a/packages/bench/src/medlarspring_bench/standins/key_value.py
+++ b/packages/bench/src/medlarspring_bench/standins/key_value.py
@@ -24,6 +24,7 @@
 from medlarspring_bench.standins.server import (
     GATE_KEY,
     MAX_BODY_BYTES,
+    READ_KEY,
     GatedApp,
     announce,
     create_control_app,
@@ -41,6 +42,7 @@
 
 LEASE_TICK_SECONDS = 0.05
 KEPT_SECONDS = 600
+READ_KINDS = frozenset({"range", "lease_keepalive", "lease_timetolive"})
 INVALID_ARGUMENT = 3
 NOT_FOUND = 5
 
@@ -140,6 +142,7 @@
     ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
         async def handle(request: web.Request) -> web.StreamResponse:
             self.counts.count(kind, _client(request))
+            request[READ_KEY] = kind in READ_KINDS
             body = await request.read()
             await asyncio.sleep(self._delay_seconds)
             try:
--- /dev/null
+++ b/tests/test_zone_cut.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from pytest_bdd import parsers, scenarios, then
+
+from medlarspring_bench.cluster import ClusterOptions
+from medlarspring_bench.history import Seen
+
+if TYPE_CHECKING:
+    from medlarspring_bench.story import Story
+
+scenarios("features/zone_cut.feature")
+
+
+@pytest.fixture(scope="module")
+def cluster_options() -> ClusterOptions:
+    return ClusterOptions(upstream_processes=1, lag_seconds=1.0, linked=True)
+
+
+@then(
+    parsers.parse(
+        "{count:d} reads through daemon {number:d} are answered"
+        " within {seconds:g} seconds each"
+    )
+)
+def reads_answered(story: Story, count: int, number: int, seconds: float) -> None:
+    for index in range(count):
+        wish = story.create_wish("read", f"read-{number}-{index}")
+        wish.patience_seconds = 0.0
+        call = story.call(wish, number).result(10)
+        attempt = call.attempts[0]
+        assert attempt.seen is Seen.ANSWERED, attempt
+        assert attempt.ended_at - attempt.sent_at < seconds, attempt
+
+
+@then(parsers.parse("a payment through daemon {number:d} is refused as not run"))
+def payment_refused(story: Story, number: int) -> None:
+    wish = story.create_wish("payment", "cut")
+    wish.patience_seconds = 0.0
+    call = story.call(wish, number).result(20)
+    assert call.seen is Seen.NOT_RUN, call.attempts
+    story.refused_on_purpose.add(call.id)
+
+
+@then(parsers.parse("at least {percent:g} % of the batch are answered"))
+def batch_answered(story: Story, percent: float) -> None:
+    found = story.answered_percent()
+    assert found >= percent, story.describe_unanswered()
