Close the store's connections on shutdown; log a lost store after a short watch

Seen to fail first: a daemon cut off from the store within a second of its watch's start never logged the loss, since the short watch had counted as a failure; and each shutdown left the store's session unclosed.

--- a/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -177,8 +177,10 @@
         """Close all connections."""
         if self._session is not None:
             await self._session.close()
-        for task in self._retired:
+        retired = list(self._retired)
+        for task in retired:
             task.cancel()
+        await asyncio.gather(*retired, return_exceptions=True)
 
     async def _stream(
         self, prefix: str, start: Revision
--- a/packages/adapters/src/medlarspring_adapters/store_meter.py
+++ b/packages/adapters/src/medlarspring_adapters/store_meter.py
@@ -11,7 +11,7 @@
 import copy
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, TypeVar, cast
+from typing import TYPE_CHECKING, Protocol, TypeVar, cast, runtime_checkable
 
 from returns.result import Failure, Result
 
@@ -110,6 +110,15 @@
     """When the first call failed that no answered call has followed."""
 
 
+@runtime_checkable
+class Closeable(Protocol):
+    """A store that keeps connections open."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+        ...
+
+
 class MeteredStore:
     """Passes calls on to a store, counts them and keeps to the budgets."""
 
@@ -136,6 +145,11 @@
             return 0.0
         return max(self._clock.now() - self.calls.failing_since, 0.001)
 
+    async def close(self) -> None:
+        """Close the connections of the inner store, if it has any."""
+        if isinstance(self._inner, Closeable):
+            await self._inner.close()
+
     async def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the key's entry, or None if it is absent."""
         return await self._pass(_classify(key), self._inner.read, key)
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/services/__init__.py
@@ -16,6 +16,7 @@
 from medlarspring_daemon.services.job_service import create_job_service
 from medlarspring_daemon.services.operator_service import create_operator_service
 from medlarspring_daemon.services.peer_service import create_peer_service
+from medlarspring_daemon.services.store_service import create_store_service
 from medlarspring_daemon.services.vm_list_service import create_vm_list_service
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
     vm_list = create_vm_list_service(node)
     peers = create_peer_service(node)
     return [
+        create_store_service(node),
         vm_list,
         peers,
         create_config_service(node, peers),
--- a/packages/daemon/src/medlarspring_daemon/services/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/config_service.py
@@ -34,7 +34,6 @@
 CONFIG_KEY = "config/table"
 TICK_SECONDS = 0.25
 SHORT_WATCH_SECONDS = 1.0
-RESUME_SECONDS = 0.25
 
 
 class ConfigService:
@@ -45,6 +44,8 @@
         self._peers = peers
         self._tasks = Tasks(node.log)
         self._failures = 0
+        self._lost = False
+        self._short_watches = 0
         self.is_watching = False
         self._store_state: Verdict | None = None
         self.distribution = Distribution()
@@ -130,12 +131,14 @@
         """Read the table; return the store's revision, None without an answer."""
         answer = await self._node.store.read_prefix(CONFIG_KEY)
         if not isinstance(answer, Success):
-            if self._failures == 0:
+            if not self._lost:
                 reason = str(answer.failure())
                 self._node.log.warning(Event.STORE_LOST, reason=reason)
+            self._lost = True
             return None
-        if self._failures > 0:
+        if self._lost:
             self._node.log.info(Event.STORE_BACK, failures=self._failures)
+        self._lost = False
         self._failures = 0
         listing = answer.unwrap()
         found = [entry for entry in listing.entries if entry.key == CONFIG_KEY]
@@ -164,11 +167,11 @@
             self._note_watching(False)
             return
         # A watch that ends at once would otherwise be a tight loop of calls.
-        if self._node.clock.now() - began < SHORT_WATCH_SECONDS:
-            self._failures += 1
-            await asyncio.sleep(plan_retry(self._failures, self._node.rng))
-            return
-        await asyncio.sleep(self._node.rng.uniform(0, RESUME_SECONDS))
+        if self._node.clock.now() - began >= SHORT_WATCH_SECONDS:
+            self._short_watches = 0
+        else:
+            self._short_watches += 1
+        await asyncio.sleep(plan_retry(self._short_watches, self._node.rng))
 
     async def _watch(self, start: Revision) -> None:
         batches: AsyncGenerator[Any, None]
