Judge a wave's failures in the order of the reboots, not of their ends

Cause: VMs that return are known after minutes, those that do not all at one late moment; by their ends, independent failures stood in a row and paused the wave.

--- a/packages/systems/src/medlarspring_systems/vm_progress.py
+++ b/packages/systems/src/medlarspring_systems/vm_progress.py
@@ -169,7 +169,7 @@
         return RETURN_LIMIT_SECONDS
     finished = tables.finished_by_wave.get(WaveId(record.cause.id), [])
     returned = [
-        finish.reboot_seconds
+        finish.seconds
         for finish in finished[-EVIDENCE_DEPTH:]
         if finish.outcome is Outcome.BACK
     ]
--- a/packages/systems/src/medlarspring_systems/vm_steps.py
+++ b/packages/systems/src/medlarspring_systems/vm_steps.py
@@ -97,7 +97,7 @@
             outcome=outcome,
             finished_at=now,
             maintained_at=now if is_back else record.maintained_at,
-            reboot_seconds=now - record.since if is_back else 0.0,
+            began_at=record.since,
         )
     )
     draft.note(
--- a/packages/systems/src/medlarspring_systems/wave_width.py
+++ b/packages/systems/src/medlarspring_systems/wave_width.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from typing import TYPE_CHECKING, Protocol
 
 from medlarspring_tables.vms import Cause, CauseKind, Outcome
@@ -41,24 +42,39 @@
 
     def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
         """Allow every VM after a proof, else the first of its zone."""
-        finished = find_evidence(draft.tables, wave)
-        if any(finish.outcome is Outcome.BACK for finish in finished):
+        if has_proof(draft.tables, wave):
             return True
         cause = Cause(CauseKind.WAVE, wave.id)
         out = draft.zone_disruptions(vm.zone_id).causes_by_vm.values()
         return cause not in out
 
 
+def has_proof(tables: FleetTables, wave: WaveRecord) -> bool:
+    """Say whether a VM has returned since the wave was last resumed."""
+    for finish in reversed(tables.finished_by_wave.get(wave.id, [])):
+        if finish.began_at < wave.resumed_at:
+            return False
+        if finish.outcome is Outcome.BACK:
+            return True
+    return False
+
+
 def find_evidence(tables: FleetTables, wave: WaveRecord) -> list[FinishedVM]:
-    """Return what ended since the wave was last resumed, oldest first."""
-    finished = tables.finished_by_wave.get(wave.id, [])
-    evidence: list[FinishedVM] = []
-    for finish in reversed(finished):
-        if finish.at < wave.resumed_at or len(evidence) == EVIDENCE_DEPTH:
-            break
-        evidence.append(finish)
-    evidence.reverse()
-    return evidence
+    """Return the last failure and the ends before it, in order of beginning.
+
+    What began after it is left out: of those only the successes are known yet.
+    So is what began before the wave was last resumed.
+    """
+    failed = tables.failed_by_wave.get(wave.id)
+    if not failed:
+        return []
+    finished = tables.finished_by_wave[wave.id]
+    end = bisect_right(finished, failed[-1])
+    return [
+        finish
+        for finish in finished[max(0, end - EVIDENCE_DEPTH) : end]
+        if finish.began_at >= wave.resumed_at
+    ]
 
 
 __all__ = [
@@ -67,4 +83,5 @@
     "CanaryWidth",
     "WidthRule",
     "find_evidence",
+    "has_proof",
 ]
--- a/packages/systems/tests/test_maintenance.py
+++ b/packages/systems/tests/test_maintenance.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
 from medlarspring_systems.draft import Draft
 from medlarspring_systems.vm_progress import RETURN_LIMIT_SECONDS
@@ -14,7 +15,7 @@
 )
 from medlarspring_systems.wave_progress import Step, measure_progress
 from medlarspring_tables import FleetRow, PoolId, VMId, WaveId
-from medlarspring_tables.vms import VMCondition, VMState
+from medlarspring_tables.vms import Outcome, VMCondition, VMState
 from medlarspring_tables.waves import WaveState
 
 
@@ -90,6 +91,39 @@
     assert len(fleet.states(VMState.OUT)) <= lost + 2
 
 
+@pytest.mark.parametrize(
+    ("failed", "is_paused"),
+    [
+        ([3, 9, 15], False),
+        ([3, 4, 5], True),
+        ([3, 4, 10], False),
+        ([0, 4, 8, 12, 16], True),
+    ],
+)
+def test_failures_known_together_are_judged_in_the_order_of_the_reboots(
+    fleet, failed, is_paused
+):
+    """
+    Twenty VMs reboot one after another. Those that return are known within
+    minutes, those that do not all at the same late moment; by the ends they
+    would stand in a row, although others between them came back.
+    """
+    fleet.add_pool("b", vms=20, wanted=20, min_available=20)
+    fleet.start_wave()
+    for number in range(20):
+        is_lost = number in failed
+        outcome = Outcome.NOT_RETURNED if is_lost else Outcome.BACK
+        ended = {
+            "wave_id": WaveId("w"),
+            "outcome": outcome,
+            "began_at": fleet.now + number,
+            "finished_at": fleet.now + (900 if is_lost else 200 + number),
+        }
+        fleet.put(msgspec.structs.replace(fleet.vm(f"b{number}"), **ended))
+    fleet.tick("b")
+    assert (fleet.wave().state is WaveState.PAUSED) == is_paused
+
+
 def test_lost_rack_is_not_blamed_on_the_wave(fleet):
     fleet.add_pool("b", vms=8, wanted=8, min_available=4)
     fleet.start_wave()
--- a/packages/tables/src/medlarspring_tables/fleet_tables.py
+++ b/packages/tables/src/medlarspring_tables/fleet_tables.py
@@ -10,11 +10,11 @@
 from medlarspring_tables.ids import PoolId, Revision, VMId, WaveId, ZoneId
 from medlarspring_tables.moves import MoveId, MoveRecord
 from medlarspring_tables.pools import PoolDisruptions, ZoneDisruptions
-from medlarspring_tables.vms import VMRecord, VMState
+from medlarspring_tables.vms import Outcome, VMRecord, VMState
 from medlarspring_tables.waves import WaveRecord
 
 if TYPE_CHECKING:
-    from medlarspring_tables.vms import Outcome, VMSighting
+    from medlarspring_tables.vms import VMSighting
 
 FleetRecord = VMRecord | PoolDisruptions | ZoneDisruptions | WaveRecord | MoveRecord
 
@@ -64,12 +64,16 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class FinishedVM:
-    """The end of one VM's part in a wave, ordered by time."""
+    """The end of one VM's part in a wave, in the order of the beginnings.
 
-    at: float
+    A VM that returns is known long before one that does not; by their ends,
+    failures of one moment would stand in a row that they do not form.
+    """
+
+    began_at: float
     vm_id: VMId
+    seconds: float = field(compare=False)
     outcome: Outcome = field(compare=False)
-    reboot_seconds: float = field(compare=False)
 
 
 @dataclass(slots=True)
@@ -97,6 +101,10 @@
     finished_by_wave: defaultdict[WaveId, list[FinishedVM]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    failed_by_wave: defaultdict[WaveId, list[FinishedVM]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    """Those of the finished that did not return."""
     open_waves_by_id: dict[WaveId, WaveRecord] = field(default_factory=dict)
     open_moves_by_id: dict[MoveId, MoveRecord] = field(default_factory=dict)
 
@@ -186,9 +194,14 @@
         if record.wave_id is None or record.outcome is None:
             return
         finish = FinishedVM(
-            record.finished_at, record.id, record.outcome, record.reboot_seconds
+            record.began_at,
+            record.id,
+            record.finished_at - record.began_at,
+            record.outcome,
         )
         insort(self.finished_by_wave[record.wave_id], finish)
+        if record.outcome is Outcome.NOT_RETURNED:
+            insort(self.failed_by_wave[record.wave_id], finish)
 
 
 __all__ = [
--- a/packages/tables/src/medlarspring_tables/vms.py
+++ b/packages/tables/src/medlarspring_tables/vms.py
@@ -79,8 +79,8 @@
     """The last wave that ended for this VM, with its outcome and end."""
     outcome: Outcome | None = None
     finished_at: float = 0.0
-    reboot_seconds: float = 0.0
-    """How long the last reboot took, from its intent to the return."""
+    began_at: float = 0.0
+    """Wall time of the intent whose end is ``finished_at``."""
     maintained_at: float = 0.0
     """Wall time of the last reboot it returned from, or of its adoption."""
 
