--- a/packages/systems/src/medlarspring_systems/job_records.py
+++ b/packages/systems/src/medlarspring_systems/job_records.py
@@ -13,11 +13,14 @@
     JobState,
     JobTables,
     JobUrgency,
+    Size,
     Worker,
 )
 
 if TYPE_CHECKING:
-    from medlarspring_tables import JobId, PartnerUse, Seconds, Size, VMId
+    from collections.abc import Callable
+
+    from medlarspring_tables import JobId, PartnerUse, Seconds, VMId
 
 BULK_PENALTY_SECONDS = 600.0
 """A bulk job is overtaken only by jobs submitted up to this much later."""
@@ -145,35 +148,34 @@
 
 
 def _count(tables: JobTables, job: Job) -> None:
-    if job.attempt is None:
-        return
-    size = job.attempt.size
-    tables.held = tables.held.plus(size)
-    if is_lent(job):
-        tables.lent = tables.lent.plus(size)
-    partner = tables.partners_by_id.get(job.partner_id)
-    if partner is not None:
-        partner.held = partner.held.plus(size)
-    worker = tables.workers_by_id.get(job.attempt.vm_id)
+    worker = _add_to_sums(tables, job, Size.plus)
     if worker is not None:
-        worker.set_aside = worker.set_aside.plus(size)
         worker.job_ids.add(job.id)
 
 
 def _uncount(tables: JobTables, job: Job) -> None:
+    worker = _add_to_sums(tables, job, Size.minus)
+    if worker is not None:
+        worker.job_ids.discard(job.id)
+
+
+def _add_to_sums(
+    tables: JobTables, job: Job, change: Callable[[Size, Size], Size]
+) -> Worker | None:
+    """Add what a job's attempt holds to all sums, or take it off again."""
     if job.attempt is None:
-        return
+        return None
     size = job.attempt.size
-    tables.held = tables.held.minus(size)
+    tables.held = change(tables.held, size)
     if is_lent(job):
-        tables.lent = tables.lent.minus(size)
+        tables.lent = change(tables.lent, size)
     partner = tables.partners_by_id.get(job.partner_id)
     if partner is not None:
-        partner.held = partner.held.minus(size)
+        partner.held = change(partner.held, size)
     worker = tables.workers_by_id.get(job.attempt.vm_id)
     if worker is not None:
-        worker.set_aside = worker.set_aside.minus(size)
-        worker.job_ids.discard(job.id)
+        worker.set_aside = change(worker.set_aside, size)
+    return worker
 
 
 def _recount_worker(tables: JobTables, worker: Worker) -> None:
