--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -32,6 +32,7 @@
     PEERS_HEARD = "peers.heard"
     PEER_CALLS = "peers.calls"
     PEER_BYTES = "peers.bytes"
+    PEER_SLOT_BYTES = "peers.slot_bytes"
     POOLS_HELD = "pools.held"
 
 
--- a/packages/bench/src/medlarspring_bench/measure/configuration.py
+++ b/packages/bench/src/medlarspring_bench/measure/configuration.py
@@ -1,7 +1,7 @@
 """Measures configuration and membership with real daemons on this machine.
 
 Run ``python -m medlarspring_bench.measure.configuration PART --daemons 8 16``;
-parts: latency, store-down, cost, takeover, cuts.
+parts: latency, store-down, cost, target-cost, takeover, cuts.
 """
 
 from __future__ import annotations
@@ -16,7 +16,10 @@
 
 import psutil
 
-from medlarspring_bench.measure.configuration_cost import measure_cost
+from medlarspring_bench.measure.configuration_cost import (
+    measure_cost,
+    measure_target_cost,
+)
 from medlarspring_bench.measure.configuration_cuts import measure_cuts
 from medlarspring_bench.measure.configuration_fleet import (
     Fleet,
@@ -106,6 +109,7 @@
     "latency": measure_latency,
     "store-down": measure_store_down,
     "cost": measure_cost,
+    "target-cost": measure_target_cost,
     "takeover": measure_takeover,
     "cuts": measure_cuts,
 }
--- a/packages/bench/src/medlarspring_bench/measure/configuration_cost.py
+++ b/packages/bench/src/medlarspring_bench/measure/configuration_cost.py
@@ -37,13 +37,8 @@
     edits: bool = False
 
 
-LOADS = (
-    Load(5, 40),
-    Load(5, 40, edits=True),
-    Load(370, 40),
-    Load(370, 40, edits=True),
-    Load(5, 830),
-)
+LOADS = (Load(5, 40), Load(5, 40, edits=True))
+TARGET_LOADS = (Load(370, 40), Load(370, 40, edits=True), Load(5, 830))
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,8 +52,17 @@
 
 
 def measure_cost(daemons: int, folder: Path) -> None:
-    """Print the cost of each load, the worst daemon and the mean."""
-    for load in LOADS:
+    """Print the cost with the table and the fleet of today."""
+    _measure_loads(daemons, folder, LOADS)
+
+
+def measure_target_cost(daemons: int, folder: Path) -> None:
+    """Print the cost with the partners or the upstream VMs of the target."""
+    _measure_loads(daemons, folder, TARGET_LOADS)
+
+
+def _measure_loads(daemons: int, folder: Path, loads: tuple[Load, ...]) -> None:
+    for load in loads:
         plan = FleetPlan(
             daemons,
             zones=ZONES,
@@ -76,7 +80,7 @@
     time.sleep(SETTLE_SECONDS)
     before = _read_all(fleet)
     calls_before = fleet.send("key_value", "GET", "calls")
-    peer_before = _read_peer_bytes(fleet)
+    peers_before = _read_peer_bytes(fleet)
     began = time.monotonic()
     while time.monotonic() - began < MEASURED_SECONDS:
         if load.edits:
@@ -85,7 +89,10 @@
     seconds = time.monotonic() - began
     after = _read_all(fleet)
     calls = _count_calls(calls_before, fleet.send("key_value", "GET", "calls"))
-    peer_bytes = (_read_peer_bytes(fleet) - peer_before) / seconds
+    reports, slots = (
+        (late - early) / seconds / len(before) / 1000
+        for early, late in zip(peers_before, _read_peer_bytes(fleet), strict=True)
+    )
     cpu = [
         100 * (after[each].cpu_seconds - before[each].cpu_seconds) / seconds
         for each in before
@@ -102,7 +109,7 @@
         f" cpu mean {sum(cpu) / count:.2f}% worst {max(cpu):.2f}%"
         f"  memory mean {sum(memory) / count:.1f} worst {max(memory):.1f} MB"
         f"  http mean {sum(http) / count / 1000:.2f} worst {max(http) / 1000:.2f} KB/s"
-        f"  peers mean {peer_bytes / count / 1000:.2f} KB/s"
+        f"  reports mean {reports:.2f} slots mean {slots:.2f} KB/s"
         f"  store calls/s { ({k: round(v / seconds, 2) for k, v in calls.items()}) }",
         flush=True,
     )
@@ -126,10 +133,15 @@
     )
 
 
-def _read_peer_bytes(fleet: Fleet) -> float:
-    """Return what all daemons together have exchanged, as they counted it."""
-    metrics: dict[str, Any] = fleet.send("statsd", "GET", "metrics")
-    return float(metrics.get("counters", metrics).get("medlarspring.peers.bytes", 0))
+def _read_peer_bytes(fleet: Fleet) -> tuple[float, float]:
+    """Return bytes of reports and of slot calls, as all daemons counted them.
+
+    A report is counted by both sides, a slot call by the one that asks.
+    """
+    counters: dict[str, Any] = fleet.send("statsd", "GET", "metrics")["counters"]
+    reports = counters.get("medlarspring.peers.bytes", 0)
+    slots = counters.get("medlarspring.peers.slot_bytes", 0)
+    return reports, slots * 2
 
 
 def _count_calls(before: dict[str, Any], after: dict[str, Any]) -> dict[str, int]:
@@ -140,4 +152,4 @@
     return {kind: count for kind, count in counts.items() if count}
 
 
-__all__ = ["measure_cost"]
+__all__ = ["measure_cost", "measure_target_cost"]
--- a/packages/daemon/src/medlarspring_daemon/services/control_metrics_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/control_metrics_service.py
@@ -50,6 +50,7 @@
         self._count(Metric.STORE_CALLS_OVER_BUDGET, over_budget)
         self._count(Metric.PEER_CALLS, self._peers.calls)
         self._count(Metric.PEER_BYTES, self._peers.bytes_exchanged)
+        self._count(Metric.PEER_SLOT_BYTES, self._peers.slot_bytes)
         metrics.gauge(Metric.STORE_FAILING_SECONDS, node.store.failing_seconds())
         metrics.gauge(Metric.PEERS_HEARD, len(node.peers.heard_by_id))
         metrics.gauge(Metric.POOLS_HELD, len(node.holders.held_pools()))
--- a/packages/daemon/src/medlarspring_daemon/services/peer_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/peer_service.py
@@ -53,6 +53,7 @@
         self.news = asyncio.Event()
         """Set when a report named a newer table than that in force."""
         self.bytes_exchanged = 0
+        self.slot_bytes = 0
         self.calls = 0
         self._reports = ReportBuilder(node, self.members)
         self._answers = PeerAnswers(node, self._reports, self)
@@ -139,6 +140,9 @@
             return Failure(PeerUnreachable(entry_vm_id, "it is not known"))
         answer = await self._open_client(member).grant_slots(request, timeout_seconds)
         self._note_answer(member, answer)
+        self.slot_bytes += request.ByteSize() + FRAMING_BYTES
+        if isinstance(answer, Success):
+            self.slot_bytes += answer.unwrap().ByteSize()
         return answer
 
     async def fetch_table(
