--- a/packages/systems/src/medlarspring_systems/holders.py
+++ b/packages/systems/src/medlarspring_systems/holders.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.rendezvous import rank
@@ -69,11 +70,11 @@
     fit = [
         member.id for member in members if member.store_failing < STORE_FAILING_SECONDS
     ]
-    candidates = [holdings.own_id, *fit]
+    candidates = tuple(sorted([holdings.own_id, *fit]))
+    preferred_by_id = _find_preferred(tuple(sorted(wanted)), candidates)
     acquire: list[PoolId] = []
     release = [pool for pool in holdings.pools_by_id if pool not in wanted]
-    for pool_id in sorted(wanted):
-        preferred = rank(f"holder/{pool_id}", candidates)[0]
+    for pool_id, preferred in preferred_by_id.items():
         held = holdings.pools_by_id.get(pool_id)
         if held is None:
             if preferred == holdings.own_id:
@@ -84,6 +85,14 @@
     return HolderPlan(acquire=tuple(acquire), release=tuple(release))
 
 
+@lru_cache(maxsize=4)
+def _find_preferred(
+    pool_ids: tuple[PoolId, ...], candidates: tuple[EntryVMId, ...]
+) -> dict[PoolId, EntryVMId]:
+    """Return the preferred holders; both change seldom, and this runs each tick."""
+    return {pool_id: rank(f"holder/{pool_id}", candidates)[0] for pool_id in pool_ids}
+
+
 def _should_hand_over(
     held: HeldPool, preferred: EntryVMId, own_id: EntryVMId, now: Seconds
 ) -> bool:
