--- a/packages/bench/src/medlarspring_bench/measure/configuration.py
+++ b/packages/bench/src/medlarspring_bench/measure/configuration.py
@@ -1,7 +1,7 @@
 """Measures configuration and membership with real daemons on this machine.
 
 Run ``python -m medlarspring_bench.measure.configuration PART --daemons 8 16``;
-parts: latency, store-down, cost, target-cost, takeover, cuts.
+parts: latency, store-down, return, control, cost, target-cost, takeover, cuts.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 
 import psutil
 
+from medlarspring_bench.measure.configuration_control import measure_control
 from medlarspring_bench.measure.configuration_cost import (
     measure_cost,
     measure_target_cost,
@@ -36,6 +37,7 @@
 EDITS = 20
 EDIT_GAP_SECONDS = 0.3
 STORE_DOWN_EDITS = 3
+OUTAGE_SECONDS = 14.0
 HEAL_SECONDS = 9.0
 """Longest wait of a daemon before it asks a store that failed it again."""
 BURST = 50
@@ -92,6 +94,44 @@
         fleet.close()
 
 
+def measure_return(daemons: int, folder: Path) -> None:
+    """Print the store calls of the busiest second after an outage."""
+    fleet = start_ready(FleetPlan(daemons, zones=4), folder)
+    try:
+        time.sleep(OUTAGE_SECONDS)
+        usual = _count_calls(fleet, OUTAGE_SECONDS)
+        fleet.cut_store([*fleet.ids, "operators"], down=True)
+        time.sleep(OUTAGE_SECONDS)
+        fleet.cut_store([*fleet.ids, "operators"], down=False)
+        after = _count_calls(fleet, OUTAGE_SECONDS)
+        at = asyncio.run(fleet.edit(touch))
+        lateness = max(fleet.wait_in_force(fleet.table.revision).values()) - at
+        print(
+            f"{daemons:3d} daemons  calls/s usual {max(usual)}, busiest second after an"
+            f" outage of {OUTAGE_SECONDS:g} s {max(after)}, by second {after};"
+            f" next edit in force after {lateness * 1000:.0f} ms",
+            flush=True,
+        )
+    finally:
+        fleet.close()
+
+
+def _count_calls(fleet: Fleet, seconds: float) -> list[int]:
+    """Return the calls of each second from now on."""
+    counts = []
+    total = _total_calls(fleet)
+    for _ in range(int(seconds)):
+        time.sleep(1.0)
+        now = _total_calls(fleet)
+        counts.append(now - total)
+        total = now
+    return counts
+
+
+def _total_calls(fleet: Fleet) -> int:
+    return sum(fleet.send("key_value", "GET", "calls")["by_kind"].values())
+
+
 def report(daemons: int, what: str, seconds: list[float]) -> None:
     """Print the middle, the 99th percentile and the largest value."""
     ordered = sorted(seconds)
@@ -108,6 +148,8 @@
 PARTS: dict[str, Callable[[int, Path], None]] = {
     "latency": measure_latency,
     "store-down": measure_store_down,
+    "return": measure_return,
+    "control": measure_control,
     "cost": measure_cost,
     "target-cost": measure_target_cost,
     "takeover": measure_takeover,
