--- a/packages/bench/src/medlarspring_bench/cluster.py
+++ b/packages/bench/src/medlarspring_bench/cluster.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from medlarspring_bench.control_client import call, control
+from medlarspring_bench.processes import RECEIVED_AT
 from medlarspring_bench.waiting import wait_for
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
 OPERATOR_TOKEN = "operator-token-of-the-demo"
 PEER_TOKEN = "peer-token-of-the-demo"
 EXIT_SECONDS = 40.0
+POOL_HELD = 4020
 
 
 class DaemonAddresses(Struct):
@@ -158,27 +160,71 @@
         )
 
     def run_cli(self, *arguments: str, status: int | None = 0) -> str:
-        """Run ``medlarspring`` against all daemons; returns what it wrote."""
-        name = f"medlarspring {' '.join(arguments[:2])}"
-        command = [sys.executable, "-m", "medlarspring_cli.application", *arguments]
-        addresses = ",".join(one.operator for one in self.daemons_by_id.values())
-        process = self.processes.start(
+        """Run ``medlarspring`` to its end; returns what it wrote."""
+        process = self.start_cli(f"medlarspring {' '.join(arguments[:2])}", *arguments)
+        found = process.wait(EXIT_SECONDS)
+        if status is not None and found != status:
+            raise AssertionError(f"{process.name}: {found}\n{process.output()}")
+        return process.output()
+
+    def start_cli(self, name: str, *arguments: str) -> Process:
+        """Start ``medlarspring`` with the addresses of all daemons.
+
+        Faults of one daemon hit the first; the operators ask the last one first.
+        """
+        known = reversed(self.daemons_by_id.values())
+        addresses = ",".join(addresses.operator for addresses in known)
+        return self.processes.start(
             name,
-            command,
+            [sys.executable, "-m", "medlarspring_cli.application", *arguments],
             {
                 "MEDLARSPRING_ADDRESS": addresses,
                 "MEDLARSPRING_TOKEN_FILE": str(self._token_file("operator")),
             },
         )
-        found = process.wait(EXIT_SECONDS)
-        if status is not None and found != status:
-            raise AssertionError(f"{name}: status {found}\n{process.output()}")
-        return process.output()
+
+    def ask_operator_port(
+        self, method: str, path: str, body: object = None, number: int = 0
+    ) -> Any:
+        """Call the operator port of a daemon, of the last one by default."""
+        id_ = self.daemon_id(number or len(self.zones_by_id))
+        address = self.daemons_by_id[id_].operator
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        reply = call(method, address, path, body, headers)
+        if reply.status >= 400:
+            raise AssertionError(f"{method} {path}: {reply.status} {reply.body!r}")
+        return reply.json()
+
+    def find_holder(self, pool: str) -> str:
+        """Return the daemon that last began to hold a pool's control work."""
+
+        def newest() -> str:
+            began_by_id = {
+                id_: max(
+                    (
+                        record[RECEIVED_AT]
+                        for record in self.processes.by_name[id_].records(POOL_HELD)
+                        if record["pool"] == pool
+                    ),
+                    default=0.0,
+                )
+                for id_ in self.zones_by_id
+                if self.processes.by_name[id_].status is None
+            }
+            id_ = max(began_by_id, key=lambda one: began_by_id[one])
+            return id_ if began_by_id[id_] else ""
+
+        return wait_for(newest, f"a holder of {pool}", 20.0)
 
     def restart_daemon(self, id_: str) -> None:
         """Start a daemon that ended, on new ports, and tell the platform."""
         self.start_daemon(id_)
         self.wait_for_daemon(id_)
+        self.tell_platform(id_)
+        self.wait_until_serving(id_)
+
+    def tell_platform(self, id_: str) -> None:
+        """Show a restarted daemon's new addresses in the list and the balancer."""
         entries = self._list_entries()
         address = self.vm_list["control"]
         for entry in entries:
@@ -187,7 +233,6 @@
         if self.options.linked:
             self._link_zones(entries)
         self.set_backends(dict.fromkeys(self.zones_by_id, 1.0))
-        self.wait_until_serving(id_)
 
     def store_faults(self, **faults: object) -> None:
         """Switch faults of the key-value service."""
