--- a/packages/daemon/src/medlarspring_daemon/main.py
+++ b/packages/daemon/src/medlarspring_daemon/main.py
@@ -18,7 +18,7 @@
 from medlarspring_daemon.node import create_node
 from medlarspring_daemon.services import create_parts, create_store
 from medlarspring_daemon.settings import read_settings
-from medlarspring_tables import EntryVMId
+from medlarspring_tables import EntryVMId, MedlarspringError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -28,9 +28,27 @@
     from medlarspring_daemon.settings import Settings
 
 EXIT_SETTINGS = 2
+EXIT_PORT = 3
 SHUTDOWN_MARGIN_SECONDS = 10.0
 
 
+class PortUnavailable(MedlarspringError):
+    """A port of the settings can't be opened."""
+
+    code = "port-unavailable"
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+    def message(self) -> str:
+        """Say which port and what to do."""
+        return (
+            f"A port can't be opened ({self.reason}). End the process that uses it, or"
+            " change the listen key of the settings."
+        )
+
+
 class DaemonService(aiomisc.Service):
     """Starts the parts in order and stops them in reverse."""
 
@@ -43,7 +61,10 @@
     async def start(self) -> None:
         """Start every part, then log the addresses of the open ports."""
         for part in self._parts:
-            await part.start()
+            try:
+                await part.start()
+            except OSError as error:
+                raise PortUnavailable(error.strerror or str(error)) from error
             self._started.append(part)
         self._node.log.info(Event.LISTENING, **self._node.addresses)
 
@@ -101,7 +122,11 @@
     if options.check:
         print(f"{options.settings}: the settings are complete and valid")
         return 0
-    _run(settings.unwrap())
+    try:
+        _run(settings.unwrap())
+    except MedlarspringError as error:
+        print(f"{options.settings}: {error.message()}", file=sys.stderr)
+        return EXIT_PORT
     return 0
 
 
--- a/packages/daemon/src/medlarspring_daemon/services/audit_reader.py
+++ b/packages/daemon/src/medlarspring_daemon/services/audit_reader.py
@@ -44,6 +44,7 @@
             msgspec.json.decode(entry.value, type=AuditRecord)
             for entry in listing.unwrap().entries
         ]
+        page.sort(key=lambda record: (record.revision, record.at))
         found = [record for record in page if matches(record, wanted)]
         records = found + records
         is_old = bool(page) and page[-1].at < wanted.since
