Pass over a daemon that takes connections and doesn't answer

With a paused daemon first in the addresses, each call of a command waited 30 s for it (seen by the process scenarios: a 'table set' of two calls didn't end in 40 s). Of several daemons each is asked for a sign of life first, for at most 2 s, and one that answered is asked first from then on.

--- a/packages/cli/src/medlarspring_cli/client.py
+++ b/packages/cli/src/medlarspring_cli/client.py
@@ -24,6 +24,8 @@
 CONNECT_SECONDS = 3.0
 ANSWER_SECONDS = 30.0
 """Longer than a daemon takes over one edit, so that its verdict is heard."""
+PROBE_SECONDS = 2.0
+"""Time for a sign of life from one of several daemons."""
 _TRY_ANOTHER = frozenset({503, 504})
 """The next daemon may be in a zone that reaches the store."""
 
@@ -71,8 +73,14 @@
         is_unknown = False
         async with aiohttp.ClientSession(timeout=_create_timeout()) as session:
             for address in self._addresses:
+                reason = await self._probe(session, address)
+                if reason:
+                    reasons_by_address[address] = reason
+                    continue
                 try:
-                    return await self._send_to(session, address, call)
+                    body = await self._send_to(session, address, call)
+                    self._prefer(address)
+                    return body
                 except aiohttp.ClientConnectorError as error:
                     reasons_by_address[address] = error.strerror or str(error)
                 except (aiohttp.ClientError, TimeoutError) as error:
@@ -86,6 +94,27 @@
                     is_unknown = is_unknown or error.problem.get("status") == 504
         raise _sum_up(call, reasons_by_address, refusal, is_unknown)
 
+    async def _probe(self, session: aiohttp.ClientSession, address: str) -> str:
+        """Return why a daemon gives no sign of life; empty if it does."""
+        # A paused daemon's kernel still takes connections. The operator would wait
+        # the whole time of an answer for it, once for each call of the command,
+        # while the next daemon could have answered at once.
+        if len(self._addresses) == 1:
+            return ""
+        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+        try:
+            async with session.get(f"http://{address}/v1/ping", timeout=timeout):
+                return ""
+        except aiohttp.ClientConnectorError as error:
+            return error.strerror or str(error)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return _describe(error)
+
+    def _prefer(self, address: str) -> None:
+        """Ask this daemon first from now on."""
+        others = (each for each in self._addresses if each != address)
+        self._addresses = (address, *others)
+
     async def _send_to(
         self, session: aiohttp.ClientSession, address: str, call: Call
     ) -> bytes:
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -3,12 +3,15 @@
 import http.server
 import json
 import re
+import socket
 import threading
+import time
 from pathlib import Path
 
 import msgspec
 import pytest
 
+from medlarspring_cli import client
 from medlarspring_cli.application import main
 from medlarspring_cli.commands import COMMANDS
 from medlarspring_tables import ConfigTable
@@ -269,6 +272,21 @@
     assert filled.run(*command, address=address)[0] == 0
 
 
+def test_paused_daemon_is_passed_over(filled, monkeypatch):
+    """
+    The first daemon is paused: its kernel takes the connection, and nobody
+    answers. The command asks the next one after a short wait, and its second
+    call doesn't wait again; nothing was sent, so nothing is unknown.
+    """
+    monkeypatch.setattr(client, "PROBE_SECONDS", 0.2)
+    with socket.create_server(("127.0.0.1", 0)) as paused:
+        address = f"127.0.0.1:{paused.getsockname()[1]},{filled.address}"
+        began = time.monotonic()
+        command = ("table", "set", "partner", "ardhi", "weight=3")
+        assert filled.run(*command, address=address)[0] == 0
+    assert time.monotonic() - began < client.ANSWER_SECONDS / 2
+
+
 def test_errors_are_json_when_asked_for(filled):
     command = ("table", "set", "partner", "ardhi", "weight=0", "--json")
     status, output, errors = filled.run(*command)
--- a/packages/daemon/src/medlarspring_daemon/services/status_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/services/status_routes.py
@@ -26,10 +26,14 @@
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of state and decisions."""
         return [
+            web.get("/v1/ping", self._ping),
             web.get("/v1/status", self._status),
             web.get("/v1/explain/{subject}/{id}", self._explain),
         ]
 
+    async def _ping(self, request: web.Request) -> web.Response:
+        return answer({"entry_vm": self._node.id})
+
     async def _status(self, request: web.Request) -> web.Response:
         return answer(self._reporter.describe())
 
