--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -13,7 +13,7 @@
 
 from medlarspring_cli import client
 from medlarspring_cli.application import main
-from medlarspring_cli.commands import COMMANDS
+from medlarspring_cli.commands import COMMANDS, audit
 from medlarspring_tables import ConfigTable
 
 SHEET = """\
@@ -272,6 +272,25 @@
     assert filled.run(*command, address=address)[0] == 0
 
 
+def test_follow_prints_each_change_once_until_interrupted(filled, monkeypatch):
+    turns = iter(range(3))
+
+    def change_or_interrupt(seconds):
+        turn = next(turns)
+        if turn == 2:
+            raise KeyboardInterrupt
+        if turn == 0:
+            main(["table", "add", "partner", "chombo", "weight=1", *shared])
+
+    shared = ["--address", filled.address, "--token-file", str(filled.token_file)]
+    monkeypatch.setattr(audit.time, "sleep", change_or_interrupt)
+    status, output, _ = filled.run("audit", "--follow", "--kind", "partner")
+    assert status == 0
+    assert output.count("add    partner ardhi") == 1
+    trail = output.split("accepted: table revision 2")[1]
+    assert trail.count("add    partner chombo") == 1
+
+
 def test_paused_daemon_is_passed_over(filled, monkeypatch):
     """
     The first daemon is paused: its kernel takes the connection, and nobody
