Limit the operator port's bodies, headers, connections and times

The port shares CallerServer with the caller port (its limits are a Protocol now): 413, 431, 408 and 503 come at once, and a connection that sends nothing is closed; before, aiohttp held it for ever and answered large headers with 400.

--- a/packages/cli/src/medlarspring_cli/exit_codes.py
+++ b/packages/cli/src/medlarspring_cli/exit_codes.py
@@ -34,6 +34,7 @@
 _BY_STATUS = {
     400: ExitCode.USAGE,
     401: ExitCode.NOT_AUTHORISED,
+    408: ExitCode.UNKNOWN,
     500: ExitCode.UNKNOWN,
     503: ExitCode.STORE_UNAVAILABLE,
     504: ExitCode.UNKNOWN,
--- a/packages/daemon/src/medlarspring_daemon/services/caller_connections.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_connections.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
@@ -23,13 +23,35 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from medlarspring_daemon.settings import CallerSection
-
 SWEEP_SECONDS = 1.0
 STALL_SECONDS = 10.0
 """A caller that reads nothing of its answer for so long is cut off."""
 
 
+class PortLimits(Protocol):
+    """Limits of an HTTP port."""
+
+    @property
+    def max_header_bytes(self) -> int:
+        """Largest line or header field of a request."""
+        ...
+
+    @property
+    def max_connections(self) -> int:
+        """Connections open at once."""
+        ...
+
+    @property
+    def idle_seconds(self) -> float:
+        """Longest time of a connection without a request."""
+        ...
+
+    @property
+    def body_seconds(self) -> float:
+        """Longest time in which a request is sent."""
+        ...
+
+
 class CallerConnection(RequestHandler):
     """One connection; remembers since when it waits for a request's head."""
 
@@ -92,10 +114,17 @@
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        settings: CallerSection,
+        settings: PortLimits,
         on_failure: Callable[[BaseException | None], None],
+        *,
+        request_factory: Any = None,
+        handler_cancellation: bool = True,
     ) -> None:
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(
+            handler,
+            request_factory=request_factory,
+            handler_cancellation=handler_cancellation,
+        )
         self._settings = settings
         self.on_failure = on_failure
         self._options: dict[str, Any] = {
@@ -171,4 +200,4 @@
     "The entry VM failed; see event 2001 in its log.",
 )
 
-__all__ = ["CallerServer"]
+__all__ = ["CallerServer", "PortLimits"]
--- a/packages/daemon/src/medlarspring_daemon/services/operator_answers.py
+++ b/packages/daemon/src/medlarspring_daemon/services/operator_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -36,9 +37,13 @@
     "bad-request": 400,
     "sheet-unreadable": 400,
     "request-failed": 500,
+    "body-too-large": 413,
+    "request-too-slow": 408,
 }
 """HTTP status of each refusal; all others are 422, understood and refused."""
 REFUSED = 422
+BODY_SECONDS = 10.0
+"""Longest time for the body of a request."""
 
 
 class BadRequest(MedlarspringError):
@@ -84,6 +89,40 @@
         return f"There is no {self.what}; {self.remedy}."
 
 
+class BodyTooLarge(MedlarspringError):
+    """The body of the request is over the port's limit."""
+
+    code = "body-too-large"
+
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(max_bytes)
+        self.max_bytes = max_bytes
+
+    def message(self) -> str:
+        """Name the limit."""
+        return (
+            f"The operator port takes at most {self.max_bytes} bytes at once. Nothing"
+            " was changed; send it in smaller parts."
+        )
+
+
+class RequestTooSlow(MedlarspringError):
+    """The request was not sent, or not answered, in time."""
+
+    code = "request-too-slow"
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(seconds)
+        self.seconds = seconds
+
+    def message(self) -> str:
+        """Name the limit; a change may have been made."""
+        return (
+            f"The request took more than {self.seconds:g} s and was given up. A change"
+            " may have been made: repeat it with the same id."
+        )
+
+
 class RequestFailed(MedlarspringError):
     """A fault of the daemon itself."""
 
@@ -123,11 +162,15 @@
         "code": error.code,
         **details,
     }
-    return web.Response(
+    response = web.Response(
         body=msgspec.json.encode(document),
         status=status,
         content_type="application/problem+json",
     )
+    if isinstance(error, BodyTooLarge | RequestTooSlow):
+        # What is left of the body would be taken for the next request.
+        response.force_close()
+    return response
 
 
 class Refusal(Exception):  # noqa: N818
@@ -148,7 +191,11 @@
 async def read_body(request: web.Request, body_type: type[T]) -> T:
     """Decode a JSON body, or end the request with what is wrong with it."""
     try:
-        return msgspec.json.decode(await request.read(), type=body_type)
+        async with asyncio.timeout(BODY_SECONDS):
+            content = await request.read()
+        return msgspec.json.decode(content, type=body_type)
+    except TimeoutError:
+        raise Refusal(RequestTooSlow(BODY_SECONDS)) from None
     except msgspec.DecodeError as error:
         raise Refusal(BadRequest(f"The body is not as wanted: {error}.")) from None
 
@@ -166,10 +213,12 @@
 
 __all__ = [
     "BadRequest",
+    "BodyTooLarge",
     "NotAuthorised",
     "NotFound",
     "Refusal",
     "RequestFailed",
+    "RequestTooSlow",
     "answer",
     "answer_error",
     "read_body",
--- a/packages/daemon/src/medlarspring_daemon/services/operator_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/operator_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hmac
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -11,12 +12,14 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_daemon.services.audit_routes import AuditRoutes
+from medlarspring_daemon.services.caller_connections import CallerServer
 from medlarspring_daemon.services.operator_answers import (
-    BadRequest,
+    BodyTooLarge,
     NotAuthorised,
     NotFound,
     Refusal,
     RequestFailed,
+    RequestTooSlow,
     answer_error,
 )
 from medlarspring_daemon.services.status_routes import StatusRoutes
@@ -30,20 +33,34 @@
 
     Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
-MAX_BODY_BYTES = 4 * 1_048_576
-"""A sheet of the largest table, with room for its quotes and empty cells."""
-IDLE_SECONDS = 30.0
+SHUTDOWN_SECONDS = 5.0
 REQUEST_SECONDS = 40.0
 """Longest time for one request, its body included."""
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorLimits:
+    """Limits of the operator port; some tens of operators and their scripts."""
+
+    max_header_bytes: int = 8_192
+    max_body_bytes: int = 4 * 1_048_576
+    """A sheet of the largest table, with room for its quotes and empty cells."""
+    max_connections: int = 128
+    idle_seconds: float = 30.0
+    body_seconds: float = 10.0
+
+
 class OperatorService:
     """Opens the operator port and answers for the table, audit and status."""
 
     def __init__(self, node: Node) -> None:
         self._node = node
         self._token = b""
+        self._limits = OperatorLimits()
         self._runner: web.AppRunner | None = None
+        self._server: CallerServer | None = None
+        self._listener: asyncio.Server | None = None
+        self._sweep: asyncio.Task[None] | None = None
         self._status = StatusRoutes(node)
         self._editor = TableEditor(
             node.store.bill_to(Mechanism.EDITS),
@@ -59,27 +76,49 @@
         self._token = settings.token_file.read_text(encoding="utf-8").strip().encode()
         app = web.Application(
             middlewares=[self._answer_problems, self._check_token],
-            client_max_size=MAX_BODY_BYTES,
+            client_max_size=self._limits.max_body_bytes,
         )
         app.add_routes(TableRoutes(self._node, self._editor).routes())
         app.add_routes(AuditRoutes(self._node).routes())
         app.add_routes(self._status.routes())
         app.add_routes(self._node.operator_routes)
-        self._runner = web.AppRunner(
-            app, access_log=None, keepalive_timeout=IDLE_SECONDS, shutdown_timeout=5.0
-        )
+        self._runner = web.AppRunner(app)
         await self._runner.setup()
+        inner = self._runner.server
+        assert inner is not None
+        self._server = CallerServer(
+            inner.request_handler,
+            self._limits,
+            self._note_failure,
+            request_factory=inner.request_factory,
+            # An operator who breaks off a command must not stop an edit between
+            # its write and the answer that his retry will look for.
+            handler_cancellation=False,
+        )
+        self._sweep = asyncio.create_task(self._server.sweep())
         host, _, port = settings.listen.rpartition(":")
-        site = web.TCPSite(self._runner, host.strip("[]"), int(port))
-        await site.start()
-        open_host, open_port = self._runner.addresses[0][:2]
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host.strip("[]"), int(port)
+        )
+        open_host, open_port = self._listener.sockets[0].getsockname()[:2]
         self._node.addresses["operator"] = f"{open_host}:{open_port}"
 
     async def stop(self) -> None:
         """Finish the requests in flight and close the port."""
+        if self._listener is not None:
+            self._listener.close()
+        if self._server is not None:
+            self._server.pre_shutdown()
+            await self._server.shutdown(SHUTDOWN_SECONDS)
+        if self._sweep is not None:
+            self._sweep.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _note_failure(self, error: BaseException | None) -> None:
+        self._node.log.error(Event.OPERATOR_FAILED, path="", error=repr(error))
+
     @web.middleware
     async def _answer_problems(
         self, request: web.Request, handler: Handler
@@ -90,9 +129,9 @@
         except Refusal as refusal:
             return answer_error(refusal.error)
         except web.HTTPRequestEntityTooLarge:
-            return answer_error(
-                BadRequest(f"The body is larger than {MAX_BODY_BYTES} bytes.")
-            )
+            return answer_error(BodyTooLarge(self._limits.max_body_bytes))
+        except TimeoutError:
+            return answer_error(RequestTooSlow(REQUEST_SECONDS))
         except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
             what = f"operation {request.method} {request.path}"
             remedy = "this entry VM may run an older version than the command line"
@@ -126,4 +165,4 @@
     return OperatorService(node)
 
 
-__all__ = ["MAX_BODY_BYTES", "OperatorService", "create_operator_service"]
+__all__ = ["OperatorLimits", "OperatorService", "create_operator_service"]
