Learn the service time from answers only, and blame silence on connections first

The first failure of connections closes the VM's idle ones.

Ruled out: the retry budget alone (raised from 20 to 50 tokens at most).

--- a/packages/adapters/src/medlarspring_adapters/upstream_connections.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_connections.py
@@ -35,6 +35,17 @@
         self.idle_by_address: dict[str, int] = {}
         """How many idle connections each ``ip:port`` may have."""
 
+    def drop_idle(self, address: str) -> None:
+        """Close the idle connections to an upstream VM.
+
+        When one connection has gone silent, those opened before it mostly have
+        too. Each would cost one more request its time to find out.
+        """
+        for key in list(self._conns):
+            if f"{key.host}:{key.port}" == address:
+                for protocol, _ in self._conns.pop(key):
+                    protocol.close()
+
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         kept = self._conns.get(key)
         while kept:
--- a/packages/adapters/src/medlarspring_adapters/upstream_http.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_http.py
@@ -39,6 +39,8 @@
 CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
 """The library's own timers are left out but for connecting: a second set of
 timers for each request costs more than the whole admission."""
+SUSPICION_SECONDS = 5.0
+"""After its connections were closed, a VM answers for its silence so long."""
 STATE_HEADER = "Upstream-State"
 """Set by an upstream VM that refuses work, with why: ``full`` or ``leaving``."""
 ID_HEADER = "Request-Id"
@@ -73,11 +75,20 @@
 
     code = "upstream"
 
-    def __init__(self, reached: Reached, detail: str, *, timed_out: bool) -> None:
+    def __init__(
+        self,
+        reached: Reached,
+        detail: str,
+        *,
+        timed_out: bool,
+        old_connection: bool = False,
+    ) -> None:
         super().__init__(reached, detail)
         self.reached = reached
         self.detail = detail
         self.timed_out = timed_out
+        self.old_connection = old_connection
+        """The connection may be at fault rather than the upstream VM."""
 
     def message(self) -> str:
         """Say what failed and what to do."""
@@ -88,6 +99,8 @@
     """One process's connections to all upstream VMs."""
 
     def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._dropped_at_by_address: dict[str, Seconds] = {}
         self.connector = UpstreamConnector(clock)
         self._pooled = _create_session(self.connector)
         self._fresh = _create_session(
@@ -104,6 +117,7 @@
     ) -> Result[aiohttp.ClientResponse, UpstreamFault]:
         """Send a request and return once the answer's headers are in."""
         session = self._fresh if fresh else self._pooled
+        began = self._clock.now()
         try:
             async with asyncio.timeout(sending.header_timeout):
                 response = await session.request(
@@ -117,13 +131,34 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(UpstreamFault(Reached.NO, str(error), timed_out=False))
         except TimeoutError:
+            old = not fresh and self._suspect_connections(sending.address, began)
             return Failure(
-                UpstreamFault(Reached.PERHAPS, "no answer in time", timed_out=True)
+                UpstreamFault(
+                    Reached.PERHAPS,
+                    "no answer in time",
+                    timed_out=True,
+                    old_connection=old,
+                )
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(create_fault(error))
         return _check_answer(response, sending)
 
+    def _suspect_connections(self, address: str, began: Seconds) -> bool:
+        """Whether a request that got no answer may have met a silent connection.
+
+        The idle connections of the upstream VM are closed then. Requests sent
+        after that went over new ones: their silence is the VM's own.
+        """
+        dropped_at = self._dropped_at_by_address.get(address, float("-inf"))
+        if began <= dropped_at:
+            return True
+        if began - dropped_at < SUSPICION_SECONDS:
+            return False
+        self.connector.drop_idle(address)
+        self._dropped_at_by_address[address] = self._clock.now()
+        return True
+
 
 async def read_answer(
     response: aiohttp.ClientResponse, timeout: Seconds
--- a/packages/bench/src/medlarspring_bench/measure/requests_processes.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_processes.py
@@ -61,7 +61,7 @@
 CREDENTIAL = "measure"
 SERVICE = "consent"
 UPSTREAM_SLOTS = 64
-"""So many that slots do not limit what is measured."""
+"""So many that slots do not limit what the cost measurement measures."""
 
 
 async def _open(handler: Handler) -> str:
@@ -122,7 +122,7 @@
     return passed
 
 
-async def serve_caller_port(upstreams: list[str]) -> None:
+async def serve_caller_port(upstreams: list[str], slots: int) -> None:
     """Open the caller port of one entry VM with all its policy."""
     clock = SystemClock()
     node = create_node(
@@ -152,8 +152,8 @@
             rack_id=RackId("r1"),
             zone_id=ZoneId("a"),
             region_id=RegionId("c"),
-            slots=UPSTREAM_SLOTS,
-            connections=8 * UPSTREAM_SLOTS,
+            slots=slots,
+            connections=8 * slots,
         )
     part = create_caller_service(node)
     await part.start()
@@ -182,13 +182,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("kind", choices=["upstream", "bare", "caller-port"])
     parser.add_argument("upstreams", nargs="*")
+    parser.add_argument("--slots", type=int, default=UPSTREAM_SLOTS)
     options = parser.parse_args()
     if options.kind == "upstream":
         run(serve_upstream())
     elif options.kind == "bare":
         run(serve_bare(options.upstreams))
     else:
-        run(serve_caller_port(options.upstreams))
+        run(serve_caller_port(options.upstreams, options.slots))
 
 
 if __name__ == "__main__":
--- a/packages/daemon/src/medlarspring_daemon/services/caller_dispatch.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_dispatch.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Result, Success
@@ -75,7 +76,9 @@
             return Failure(refusal)
         return await self._wait(pool, request, excluded, now)
 
-    def release(self, turn: Turn, linger: Seconds = 0.0) -> None:
+    def release(
+        self, turn: Turn, linger: Seconds = 0.0, *, answered: bool = True
+    ) -> None:
         """Give a slot back, after ``linger`` if its work may still run there."""
         if linger > 0.0:
             # The upstream VM is not told that the answer is no longer awaited
@@ -83,11 +86,12 @@
             # slot is counted as used until that is likely over; otherwise it
             # would be sent more than it has slots for.
             loop = asyncio.get_running_loop()
-            loop.call_later(linger, self.release, turn)
+            loop.call_later(linger, partial(self.release, turn, answered=False))
             return
         turn.upstream.in_use -= 1
+        now = self._clock.now()
         fair_queue.finish(
-            turn.pool, turn.request.partner_id, turn.began_at, self._clock.now()
+            turn.pool, turn.request.partner_id, turn.began_at, now, answered=answered
         )
         if turn.pool.waiting:
             self.pump(turn.pool.pool_id)
--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -254,7 +254,10 @@
             )
 
     def _judge_fault(self, turn: Turn, fault: UpstreamFault) -> AttemptFailure:
-        self._judge_answer(turn, ok=False, latency=0.0)
+        if fault.old_connection:
+            upstream_health.note_no_verdict(turn.upstream)
+        else:
+            self._judge_answer(turn, ok=False, latency=0.0)
         not_run = fault.reached is Reached.NO
         kind = RefusalKind.TIMED_OUT if fault.timed_out else RefusalKind.UPSTREAM_FAILED
         outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
--- a/packages/systems/src/medlarspring_systems/fair_queue.py
+++ b/packages/systems/src/medlarspring_systems/fair_queue.py
@@ -176,15 +176,27 @@
 
 
 def finish(
-    pool: PoolQueue, partner_id: PartnerId, began_at: Seconds, now: Seconds
+    pool: PoolQueue,
+    partner_id: PartnerId,
+    began_at: Seconds,
+    now: Seconds,
+    *,
+    answered: bool = True,
 ) -> None:
-    """Correct the charge by the slot time that was really used."""
+    """Correct the charge by the slot time that was really used.
+
+    Only answered requests tell how long work takes. A slot kept after a
+    give-up would make the service look slow, and requests would be refused
+    for deadlines that can well be met.
+    """
     queue = get_partner_queue(pool, partner_id)
     count_slot_time(queue, now)
     queue.running -= 1
     took = now - began_at
     correction = took - pool.service_seconds
     queue.used = max(0.0, queue.used + to_units(pool, correction, now))
+    if not answered:
+        return
     pool.service_spread += SMOOTHING * (abs(correction) - pool.service_spread)
     pool.service_seconds += SMOOTHING * correction
 
--- a/packages/systems/src/medlarspring_systems/retry.py
+++ b/packages/systems/src/medlarspring_systems/retry.py
@@ -10,7 +10,7 @@
     from medlarspring_tables.requests import CallerRequest, PoolQueue
 
 MAX_ATTEMPTS = 3
-MAX_TOKENS = 20.0
+MAX_TOKENS = 50.0
 FIRST_TOKENS = 5.0
 """Retries allowed before the first success, so that a quiet service has some."""
 
--- /dev/null
+++ b/packages/systems/tests/test_upstream_health.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import pytest
+
+from medlarspring_systems import retry, routing
+from medlarspring_systems.upstream_health import (
+    MAX_ASIDE_SECONDS,
+    begin_work,
+    note_failure,
+    note_success,
+)
+from medlarspring_tables import PoolId, VMId, ZoneId
+from medlarspring_tables.requests import CallerRequest, PoolQueue
+from medlarspring_tables.upstreams import Upstream, UpstreamTable
+
+POOL, ZONE, OTHER_ZONE = PoolId("consent"), ZoneId("z1"), ZoneId("z2")
+
+
+def create_table(count: int = 4, zone: ZoneId = ZONE) -> UpstreamTable:
+    upstreams = [
+        Upstream(
+            VMId(f"vm-{number}"),
+            f"10.0.0.{number}:80",
+            POOL,
+            zone,
+            slots=8,
+            connections=64,
+            credit=8,
+            credit_until=1e9,
+        )
+        for number in range(count)
+    ]
+    return UpstreamTable({each.id: each for each in upstreams}, {POOL: upstreams})
+
+
+def choose(table: UpstreamTable, now: float = 0.0, repeatable: bool = True):
+    return routing.choose_upstream(table, POOL, ZONE, now, repeatable=repeatable)
+
+
+def fail(table: UpstreamTable, index: int, times: int = 3, now: float = 0.0) -> None:
+    pool = table.upstreams_by_pool[POOL]
+    for _ in range(times):
+        note_failure(pool[index], pool, now)
+
+
+def test_failing_vm_is_set_aside_probed_and_brought_back():
+    table = create_table(2)
+    pool = table.upstreams_by_pool[POOL]
+    fail(table, 0)
+    pool[1].in_use = 5
+    assert choose(table) is pool[1]
+    assert choose(table, now=1.5, repeatable=False) is pool[1]
+    probed = choose(table, now=1.5)
+    assert probed is pool[0]
+    begin_work(probed)
+    assert choose(table, now=1.5) is pool[1]
+    note_success(probed, pool, 0.05, 1.6)
+    assert choose(table, now=1.6, repeatable=False) is pool[0]
+
+
+def test_failed_probes_come_ever_more_rarely():
+    table = create_table(2)
+    pool = table.upstreams_by_pool[POOL]
+    fail(table, 0)
+    pauses = []
+    for _ in range(8):
+        until = pool[0].set_aside_until
+        assert until is not None
+        begin_work(pool[0])
+        note_failure(pool[0], pool, until)
+        assert pool[0].set_aside_until is not None
+        pauses.append(pool[0].set_aside_until - until)
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == MAX_ASIDE_SECONDS
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 8])
+def test_bad_signal_never_empties_a_pool(count):
+    """Every VM seems to fail at once, as when the service itself is broken.
+    At least half of the pool goes on being tried."""
+    table = create_table(count)
+    for _ in range(5):
+        for index in range(count):
+            fail(table, index)
+    pool = table.upstreams_by_pool[POOL]
+    kept = sum(1 for upstream in pool if upstream.set_aside_until is None)
+    assert kept >= count / 2
+    assert choose(table) is not None
+
+
+def test_slow_vm_is_set_aside_against_its_pool():
+    table = create_table(4)
+    pool = table.upstreams_by_pool[POOL]
+    for _ in range(20):
+        for upstream in pool:
+            note_success(upstream, pool, 0.8 if upstream is pool[0] else 0.05, 0.0)
+    assert pool[0].set_aside_until is not None
+    assert all(upstream.set_aside_until is None for upstream in pool[1:])
+
+
+def test_service_that_is_slow_as_a_whole_sets_nobody_aside():
+    table = create_table(4)
+    pool = table.upstreams_by_pool[POOL]
+    for _ in range(20):
+        for upstream in pool:
+            note_success(upstream, pool, 2.0, 0.0)
+    assert all(upstream.set_aside_until is None for upstream in pool)
+
+
+def test_own_zone_goes_first_and_another_zone_when_it_is_short():
+    table = create_table(1)
+    (own,) = table.upstreams_by_pool[POOL]
+    (far,) = create_table(1, OTHER_ZONE).upstreams_by_pool[POOL]
+    table.upstreams_by_pool[POOL] = [far, own]
+    own.in_use = 7
+    assert choose(table) is own
+    own.in_use = 8
+    assert choose(table) is far
+
+
+@pytest.mark.parametrize(
+    ("change", "now"),
+    [({"credit": 0}, 0.0), ({"credit_until": 5.0}, 5.0), ({"leaving_since": 0.0}, 1.0)],
+)
+def test_vm_without_credit_or_leaving_gets_no_work(change, now):
+    table = create_table(1)
+    (upstream,) = table.upstreams_by_pool[POOL]
+    for name, value in change.items():
+        setattr(upstream, name, value)
+    assert choose(table, now) is None
+
+
+def create_request(*, repeatable: bool, deadline: float = 10.0) -> CallerRequest:
+    fields = ("r", "p", "consent", POOL, "GET", "/", b"")
+    return CallerRequest(*fields, 0.0, deadline, repeatable=repeatable)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "not_run", "tokens", "attempts", "deadline", "allowed"),
+    [
+        (True, False, 1.0, 1, 10.0, True),
+        (True, False, 0.9, 1, 10.0, False),
+        (True, False, 1.0, 3, 10.0, False),
+        (True, False, 1.0, 1, 1.0, False),
+        (False, False, 9.0, 1, 10.0, False),
+        (False, True, 0.0, 1, 10.0, True),
+        (False, True, 0.0, 3, 10.0, False),
+    ],
+)
+def test_retries_need_permission_budget_and_time(
+    repeatable, not_run, tokens, attempts, deadline, allowed
+):
+    budget = retry.RetryBudget(tokens)
+    request = create_request(repeatable=repeatable, deadline=deadline)
+    decided = retry.may_retry(
+        budget, request, attempts, 0.1, 1.0, certainly_not_run=not_run
+    )
+    assert decided is allowed
+    spent = allowed and not not_run
+    assert budget.tokens == tokens - spent
+
+
+def test_retries_stay_within_their_part_of_the_successes():
+    budget = retry.RetryBudget(0.0)
+    request = create_request(repeatable=True)
+    retries = 0
+    for _ in range(1000):
+        retry.earn(budget, 10.0)
+        retries += retry.may_retry(
+            budget, request, 1, 0.1, 0.0, certainly_not_run=False
+        )
+    assert retries == pytest.approx(100, abs=1)
+
+
+def test_only_the_first_try_of_repeatable_work_is_given_up_early():
+    pool = PoolQueue(POOL, service_seconds=0.1, service_spread=0.01)
+
+    def wait(repeatable: bool, attempts: int) -> float:
+        request = create_request(repeatable=repeatable)
+        budget = retry.RetryBudget()
+        return retry.choose_header_timeout(budget, request, pool, attempts, 0.0)
+
+    assert wait(True, 0) == pytest.approx(0.25)
+    assert wait(True, 1) == 10.0
+    assert wait(False, 0) == 10.0
