--- a/packages/systems/src/medlarspring_systems/vm_steps.py
+++ b/packages/systems/src/medlarspring_systems/vm_steps.py
@@ -97,6 +97,7 @@
             outcome=outcome,
             finished_at=now,
             maintained_at=now if is_back else record.maintained_at,
+            began_at=record.since,
         )
     )
     draft.note(
--- a/packages/systems/src/medlarspring_systems/wave_width.py
+++ b/packages/systems/src/medlarspring_systems/wave_width.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from typing import TYPE_CHECKING, Protocol
 
 from medlarspring_tables.vms import Cause, CauseKind, Outcome
 
 if TYPE_CHECKING:
     from medlarspring_systems.draft import Draft
-    from medlarspring_tables import FleetRow, PoolId, PoolRow
     from medlarspring_tables.fleet_tables import FinishedVM, FleetTables
     from medlarspring_tables.vms import VMRecord
     from medlarspring_tables.waves import WaveRecord
@@ -42,62 +42,46 @@
 
     def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
         """Allow every VM after a proof, else the first of its zone."""
-        finished = find_evidence(draft.tables, wave)
-        if any(finish.outcome is Outcome.BACK for finish in finished):
+        if has_proof(draft.tables, wave):
             return True
         cause = Cause(CauseKind.WAVE, wave.id)
         out = draft.zone_disruptions(vm.zone_id).causes_by_vm.values()
         return cause not in out
 
 
-class SpareWidth:
-    """As the inner rule, but leaves the fleet's spare to failures.
-
-    Spare is pooled, so it is counted over the fleet: what serves above all
-    budgets together. A wave with no VM out may always take one, so that a
-    fleet without spare is maintained too.
-    """
-
-    def __init__(
-        self, pools_by_id: dict[PoolId, PoolRow], fleet: FleetRow, inner: WidthRule
-    ) -> None:
-        self._min_available = sum(row.min_available for row in pools_by_id.values())
-        self._spare_percent = fleet.spare_percent
-        self._inner = inner
-
-    def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
-        """Allow what the inner rule allows while spare stays whole."""
-        if not self._inner.allows(draft, wave, vm):
+def has_proof(tables: FleetTables, wave: WaveRecord) -> bool:
+    """Say whether a VM has returned since the wave was last resumed."""
+    for finish in reversed(tables.finished_by_wave.get(wave.id, [])):
+        if finish.began_at < wave.resumed_at:
             return False
-        tables = draft.tables
-        out = sum(map(len, tables.busy_vm_ids_by_pool.values()))
-        listed_now = len(draft.pool_disruptions(vm.pool_id).causes_by_vm)
-        listed = tables.disruptions_by_pool.get(vm.pool_id)
-        out += listed_now - len(listed.causes_by_vm if listed else ())
-        if out == 0:
+        if finish.outcome is Outcome.BACK:
             return True
-        size = len(tables.vms_by_id)
-        spare = size - out - self._min_available
-        return spare > size * self._spare_percent / 100
+    return False
 
 
 def find_evidence(tables: FleetTables, wave: WaveRecord) -> list[FinishedVM]:
-    """Return what ended since the wave was last resumed, oldest first."""
-    finished = tables.finished_by_wave.get(wave.id, [])
-    evidence: list[FinishedVM] = []
-    for finish in reversed(finished):
-        if finish.at < wave.resumed_at or len(evidence) == EVIDENCE_DEPTH:
-            break
-        evidence.append(finish)
-    evidence.reverse()
-    return evidence
+    """Return the last failure and the ends before it, in order of beginning.
+
+    What began after it is left out: of those only the successes are known yet.
+    So is what began before the wave was last resumed.
+    """
+    failed = tables.failed_by_wave.get(wave.id)
+    if not failed:
+        return []
+    finished = tables.finished_by_wave[wave.id]
+    end = bisect_right(finished, failed[-1])
+    return [
+        finish
+        for finish in finished[max(0, end - EVIDENCE_DEPTH) : end]
+        if finish.began_at >= wave.resumed_at
+    ]
 
 
 __all__ = [
     "EVIDENCE_DEPTH",
     "BudgetWidth",
     "CanaryWidth",
-    "SpareWidth",
     "WidthRule",
     "find_evidence",
+    "has_proof",
 ]
