--- a/packages/bench/src/medlarspring_bench/history.py
+++ b/packages/bench/src/medlarspring_bench/history.py
@@ -132,6 +132,17 @@
     end: float
 
 
+@dataclass(slots=True)
+class JobRun:
+    """A worker ran an attempt of a job for a while."""
+
+    job: str
+    vm: str
+    attempt: int
+    start: float
+    end: float
+
+
 @dataclass(slots=True)
 class History:
     """Everything recorded in one test run."""
@@ -144,6 +155,7 @@
     memberships: list[Membership] = field(default_factory=list)
     tables: list[TableInForce] = field(default_factory=list)
     holdings: list[Holding] = field(default_factory=list)
+    job_runs: list[JobRun] = field(default_factory=list)
     slots_by_vm: dict[str, int] = field(default_factory=dict)
     ended_at: float = float("inf")
 
@@ -154,6 +166,7 @@
     "Call",
     "History",
     "Holding",
+    "JobRun",
     "Leaving",
     "Membership",
     "PoolSample",
--- a/packages/bench/src/medlarspring_bench/recording.py
+++ b/packages/bench/src/medlarspring_bench/recording.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING, Any
 
 from medlarspring_bench.cluster import POOL_HELD
+from medlarspring_bench.control_client import control
 from medlarspring_bench.history import (
     Arrival,
     History,
     Holding,
+    JobRun,
     Leaving,
     TableInForce,
     UpstreamRun,
@@ -40,6 +42,7 @@
         leavings=list(leavings or ()),
         tables=_read_tables(cluster),
         holdings=_read_holdings(cluster),
+        job_runs=_read_job_runs(cluster),
         slots_by_vm=dict.fromkeys(cluster.vm_addresses_by_id, slots),
         ended_at=time.monotonic(),
     )
@@ -57,6 +60,15 @@
     )
 
 
+def _read_job_runs(cluster: Cluster) -> list[JobRun]:
+    return [
+        JobRun(one["job_id"], vm, one["attempt"], one["start"], one["end"])
+        for address in cluster.upstream_controls
+        for vm, runs in control("GET", address, "tasks").items()
+        for one in runs
+    ]
+
+
 def _read_tables(cluster: Cluster) -> list[TableInForce]:
     return [
         TableInForce(id_, record[RECEIVED_AT], record["revision"])
--- a/packages/bench/tests/test_history_checker.py
+++ b/packages/bench/tests/test_history_checker.py
@@ -8,6 +8,7 @@
     Call,
     History,
     Holding,
+    JobRun,
     Leaving,
     Membership,
     PoolSample,
@@ -80,6 +81,9 @@
     "restarted daemon reads the same table": History(
         tables=[TableInForce("e", 1, 4), TableInForce("e", 2, 4)]
     ),
+    "second attempt after the first": History(
+        job_runs=[JobRun("j", "v", 1, 0, 5), JobRun("j", "w", 2, 5, 9)]
+    ),
     "holder follows holder": History(
         holdings=[Holding("p", "e1", 0, 5), Holding("p", "e2", 5, 9)]
     ),
@@ -180,6 +184,11 @@
         "",
         History(tables=[TableInForce("e", 1, 4), TableInForce("e", 2, 3)]),
     ),
+    (
+        Kind.JOB_RAN_TWICE_AT_ONCE,
+        "",
+        History(job_runs=[JobRun("j", "v", 1, 0, 5), JobRun("j", "w", 2, 4, 9)]),
+    ),
     (
         Kind.HOLDERS_OVERLAP,
         "",
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,12 +14,15 @@
 from medlarspring_bench.example import read_example_directory
 from medlarspring_bench.processes import Processes
 from medlarspring_bench.story import Story
+from medlarspring_bench.waiting import wait_for
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 HERE = Path(__file__).parent
 FAULTS = "|".join(map(re.escape, DISTURBANCES))
+OPERATOR_POLL_SECONDS = 0.5
+"""Each view costs the daemon calls of the store, which are budgeted."""
 STORY_NUMBERS = itertools.count(1)
 
 
@@ -71,6 +74,17 @@
     cluster.wait_for_balancer(len(cluster.zones_by_id))
 
 
+@given("every VM is on record")
+def vms_on_record(story: Story) -> None:
+    count = len(story.cluster.vm_addresses_by_id)
+    wait_for(
+        lambda: len((story.cluster.view("/v1/vms") or {"vms": ()})["vms"]) == count,
+        f"{count} VMs on record",
+        30.0,
+        OPERATOR_POLL_SECONDS,
+    )
+
+
 @when(
     parsers.parse("the partners send {count:d} mixed requests over {seconds:g} seconds")
 )
