Spread lease renewals after an outage

Measured before, 16 daemons: 5 calls/s usually, 38 in the first second after an outage of 14 s; every process renewed its lease twice a second throughout.

--- a/packages/adapters/tests/test_etcd_gateway.py
+++ b/packages/adapters/tests/test_etcd_gateway.py
@@ -125,7 +125,8 @@
             truncate_replies=0,
             lose_replies=0,
         )
-        await asyncio.sleep(0.5)
+        while is_written and (await store.read("a")).unwrap() is None:
+            await asyncio.sleep(0.01)
         assert ((await store.read("a")).unwrap() is not None) == is_written
 
 
--- a/packages/daemon/src/medlarspring_daemon/services/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/config_service.py
@@ -12,6 +12,7 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.operator_api import Finding, Health
 from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems.backoff import plan_retry
 from medlarspring_systems.distribution import (
     Distribution,
     Source,
@@ -19,7 +20,6 @@
     choose_fetch,
     is_watcher,
     offer_table,
-    plan_retry,
     release_held,
 )
 from medlarspring_tables import ConfigTable, Revision, ZoneId
--- a/packages/daemon/src/medlarspring_daemon/services/holder_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/holder_service.py
@@ -19,6 +19,7 @@
     Transaction,
 )
 from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems.backoff import plan_retry
 from medlarspring_systems.holders import (
     LEASE_SECONDS,
     RENEW_SECONDS,
@@ -35,13 +36,13 @@
 if TYPE_CHECKING:
     from medlarspring_daemon.node import Node
     from medlarspring_daemon.services.peer_service import PeerService
+    from medlarspring_tables import Seconds
 
 HOLDERS_PREFIX = "holders/"
 TICK_SECONDS = 0.5
 SETTLE_SECONDS = 3.0
 """A new process first learns who else is there; alone it would take all pools."""
 TRY_SECONDS = 1.0
-MAX_TRY_SECONDS = 8.0
 MAX_POOLS_PER_CALL = 64
 
 
@@ -64,7 +65,8 @@
         self.holdings = Holdings(node.id)
         self._to_delete: list[HeldPool] = []
         """Given up, but the key may still be there."""
-        self._renewed_at = 0.0
+        self._renew_at = 0.0
+        self._renewal_failures = 0
         self._try_at = 0.0
         self._failures = 0
 
@@ -102,10 +104,13 @@
     async def _renew(self) -> None:
         lease_id = self.holdings.lease_id
         now = self._node.clock.now()
-        if lease_id is None or now - self._renewed_at < RENEW_SECONDS:
+        if lease_id is None or now < self._renew_at:
             return
         answer = await self._node.store.keep_lease(LeaseId(lease_id))
         if not isinstance(answer, Success):
+            self._renewal_failures += 1
+            wait = plan_retry(self._renewal_failures, self._node.rng)
+            self._renew_at = self._node.clock.now() + wait
             return
         ttl = answer.unwrap()
         if ttl <= 0:
@@ -113,9 +118,14 @@
             self._node.log.warning(Event.HOLDER_LEASE_LAPSED, pools=pools)
             note_lapsed(self.holdings)
             return
-        self._renewed_at = now
+        self._plan_renewal(now)
         note_lease(self.holdings, lease_id, now, min(ttl, LEASE_SECONDS))
 
+    def _plan_renewal(self, renewed_at: Seconds) -> None:
+        self._renewal_failures = 0
+        spread = self._node.rng.uniform(0.9, 1.1)
+        self._renew_at = renewed_at + RENEW_SECONDS * spread
+
     async def _follow_plan(self) -> None:
         config = self._node.config
         now = self._node.clock.now()
@@ -184,7 +194,7 @@
         if not isinstance(answer, Success):
             return False
         note_lease(self.holdings, answer.unwrap(), sent_at, LEASE_SECONDS)
-        self._renewed_at = sent_at
+        self._plan_renewal(sent_at)
         return True
 
     async def _delete_keys(self) -> None:
@@ -200,19 +210,14 @@
                 Transaction((expect,), (Delete(key),))
             )
             if not isinstance(answer, Success):
+                self._back_off()
                 return
             self._to_delete.remove(held)
             self._node.log.info(Event.POOL_RELEASED, pool=held.pool_id)
 
     def _back_off(self) -> None:
-        """Wait longer after each failure, from a random part on.
-
-        When the store returns, every process would otherwise ask for a lease and
-        its keys in the same second.
-        """
         self._failures += 1
-        longest = min(TRY_SECONDS * 2**self._failures, MAX_TRY_SECONDS)
-        wait = self._node.rng.uniform(TRY_SECONDS / 2, longest)
+        wait = TRY_SECONDS / 2 + plan_retry(self._failures, self._node.rng)
         self._try_at = self._node.clock.now() + wait
 
 
--- a/packages/systems/src/medlarspring_systems/distribution.py
+++ b/packages/systems/src/medlarspring_systems/distribution.py
@@ -28,8 +28,6 @@
 
 WATCHERS_PER_ZONE = 2
 COLD_START_GRACE_SECONDS = 2.0
-FIRST_RETRY_SECONDS = 0.25
-MAX_RETRY_SECONDS = 8.0
 STORE_FAILING_SECONDS = 3.0
 """A member that the store has not answered for so long is no watcher."""
 
@@ -179,17 +177,6 @@
     return rng.choice(sorted(choices, key=lambda member: member.id)).id
 
 
-def plan_retry(failures: int, rng: random.Random) -> Seconds:
-    """Return the wait after so many failed calls running.
-
-    When the store comes back, all entry VMs see it within seconds. The wait
-    doubles and is drawn from its whole length, which spreads the fleet's first
-    calls over it; a fixed wait would bring them all in one instant.
-    """
-    longest = FIRST_RETRY_SECONDS * 2 ** min(failures, 10)
-    return rng.uniform(FIRST_RETRY_SECONDS / 2, min(longest, MAX_RETRY_SECONDS))
-
-
 __all__ = [
     "Distribution",
     "Source",
@@ -198,6 +185,5 @@
     "is_watcher",
     "may_start",
     "offer_table",
-    "plan_retry",
     "release_held",
 ]
--- /dev/null
+++ b/packages/systems/tests/test_backoff.py
@@ -0,0 +1,19 @@
+from __future__ import annotations
+
+import random
+
+from medlarspring_systems.backoff import MAX_RETRY_SECONDS, plan_retry
+
+
+def test_calls_after_an_outage_are_spread():
+    """
+    The store was down for an hour and comes back; every entry VM waits for its
+    next try. With equal waits they would all call in one instant.
+    """
+    rng = random.Random(1)
+    waits = sorted(plan_retry(20, rng) for _ in range(640))
+    busiest = max(
+        sum(start <= wait < start + 1.0 for wait in waits) for start in range(8)
+    )
+    assert waits[-1] <= MAX_RETRY_SECONDS
+    assert busiest < 640 * 0.2
--- a/packages/systems/tests/test_distribution.py
+++ b/packages/systems/tests/test_distribution.py
@@ -6,7 +6,6 @@
 
 from medlarspring_systems.distribution import (
     COLD_START_GRACE_SECONDS,
-    MAX_RETRY_SECONDS,
     STORE_FAILING_SECONDS,
     WATCHERS_PER_ZONE,
     Distribution,
@@ -15,7 +14,6 @@
     choose_fetch,
     is_watcher,
     offer_table,
-    plan_retry,
     release_held,
 )
 from medlarspring_tables import (
@@ -145,17 +143,3 @@
     assert chosen == {"near-1", "near-2"}
     assert choose_fetch(Revision(6), members, ZONE, rng) == "far"
     assert choose_fetch(Revision(9), members, ZONE, rng) is None
-
-
-def test_calls_after_an_outage_are_spread():
-    """
-    The store was down for an hour and comes back; every entry VM waits for its
-    next try. With equal waits they would all call in one instant.
-    """
-    rng = random.Random(1)
-    waits = sorted(plan_retry(20, rng) for _ in range(640))
-    busiest = max(
-        sum(start <= wait < start + 1.0 for wait in waits) for start in range(8)
-    )
-    assert waits[-1] <= MAX_RETRY_SECONDS
-    assert busiest < 640 * 0.2
