--- a/packages/bench/src/medlarspring_bench/measure/configuration.py
+++ b/packages/bench/src/medlarspring_bench/measure/configuration.py
@@ -103,12 +103,16 @@
         fleet.cut_store([*fleet.ids, "operators"], down=True)
         time.sleep(OUTAGE_SECONDS)
         fleet.cut_store([*fleet.ids, "operators"], down=False)
+        before = fleet.send("key_value", "GET", "calls")["by_kind"]
         after = _count_calls(fleet, OUTAGE_SECONDS)
+        kinds = fleet.send("key_value", "GET", "calls")["by_kind"]
+        by_kind = {kind: kinds[kind] - before.get(kind, 0) for kind in kinds}
         at = asyncio.run(fleet.edit(touch))
         lateness = max(fleet.wait_in_force(fleet.table.revision).values()) - at
         print(
             f"{daemons:3d} daemons  calls/s usual {max(usual)}, busiest second after an"
-            f" outage of {OUTAGE_SECONDS:g} s {max(after)}, by second {after};"
+            f" outage of {OUTAGE_SECONDS:g} s {max(after)}, by second {after},"
+            f" by kind {by_kind};"
             f" next edit in force after {lateness * 1000:.0f} ms",
             flush=True,
         )
