--- a/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import math
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters.etcd_messages import (
-    Fault,
     LeaseGrantRequest,
     LeaseGrantResponse,
     LeaseKeepAliveResponse,
@@ -32,6 +30,12 @@
     to_key,
     to_txn,
 )
+from medlarspring_adapters.etcd_transport import (
+    EtcdTransport,
+    Message,
+    NotSent,
+    Unanswered,
+)
 from medlarspring_adapters.store import (
     Committed,
     Entry,
@@ -50,27 +54,7 @@
     from collections.abc import AsyncGenerator, Sequence
 
 MAX_TRANSACTIONS_PER_CALL = 64
-MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
-KEEPALIVE_SECONDS = 5.0
 WATCH_SILENCE_SECONDS = 5.0
-HTTP_OK = 200
-HTTP_SERVER_ERROR = 500
-HTTP_NOT_FOUND = 404
-
-
-Message = TypeVar("Message", bound=msgspec.Struct)
-
-
-class NotSent(Exception):
-    """The request never left this process, or the server turned it down."""
-
-    def __init__(self, detail: str, *, lease_gone: bool = False) -> None:
-        super().__init__(detail)
-        self.lease_gone = lease_gone
-
-
-class Unanswered(Exception):
-    """The request left this process and no usable answer came back."""
 
 
 class EtcdGatewayStore:
@@ -82,12 +66,9 @@
         timeout_seconds: float,
         watch_silence_seconds: float = WATCH_SILENCE_SECONDS,
     ) -> None:
-        self._endpoints = tuple(endpoints)
-        self._current = 0
-        self._timeout_seconds = timeout_seconds
-        self._watch_silence_seconds = watch_silence_seconds
-        self._session: aiohttp.ClientSession | None = None
-        self._retired: set[asyncio.Task[None]] = set()
+        self._transport = EtcdTransport(
+            endpoints, timeout_seconds, watch_silence_seconds
+        )
 
     async def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the key's entry, or None if it is absent."""
@@ -164,23 +145,18 @@
             except TimeoutError:
                 silent = True
             except (aiohttp.ClientError, OSError, ValueError, msgspec.MsgspecError):
-                self._rotate()
+                self._transport.rotate()
                 return
             # A watch gone silent looks like a table that nobody edits. The new
             # connection answers at once if the store lives, and nothing between
             # the two is lost because the revision is named.
-            self._rotate()
+            self._transport.rotate()
             if not silent:
                 return
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-        retired = list(self._retired)
-        for task in retired:
-            task.cancel()
-        await asyncio.gather(*retired, return_exceptions=True)
+        await self._transport.close()
 
     async def _stream(
         self, prefix: str, start: Revision
@@ -190,33 +166,23 @@
             range_end=prefix_end(prefix),
             start_revision=str(start),
         )
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=self._timeout_seconds,
-            sock_read=self._watch_silence_seconds,
-        )
-        async with self._open_session().post(
-            self._url("watch"),
-            data=msgspec.json.encode(WatchRequest(create_request=create)),
-            timeout=timeout,
-        ) as response:
-            if response.status != HTTP_OK:
-                raise aiohttp.ClientPayloadError(f"HTTP status {response.status}")
-            while line := await response.content.readline():
-                if line.strip():
-                    yield _decode(line, WatchResponse).result
+        request = WatchRequest(create_request=create)
+        answers = self._transport.stream("watch", request, WatchResponse)
+        async with contextlib.aclosing(answers):
+            async for answer in answers:
+                yield answer.result
 
     async def _read(
         self, path: str, request: msgspec.Struct, answer_type: type[Message]
     ) -> Result[Message, StoreError]:
         """Try each endpoint once: a read has no effect that could double."""
         detail = ""
-        for _ in self._endpoints:
+        for _ in self._transport.endpoints:
             try:
-                return Success(await self._post(path, request, answer_type))
+                return Success(await self._transport.post(path, request, answer_type))
             except (NotSent, Unanswered) as error:
                 detail = str(error)
-                self._rotate()
+                self._transport.rotate()
         return Failure(StoreUnavailable(detail))
 
     async def _write(
@@ -229,108 +195,19 @@
         what was accepted. So the caller hears that the outcome is unknown.
         """
         detail = ""
-        for _ in self._endpoints:
+        for _ in self._transport.endpoints:
             try:
-                return Success(await self._post(path, request, answer_type))
+                return Success(await self._transport.post(path, request, answer_type))
             except NotSent as error:
                 detail = str(error)
                 if error.lease_gone:
                     return Failure(LeaseGone(detail))
-                self._rotate()
+                self._transport.rotate()
             except Unanswered as error:
-                self._rotate()
+                self._transport.rotate()
                 return Failure(StoreOutcomeUnknown(str(error)))
         return Failure(StoreUnavailable(detail))
 
-    async def _post(
-        self, path: str, request: msgspec.Struct, answer_type: type[Message]
-    ) -> Message:
-        body = msgspec.json.encode(request)
-        endpoint = self._endpoints[self._current]
-        try:
-            async with self._open_session().post(self._url(path), data=body) as reply:
-                content = await reply.read()
-                status = reply.status
-        except aiohttp.ClientConnectorError as error:
-            raise NotSent(f"{endpoint}: {error}") from error
-        except aiohttp.ConnectionTimeoutError as error:
-            raise NotSent(f"{endpoint}: no connection in time") from error
-        except TimeoutError as error:
-            self._retire_session()
-            raise Unanswered(f"{endpoint}: no answer in time") from error
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise Unanswered(f"{endpoint}: {_describe(error)}") from error
-        if status != HTTP_OK:
-            raise _to_refusal(endpoint, status, content)
-        try:
-            return _decode(content, answer_type)
-        except (msgspec.MsgspecError, ValueError) as error:
-            raise Unanswered(f"{endpoint}: unreadable answer ({error})") from error
-
-    def _url(self, path: str) -> str:
-        return f"http://{self._endpoints[self._current]}/v3/{path}"
-
-    def _rotate(self) -> None:
-        self._current = (self._current + 1) % len(self._endpoints)
-
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None or self._session.closed:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
-                    limit=0, keepalive_timeout=KEEPALIVE_SECONDS
-                ),
-                timeout=aiohttp.ClientTimeout(
-                    total=self._timeout_seconds, sock_connect=self._timeout_seconds / 2
-                ),
-                headers={"Content-Type": "application/json"},
-                read_bufsize=MAX_WATCH_LINE_BYTES,
-                trust_env=False,
-            )
-        return self._session
-
-    def _retire_session(self) -> None:
-        """Use fresh connections from now on.
-
-        When something between the two ends has lost track of connections, all
-        pooled ones are dead at once and each would cost one timeout. Calls in
-        flight keep the old session until they are done or timed out.
-        """
-        session, self._session = self._session, None
-        if session is None:
-            return
-        task = asyncio.ensure_future(self._close_later(session))
-        self._retired.add(task)
-        task.add_done_callback(self._retired.discard)
-
-    async def _close_later(self, session: aiohttp.ClientSession) -> None:
-        try:
-            await asyncio.sleep(self._timeout_seconds)
-        finally:
-            await session.close()
-
-
-def _describe(error: Exception) -> str:
-    """Return the system's words, without the names of exceptions."""
-    reason = getattr(error, "strerror", None)
-    return reason or str(error) or "the connection broke"
-
-
-def _decode(content: bytes, message_type: type[Message]) -> Message:
-    # The gateway writes 64-bit integers as strings; strict=False reads them.
-    return msgspec.json.decode(content, type=message_type, strict=False)
-
-
-def _to_refusal(endpoint: str, status: int, content: bytes) -> Exception:
-    detail = f"{endpoint}: HTTP status {status}"
-    with contextlib.suppress(msgspec.MsgspecError, ValueError):
-        fault = _decode(content, Fault)
-        detail = f"{detail}: {fault.message or fault.error}"
-    # 5xx covers "request timed out" inside the store, after which the write
-    # may still be applied; 4xx is a request that was turned down.
-    if status >= HTTP_SERVER_ERROR:
-        return Unanswered(detail)
-    return NotSent(detail, lease_gone=status == HTTP_NOT_FOUND)
-
 
 def _to_listing(found: RangeResponse) -> Listing:
     entries = tuple(to_entry(item) for item in found.kvs)
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/etcd_transport.py
@@ -0,0 +1,176 @@
+"""Calls to the endpoints of the etcd v3 JSON gateway, their failures told apart."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, TypeVar
+
+import aiohttp
+import msgspec
+
+from medlarspring_adapters.etcd_messages import Fault
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Sequence
+
+MAX_LINE_BYTES = 16 * 1024 * 1024
+KEEPALIVE_SECONDS = 5.0
+HTTP_OK = 200
+HTTP_SERVER_ERROR = 500
+HTTP_NOT_FOUND = 404
+
+Message = TypeVar("Message", bound=msgspec.Struct)
+
+
+class NotSent(Exception):
+    """The request never left this process, or the server turned it down."""
+
+    def __init__(self, detail: str, *, lease_gone: bool = False) -> None:
+        super().__init__(detail)
+        self.lease_gone = lease_gone
+
+
+class Unanswered(Exception):
+    """The request left this process and no usable answer came back."""
+
+
+class EtcdTransport:
+    """Connections to one endpoint at a time."""
+
+    def __init__(
+        self, endpoints: Sequence[str], timeout_seconds: float, silence_seconds: float
+    ) -> None:
+        self.endpoints = tuple(endpoints)
+        self._current = 0
+        self._timeout_seconds = timeout_seconds
+        self._silence_seconds = silence_seconds
+        self._session: aiohttp.ClientSession | None = None
+        self._retired: set[asyncio.Task[None]] = set()
+
+    async def post(
+        self, path: str, request: msgspec.Struct, answer_type: type[Message]
+    ) -> Message:
+        """Send one call to the present endpoint and return its answer.
+
+        Raises ``NotSent`` or ``Unanswered``.
+        """
+        body = msgspec.json.encode(request)
+        endpoint = self.endpoints[self._current]
+        try:
+            async with self._open_session().post(self._url(path), data=body) as reply:
+                content = await reply.read()
+                status = reply.status
+        except aiohttp.ClientConnectorError as error:
+            raise NotSent(f"{endpoint}: {error}") from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise NotSent(f"{endpoint}: no connection in time") from error
+        except TimeoutError as error:
+            self._retire_session()
+            raise Unanswered(f"{endpoint}: no answer in time") from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise Unanswered(f"{endpoint}: {_describe(error)}") from error
+        if status != HTTP_OK:
+            raise _to_refusal(endpoint, status, content)
+        try:
+            return _decode(content, answer_type)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise Unanswered(f"{endpoint}: unreadable answer ({error})") from error
+
+    async def stream(
+        self, path: str, request: msgspec.Struct, answer_type: type[Message]
+    ) -> AsyncGenerator[Message, None]:
+        """Yield the messages of a streamed answer, one a line.
+
+        Raises ``TimeoutError`` when the stream stays silent too long.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._timeout_seconds,
+            sock_read=self._silence_seconds,
+        )
+        async with self._open_session().post(
+            self._url(path), data=msgspec.json.encode(request), timeout=timeout
+        ) as response:
+            if response.status != HTTP_OK:
+                raise aiohttp.ClientPayloadError(f"HTTP status {response.status}")
+            while line := await response.content.readline():
+                if line.strip():
+                    yield _decode(line, answer_type)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+        retired = list(self._retired)
+        for task in retired:
+            task.cancel()
+        await asyncio.gather(*retired, return_exceptions=True)
+
+    def _url(self, path: str) -> str:
+        return f"http://{self.endpoints[self._current]}/v3/{path}"
+
+    def rotate(self) -> None:
+        """Use the next endpoint from now on."""
+        self._current = (self._current + 1) % len(self.endpoints)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None or self._session.closed:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0, keepalive_timeout=KEEPALIVE_SECONDS
+                ),
+                timeout=aiohttp.ClientTimeout(
+                    total=self._timeout_seconds, sock_connect=self._timeout_seconds / 2
+                ),
+                headers={"Content-Type": "application/json"},
+                read_bufsize=MAX_LINE_BYTES,
+                trust_env=False,
+            )
+        return self._session
+
+    def _retire_session(self) -> None:
+        """Use fresh connections from now on.
+
+        When something between the two ends has lost track of connections, all
+        pooled ones are dead at once and each would cost one timeout. Calls in
+        flight keep the old session until they are done or timed out.
+        """
+        session, self._session = self._session, None
+        if session is None:
+            return
+        task = asyncio.ensure_future(self._close_later(session))
+        self._retired.add(task)
+        task.add_done_callback(self._retired.discard)
+
+    async def _close_later(self, session: aiohttp.ClientSession) -> None:
+        try:
+            await asyncio.sleep(self._timeout_seconds)
+        finally:
+            await session.close()
+
+
+def _describe(error: Exception) -> str:
+    """Return the system's words, without the names of exceptions."""
+    reason = getattr(error, "strerror", None)
+    return reason or str(error) or "the connection broke"
+
+
+def _decode(content: bytes, message_type: type[Message]) -> Message:
+    # The gateway writes 64-bit integers as strings; strict=False reads them.
+    return msgspec.json.decode(content, type=message_type, strict=False)
+
+
+def _to_refusal(endpoint: str, status: int, content: bytes) -> Exception:
+    detail = f"{endpoint}: HTTP status {status}"
+    with contextlib.suppress(msgspec.MsgspecError, ValueError):
+        fault = _decode(content, Fault)
+        detail = f"{detail}: {fault.message or fault.error}"
+    # 5xx covers "request timed out" inside the store, after which the write
+    # may still be applied; 4xx is a request that was turned down.
+    if status >= HTTP_SERVER_ERROR:
+        return Unanswered(detail)
+    return NotSent(detail, lease_gone=status == HTTP_NOT_FOUND)
+
+
+__all__ = ["EtcdTransport", "Message", "NotSent", "Unanswered"]
