--- a/packages/daemon/src/medlarspring_daemon/services/audit_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/services/audit_routes.py
@@ -15,7 +15,7 @@
     read_number,
     unwrap_or_refuse,
 )
-from medlarspring_daemon.services.table_editor import read_revision
+from medlarspring_daemon.services.stored_table import read_revision
 from medlarspring_systems.audit import AuditFilter
 from medlarspring_tables import Revision
 
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/services/stored_table.py
@@ -0,0 +1,65 @@
+"""The table as it stands in the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from medlarspring_daemon.services.editor_errors import (
+    TABLE_KEY,
+    StoreTableOlder,
+    TableUnreadable,
+)
+from medlarspring_tables import ConfigTable, MedlarspringError, Revision
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.store import Entry, Store
+
+
+@dataclass(frozen=True, slots=True)
+class StoredTable:
+    """The table as it stands in the store."""
+
+    table: ConfigTable
+    mod_revision: Revision
+    """Store revision of the last write; 0 when there is no table yet."""
+
+
+def decode_stored(
+    entry: Entry | None, in_force: ConfigTable | None
+) -> Result[StoredTable, MedlarspringError]:
+    """Return the store's table; one older than that in force is an error."""
+    stored = StoredTable(ConfigTable(), Revision(0))
+    if entry is not None:
+        try:
+            table = msgspec.json.decode(entry.value, type=ConfigTable)
+        except msgspec.DecodeError:
+            return Failure(TableUnreadable())
+        stored = StoredTable(table, entry.mod_revision)
+    # A store restored from a backup, or a lagging replica, would take the edit on
+    # top of an old table: every node keeps the newer one, and the accepted edit
+    # would never be in force.
+    if in_force is not None and stored.table.revision < in_force.revision:
+        return Failure(StoreTableOlder(stored.table.revision, in_force.revision))
+    return Success(stored)
+
+
+async def read_revision(store: Store) -> Result[Revision, MedlarspringError]:
+    """Return the revision of the store's table, whatever is in force here."""
+    entry = await store.read(TABLE_KEY)
+    if not is_successful(entry):
+        return Failure(entry.failure())
+    found = entry.unwrap()
+    if found is None:
+        return Success(Revision(0))
+    try:
+        return Success(msgspec.json.decode(found.value, type=ConfigTable).revision)
+    except msgspec.DecodeError:
+        return Failure(TableUnreadable())
+
+
+__all__ = ["StoredTable", "decode_stored", "read_revision"]
--- a/packages/daemon/src/medlarspring_daemon/services/table_editor.py
+++ b/packages/daemon/src/medlarspring_daemon/services/table_editor.py
@@ -24,9 +24,8 @@
     EditorBusy,
     EditRaced,
     NothingInForce,
-    StoreTableOlder,
-    TableUnreadable,
 )
+from medlarspring_daemon.services.stored_table import StoredTable, decode_stored
 from medlarspring_systems.table_edit import AcceptedChange, TableEdit, apply_edit
 from medlarspring_systems.table_republish import Republish, republish
 from medlarspring_tables import ConfigTable, MedlarspringError, Revision
@@ -44,19 +43,12 @@
 MAX_SECONDS = 20.0
 """Longest time for one edit; the command line waits longer than this."""
 MAX_RETRY_SECONDS = 0.5
+MAX_RACE_SECONDS = 0.1
+"""Longest wait after another entry VM was first; a write takes milliseconds."""
 REMEMBER_SECONDS = 1.0
 """Time between two edits of a burst in which the table is not read anew."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoredTable:
-    """The table as it stands in the store."""
-
-    table: ConfigTable
-    mod_revision: Revision
-    """Store revision of the last write; 0 when there is no table yet."""
-
-
 Change = Callable[[ConfigTable], "Result[AcceptedChange, TableError]"]
 """Makes the next table from the one in the store."""
 
@@ -183,7 +175,7 @@
         deadline = self._clock.now() + MAX_SECONDS
         for number in range(MAX_ATTEMPTS):
             if number:
-                await asyncio.sleep(self._retry_delay(number))
+                await asyncio.sleep(self._retry_delay(number, attempts))
             if self._clock.now() > deadline:
                 break
             outcome = await self._attempt(attempts)
@@ -277,44 +269,18 @@
     def _decode(
         self, entry: Entry | None, takes_older: bool
     ) -> Result[StoredTable, MedlarspringError]:
-        stored = StoredTable(ConfigTable(), Revision(0))
-        if entry is not None:
-            try:
-                table = msgspec.json.decode(entry.value, type=ConfigTable)
-            except msgspec.DecodeError:
-                return Failure(TableUnreadable())
-            stored = StoredTable(table, entry.mod_revision)
-        in_force = self._table_in_force()
-        if takes_older:
-            return Success(stored)
-        # A store restored from a backup, or a lagging replica, would take the edit
-        # on top of an old table: every node keeps the newer one, and the accepted
-        # edit would never be in force.
-        if in_force is not None and stored.table.revision < in_force.revision:
-            return Failure(StoreTableOlder(stored.table.revision, in_force.revision))
-        return Success(stored)
-
-    def _retry_delay(self, number: int) -> float:
-        longest = min(MAX_RETRY_SECONDS, self._retry_seconds * 2 ** min(number, 10))
-        return self._rng.uniform(0, longest)
-
+        in_force = None if takes_older else self._table_in_force()
+        return decode_stored(entry, in_force)
 
-async def read_revision(store: Store) -> Result[Revision, MedlarspringError]:
-    """Return the revision of the store's table, whatever is in force here."""
-    entry = await store.read(TABLE_KEY)
-    if not is_successful(entry):
-        return Failure(entry.failure())
-    found = entry.unwrap()
-    if found is None:
-        return Success(Revision(0))
-    try:
-        return Success(msgspec.json.decode(found.value, type=ConfigTable).revision)
-    except msgspec.DecodeError:
-        return Failure(TableUnreadable())
+    def _retry_delay(self, number: int, attempts: _Attempts) -> float:
+        is_race = attempts.unanswered is None
+        cap = MAX_RACE_SECONDS if is_race else MAX_RETRY_SECONDS
+        longest = min(cap, self._retry_seconds * 2 ** min(number, 10))
+        return self._rng.uniform(0, longest)
 
 
 def _widen(error: TableError) -> MedlarspringError:
     return error
 
 
-__all__ = ["StoredTable", "TABLE_KEY", "TableEditor", "read_revision"]
+__all__ = ["TABLE_KEY", "TableEditor"]
