Refuse, reset or swallow connections as three different faults of a gate

down used to accept and reset, so that a request never sent could not be told from one that was; a zone cut now swallows packets as a partition does.

--- a/packages/bench/src/medlarspring_bench/cluster.py
+++ b/packages/bench/src/medlarspring_bench/cluster.py
@@ -272,9 +272,11 @@
         """Cut a zone off from all others and from the platform, or heal the cut."""
         for other in self.platform.zones:
             for group in (f"{zone}>{other}", f"{other}>{zone}"):
-                control("POST", self.links, "faults", {"gate": group, "down": cut})
+                control(
+                    "POST", self.links, "faults", {"gate": group, "unreachable": cut}
+                )
         for platform in (self.store, self.vm_list):
-            body = {"gate": zone, "down": cut}
+            body = {"gate": zone, "unreachable": cut}
             control("POST", platform["control"], "faults", body)
 
     def upstream_records(self, kind: str) -> list[Any]:
--- a/packages/bench/src/medlarspring_bench/disturbances.py
+++ b/packages/bench/src/medlarspring_bench/disturbances.py
@@ -78,6 +78,12 @@
 
 DISTURBANCES: dict[str, Disturbance] = {
     "the store goes down": Disturbance(_store(down=True), _store(down=False)),
+    "the store resets connections": Disturbance(
+        _store(resetting=True), _store(resetting=False)
+    ),
+    "the store is unreachable": Disturbance(
+        _store(unreachable=True), _store(unreachable=False)
+    ),
     "the store freezes": Disturbance(_store(frozen=True), _store(frozen=False)),
     "the store is slow": Disturbance(
         _store(slow_seconds=SLOW_SECONDS), _store(slow_seconds=0.0)
@@ -100,6 +106,12 @@
         _vms(lose_replies=CUT_ANSWERS), _vms(lose_replies=0)
     ),
     "upstream VMs are down": Disturbance(_vms(down=True), _vms(down=False)),
+    "upstream VMs reset connections": Disturbance(
+        _vms(resetting=True), _vms(resetting=False)
+    ),
+    "upstream VMs are unreachable": Disturbance(
+        _vms(unreachable=True), _vms(unreachable=False)
+    ),
     "a zone is cut off": Disturbance(_cut_first_zone, _heal_first_zone),
 }
 
--- a/packages/bench/src/medlarspring_bench/standins/faults.py
+++ b/packages/bench/src/medlarspring_bench/standins/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING, cast
 
 from msgspec import Struct
@@ -15,7 +16,11 @@
     """What goes wrong at one gate until it is set back."""
 
     down: bool = False
-    """Open connections are reset and new ones too."""
+    """Open connections are reset, new ones refused."""
+    resetting: bool = False
+    """Open connections are reset, new ones too once they are taken."""
+    unreachable: bool = False
+    """Open connections go silent for good, new ones get no answer at all."""
     frozen: bool = False
     """Connections are taken, but nothing is read until the thaw."""
     slow_seconds: float = 0.0
@@ -36,6 +41,8 @@
     silence: bool = False
     """Open connections go silent for good; new ones work."""
     down: bool | None = None
+    resetting: bool | None = None
+    unreachable: bool | None = None
     frozen: bool | None = None
     slow_seconds: float | None = None
     lose_replies: int | None = None
@@ -55,46 +62,71 @@
         self.connections_refused = 0
         self._make_protocol = make_protocol
         self._server: asyncio.Server | None = None
+        self._reserved: socket.socket | None = None
+        """Keeps the port while nothing listens on it."""
+        self._blackhole: list[socket.socket] = []
 
     async def open(self, host: str, port: int) -> None:
         """Listen; port 0 lets the kernel choose."""
+        self._reserved = _bind(host, port)
+        bound_host, bound_port = self._reserved.getsockname()[:2]
+        self.address = f"{bound_host}:{bound_port}"
+        await self._listen()
+
+    async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: GateConnection(self, self._make_protocol()), host, port
+            lambda: GateConnection(self, self._make_protocol()),
+            sock=_bind(*self._bound()),
         )
-        bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{bound_host}:{bound_port}"
 
     def close(self) -> None:
         """Stop listening and reset what is open."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
+        self._drop_blackhole()
         self.reset()
+        if self._reserved is not None:
+            self._reserved.close()
 
-    def change(self, change: FaultsChange) -> None:
+    async def change(self, change: FaultsChange) -> None:
         """Switch faults."""
         for name in Faults.__struct_fields__:
             value = getattr(change, name)
             if value is not None:
                 setattr(self.faults, name, value)
-        if change.silence:
+        if change.silence or self.faults.unreachable:
             self.silence()
-        if self.faults.down:
+        if self.faults.down or self.faults.resetting:
             self.reset()
+        await self._follow_faults()
         if not self.faults.frozen:
             for connection in list(self.connections):
                 connection.thaw()
 
-    def takes_more(self) -> bool:
-        """Say whether the newest connection may stay."""
-        if self.faults.down:
-            return False
-        if self.max_connections is None:
-            return True
-        if len(self.connections) <= self.max_connections:
-            return True
-        self.connections_refused += 1
-        return False
+    async def _follow_faults(self) -> None:
+        """Listen or not, as the faults say."""
+        if self.faults.down or self.faults.unreachable:
+            self._stop_listening()
+        if self.faults.unreachable and not self._blackhole:
+            self._blackhole = _open_blackhole(*self._bound())
+        if not self.faults.unreachable:
+            self._drop_blackhole()
+        if self._server is None and not (self.faults.down or self.faults.unreachable):
+            await self._listen()
+
+    def _bound(self) -> tuple[str, int]:
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _drop_blackhole(self) -> None:
+        for held in self._blackhole:
+            held.close()
+        self._blackhole = []
 
     def silence(self) -> None:
         """Let no byte pass on any open connection from now on."""
@@ -106,6 +138,17 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def takes_more(self) -> bool:
+        """Say whether the newest connection may stay."""
+        if self.faults.resetting:
+            return False
+        if self.max_connections is None:
+            return True
+        if len(self.connections) <= self.max_connections:
+            return True
+        self.connections_refused += 1
+        return False
+
 
 class GateTransport(asyncio.Transport):
     """Passes calls on, but drops what a silent connection would send."""
@@ -224,4 +267,30 @@
             self._transport.abort()
 
 
+def _bind(host: str, port: int) -> socket.socket:
+    """Return a socket on a port that other sockets of this process may share."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    bound.bind((host, port))
+    return bound
+
+
+def _open_blackhole(host: str, port: int) -> list[socket.socket]:
+    """Let connection attempts wait for ever, as behind a network partition.
+
+    The kernel drops further attempts once the queue of connections that nobody
+    accepts is full; two of our own fill it.
+    """
+    listener = _bind(host, port)
+    listener.listen(0)
+    held = [listener]
+    for _ in range(2):
+        filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        filler.setblocking(False)
+        filler.connect_ex((host, port))
+        held.append(filler)
+    return held
+
+
 __all__ = ["Faults", "FaultsChange", "Gate"]
--- a/packages/bench/src/medlarspring_bench/standins/links.py
+++ b/packages/bench/src/medlarspring_bench/standins/links.py
@@ -56,11 +56,11 @@
             self._groups_by_name[link.name] = link.group
         return gate.address
 
-    def change_faults(self, change: FaultsChange) -> None:
+    async def change_faults(self, change: FaultsChange) -> None:
         """Switch faults of the links whose name or group is named."""
         for name, gate in self._gates_by_name.items():
             if change.gate in (None, name, self._groups_by_name[name]):
-                gate.change(change)
+                await gate.change(change)
 
     def close(self) -> None:
         """Close all links."""
--- a/packages/bench/src/medlarspring_bench/standins/server.py
+++ b/packages/bench/src/medlarspring_bench/standins/server.py
@@ -103,15 +103,15 @@
             gate.close()
         await self._runner.cleanup()
 
-    def change_faults(self, change: FaultsChange) -> None:
+    async def change_faults(self, change: FaultsChange) -> None:
         """Switch faults at one gate or at all."""
         for gate in self.gates_by_name.values():
             if change.gate in (None, gate.name):
-                gate.change(change)
+                await gate.change(change)
 
 
 def create_control_app(
-    change_faults: Callable[[FaultsChange], None],
+    change_faults: Callable[[FaultsChange], Awaitable[None]],
 ) -> web.Application:
     """Return the application of the control port; it has no faults itself."""
 
@@ -120,7 +120,7 @@
             change = msgspec.json.decode(await request.read(), type=FaultsChange)
         except msgspec.ValidationError as error:
             return json_response({"error": str(error)}, 400)
-        change_faults(change)
+        await change_faults(change)
         return json_response({})
 
     app = web.Application(client_max_size=MAX_BODY_BYTES)
--- a/packages/bench/src/medlarspring_bench/standins/statsd.py
+++ b/packages/bench/src/medlarspring_bench/standins/statsd.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
+    from medlarspring_bench.standins.faults import FaultsChange
+
 
 class Sink(asyncio.DatagramProtocol):
     """Adds up counters and keeps the last value of all else."""
@@ -43,6 +45,10 @@
                 self.values[name] = value
 
 
+async def _ignore_faults(change: FaultsChange) -> None:
+    """Datagrams have no connections that could fail."""
+
+
 async def serve(options: argparse.Namespace) -> None:
     """Serve until SIGTERM."""
     sink = Sink()
@@ -52,7 +58,7 @@
         lambda: sink, local_addr=(host, port)
     )
     bound_host, bound_port = transport.get_extra_info("sockname")[:2]
-    control = create_control_app(lambda change: None)
+    control = create_control_app(_ignore_faults)
 
     async def get_metrics(request: web.Request) -> web.Response:
         return json_response({"counters": sink.counters, "values": sink.values})
--- a/packages/bench/src/medlarspring_bench/standins/upstream.py
+++ b/packages/bench/src/medlarspring_bench/standins/upstream.py
@@ -221,10 +221,10 @@
         ids = options.vms.split(",")
         self.vms_by_id = {id_: UpstreamVM(id_, options) for id_ in ids}
 
-    def change_faults(self, change: FaultsChange) -> None:
+    async def change_faults(self, change: FaultsChange) -> None:
         """Switch faults of one VM or of all; the gate's name is the VM's id."""
         for vm in self.vms_by_id.values():
-            vm.gated.change_faults(change)
+            await vm.gated.change_faults(change)
 
     def add_control(self, app: web.Application) -> None:
         """Add the routes that change and read the VMs."""
--- a/packages/bench/tests/test_key_value.py
+++ b/packages/bench/tests/test_key_value.py
@@ -161,12 +161,17 @@
         await read(gateway, "a")
 
 
-async def test_down_then_up(gateway: Gateway):
-    await switch(gateway, down=True)
-    with pytest.raises(aiohttp.ClientError):
-        await read(gateway, "a")
-    await switch(gateway, down=False)
-    assert "header" in await read(gateway, "a")
+@pytest.mark.parametrize("fault", ["down", "resetting", "unreachable"])
+async def test_new_connections_fail_until_the_fault_ends(gateway: Gateway, fault: str):
+    _, url, _ = gateway
+    expected = TimeoutError if fault == "unreachable" else aiohttp.ClientError
+    await switch(gateway, **{fault: True})
+    async with aiohttp.ClientSession() as fresh:
+        with pytest.raises(expected):
+            async with asyncio.timeout(0.5):
+                await read((fresh, url, ""), "a")
+        await switch(gateway, **{fault: False})
+        assert "header" in await read((fresh, url, ""), "a")
 
 
 async def test_silent_connection_never_answers_and_new_one_does(gateway: Gateway):
--- a/tests/features/single_faults.feature
+++ b/tests/features/single_faults.feature
@@ -16,6 +16,8 @@
     Examples: the store
       | fault                             | percent |
       | the store goes down               | 99      |
+      | the store resets connections      | 99      |
+      | the store is unreachable          | 99      |
       | the store freezes                 | 99      |
       | the store is slow                 | 99      |
       | the store loses replies           | 97      |
--- a/tests/features/upstream_faults.feature
+++ b/tests/features/upstream_faults.feature
@@ -21,3 +21,5 @@
       | upstream VMs cut their answers | 80      |
       | upstream VMs lose answers      | 80      |
       | upstream VMs are down          | 99      |
+      | upstream VMs reset connections | 95      |
+      | upstream VMs are unreachable   | 95      |
