--- a/packages/systems/src/medlarspring_systems/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/fleet_plan.py
@@ -15,7 +15,7 @@
 )
 from medlarspring_systems.vm_progress import plan_give_up, plan_progress
 from medlarspring_systems.wave_control import plan_standing_wave, plan_wave_control
-from medlarspring_systems.wave_width import CanaryWidth
+from medlarspring_systems.wave_width import CanaryWidth, RackReserveWidth
 
 if TYPE_CHECKING:
     from medlarspring_systems.wave_width import WidthRule
@@ -48,7 +48,9 @@
     plan_give_up(draft, pool, now)
     plan_needs(draft, pool, config.pools_by_id, now)
     plan_move_drains(draft, pool, config.pools_by_id, config.fleet, now)
-    plan_wave_drains(draft, pool, config.fleet, width or CanaryWidth(), now)
+    plan_wave_drains(
+        draft, pool, config.fleet, width or RackReserveWidth(CanaryWidth()), now
+    )
     plan_forget_moves(draft, pool, now)
     return draft
 
--- a/packages/systems/src/medlarspring_systems/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/maintenance.py
@@ -86,7 +86,7 @@
         sighting = draft.tables.sightings_by_id.get(record.id)
         if judge_vm(record, sighting) is not Health.AVAILABLE:
             continue
-        if width.allows(draft, wave, record):
+        if width.allows(draft, wave, record, pool):
             disrupt_vm(draft, record.id, cause, pool, fleet, now)
 
 
--- a/packages/systems/src/medlarspring_systems/wave_progress.py
+++ b/packages/systems/src/medlarspring_systems/wave_progress.py
@@ -13,7 +13,7 @@
 from medlarspring_systems.disruptions import disrupt_vm
 from medlarspring_systems.draft import Draft
 from medlarspring_systems.maintenance import find_wanted, has_ended
-from medlarspring_systems.wave_width import CanaryWidth
+from medlarspring_systems.wave_width import CanaryWidth, keeps_rack_reserve
 from medlarspring_tables.vms import Cause, CauseKind, Outcome, VMCondition, VMState
 from medlarspring_tables.waves import WaveState
 
@@ -141,9 +141,12 @@
         if health is not Health.AVAILABLE:
             reason = f"VM {record.id} is {health.value}"
             continue
-        if not CanaryWidth().allows(draft, wave, record):
+        if not CanaryWidth().allows(draft, wave, record, pool):
             reason = f"zone {record.zone_id} waits for its first VM to return"
             continue
+        if not keeps_rack_reserve(draft, record, pool):
+            reason = f"pool {pool.id} keeps VMs for the loss of a rack"
+            continue
         trial = Draft(draft.tables)
         refused = disrupt_vm(trial, record.id, cause, pool, fleet, now)
         if is_successful(refused):
--- a/packages/systems/src/medlarspring_systems/wave_width.py
+++ b/packages/systems/src/medlarspring_systems/wave_width.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections import Counter
 from typing import TYPE_CHECKING, Protocol
 
-from medlarspring_tables.vms import Cause, CauseKind, Outcome
+from medlarspring_systems.availability import Health, judge_vm
+from medlarspring_tables.vms import Cause, CauseKind, Outcome, VMState
 
 if TYPE_CHECKING:
     from medlarspring_systems.draft import Draft
+    from medlarspring_tables import PoolRow, RackId
     from medlarspring_tables.fleet_tables import FinishedVM, FleetTables
     from medlarspring_tables.vms import VMRecord
     from medlarspring_tables.waves import WaveRecord
@@ -20,7 +23,9 @@
 class WidthRule(Protocol):
     """Limits a wave beyond the budgets of pools and zones."""
 
-    def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
+    def allows(
+        self, draft: Draft, wave: WaveRecord, vm: VMRecord, pool: PoolRow
+    ) -> bool:
         """Say whether one more VM may be taken now."""
         ...
 
@@ -28,7 +33,9 @@
 class BudgetWidth:
     """As wide as the budgets alone allow."""
 
-    def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
+    def allows(
+        self, draft: Draft, wave: WaveRecord, vm: VMRecord, pool: PoolRow
+    ) -> bool:
         """Allow every VM."""
         return True
 
@@ -40,7 +47,9 @@
     would have let go.
     """
 
-    def allows(self, draft: Draft, wave: WaveRecord, vm: VMRecord) -> bool:
+    def allows(
+        self, draft: Draft, wave: WaveRecord, vm: VMRecord, pool: PoolRow
+    ) -> bool:
         """Allow every VM after a proof, else the first of its zone."""
         if has_proof(draft.tables, wave):
             return True
@@ -49,6 +58,45 @@
         return cause not in out
 
 
+class RackReserveWidth:
+    """As the inner rule, but a pool stays able to lose any one rack.
+
+    Drained to its budget, a pool falls under it with the next rack that is
+    lost, and VMs that reboot by then cannot be put back. A pool that could not
+    lose a rack even at its wanted size is drained to its budget all the same.
+    """
+
+    def __init__(self, inner: WidthRule) -> None:
+        self._inner = inner
+
+    def allows(
+        self, draft: Draft, wave: WaveRecord, vm: VMRecord, pool: PoolRow
+    ) -> bool:
+        """Allow what the inner rule allows and the reserve bears."""
+        if not self._inner.allows(draft, wave, vm, pool):
+            return False
+        return keeps_rack_reserve(draft, vm, pool)
+
+
+def keeps_rack_reserve(draft: Draft, vm: VMRecord, pool: PoolRow) -> bool:
+    """Say whether the pool without the VM can lose a rack and keep its budget."""
+    members_by_rack: Counter[RackId] = Counter()
+    available_by_rack: Counter[RackId] = Counter()
+    for vm_id in draft.tables.vm_ids_by_pool.get(pool.id, ()):
+        record = draft.vm(vm_id)
+        if record.state is VMState.OUT:
+            continue
+        members_by_rack[record.rack_id] += 1
+        sighting = draft.tables.sightings_by_id.get(vm_id)
+        is_available = judge_vm(record, sighting) is Health.AVAILABLE
+        available_by_rack[record.rack_id] += is_available and vm_id != vm.id
+    left = sum(available_by_rack.values()) - max(available_by_rack.values(), default=0)
+    if left >= pool.min_available:
+        return True
+    largest = max(members_by_rack.values(), default=0)
+    return pool.wanted_vms - 1 - largest < pool.min_available
+
+
 def has_proof(tables: FleetTables, wave: WaveRecord) -> bool:
     """Say whether a VM has returned since the wave was last resumed."""
     for finish in reversed(tables.finished_by_wave.get(wave.id, [])):
@@ -81,7 +129,9 @@
     "EVIDENCE_DEPTH",
     "BudgetWidth",
     "CanaryWidth",
+    "RackReserveWidth",
     "WidthRule",
     "find_evidence",
     "has_proof",
+    "keeps_rack_reserve",
 ]
--- a/packages/systems/tests/test_maintenance.py
+++ b/packages/systems/tests/test_maintenance.py
@@ -4,6 +4,7 @@
 import pytest
 
 from medlarspring_systems.draft import Draft
+from medlarspring_systems.maintenance import plan_wave_drains
 from medlarspring_systems.vm_progress import RETURN_LIMIT_SECONDS
 from medlarspring_systems.wave_control import (
     PERIOD_SECONDS,
@@ -14,6 +15,7 @@
     resume_wave,
 )
 from medlarspring_systems.wave_progress import Step, measure_progress
+from medlarspring_systems.wave_width import BudgetWidth, RackReserveWidth
 from medlarspring_tables import FleetRow, PoolId, VMId, WaveId
 from medlarspring_tables.vms import Outcome, VMCondition, VMState
 from medlarspring_tables.waves import WaveState
@@ -155,6 +157,23 @@
     assert "aborted" in resume_wave(fleet.wave(), fleet.now).failure().message()
 
 
+@pytest.mark.parametrize(("min_available", "drained"), [(6, 2), (4, 4), (3, 2), (2, 4)])
+def test_pool_that_can_lose_a_rack_stays_able_to(fleet, min_available, drained):
+    """
+    Eight VMs stand in two racks of four. With a budget of 3 the pool can lose
+    a rack and have one VM out of each; with 4 or 6 it never could, and the
+    budget alone limits the wave.
+    """
+    fleet.add_pool("b", vms=8, wanted=8, min_available=min_available)
+    draft = Draft(fleet.tables)
+    wave = fleet.start_wave()
+    pool = fleet.config.pools_by_id[PoolId("b")]
+    width = RackReserveWidth(BudgetWidth())
+    plan_wave_drains(draft, pool, fleet.config.fleet, width, fleet.now)
+    states = [draft.vm(vm_id).state for vm_id in wave.vm_ids]
+    assert states.count(VMState.DRAINING) == drained
+
+
 def test_standing_wave_takes_the_vms_whose_time_is_nearly_up(fleet):
     fleet.tick(seconds=PERIOD_SECONDS / 2)
     assert not fleet.tables.waves_by_id
