Look for news of a drain before its time limit

Cause: after an outage of the store longer than ten minutes, drains that had been put back meanwhile were reported as timed out and left out by their wave.

--- a/packages/systems/src/medlarspring_systems/vm_progress.py
+++ b/packages/systems/src/medlarspring_systems/vm_progress.py
@@ -116,23 +116,26 @@
 def _plan_draining(
     draft: Draft, record: VMRecord, sighting: VMSighting | None, now: float
 ) -> None:
-    if not is_late_move(record):
-        if not _is_cause_open(draft, record):
-            restore(draft, record, "cause-ended", now)
+    is_joining = is_late_move(record)
+    if not is_joining and not _is_cause_open(draft, record):
+        restore(draft, record, "cause-ended", now)
+        return
+    if sighting is not None and has_accepted(draft.tables, record, sighting):
+        if sighting.condition is VMCondition.SERVING:
+            # A holder cut off from the store put the VM back, or it failed and
+            # came back by itself. A drain of this intent that is still on its
+            # way would take it out again unlisted, so the intent is closed
+            # before the VM counts.
+            restore(draft, record, "serves-again", now)
             return
-        if now - record.since > DRAIN_LIMIT_SECONDS:
-            finish_wave(draft, record, Outcome.DRAIN_TIMED_OUT, now)
-            restore(draft, draft.vm(record.id), "drain-timed-out", now)
+        if sighting.condition is VMCondition.DRAINED:
+            _use_drained(draft, record, sighting, now)
             return
-    if sighting is None or not has_accepted(draft.tables, record, sighting):
-        return
-    if sighting.condition is VMCondition.SERVING:
-        # A holder cut off from the store put the VM back, or it failed and came
-        # back by itself. A drain of this intent that is still on its way would
-        # take it out again unlisted, so the intent is closed before it counts.
-        restore(draft, record, "serves-again", now)
-    elif sighting.condition is VMCondition.DRAINED:
-        _use_drained(draft, record, sighting, now)
+    # Only now the time is looked at: after an outage of the store the drain is
+    # old, but the VM was put back or is drained, and nothing timed out.
+    if not is_joining and now - record.since > DRAIN_LIMIT_SECONDS:
+        finish_wave(draft, record, Outcome.DRAIN_TIMED_OUT, now)
+        restore(draft, draft.vm(record.id), "drain-timed-out", now)
 
 
 def _use_drained(
