--- a/packages/adapters/src/medlarspring_adapters/upstream_connections.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_connections.py
@@ -2,38 +2,42 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
-from weakref import WeakKeyDictionary
+from functools import partial
+from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 if TYPE_CHECKING:
-    from aiohttp.client_proto import ResponseHandler
+    import asyncio
+
     from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
-    from medlarspring_adapters.clock import Clock
-    from medlarspring_tables import Seconds
-
 MAX_IDLE_SECONDS = 4.0
 MAX_AGE_SECONDS = 60.0
 DEFAULT_IDLE_PER_ADDRESS = 4
 
 
+class UpstreamConnection(ResponseHandler):
+    """A connection that knows its age."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.opened_at = loop.time()
+
+
 class UpstreamConnector(aiohttp.TCPConnector):
     """Keeps few, young and lately used connections, and only clean ones."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self) -> None:
         super().__init__(
             limit=0, keepalive_timeout=MAX_IDLE_SECONDS, use_dns_cache=False
         )
-        self._clock = clock
-        self._opened_at: WeakKeyDictionary[ResponseHandler, Seconds] = (
-            WeakKeyDictionary()
-        )
-        self.idle_by_address: dict[str, int] = {}
-        """How many idle connections each ``ip:port`` may have."""
+        self._factory = partial[ResponseHandler](UpstreamConnection, loop=self._loop)
+        self.idle_by_address: dict[tuple[str, int | None], int] = {}
+        """How many idle connections each ``(ip, port)`` may have."""
 
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an upstream VM.
@@ -66,21 +70,16 @@
         should_close: bool = False,
     ) -> None:
         allowed = self.idle_by_address.get(
-            f"{key.host}:{key.port}", DEFAULT_IDLE_PER_ADDRESS
+            (key.host, key.port), DEFAULT_IDLE_PER_ADDRESS
         )
         full = len(self._conns.get(key, ())) >= allowed
         super()._release(
             key, protocol, should_close=should_close or full or self._is_old(protocol)
         )
 
-    async def _create_connection(self, *args: Any, **kwargs: Any) -> ResponseHandler:
-        protocol = await super()._create_connection(*args, **kwargs)
-        self._opened_at[protocol] = self._clock.now()
-        return protocol
-
     def _is_old(self, protocol: ResponseHandler) -> bool:
-        opened_at = self._opened_at.get(protocol)
-        return opened_at is None or self._clock.now() - opened_at > MAX_AGE_SECONDS
+        assert isinstance(protocol, UpstreamConnection)
+        return self._loop.time() - protocol.opened_at > MAX_AGE_SECONDS
 
 
 __all__ = ["UpstreamConnector"]
--- a/packages/adapters/src/medlarspring_adapters/upstream_http.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_http.py
@@ -101,7 +101,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._dropped_at_by_address: dict[str, Seconds] = {}
-        self.connector = UpstreamConnector(clock)
+        self.connector = UpstreamConnector()
         self._pooled = _create_session(self.connector)
         self._fresh = _create_session(
             aiohttp.TCPConnector(limit=0, force_close=True, use_dns_cache=False)
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,7 @@
 
 HEALTH_PATH = "/healthz"
 READINESS_PATH = "/readyz"
+COLLECTOR_THRESHOLDS = (20_000, 20, 20)
 DRAIN_CHECK_SECONDS = 0.02
 FAREWELL_SECONDS = 1.5
 """How long the port stays open on shutdown, for the balancer to notice."""
@@ -69,6 +71,7 @@
             self._state, self._dispatcher, self._client, reports
         )
         await self._dispatcher.slots.start()
+        _calm_collector()
         self._keyed = KeyedRunner(self._node, self._forwarder)
         self._server = CallerServer(self._handle, settings, self._note_failure)
         self._tasks = [
@@ -154,7 +157,7 @@
         assert self._client is not None
         entry_vms = len(vm_list.entry_vms_by_id)
         self._client.connector.idle_by_address = {
-            upstream.address: count_idle_connections(upstream, entry_vms)
+            _split(upstream.address): count_idle_connections(upstream, entry_vms)
             for upstream in self._state.upstreams.upstreams_by_id.values()
         }
 
@@ -172,6 +175,22 @@
         return web.Response(text="ready\n")
 
 
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _calm_collector() -> None:
+    """Let the garbage collector run rarely, and not over what stays anyway.
+
+    With the default thresholds it runs every few requests, and each of its
+    long runs looks through all that the process keeps.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def create_caller_service(node: Node) -> Part:
     """Return the service of the caller port."""
     return CallerService(node)
