Keep payments away from VMs that just failed, and make queues only when asked

A payment sent to a VM whose last answer was a failure may end with an unknown outcome while other VMs are well; routing now takes those first, another zone's included. A service without repeatable requests gets a VM that was set aside back after 5 s unprobed; before it never did.

--- a/packages/adapters/src/medlarspring_adapters/upstream_connections.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_connections.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -35,7 +35,8 @@
         super().__init__(
             limit=0, keepalive_timeout=MAX_IDLE_SECONDS, use_dns_cache=False
         )
-        self._factory = partial[ResponseHandler](UpstreamConnection, loop=self._loop)
+        factory = partial(UpstreamConnection, loop=self._loop)
+        self._factory = cast("partial[ResponseHandler]", factory)
         self.idle_by_address: dict[tuple[str, int | None], int] = {}
         """How many idle connections each ``(ip, port)`` may have."""
 
--- a/packages/systems/src/medlarspring_systems/fair_queue.py
+++ b/packages/systems/src/medlarspring_systems/fair_queue.py
@@ -21,7 +21,13 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from medlarspring_tables import ConfigTable, EntryVMId, PartnerId, Seconds
+    from medlarspring_tables import (
+        ConfigTable,
+        EntryVMId,
+        PartnerId,
+        PartnerRow,
+        Seconds,
+    )
     from medlarspring_tables.requests import CallerRequest
 
 MEMORY_SECONDS = 2.0
@@ -46,17 +52,27 @@
     queue = pool.queues_by_partner.get(partner_id)
     if queue is None:
         queue = PartnerQueue(partner_id)
+        _adopt_row(queue, pool.rows_by_partner.get(partner_id))
         pool.queues_by_partner[partner_id] = queue
     return queue
 
 
 def adopt_config(pool: PoolQueue, config: ConfigTable) -> None:
-    """Take over weights and limits of the table in force."""
-    for partner_id, row in config.partners_by_id.items():
-        queue = get_partner_queue(pool, partner_id)
+    """Take over weights and limits of the table in force.
+
+    Queues are made only for partners that ask: hundreds of partners in dozens
+    of pools would take more memory than all else.
+    """
+    pool.rows_by_partner = config.partners_by_id
+    pool.total_weight = sum(row.weight for row in config.partners_by_id.values())
+    for partner_id, queue in pool.queues_by_partner.items():
+        _adopt_row(queue, config.partners_by_id.get(partner_id))
+
+
+def _adopt_row(queue: PartnerQueue, row: PartnerRow | None) -> None:
+    if row is not None:
         queue.weight = row.weight
         queue.limit_percent = row.limit_percent
-    pool.total_weight = sum(row.weight for row in config.partners_by_id.values())
 
 
 def enqueue(pool: PoolQueue, request: CallerRequest, *, first: bool = False) -> None:
--- a/packages/systems/src/medlarspring_systems/routing.py
+++ b/packages/systems/src/medlarspring_systems/routing.py
@@ -21,6 +21,10 @@
     )
 
 
+UNPROBED_SECONDS = 5.0
+"""A service without repeatable requests would never get a VM back otherwise."""
+
+
 def adopt_vm_list(table: UpstreamTable, vm_list: VMList) -> None:
     """Bring the table in line with a new list; what is in use stays counted."""
     known = table.upstreams_by_id
@@ -80,21 +84,24 @@
     """Return the best upstream VM with a free slot, the own zone's first.
 
     Within a zone the one with the smallest share of its slots in use wins,
-    and among equals the faster one. Probes of upstream VMs that were set
-    aside are made with repeatable requests only: a probe may well fail.
+    and among equals the faster one. Work that may not be repeated avoids VMs
+    whose last answer was a failure, and probes VMs that were set aside only
+    when no repeatable request has come to do it: a probe may well fail.
     """
     best: Upstream | None = None
-    best_rank = (2, 0.0, 0.0)
+    best_rank = (True, 2, 0.0, 0.0)
     for upstream in table.upstreams_by_pool.get(pool_id, ()):
         if upstream.in_use >= upstream.credit or now >= upstream.credit_until:
             continue
         if upstream.id in excluded or not takes_new_work(upstream, now):
             continue
-        if upstream.set_aside_until is not None and (
-            upstream.probing or not repeatable or now < upstream.set_aside_until
-        ):
-            continue
+        if upstream.set_aside_until is not None:
+            waited = now - upstream.set_aside_until
+            least = 0.0 if repeatable else UNPROBED_SECONDS
+            if upstream.probing or waited < least:
+                continue
         rank = (
+            not repeatable and upstream.failures > 0,
             0 if upstream.zone_id == zone_id else 1,
             upstream.in_use / upstream.slots,
             upstream.latency,
--- a/packages/systems/tests/test_upstream_health.py
+++ b/packages/systems/tests/test_upstream_health.py
@@ -67,6 +67,26 @@
     assert choose(table, now=1.6, repeatable=False) is pool[0]
 
 
+def test_payments_avoid_a_vm_whose_last_answer_was_a_failure():
+    """Two VMs are equal but for one failure. A payment sent there might end
+    with an unknown outcome; a read may well try."""
+    table = create_table(2)
+    fail(table, 0, times=1)
+    pool = table.upstreams_by_pool[POOL]
+    pool[1].in_use = 3
+    assert choose(table) is pool[0]
+    assert choose(table, repeatable=False) is pool[1]
+
+
+def test_service_without_reads_gets_its_vm_back_too():
+    table = create_table(2)
+    fail(table, 0)
+    pool = table.upstreams_by_pool[POOL]
+    pool[1].in_use = 8
+    assert choose(table, now=2.0, repeatable=False) is None
+    assert choose(table, now=6.1, repeatable=False) is pool[0]
+
+
 def test_failed_probes_come_ever_more_rarely():
     table = create_table(2)
     pool = table.upstreams_by_pool[POOL]
--- a/packages/tables/src/medlarspring_tables/requests.py
+++ b/packages/tables/src/medlarspring_tables/requests.py
@@ -8,6 +8,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from medlarspring_tables.config import PartnerRow
     from medlarspring_tables.ids import (
         EntryVMId,
         PartnerId,
@@ -138,6 +141,8 @@
     queues_by_partner: dict[PartnerId, PartnerQueue] = field(default_factory=dict)
     waiting_by_partner: dict[PartnerId, PartnerQueue] = field(default_factory=dict)
     """Only the queues in which something waits."""
+    rows_by_partner: Mapping[PartnerId, PartnerRow] = field(default_factory=dict)
+    """The partners of the table in force."""
     total_weight: float = 0.0
     """Sum of the weights of all partners of the table."""
     peer_usage: dict[tuple[EntryVMId, PartnerId], PeerUsage] = field(
