--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -49,6 +49,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from multidict import CIMultiDict
+
     from medlarspring_daemon.node import Node, Part
 
     Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -112,7 +114,7 @@
             method, URL(self.url + path, encoded=True), headers=stated, data=data
         ) as response:
             body = await response.read()
-            return Answer(response.status, dict(response.headers), body)
+            return Answer(response.status, response.headers.copy(), body)
 
 
 @dataclass
@@ -120,7 +122,7 @@
     """What a caller got, whole."""
 
     status: int
-    headers: dict[str, str]
+    headers: CIMultiDict[str]
     body: bytes
 
 
--- a/packages/daemon/tests/callers/test_caller_service.py
+++ b/packages/daemon/tests/callers/test_caller_service.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+import gzip
 import json
 
 import pytest
+from aiohttp import web
 
 
 async def test_answer_of_the_upstream_reaches_the_caller_whole(bench):
@@ -53,3 +55,56 @@
     node.stopping = True
     assert (await entry_vm.ask("/readyz")).status == 503
     assert (await entry_vm.ask("/healthz")).status == 200
+
+
+async def answer_head(request):
+    return web.Response(headers={"Content-Length": "1234"})
+
+
+async def answer_nothing(request):
+    return web.Response(status=204)
+
+
+async def answer_unchanged(request):
+    return web.Response(status=304, headers={"ETag": '"7"'})
+
+
+async def answer_zipped(request):
+    return web.Response(body=gzip.compress(b"x"), headers={"Content-Encoding": "gzip"})
+
+
+async def answer_in_chunks(request):
+    response = web.StreamResponse()
+    await response.prepare(request)
+    for _ in range(3):
+        await response.write(b"part")
+    await response.write_eof()
+    return response
+
+
+async def answer_large(request):
+    return web.Response(body=b"y" * 3_000_000)
+
+
+@pytest.mark.parametrize(
+    ("method", "handler", "status", "header", "body"),
+    [
+        ("HEAD", answer_head, 200, ("Content-Length", "1234"), b""),
+        ("GET", answer_nothing, 204, None, b""),
+        ("GET", answer_unchanged, 304, ("ETag", '"7"'), b""),
+        ("GET", answer_zipped, 200, ("Content-Encoding", "gzip"), b"x"),
+        ("GET", answer_in_chunks, 200, None, b"partpartpart"),
+        ("GET", answer_large, 200, ("Content-Length", "3000000"), b"y" * 3_000_000),
+    ],
+)
+async def test_each_form_of_answer_comes_through_unchanged(
+    bench, method, handler, status, header, body
+):
+    await bench.add_upstream(handler)
+    entry_vm = await bench.start_entry_vm()
+    for _ in range(2):
+        answer = await entry_vm.ask(method=method)
+        assert answer.status == status
+        assert answer.body == body
+        if header is not None:
+            assert answer.headers[header[0]] == header[1]
