Remember answered requests apart, and in fewer words

At 300 requests a second the shared memory of decisions forgot those about VMs, jobs and waves within 33 s. Answered requests have a memory of their own now, put into words when asked for.

--- a/packages/adapters/src/medlarspring_adapters/decisions.py
+++ b/packages/adapters/src/medlarspring_adapters/decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,9 @@
     facts: dict[str, str | int | float | bool]
 
 
+DecisionSource = Callable[[Subject, str], list[Decision]]
+
+
 class DecisionLog:
     """The newest decisions by subject; the oldest subjects are forgotten."""
 
@@ -48,6 +52,7 @@
         self._decisions_by_id: OrderedDict[tuple[Subject, str], deque[Decision]] = (
             OrderedDict()
         )
+        self._sources: list[DecisionSource] = []
 
     def record(
         self,
@@ -76,9 +81,16 @@
                 self._decisions_by_id.popitem(last=False)
         decisions.append(decision)
 
+    def add_source(self, source: DecisionSource) -> None:
+        """Let another memory of decisions be searched too."""
+        self._sources.append(source)
+
     def find(self, subject: Subject, id: str) -> list[Decision]:  # noqa: A002
         """Return what is remembered about a subject, oldest first."""
-        return list(self._decisions_by_id.get((subject, id), ()))
+        found = list(self._decisions_by_id.get((subject, id), ()))
+        for source in self._sources:
+            found += source(subject, id)
+        return sorted(found, key=lambda decision: decision.at)
 
 
 __all__ = ["Decision", "DecisionLog", "Subject"]
--- a/packages/adapters/src/medlarspring_adapters/upstream_http.py
+++ b/packages/adapters/src/medlarspring_adapters/upstream_http.py
@@ -57,7 +57,7 @@
     PERHAPS = "perhaps"
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Sending:
     """One request as it goes to one upstream VM."""
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_answer.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_answer.py
@@ -42,7 +42,7 @@
 }
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class HeldBody:
     """The body of an answer, or its beginning."""
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_records.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_records.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, OrderedDict
 from typing import TYPE_CHECKING
 
-from medlarspring_adapters.decisions import Subject
+from msgspec import Struct
+
+from medlarspring_adapters.decisions import Decision, Subject
 from medlarspring_adapters.metrics import Metric
 from medlarspring_tables.requests import Outcome
 
@@ -17,10 +19,26 @@
     from medlarspring_tables.requests import CallerRequest, Refusal
 
 FLUSH_SECONDS = 1.0
+MAX_ANSWERS = 10_000
+"""Answered requests remembered; apart from the rarer decisions about VMs, jobs
+and waves, which their number would push out within a minute."""
 TIMED_PART = 8
 """One answer of so many is sent as a timing."""
 
 
+class AnsweredRequest(Struct, frozen=True, gc=False):
+    """What is kept of an answered request."""
+
+    at: float
+    partner: str
+    service: str
+    upstream: str
+    attempts: int
+    waited: float
+    took: float
+    status: int
+
+
 class CallerRecords:
     """Remembers outcomes; counts are sent together once a second.
 
@@ -31,7 +49,9 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._counts: Counter[Metric] = Counter()
-        self._answers = 0
+        self._timed = 0
+        self._answers_by_id: OrderedDict[str, AnsweredRequest] = OrderedDict()
+        node.decisions.add_source(self.find_answer)
 
     async def run(self) -> None:
         """Send the counts every second, until cancelled."""
@@ -46,25 +66,51 @@
         self._counts.clear()
 
     def note_answer(self, row: CallerRequest, status: int, exchange: Exchange) -> None:
-        """Remember an upstream's answer."""
-        took_ms = (self._node.clock.now() - row.arrived_at) * 1000
+        """Remember an upstream's answer; it is put into words when asked for."""
+        took = self._node.clock.now() - row.arrived_at
         self._counts[Metric.REQUESTS_ANSWERED] += 1
-        self._answers += 1
-        if self._answers % TIMED_PART == 0:
-            self._node.metrics.timing(Metric.REQUEST_MS, took_ms)
-        self._node.decisions.record(
-            Subject.REQUEST,
-            row.id,
-            "answered",
-            "sent to the least loaded upstream VM, own zone first",
-            partner=row.partner_id,
-            service=row.service_id,
-            upstream=exchange.upstream_id,
-            attempts=exchange.attempts,
-            waited_ms=round(exchange.waited * 1000, 1),
-            took_ms=round(took_ms, 1),
-            status=status,
+        self._timed += 1
+        if self._timed == TIMED_PART:
+            self._timed = 0
+            self._node.metrics.timing(Metric.REQUEST_MS, took * 1000)
+        if len(self._answers_by_id) >= MAX_ANSWERS:
+            self._answers_by_id.popitem(last=False)
+        self._answers_by_id[row.id] = AnsweredRequest(
+            self._node.clock.wall(),
+            row.partner_id,
+            row.service_id,
+            exchange.upstream_id,
+            exchange.attempts,
+            exchange.waited,
+            took,
+            status,
+        )
+
+    def find_answer(self, subject: Subject, id: str) -> list[Decision]:  # noqa: A002
+        """Return the decision of an answered request; a ``DecisionSource``."""
+        answered = self._answers_by_id.get(id) if subject is Subject.REQUEST else None
+        if answered is None:
+            return []
+        facts: dict[str, str | int | float | bool] = {
+            "partner": answered.partner,
+            "service": answered.service,
+            "upstream": answered.upstream,
+            "attempts": answered.attempts,
+            "waited_ms": round(answered.waited * 1000, 1),
+            "took_ms": round(answered.took * 1000, 1),
+            "status": answered.status,
+        }
+        rule = "sent to the least loaded upstream VM, own zone first"
+        decision = Decision(
+            at=answered.at,
+            entry_vm=self._node.id,
+            subject=subject.value,
+            id=id,
+            decided="answered",
+            rule=rule,
+            facts=facts,
         )
+        return [decision]
 
     def note_replay(self, row: CallerRequest, status: int) -> None:
         """Remember that a recorded answer was given again."""
--- a/packages/daemon/tests/callers/test_caller_service.py
+++ b/packages/daemon/tests/callers/test_caller_service.py
@@ -6,6 +6,8 @@
 import pytest
 from aiohttp import web
 
+from medlarspring_adapters.decisions import Subject
+
 
 async def test_answer_of_the_upstream_reaches_the_caller_whole(bench):
     await bench.add_upstream()
@@ -108,3 +110,15 @@
         assert answer.body == body
         if header is not None:
             assert answer.headers[header[0]] == header[1]
+
+
+async def test_request_can_be_explained_afterwards(bench):
+    await bench.add_upstream()
+    entry_vm = await bench.start_entry_vm()
+    await entry_vm.ask(Request_Id="r-7")
+    await entry_vm.ask("/nothing/x", Request_Id="r-8")
+    (answered,) = entry_vm.node.decisions.find(Subject.REQUEST, "r-7")
+    assert answered.decided == "answered"
+    assert answered.facts["upstream"] == "vm-0"
+    (refused,) = entry_vm.node.decisions.find(Subject.REQUEST, "r-8")
+    assert (refused.decided, refused.rule) == ("refused", "unknown-service")
--- a/packages/systems/src/medlarspring_systems/upstream_health.py
+++ b/packages/systems/src/medlarspring_systems/upstream_health.py
@@ -13,7 +13,8 @@
 
 FAILURES_TO_SET_ASIDE = 3
 ANSWERS_BEFORE_SLOW = 8
-"""Answers needed before a latency counts as evidence."""
+"""Answers needed before a latency counts as evidence; it is compared with the
+pool's once in so many."""
 SLOW_FACTOR = 4.0
 SLOW_MARGIN_SECONDS = 0.05
 LATENCY_SMOOTHING = 0.2
@@ -37,7 +38,7 @@
         upstream.latency = latency
     else:
         upstream.latency += LATENCY_SMOOTHING * (latency - upstream.latency)
-    if upstream.answers < ANSWERS_BEFORE_SLOW or upstream.set_aside_until is not None:
+    if upstream.answers % ANSWERS_BEFORE_SLOW or upstream.set_aside_until is not None:
         return False
     if not _is_slow(upstream, pool, upstream.latency):
         return False
