--- a/packages/adapters/tests/test_etcd_gateway.py
+++ b/packages/adapters/tests/test_etcd_gateway.py
@@ -41,8 +41,8 @@
     def endpoints(self) -> list[str]:
         return [gate.address for gate in self.gated.gates_by_name.values()]
 
-    def fault(self, **faults: object) -> None:
-        self.gated.change_faults(FaultsChange(**faults))  # type: ignore[arg-type]
+    async def fault(self, **faults: object) -> None:
+        await self.gated.change_faults(FaultsChange(**faults))  # type: ignore[arg-type]
 
 
 @pytest.fixture
@@ -114,11 +114,11 @@
     so every write that may have left this process is reported as unknown.
     """
     async with open_store(*service.endpoints) as store:
-        service.fault(**faults)
+        await service.fault(**faults)
         read = await store.read("b")
         assert (type(read.failure()) if not is_successful(read) else None) is of_read
         assert type((await store.commit(PUT)).failure()) is of_write
-        service.fault(
+        await service.fault(
             slow_seconds=0.0,
             frozen=False,
             fail_all=False,
@@ -141,7 +141,7 @@
     async with open_store(CLOSED_PORT, service.endpoints[1]) as store:
         assert (await store.commit(PUT)).unwrap().succeeded
     async with open_store(*service.endpoints) as store:
-        service.fault(gate="one", lose_replies=1)
+        await service.fault(gate="one", lose_replies=1)
         write = Transaction((), (Put("d", b"1"),))
         assert isinstance((await store.commit(write)).failure(), StoreOutcomeUnknown)
         entry = (await store.read("d")).unwrap()
@@ -165,7 +165,7 @@
     """
     async with open_store(service.endpoints[0]) as store:
         await asyncio.gather(*(store.read("a") for _ in range(10)))
-        service.fault(silence=True)
+        await service.fault(silence=True)
         answers = [await store.read("a") for _ in range(5)]
         assert [isinstance(each, Failure) for each in answers] == [True] + [False] * 4
 
@@ -180,7 +180,7 @@
         values = []
         async with aclosing(store.watch("k", Revision(1))) as batches:
             for number in range(3):
-                service.fault(silence=True)
+                await service.fault(silence=True)
                 write = Transaction((), (Put("k", b"%d" % number),))
                 async with open_store(*service.endpoints) as editor:
                     (await editor.commit(write)).unwrap()
@@ -202,7 +202,7 @@
         if fault == "compacted":
             service.service.state.compact(3)
         if fault == "down":
-            service.fault(down=True)
+            await service.fault(down=True)
         if fault == "went back":
             start = Revision(99)
         async with asyncio.timeout(5):
