--- a/packages/daemon/src/medlarspring_daemon/services/slot_home.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_home.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters import peer_pb2
-from medlarspring_systems import slots
+from medlarspring_systems import slot_shares, slots
 from medlarspring_systems.leaving import note_leaving, takes_new_work
 from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId
 from medlarspring_tables.slots import HomeTable, SlotLedger, Vote
@@ -88,7 +88,7 @@
                 now=now,
                 policy=self._policy,
             )
-            target = slots.round_parts(upstream.id, parts, upstream.slots)
+            target = slot_shares.round_parts(upstream.id, parts, upstream.slots)
             granted = slots.grant(
                 ledger,
                 asker,
@@ -136,7 +136,7 @@
                 counts[PartnerId(usage.partner)] = usage.waiting + usage.running
         for pool_id, counts in counts_by_pool.items():
             asker = EntryVMId(request.sender)
-            slots.take_demand(self._table, pool_id, asker, counts, now)
+            slot_shares.take_demand(self._table, pool_id, asker, counts, now)
 
     def _divide(self, upstream: Upstream, now: Seconds) -> dict[EntryVMId, float]:
         config = self._node.config
@@ -148,7 +148,7 @@
             for other in self._state.list_upstreams(upstream.pool_id)
             if other.zone_id == upstream.zone_id and takes_new_work(other, now)
         )
-        return slots.divide_pool(
+        return slot_shares.divide_pool(
             self._table, upstream.pool_id, weights, pool_slots, now, self._policy
         )
 
--- a/packages/systems/src/medlarspring_systems/rendezvous.py
+++ b/packages/systems/src/medlarspring_systems/rendezvous.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from hashlib import blake2b
 from typing import TYPE_CHECKING, TypeVar
 
@@ -19,11 +20,13 @@
     Every process computes the same order from the same ids, and an id that goes
     changes the order of no other two, so that only its own keys move.
     """
-    return sorted(ids, key=lambda each: (_weigh(key, each), each), reverse=True)
+    return sorted(ids, key=lambda each: (weigh(key, each), each), reverse=True)
 
 
-def _weigh(key: str, id: str) -> bytes:  # noqa: A002
+@lru_cache(maxsize=65_536)
+def weigh(key: str, id: str) -> bytes:  # noqa: A002
+    """Return a stable random weight of an id for a key."""
     return blake2b(f"{key}\0{id}".encode(), digest_size=HASH_BYTES).digest()
 
 
-__all__ = ["rank"]
+__all__ = ["HASH_BYTES", "rank", "weigh"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/slot_shares.py
@@ -0,0 +1,145 @@
+"""What part of the slots of a pool each entry VM is due, by its partners' work."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.rendezvous import HASH_BYTES, rank, weigh
+from medlarspring_tables.slots import AskerDemand
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from medlarspring_systems.slots import SlotPolicy
+    from medlarspring_tables import EntryVMId, PartnerId, PoolId, Seconds, VMId
+    from medlarspring_tables.slots import HomeTable
+
+FADE_SECONDS = 1.0
+"""Time constant with which demand that is gone fades."""
+NO_DEMAND = 0.5
+ROUNDING = 1e-9
+
+
+def take_demand(
+    table: HomeTable,
+    pool_id: PoolId,
+    asker: EntryVMId,
+    count_by_partner: dict[PartnerId, int],
+    now: Seconds,
+) -> None:
+    """Remember what an asker has to do; less than before counts gradually.
+
+    Queues of the moment go up and down. If each dip moved a slot to another
+    entry VM, slots would always be on their way and never in use.
+    """
+    demand = table.demand_by_pool.setdefault(pool_id, {})
+    counts: dict[PartnerId, float] = dict(count_by_partner)
+    former = demand.get(asker)
+    if former is not None:
+        kept = math.exp((former.told_at - now) / FADE_SECONDS)
+        for partner_id, before in former.count_by_partner.items():
+            count = counts.get(partner_id, 0.0)
+            faded = count + kept * (before - count)
+            if count < before and faded > NO_DEMAND:
+                counts[partner_id] = faded
+    demand[asker] = AskerDemand(counts, now)
+
+
+def divide_pool(
+    table: HomeTable,
+    pool_id: PoolId,
+    weights_by_partner: Mapping[PartnerId, float],
+    pool_slots: int,
+    now: Seconds,
+    policy: SlotPolicy,
+) -> dict[EntryVMId, float]:
+    """Return the part of the pool's slots that each asker's work is due.
+
+    Partners get theirs by weight, none more than it has to do; a partner's
+    part goes to the askers where its work is.
+    """
+    demand = table.demand_by_pool.get(pool_id, {})
+    fresh = {
+        asker: told
+        for asker, told in demand.items()
+        if now < told.told_at + policy.grant_seconds
+    }
+    if len(fresh) < len(demand):
+        table.demand_by_pool[pool_id] = fresh
+    total_by_partner: dict[PartnerId, float] = {}
+    for told in fresh.values():
+        for partner_id, count in told.count_by_partner.items():
+            total = total_by_partner.get(partner_id, 0.0)
+            total_by_partner[partner_id] = total + count
+    share_by_partner = divide_fairly(total_by_partner, weights_by_partner, pool_slots)
+    return {
+        asker: sum(
+            share_by_partner[partner_id] * count / total_by_partner[partner_id]
+            for partner_id, count in told.count_by_partner.items()
+            if count
+        )
+        / max(1, pool_slots)
+        for asker, told in fresh.items()
+    }
+
+
+def divide_fairly(
+    demand: Mapping[PartnerId, float],
+    weights: Mapping[PartnerId, float],
+    slots: float,
+) -> dict[PartnerId, float]:
+    """Divide slots by weight, giving nobody more than it asks for (max-min)."""
+    shares = dict.fromkeys(demand, 0.0)
+    open_partners = [partner for partner, count in demand.items() if count]
+    left = slots
+    while open_partners and left > 0.0:
+        total = sum(weights.get(partner, 1.0) for partner in open_partners)
+        level = left / total
+        full = [
+            partner
+            for partner in open_partners
+            if demand[partner] <= level * weights.get(partner, 1.0)
+        ]
+        if not full:
+            for partner in open_partners:
+                shares[partner] = level * weights.get(partner, 1.0)
+            break
+        for partner in full:
+            shares[partner] = demand[partner]
+            left -= demand[partner]
+        open_partners = [partner for partner in open_partners if partner not in full]
+    return shares
+
+
+def round_parts(
+    vm_id: VMId, parts: Mapping[EntryVMId, float], slots: int
+) -> dict[EntryVMId, int]:
+    """Turn parts into whole slots of one VM; they add up to no more than all.
+
+    Where the rounding falls differs from VM to VM, so that small parts come
+    out right over the pool. Of the slots that no work is due, each asker may
+    have a few, so that its next requests find a slot without asking; the rest
+    stays with the home for whoever asks first.
+    """
+    rounded: dict[EntryVMId, int] = {}
+    reached = _weigh(vm_id, "offset")
+    for asker in rank(vm_id, parts):
+        before = int(reached)
+        reached += parts[asker] * slots
+        rounded[asker] = int(reached + ROUNDING) - before
+    left = slots - sum(rounded.values())
+    if left > 0:
+        spare = left // (len(rounded) + 1)
+        for asker, due in rounded.items():
+            short = not due and parts[asker] > 0.0
+            rounded[asker] = due + max(spare, short)
+    return rounded
+
+
+def _weigh(first: str, second: str) -> float:
+    """Return a stable number in [0, 1) for a pair of names."""
+    return int.from_bytes(weigh(first, second), "big") / float(1 << 8 * HASH_BYTES)
+
+
+__all__ = ["divide_fairly", "divide_pool", "round_parts", "take_demand"]
--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -10,25 +10,17 @@
 
 from __future__ import annotations
 
-import hashlib
-import math
 from dataclasses import dataclass
-from functools import lru_cache
 from typing import TYPE_CHECKING
 
-from medlarspring_tables.slots import AskerDemand, Holding
+from medlarspring_systems.rendezvous import rank
+from medlarspring_tables.slots import Holding
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Sequence
 
-    from medlarspring_tables import EntryVMId, PartnerId, PoolId, Seconds, VMId, ZoneId
-    from medlarspring_tables.slots import EntryVMView, HomeTable, SlotLedger, Vote
-
-FADE_SECONDS = 1.0
-"""Time constant with which demand that is gone fades."""
-NO_DEMAND = 0.5
-ROUNDING = 1e-9
-HASH_RANGE = float(1 << 64)
+    from medlarspring_tables import EntryVMId, Seconds, VMId, ZoneId
+    from medlarspring_tables.slots import EntryVMView, SlotLedger, Vote
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,8 +34,8 @@
     renew_seconds: Seconds = 0.35
     """A holder asks again after this time, sooner when it is short."""
     idle_renew_seconds: Seconds = 0.8
-    """Votes for VMs of pools that are not in use are renewed after this time;
-    their credits lapse in between, and the first request asks for new ones."""
+    """The same for VMs of pools that are not in use; less than the lifetime of
+    a grant, so that the first request finds a slot."""
     idle_after_seconds: Seconds = 5.0
     """A pool without any request for so long is not in use."""
     hold_seconds: Seconds = 3.0
@@ -67,13 +59,6 @@
     """Home's time that the asker echoed, if the asker backs this home."""
 
 
-@lru_cache(maxsize=65_536)
-def _hash(first: str, second: str) -> float:
-    """Return a stable number in [0, 1) for a pair of names."""
-    digest = hashlib.blake2b(f"{first}|{second}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big") / HASH_RANGE
-
-
 def list_group(zone_id: ZoneId, views: Sequence[EntryVMView]) -> list[EntryVMView]:
     """Return the entry VMs that may back a home for a zone's upstream VMs.
 
@@ -91,7 +76,7 @@
     heard = [view.id for view in group if view.heard]
     if not heard:
         return None
-    return max(heard, key=lambda entry_vm_id: _hash(vm_id, entry_vm_id))
+    return rank(vm_id, heard)[0]
 
 
 def move_vote(
@@ -174,122 +159,6 @@
     )
 
 
-def take_demand(
-    table: HomeTable,
-    pool_id: PoolId,
-    asker: EntryVMId,
-    count_by_partner: dict[PartnerId, int],
-    now: Seconds,
-) -> None:
-    """Remember what an asker has to do; less than before counts gradually.
-
-    Queues of the moment go up and down. If each dip moved a slot to another
-    entry VM, slots would always be on their way and never in use.
-    """
-    demand = table.demand_by_pool.setdefault(pool_id, {})
-    counts: dict[PartnerId, float] = dict(count_by_partner)
-    former = demand.get(asker)
-    if former is not None:
-        kept = math.exp((former.told_at - now) / FADE_SECONDS)
-        for partner_id, before in former.count_by_partner.items():
-            count = counts.get(partner_id, 0.0)
-            faded = count + kept * (before - count)
-            if count < before and faded > NO_DEMAND:
-                counts[partner_id] = faded
-    demand[asker] = AskerDemand(counts, now)
-
-
-def divide_pool(
-    table: HomeTable,
-    pool_id: PoolId,
-    weights_by_partner: Mapping[PartnerId, float],
-    pool_slots: int,
-    now: Seconds,
-    policy: SlotPolicy,
-) -> dict[EntryVMId, float]:
-    """Return the part of the pool's slots that each asker's work is due.
-
-    Partners get theirs by weight, none more than it has to do; a partner's
-    part goes to the askers where its work is.
-    """
-    demand = table.demand_by_pool.get(pool_id, {})
-    fresh = {
-        asker: told
-        for asker, told in demand.items()
-        if now < told.told_at + policy.grant_seconds
-    }
-    if len(fresh) < len(demand):
-        table.demand_by_pool[pool_id] = fresh
-    total_by_partner: dict[PartnerId, float] = {}
-    for told in fresh.values():
-        for partner_id, count in told.count_by_partner.items():
-            total = total_by_partner.get(partner_id, 0.0)
-            total_by_partner[partner_id] = total + count
-    share_by_partner = divide_fairly(total_by_partner, weights_by_partner, pool_slots)
-    return {
-        asker: sum(
-            share_by_partner[partner_id] * count / total_by_partner[partner_id]
-            for partner_id, count in told.count_by_partner.items()
-            if count
-        )
-        / max(1, pool_slots)
-        for asker, told in fresh.items()
-    }
-
-
-def divide_fairly(
-    demand: Mapping[PartnerId, float],
-    weights: Mapping[PartnerId, float],
-    slots: float,
-) -> dict[PartnerId, float]:
-    """Divide slots by weight, giving nobody more than it asks for (max-min)."""
-    shares = dict.fromkeys(demand, 0.0)
-    open_partners = [partner for partner, count in demand.items() if count]
-    left = slots
-    while open_partners and left > 0.0:
-        total = sum(weights.get(partner, 1.0) for partner in open_partners)
-        level = left / total
-        full = [
-            partner
-            for partner in open_partners
-            if demand[partner] <= level * weights.get(partner, 1.0)
-        ]
-        if not full:
-            for partner in open_partners:
-                shares[partner] = level * weights.get(partner, 1.0)
-            break
-        for partner in full:
-            shares[partner] = demand[partner]
-            left -= demand[partner]
-        open_partners = [partner for partner in open_partners if partner not in full]
-    return shares
-
-
-def round_parts(
-    vm_id: VMId, parts: Mapping[EntryVMId, float], slots: int
-) -> dict[EntryVMId, int]:
-    """Turn parts into whole slots of one VM; they add up to no more than all.
-
-    Where the rounding falls differs from VM to VM, so that small parts come
-    out right over the pool. Of the slots that no work is due, each asker may
-    have a few, so that its next requests find a slot without asking; the rest
-    stays with the home for whoever asks first.
-    """
-    rounded: dict[EntryVMId, int] = {}
-    reached = _hash(vm_id, "offset")
-    for asker in sorted(parts, key=lambda asker: _hash(vm_id, asker)):
-        before = int(reached)
-        reached += parts[asker] * slots
-        rounded[asker] = int(reached + ROUNDING) - before
-    left = slots - sum(rounded.values())
-    if left > 0:
-        spare = left // (len(rounded) + 1)
-        for asker, due in rounded.items():
-            short = not due and parts[asker] > 0.0
-            rounded[asker] = due + max(spare, short)
-    return rounded
-
-
 def grant(
     ledger: SlotLedger,
     asker: EntryVMId,
@@ -342,13 +211,9 @@
     "choose_home",
     "count_capacity",
     "count_foreign",
-    "divide_fairly",
-    "divide_pool",
     "get_holding",
     "grant",
     "list_group",
     "move_vote",
-    "round_parts",
-    "take_demand",
     "take_vote",
 ]
--- a/packages/systems/tests/test_slots.py
+++ b/packages/systems/tests/test_slots.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from medlarspring_systems import slots
+from medlarspring_systems import slot_shares, slots
 from medlarspring_tables import EntryVMId, PartnerId, PoolId, VMId, ZoneId
 from medlarspring_tables.slots import EntryVMView, HomeTable, SlotLedger, Vote
 
@@ -136,15 +136,15 @@
     first request; it must find slots that are not lent out already."""
     table = HomeTable()
     for asker in (A, B):
-        slots.take_demand(table, POOL, asker, {}, 1.0)
-    parts = slots.divide_pool(table, POOL, {}, 16, 1.0, POLICY)
-    idle = slots.round_parts(VM, parts, 8)
+        slot_shares.take_demand(table, POOL, asker, {}, 1.0)
+    parts = slot_shares.divide_pool(table, POOL, {}, 16, 1.0, POLICY)
+    idle = slot_shares.round_parts(VM, parts, 8)
     assert 1 <= idle[A] <= 2
     assert 1 <= idle[B] <= 2
-    slots.take_demand(table, POOL, C, {PartnerId("p"): 1}, 1.0)
-    parts = slots.divide_pool(table, POOL, {}, 16, 1.0, POLICY)
+    slot_shares.take_demand(table, POOL, C, {PartnerId("p"): 1}, 1.0)
+    parts = slot_shares.divide_pool(table, POOL, {}, 16, 1.0, POLICY)
     for number in range(50):
-        assert slots.round_parts(VMId(f"vm-{number}"), parts, 8)[C] >= 1
+        assert slot_shares.round_parts(VMId(f"vm-{number}"), parts, 8)[C] >= 1
 
 
 def test_homes_spread_and_few_move_when_one_goes():
@@ -168,18 +168,18 @@
     ],
 )
 def test_slots_are_divided_by_weight_and_idle_share_is_lent(demand, weights, expected):
-    assert slots.divide_fairly(demand, weights, 16.0) == expected
+    assert slot_shares.divide_fairly(demand, weights, 16.0) == expected
 
 
 def test_parts_add_up_to_all_slots_of_each_vm():
     table = HomeTable()
     flood = {PartnerId("p"): 300}
-    slots.take_demand(table, POOL, A, flood, 1.0)
+    slot_shares.take_demand(table, POOL, A, flood, 1.0)
     victim = {PartnerId("q"): 9, PartnerId("p"): 30}
-    slots.take_demand(table, POOL, B, victim, 1.0)
+    slot_shares.take_demand(table, POOL, B, victim, 1.0)
     weights = {PartnerId("p"): 1.0, PartnerId("q"): 1.0}
-    parts = slots.divide_pool(table, POOL, weights, 16, 1.0, POLICY)
-    rounded = [slots.round_parts(VMId(f"vm-{n}"), parts, 8) for n in range(200)]
+    parts = slot_shares.divide_pool(table, POOL, weights, 16, 1.0, POLICY)
+    rounded = [slot_shares.round_parts(VMId(f"vm-{n}"), parts, 8) for n in range(200)]
     assert {sum(each.values()) for each in rounded} == {8}
     mean = sum(each[B] for each in rounded) / len(rounded)
     assert mean == pytest.approx(parts[B] * 8, abs=0.15)
