Hold shares, utilisation and urgent starts by tests of the simulated fleet

test_local_queues_alone_do_not_hold_the_shares shows the same flood without the reports and the division by partner failing (worst share below 0.85).

--- a/packages/bench/src/medlarspring_bench/measure/requests_fleet.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_fleet.py
@@ -10,23 +10,24 @@
 import math
 import random
 from collections import Counter
-from dataclasses import dataclass, field
-from enum import Enum
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
 
 from medlarspring_adapters import peer_pb2
 from medlarspring_adapters.clock import ManualClock
-from medlarspring_adapters.events import create_event_log
-from medlarspring_adapters.metrics import NoMetrics
-from medlarspring_bench.measure.requests_processes import create_settings
-from medlarspring_bench.memory_store import create_memory_store
-from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services.caller_reports import CallerReports
-from medlarspring_daemon.services.caller_state import CallerState
-from medlarspring_daemon.services.slot_exchange import SlotExchange
-from medlarspring_systems import admission, fair_queue
-from medlarspring_systems.routing import choose_upstream
+from medlarspring_bench.measure.requests_entry_vm import EntryVM
+from medlarspring_bench.measure.requests_model import (
+    FIRST_LIMIT,
+    ONE_WAY_SECONDS,
+    POOL,
+    REMOTE_REPORT_SECONDS,
+    SLOTS,
+    TICK_SECONDS,
+    ZONE_REPORT_SECONDS,
+    FleetShape,
+    Sharing,
+    Tally,
+)
 from medlarspring_tables import (
     ConfigTable,
     EntryVMId,
@@ -34,7 +35,6 @@
     ListedVM,
     PartnerId,
     PartnerRow,
-    PoolId,
     RackId,
     RegionId,
     RequestId,
@@ -49,164 +49,6 @@
     from collections.abc import Callable
 
     from medlarspring_daemon.services.slot_exchange import Asking
-    from medlarspring_tables.upstreams import Upstream
-
-POOL = PoolId("consent")
-SLOTS = 8
-TICK_SECONDS = 0.05
-ONE_WAY_SECONDS = 0.0015
-ZONE_REPORT_SECONDS = 0.5
-REMOTE_REPORT_SECONDS = 2.0
-MAX_WAITING = 2000
-REFUSED_PAUSE_SECONDS = 0.01
-FIRST_LIMIT = 2.0
-LIMIT_STEP = 0.2
-LIMIT_CUT = 0.7
-
-
-class Sharing(Enum):
-    """Ways of sharing slots between entry VMs."""
-
-    CREDITS = "credits by a home, divided by partner"
-    LOCAL = "credits by a home, local queues only"
-    STATIC = "static split"
-    OPTIMISTIC = "optimistic with adaptive limits"
-
-
-@dataclass(slots=True)
-class FleetShape:
-    """Sizes of the simulated fleet and of its work."""
-
-    entry_vms: int = 8
-    zones: int = 4
-    upstreams: int = 8
-    skew: float = 4.0
-    """Weight of the first entry VM at the balancer, the others having 1."""
-    service_seconds: float = 0.05
-    service_sigma: float = 0.5
-    deadline_seconds: float = 2.0
-    weights_by_partner: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class Tally:
-    """What became of the requests after the warm-up."""
-
-    offered: Counter[str] = field(default_factory=Counter)
-    served: Counter[str] = field(default_factory=Counter)
-    """Answered within the deadline."""
-    refused: Counter[str] = field(default_factory=Counter)
-    urgent_waits: list[float] = field(default_factory=list)
-    busy_slot_seconds: float = 0.0
-    refusals_by_upstreams: int = 0
-    over_slots: int = 0
-    """Times that an upstream was given more than its slots."""
-
-
-class EntryVM:
-    """One simulated entry VM."""
-
-    def __init__(self, fleet: Fleet, number: int) -> None:
-        self.fleet = fleet
-        self.id = EntryVMId(f"e{number}")
-        self.zone_id = ZoneId(f"z{number % fleet.shape.zones}")
-        rng = random.Random(fleet.rng.getrandbits(32))
-        node = create_node(
-            create_settings(self.id, self.zone_id),
-            fleet.clock,
-            rng,
-            create_event_log(self.id, "ERROR"),
-            NoMetrics(),
-            create_memory_store(fleet.clock),
-        )
-        node.config = fleet.config
-        node.vm_list = fleet.vm_list
-        node.peers = cast("Any", SimpleNamespace(refused_by_id={}, heard_by_id={}))
-        self.node = node
-        self.state = CallerState(node)
-        self.state.refresh()
-        self.exchange = SlotExchange(node, self.state)
-        self.reports = CallerReports(self.state)
-        self.limits: dict[VMId, float] = {}
-
-    def offer(self, request: CallerRequest) -> None:
-        """Admit, queue or refuse one request."""
-        now = self.fleet.clock.now()
-        pool = self.state.get_pool(POOL)
-        if not pool.waiting and (upstream := self._choose(now)) is not None:
-            self._begin(request, upstream, now)
-            return
-        usable = self.state.count_usable_slots(POOL, now)
-        queue = fair_queue.get_partner_queue(pool, request.partner_id)
-        room = admission.WaitingRoom(MAX_WAITING, pool.waiting, queue.waiting)
-        refusal = admission.check_admission(pool, request, usable, room, now)
-        if refusal is not None:
-            self.fleet.note_refused(request)
-            return
-        fair_queue.enqueue(pool, request)
-        self.exchange.want(POOL)
-        left = request.deadline - now - pool.service_seconds
-        self.fleet.at(max(0.0, left), lambda: self._expire(request))
-
-    def pump(self) -> None:
-        """Give free slots to the requests that go next."""
-        pool = self.state.get_pool(POOL)
-        now = self.fleet.clock.now()
-        fleet_slots = self.state.count_fleet_slots(POOL)
-        while pool.waiting and (upstream := self._choose(now)) is not None:
-            request = fair_queue.pick_next(pool, fleet_slots, now)
-            if request is None:
-                break
-            self._begin(request, upstream, now)
-        if pool.waiting:
-            self.exchange.want(POOL)
-
-    def _choose(self, now: float) -> Upstream | None:
-        return choose_upstream(self.state.upstreams, POOL, self.zone_id, now)
-
-    def _expire(self, request: CallerRequest) -> None:
-        if fair_queue.remove(self.state.get_pool(POOL), request):
-            self.fleet.note_refused(request)
-
-    def _begin(self, request: CallerRequest, upstream: Upstream, now: float) -> None:
-        upstream.in_use += 1
-        fair_queue.begin(self.state.get_pool(POOL), request.partner_id, now)
-        if not self.fleet.run(upstream.id):
-            self.fleet.at(2 * ONE_WAY_SECONDS, lambda: self._refused(request, upstream))
-            return
-        self.fleet.note_start(request, now)
-        took = self.fleet.draw_service()
-        self.fleet.at(took, lambda: self._finish(request, upstream, now))
-
-    def _refused(self, request: CallerRequest, upstream: Upstream) -> None:
-        """The upstream's slots were full; only optimistic sending sees this."""
-        now = self.fleet.clock.now()
-        pool = self.state.get_pool(POOL)
-        upstream.in_use -= 1
-        fair_queue.finish(pool, request.partner_id, now, now)
-        self._set_limit(upstream, self.limits[upstream.id] * LIMIT_CUT)
-        upstream.credit_until = now + REFUSED_PAUSE_SECONDS
-        self.fleet.at(REFUSED_PAUSE_SECONDS, lambda: self._reopen(upstream))
-        fair_queue.enqueue(pool, request, first=True)
-        self.pump()
-
-    def _reopen(self, upstream: Upstream) -> None:
-        upstream.credit_until = float("inf")
-        self.pump()
-
-    def _finish(self, request: CallerRequest, upstream: Upstream, began: float) -> None:
-        now = self.fleet.clock.now()
-        upstream.in_use -= 1
-        self.fleet.end_run(upstream.id)
-        fair_queue.finish(self.state.get_pool(POOL), request.partner_id, began, now)
-        if upstream.id in self.limits:
-            self._set_limit(upstream, self.limits[upstream.id] + LIMIT_STEP)
-        self.fleet.note_end(request, began, now)
-        self.pump()
-
-    def _set_limit(self, upstream: Upstream, limit: float) -> None:
-        self.limits[upstream.id] = min(float(SLOTS), max(1.0, limit))
-        upstream.credit = int(self.limits[upstream.id])
 
 
 class Fleet:
@@ -405,4 +247,4 @@
     return vm_list
 
 
-__all__ = ["SLOTS", "Fleet", "FleetShape", "Sharing", "Tally"]
+__all__ = ["Fleet"]
--- a/packages/bench/src/medlarspring_bench/measure/requests_shares.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_shares.py
@@ -7,9 +7,10 @@
 
 from dataclasses import dataclass
 
-from medlarspring_bench.measure.requests_fleet import (
+from medlarspring_bench.measure.requests_fleet import Fleet
+from medlarspring_bench.measure.requests_model import (
+    ONE_WAY_SECONDS,
     SLOTS,
-    Fleet,
     FleetShape,
     Sharing,
     Tally,
@@ -40,7 +41,7 @@
 
 def _capacity(shape: FleetShape) -> float:
     """Requests per second that all slots together can serve."""
-    busy = shape.service_seconds + 2 * 0.0015
+    busy = shape.service_seconds + 2 * ONE_WAY_SECONDS
     return shape.upstreams * SLOTS / busy
 
 
--- /dev/null
+++ b/packages/bench/tests/test_requests_shares.py
@@ -0,0 +1,33 @@
+from __future__ import annotations
+
+import pytest
+
+from medlarspring_bench.measure import requests_shares
+from medlarspring_bench.measure.requests_model import Sharing
+
+
+@pytest.fixture
+def _short(monkeypatch):
+    monkeypatch.setattr(requests_shares, "WARM_SECONDS", 8.0)
+    monkeypatch.setattr(requests_shares, "COUNTED_SECONDS", 5.0)
+
+
+@pytest.mark.usefixtures("_short")
+def test_shares_hold_fleet_wide_under_a_flood():
+    """One partner floods with ten times its share, and the balancer sends one
+    entry VM four times the others' work. No entry VM sees the whole, yet each
+    of the others gets its share, every slot is in use and none twice."""
+    run = requests_shares.run_flood(Sharing.CREDITS, seed=5)
+    assert run.worst_share >= 0.95
+    assert run.utilisation >= 0.95
+    assert run.over_slots == 0
+
+
+@pytest.mark.usefixtures("_short")
+def test_local_queues_alone_do_not_hold_the_shares():
+    assert requests_shares.run_flood(Sharing.LOCAL, seed=5).worst_share < 0.85
+
+
+@pytest.mark.usefixtures("_short")
+def test_urgent_work_starts_within_a_second_on_a_full_fleet():
+    assert requests_shares.measure_urgent_start(seed=5) < 1.0
