Let a late request of a former process shut out nobody, and learn echoes early

While a vote runs out the new home is asked without it, so that the echo is known when the vote counts.

--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_service.py
@@ -172,6 +172,10 @@
             return web.Response(status=503, text="configuration unknown\n")
         if node.vm_list is None:
             return web.Response(status=503, text="VM list unknown\n")
+        if not self._dispatcher.slots.is_settled():
+            # Sent now, requests would wait for slots until the votes of a
+            # former process have lapsed, and miss short deadlines.
+            return web.Response(status=503, text="no slots yet\n")
         return web.Response(text="ready\n")
 
 
--- a/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
@@ -63,6 +63,11 @@
         # Its votes and grants are waited out like those of a home that moved.
         self._blocked_until = node.clock.now() + self._policy.switch_seconds
 
+    def is_settled(self) -> bool:
+        """Whether this process may be granted slots like the others."""
+        alone = len(self.list_views()) == 1
+        return alone or self._node.clock.now() >= self._blocked_until
+
     def want(self, pool_id: PoolId) -> None:
         """Ask soon, because work of this pool waits for a slot."""
         self._short_pools.add(pool_id)
@@ -187,7 +192,7 @@
                     upstream.id,
                     Vote(blocked_until=0.0 if alone else self._blocked_until),
                 )
-                home = slots.move_vote(
+                slots.move_vote(
                     vote,
                     home,
                     self._node.id,
@@ -244,8 +249,11 @@
         zones_by_pool: dict[PoolId, set[ZoneId]] = defaultdict(set)
         for upstream in upstreams:
             vote = self._votes_by_vm.get(upstream.id)
-            backs = vote is not None and vote.home == home
-            if backs and vote is not None:
+            # While a vote still runs out, the new home is asked without it: the
+            # time to echo is known by then, and the vote counts at once.
+            backs = False
+            if vote is not None and vote.home == home and now >= vote.blocked_until:
+                backs = True
                 vote.last_asked = now
             zones_by_pool[upstream.pool_id].add(upstream.zone_id)
             wish = request.wishes.add(
--- a/packages/daemon/src/medlarspring_daemon/services/slot_home.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_home.py
@@ -37,9 +37,8 @@
         # offset keeps an echo of the old process from counting in the new one.
         self._epoch_ms = node.rng.getrandbits(EPOCH_BITS)
         self._started_at = node.clock.now()
-        self._newest_by_asker: dict[EntryVMId, tuple[int, int]] = {}
-        """Incarnation and sequence of the newest request of each asker."""
-        self._former: set[tuple[EntryVMId, int]] = set()
+        self._newest_by_asker: dict[EntryVMId, tuple[int, int, Seconds]] = {}
+        """Incarnation, sequence and arrival of each asker's newest request."""
 
     def answer(
         self,
@@ -50,7 +49,7 @@
         """Grant what is free and fair of each VM that is wished for."""
         now = self._node.clock.now()
         asker = EntryVMId(request.sender)
-        if self._is_late(asker, request):
+        if self._is_late(asker, request, now):
             return peer_pb2.SlotReply(
                 sender=self._node.id, incarnation=self._node.incarnation
             )
@@ -107,21 +106,26 @@
             )
         return reply
 
-    def _is_late(self, asker: EntryVMId, request: peer_pb2.SlotRequest) -> bool:
+    def _is_late(
+        self, asker: EntryVMId, request: peer_pb2.SlotRequest, now: Seconds
+    ) -> bool:
         """Whether a newer request of the asker was answered already.
 
         A request that was held up says what its asker held then. Taken for
-        new, it would free slots that the asker was granted since.
+        new, it would free slots that the asker was granted since. Which of two
+        processes is the newer one cannot be told from their numbers: the one
+        that is heard stands until it has been silent for the time of a grant,
+        so that a late request of a former process shuts out nobody for long.
         """
         newest = self._newest_by_asker.get(asker)
-        this = (request.incarnation, request.sequence)
-        if newest is not None and newest[0] == this[0] and this[1] <= newest[1]:
-            return True
-        if (asker, request.incarnation) in self._former:
-            return True
-        if newest is not None and newest[0] != this[0]:
-            self._former.add((asker, newest[0]))
-        self._newest_by_asker[asker] = this
+        if newest is not None:
+            incarnation, sequence, arrived_at = newest
+            if incarnation == request.incarnation:
+                if request.sequence <= sequence:
+                    return True
+            elif now - arrived_at < self._policy.grant_seconds:
+                return True
+        self._newest_by_asker[asker] = (request.incarnation, request.sequence, now)
         return False
 
     def _read_echo(self, echo_ms: int, now: Seconds) -> Seconds | None:
--- a/packages/daemon/src/medlarspring_daemon/services/slot_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/slot_service.py
@@ -50,6 +50,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def is_settled(self) -> bool:
+        """Whether this process may be granted slots like the others."""
+        return self._exchange.is_settled()
+
     def want(self, pool_id: PoolId) -> None:
         """Ask soon, because work of this pool waits for a slot."""
         self._exchange.want(pool_id)
