--- a/packages/cli/src/medlarspring_cli/application.py
+++ b/packages/cli/src/medlarspring_cli/application.py
@@ -32,8 +32,10 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one command; returns its exit status."""
     given = list(sys.argv if arguments is None else ["medlarspring", *arguments])
+    command_line = ArgvInput(given)
+    command_line.set_stream(sys.stdin)
     try:
-        return int(create_application().run(ArgvInput(given)))
+        return int(create_application().run(command_line))
     except CleoError as error:
         print(f"error: {error}", file=sys.stderr)
         print("See `medlarspring list`, or a command's --help.", file=sys.stderr)
--- a/packages/cli/src/medlarspring_cli/commands/table_import.py
+++ b/packages/cli/src/medlarspring_cli/commands/table_import.py
@@ -10,6 +10,9 @@
 from medlarspring_cli.exit_codes import ExitCode
 from medlarspring_cli.render import format_change
 
+MAX_REPLY = 100
+"""Characters of a reply that are read."""
+
 
 class TableImportCommand(EditCommand):
     """Replace the whole table by a sheet, after showing the difference."""
@@ -45,7 +48,9 @@
             return True
         if self.wants_json or not self.io.is_interactive():
             raise UsageFault("Nobody can be asked here; accept with --yes.")
-        return bool(self.confirm("Accept all of them?", default=False))
+        # Cleo's own question asks again for ever when the input has ended.
+        self.io.write("Accept all of them? (yes/no) [no] ")
+        return self.io.read_line(MAX_REPLY).strip().lower() in ("y", "yes")
 
     def _print_unchanged(self, plan: PlanAnswer) -> None:
         if self.wants_json:
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import http.server
+import io
 import json
 import re
 import socket
@@ -55,6 +56,37 @@
     assert desk.run("table", "show")[1].endswith("table revision 0\n")
 
 
+@pytest.mark.parametrize(("reply", "status"), [("yes\n", 0), ("no\n", 1), ("\n", 1)])
+def test_import_does_what_the_operator_replies(desk, sheet, monkeypatch, reply, status):
+    class Terminal(io.StringIO):
+        def isatty(self) -> bool:
+            return True
+
+    monkeypatch.setattr("sys.stdin", Terminal(reply))
+    found, output, errors = desk.run("table", "import", str(sheet))
+    assert found == status
+    assert "4 rows differ from table revision 0." in output
+    assert ("accepted: table revision 1" in output) is (status == 0)
+
+
+@pytest.mark.parametrize(("is_terminal", "status"), [(False, 2), (True, 1)])
+def test_import_without_a_reply_changes_nothing(
+    desk, sheet, monkeypatch, is_terminal, status
+):
+    """
+    The input is empty: a script has no terminal, or the operator ends it. Asked
+    again and again, the command would never end.
+    """
+
+    class Ended(io.StringIO):
+        def isatty(self) -> bool:
+            return is_terminal
+
+    monkeypatch.setattr("sys.stdin", Ended(""))
+    assert desk.run("table", "import", str(sheet))[0] == status
+    assert desk.run("table", "show")[1].endswith("table revision 0\n")
+
+
 def test_row_is_shown_changed_and_its_history_told(filled):
     status, output, _ = filled.run("table", "set", "partner", "ardhi", "weight=3")
     assert status == 0
