--- a/packages/cli/src/medlarspring_cli/application.py
+++ b/packages/cli/src/medlarspring_cli/application.py
@@ -38,6 +38,8 @@
         return int(create_application().run(command_line))
     except CleoError as error:
         print(f"error: {error}", file=sys.stderr)
+        if len(given) > 1 and given[1].startswith("-"):
+            print("Write options after the command.", file=sys.stderr)
         print("See `medlarspring list`, or a command's --help.", file=sys.stderr)
         return ExitCode.USAGE
 
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -282,6 +282,11 @@
     assert named - known == set()
 
 
+def test_option_before_the_command_is_told_where_it_belongs(capsys):
+    assert main(["--address", "127.0.0.1:1", "table", "show"]) == 2
+    assert "Write options after the command." in capsys.readouterr().err
+
+
 @pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
 def test_completions_are_written_for_each_shell(capsys, shell):
     assert main(["completions", shell]) == 0
