--- a/packages/bench/src/medlarspring_bench/measure/fleet.py
+++ b/packages/bench/src/medlarspring_bench/measure/fleet.py
@@ -13,7 +13,7 @@
 from medlarspring_bench.measure.fleet_buffer import measure_buffer
 from medlarspring_bench.measure.fleet_moves import measure_moves
 from medlarspring_bench.measure.fleet_rollout import measure_rollout, measure_target
-from medlarspring_bench.measure.fleet_tick import measure_tick
+from medlarspring_bench.measure.fleet_tick import measure_calls, measure_tick
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +38,7 @@
     "rollout-target": measure_target,
     "moves": measure_moves,
     "tick": measure_tick,
+    "calls": measure_calls,
     "histories": measure_histories,
 }
 
--- a/packages/bench/src/medlarspring_bench/measure/fleet_tick.py
+++ b/packages/bench/src/medlarspring_bench/measure/fleet_tick.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
+from medlarspring_bench.fleet_checker import FleetChecker
 from medlarspring_bench.fleet_world import FleetShape, FleetWorld
 from medlarspring_systems.fleet_plan import plan_pool
 from medlarspring_tables import VMId, WaveId
@@ -17,6 +19,7 @@
     from medlarspring_bench.fleet_world import FleetProcess
 
 ROUNDS = 40
+LONGEST_SECONDS = 2_000
 SIZES = (
     ("40 VMs, 5 pools", FleetShape(pools=5)),
     ("200 VMs, 12 pools", FleetShape(pools=12, vms_in_pool=17, min_available=14)),
@@ -50,6 +53,32 @@
         )
 
 
+def measure_calls() -> None:
+    """Print the store calls of a full wave without faults."""
+    for name, shape in SIZES:
+        world = FleetWorld(shape, 1)
+        checker = FleetChecker(world)
+        process = world.processes[0]
+        world.run_rounds(1, seconds=1.0)
+        before = Counter(process.store.calls_by_kind)
+        now = world.clock.wall()
+        vm_ids = frozenset(map(VMId, world.platform.rows_by_id))
+        world.put(
+            WaveRecord(id=WaveId("w"), vm_ids=vm_ids, started_at=now, resumed_at=now)
+        )
+        seconds = 0
+        while checker.truth.open_waves_by_id and seconds < LONGEST_SECONDS:
+            world.run_rounds(1, seconds=1.0)
+            seconds += 1
+        writes = process.store.calls_by_kind["txn"] - before["txn"]
+        reads = process.store.calls_by_kind["range"] - before["range"]
+        print(
+            f"  {name:18} wave of {seconds} s: {writes} writes"
+            f" ({writes / len(vm_ids):.2f} a VM, {writes / seconds:.2f} a second),"
+            f" {reads} reads"
+        )
+
+
 def _time_rounds(world: FleetWorld, process: FleetProcess, seconds: float) -> float:
     started = time.process_time()
     for _ in range(ROUNDS):
@@ -67,4 +96,4 @@
     return 1000 * (time.process_time() - started) / ROUNDS
 
 
-__all__ = ["measure_tick"]
+__all__ = ["measure_calls", "measure_tick"]
