--- a/packages/adapters/src/medlarspring_adapters/job_store.py
+++ b/packages/adapters/src/medlarspring_adapters/job_store.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from returns.pipeline import is_successful
@@ -18,6 +18,7 @@
     Transaction,
 )
 from medlarspring_tables import Job, JobId, PoolId, Revision
+from medlarspring_tables.audit import format_side_audit_key
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -25,9 +26,11 @@
     from returns.result import Result
 
     from medlarspring_adapters.store import Committed, Entry, Listing
+    from medlarspring_tables.audit import AuditRecord
 
 JOBS_PREFIX = "fleet/jobs/"
-MAX_TRANSACTIONS_PER_CALL = 64
+MAX_JOBS_PER_CALL = 63
+"""One less than a store call takes, for the audit record."""
 
 
 class SaveOutcome(Enum):
@@ -72,6 +75,14 @@
     return msgspec.json.decode(value, type=Job)
 
 
+class CreateAudit(Protocol):
+    """Makes the audit record of one batch of writes."""
+
+    def __call__(self, writes: Sequence[JobWrite]) -> AuditRecord:
+        """Return the record."""
+        ...
+
+
 class JobStore:
     """Reads and writes job records, many in one counted call."""
 
@@ -83,13 +94,22 @@
         return await self._store.read_prefix(pool_prefix(pool_id))
 
     async def save(
-        self, writes: Sequence[JobWrite], fence: Expect | None
+        self,
+        writes: Sequence[JobWrite],
+        fence: Expect | None,
+        create_audit: CreateAudit | None = None,
     ) -> list[SavedJob]:
-        """Write records, each on its own; the fence is a condition of each."""
+        """Write records, each on its own; the fence is a condition of each.
+
+        An audit record of each batch is part of the same store call.
+        """
         saved: list[SavedJob] = []
-        for start in range(0, len(writes), MAX_TRANSACTIONS_PER_CALL):
-            batch = writes[start : start + MAX_TRANSACTIONS_PER_CALL]
-            saved += await self._save_batch(batch, fence)
+        for start in range(0, len(writes), MAX_JOBS_PER_CALL):
+            batch = writes[start : start + MAX_JOBS_PER_CALL]
+            transactions = [_create_transaction(write, fence) for write in batch]
+            if create_audit is not None:
+                transactions.append(_create_audit_write(create_audit(batch)))
+            saved += await self._save_batch(batch, transactions)
         return saved
 
     async def read_job(
@@ -100,8 +120,8 @@
 
     async def delete(self, writes: Sequence[JobWrite], fence: Expect | None) -> None:
         """Remove records that have not changed; what is not removed is tried later."""
-        for start in range(0, len(writes), MAX_TRANSACTIONS_PER_CALL):
-            batch = writes[start : start + MAX_TRANSACTIONS_PER_CALL]
+        for start in range(0, len(writes), MAX_JOBS_PER_CALL):
+            batch = writes[start : start + MAX_JOBS_PER_CALL]
             await self._store.commit_each(
                 [
                     Transaction(
@@ -113,12 +133,11 @@
             )
 
     async def _save_batch(
-        self, writes: Sequence[JobWrite], fence: Expect | None
+        self, writes: Sequence[JobWrite], transactions: Sequence[Transaction]
     ) -> list[SavedJob]:
-        transactions = [_create_transaction(write, fence) for write in writes]
         answer = await self._store.commit_each(transactions)
         if is_successful(answer):
-            committed = answer.unwrap()
+            committed = answer.unwrap()[: len(writes)]
             return [
                 _read_outcome(write, each)
                 for write, each in zip(writes, committed, strict=True)
@@ -134,6 +153,11 @@
     return Transaction(_list_conditions(write, fence), (put,))
 
 
+def _create_audit_write(record: AuditRecord) -> Transaction:
+    value = msgspec.json.encode(record)
+    return Transaction((), (Put(format_side_audit_key(record), value),))
+
+
 def _list_conditions(write: JobWrite, fence: Expect | None) -> tuple[Expect, ...]:
     unchanged = Expect(job_key(write.job.pool_id, write.job.id), write.expected)
     if fence is None:
@@ -153,6 +177,7 @@
 
 __all__ = [
     "JOBS_PREFIX",
+    "CreateAudit",
     "JobStore",
     "JobWrite",
     "SaveOutcome",
--- a/packages/daemon/src/medlarspring_daemon/services/job_desk.py
+++ b/packages/daemon/src/medlarspring_daemon/services/job_desk.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
@@ -26,10 +28,11 @@
 from medlarspring_systems.job_lifecycle import cancel_job
 from medlarspring_systems.job_records import put_job
 from medlarspring_systems.placement import explain_waiting
-from medlarspring_tables import Job, JobState, JobTables, Revision
+from medlarspring_tables import EditId, Job, JobState, JobTables, Revision
+from medlarspring_tables.audit import AuditRecord, RowChange
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.job_api import (
@@ -37,7 +40,7 @@
         JobRequest,
         SubmitRequest,
     )
-    from medlarspring_adapters.job_store import SavedJob
+    from medlarspring_adapters.job_store import CreateAudit, SavedJob
     from medlarspring_adapters.store import StoreError
     from medlarspring_tables import JobId, PartnerId, PoolId
 
@@ -89,12 +92,14 @@
         jobs: JobStore,
         clock: Clock,
         build_tables: Callable[[PoolId], JobTables],
+        table_revision: Callable[[], Revision],
     ) -> None:
         self._jobs = jobs
         self._clock = clock
         self._build_tables = build_tables
+        self._table_revision = table_revision
 
-    async def submit(self, request: SubmitRequest) -> SubmitAnswer:
+    async def submit(self, request: SubmitRequest, origin: str) -> SubmitAnswer:
         """Accept or refuse each job on its own."""
         now = self._clock.wall()
         refused: list[RefusedJob] = []
@@ -109,10 +114,14 @@
                 writes.append(JobWrite(job, Revision(0)))
             else:
                 refused.append(_describe_refusal(job, checked.failure()))
-        return await self._settle(writes, refused)
+        audit = partial(self._create_audit, "job submit", request.operator, origin)
+        return await self._settle(writes, refused, audit)
 
-    async def cancel(self, request: CancelRequest) -> Result[CancelAnswer, StoreError]:
+    async def cancel(
+        self, request: CancelRequest, origin: str
+    ) -> Result[CancelAnswer, StoreError]:
         """Cancel jobs of a pool; races with the holder are tried again."""
+        audit = partial(self._create_audit, "job cancel", request.operator, origin)
         cancelled: set[JobId] = set()
         ended = remaining = 0
         for _ in range(SAVE_ROUNDS):
@@ -126,7 +135,7 @@
                 if _matches(job := decode_job(entry.value), request)
             ]
             writes, ended = self._plan_cancels(matching, request, cancelled)
-            saved = await self._jobs.save(writes, None)
+            saved = await self._jobs.save(writes, None, audit)
             cancelled |= _list_saved(saved)
             remaining = len(writes) - len(_list_saved(saved))
             if not remaining:
@@ -202,11 +211,14 @@
         return writes, ended
 
     async def _settle(
-        self, writes: list[JobWrite], refused: list[RefusedJob]
+        self,
+        writes: list[JobWrite],
+        refused: list[RefusedJob],
+        create_audit: CreateAudit,
     ) -> SubmitAnswer:
         accepted: list[JobId] = []
         repeated: list[JobId] = []
-        for saved in await self._jobs.save(writes, None):
+        for saved in await self._jobs.save(writes, None, create_audit):
             job = saved.write.job
             if saved.outcome is SaveOutcome.SAVED:
                 accepted.append(job.id)
@@ -220,6 +232,36 @@
             accepted=tuple(accepted), repeated=tuple(repeated), refused=tuple(refused)
         )
 
+    def _create_audit(
+        self, action: str, operator: str, origin: str, writes: Sequence[JobWrite]
+    ) -> AuditRecord:
+        """Return the record of what was asked for one batch.
+
+        It stands beside the jobs in one store call. A job that somebody else
+        changed first is named in it though it was left as it was.
+        """
+        return AuditRecord(
+            revision=self._table_revision(),
+            edit_id=EditId(uuid.uuid4().hex),
+            at=self._clock.wall(),
+            operator=operator,
+            origin=origin,
+            action=action,
+            changes=tuple(
+                RowChange(
+                    kind="job",
+                    id=write.job.id,
+                    after={
+                        "pool_id": write.job.pool_id,
+                        "partner_id": write.job.partner_id,
+                        "state": write.job.state.value,
+                        "reason": write.job.reason,
+                    },
+                )
+                for write in writes
+            ),
+        )
+
     async def _find_same(self, job: Job) -> Result[Job, JobRefused]:
         """Find a job on record with the same content, written before.
 
--- a/packages/daemon/src/medlarspring_daemon/services/job_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/services/job_routes.py
@@ -26,8 +26,9 @@
 class JobRoutes:
     """Submit, list, show and cancel jobs."""
 
-    def __init__(self, desk: JobDesk) -> None:
+    def __init__(self, desk: JobDesk, entry_vm: str) -> None:
         self._desk = desk
+        self._entry_vm = entry_vm
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of jobs."""
@@ -43,11 +44,13 @@
         if len(wanted.jobs) > MAX_JOBS_PER_CALL:
             reason = f"Submit at most {MAX_JOBS_PER_CALL} jobs in one call."
             raise Refusal(BadRequest(reason))
-        return answer(await self._desk.submit(wanted))
+        return answer(await self._desk.submit(wanted, self._origin(request)))
 
     async def _cancel(self, request: web.Request) -> web.Response:
         wanted = await read_body(request, CancelRequest)
-        return answer(unwrap_or_refuse(await self._desk.cancel(wanted)))
+        return answer(
+            unwrap_or_refuse(await self._desk.cancel(wanted, self._origin(request)))
+        )
 
     async def _list(self, request: web.Request) -> web.Response:
         partner = request.query.get("partner")
@@ -67,6 +70,9 @@
             raise Refusal(NotFound(f"job {job_id} in pool {pool_id}", remedy))
         return answer(found)
 
+    def _origin(self, request: web.Request) -> str:
+        return f"{request.remote} by {self._entry_vm}"
+
 
 def _read_state(request: web.Request) -> JobState | None:
     text = request.query.get("state")
--- a/packages/daemon/src/medlarspring_daemon/services/job_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/job_service.py
@@ -24,6 +24,7 @@
     JobTables,
     ListedState,
     PartnerUse,
+    Revision,
     Size,
     Worker,
 )
@@ -62,8 +63,8 @@
         self._pools_by_id: dict[PoolId, HeldPool] = {}
         self._session: aiohttp.ClientSession | None = None
         self._workers: WorkerControl | None = None
-        desk = JobDesk(self._jobs, node.clock, self.build_tables)
-        node.operator_routes.extend(JobRoutes(desk).routes())
+        desk = JobDesk(self._jobs, node.clock, self.build_tables, self._table_revision)
+        node.operator_routes.extend(JobRoutes(desk, node.id).routes())
 
     async def start(self) -> None:
         """Start the loop."""
@@ -85,6 +86,10 @@
         self._fill_tables(tables, pool_id)
         return tables
 
+    def _table_revision(self) -> Revision:
+        config = self._node.config
+        return config.revision if config else Revision(0)
+
     async def _run(self) -> None:
         while True:
             started_at = self._node.clock.now()
