Log when a holder stops by its own clock

FLEET's check of a paired fault read 'holders overlap' from the logs: since renewals back off, the line that the lease lapsed came up to 8 s after the holder had stopped. Now it is logged at the stop, and POOL_HELD again if the keys outlived the silence.

--- a/packages/daemon/src/medlarspring_daemon/services/holder_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/holder_service.py
@@ -67,6 +67,8 @@
         """Given up, but the key may still be there."""
         self._renew_at = 0.0
         self._renewal_failures = 0
+        self._suspended = False
+        """Whether the lease may have lapsed and nothing is done for its pools."""
         self._try_at = 0.0
         self._failures = 0
 
@@ -75,6 +77,7 @@
         self._node.holders = self
         self._try_at = self._node.clock.now() + SETTLE_SECONDS
         self._tasks.keep(self._run)
+        self._tasks.keep(self._follow_clock)
 
     async def stop(self) -> None:
         """Give everything up at once, so that successors need not wait."""
@@ -101,6 +104,20 @@
             await self._follow_plan()
             await asyncio.sleep(TICK_SECONDS)
 
+    async def _follow_clock(self) -> None:
+        """Log when this process stops acting by its own clock.
+
+        The store may answer much later that the lease is gone; read from that
+        line alone, two processes would seem to have held a pool at once.
+        """
+        while True:
+            now = self._node.clock.now()
+            pools = sorted(self.holdings.pools_by_id)
+            if pools and now >= self.holdings.safe_until and not self._suspended:
+                self._suspended = True
+                self._node.log.warning(Event.HOLDER_LEASE_LAPSED, pools=pools)
+            await asyncio.sleep(TICK_SECONDS / 2)
+
     async def _renew(self) -> None:
         lease_id = self.holdings.lease_id
         now = self._node.clock.now()
@@ -114,12 +131,25 @@
             return
         ttl = answer.unwrap()
         if ttl <= 0:
-            pools = sorted(self.holdings.pools_by_id)
-            self._node.log.warning(Event.HOLDER_LEASE_LAPSED, pools=pools)
+            if not self._suspended:
+                pools = sorted(self.holdings.pools_by_id)
+                self._node.log.warning(Event.HOLDER_LEASE_LAPSED, pools=pools)
+            self._suspended = False
             note_lapsed(self.holdings)
             return
         self._plan_renewal(now)
         note_lease(self.holdings, lease_id, now, min(ttl, LEASE_SECONDS))
+        self._resume()
+
+    def _resume(self) -> None:
+        """Act again for pools whose keys outlived the store's silence."""
+        if not self._suspended:
+            return
+        self._suspended = False
+        for held in self.holdings.pools_by_id.values():
+            self._node.log.info(
+                Event.POOL_HELD, pool=held.pool_id, fence=held.mod_revision
+            )
 
     def _plan_renewal(self, renewed_at: Seconds) -> None:
         self._renewal_failures = 0
--- a/packages/daemon/tests/test_holder_service.py
+++ b/packages/daemon/tests/test_holder_service.py
@@ -111,6 +111,7 @@
     node.store.go_down()
     await wait_until(lambda: held(node) == [])
     lease = node.store.state.leases_by_id[node.holders.holdings.lease_id]
+    await wait_until(lambda: node.events(HOLDER_LEASE_LAPSED))
     assert lease.expires_at > SystemClock().now()
     node.store.come_up()
     await wait_until(lambda: held(node) == sorted(POOLS))
