--- a/packages/bench/src/medlarspring_bench/measure/configuration_cuts.py
+++ b/packages/bench/src/medlarspring_bench/measure/configuration_cuts.py
@@ -15,11 +15,13 @@
     start_ready,
     touch,
 )
+from medlarspring_bench.waiting import wait_for
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 ZONES = 4
+HTTP_OK = 200
 IN_FORCE_SECONDS = 20.0
 NOTICED_SECONDS = 3.0
 
@@ -28,6 +30,7 @@
     """Print, for each kind of cut, the slowest edit and what went wrong."""
     fleet = start_ready(FleetPlan(daemons, zones=ZONES, via_links=True), folder)
     try:
+        wait_for(lambda: _all_ready(fleet), "all daemons ready")
         pairs = list(itertools.combinations(fleet.zone_names, 2))
         for what, one_way, store_cut in (
             ("zones cut both ways", False, False),
@@ -72,11 +75,17 @@
 def _edit_and_wait(fleet: Fleet) -> float:
     at = asyncio.run(fleet.edit(touch))
     in_force = fleet.wait_in_force(fleet.table.revision, IN_FORCE_SECONDS)
-    for addresses in fleet.addresses_by_id.values():
-        assert call("GET", addresses["caller"], "/readyz").status == 200
+    assert _all_ready(fleet)
     return max(in_force.values()) - at
 
 
+def _all_ready(fleet: Fleet) -> bool:
+    return all(
+        call("GET", addresses["caller"], "/readyz").status == HTTP_OK
+        for addresses in fleet.addresses_by_id.values()
+    )
+
+
 def _report(fleet: Fleet, what: str, slowest: float) -> None:
     reverts = sum(
         later["revision"] <= earlier["revision"]
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -102,6 +102,7 @@
     stays ready. Healed, it has the newest table, and no table ever reverted.
     """
     fleet = start(FleetPlan(daemons=4, zones=2, via_links=True))
+    wait_for(lambda: all(is_ready(fleet, each) for each in fleet.ids), "all ready")
     cut_off = fleet.list_zone("zone-2")
     fleet.cut_store(cut_off, down=True)
     for entry_vm_id in cut_off:
