Do not cut short requests that lack time, and state the figures of requests

A request short of time now gets all of it, a slot is kept as long as work usually takes, and a request begins only if one spread beyond the mean is left.

--- a/packages/bench/src/medlarspring_bench/measure/requests_entry_vm.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_entry_vm.py
@@ -79,7 +79,7 @@
             return
         fair_queue.enqueue(pool, request)
         self.exchange.want(POOL)
-        left = request.deadline - now - pool.service_seconds
+        left = request.deadline - now - admission.expect_service(pool)
         self.fleet.at(max(0.0, left), lambda: self._expire(request))
 
     def pump(self) -> None:
--- a/packages/daemon/src/medlarspring_daemon/services/caller_dispatch.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_dispatch.py
@@ -231,7 +231,7 @@
     def _start_timer(
         self, pool: PoolQueue, request: CallerRequest, now: Seconds
     ) -> asyncio.TimerHandle:
-        left = request.deadline - now - pool.service_seconds
+        left = request.deadline - now - admission.expect_service(pool)
         loop = asyncio.get_running_loop()
         return loop.call_later(max(0.0, left), self._expire, pool, request)
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
@@ -41,10 +41,6 @@
 
 REFUSES = 503
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
-LINGER_SECONDS = 2.0
-"""How long a slot stays counted after an answer was given up."""
-SHORT_REST_SECONDS = 0.25
-"""A VM that said its slots are full gets nothing from here for so long."""
 
 
 @dataclass(slots=True, eq=False)
@@ -142,7 +138,7 @@
             upstream_health.note_no_verdict(upstream)
             self._dispatcher.release(turn)
             return Failure(AttemptFailure(_SLOT_LAPSED, not_run=True))
-        linger = LINGER_SECONDS
+        linger = retry.choose_linger(turn.pool)
         remaining = row.deadline - now
         exchange.headers["Request-Timeout"] = f"{remaining:.3f}"
         try:
@@ -161,7 +157,8 @@
             )
             if not is_successful(sent):
                 fault = sent.failure()
-                linger = LINGER_SECONDS if fault.timed_out else 0.0
+                if not fault.timed_out:
+                    linger = 0.0
                 return Failure(self._judge_fault(turn, fault))
             result = await self._take_answer(exchange, turn, sent.unwrap(), budget)
             linger = 0.0
--- a/packages/systems/src/medlarspring_systems/admission.py
+++ b/packages/systems/src/medlarspring_systems/admission.py
@@ -42,12 +42,21 @@
     wait = estimate_wait(pool, queue, request.urgency, usable_slots)
     if (
         not _is_full(pool, queue, room)
-        and now + wait + pool.service_seconds <= request.deadline
+        and now + wait + expect_service(pool) <= request.deadline
     ):
         return None
     return refuse_for_load(pool, queue, wait)
 
 
+def expect_service(pool: PoolQueue) -> Seconds:
+    """Return the time within which most requests are answered once sent.
+
+    Begun with the mean time left, nearly half would miss their deadline, and
+    the slots they used would be lost when the service is short of them.
+    """
+    return pool.service_seconds + pool.service_spread
+
+
 def refuse_for_load(pool: PoolQueue, queue: PartnerQueue, wait: Seconds) -> Refusal:
     """Return the refusal of a request whose turn would come too late."""
     retry_after = max(MIN_RETRY_SECONDS, wait)
@@ -118,6 +127,7 @@
     "WaitingRoom",
     "check_admission",
     "estimate_wait",
+    "expect_service",
     "is_over_share",
     "refuse_for_load",
 ]
--- a/packages/systems/src/medlarspring_systems/fair_queue.py
+++ b/packages/systems/src/medlarspring_systems/fair_queue.py
@@ -214,6 +214,7 @@
     queue.used = max(0.0, queue.used + to_units(pool, correction, now))
     if not answered:
         return
+    pool.answers += 1
     pool.service_spread += SMOOTHING * (abs(correction) - pool.service_spread)
     pool.service_seconds += SMOOTHING * correction
 
--- a/packages/systems/src/medlarspring_systems/retry.py
+++ b/packages/systems/src/medlarspring_systems/retry.py
@@ -18,6 +18,7 @@
 SPREADS_TO_GIVE_UP = 8.0
 MAX_PART_OF_REMAINING = 0.5
 """An early give-up leaves the second try at least as much time."""
+MAX_LINGER_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -76,7 +77,27 @@
     if not request.repeatable or attempts > 0 or budget.tokens < 1.0:
         return remaining
     usual = pool.service_seconds + SPREADS_TO_GIVE_UP * pool.service_spread
-    return min(max(usual, MIN_GIVE_UP_SECONDS), remaining * MAX_PART_OF_REMAINING)
+    patience = max(usual, MIN_GIVE_UP_SECONDS)
+    if patience > remaining * MAX_PART_OF_REMAINING:
+        # Too little time is left for two tries. Cutting the first one short
+        # would throw away work that is about to be done, and its slot with it.
+        return remaining
+    return patience
+
+
+def choose_linger(pool: PoolQueue) -> Seconds:
+    """Return how long the slot of given-up work stays counted.
+
+    The upstream VM may go on with the work; by then it has likely ended.
+    """
+    usual = pool.service_seconds + SPREADS_TO_GIVE_UP * pool.service_spread
+    return min(MAX_LINGER_SECONDS, usual if pool.answers else MAX_LINGER_SECONDS)
 
 
-__all__ = ["RetryBudget", "choose_header_timeout", "earn", "may_retry"]
+__all__ = [
+    "RetryBudget",
+    "choose_header_timeout",
+    "choose_linger",
+    "earn",
+    "may_retry",
+]
--- a/packages/tables/src/medlarspring_tables/requests.py
+++ b/packages/tables/src/medlarspring_tables/requests.py
@@ -152,6 +152,8 @@
     urgent_waiting: int = 0
     asked_at: Seconds = float("-inf")
     """When the last request came."""
+    answers: int = 0
+    """Answers that the two figures below are learnt from."""
     service_seconds: Seconds = 0.05
     """Smoothed time that a request holds a slot."""
     service_spread: Seconds = 0.05
