--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -35,6 +35,10 @@
     PEER_SLOT_BYTES = "peers.slot_bytes"
     POOLS_HELD = "pools.held"
 
+    FLEET_DISRUPTED = "fleet.disrupted"
+    FLEET_OUT = "fleet.out"
+    FLEET_LEAST_ROOM = "fleet.least_room"
+
 
 class Metrics(Protocol):
     """Counters, gauges and timings by name."""
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_adapters.vm_control import HttpVMControl
 from medlarspring_daemon.services.fleet_controller import FleetController
@@ -13,6 +14,8 @@
 from medlarspring_daemon.services.fleet_rounds import FleetRounds
 from medlarspring_daemon.services.fleet_routes import FleetRoutes
 from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems.availability import count_availability
+from medlarspring_systems.draft import Draft
 from medlarspring_tables.fleet_tables import FleetTables
 
 if TYPE_CHECKING:
@@ -66,6 +69,7 @@
                     await rounds.run(node.holders, node.config, node.vm_list)
                 if rounds.is_holding:
                     feed.start()
+                    self._send_metrics()
                 else:
                     await feed.stop()
                 spent = node.clock.now() - started_at
@@ -73,6 +77,24 @@
         finally:
             await feed.stop()
 
+    def _send_metrics(self) -> None:
+        config = self._node.config
+        if config is None:
+            return
+        draft = Draft(self._node.fleet_tables)
+        counted = [
+            count_availability(draft, config.pools_by_id[pool_id])
+            for pool_id in self._node.holders.held_pools()
+            if pool_id in config.pools_by_id
+        ]
+        if not counted:
+            return
+        metrics = self._node.metrics
+        disrupted = sum(each.disrupted for each in counted)
+        metrics.gauge(Metric.FLEET_DISRUPTED, disrupted)
+        metrics.gauge(Metric.FLEET_OUT, sum(each.out for each in counted))
+        metrics.gauge(Metric.FLEET_LEAST_ROOM, min(each.room for each in counted))
+
 
 def create_fleet_service(
     node: Node, vm_control: VMControl | None = None
