--- a/packages/systems/src/medlarspring_systems/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/fleet_plan.py
@@ -14,7 +14,11 @@
     plan_needs,
 )
 from medlarspring_systems.vm_progress import plan_give_up, plan_progress
-from medlarspring_systems.wave_control import plan_standing_wave, plan_wave_control
+from medlarspring_systems.wave_control import (
+    plan_forget_waves,
+    plan_standing_wave,
+    plan_wave_control,
+)
 from medlarspring_systems.wave_width import CanaryWidth, RackReserveWidth
 
 if TYPE_CHECKING:
@@ -68,6 +72,7 @@
         plan_wave_control(draft, wave, now)
     if pool_id == min(config.pools_by_id, default=None):
         plan_standing_wave(draft, now)
+        plan_forget_waves(draft, now)
     return draft
 
 
--- a/packages/systems/src/medlarspring_systems/wave_control.py
+++ b/packages/systems/src/medlarspring_systems/wave_control.py
@@ -11,6 +11,7 @@
 from medlarspring_systems.maintenance import has_ended
 from medlarspring_systems.wave_width import EVIDENCE_DEPTH, find_evidence
 from medlarspring_tables import MedlarspringError, WaveId
+from medlarspring_tables.fleet_tables import key_of_wave
 from medlarspring_tables.vms import Outcome, VMState
 from medlarspring_tables.waves import WaveRecord, WaveState
 
@@ -235,6 +236,13 @@
     draft.note(Decided.START, "once-in-six-weeks", wave_id=wave_id, vms=len(due))
 
 
+def plan_forget_waves(draft: Draft, now: float) -> None:
+    """Draft the deletion of waves that ended a whole period ago."""
+    for wave in list(draft.tables.waves_by_id.values()):
+        if not wave.is_open and now - wave.ended_at > PERIOD_SECONDS:
+            draft.delete(key_of_wave(wave.id))
+
+
 STANDING = "standing order"
 
 __all__ = [
@@ -244,6 +252,7 @@
     "create_wave",
     "find_pause_reason",
     "pause_wave",
+    "plan_forget_waves",
     "plan_standing_wave",
     "plan_wave_control",
     "resume_wave",
--- a/packages/systems/tests/test_maintenance.py
+++ b/packages/systems/tests/test_maintenance.py
@@ -183,6 +183,15 @@
     assert len(wave.vm_ids) == 8
 
 
+def test_ended_wave_is_forgotten_after_a_whole_period(fleet):
+    fleet.start_wave()
+    fleet.put(abort_wave(fleet.wave(), "wrong image", fleet.now).unwrap())
+    fleet.tick(seconds=PERIOD_SECONDS - 1)
+    assert WaveId("w") in fleet.tables.waves_by_id
+    fleet.tick(seconds=2)
+    assert WaveId("w") not in fleet.tables.waves_by_id
+
+
 def test_wave_over_unknown_vms_is_refused_with_the_remedy(fleet):
     refused = create_wave(
         fleet.tables, WaveId("x"), [VMId("zz")], [], "ana", fleet.now
--- a/packages/tables/src/medlarspring_tables/fleet_tables.py
+++ b/packages/tables/src/medlarspring_tables/fleet_tables.py
@@ -170,6 +170,8 @@
             case "waves":
                 self.waves_by_id.pop(WaveId(id_), None)
                 self.open_waves_by_id.pop(WaveId(id_), None)
+                self.finished_by_wave.pop(WaveId(id_), None)
+                self.failed_by_wave.pop(WaveId(id_), None)
             case "moves":
                 self.moves_by_id.pop(MoveId(id_), None)
                 self.open_moves_by_id.pop(MoveId(id_), None)
