Keep a drained VM drained until nobody sends it work of its old pool

Ruled out: the list's lag alone, since signs of leaving are heeded for 40 s. A drained VM refuses such work as not run; the move now waits 4 s, the time in which a leaving upstream stops getting work and a second. The unit test that moved at the next tick now waits those 4 s.

--- a/packages/systems/src/medlarspring_systems/vm_progress.py
+++ b/packages/systems/src/medlarspring_systems/vm_progress.py
@@ -42,6 +42,9 @@
 _ALIVE = (VMCondition.SERVING, VMCondition.DRAINING, VMCondition.DRAINED)
 DRAIN_LIMIT_SECONDS = 600.0
 """A drain that takes longer is taken back and reported."""
+MOVE_SETTLE_SECONDS = 4.0
+"""A VM is drained at least this long before it changes its pool: the time in
+which an upstream that leaves stops getting new work, and a second."""
 RETURN_LIMIT_SECONDS = 900.0
 """A VM that is not back this long after its reboot is given up."""
 MIN_RETURN_LIMIT_SECONDS = 120.0
@@ -142,7 +145,12 @@
     draft: Draft, record: VMRecord, sighting: VMSighting, now: float
 ) -> None:
     if record.target_pool_id is not None:
-        join(draft, record, record.target_pool_id, now)
+        # Entry VMs that have not heard of the drain send work of the old pool
+        # on slots they hold. Assigned at once, the VM would run it in its new
+        # pool. While it is drained it refuses such work as not run, and after
+        # this time no entry VM has a slot left.
+        if now - record.since >= MOVE_SETTLE_SECONDS:
+            join(draft, record, record.target_pool_id, now)
         return
     state = {"state": VMState.REBOOTING, "since": now, "boot": sighting.boot}
     draft.put(msgspec.structs.replace(record, **state))
@@ -270,6 +278,7 @@
 
 __all__ = [
     "DRAIN_LIMIT_SECONDS",
+    "MOVE_SETTLE_SECONDS",
     "RETURN_LIMIT_SECONDS",
     "find_return_limit",
     "plan_give_up",
--- a/packages/systems/tests/test_moves.py
+++ b/packages/systems/tests/test_moves.py
@@ -4,6 +4,7 @@
 import pytest
 
 from medlarspring_systems.moves import KEEP_ENDED_SECONDS, NEED_HOLD_SECONDS
+from medlarspring_systems.vm_progress import MOVE_SETTLE_SECONDS
 from medlarspring_tables import PoolId, Revision, VMId
 from medlarspring_tables.moves import MoveId, MoveRecord, MoveState
 from medlarspring_tables.vms import VMCondition, VMState
@@ -39,7 +40,7 @@
     assert move_states(fleet) == [MoveState.DRAINING] * 2
     for vm in fleet.states(VMState.DRAINING):
         fleet.see(vm, VMCondition.DRAINED)
-    fleet.tick("b")
+    fleet.tick("b", MOVE_SETTLE_SECONDS)
     moved = fleet.states(VMState.JOINING)
     assert [fleet.vm(vm).pool_id for vm in moved] == ["a", "a"]
     for vm in moved:
@@ -50,6 +51,23 @@
     assert move_states(fleet) == []
 
 
+def test_drained_vm_stays_drained_until_nobody_sends_it_work_of_the_old_pool(two_pools):
+    """
+    An idle VM is drained within a tick of the order. Entry VMs that have not
+    heard of it still hold slots of its old pool; moved at once, it would run
+    their requests as a VM of the new pool.
+    """
+    fleet = two_pools
+    fleet.put(*wish(1))
+    fleet.tick("b")
+    (vm,) = fleet.states(VMState.DRAINING)
+    fleet.see(vm, VMCondition.DRAINED)
+    fleet.tick("b", MOVE_SETTLE_SECONDS - 0.1)
+    assert fleet.states(VMState.DRAINING) == [vm]
+    fleet.tick("b", 0.1)
+    assert fleet.states(VMState.JOINING) == [vm]
+
+
 def test_need_that_passes_is_withdrawn(two_pools):
     fleet = two_pools
     want(fleet, "a", 10)
