--- a/packages/bench/src/medlarspring_bench/story.py
+++ b/packages/bench/src/medlarspring_bench/story.py
@@ -75,6 +75,12 @@
         DISTURBANCES[fault].begin(self.cluster)
         self._open_faults.append(fault)
 
+    def kill_daemon(self, id_: str) -> None:
+        """Kill a daemon; it is started again when the faults end."""
+        self._fault_starts.append(time.monotonic())
+        self.cluster.processes.by_name[id_].kill()
+        self.dead_daemons.append(id_)
+
     def end_faults(self) -> None:
         """End every disturbance, the newest first."""
         while self._open_faults:
--- a/tests/test_maintenance_waves.py
+++ b/tests/test_maintenance_waves.py
@@ -38,9 +38,7 @@
 @when(parsers.parse("at {percent:d} % the holder of {pool} dies"))
 def kill_holder(story: Story, percent: int, pool: str) -> None:
     story.wait_until_sent(percent)
-    holder = story.cluster.find_holder(pool)
-    story.cluster.processes.by_name[holder].kill()
-    story.dead_daemons.append(holder)
+    story.kill_daemon(story.cluster.find_holder(pool))
 
 
 @when(parsers.parse("{count:d} VMs move from pool {giver} to pool {taker}"))
