Lend spare only to work that can be checkpointed

Cause, found by reading: work that can only be throttled counted as lent, but nothing throttles running work, so the spare it held could not be had back. Seen to fail first: test_work_that_can_only_be_throttled_stays_out_of_the_spare (16 started instead of 12).

--- a/packages/cli/src/medlarspring_cli/commands/job_submit.py
+++ b/packages/cli/src/medlarspring_cli/commands/job_submit.py
@@ -38,7 +38,9 @@
         option("kind", None, "Kind, for what is learned of sizes", flag=False),
         option("urgency", None, f"One of {URGENCIES}", flag=False, default="normal"),
         option("can-checkpoint", None, "The job can be stopped and resumed"),
-        option("can-throttle", None, "The job can run with less"),
+        option(
+            "can-throttle", None, "The job can run with less (recorded, not used yet)"
+        ),
         option(
             "file", None, "CSV file of jobs, or one JSON document a line", flag=False
         ),
--- a/packages/systems/src/medlarspring_systems/job_records.py
+++ b/packages/systems/src/medlarspring_systems/job_records.py
@@ -136,8 +136,7 @@
 
 def is_lent(job: Job) -> bool:
     """Tell whether what the job holds can be had back within seconds."""
-    can_yield = job.can_checkpoint or job.can_throttle
-    return can_yield and job.urgency is not JobUrgency.URGENT
+    return job.can_checkpoint and job.urgency is not JobUrgency.URGENT
 
 
 def _frees_room(old: Job, job: Job) -> bool:
--- a/packages/systems/src/medlarspring_systems/placement_rules.py
+++ b/packages/systems/src/medlarspring_systems/placement_rules.py
@@ -197,8 +197,8 @@
     """Tell whether work that cannot yield stays out of the spare.
 
     Spare that is held by work nobody can stop would be gone when a rack
-    fails, and urgent work would wait for hours. Work that can be stopped or
-    throttled within seconds may use it meanwhile; urgent work may always.
+    fails, and urgent work would wait for hours. Work that can be
+    checkpointed within seconds may use it meanwhile; urgent work may always.
     """
     if job.urgency is JobUrgency.URGENT:
         return True
--- a/packages/systems/src/medlarspring_systems/preemption.py
+++ b/packages/systems/src/medlarspring_systems/preemption.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
@@ -19,15 +18,6 @@
 MAX_PREEMPTIONS_PER_TICK = 64
 
 
-class YieldMethod(Enum):
-    """How a running job gives back what it holds."""
-
-    CHECKPOINT = "checkpoint"
-    """Save progress, then stop; the job waits again."""
-    THROTTLE = "throttle"
-    """Run on with fewer processors."""
-
-
 @dataclass(frozen=True, slots=True)
 class StopAttempt:
     """Tell the worker to checkpoint and stop an attempt."""
@@ -167,7 +157,6 @@
 
 __all__ = [
     "StopAttempt",
-    "YieldMethod",
     "can_yield",
     "mark_stopping",
     "plan_preemptions",
--- a/packages/systems/tests/test_placement.py
+++ b/packages/systems/tests/test_placement.py
@@ -357,3 +357,15 @@
         end_attempt(tables, job.id, number, end, 1.0, peak=peak)
     assert sizes == [4, 8, 16]
     assert not any(worker.blamed_by for worker in tables.workers_by_id.values())
+
+
+def test_work_that_can_only_be_throttled_stays_out_of_the_spare():
+    """
+    Nothing throttles running work yet, so the spare it held could not be had
+    back when urgent work comes.
+    """
+    tables = make_tables(workers=4)
+    tables.spare_percent = 25.0
+    for number in range(16):
+        put_job(tables, make_job(f"j{number:02}", can_throttle=True))
+    assert len(run_until_confirmed(tables)) == 12
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -119,6 +119,7 @@
     urgency: JobUrgency = JobUrgency.NORMAL
     can_checkpoint: bool = False
     can_throttle: bool = False
+    """Kept on record only; nothing throttles running work yet."""
     submitted_at: Seconds
     """Wall time."""
     submitted_by: str = ""
@@ -205,7 +206,7 @@
     capacity: Size = NO_SIZE
     """Sum over the workers that accept work."""
     lent: Size = NO_SIZE
-    """Sum over the attempts that can be stopped or throttled within seconds."""
+    """Sum over the attempts that can be checkpointed within seconds."""
     held: Size = NO_SIZE
     """Sum over all attempts."""
     spare_percent: float = 10.0
