--- a/packages/bench/src/medlarspring_bench/cluster.py
+++ b/packages/bench/src/medlarspring_bench/cluster.py
@@ -10,6 +10,11 @@
 
 from medlarspring_bench.control_client import Reply, call, control
 from medlarspring_bench.processes import RECEIVED_AT
+from medlarspring_bench.vm_entries import (
+    create_entry_vm_entries,
+    create_links,
+    create_upstream_entries,
+)
 from medlarspring_bench.waiting import wait_for
 
 if TYPE_CHECKING:
@@ -17,6 +22,7 @@
 
     from medlarspring_bench.example import Example
     from medlarspring_bench.processes import Process, Processes
+    from medlarspring_bench.standins.vm_list import ListEntry
 
 STANDINS = "medlarspring_bench.standins"
 OPERATOR_TOKEN = "operator-token-of-the-demo"
@@ -249,7 +255,7 @@
         entries = self._list_entries()
         address = self.vm_list["control"]
         for entry in entries:
-            if entry["labels"]["id"] == id_:
+            if entry.labels["id"] == id_:
                 control("PUT", address, f"vms/{id_}", entry)
         if self.options.linked:
             self._link_zones(entries)
@@ -336,66 +342,20 @@
         control("PUT", address, "vms", entries)
         control("POST", address, "upstreams", {"controls": self.upstream_controls})
 
-    def _list_entries(self) -> list[dict[str, Any]]:
-        return [*self._upstream_entries(), *self._entry_vm_entries()]
-
-    def _upstream_entries(self) -> list[dict[str, Any]]:
-        size = self.platform.vm
+    def _list_entries(self) -> list[ListEntry]:
+        peers_by_id = {id_: one.peer for id_, one in self.daemons_by_id.items()}
         return [
-            {
-                "targets": [self.vm_addresses_by_id[vm]],
-                "labels": {
-                    "id": vm,
-                    "role": "upstream",
-                    "state": "live",
-                    "pool": rack.pool,
-                    "rack": rack.id,
-                    "zone": rack.zone,
-                    "region": self.platform.region,
-                    "slots": str(size.slots),
-                    "connections": str(size.connections),
-                    "cpus": str(size.cpus),
-                    "memory_gb": str(size.memory_gb),
-                    "accelerators": str(size.accelerators),
-                },
-            }
-            for rack in self.platform.racks
-            for vm in rack.vm_ids()
+            *create_upstream_entries(self.platform, self.vm_addresses_by_id),
+            *create_entry_vm_entries(self.platform, peers_by_id),
         ]
 
-    def _entry_vm_entries(self) -> list[dict[str, Any]]:
-        return [
-            {
-                "targets": [addresses.peer],
-                "labels": {
-                    "id": id_,
-                    "role": "entry",
-                    "state": "live",
-                    "zone": self.zones_by_id[id_],
-                    "region": self.platform.region,
-                },
-            }
-            for id_, addresses in self.daemons_by_id.items()
-        ]
-
-    def _link_zones(self, entries: list[dict[str, Any]]) -> None:
+    def _link_zones(self, entries: list[ListEntry]) -> None:
         """Show each zone the addresses of the others through links."""
         for zone in self.platform.zones:
-            links = [
-                {
-                    "name": f"{zone}>{entry['labels']['id']}@{entry['targets'][0]}",
-                    "target": entry["targets"][0],
-                    "group": f"{zone}>{entry['labels']['zone']}",
-                }
-                for entry in entries
-                if entry["labels"]["zone"] != zone
-            ]
-            opened = control("POST", self.links, "links", links)
-            targets_by_id = {
-                name.split(">")[1].split("@")[0]: address
-                for name, address in opened.items()
-            }
-            body = {"gate": zone, "targets_by_id": targets_by_id}
+            links = create_links(zone, entries)
+            opened = control("POST", self.links, "links", list(links.values()))
+            targets = {id_: opened[link.name] for id_, link in links.items()}
+            body = {"gate": zone, "targets_by_id": targets}
             control("POST", self.vm_list["control"], "targets", body)
 
     def _settings(self, id_: str) -> str:
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/standins/call_counts.py
@@ -0,0 +1,46 @@
+"""Counts calls of a stand-in as the platform would."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.clock import Clock
+
+KEPT_SECONDS = 600
+
+
+class CallCounts:
+    """How often the service was called, as the platform would count."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.by_kind: Counter[str] = Counter()
+        self.by_client: Counter[str] = Counter()
+        self.open_watches = 0
+        self._clock = clock
+        self._by_second: deque[tuple[int, Counter[str]]] = deque(maxlen=KEPT_SECONDS)
+
+    def count(self, kind: str, client: str) -> None:
+        """Count one call."""
+        self.by_kind[kind] += 1
+        self.by_client[client] += 1
+        second = int(self._clock.now())
+        if not self._by_second or self._by_second[-1][0] != second:
+            self._by_second.append((second, Counter()))
+        self._by_second[-1][1][kind] += 1
+
+    def summary(self) -> dict[str, object]:
+        """Return all counts and the busiest second of each kind."""
+        peak_by_kind: Counter[str] = Counter()
+        for _, counts in self._by_second:
+            peak_by_kind |= counts
+        return {
+            "by_kind": self.by_kind,
+            "by_client": self.by_client,
+            "peak_per_second_by_kind": peak_by_kind,
+            "open_watches": self.open_watches,
+        }
+
+
+__all__ = ["CallCounts"]
--- a/packages/bench/src/medlarspring_bench/standins/key_value.py
+++ b/packages/bench/src/medlarspring_bench/standins/key_value.py
@@ -5,7 +5,6 @@
 import argparse
 import asyncio
 import math
-from collections import Counter, deque
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -21,6 +20,7 @@
 )
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.standins import key_value_messages as messages
+from medlarspring_bench.standins.call_counts import CallCounts
 from medlarspring_bench.standins.server import (
     GATE_KEY,
     MAX_BODY_BYTES,
@@ -41,44 +41,11 @@
     from medlarspring_bench.key_value_ops import Op
 
 LEASE_TICK_SECONDS = 0.05
-KEPT_SECONDS = 600
 READ_KINDS = frozenset({"range", "lease_keepalive", "lease_timetolive"})
 INVALID_ARGUMENT = 3
 NOT_FOUND = 5
 
 
-class CallCounts:
-    """How often the service was called, as the platform would count."""
-
-    def __init__(self, clock: SystemClock) -> None:
-        self.by_kind: Counter[str] = Counter()
-        self.by_client: Counter[str] = Counter()
-        self.open_watches = 0
-        self._clock = clock
-        self._by_second: deque[tuple[int, Counter[str]]] = deque(maxlen=KEPT_SECONDS)
-
-    def count(self, kind: str, client: str) -> None:
-        """Count one call."""
-        self.by_kind[kind] += 1
-        self.by_client[client] += 1
-        second = int(self._clock.now())
-        if not self._by_second or self._by_second[-1][0] != second:
-            self._by_second.append((second, Counter()))
-        self._by_second[-1][1][kind] += 1
-
-    def summary(self) -> dict[str, object]:
-        """Return all counts and the busiest second of each kind."""
-        peak_by_kind: Counter[str] = Counter()
-        for _, counts in self._by_second:
-            peak_by_kind |= counts
-        return {
-            "by_kind": self.by_kind,
-            "by_client": self.by_client,
-            "peak_per_second_by_kind": peak_by_kind,
-            "open_watches": self.open_watches,
-        }
-
-
 class KeyValueService:
     """HTTP handlers over the state machine."""
 
