Log that a pool is given up before its successor can hold it

Cause: the release was logged after the key's deletion was answered, and not at all on shutdown, so that the successor's 'held' could stand before it and the history showed two holders (seen once in a full run: test_graceful_shutdown, 'holders overlap consent'). Ruled out: a real overlap, since the holding is dropped from memory before the key is deleted.

--- a/packages/daemon/src/medlarspring_daemon/services/holder_service.py
+++ b/packages/daemon/src/medlarspring_daemon/services/holder_service.py
@@ -34,6 +34,8 @@
 from medlarspring_tables import PoolId, Revision
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from medlarspring_daemon.node import Node
     from medlarspring_daemon.services.peer_service import PeerService
     from medlarspring_tables import Seconds
@@ -83,6 +85,7 @@
         """Give everything up at once, so that successors need not wait."""
         await self._tasks.cancel()
         lease_id = self.holdings.lease_id
+        self._note_released(self.holdings.pools_by_id.values())
         note_lapsed(self.holdings)
         if lease_id is not None:
             await self._node.store.revoke_lease(LeaseId(lease_id))
@@ -163,9 +166,9 @@
             return
         members = self._peers.list_steady()
         plan = plan_holders(self.holdings, config.pools_by_id, members, now)
-        self._to_delete += [
-            self.holdings.pools_by_id.pop(each) for each in plan.release
-        ]
+        released = [self.holdings.pools_by_id.pop(each) for each in plan.release]
+        self._note_released(released)
+        self._to_delete += released
         await self._delete_keys()
         if plan.acquire:
             await self._acquire(plan.acquire[:MAX_POOLS_PER_CALL])
@@ -243,6 +246,14 @@
                 self._back_off()
                 return
             self._to_delete.remove(held)
+
+    def _note_released(self, released: Iterable[HeldPool]) -> None:
+        """Log what is given up, before a successor can hold it.
+
+        Logged after the key is gone, the release would stand behind the
+        successor's word that it holds the pool, as if both had acted.
+        """
+        for held in released:
             self._node.log.info(Event.POOL_RELEASED, pool=held.pool_id)
 
     def _back_off(self) -> None:
