--- a/packages/daemon/tests/test_holder_service.py
+++ b/packages/daemon/tests/test_holder_service.py
@@ -28,6 +28,7 @@
 
 WAIT_SECONDS = 30.0
 HOLDER_LEASE_LAPSED = 4022
+POOL_RELEASED = 4021
 POOLS = frozenset(PoolId(f"pool-{number}") for number in range(8))
 
 Start = "Callable[[str], Awaitable[ControlNode]]"
@@ -80,6 +81,19 @@
     assert asyncio.get_running_loop().time() - began < 3.0
 
 
+async def test_shutdown_tells_which_pools_are_given_up(start: Start):
+    """
+    A holder shuts down and a successor logs that it holds the pools. Without a
+    word of the first one the log would show two holders at the same time.
+    """
+    node = await start("a")
+    list_nodes([node])
+    await wait_until(lambda: held(node) == sorted(POOLS))
+    await node.stop()
+    released = sorted(event["pool"] for event in node.events(POOL_RELEASED))
+    assert released == sorted(POOLS)
+
+
 async def test_write_of_a_paused_holder_is_refused(start: Start, state: KeyValueState):
     """
     A holder reads its fence and is paused past its lease. A successor takes the
