Read a pool's jobs in one place; drop arguments nobody used

Listing and finding a job read and filled the tables in two copies. Behaviour unchanged: lint and types clean, 66 tests of placement, desk and controller passed.

--- a/packages/daemon/src/medlarspring_daemon/services/job_desk.py
+++ b/packages/daemon/src/medlarspring_daemon/services/job_desk.py
@@ -151,12 +151,10 @@
         self, pool_id: PoolId, partner_id: PartnerId | None, state: JobState | None
     ) -> Result[JobsAnswer, StoreError]:
         """Return the newest jobs of a pool that match."""
-        listing = await self._jobs.read_pool(pool_id)
-        if not is_successful(listing):
-            return Failure(listing.failure())
-        tables = self._build_tables(pool_id)
-        for entry in listing.unwrap().entries:
-            put_job(tables, decode_job(entry.value))
+        read = await self._read_tables(pool_id)
+        if not is_successful(read):
+            return Failure(read.failure())
+        tables = read.unwrap()
         jobs = [
             job
             for job in tables.jobs_by_id.values()
@@ -171,15 +169,22 @@
         self, pool_id: PoolId, job_id: JobId
     ) -> Result[JobView | None, StoreError]:
         """Return one job and, while it waits, why."""
-        listed = await self._jobs.read_pool(pool_id)
-        if not is_successful(listed):
-            return Failure(listed.failure())
-        tables = self._build_tables(pool_id)
-        for entry in listed.unwrap().entries:
-            put_job(tables, decode_job(entry.value))
+        read = await self._read_tables(pool_id)
+        if not is_successful(read):
+            return Failure(read.failure())
+        tables = read.unwrap()
         job = tables.jobs_by_id.get(job_id)
         return Success(self._view(tables, job) if job else None)
 
+    async def _read_tables(self, pool_id: PoolId) -> Result[JobTables, StoreError]:
+        listing = await self._jobs.read_pool(pool_id)
+        if not is_successful(listing):
+            return Failure(listing.failure())
+        tables = self._build_tables(pool_id)
+        for entry in listing.unwrap().entries:
+            put_job(tables, decode_job(entry.value))
+        return Success(tables)
+
     def _view(self, tables: JobTables, job: Job) -> JobView:
         if job.state is not JobState.WAITING:
             return JobView(job=job)
--- a/packages/systems/src/medlarspring_systems/job_lifecycle.py
+++ b/packages/systems/src/medlarspring_systems/job_lifecycle.py
@@ -127,7 +127,7 @@
     free = replace(job, attempt=None)
     if end is AttemptEnd.SUCCEEDED:
         if worker is not None:
-            note_success(tables, worker, job)
+            note_success(worker)
         return replace(free, state=JobState.DONE)
     if _was_cancelled(job):
         return replace(free, state=JobState.CANCELLED)
--- a/packages/systems/src/medlarspring_systems/quarantine.py
+++ b/packages/systems/src/medlarspring_systems/quarantine.py
@@ -21,7 +21,7 @@
 """Never more of the pool than this, whatever the evidence says."""
 
 
-def note_success(tables: JobTables, worker: Worker, job: Job) -> None:
+def note_success(worker: Worker) -> None:
     """Clear a worker: what ran to its end there proves it works."""
     worker.blamed_by.clear()
     worker.quarantines = 0
