--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 EXAMPLE ?= njia-moja
-PACKAGES := tables systems adapters daemon cli bench
+PACKAGES := tables systems adapters daemon platform cli bench
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test lint format measure proto
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/adviser.py
@@ -0,0 +1,55 @@
+"""The service that knows on which workers a restricted queue may run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from medlarspring_tables import MedlarspringError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from returns.result import Result
+
+    from medlarspring_tables.scheduling import Milliseconds, WorkerId
+
+MAX_WORKERS_PER_CALL = 100
+
+
+class AdviserSilent(MedlarspringError):
+    """The adviser gave no advice; asking has no effect."""
+
+    code = "adviser-silent"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail)
+        self.detail = detail
+
+    def message(self) -> str:
+        """Say what failed and what happens next."""
+        return (
+            f"The adviser did not answer ({self.detail}). It is asked again; tasks"
+            " of its queues wait meanwhile."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Workers that may run a step, each with the ticket its starts carry."""
+
+    tickets_by_worker: dict[WorkerId, str]
+    valid_ms: Milliseconds
+
+
+class Adviser(Protocol):
+    """Asks for advice; one call at a time is served for each entry VM."""
+
+    async def advise(
+        self, step_id: str, worker_ids: Sequence[WorkerId]
+    ) -> Result[Advice, AdviserSilent]:
+        """Return which of the workers may run the step."""
+        ...
+
+
+__all__ = ["MAX_WORKERS_PER_CALL", "Advice", "Adviser", "AdviserSilent"]
--- a/packages/adapters/src/medlarspring_adapters/clock.py
+++ b/packages/adapters/src/medlarspring_adapters/clock.py
@@ -33,6 +33,18 @@
         return time.time()
 
 
+class SuspendAwareClock(SystemClock):
+    """The clock of a machine that may be suspended.
+
+    The monotonic clock stands still while the machine does. A holder that counted
+    its lease by it would wake up after seconds and still believe in it.
+    """
+
+    def now(self) -> Seconds:
+        """Return seconds since boot, those of a suspension included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that tests move by hand."""
 
@@ -52,4 +64,4 @@
         self._now += seconds
 
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["Clock", "ManualClock", "SuspendAwareClock", "SystemClock"]
--- a/packages/adapters/src/medlarspring_adapters/group_commit.py
+++ b/packages/adapters/src/medlarspring_adapters/group_commit.py
@@ -32,9 +32,14 @@
     """Sends the first transaction at once; those that follow share calls."""
 
     def __init__(
-        self, store: Store, clock: Clock, choose_interval: Callable[[], Seconds]
+        self,
+        store: Store,
+        clock: Clock,
+        choose_interval: Callable[[], Seconds],
+        max_per_call: int = MAX_PER_CALL,
     ) -> None:
         self._store = store
+        self._max_per_call = max_per_call
         self._clock = clock
         self._choose_interval = choose_interval
         self._waiting: deque[tuple[Transaction, asyncio.Future[Answer]]] = deque()
@@ -77,7 +82,7 @@
         batch: list[tuple[Transaction, asyncio.Future[Answer]]] = []
         left: deque[tuple[Transaction, asyncio.Future[Answer]]] = deque()
         keys: set[str] = set()
-        while self._waiting and len(batch) < MAX_PER_CALL:
+        while self._waiting and len(batch) < self._max_per_call:
             transaction, future = self._waiting.popleft()
             written = {write.key for write in transaction.writes}
             if keys & written:
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -0,0 +1,122 @@
+"""Calls to one HTTP address, with the failures that matter told apart."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from medlarspring_tables import Seconds
+
+KEEPALIVE_SECONDS = 12.0
+"""Idle connections are closed by us first: the platform's servers end theirs
+after 15 s, and a request that meets such an end has an unknown outcome."""
+CONNECT_SECONDS = 0.4
+"""Longest wait for a connection; a round trip in a region takes 3 ms."""
+RETIRED_SECONDS = 3.0
+"""How long calls in flight keep a session that is no longer used."""
+
+
+class NotSent(Exception):
+    """The request never reached the other side; it was certainly not carried out."""
+
+
+class Unanswered(Exception):
+    """The request may have been carried out, now or later; no answer came."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpChannel:
+    """Connections to one address.
+
+    Something between the two ends may lose track of connections: they stay open
+    and silent while new ones work. All pooled connections are then dead at once
+    and each would cost one timeout. So the first timeout retires them all.
+    """
+
+    def __init__(self, address: str, max_connections: int = 0) -> None:
+        self.address = address
+        self._max_connections = max_connections
+        self._session: aiohttp.ClientSession | None = None
+        self._retired: set[asyncio.Task[None]] = set()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        timeout_seconds: Seconds,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Make one call; raises ``NotSent`` or ``Unanswered``."""
+        session = self._open_session()
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                async with session.request(
+                    method, f"http://{self.address}{path}", data=body, headers=headers
+                ) as reply:
+                    return HttpAnswer(reply.status, await reply.read())
+        except aiohttp.ClientConnectorError as error:
+            raise NotSent(f"{self.address}: {error.strerror or error}") from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise NotSent(f"{self.address}: no connection in time") from error
+        except TimeoutError as error:
+            self._retire(session)
+            raise Unanswered(f"{self.address}: no answer in time") from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            raise Unanswered(f"{self.address}: {reason}") from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+        retired = list(self._retired)
+        for task in retired:
+            task.cancel()
+        await asyncio.gather(*retired, return_exceptions=True)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=self._max_connections, keepalive_timeout=KEEPALIVE_SECONDS
+                ),
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+                headers={"Content-Type": "application/json"},
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                trust_env=False,
+            )
+        return self._session
+
+    def _retire(self, session: aiohttp.ClientSession) -> None:
+        if self._session is not session:
+            return
+        self._session = None
+        task = asyncio.ensure_future(_close_later(session))
+        self._retired.add(task)
+        task.add_done_callback(self._retired.discard)
+
+
+async def _close_later(session: aiohttp.ClientSession) -> None:
+    try:
+        await asyncio.sleep(RETIRED_SECONDS)
+    finally:
+        await session.close()
+
+
+__all__ = ["HttpAnswer", "HttpChannel", "NotSent", "Unanswered"]
--- a/packages/adapters/src/medlarspring_adapters/prefix_follower.py
+++ b/packages/adapters/src/medlarspring_adapters/prefix_follower.py
@@ -14,6 +14,7 @@
     import random
 
     from medlarspring_adapters.store import Listing, Store, WatchBatch
+    from medlarspring_tables import Seconds
 
 MIN_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 10.0
@@ -35,8 +36,14 @@
     """Keeps a listener current until it is stopped."""
 
     def __init__(
-        self, store: Store, prefix: str, listener: PrefixListener, rng: random.Random
+        self,
+        store: Store,
+        prefix: str,
+        listener: PrefixListener,
+        rng: random.Random,
+        min_retry_seconds: Seconds = MIN_RETRY_SECONDS,
     ) -> None:
+        self._min_retry_seconds = min_retry_seconds
         self._store = store
         self._prefix = prefix
         self._listener = listener
@@ -58,11 +65,11 @@
             await task
 
     async def _run(self) -> None:
-        retry_seconds = MIN_RETRY_SECONDS
+        retry_seconds = self._min_retry_seconds
         while True:
             listed = await self._store.read_prefix(self._prefix)
             if is_successful(listed):
-                retry_seconds = MIN_RETRY_SECONDS
+                retry_seconds = self._min_retry_seconds
                 listing = listed.unwrap()
                 self._listener.take_listing(listing)
                 await self._watch(listing.revision)
--- /dev/null
+++ b/packages/adapters/src/medlarspring_adapters/vm_lifecycle.py
@@ -0,0 +1,77 @@
+"""The platform's control of VMs, as the scheduling of jobs sees it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from medlarspring_tables import MedlarspringError
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from medlarspring_tables import PoolId, VMId, WaveId
+    from medlarspring_tables.scheduling import Fence, VMEntry
+
+
+class VMRefusal(Enum):
+    """Why the platform did not carry an operation out."""
+
+    FENCE = "fence"
+    BUSY = "busy"
+    """The VM is not up, or leaves."""
+    NOT_IN_WAVE = "not-in-wave"
+    INVALID = "invalid"
+    """No such VM, or the pool is not for it."""
+    OVER_RATE = "over-rate"
+
+
+class VMControlSilent(MedlarspringError):
+    """The platform's VM control gave no usable answer."""
+
+    code = "vm-control-silent"
+
+    def __init__(self, detail: str, *, may_follow: bool) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.may_follow = may_follow
+        """Whether the operation may have been carried out, or may be later."""
+
+    def message(self) -> str:
+        """Say what failed and what happens next."""
+        return (
+            f"The platform's VM control did not answer ({self.detail})."
+            " The list of VMs is read before anything is repeated."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Authority:
+    """On whose word an operation is done."""
+
+    holder: str
+    fence: Fence
+
+
+class VMLifecycle(Protocol):
+    """Lists, moves and maintains VMs; each call is counted."""
+
+    async def list_vms(self) -> Result[tuple[VMEntry, ...], VMControlSilent]:
+        """Return all VMs."""
+        ...
+
+    async def move(
+        self, vm_id: VMId, pool_id: PoolId, authority: Authority
+    ) -> Result[VMRefusal | None, VMControlSilent]:
+        """Move a VM to a pool; all that runs on it ends at once."""
+        ...
+
+    async def maintain(
+        self, vm_id: VMId, wave_id: WaveId, authority: Authority
+    ) -> Result[VMRefusal | None, VMControlSilent]:
+        """Take a VM down for its maintenance; all that runs on it ends at once."""
+        ...
+
+
+__all__ = ["Authority", "VMControlSilent", "VMLifecycle", "VMRefusal"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/context.py
@@ -0,0 +1,58 @@
+"""What the services of scheduling share in one process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from medlarspring_tables.scheduling import CellId
+
+if TYPE_CHECKING:
+    import random
+
+    from medlarspring_adapters.adviser import Adviser
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.events import EventLog
+    from medlarspring_adapters.fleet_codec import FleetCodec
+    from medlarspring_adapters.store import Store
+    from medlarspring_adapters.vm_lifecycle import VMLifecycle
+    from medlarspring_adapters.worker_orders import WorkerOrders
+    from medlarspring_tables import EntryVMId, Seconds
+    from medlarspring_tables.scheduling import FleetLimits
+
+CELLS = (CellId("0"),)
+"""One controller carries a fleet of the present size; see docs/CAPACITY.md."""
+
+
+class StoreHealth(Protocol):
+    """How the store answers this process."""
+
+    @property
+    def failing_since(self) -> Seconds | None:
+        """When the first call failed that no answered one has followed."""
+        ...
+
+
+@dataclass(slots=True)
+class SchedulingNode:
+    """The outside world and the identity of one process."""
+
+    id: EntryVMId
+    incarnation: int
+    """Random number of this process; a restart changes it."""
+    clock: Clock
+    rng: random.Random
+    log: EventLog
+    store: Store
+    store_health: StoreHealth
+    codec: FleetCodec
+    orders: WorkerOrders
+    lifecycle: VMLifecycle
+    limits: FleetLimits
+    adviser: Adviser | None = None
+    peer_address: str = ""
+    cells: tuple[CellId, ...] = CELLS
+    stopping: bool = field(default=False)
+
+
+__all__ = ["CELLS", "SchedulingNode", "StoreHealth"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -0,0 +1,453 @@
+"""Controls one cell while this process holds it: jobs, workers and their runs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_adapters.store import Put, Transaction
+from medlarspring_daemon.scheduling.intake import LoadRecord
+from medlarspring_daemon.scheduling.job_feed import JobFeed
+from medlarspring_daemon.scheduling.journal import Journal
+from medlarspring_daemon.scheduling.vm_keeper import VMKeeper
+from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
+from medlarspring_daemon.scheduling.worker_link import WorkerLink
+from medlarspring_daemon.tasks import Tasks
+from medlarspring_systems.scheduling.jobs import (
+    cancel_job,
+    forget_job,
+    is_waiting,
+    open_due_occurrences,
+)
+from medlarspring_systems.scheduling.listings import list_jobs
+from medlarspring_systems.scheduling.repair import plan_repairs
+from medlarspring_systems.scheduling.rounds import plan_round
+from medlarspring_systems.scheduling.runs import detach_run
+from medlarspring_systems.scheduling.workers import end_life, is_lease_over, take_vms
+from medlarspring_tables.scheduling import RunState, WorkTables
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_daemon.scheduling.directory import Directory
+    from medlarspring_daemon.scheduling.election import Tenure
+    from medlarspring_systems.scheduling.listings import ListingOutcome
+    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables.scheduling import ActiveJob, Run, Worker, WorkerId
+
+TICK_SECONDS = 0.1
+ROUND_SECONDS = 0.003
+"""Ends that come within this time are followed by one round of placement."""
+LOAD_SECONDS = 0.8
+"""Counts of waiting jobs are published so often; customers may see 2 s old ones."""
+VM_LIST_SECONDS = 1.0
+VM_LOOK_SECONDS = 0.15
+"""Shortest time between two readings of the VM list when a worker is silent."""
+LOAD_RETRY_SECONDS = 0.05
+
+
+class CellController:
+    """Implements ``Term`` and ``LinkOwner``."""
+
+    def __init__(
+        self, node: SchedulingNode, directory: Directory, tenure: Tenure
+    ) -> None:
+        self._node = node
+        self._directory = directory
+        self._tenure = tenure
+        self._tasks = Tasks(node.log)
+        self._journal = Journal(node, tenure, self._note_written)
+        self._links_by_id: dict[WorkerId, WorkerLink] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+        self._rounds_due: set[PoolId] = set()
+        self._round_timer: asyncio.TimerHandle | None = None
+        self._followers: list[PrefixFollower] = []
+        self._published: dict[str, int] | None = None
+        self._published_at: Seconds = 0.0
+        self._vms_asked_at: Seconds = 0.0
+        self._vm_look = asyncio.Event()
+        self._running = False
+        assert directory.config is not None
+        self.tables = WorkTables(config=directory.config)
+        self._keeper = VMKeeper(node, tenure, directory, self)
+
+    # Term
+
+    async def start(self) -> None:
+        """Take the cell over in the background."""
+        self._tasks.start(self._take_over())
+
+    async def stop(self, *, graceful: bool) -> None:
+        """Stop deciding; a graceful end records what is known."""
+        self._running = False
+        if self._round_timer is not None:
+            self._round_timer.cancel()
+        await self._tasks.cancel()
+        for follower in self._followers:
+            await follower.stop()
+        await self._journal.close(flush=graceful)
+        links = list(self._links_by_id.values())
+        await asyncio.gather(*(link.close() for link in links))
+        await asyncio.gather(*self._closing, return_exceptions=True)
+        self._directory.listeners = [
+            each for each in self._directory.listeners if each != self._take_config
+        ]
+
+    async def _take_over(self) -> None:
+        """Read what is recorded, then follow the inbox and the workers."""
+        began_at = self._node.clock.now()
+        progress = await self._read_until(self._tenure.keys.progress_prefix)
+        if progress is None:
+            return
+        prefix = self._tenure.keys.progress_prefix
+        records = {entry.key.removeprefix(prefix): entry for entry in progress.entries}
+        feed = JobFeed(self._node, self._tenure, self, records)
+        workers = WorkerFeed(self._node, self)
+        store, rng = self._node.store, self._node.rng
+        inbox = self._tenure.keys.inbox_prefix
+        self._followers = [
+            PrefixFollower(store, inbox, feed, rng, LOAD_RETRY_SECONDS),
+            PrefixFollower(
+                store, self._node.codec.worker_prefix, workers, rng, LOAD_RETRY_SECONDS
+            ),
+        ]
+        for follower in self._followers:
+            follower.start()
+        await asyncio.gather(feed.loaded.wait(), workers.loaded.wait())
+        self._running = True
+        self._directory.listeners.append(self._take_config)
+        self._take_config()
+        self._node.log.info(
+            Event.CELL_LOADED,
+            cell=self._tenure.cell_id,
+            fence=self._tenure.fence,
+            jobs=len(self.tables.jobs_by_id),
+            workers=len(self.tables.workers_by_id),
+            took_ms=round((self._node.clock.now() - began_at) * 1_000),
+        )
+        self._tasks.keep(self._tick_forever)
+        self._tasks.keep(self._publish_forever)
+        self._tasks.keep(self._list_vms_forever)
+        self._tasks.keep(self._keeper.run)
+        self.plan_all()
+
+    async def _read_until(self, prefix: str):  # type: ignore[no-untyped-def]
+        while self._tenure.holds():
+            listing = await self._node.store.read_prefix(prefix)
+            if is_successful(listing):
+                return listing.unwrap()
+            await asyncio.sleep(LOAD_RETRY_SECONDS)
+        return None
+
+    # What the feeds tell
+
+    def note_job(self, job: ActiveJob) -> None:
+        """Open a job that was accepted or loaded."""
+        now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
+        open_due_occurrences(self.tables, job, now, wall_ms)
+        self._journal.mark(job)
+        self.plan(job.queue.pool_id)
+
+    def note_cancelled(self, job: ActiveJob) -> None:
+        """Stop a job at its customer's wish."""
+        cancel_job(job)
+        self._settle_job(job)
+
+    def note_worker(self, worker: Worker) -> None:
+        """Connect to a worker that the registry lists."""
+        link = self._links_by_id.get(worker.id)
+        if link is None and worker.address:
+            link = WorkerLink(self._node, self._tenure, self, worker)
+            self._links_by_id[worker.id] = link
+            link.start()
+        self.plan(worker.pool_id)
+
+    def note_entry_gone(self, worker: Worker) -> None:
+        """Look whether a worker that the registry dropped is still alive."""
+        if worker.runs or worker.unanswered_since:
+            self.note_silent(worker)
+
+    # LinkOwner
+
+    def note_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
+        """Record what a listing changed, and plan anew."""
+        for run, end in outcome.ended:
+            self._node.log.info(
+                Event.RUN_ENDED,
+                task=run.task.id,
+                run=run.number,
+                worker=worker.id,
+                end=end.value,
+                reason=run.stop_reason,
+                failures=run.task.failures,
+            )
+        for run in outcome.lost:
+            self._log_lost(run, "not on its worker")
+        if outcome.newly_doubted:
+            self._log_doubt(worker)
+        for job_id in list_jobs(outcome):
+            job = self.tables.jobs_by_id.get(job_id)
+            if job is not None:
+                self._settle_job(job)
+        for run, _ in outcome.ended:
+            self._stop_copies(run)
+        if outcome.ended or outcome.lost:
+            self.plan(worker.pool_id)
+
+    def note_changed(self, worker: Worker, run: Run) -> None:
+        """Record that a run is over or was refused, and plan anew."""
+        self._journal.mark(run.task.step.job)
+        self.plan(worker.pool_id)
+
+    def note_silent(self, worker: Worker) -> None:
+        """Read the VM list: it tells whether a worker's life is over."""
+        self.look_at_vms()
+
+    def look_at_vms(self) -> None:
+        """Read the VM list soon."""
+        self._vm_look.set()
+
+    def note_superseded(self) -> None:
+        """Stop: a controller with a higher fence has been at a worker."""
+        self._tenure.end()
+
+    # Planning
+
+    def plan(self, pool_id: PoolId) -> None:
+        """Place what waits in a pool, soon."""
+        if not self._running:
+            return
+        self._rounds_due.add(pool_id)
+        if self._round_timer is None:
+            loop = asyncio.get_running_loop()
+            self._round_timer = loop.call_later(ROUND_SECONDS, self._run_rounds)
+
+    def plan_all(self) -> None:
+        """Place what waits in every pool."""
+        for pool_id in list(self.tables.ready_by_pool):
+            self.plan(pool_id)
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """Have a run stopped."""
+        link = self._links_by_id.get(run.worker.id)
+        if link is not None and run.state is not RunState.INTENDED:
+            link.send_stop(run, reason)
+
+    def _run_rounds(self) -> None:
+        self._round_timer = None
+        due, self._rounds_due = self._rounds_due, set()
+        if not self._running or not self._tenure.holds():
+            return
+        now = self._node.clock.now()
+        for pool_id in due:
+            for run in plan_round(self.tables, pool_id, now):
+                self._journal.mark(run.task.step.job)
+
+    def _note_written(self, job: ActiveJob) -> None:
+        """Send the orders whose intents are now recorded."""
+        if job.outcome is not None:
+            self._note_end_written(job)
+            return
+        for steps in job.occurrences_by_index.values():
+            for step in steps:
+                for task in step.tasks:
+                    for run in task.runs:
+                        self._send_if_recorded(run)
+        for worker_id in self._list_acknowledging(job):
+            self._links_by_id[worker_id].wake()
+
+    def _send_if_recorded(self, run: Run) -> None:
+        if run.state is not RunState.INTENDED:
+            return
+        if run.version > run.task.step.job.written_version:
+            return
+        link = self._links_by_id.get(run.worker.id)
+        if link is None or run.worker.gone or run.worker.draining:
+            detach_run(self.tables, run, self._node.clock.now())
+            self.note_changed(run.worker, run)
+            return
+        link.send_start(run)
+
+    def _list_acknowledging(self, job: ActiveJob) -> list[WorkerId]:
+        return [
+            worker_id
+            for worker_id, link in self._links_by_id.items()
+            if link.awaits_record_of(job)
+        ]
+
+    def _note_end_written(self, job: ActiveJob) -> None:
+        forget_job(self.tables, job)
+        self._node.log.info(
+            Event.JOB_ENDED,
+            job=job.id,
+            queue=job.queue.id,
+            outcome=job.outcome.value if job.outcome else "",
+            reason=job.reason,
+            took_ms=round(self._node.clock.wall() * 1_000 - job.accepted_at_ms),
+        )
+        for worker_id in self._list_acknowledging(job):
+            self._links_by_id[worker_id].wake()
+
+    def _settle_job(self, job: ActiveJob) -> None:
+        """Record a job, and stop what still runs of it once it has ended."""
+        self._journal.mark(job)
+        if job.outcome is None:
+            self.plan(job.queue.pool_id)
+            return
+        now = self._node.clock.now()
+        for worker in list(self.tables.workers_by_id.values()):
+            for run in list(worker.runs.values()):
+                if run.task.step.job is not job:
+                    continue
+                if run.state is RunState.INTENDED:
+                    detach_run(self.tables, run, now)
+                else:
+                    self.stop_run(run, f"job {job.outcome.value}")
+
+    def _stop_copies(self, ended: Run) -> None:
+        if not ended.task.done:
+            return
+        for run in list(ended.task.runs):
+            self.stop_run(run, "another copy finished")
+
+    # Time
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            if not self._tenure.holds():
+                continue
+            self._tick()
+
+    def _tick(self) -> None:
+        now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
+        for job in list(self.tables.jobs_by_id.values()):
+            if job.spec.occurrences and open_due_occurrences(
+                self.tables, job, now, wall_ms
+            ):
+                self.plan(job.queue.pool_id)
+        for worker in list(self.tables.workers_by_id.values()):
+            if worker.unanswered_since and is_lease_over(worker, now):
+                self._drop_runs(worker, "lease lapsed")
+        self._repair(now)
+        self.plan_all()
+
+    def _repair(self, now: Seconds) -> None:
+        repairs = plan_repairs(self.tables, now)
+        for worker in repairs.doubted:
+            self._log_doubt(worker)
+        for run, reason in repairs.stops:
+            self.stop_run(run, reason)
+        for run in repairs.copies:
+            self._journal.mark(run.task.step.job)
+        for run, percent in repairs.paces:
+            link = self._links_by_id.get(run.worker.id)
+            if link is not None:
+                link.send_pace(run, percent)
+
+    def _take_config(self) -> None:
+        """Take the operator's configuration over."""
+        if self._directory.config is not None:
+            self.tables.config = self._directory.config
+
+    async def _publish_forever(self) -> None:
+        while True:
+            await self._publish_load()
+            await asyncio.sleep(LOAD_SECONDS)
+
+    async def _publish_load(self) -> None:
+        waiting: dict[str, int] = {}
+        for job in self.tables.jobs_by_id.values():
+            if is_waiting(job):
+                waiting[job.queue.id] = waiting.get(job.queue.id, 0) + 1
+        if waiting == self._published or not self._tenure.holds():
+            return
+        record = LoadRecord(
+            at_ms=round(self._node.clock.wall() * 1_000), waiting_by_queue=waiting
+        )
+        put = Put(self._tenure.keys.load, msgspec.json.encode(record))
+        answer = await self._node.store.commit(
+            Transaction((self._tenure.expect(),), (put,))
+        )
+        if is_successful(answer):
+            self._published = waiting
+
+    # Lives of workers
+
+    async def _list_vms_forever(self) -> None:
+        while True:
+            await self._list_vms()
+            try:
+                async with asyncio.timeout(VM_LIST_SECONDS):
+                    await self._vm_look.wait()
+            except TimeoutError:
+                continue
+            wait = self._vms_asked_at + VM_LOOK_SECONDS - self._node.clock.now()
+            await asyncio.sleep(max(wait, 0.0))
+
+    async def _list_vms(self) -> None:
+        self._vm_look.clear()
+        asked_at = self._node.clock.now()
+        self._vms_asked_at = asked_at
+        listed = await self._node.lifecycle.list_vms()
+        if not is_successful(listed):
+            self._node.log.warning(
+                Event.VM_LIST_UNANSWERED, fault=listed.failure().message()
+            )
+            return
+        for worker in take_vms(self.tables, listed.unwrap(), asked_at):
+            self._end_worker(worker, "its VM has ended this life")
+
+    def _end_worker(self, worker: Worker, reason: str) -> None:
+        lost = end_life(self.tables, worker, self._node.clock.now())
+        self._node.log.warning(
+            Event.WORKER_GONE,
+            worker=worker.id,
+            vm=worker.vm_id,
+            reason=reason,
+            runs=len(lost),
+            vms_read_at=self.tables.vms_read_at,
+        )
+        for run in lost:
+            self._log_lost(run, reason)
+            self._journal.mark(run.task.step.job)
+            self.plan(run.task.step.job.queue.pool_id)
+        link = self._links_by_id.pop(worker.id, None)
+        if link is not None:
+            task = asyncio.create_task(link.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+    def _drop_runs(self, worker: Worker, reason: str) -> None:
+        now = self._node.clock.now()
+        for run in list(worker.runs.values()):
+            detach_run(self.tables, run, now)
+            self._log_lost(run, reason)
+            self._journal.mark(run.task.step.job)
+            self.plan(run.task.step.job.queue.pool_id)
+
+    def _log_lost(self, run: Run, reason: str) -> None:
+        self._node.log.warning(
+            Event.RUN_LOST,
+            task=run.task.id,
+            run=run.number,
+            worker=run.worker.id,
+            reason=reason,
+        )
+
+    def _log_doubt(self, worker: Worker) -> None:
+        self._node.log.warning(
+            Event.WORKER_DOUBTED,
+            worker=worker.id,
+            vm=worker.vm_id,
+            doubt=worker.doubt.value,
+            until=round(worker.doubted_until, 3),
+            jobs=sorted(worker.failures_by_job),
+        )
+
+
+__all__ = ["CellController"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/directory.py
@@ -0,0 +1,124 @@
+"""Follows what the operator writes: the configuration and maintenance waves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_systems.scheduling.routes import index_routes, match_route
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_adapters.store import Entry, Listing, WatchBatch
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_systems.scheduling.routes import RouteIndex, RouteMatch
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import OperatorConfig, WaveOrder
+
+RETRY_SECONDS = 0.05
+"""Pause before the operator's records are read again after a lost watch."""
+
+
+class Directory:
+    """The operator's records as this process has read them."""
+
+    def __init__(self, node: SchedulingNode) -> None:
+        self._node = node
+        self.config: OperatorConfig | None = None
+        self.config_taken_at: Seconds = 0.0
+        self.waves_by_key: dict[str, tuple[WaveOrder, Seconds]] = {}
+        """Orders by key, with the time at which each was first seen."""
+        self.listeners: list[Callable[[], None]] = []
+        """Called when the configuration or a wave changed."""
+        self._routes: RouteIndex = {}
+        self._follower = PrefixFollower(
+            node.store, node.codec.operator_prefix, self, node.rng, RETRY_SECONDS
+        )
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._follower.start()
+
+    async def stop(self) -> None:
+        """End the watch."""
+        await self._follower.stop()
+
+    def match(self, host: str, path: str) -> RouteMatch | None:
+        """Return the queue that host and path lead to."""
+        return match_route(self._routes, host, path)
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take all of the operator's records."""
+        seen = {entry.key for entry in listing.entries}
+        for key in list(self.waves_by_key):
+            if key not in seen:
+                del self.waves_by_key[key]
+        for entry in listing.entries:
+            self._take(entry)
+        self._tell()
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take what changed."""
+        for key in batch.deleted:
+            self.waves_by_key.pop(key, None)
+        for entry in batch.changed:
+            self._take(entry)
+        self._tell()
+
+    def _tell(self) -> None:
+        for listener in self.listeners:
+            listener()
+
+    def _take(self, entry: Entry) -> None:
+        if self._node.codec.is_config(entry.key):
+            self._take_config(entry)
+        elif self._node.codec.is_wave(entry.key):
+            self._take_wave(entry)
+
+    def _take_config(self, entry: Entry) -> None:
+        decoded = self._node.codec.decode_config(entry.key, entry.value)
+        if not is_successful(decoded):
+            fault = decoded.failure().message()
+            self._node.log.error(Event.RECORD_UNREADABLE, key=entry.key, fault=fault)
+            return
+        config = decoded.unwrap()
+        # A lagging replica may answer with an older version after a newer one was
+        # in force; callers would see a dropped queue come back.
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self.config = config
+        self.config_taken_at = self._node.clock.now()
+        self._routes = index_routes(config.routes)
+        self._node.log.info(
+            Event.CONFIG_IN_FORCE,
+            version=config.version,
+            revision=entry.mod_revision,
+            queues=len(config.routes),
+            pools=len(config.pools_by_id),
+        )
+
+    def _take_wave(self, entry: Entry) -> None:
+        decoded = self._node.codec.decode_wave(entry.key, entry.value)
+        if not is_successful(decoded):
+            fault = decoded.failure().message()
+            self._node.log.error(Event.RECORD_UNREADABLE, key=entry.key, fault=fault)
+            return
+        order = decoded.unwrap()
+        known = self.waves_by_key.get(entry.key)
+        seen_at = known[1] if known else self._node.clock.now()
+        self.waves_by_key[entry.key] = (order, seen_at)
+        if known is None:
+            self._node.log.info(
+                Event.WAVE_ORDERED,
+                wave=order.id,
+                vms=len(order.vm_ids),
+                at_once=order.max_at_once,
+                deadline_seconds=order.deadline_seconds,
+            )
+
+
+__all__ = ["Directory"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -0,0 +1,257 @@
+"""Who controls a cell: one key under a lease, and a fence that rises."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_adapters.store import (
+    Delete,
+    Expect,
+    LeaseGone,
+    LeaseId,
+    Put,
+    Transaction,
+)
+from medlarspring_daemon.scheduling.keys import CellKeys
+from medlarspring_daemon.tasks import Tasks
+from medlarspring_tables import Revision
+from medlarspring_tables.scheduling import ControllerRecord, Fence
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_adapters.store import Entry, Listing, WatchBatch
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import CellId
+
+LEASE_SECONDS = 2.0
+"""A killed controller is replaced so much later; tasks run on meanwhile, and only
+starts wait. Shorter leases lapse in a store that answers in 250 ms."""
+RENEW_SECONDS = 0.45
+"""Four tries in a lease; a renewal costs a tenth of a read."""
+MARGIN_SECONDS = 0.3
+"""The holder stops so much before the lease can lapse, by its own clock."""
+JITTER_SECONDS = 0.06
+"""Candidates try at random moments, so that most see the winner's key first."""
+TICK_SECONDS = 0.1
+
+
+class Term(Protocol):
+    """What runs while this process controls a cell."""
+
+    async def start(self) -> None:
+        """Take the cell over."""
+        ...
+
+    async def stop(self, *, graceful: bool) -> None:
+        """End all work for the cell; a graceful end records what is known."""
+        ...
+
+
+class Tenure:
+    """One holding of a cell's key; its fence never changes."""
+
+    def __init__(
+        self, node: SchedulingNode, cell_id: CellId, lease_id: LeaseId
+    ) -> None:
+        self._node = node
+        self.cell_id = cell_id
+        self.keys = CellKeys(cell_id)
+        self.lease_id = lease_id
+        self.fence = Fence(0)
+        self.safe_until: Seconds = 0.0
+        self.began_at: Seconds = 0.0
+        self.superseded = False
+
+    def holds(self) -> bool:
+        """Tell whether this process may still act for the cell, by its own clock."""
+        return not self.superseded and self._node.clock.now() < self.safe_until
+
+    def expect(self) -> Expect:
+        """Return the condition that each write for the cell carries."""
+        return Expect(self.keys.controller, Revision(self.fence))
+
+    def end(self) -> None:
+        """Note that another process holds the cell, or may."""
+        self.superseded = True
+
+
+class Election:
+    """Tries to hold one cell, and keeps its lease while it does."""
+
+    def __init__(
+        self,
+        node: SchedulingNode,
+        cell_id: CellId,
+        may_try: Callable[[], bool],
+        create_term: Callable[[Tenure], Term],
+    ) -> None:
+        self._node = node
+        self._cell_id = cell_id
+        self._keys = CellKeys(cell_id)
+        self._may_try = may_try
+        self._create_term = create_term
+        self._tasks = Tasks(node.log)
+        self._holder: Entry | None = None
+        """The key as last seen; None while nobody holds the cell."""
+        self._known = False
+        """Whether the key was read at all."""
+        self._changed = asyncio.Event()
+        self.tenure: Tenure | None = None
+        self.term: Term | None = None
+        self._follower = PrefixFollower(
+            node.store, self._keys.controller, self, node.rng, TICK_SECONDS
+        )
+
+    async def start(self) -> None:
+        """Begin to follow the key and to try for it."""
+        self._follower.start()
+        self._tasks.keep(self._run)
+
+    async def stop(self) -> None:
+        """Give the cell up at once, so that a successor need not wait."""
+        await self._tasks.cancel()
+        await self._follower.stop()
+        if self.tenure is not None:
+            await self._leave(self.tenure, graceful=True)
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take the key as listed."""
+        key = self._keys.controller
+        matching = [entry for entry in listing.entries if entry.key == key]
+        self._note_holder(matching[0] if matching else None, listing.revision)
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take a change of the key."""
+        if self._keys.controller in batch.deleted:
+            self._note_holder(None, batch.revision)
+        for entry in batch.changed:
+            if entry.key == self._keys.controller:
+                self._note_holder(entry, batch.revision)
+
+    def _note_holder(self, entry: Entry | None, revision: Revision) -> None:
+        tenure = self.tenure
+        # News from before this process won the key tells of its predecessor.
+        if tenure is not None and revision < tenure.fence:
+            return
+        self._holder = entry
+        self._known = True
+        if tenure is not None and tenure.fence:
+            is_ours = entry is not None and entry.mod_revision <= tenure.fence
+            if not is_ours:
+                tenure.end()
+        self._changed.set()
+
+    async def _run(self) -> None:
+        while True:
+            if self.tenure is not None:
+                await self._keep(self.tenure)
+            elif self._known and self._holder is None and self._may_try():
+                await asyncio.sleep(self._node.rng.uniform(0.0, JITTER_SECONDS))
+                if self._holder is None:
+                    await self._try()
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _try(self) -> None:
+        sent_at = self._node.clock.now()
+        granted = await self._node.store.grant_lease(LEASE_SECONDS)
+        if not is_successful(granted):
+            return
+        tenure = Tenure(self._node, self._cell_id, granted.unwrap())
+        tenure.safe_until = sent_at + LEASE_SECONDS - MARGIN_SECONDS
+        if not await self._write_key(tenure):
+            return
+        tenure.began_at = self._node.clock.now()
+        self.tenure = tenure
+        self._node.log.info(
+            Event.CELL_HELD,
+            cell=self._cell_id,
+            fence=tenure.fence,
+            lease_seconds=LEASE_SECONDS,
+        )
+        self.term = self._create_term(tenure)
+        await self.term.start()
+
+    async def _write_key(self, tenure: Tenure) -> bool:
+        record = ControllerRecord(
+            entry_vm_id=self._node.id,
+            peer_address=self._node.peer_address,
+            incarnation=self._node.incarnation,
+        )
+        key = self._keys.controller
+        transaction = Transaction(
+            expects=(Expect(key, Revision(0)),),
+            writes=(Put(key, msgspec.json.encode(record), tenure.lease_id),),
+            read_on_failure=(key,),
+        )
+        while tenure.holds():
+            answer = await self._node.store.commit(transaction)
+            if not is_successful(answer):
+                if isinstance(answer.failure(), LeaseGone):
+                    return False
+                continue
+            committed = answer.unwrap()
+            found = committed.read_by_key.get(key)
+            if committed.succeeded:
+                tenure.fence = Fence(committed.revision)
+                return True
+            if found is None:
+                # Absent and yet refused: the key went between check and read.
+                continue
+            if found.lease_id == tenure.lease_id:
+                # The answer of an earlier try was lost; the key is ours.
+                tenure.fence = Fence(found.mod_revision)
+                return True
+            self._note_holder(found, found.mod_revision)
+            return False
+        return False
+
+    async def _keep(self, tenure: Tenure) -> None:
+        if not tenure.holds():
+            await self._leave(tenure, graceful=False)
+            return
+        remaining = tenure.safe_until - self._node.clock.now()
+        full = LEASE_SECONDS - MARGIN_SECONDS
+        if remaining > full - RENEW_SECONDS:
+            return
+        sent_at = self._node.clock.now()
+        kept = await self._node.store.keep_lease(tenure.lease_id)
+        if not is_successful(kept):
+            return
+        if kept.unwrap() <= 0.0:
+            tenure.end()
+            await self._leave(tenure, graceful=False)
+            return
+        tenure.safe_until = max(tenure.safe_until, sent_at + full)
+
+    async def _leave(self, tenure: Tenure, *, graceful: bool) -> None:
+        term, self.term = self.term, None
+        if term is not None:
+            await term.stop(graceful=graceful)
+        self.tenure = None
+        event = Event.CELL_RELEASED if graceful else Event.CELL_LOST
+        log = self._node.log.info if graceful else self._node.log.warning
+        log(event, cell=self._cell_id, fence=tenure.fence)
+        if graceful and tenure.holds():
+            tenure.end()
+            transaction = Transaction(
+                (tenure.expect(),), (Delete(self._keys.controller),)
+            )
+            await self._node.store.commit(transaction)
+        tenure.end()
+        self._holder = None if graceful else self._holder
+
+
+__all__ = ["Election", "Tenure", "Term"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -0,0 +1,271 @@
+"""Accepts jobs from customers, and answers what became of them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.group_commit import GroupCommit
+from medlarspring_adapters.store import (
+    Expect,
+    Put,
+    StoreOutcomeUnknown,
+    Transaction,
+)
+from medlarspring_daemon.scheduling.intake_errors import (
+    IntakeError,
+    NoSuchJob,
+    NotReady,
+    OutcomeUnknown,
+)
+from medlarspring_daemon.scheduling.keys import CellKeys, find_cell
+from medlarspring_tables import Revision
+from medlarspring_tables.scheduling import (
+    CancelRecord,
+    JobOutcome,
+    JobRecord,
+    QueueId,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.store import Entry
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_tables import JobId, Seconds
+    from medlarspring_tables.scheduling import JobSpec, QueuePolicy
+
+MAX_ACCEPTED_PER_CALL = 16
+"""Each takes a condition and a write of the 32 entries of a transaction."""
+RETRY_SECONDS = 0.04
+"""Pause before a call to the store is repeated within the customer's deadline."""
+REFUSE_AFTER_SECONDS = 0.6
+"""A submission that the store turned down for so long is refused as not run.
+
+Longer waits use up the customer's time, which another entry VM could serve.
+"""
+RETRY_AFTER_SECONDS = 1
+"""An entry VM that lost the store is out of rotation about so much later."""
+ANSWER_MARGIN_SECONDS = 0.15
+"""An answer leaves so much before the customer stops waiting."""
+LOAD_AGE_SECONDS = 0.5
+"""Counts of waiting jobs are read again after so long; they may be 2 s old."""
+
+
+class JobStatus(Enum):
+    """What a customer is told of a job."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+STATUS_BY_OUTCOME = {
+    JobOutcome.COMPLETE: JobStatus.COMPLETE,
+    JobOutcome.FAILED: JobStatus.FAILED,
+    JobOutcome.CANCELLED: JobStatus.CANCELLED,
+}
+
+
+class LoadRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What a controller tells of its queues, about once a second."""
+
+    at_ms: int
+    waiting_by_queue: dict[str, int] = {}
+    """Accepted jobs of which no task has started."""
+
+
+@dataclass(slots=True)
+class ReadLoad:
+    """A load record and when it was read."""
+
+    record: LoadRecord
+    read_at: Seconds
+
+
+class Intake:
+    """Submissions, cancellations and questions of one entry VM."""
+
+    def __init__(self, node: SchedulingNode) -> None:
+        self._node = node
+        self._commits = GroupCommit(
+            node.store, node.clock, lambda: 0.0, MAX_ACCEPTED_PER_CALL
+        )
+        self._loads_by_cell: dict[str, ReadLoad] = {}
+
+    async def submit(
+        self, queue: QueuePolicy, job_id: JobId, spec: JobSpec, patience: Seconds
+    ) -> Result[None, IntakeError]:
+        """Accept a job; a job of this id that is there already is the same one.
+
+        ``patience`` is how long the customer waits for the answer, in seconds.
+        """
+        record = JobRecord(
+            queue=queue,
+            spec=spec,
+            accepted_at_ms=round(self._node.clock.wall() * 1_000),
+        )
+        key = self._keys(job_id).job(job_id)
+        transaction = Transaction(
+            expects=(Expect(key, Revision(0)),),
+            writes=(Put(key, msgspec.json.encode(record)),),
+            read_on_failure=(key,),
+        )
+        answer = await self._commit_until(transaction, patience)
+        self._log_submission(queue, job_id, answer)
+        return answer.map(lambda _: None)
+
+    async def cancel(
+        self, job_id: JobId, patience: Seconds
+    ) -> Result[None, IntakeError]:
+        """Record the wish to cancel a job; its controller stops the tasks."""
+        keys = self._keys(job_id)
+        ends_at = self._node.clock.now() + patience
+        while True:
+            found = await self._read(keys.job(job_id), ends_at)
+            if not is_successful(found):
+                return Failure(found.failure())
+            entry = found.unwrap()
+            if entry is None:
+                return Failure(NoSuchJob())
+            if _decode_job(entry).outcome is not None:
+                return Success(None)
+            wish = CancelRecord(requested_at_ms=round(self._node.clock.wall() * 1_000))
+            transaction = Transaction(
+                expects=(Expect(entry.key, entry.mod_revision),),
+                writes=(Put(keys.cancel(job_id), msgspec.json.encode(wish)),),
+            )
+            left = ends_at - self._node.clock.now()
+            answer = await self._commit_until(transaction, left)
+            if not is_successful(answer):
+                return Failure(answer.failure())
+            if answer.unwrap():
+                self._node.log.info(
+                    Event.JOB_CANCEL_ACCEPTED, job=job_id, revision=entry.mod_revision
+                )
+                return Success(None)
+            # The job ended between the read and the write; read again.
+
+    async def find_status(
+        self, job_id: JobId, patience: Seconds
+    ) -> Result[JobStatus, IntakeError]:
+        """Return what became of a job."""
+        keys = self._keys(job_id)
+        ends_at = self._node.clock.now() + patience
+        found = await self._read(keys.job(job_id), ends_at)
+        if not is_successful(found):
+            return Failure(found.failure())
+        entry = found.unwrap()
+        if entry is None:
+            return Failure(NoSuchJob())
+        outcome = _decode_job(entry).outcome
+        if outcome is not None:
+            return Success(STATUS_BY_OUTCOME[outcome])
+        progress = await self._read(keys.progress(job_id), ends_at)
+        if not is_successful(progress):
+            return Failure(progress.failure())
+        started = progress.unwrap() is not None
+        return Success(JobStatus.ACTIVE if started else JobStatus.QUEUED)
+
+    async def count_waiting(
+        self, queue_id: QueueId, patience: Seconds
+    ) -> Result[int, IntakeError]:
+        """Return how many accepted jobs of a queue have not started."""
+        total = 0
+        for cell_id in self._node.cells:
+            load = await self._read_load(CellKeys(cell_id), patience)
+            if not is_successful(load):
+                return Failure(load.failure())
+            total += load.unwrap().waiting_by_queue.get(queue_id, 0)
+        return Success(total)
+
+    async def _read_load(
+        self, keys: CellKeys, patience: Seconds
+    ) -> Result[LoadRecord, IntakeError]:
+        now = self._node.clock.now()
+        known = self._loads_by_cell.get(keys.cell_id)
+        if known is not None and now - known.read_at < LOAD_AGE_SECONDS:
+            return Success(known.record)
+        found = await self._read(keys.load, now + patience)
+        if not is_successful(found):
+            return Failure(found.failure())
+        entry = found.unwrap()
+        record = LoadRecord(at_ms=0)
+        if entry is not None:
+            record = msgspec.json.decode(entry.value, type=LoadRecord)
+        self._loads_by_cell[keys.cell_id] = ReadLoad(record, now)
+        return Success(record)
+
+    def _keys(self, job_id: JobId) -> CellKeys:
+        return CellKeys(find_cell(job_id, self._node.cells))
+
+    async def _read(
+        self, key: str, ends_at: Seconds
+    ) -> Result[Entry | None, IntakeError]:
+        while True:
+            answer = await self._node.store.read(key)
+            if is_successful(answer):
+                return Success(answer.unwrap())
+            left = ends_at - self._node.clock.now() - ANSWER_MARGIN_SECONDS
+            if left <= RETRY_SECONDS:
+                detail = f"the store gives no answer ({answer.failure().message()})"
+                return Failure(NotReady(detail, RETRY_AFTER_SECONDS))
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _commit_until(
+        self, transaction: Transaction, patience: Seconds
+    ) -> Result[bool, IntakeError]:
+        """Commit until the outcome is known; tells whether the conditions held.
+
+        A write whose answer was lost may still be carried out. Refusing it as
+        not run would then be untrue, so from that moment the write is repeated
+        under the same condition until it is seen to stand, or the outcome is
+        reported as unknown.
+        """
+        clock = self._node.clock
+        ends_at = clock.now() + patience - ANSWER_MARGIN_SECONDS
+        refuse_at = min(clock.now() + REFUSE_AFTER_SECONDS, ends_at)
+        may_follow = False
+        while True:
+            answer = await self._commits.commit(transaction)
+            if is_successful(answer):
+                return Success(answer.unwrap().succeeded)
+            error = answer.failure()
+            may_follow = may_follow or isinstance(error, StoreOutcomeUnknown)
+            now = clock.now()
+            if may_follow and now >= ends_at:
+                return Failure(OutcomeUnknown())
+            if not may_follow and now >= refuse_at:
+                detail = "the store takes no writes from this entry VM"
+                return Failure(NotReady(detail, RETRY_AFTER_SECONDS))
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _log_submission(
+        self, queue: QueuePolicy, job_id: JobId, answer: Result[bool, IntakeError]
+    ) -> None:
+        if is_successful(answer):
+            self._node.log.info(
+                Event.JOB_ACCEPTED,
+                job=job_id,
+                queue=queue.id,
+                repeat=not answer.unwrap(),
+            )
+            return
+        error = answer.failure()
+        self._node.log.warning(
+            Event.JOB_REFUSED, job=job_id, queue=queue.id, outcome=error.code
+        )
+
+
+def _decode_job(entry: Entry) -> JobRecord:
+    return msgspec.json.decode(entry.value, type=JobRecord)
+
+
+__all__ = ["Intake", "JobStatus", "LoadRecord"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -0,0 +1,122 @@
+"""Takes accepted jobs and wishes to cancel from a cell's inbox."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+
+from medlarspring_adapters.events import Event
+from medlarspring_daemon.scheduling.keys import InboxKind
+from medlarspring_systems.scheduling.jobs import admit_job
+from medlarspring_systems.scheduling.recording import restore_progress
+from medlarspring_systems.scheduling.workers import find_or_create_worker
+from medlarspring_tables.scheduling import JobRecord, ProgressRecord
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.store import Entry, Listing, WatchBatch
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_daemon.scheduling.election import Tenure
+    from medlarspring_tables import JobId
+    from medlarspring_tables.scheduling import ActiveJob, WorkTables
+
+
+class JobOwner(Protocol):
+    """What the feed tells the controller."""
+
+    tables: WorkTables
+
+    def note_job(self, job: ActiveJob) -> None:
+        """Open a job that was accepted or loaded."""
+        ...
+
+    def note_cancelled(self, job: ActiveJob) -> None:
+        """Stop a job at its customer's wish."""
+        ...
+
+
+class JobFeed:
+    """Implements ``PrefixListener`` over the inbox."""
+
+    def __init__(
+        self,
+        node: SchedulingNode,
+        tenure: Tenure,
+        owner: JobOwner,
+        progress_by_id: dict[str, Entry],
+    ) -> None:
+        self._node = node
+        self._keys = tenure.keys
+        self._owner = owner
+        self._progress_by_id = progress_by_id
+        """Progress recorded by predecessors, until its job is listed."""
+        self._ended: set[JobId] = set()
+        self.loaded = asyncio.Event()
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take the whole inbox; jobs first, since a wish needs its job."""
+        self._take_entries(listing.entries)
+        self._progress_by_id.clear()
+        self.loaded.set()
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take what is new."""
+        self._take_entries(batch.changed)
+
+    def _take_entries(self, entries: tuple[Entry, ...]) -> None:
+        wishes: list[JobId] = []
+        for entry in entries:
+            parsed = self._keys.parse_inbox(entry.key)
+            if parsed is None:
+                continue
+            kind, job_id = parsed
+            if kind is InboxKind.JOB:
+                self._take_job(job_id, entry)
+            else:
+                wishes.append(job_id)
+        for job_id in wishes:
+            self._take_wish(job_id)
+
+    def _take_job(self, job_id: JobId, entry: Entry) -> None:
+        tables = self._owner.tables
+        if job_id in tables.jobs_by_id or job_id in self._ended:
+            return
+        try:
+            record = msgspec.json.decode(entry.value, type=JobRecord)
+        except msgspec.MsgspecError as error:
+            self._node.log.error(
+                Event.RECORD_UNREADABLE, key=entry.key, fault=str(error)
+            )
+            return
+        if record.outcome is not None or record.spec is None:
+            return
+        job = admit_job(tables, job_id, record, entry.mod_revision)
+        self._restore(job)
+        self._owner.note_job(job)
+
+    def _restore(self, job: ActiveJob) -> None:
+        entry = self._progress_by_id.pop(job.id, None)
+        if entry is None:
+            return
+        tables = self._owner.tables
+        now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
+        job.progress_revision = entry.mod_revision
+        record = msgspec.json.decode(entry.value, type=ProgressRecord)
+        restore_progress(
+            tables,
+            job,
+            record,
+            lambda worker_id: find_or_create_worker(tables, worker_id, now),
+            now,
+            wall_ms,
+        )
+
+    def _take_wish(self, job_id: JobId) -> None:
+        job = self._owner.tables.jobs_by_id.get(job_id)
+        if job is not None and not job.cancelled:
+            self._node.log.info(Event.JOB_CANCELLED, job=job_id, queue=job.queue.id)
+            self._owner.note_cancelled(job)
+
+
+__all__ = ["JobFeed", "JobOwner"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
@@ -0,0 +1,210 @@
+"""Moves VMs between pools and takes them down for maintenance."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.store import Put, Transaction
+from medlarspring_adapters.vm_lifecycle import Authority
+from medlarspring_systems.scheduling.fleet import (
+    FleetTables,
+    MaintainVM,
+    MoveVM,
+    note_done,
+    note_operation,
+    note_refused,
+    take_wave,
+)
+from medlarspring_systems.scheduling.fleet_plan import plan_operations
+from medlarspring_tables import VMId, WaveId
+from medlarspring_tables.scheduling import WaveRecord
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_daemon.scheduling.directory import Directory
+    from medlarspring_daemon.scheduling.election import Tenure
+    from medlarspring_systems.scheduling.fleet import VMOperation, WaveProgress
+    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables.scheduling import Run, WorkTables
+
+TICK_SECONDS = 0.2
+SETTLE_SECONDS = 0.3
+"""Added to the time that must lie between two holders' orders for one VM."""
+RETRY_SECONDS = 0.2
+
+
+class KeeperOwner(Protocol):
+    """What the keeper needs of its controller."""
+
+    tables: WorkTables
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """Have a run stopped."""
+        ...
+
+    def plan(self, pool_id: PoolId) -> None:
+        """Place what waits in a pool, soon."""
+        ...
+
+    def look_at_vms(self) -> None:
+        """Read the VM list soon."""
+        ...
+
+
+class VMKeeper:
+    """All operations on VMs under one tenure.
+
+    The platform does not check fences of these operations, so two holders must
+    keep apart by time: this one begins only when a predecessor that was paused
+    or cut off has certainly stopped by its own clock, and each operation is sent
+    only while the tenure holds.
+    """
+
+    def __init__(
+        self,
+        node: SchedulingNode,
+        tenure: Tenure,
+        directory: Directory,
+        owner: KeeperOwner,
+    ) -> None:
+        self._node = node
+        self._tenure = tenure
+        self._directory = directory
+        self._owner = owner
+        self.fleet = FleetTables()
+        self._begin_at: Seconds = (
+            tenure.began_at + node.limits.vm_lease + SETTLE_SECONDS
+        )
+        self._loaded = False
+
+    async def run(self) -> None:
+        """Plan and carry out operations until cancelled."""
+        await self._load_waves()
+        while True:
+            await self._step()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _load_waves(self) -> None:
+        prefix = self._tenure.keys.waves_prefix
+        while not self._loaded:
+            listing = await self._node.store.read_prefix(prefix)
+            if not is_successful(listing):
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            for entry in listing.unwrap().entries:
+                wave_id = entry.key.removeprefix(prefix)
+                record = msgspec.json.decode(entry.value, type=WaveRecord)
+                self.fleet.done_by_wave[WaveId(wave_id)] = {
+                    VMId(vm_id) for vm_id in record.begun
+                }
+            self._loaded = True
+
+    async def _step(self) -> None:
+        if not self._tenure.holds():
+            return
+        now = self._node.clock.now()
+        for order, seen_at in self._directory.waves_by_key.values():
+            take_wave(self.fleet, order, seen_at)
+        plan = plan_operations(self._owner.tables, self.fleet, self._node.limits, now)
+        for run, reason in plan.stops:
+            self._owner.stop_run(run, reason)
+        for pool_id in plan.changed_pools:
+            self._owner.plan(pool_id)
+        if now >= self._begin_at and plan.operations:
+            await self._carry_out(plan.operations)
+        for wave in plan.to_report:
+            await self._report(wave)
+
+    async def _carry_out(self, operations: list[VMOperation]) -> None:
+        now = self._node.clock.now()
+        for operation in operations:
+            note_operation(self._owner.tables, self.fleet, operation, now)
+        if not await self._record(operations):
+            for operation in operations:
+                note_refused(self.fleet, operation, self._node.clock.now())
+            return
+        await asyncio.gather(*(self._operate(each) for each in operations))
+        self._owner.look_at_vms()
+
+    async def _record(self, operations: list[VMOperation]) -> bool:
+        """Write which VMs of the waves had their maintenance so far.
+
+        The write also shows, right before the operations, that the store still
+        knows this process as the holder.
+        """
+        puts: dict[str, Put] = {}
+        for operation in operations:
+            if isinstance(operation, MaintainVM):
+                begun = self.fleet.done_by_wave.get(operation.wave_id, set())
+                record = WaveRecord(begun=tuple(sorted(begun)))
+                key = f"{self._tenure.keys.waves_prefix}{operation.wave_id}"
+                puts[key] = Put(key, msgspec.json.encode(record))
+        if not puts:
+            puts[""] = Put(f"moves/{self._tenure.cell_id}", b"{}")
+        transaction = Transaction((self._tenure.expect(),), tuple(puts.values()))
+        answer = await self._node.store.commit(transaction)
+        if not is_successful(answer):
+            return False
+        if not answer.unwrap().succeeded:
+            self._tenure.end()
+            return False
+        return True
+
+    async def _operate(self, operation: VMOperation) -> None:
+        if not self._tenure.holds():
+            note_refused(self.fleet, operation, self._node.clock.now())
+            return
+        authority = Authority(self._node.id, self._tenure.fence)
+        lifecycle = self._node.lifecycle
+        if isinstance(operation, MoveVM):
+            answer = await lifecycle.move(operation.vm_id, operation.pool_id, authority)
+        else:
+            answer = await lifecycle.maintain(
+                operation.vm_id, operation.wave_id, authority
+            )
+        self._take_answer(operation, answer)
+
+    def _take_answer(self, operation: VMOperation, answer) -> None:  # type: ignore[no-untyped-def]
+        fields = operation.describe()
+        if not is_successful(answer):
+            error = answer.failure()
+            self._node.log.warning(
+                Event.VM_OPERATION_UNANSWERED, fault=error.message(), **fields
+            )
+            if not error.may_follow:
+                note_refused(self.fleet, operation, self._node.clock.now())
+            return
+        refusal = answer.unwrap()
+        if refusal is None:
+            note_done(self.fleet, operation)
+            self._node.log.info(
+                Event.VM_OPERATION_DONE, fence=self._tenure.fence, **fields
+            )
+            return
+        self._node.log.warning(
+            Event.VM_OPERATION_REFUSED, refusal=refusal.value, **fields
+        )
+        note_refused(self.fleet, operation, self._node.clock.now())
+
+    async def _report(self, wave: WaveProgress) -> None:
+        complete = wave.complete
+        key, value = self._node.codec.encode_wave_status(wave.id, complete=complete)
+        transaction = Transaction((self._tenure.expect(),), (Put(key, value),))
+        answer = await self._node.store.commit(transaction)
+        if is_successful(answer) and answer.unwrap().succeeded:
+            wave.reported = complete
+            wave.announced = True
+            self._node.log.info(
+                Event.WAVE_REPORTED,
+                wave=wave.id,
+                complete=complete,
+                done=len(wave.done),
+            )
+
+
+__all__ = ["KeeperOwner", "VMKeeper"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_feed.py
@@ -0,0 +1,95 @@
+"""Takes the workers' entries in the platform's registry."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.events import Event
+from medlarspring_systems.scheduling.workers import note_entry_gone, take_entry
+from medlarspring_tables.scheduling import WorkerId
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.store import Entry, Listing, WatchBatch
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_tables.scheduling import Worker, WorkTables
+
+
+class WorkerOwner(Protocol):
+    """What the feed tells the controller."""
+
+    tables: WorkTables
+
+    def note_worker(self, worker: Worker) -> None:
+        """Connect to a worker that the registry lists."""
+        ...
+
+    def note_entry_gone(self, worker: Worker) -> None:
+        """Look whether a worker that the registry dropped is still alive."""
+        ...
+
+
+class WorkerFeed:
+    """Implements ``PrefixListener`` over the registry."""
+
+    def __init__(self, node: SchedulingNode, owner: WorkerOwner) -> None:
+        self._node = node
+        self._owner = owner
+        self.loaded = asyncio.Event()
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take the whole registry; a worker that is not in it was dropped."""
+        prefix = self._node.codec.worker_prefix
+        listed = {entry.key.removeprefix(prefix) for entry in listing.entries}
+        for entry in listing.entries:
+            self._take(entry)
+        for worker in list(self._owner.tables.workers_by_id.values()):
+            if worker.id not in listed:
+                self._drop(worker.id)
+        self.loaded.set()
+
+    def take_batch(self, batch: WatchBatch) -> None:
+        """Take what changed."""
+        prefix = self._node.codec.worker_prefix
+        for key in batch.deleted:
+            self._drop(WorkerId(key.removeprefix(prefix)))
+        for entry in batch.changed:
+            self._take(entry)
+
+    def _take(self, entry: Entry) -> None:
+        decoded = self._node.codec.decode_worker(entry.key, entry.value)
+        if not is_successful(decoded):
+            fault = decoded.failure().message()
+            self._node.log.error(Event.RECORD_UNREADABLE, key=entry.key, fault=fault)
+            return
+        tables = self._owner.tables
+        known = tables.workers_by_id.get(decoded.unwrap().id)
+        was_draining = known is not None and known.draining
+        worker = take_entry(tables, decoded.unwrap(), self._node.clock.now())
+        if worker is None:
+            return
+        if known is None or worker.draining != was_draining:
+            self._node.log.info(
+                Event.WORKER_LISTED,
+                worker=worker.id,
+                vm=worker.vm_id,
+                pool=worker.pool_id,
+                draining=worker.draining,
+                revision=entry.mod_revision,
+            )
+        self._owner.note_worker(worker)
+
+    def _drop(self, worker_id: WorkerId) -> None:
+        tables = self._owner.tables
+        worker = tables.workers_by_id.get(worker_id)
+        if worker is None or not worker.listed:
+            if worker is not None:
+                self._owner.note_entry_gone(worker)
+            return
+        note_entry_gone(tables, worker_id)
+        self._owner.note_entry_gone(worker)
+
+
+__all__ = ["WorkerFeed", "WorkerOwner"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -0,0 +1,463 @@
+"""Talks to one worker: starts, stops, and holds its lease while it works."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.worker_orders import (
+    HoldOrder,
+    PaceOrder,
+    Refusal,
+    StartOrder,
+    StopOrder,
+    WorkerAddress,
+)
+from medlarspring_systems.scheduling.evidence import note_refusal
+from medlarspring_systems.scheduling.listings import take_listing
+from medlarspring_systems.scheduling.runs import confirm_run, detach_run
+from medlarspring_systems.scheduling.workers import note_clock, read_clock
+from medlarspring_tables.scheduling import RunState
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.worker_orders import HoldAnswer, OrderAnswer
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_daemon.scheduling.election import Tenure
+    from medlarspring_systems.scheduling.listings import ListingOutcome
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import ActiveJob, Run, Worker, WorkTables
+
+LEASE_MARGIN_SECONDS = 0.5
+"""Leases are asked for so much below the worker's limit, which cuts longer ones."""
+ORDER_SECONDS = 0.35
+"""An order without an answer for so long is taken for lost; most take 4 ms."""
+START_VALID_MS = 1_500
+"""A start that arrives later than this is refused by the worker.
+
+A lost start may be carried out seconds later, when its task already runs
+elsewhere; with this limit it is refused instead.
+"""
+HOLD_WAIT_MS = 500
+"""How long a worker holds the answer back without news.
+
+Progress is needed about twice a second to see tasks that stand still; the lease
+itself would allow 2,000 ms.
+"""
+HOLD_SLACK_SECONDS = 0.35
+SILENT_RETRY_SECONDS = 0.15
+STOP_REPEAT_SECONDS = 0.35
+UNWRITTEN_PAUSE_SECONDS = 0.01
+"""Between calls while ends wait for the store: the worker answers at once then."""
+
+
+class LinkOwner(Protocol):
+    """What a link tells the controller of its cell."""
+
+    tables: WorkTables
+
+    def note_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
+        """Record what a listing changed, and plan anew."""
+        ...
+
+    def note_changed(self, worker: Worker, run: Run) -> None:
+        """Record that a run is over or was refused, and plan anew."""
+        ...
+
+    def note_silent(self, worker: Worker) -> None:
+        """Look whether a worker that does not answer is still alive."""
+        ...
+
+    def note_superseded(self) -> None:
+        """Stop: a controller with a higher fence has been at a worker."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class UnacknowledgedEnd:
+    """An end that the worker keeps until its job's record holds it."""
+
+    number: int
+    job: ActiveJob | None
+    version: int
+
+
+class WorkerLink:
+    """All calls to one worker under one tenure."""
+
+    def __init__(
+        self, node: SchedulingNode, tenure: Tenure, owner: LinkOwner, worker: Worker
+    ) -> None:
+        self._node = node
+        self._tenure = tenure
+        self._owner = owner
+        self._worker = worker
+        self._address = WorkerAddress(worker.id, worker.address)
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._orders: set[asyncio.Task[None]] = set()
+        self._unacknowledged: deque[UnacknowledgedEnd] = deque()
+        self._stops_sent: dict[tuple[str, int], Seconds] = {}
+        self._strangers: set[tuple[str, int]] = set()
+        self._look_now = False
+        self._in_hold = False
+        self._looking = False
+
+    def start(self) -> None:
+        """Begin to hold the worker."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """End all calls."""
+        tasks = [*self._orders]
+        if self._task is not None:
+            tasks.append(self._task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._node.orders.forget(self._address)
+
+    def wake(self) -> None:
+        """Look at the worker again: there is something to hold, stop or confirm."""
+        self._wake.set()
+        # A call that waits for an end would hold the look back by half a second.
+        if self._look_now and self._in_hold and not self._looking:
+            self._looking = True
+            self._spawn(self._look())
+
+    async def _look(self) -> None:
+        try:
+            await self._hold_once()
+        finally:
+            self._looking = False
+
+    def awaits_record_of(self, job: ActiveJob) -> bool:
+        """Tell whether an end of the job's tasks can't be acknowledged yet."""
+        return any(end.job is job for end in self._unacknowledged)
+
+    def send_start(self, run: Run) -> None:
+        """Order a run whose intent is recorded."""
+        run.state = RunState.ORDERED
+        run.ordered_at = self._node.clock.now()
+        self._spawn(self._start(run))
+
+    def send_stop(self, run: Run, reason: str) -> None:
+        """Have a run stopped; repeated until its end is listed."""
+        if not run.stopping:
+            run.stopping = True
+            run.stop_reason = reason
+            self._node.log.info(
+                Event.RUN_STOP_ORDERED,
+                task=run.task.id,
+                run=run.number,
+                worker=self._worker.id,
+                reason=reason,
+            )
+        self._stop_when_due(run)
+        self.wake()
+
+    def send_pace(self, run: Run, percent: int) -> None:
+        """Let a run work at a part of its speed."""
+        run.pace_percent = percent
+        self._spawn(self._pace(run, percent))
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    # Starts
+
+    async def _start(self, run: Run) -> None:
+        worker = self._worker
+        sent_at = self._node.clock.now()
+        if not self._tenure.holds():
+            return
+        until = self._plan_start_end(sent_at)
+        run.order_ends_ms = until
+        order = StartOrder(
+            task_id=run.task.id,
+            run=run.number,
+            payload=run.task.step.job.spec.payload,
+            not_after_ms=until,
+            fence=self._tenure.fence,
+            checkpoint=run.checkpoint,
+            ticket=run.task.step.tickets.get(worker.id, ""),
+        )
+        answer = await self._node.orders.start(self._address, order, ORDER_SECONDS)
+        now = self._node.clock.now()
+        if not is_successful(answer):
+            self._take_silence(run, answer.failure().may_follow, now)
+            return
+        self._note_answered(now)
+        note_clock(worker, answer.unwrap().clock_ms, now)
+        self._take_start_answer(run, answer.unwrap(), now)
+
+    def _plan_start_end(self, now: Seconds) -> int:
+        """Return until when, on the worker's clock, a start may be carried out."""
+        until = round(read_clock(self._worker, now)) + START_VALID_MS
+        self._worker.lease_ms = max(self._worker.lease_ms, until)
+        return until
+
+    def _take_silence(self, run: Run, may_follow: bool, now: Seconds) -> None:
+        if run.state is not RunState.ORDERED:
+            return
+        self._node.log.warning(
+            Event.RUN_UNANSWERED,
+            task=run.task.id,
+            run=run.number,
+            worker=self._worker.id,
+            waited_ms=round((now - run.ordered_at) * 1_000),
+            may_follow=may_follow,
+        )
+        if not may_follow:
+            detach_run(self._owner.tables, run, now)
+            self._owner.note_changed(self._worker, run)
+            self._note_unanswered(now)
+            return
+        run.state = RunState.UNKNOWN
+        run.ordered_at = now
+        self._look_now = True
+        self.wake()
+
+    def _take_start_answer(self, run: Run, answer: OrderAnswer, now: Seconds) -> None:
+        if answer.refusal is None:
+            if run.state in (RunState.ORDERED, RunState.UNKNOWN):
+                confirm_run(run, now)
+                self._log_started(run)
+            self.wake()
+            return
+        if answer.refusal is Refusal.FENCE:
+            self._owner.note_superseded()
+            return
+        self._node.log.warning(
+            Event.RUN_REFUSED,
+            task=run.task.id,
+            run=run.number,
+            worker=self._worker.id,
+            reason=answer.refusal.value,
+            cpu_free=self._worker.cpu_free,
+            memory_free=self._worker.memory_free,
+        )
+        if answer.refusal in (Refusal.UNHEALTHY, Refusal.ROOM):
+            note_refusal(self._worker, now)
+        elif answer.refusal is Refusal.OTHER_LIFE:
+            self._owner.note_silent(self._worker)
+        elif answer.refusal is Refusal.TICKET:
+            run.task.step.tickets.pop(self._worker.id, None)
+        run.task.not_before = now + SILENT_RETRY_SECONDS
+        detach_run(self._owner.tables, run, now)
+        self._owner.note_changed(self._worker, run)
+        self._look_now = True
+        self.wake()
+
+    def _log_started(self, run: Run) -> None:
+        self._node.log.info(
+            Event.RUN_STARTED,
+            task=run.task.id,
+            run=run.number,
+            worker=self._worker.id,
+            waited_ms=round((run.confirmed_at - run.task.waiting_since) * 1_000),
+            copy=run.copy,
+        )
+
+    # Stops and pace
+
+    def _stop_when_due(self, run: Run) -> None:
+        key = (run.task.id, run.number)
+        now = self._node.clock.now()
+        if now - self._stops_sent.get(key, -1e9) < STOP_REPEAT_SECONDS:
+            return
+        self._stops_sent[key] = now
+        self._spawn(self._stop(run.task.id, run.number, run))
+
+    async def _stop(self, task_id: str, number: int, run: Run | None) -> None:
+        order = StopOrder(task_id, number, self._tenure.fence)
+        answer = await self._node.orders.stop(self._address, order, ORDER_SECONDS)
+        now = self._node.clock.now()
+        if not is_successful(answer):
+            return
+        note_clock(self._worker, answer.unwrap().clock_ms, now)
+        refusal = answer.unwrap().refusal
+        if refusal is Refusal.FENCE:
+            self._owner.note_superseded()
+        elif refusal is Refusal.OTHER_LIFE:
+            self._owner.note_silent(self._worker)
+        elif refusal is None:
+            if run is not None and not run.stop_confirmed_at:
+                run.stop_confirmed_at = now
+            self._look_now = True
+            self.wake()
+
+    async def _pace(self, run: Run, percent: int) -> None:
+        order = PaceOrder(run.task.id, run.number, percent, self._tenure.fence)
+        answer = await self._node.orders.pace(self._address, order, ORDER_SECONDS)
+        if is_successful(answer) and answer.unwrap().refusal is Refusal.FENCE:
+            self._owner.note_superseded()
+
+    # Holding
+
+    async def _run(self) -> None:
+        while not self._worker.gone:
+            if not self._is_needed():
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            self._in_hold = True
+            try:
+                await self._hold_once()
+            finally:
+                self._in_hold = False
+
+    def _is_needed(self) -> bool:
+        worker = self._worker
+        if not worker.settled or worker.unanswered_since or self._look_now:
+            return True
+        if self._unacknowledged and self._find_acknowledged() > worker.acknowledged:
+            return True
+        return any(run.state is not RunState.INTENDED for run in worker.runs.values())
+
+    async def _hold_once(self) -> None:
+        acknowledged = self._find_acknowledged()
+        wait_ms = self._plan_wait()
+        self._look_now = False
+        asked_at = self._node.clock.now()
+        order = HoldOrder(
+            fence=self._tenure.fence,
+            acknowledged=acknowledged,
+            lease_until_ms=self._plan_lease(asked_at),
+            wait_ms=wait_ms,
+        )
+        timeout = wait_ms / 1_000.0 + HOLD_SLACK_SECONDS
+        answer = await self._node.orders.hold(self._address, order, timeout)
+        now = self._node.clock.now()
+        if not is_successful(answer):
+            self._note_unanswered(now)
+            await asyncio.sleep(SILENT_RETRY_SECONDS)
+            return
+        self._take_hold_answer(answer.unwrap(), acknowledged, asked_at, now)
+        if self._unacknowledged and not self._look_now:
+            await asyncio.sleep(UNWRITTEN_PAUSE_SECONDS)
+
+    def _plan_wait(self) -> int:
+        worker = self._worker
+        if self._look_now or not worker.settled or worker.unanswered_since:
+            return 0
+        if not worker.runs:
+            return 0
+        if any(
+            run.stopping or run.state is RunState.UNKNOWN
+            for run in worker.runs.values()
+        ):
+            return 50
+        return HOLD_WAIT_MS
+
+    def _plan_lease(self, now: Seconds) -> int:
+        """Return the lease end to ask for; 0 while the worker's clock is unknown."""
+        worker = self._worker
+        if not worker.clock_at or not self._tenure.holds():
+            return 0
+        length = self._node.limits.worker_lease - LEASE_MARGIN_SECONDS
+        until = round(read_clock(worker, now) + length * 1_000)
+        worker.lease_ms = max(worker.lease_ms, until)
+        return until
+
+    def _take_hold_answer(
+        self, answer: HoldAnswer, acknowledged: int, asked_at: Seconds, now: Seconds
+    ) -> None:
+        worker = self._worker
+        if answer.refusal is Refusal.FENCE:
+            self._owner.note_superseded()
+            return
+        if answer.refusal is Refusal.OTHER_LIFE:
+            self._note_unanswered(now)
+            return
+        if answer.refusal is not None:
+            note_refusal(worker, now)
+            self._note_unanswered(now)
+            return
+        self._note_answered(now)
+        note_clock(worker, answer.clock_ms, now)
+        worker.acknowledged = max(worker.acknowledged, acknowledged)
+        while self._unacknowledged and self._unacknowledged[0].number <= acknowledged:
+            self._unacknowledged.popleft()
+        outcome = take_listing(
+            self._owner.tables,
+            worker,
+            answer.running,
+            list(answer.ended),
+            asked_at,
+            now,
+        )
+        first_look = not worker.settled
+        worker.settled = True
+        if first_look and worker.runs:
+            # The lease could not be extended before the worker's clock was known.
+            self._look_now = True
+        for number, job in outcome.ends:
+            version = job.version if job is not None else 0
+            self._unacknowledged.append(UnacknowledgedEnd(number, job, version))
+        for run in outcome.confirmed:
+            self._log_started(run)
+        self._settle_rest(outcome)
+        self._owner.note_listing(worker, outcome)
+
+    def _settle_rest(self, outcome: ListingOutcome) -> None:
+        for run in outcome.absent:
+            self._stop_when_due(run)
+        for run in self._worker.runs.values():
+            if run.stopping:
+                self._stop_when_due(run)
+        for task_id, number in outcome.strangers:
+            key = (task_id, number)
+            now = self._node.clock.now()
+            if now - self._stops_sent.get(key, -1e9) < STOP_REPEAT_SECONDS:
+                continue
+            self._stops_sent[key] = now
+            self._node.log.warning(
+                Event.RUN_STRANGE, task=task_id, run=number, worker=self._worker.id
+            )
+            self._spawn(self._stop(task_id, number, None))
+        if outcome.strangers:
+            self._look_now = True
+
+    def _find_acknowledged(self) -> int:
+        """Return the highest end whose record, and those before it, are written."""
+        acknowledged = self._worker.acknowledged
+        for end in self._unacknowledged:
+            if end.job is not None and end.job.written_version < end.version:
+                break
+            acknowledged = max(acknowledged, end.number)
+        return acknowledged
+
+    def _note_answered(self, now: Seconds) -> None:
+        worker = self._worker
+        worker.answered_at = now
+        if worker.unanswered_since:
+            silent = now - worker.unanswered_since
+            worker.unanswered_since = 0.0
+            self._node.log.info(
+                Event.WORKER_ANSWERS,
+                worker=worker.id,
+                vm=worker.vm_id,
+                silent_ms=round(silent * 1_000),
+            )
+
+    def _note_unanswered(self, now: Seconds) -> None:
+        worker = self._worker
+        if not worker.unanswered_since:
+            worker.unanswered_since = now
+            self._node.log.warning(
+                Event.WORKER_SILENT,
+                worker=worker.id,
+                vm=worker.vm_id,
+                runs=len(worker.runs),
+            )
+        self._owner.note_silent(worker)
+
+
+__all__ = ["LinkOwner", "WorkerLink"]
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/advice.py
@@ -0,0 +1,66 @@
+"""The platform's service of advice on restricted queues."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.adviser import Advice, AdviserSilent
+from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
+from medlarspring_platform import wire
+from medlarspring_tables.scheduling import WorkerId
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+TIMEOUT_SECONDS = 6.0
+"""Calls of one entry VM wait for each other, up to 32 of them."""
+HTTP_OK = 200
+
+
+class WireQuestion(Struct):
+    """A step, and the workers that are asked about."""
+
+    step: str
+    workers: list[str]
+
+
+class WireAdviceAnswer(Struct, rename="camel"):
+    """Rows of worker and ticket; workers left out may not run the step."""
+
+    allowed: list[tuple[str, str]] = []
+    valid_ms: int = 0
+
+
+class PlatformAdviser:
+    """Implements ``Adviser``."""
+
+    def __init__(self, address: str) -> None:
+        self._channel = HttpChannel(address)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._channel.close()
+
+    async def advise(
+        self, step_id: str, worker_ids: Sequence[WorkerId]
+    ) -> Result[Advice, AdviserSilent]:
+        """Return which of the workers may run the step."""
+        question = WireQuestion(step_id, list(worker_ids))
+        try:
+            reply = await self._channel.call(
+                "POST", wire.ADVISE_PATH, TIMEOUT_SECONDS, msgspec.json.encode(question)
+            )
+            if reply.status != HTTP_OK:
+                return Failure(AdviserSilent(f"HTTP status {reply.status}"))
+            answer = msgspec.json.decode(reply.body, type=WireAdviceAnswer)
+        except (NotSent, Unanswered, msgspec.MsgspecError) as error:
+            return Failure(AdviserSilent(str(error)))
+        tickets = {WorkerId(worker): ticket for worker, ticket in answer.allowed}
+        return Success(Advice(tickets, answer.valid_ms))
+
+
+__all__ = ["PlatformAdviser"]
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/front.py
@@ -0,0 +1,296 @@
+"""The customers' HTTP interface to jobs, and the readiness probe."""
+
+from __future__ import annotations
+
+import re
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import web
+from msgspec import Struct
+from returns.pipeline import is_successful
+
+from medlarspring_daemon.scheduling.intake import JobStatus
+from medlarspring_daemon.scheduling.intake_errors import (
+    NoSuchJob,
+    NotReady,
+    OutcomeUnknown,
+    QueueFull,
+)
+from medlarspring_platform import wire
+from medlarspring_systems.scheduling.admission import JobInvalid, check_job
+from medlarspring_tables import JobId, MedlarspringError
+from medlarspring_tables.scheduling import JobSpec, StepSpec
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.scheduling.service import SchedulingService
+    from medlarspring_systems.scheduling.routes import RouteMatch
+
+DEFAULT_PATIENCE_SECONDS = 3.0
+"""Taken for a customer that does not say how long it waits."""
+MAX_PATIENCE_SECONDS = 30.0
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+
+_WORDS_BY_STATUS = {
+    JobStatus.QUEUED: "queued",
+    JobStatus.ACTIVE: "active",
+    JobStatus.COMPLETE: "complete",
+    JobStatus.FAILED: "failed",
+    JobStatus.CANCELLED: "canceled",
+}
+_HTTP_BY_ERROR: dict[type[MedlarspringError], HTTPStatus] = {
+    NoSuchJob: HTTPStatus.GONE,
+    NotReady: HTTPStatus.SERVICE_UNAVAILABLE,
+    QueueFull: HTTPStatus.TOO_MANY_REQUESTS,
+    OutcomeUnknown: HTTPStatus.GATEWAY_TIMEOUT,
+    JobInvalid: HTTPStatus.BAD_REQUEST,
+}
+
+
+class WireStep(Struct, rename="camel"):
+    """A step; fields that are 0, false or empty are left out."""
+
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    affinity: str = ""
+    """Rack of the data."""
+    max_per_server: int = 0
+    """On one worker."""
+    speculative: bool = False
+    service_job: bool = False
+    """Runs until the job is cancelled."""
+    max_unavailable: int = 0
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    """Uses what other tasks leave; its ``cpu`` is not counted."""
+
+
+class WireJob(Struct, rename="camel"):
+    """A job as submitted."""
+
+    spec: str
+    """Opaque text for the workers, not what the job consists of."""
+    steps: list[WireStep]
+    times: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+class WireState(Struct):
+    """What became of a job."""
+
+    state: str
+
+
+class WirePending(Struct):
+    """How many jobs of a queue have not started."""
+
+    pending: int
+
+
+class WireProblem(Struct):
+    """Why a call was not carried out."""
+
+    error: str
+    message: str
+
+
+_job_decoder = msgspec.json.Decoder(WireJob)
+
+
+class JobsFront:
+    """Translates between HTTP and the product's intake of jobs."""
+
+    def __init__(self, service: SchedulingService) -> None:
+        self._service = service
+        self.closing = False
+        """Whether each answer asks the customer to leave this connection."""
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a customer."""
+        response = await self._answer(request)
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        directory = self._service.directory
+        if directory.config is None:
+            return _refuse(NotReady("there is no configuration yet", 1))
+        match = directory.match(request.headers.get("Host", ""), request.path)
+        if match is None:
+            return _problem(
+                HTTPStatus.NOT_FOUND,
+                "no-such-queue",
+                "No queue has this host and path. Check the configuration's routes.",
+            )
+        if not match.rest:
+            return await self._count(request, match)
+        if not JOB_ID.fullmatch(match.rest):
+            return _problem(
+                HTTPStatus.BAD_REQUEST,
+                "job-id-invalid",
+                "A job's id is 16 hexadecimal digits in lower case.",
+            )
+        job_id = JobId(match.rest)
+        if request.method == "POST":
+            return await self._submit(request, match, job_id)
+        if request.method == "GET":
+            return await self._find_status(request, job_id)
+        if request.method == "DELETE":
+            return await self._cancel(request, job_id)
+        return _wrong_method("GET, POST or DELETE")
+
+    async def _count(self, request: web.BaseRequest, match: RouteMatch) -> web.Response:
+        if request.method != "GET":
+            return _wrong_method("GET")
+        patience = _read_patience(request)
+        counted = await self._service.intake.count_waiting(match.queue.id, patience)
+        if not is_successful(counted):
+            return _refuse(counted.failure())
+        return _json(WirePending(counted.unwrap()))
+
+    async def _submit(
+        self, request: web.BaseRequest, match: RouteMatch, job_id: JobId
+    ) -> web.Response:
+        config = self._service.directory.config
+        assert config is not None
+        body = await _read_body(request, config.max_body_bytes)
+        if body is None:
+            return _problem(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                "body-too-large",
+                f"A job has at most {config.max_body_bytes} bytes. Split it.",
+            )
+        try:
+            spec = _to_spec(_job_decoder.decode(body))
+        except msgspec.MsgspecError as error:
+            return _refuse(JobInvalid(str(error), "Correct this field."))
+        fault = check_job(spec)
+        if fault is not None:
+            return _refuse(fault)
+        patience = _read_patience(request)
+        accepted = await self._service.intake.submit(
+            match.queue, job_id, spec, patience
+        )
+        if not is_successful(accepted):
+            return _refuse(accepted.failure())
+        return _json(WireState(_WORDS_BY_STATUS[JobStatus.QUEUED]))
+
+    async def _find_status(
+        self, request: web.BaseRequest, job_id: JobId
+    ) -> web.Response:
+        patience = _read_patience(request)
+        found = await self._service.intake.find_status(job_id, patience)
+        if not is_successful(found):
+            return _refuse(found.failure())
+        return _json(WireState(_WORDS_BY_STATUS[found.unwrap()]))
+
+    async def _cancel(self, request: web.BaseRequest, job_id: JobId) -> web.Response:
+        patience = _read_patience(request)
+        cancelled = await self._service.intake.cancel(job_id, patience)
+        if not is_successful(cancelled):
+            return _refuse(cancelled.failure())
+        return _json(WireState(_WORDS_BY_STATUS[JobStatus.CANCELLED]))
+
+    async def handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer the balancer's probe."""
+        if request.path != wire.READY_PATH:
+            return web.Response(status=HTTPStatus.NOT_FOUND)
+        ready = self._service.is_ready()
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return web.Response(status=status)
+
+
+def _read_patience(request: web.BaseRequest) -> float:
+    """Return how long the customer waits, in seconds."""
+    text = request.headers.get(wire.DEADLINE_HEADER, "")
+    try:
+        seconds = float(text) / 1_000.0
+    except ValueError:
+        return DEFAULT_PATIENCE_SECONDS
+    return min(max(seconds, 0.0), MAX_PATIENCE_SECONDS)
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Return the whole body, or None if it is longer than allowed."""
+    length = request.content_length
+    if length is not None and length > limit:
+        return None
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        body += chunk
+        if len(body) > limit:
+            return None
+    return bytes(body)
+
+
+def _to_spec(job: WireJob) -> JobSpec:
+    return JobSpec(
+        payload=job.spec,
+        steps=tuple(_to_step(step) for step in job.steps),
+        occurrences=job.times,
+        first_at_ms=job.start_at_ms,
+        interval_ms=job.interval_ms,
+    )
+
+
+def _to_step(step: WireStep) -> StepSpec:
+    return StepSpec(
+        count=step.count,
+        cpu_millis=step.cpu,
+        memory_mb=step.mem_mb,
+        accelerators=step.gpu,
+        estimate_ms=step.estimate_ms,
+        after=tuple(step.after),
+        checkpoints=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        required_label=step.requires,
+        data_rack=step.affinity,
+        max_per_worker=step.max_per_server,
+        speculative=step.speculative,
+        long_running=step.service_job,
+        max_unavailable=step.max_unavailable,
+        image=step.image,
+        latency_target_ms=step.target_ms,
+        uses_leftover=step.fills,
+    )
+
+
+def _json(message: Struct, status: HTTPStatus = HTTPStatus.OK) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(message),
+        content_type="application/json",
+    )
+
+
+def _problem(status: HTTPStatus, code: str, message: str) -> web.Response:
+    return _json(WireProblem(code, message), status)
+
+
+def _refuse(error: MedlarspringError) -> web.Response:
+    response = _problem(_HTTP_BY_ERROR[type(error)], error.code, error.message())
+    if isinstance(error, NotReady | QueueFull):
+        response.headers["Retry-After"] = str(error.retry_after)
+    return response
+
+
+def _wrong_method(allowed: str) -> web.Response:
+    return _problem(
+        HTTPStatus.METHOD_NOT_ALLOWED, "method-not-allowed", f"Use {allowed}."
+    )
+
+
+__all__ = ["JobsFront"]
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -0,0 +1,157 @@
+"""Starts medlarspring on the users' platform; ``medlarspring-platformd``."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiomisc
+import uvloop
+from aiohttp import web
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.clock import SuspendAwareClock
+from medlarspring_adapters.events import Event, create_event_log
+from medlarspring_daemon.scheduling.context import SchedulingNode
+from medlarspring_daemon.scheduling.service import create_scheduling_service
+from medlarspring_platform import wire
+from medlarspring_platform.advice import PlatformAdviser
+from medlarspring_platform.front import JobsFront
+from medlarspring_platform.machines import PlatformMachines
+from medlarspring_platform.operator_records import PlatformCodec
+from medlarspring_platform.settings import read_settings
+from medlarspring_platform.store import PlatformStore
+from medlarspring_platform.workers import PlatformWorkers
+from medlarspring_tables import EntryVMId
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.scheduling.service import SchedulingService
+    from medlarspring_platform.settings import PlatformSettings
+
+EXIT_SETTINGS = 2
+DRAIN_SECONDS = 2.6
+"""Customers' connections are served so long after the signal to stop: the balancer
+sends new ones until it has missed two probes, one a second."""
+CLOSE_SECONDS = 1.5
+"""Longest wait for answers in flight after that."""
+IDLE_SECONDS = 75.0
+"""Customers' idle connections are kept so long; the balancer spreads by connection."""
+
+
+class PlatformDaemon(aiomisc.Service):
+    """One process on one entry VM."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._clock = SuspendAwareClock()
+        self._log = create_event_log(EntryVMId(settings.node), "INFO", sys.stdout)
+        self._runners: list[web.ServerRunner] = []
+
+    async def start(self) -> None:
+        """Open the ports and join the others."""
+        self._node = self._create_node()
+        self._service: SchedulingService = create_scheduling_service(self._node)
+        self._front = JobsFront(self._service)
+        await self._serve(self._front.handle_readiness, self._settings.readiness)
+        await self._serve(self._front.handle, self._settings.frontend)
+        await self._service.start()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._log.info(
+            Event.LISTENING,
+            caller=self._settings.frontend,
+            readiness=self._settings.readiness,
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Hand over, serve until the balancer has noticed, then finish."""
+        self._log.info(Event.STOPPING)
+        self._node.stopping = True
+        self._front.closing = True
+        began_at = self._clock.now()
+        await self._service.stop()
+        left = DRAIN_SECONDS - (self._clock.now() - began_at)
+        await asyncio.sleep(max(left, 0.0))
+        for runner in reversed(self._runners):
+            await runner.cleanup()
+        await self._close_clients()
+        self._log.info(Event.STOPPED)
+
+    def _reload(self) -> None:
+        read = read_settings(Path(os.environ[wire.CONFIG_VARIABLE]))
+        if not is_successful(read):
+            self._log.error(Event.SETTINGS_REFUSED, fault=read.failure().message())
+            return
+        self._node.limits = read.unwrap().limits
+        self._log.info(Event.SETTINGS_RELOADED, node=read.unwrap().node)
+
+    def _create_node(self) -> SchedulingNode:
+        settings = self._settings
+        rng = random.Random()
+        self._store = PlatformStore(settings.store_address, self._clock)
+        self._workers = PlatformWorkers()
+        self._machines = PlatformMachines(settings.vm_control_address)
+        self._adviser = None
+        if settings.adviser_address:
+            self._adviser = PlatformAdviser(settings.adviser_address)
+        return SchedulingNode(
+            id=EntryVMId(settings.node),
+            incarnation=rng.getrandbits(62),
+            clock=self._clock,
+            rng=rng,
+            log=self._log,
+            store=self._store,
+            store_health=self._store,
+            codec=PlatformCodec(),
+            orders=self._workers,
+            lifecycle=self._machines,
+            limits=settings.limits,
+            adviser=self._adviser,
+            peer_address=f"{settings.inner_host}:{settings.inner_port}",
+        )
+
+    async def _serve(self, handler, address: str) -> None:  # type: ignore[no-untyped-def]
+        host, _, port = address.rpartition(":")
+        server = web.Server(handler, access_log=None, keepalive_timeout=IDLE_SECONDS)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        self._runners.append(runner)
+
+    async def _close_clients(self) -> None:
+        await self._store.close()
+        await self._workers.close()
+        await self._machines.close()
+        if self._adviser is not None:
+            await self._adviser.close()
+
+
+def main() -> int:
+    """Run the daemon with the settings that the platform wrote."""
+    path = os.environ.get(wire.CONFIG_VARIABLE, "")
+    if not path:
+        print(f"Set {wire.CONFIG_VARIABLE} to the settings file.", file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = read_settings(Path(path))
+    if not is_successful(settings):
+        print(settings.failure().message(), file=sys.stderr)
+        return EXIT_SETTINGS
+    with aiomisc.entrypoint(
+        PlatformDaemon(settings.unwrap()),
+        log_config=False,
+        pool_size=2,
+        loop_factory=uvloop.new_event_loop,
+        shutdown_timeout=settings.unwrap().limits.grace,
+    ) as loop:
+        loop.run_forever()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/machines.py
@@ -0,0 +1,179 @@
+"""The platform's control of machines, which the product calls VMs."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
+from medlarspring_adapters.vm_lifecycle import (
+    Authority,
+    VMControlSilent,
+    VMRefusal,
+)
+from medlarspring_platform import wire
+from medlarspring_platform.operator_records import WireRoom, find_rack, to_room
+from medlarspring_tables import PoolId, VMId, WaveId, ZoneId
+from medlarspring_tables.scheduling import VMEntry, VMPhase, WorkerId
+
+TIMEOUT_SECONDS = 1.0
+"""An answer takes 15 ms, or 50 times as long on a slow day."""
+MAX_PAGES = 100
+HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_CONFLICT = 409
+HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
+
+_PHASES_BY_WORD = {
+    "up": VMPhase.UP,
+    "moving": VMPhase.MOVING,
+    "upkeep": VMPhase.MAINTENANCE,
+    "down": VMPhase.DOWN,
+}
+_REFUSALS_BY_REASON = {
+    "fence": VMRefusal.FENCE,
+    "busy": VMRefusal.BUSY,
+    "wave": VMRefusal.NOT_IN_WAVE,
+}
+
+
+class WireMachine(Struct, rename="camel"):
+    """A machine; ``id`` is its present worker, empty while it is off."""
+
+    machine_id: str
+    pool: str
+    state: str
+    zone: str = ""
+    labels: list[str] = []
+    capacity: WireRoom = msgspec.field(default_factory=WireRoom)
+    id: str = ""
+
+
+class WireMachines(Struct, rename="camel"):
+    """A page of machines."""
+
+    machines: list[WireMachine] = []
+    next_token: str | None = None
+
+
+class WireMove(Struct, rename="camel"):
+    """A move to another pool."""
+
+    machine_id: str
+    pool: str
+
+
+class WireUpkeep(Struct, rename="camel"):
+    """Maintenance on behalf of a wave."""
+
+    machine_id: str
+    wave: int
+
+
+class WireReason(Struct):
+    """Why an operation was refused."""
+
+    reason: str = ""
+
+
+class PlatformMachines:
+    """Implements ``VMLifecycle``."""
+
+    def __init__(self, address: str) -> None:
+        self._channel = HttpChannel(address)
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._channel.close()
+
+    async def list_vms(self) -> Result[tuple[VMEntry, ...], VMControlSilent]:
+        """Return all VMs."""
+        machines: list[VMEntry] = []
+        token: str | None = ""
+        for _ in range(MAX_PAGES):
+            path = wire.MACHINES_PATH + (f"?pageToken={token}" if token else "")
+            self.calls += 1
+            try:
+                reply = await self._channel.call("GET", path, TIMEOUT_SECONDS)
+                if reply.status != HTTP_OK:
+                    detail = f"HTTP status {reply.status}"
+                    return Failure(VMControlSilent(detail, may_follow=False))
+                page = msgspec.json.decode(reply.body, type=WireMachines)
+            except (NotSent, Unanswered, msgspec.MsgspecError) as error:
+                return Failure(VMControlSilent(str(error), may_follow=False))
+            machines += [_to_vm(machine) for machine in page.machines]
+            token = page.next_token
+            if not token:
+                break
+        return Success(tuple(machines))
+
+    async def move(
+        self, vm_id: VMId, pool_id: PoolId, authority: Authority
+    ) -> Result[VMRefusal | None, VMControlSilent]:
+        """Move a VM to a pool."""
+        return await self._operate(
+            wire.MACHINE_MOVE_PATH, WireMove(vm_id, pool_id), authority
+        )
+
+    async def maintain(
+        self, vm_id: VMId, wave_id: WaveId, authority: Authority
+    ) -> Result[VMRefusal | None, VMControlSilent]:
+        """Take a VM down for its maintenance."""
+        return await self._operate(
+            wire.MACHINE_UPKEEP_PATH, WireUpkeep(vm_id, int(wave_id)), authority
+        )
+
+    async def _operate(
+        self, path: str, body: Struct, authority: Authority
+    ) -> Result[VMRefusal | None, VMControlSilent]:
+        headers = {
+            wire.HOLDER_HEADER: authority.holder,
+            wire.FENCE_HEADER: str(authority.fence),
+        }
+        self.calls += 1
+        content = msgspec.json.encode(body)
+        try:
+            reply = await self._channel.call(
+                "POST", path, TIMEOUT_SECONDS, content, headers
+            )
+        except NotSent as error:
+            return Failure(VMControlSilent(str(error), may_follow=False))
+        except Unanswered as error:
+            return Failure(VMControlSilent(str(error), may_follow=True))
+        return _read_outcome(reply.status, reply.body)
+
+
+def _read_outcome(
+    status: int, body: bytes
+) -> Result[VMRefusal | None, VMControlSilent]:
+    if status == HTTP_OK:
+        return Success(None)
+    if status == HTTP_CONFLICT:
+        try:
+            reason = msgspec.json.decode(body, type=WireReason).reason
+        except msgspec.MsgspecError:
+            reason = ""
+        return Success(_REFUSALS_BY_REASON.get(reason, VMRefusal.BUSY))
+    if status == HTTP_BAD_REQUEST:
+        return Success(VMRefusal.INVALID)
+    if status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
+        return Success(VMRefusal.OVER_RATE)
+    return Failure(VMControlSilent(f"HTTP status {status}", may_follow=True))
+
+
+def _to_vm(machine: WireMachine) -> VMEntry:
+    return VMEntry(
+        id=VMId(machine.machine_id),
+        pool_id=PoolId(machine.pool),
+        phase=_PHASES_BY_WORD.get(machine.state, VMPhase.DOWN),
+        zone_id=ZoneId(machine.zone),
+        rack_id=find_rack(machine.labels),
+        room=to_room(machine.capacity),
+        worker_id=WorkerId(machine.id) if machine.id else None,
+    )
+
+
+__all__ = ["PlatformMachines"]
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/operator_records.py
@@ -0,0 +1,253 @@
+"""The operator's and the workers' records in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.fleet_codec import RecordUnreadable
+from medlarspring_platform import wire
+from medlarspring_tables import PoolId, RackId, VMId, WaveId, ZoneId
+from medlarspring_tables.scheduling import (
+    AdvicePolicy,
+    OperatorConfig,
+    PoolPolicy,
+    QueueId,
+    QueuePolicy,
+    Room,
+    Route,
+    WaveOrder,
+    WorkerCondition,
+    WorkerEntry,
+    WorkerId,
+)
+
+
+class WireAdvice(Struct, rename="camel"):
+    """How long the adviser takes, and how long a ticket holds."""
+
+    decide_ms: int = 0
+    period_ms: int = 0
+    """For each worker named in a call."""
+    valid_ms: int = 0
+
+
+class WireRoute(Struct, rename="camel"):
+    """A route; on this platform a queue of jobs."""
+
+    name: str
+    host: str = ""
+    prefix: str = "/"
+    service: str = ""
+    """Pool whose workers run the queue's tasks."""
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_duration_ms: int = 0
+    """Not a duration of its own: added to the stretched critical path."""
+    hint: WireAdvice | None = None
+
+
+class WireService(Struct, rename="camel"):
+    """A service; on this platform a pool of VMs."""
+
+    name: str
+    rejects_overload: bool = True
+    standby: bool = False
+
+
+class WireLimits(Struct, rename="camel"):
+    """Limits on callers' requests."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class WireConfig(Struct, rename="camel"):
+    """The whole configuration."""
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+
+
+class WireWave(Struct, rename="camel"):
+    """An order to maintain machines."""
+
+    wave: int
+    machines: list[str]
+    deadline_s: float = 0.0
+    max_count: int = 1
+
+
+class WireWaveStatus(Struct, rename="camel"):
+    """How far a wave is."""
+
+    wave: int
+    state: str
+
+
+class WireRoom(Struct, rename="camel"):
+    """Processors in thousandths, memory in MB, accelerators."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class WireWorker(Struct, rename="camel"):
+    """A worker's entry."""
+
+    service: str
+    address: str
+    zone: str = ""
+    state: str = "ready"
+    warmup_left_ms: int = 0
+    capacity: WireRoom = msgspec.field(default_factory=WireRoom)
+    labels: list[str] = []
+    machine_id: str = ""
+    clock_ms: int = 0
+
+
+_config_decoder = msgspec.json.Decoder(WireConfig)
+_wave_decoder = msgspec.json.Decoder(WireWave)
+_worker_decoder = msgspec.json.Decoder(WireWorker)
+
+
+def to_room(room: WireRoom) -> Room:
+    """Return the product's form of a capacity."""
+    return Room(room.cpu, room.mem_mb, room.gpu)
+
+
+def find_rack(labels: list[str]) -> RackId:
+    """Return the rack among a worker's labels."""
+    for label in labels:
+        if label.startswith(wire.RACK_LABEL_PREFIX) and "-" in label:
+            return RackId(label)
+    return RackId("")
+
+
+class PlatformCodec:
+    """Implements ``FleetCodec`` for the platform's store."""
+
+    operator_prefix = wire.OPERATOR_PREFIX
+    worker_prefix = wire.WORKER_PREFIX
+
+    def is_config(self, key: str) -> bool:
+        """Tell whether the key holds the configuration."""
+        return key == wire.CONFIG_KEY
+
+    def is_wave(self, key: str) -> bool:
+        """Tell whether the key holds the order of a maintenance wave."""
+        return key.startswith(wire.WAVE_PREFIX)
+
+    def decode_config(
+        self, key: str, value: bytes
+    ) -> Result[OperatorConfig, RecordUnreadable]:
+        """Read the operator's configuration."""
+        try:
+            return Success(_to_config(_config_decoder.decode(value)))
+        except msgspec.MsgspecError as error:
+            return Failure(RecordUnreadable(key, str(error)))
+
+    def decode_wave(
+        self, key: str, value: bytes
+    ) -> Result[WaveOrder, RecordUnreadable]:
+        """Read the order of a wave."""
+        try:
+            order = _wave_decoder.decode(value)
+        except msgspec.MsgspecError as error:
+            return Failure(RecordUnreadable(key, str(error)))
+        return Success(
+            WaveOrder(
+                id=WaveId(str(order.wave)),
+                vm_ids=tuple(VMId(machine) for machine in order.machines),
+                deadline_seconds=order.deadline_s,
+                max_at_once=max(order.max_count, 1),
+            )
+        )
+
+    def decode_worker(
+        self, key: str, value: bytes
+    ) -> Result[WorkerEntry, RecordUnreadable]:
+        """Read a worker's entry."""
+        try:
+            entry = _worker_decoder.decode(value)
+        except msgspec.MsgspecError as error:
+            return Failure(RecordUnreadable(key, str(error)))
+        draining = entry.state != "ready"
+        return Success(
+            WorkerEntry(
+                id=WorkerId(key.removeprefix(wire.WORKER_PREFIX)),
+                vm_id=VMId(entry.machine_id),
+                pool_id=PoolId(entry.service),
+                zone_id=ZoneId(entry.zone),
+                address=entry.address,
+                condition=(
+                    WorkerCondition.DRAINING if draining else WorkerCondition.READY
+                ),
+                room=to_room(entry.capacity),
+                labels=tuple(entry.labels),
+                rack_id=find_rack(entry.labels),
+                clock_ms=entry.clock_ms,
+                warmup_ms=entry.warmup_left_ms,
+            )
+        )
+
+    def encode_wave_status(
+        self, wave_id: WaveId, *, complete: bool
+    ) -> tuple[str, bytes]:
+        """Return key and value that tell the operator how far a wave is."""
+        state = "complete" if complete else "active"
+        status = WireWaveStatus(wave=int(wave_id), state=state)
+        return f"{wire.WAVE_STATUS_PREFIX}{wave_id}", msgspec.json.encode(status)
+
+
+def _to_config(config: WireConfig) -> OperatorConfig:
+    routes = tuple(
+        Route(host=route.host, prefix=route.prefix, queue=_to_queue(route))
+        for route in config.routes
+    )
+    return OperatorConfig(
+        version=config.version,
+        routes=routes,
+        pools_by_id={
+            PoolId(service.name): PoolPolicy(
+                id=PoolId(service.name),
+                guards_room=service.rejects_overload,
+                standby=service.standby,
+            )
+            for service in config.services
+        },
+        queues_by_id={route.queue.id: route.queue for route in routes},
+        max_body_bytes=config.limits.max_body_bytes,
+        max_header_bytes=config.limits.max_header_bytes,
+        header_timeout_ms=config.limits.header_timeout_ms,
+        idle_timeout_ms=config.limits.idle_timeout_ms,
+    )
+
+
+def _to_queue(route: WireRoute) -> QueuePolicy:
+    advice = None
+    if route.hint is not None:
+        advice = AdvicePolicy(
+            decide_ms=route.hint.decide_ms,
+            per_worker_ms=route.hint.period_ms,
+            valid_ms=route.hint.valid_ms,
+        )
+    return QueuePolicy(
+        id=QueueId(route.name),
+        pool_id=PoolId(route.service),
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        allowance_ms=route.target_duration_ms,
+        advice=advice,
+    )
+
+
+__all__ = ["PlatformCodec", "WireRoom", "find_rack", "to_room"]
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -0,0 +1,411 @@
+"""The platform's metadata store behind the product's ``Store`` protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import quote
+
+import msgspec
+from msgspec import Struct
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
+from medlarspring_adapters.store import (
+    Committed,
+    Entry,
+    LeaseGone,
+    LeaseId,
+    Listing,
+    Put,
+    StoreError,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    Transaction,
+    WatchBatch,
+)
+from medlarspring_platform import wire
+from medlarspring_tables import Revision
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.http_channel import HttpAnswer
+    from medlarspring_tables import Seconds
+
+MAX_ENTRIES = 32
+"""Conditions, writes and deletions that the store takes in one transaction."""
+WATCH_WAIT_SECONDS = 0.8
+"""How long the store holds a watch open without news.
+
+A connection that went silent is noticed at the end of this time, so that a new
+configuration is in force well within its 2 s; longer waits save calls that cost
+a hundredth of a percent of what a job is worth.
+"""
+WATCH_SLACK_SECONDS = 0.4
+WATCH_RETRY_SECONDS = 0.1
+MAX_WATCH_RETRY_SECONDS = 0.4
+MIN_TIMEOUT_SECONDS = 0.15
+MAX_TIMEOUT_SECONDS = 1.2
+TIMEOUT_FACTOR = 5.0
+"""A call that takes so many times the usual time is taken for lost."""
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_CONDITION_FAILED = 412
+
+
+class WireItem(Struct, rename="camel"):
+    """One key, or an event that wrote or removed it."""
+
+    key: str
+    value: str = ""
+    revision: int = 0
+    created: int = 0
+    lease: int = 0
+    removed: bool = False
+    as_of: int = 0
+
+
+class WireItems(Struct, rename="camel"):
+    """A page of keys."""
+
+    items: list[WireItem] = []
+    has_more: bool = False
+    as_of: int = 0
+
+
+class WireEvents(Struct, rename="camel"):
+    """What a watch has to tell."""
+
+    events: list[WireItem] = []
+    as_of: int = 0
+
+
+class WireCondition(Struct):
+    """A key's revision must be this one; 0 for a key that must not exist."""
+
+    key: str
+    revision: int
+
+
+class WirePut(Struct, omit_defaults=True):
+    """A key to write."""
+
+    key: str
+    value: str
+    lease: int = 0
+
+
+class WireTxn(Struct, rename="camel"):
+    """All or nothing."""
+
+    expected_rev: list[WireCondition]
+    puts: list[WirePut]
+    deletes: list[str]
+
+
+class WireTxnAnswer(Struct, rename="camel"):
+    """The new revision, or the items named in failed conditions."""
+
+    revision: int = 0
+    items: list[WireItem] = []
+    as_of: int = 0
+
+
+class WireLease(Struct, rename="camel"):
+    """A lease and how long it lives."""
+
+    ttl_ms: int = 0
+    lease: int = 0
+
+
+Message = TypeVar("Message", bound=Struct)
+
+
+class PatienceMeter:
+    """How long to wait for an answer, from how long answers took lately.
+
+    The store answers in 8 ms, or in 250 ms for some seconds; an answer may also
+    never come. A fixed short wait would give every slow answer up, a fixed long
+    one would stall all writes behind each lost answer.
+    """
+
+    def __init__(self) -> None:
+        self._mean = 0.02
+        self._misses = 0
+
+    def timeout(self) -> Seconds:
+        """Return the time to wait for the next answer."""
+        usual = max(TIMEOUT_FACTOR * self._mean, MIN_TIMEOUT_SECONDS)
+        return min(usual * 2.0**self._misses, MAX_TIMEOUT_SECONDS)
+
+    def note_answer(self, seconds: Seconds) -> None:
+        """Learn from an answer."""
+        self._misses = 0
+        self._mean += 0.2 * (seconds - self._mean)
+
+    def note_miss(self) -> None:
+        """Learn that no answer came in time."""
+        self._misses = min(self._misses + 1, 3)
+
+
+class PlatformStore:
+    """Implements ``Store`` by the platform's HTTP interface."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._channel = HttpChannel(address)
+        self._watches = HttpChannel(address)
+        self._clock = clock
+        self._patience = PatienceMeter()
+        self.calls = 0
+        self.failing_since: Seconds | None = None
+        """When the first call failed that no answered one has followed."""
+        self.answered_at: Seconds = 0.0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._channel.close()
+        await self._watches.close()
+
+    async def read(self, key: str) -> Result[Entry | None, StoreError]:
+        """Return the key's entry, or None if it is absent."""
+        answer = await self._call("GET", f"{wire.KEY_PATH}?key={quote(key, safe='')}")
+        if not is_successful(answer):
+            return Failure(answer.failure())
+        reply = answer.unwrap()
+        if reply.status == HTTP_NOT_FOUND:
+            return Success(None)
+        item = self._decode(reply, WireItem)
+        return item.map(_to_entry)
+
+    async def read_prefix(self, prefix: str) -> Result[Listing, StoreError]:
+        """Return all entries under a prefix.
+
+        Pages are not a snapshot; the listing's revision is that of the first
+        page, so that a watch from there repeats what changed meanwhile.
+        """
+        entries: list[Entry] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            path = f"{wire.RANGE_PATH}?prefix={quote(prefix, safe='')}"
+            if after:
+                path += f"&after={quote(after, safe='')}"
+            answer = await self._call("GET", path)
+            if not is_successful(answer):
+                return Failure(answer.failure())
+            decoded = self._decode(answer.unwrap(), WireItems)
+            if not is_successful(decoded):
+                return Failure(decoded.failure())
+            page = decoded.unwrap()
+            entries += [_to_entry(item) for item in page.items]
+            revision = page.as_of if revision is None else revision
+            if not page.has_more or not page.items:
+                return Success(Listing(tuple(entries), Revision(revision)))
+            after = page.items[-1].key
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, StoreError]:
+        """Apply one transaction."""
+        body = msgspec.json.encode(_to_txn(transaction))
+        answer = await self._call("POST", wire.TXN_PATH, body)
+        if not is_successful(answer):
+            return Failure(answer.failure())
+        reply = answer.unwrap()
+        if reply.status == HTTP_NOT_FOUND:
+            return Failure(LeaseGone("the store does not know it"))
+        decoded = self._decode(reply, WireTxnAnswer, HTTP_CONDITION_FAILED)
+        if not is_successful(decoded):
+            return Failure(decoded.failure())
+        content = decoded.unwrap()
+        found = {item.key: _to_entry(item) for item in content.items if item.revision}
+        return Success(
+            Committed(
+                succeeded=reply.status == HTTP_OK,
+                revision=Revision(content.revision or content.as_of),
+                read_by_key=found,
+            )
+        )
+
+    async def commit_each(
+        self, transactions: Sequence[Transaction]
+    ) -> Result[list[Committed], StoreError]:
+        """Decide many transactions on their own, in as few calls as they need.
+
+        The store's transactions are all or nothing, so a joint one that fails
+        is taken apart.
+        """
+        if len(transactions) > 1 and count_entries(transactions) <= MAX_ENTRIES:
+            joined = await self.commit(_join(transactions))
+            if not is_successful(joined):
+                return Failure(joined.failure())
+            if joined.unwrap().succeeded:
+                return Success([joined.unwrap()] * len(transactions))
+        results: list[Committed] = []
+        for transaction in transactions:
+            single = await self.commit(transaction)
+            if not is_successful(single):
+                return Failure(single.failure())
+            results.append(single.unwrap())
+        return Success(results)
+
+    async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
+        """Create a lease that lives ``ttl`` seconds unless kept alive."""
+        body = msgspec.json.encode({"ttlMs": round(ttl * 1_000)})
+        answer = await self._call("POST", wire.LEASE_PATH, body)
+        if not is_successful(answer):
+            return Failure(answer.failure())
+        lease = self._decode(answer.unwrap(), WireLease)
+        return lease.map(lambda granted: LeaseId(granted.lease))
+
+    async def keep_lease(self, lease_id: LeaseId) -> Result[float, StoreError]:
+        """Renew a lease; returns the seconds left, 0 when it has lapsed."""
+        answer = await self._call("POST", f"{wire.KEEP_PATH}{lease_id}")
+        if not is_successful(answer):
+            return Failure(answer.failure())
+        reply = answer.unwrap()
+        if reply.status == HTTP_NOT_FOUND:
+            return Success(0.0)
+        return self._decode(reply, WireLease).map(lambda kept: kept.ttl_ms / 1_000.0)
+
+    async def revoke_lease(self, lease_id: LeaseId) -> Result[None, StoreError]:
+        """End a lease and delete the keys bound to it."""
+        answer = await self._call("DELETE", f"{wire.LEASE_END_PATH}{lease_id}")
+        return answer.map(lambda _: None)
+
+    async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
+        """Yield changes from revision ``start`` on.
+
+        Ends when the store no longer has the history; lost and silent
+        connections are replaced without the caller's help.
+        """
+        after = start - 1
+        failures = 0
+        while True:
+            path = (
+                f"{wire.WATCH_PATH}?prefix={quote(prefix, safe='')}&after={after}"
+                f"&waitMs={round(WATCH_WAIT_SECONDS * 1_000)}"
+            )
+            answer = await self._watch_once(path)
+            if not is_successful(answer):
+                failures += 1
+                pause = min(WATCH_RETRY_SECONDS * failures, MAX_WATCH_RETRY_SECONDS)
+                await asyncio.sleep(pause)
+                continue
+            if answer.unwrap().status == HTTP_GONE:
+                return
+            decoded = self._decode(answer.unwrap(), WireEvents)
+            if not is_successful(decoded):
+                failures += 1
+                await asyncio.sleep(MAX_WATCH_RETRY_SECONDS)
+                continue
+            failures = 0
+            content = decoded.unwrap()
+            after = max(content.as_of, after)
+            if content.events:
+                yield _to_batch(content)
+
+    async def _watch_once(self, path: str) -> Result[HttpAnswer, StoreError]:
+        self.calls += 1
+        timeout = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
+        try:
+            reply = await self._watches.call("GET", path, timeout)
+        except NotSent as error:
+            return Failure(StoreUnavailable(str(error)))
+        except Unanswered as error:
+            return Failure(StoreOutcomeUnknown(str(error)))
+        if reply.status in (HTTP_OK, HTTP_GONE):
+            return Success(reply)
+        return Failure(StoreUnavailable(f"HTTP status {reply.status}"))
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> Result[HttpAnswer, StoreError]:
+        self.calls += 1
+        sent_at = self._clock.now()
+        try:
+            reply = await self._channel.call(
+                method, path, self._patience.timeout(), body
+            )
+        except NotSent as error:
+            return self._fail(StoreUnavailable(str(error)))
+        except Unanswered as error:
+            self._patience.note_miss()
+            return self._fail(StoreOutcomeUnknown(str(error)))
+        known = (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONDITION_FAILED)
+        if reply.status not in known:
+            # The store's contract: a refusal (429, 503) was not carried out.
+            return self._fail(StoreUnavailable(f"HTTP status {reply.status}"))
+        now = self._clock.now()
+        self._patience.note_answer(now - sent_at)
+        self.answered_at = now
+        self.failing_since = None
+        return Success(reply)
+
+    def _fail(self, error: StoreError) -> Result[HttpAnswer, StoreError]:
+        if self.failing_since is None:
+            self.failing_since = self._clock.now()
+        return Failure(error)
+
+    def _decode(
+        self, reply: HttpAnswer, message_type: type[Message], *also: int
+    ) -> Result[Message, StoreError]:
+        if reply.status != HTTP_OK and reply.status not in also:
+            return Failure(StoreUnavailable(f"HTTP status {reply.status}"))
+        try:
+            return Success(msgspec.json.decode(reply.body, type=message_type))
+        except msgspec.MsgspecError as error:
+            return Failure(StoreOutcomeUnknown(f"unreadable answer ({error})"))
+
+
+def count_entries(transactions: Sequence[Transaction]) -> int:
+    """Return what the transactions count towards the store's limit."""
+    return sum(len(each.expects) + len(each.writes) for each in transactions)
+
+
+def _join(transactions: Sequence[Transaction]) -> Transaction:
+    expects = {expect: None for each in transactions for expect in each.expects}
+    writes = [write for each in transactions for write in each.writes]
+    return Transaction(expects=tuple(expects), writes=tuple(writes))
+
+
+def _to_txn(transaction: Transaction) -> WireTxn:
+    puts: list[WirePut] = []
+    deletes: list[str] = []
+    for write in transaction.writes:
+        if isinstance(write, Put):
+            value = base64.b64encode(write.value).decode("ascii")
+            puts.append(WirePut(write.key, value, write.lease_id or 0))
+        else:
+            deletes.append(write.key)
+    conditions = [
+        WireCondition(expect.key, expect.mod_revision) for expect in transaction.expects
+    ]
+    return WireTxn(conditions, puts, deletes)
+
+
+def _to_entry(item: WireItem) -> Entry:
+    return Entry(
+        key=item.key,
+        value=base64.b64decode(item.value),
+        create_revision=Revision(item.created),
+        mod_revision=Revision(item.revision),
+        lease_id=LeaseId(item.lease) if item.lease else None,
+    )
+
+
+def _to_batch(content: WireEvents) -> WatchBatch:
+    """Return the newest event of each key."""
+    newest: dict[str, WireItem] = {}
+    for event in content.events:
+        newest[event.key] = event
+    changed = [_to_entry(event) for event in newest.values() if not event.removed]
+    deleted = [event.key for event in newest.values() if event.removed]
+    return WatchBatch(Revision(content.as_of), tuple(changed), tuple(deleted))
+
+
+__all__ = ["MAX_ENTRIES", "PlatformStore", "count_entries"]
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/wire.py
@@ -0,0 +1,37 @@
+"""Paths, headers and words of the platform's interfaces, in one place."""
+
+from __future__ import annotations
+
+CONFIG_VARIABLE = "MEDLARSPRING_CONFIG"
+"""Environment variable with the path of the settings file."""
+
+READY_PATH = "/api/readyz"
+RUN_START_PATH = "/api/run-start"
+RUN_STOP_PATH = "/api/run-stop"
+HOLD_PATH = "/api/hold"
+PACE_PATH = "/api/pace"
+ADVISE_PATH = "/api/advise"
+MACHINES_PATH = "/api/machines"
+MACHINE_MOVE_PATH = "/api/machine-move"
+MACHINE_UPKEEP_PATH = "/api/machine-upkeep"
+KEY_PATH = "/api/kv-key"
+RANGE_PATH = "/api/kv-range"
+WATCH_PATH = "/api/kv-watch"
+TXN_PATH = "/api/kv-txn"
+LEASE_PATH = "/api/kv-lease"
+KEEP_PATH = "/api/kv-keep/"
+LEASE_END_PATH = "/api/kv-lease-end/"
+
+EXPECTED_INSTANCE_HEADER = "X-Medlarspring-Expected-Instance"
+HOLDER_HEADER = "X-Medlarspring-Lease-Holder"
+FENCE_HEADER = "X-Medlarspring-Fencing-Token"
+DEADLINE_HEADER = "X-Medlarspring-Deadline-Ms"
+
+OPERATOR_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+WAVE_PREFIX = "op/wave/"
+WAVE_STATUS_PREFIX = "status/wave/"
+WORKER_PREFIX = "servers/"
+
+RACK_LABEL_PREFIX = "r"
+"""A worker's labels are its kind and its rack; racks look like ``r1-3``."""
--- /dev/null
+++ b/packages/platform/src/medlarspring_platform/workers.py
@@ -0,0 +1,261 @@
+"""Orders to workers over the platform's HTTP interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from medlarspring_adapters.http_channel import (
+    HttpAnswer,
+    HttpChannel,
+    NotSent,
+    Unanswered,
+)
+from medlarspring_adapters.worker_orders import (
+    HoldAnswer,
+    HoldOrder,
+    OrderAnswer,
+    PaceOrder,
+    Refusal,
+    StartOrder,
+    StopOrder,
+    WorkerAddress,
+    WorkerSilent,
+)
+from medlarspring_platform import wire
+from medlarspring_tables.scheduling import EndedRow, RunEnd, RunningRow, WorkerId
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+
+MAX_CONNECTIONS = 12
+"""To one worker; each new one is charged, and starts rarely come in larger bursts."""
+
+_ENDS_BY_WORD = {
+    "done": RunEnd.DONE,
+    "failed": RunEnd.FAILED,
+    "stopped": RunEnd.STOPPED,
+    "lapsed": RunEnd.LAPSED,
+    "broken": RunEnd.BROKEN,
+    "alone": RunEnd.ALONE,
+}
+_REFUSALS_BY_REASON = {
+    "fence": Refusal.FENCE,
+    "old": Refusal.OLD,
+    "late": Refusal.LATE,
+    "room": Refusal.ROOM,
+    "ticket": Refusal.TICKET,
+}
+_REFUSALS_BY_STATUS = {
+    400: Refusal.INVALID,
+    421: Refusal.OTHER_LIFE,
+    429: Refusal.UNHEALTHY,
+    503: Refusal.UNHEALTHY,
+}
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+
+class WireStart(Struct, rename="camel", omit_defaults=True):
+    """A start; ``untilMs`` bounds the order itself and extends the lease."""
+
+    task: str
+    run: int
+    spec: str
+    until_ms: int
+    fence: int
+    checkpointed: str = ""
+    ticket: str = ""
+
+
+class WireStop(Struct):
+    """A stop."""
+
+    task: str
+    run: int
+    fence: int
+
+
+class WirePace(Struct):
+    """A change of pace."""
+
+    task: str
+    run: int
+    percent: int
+    fence: int
+
+
+class WireHold(Struct, rename="camel", omit_defaults=True):
+    """An extension of the lease."""
+
+    fence: int
+    ack_cursor: int
+    until_ms: int = 0
+    wait_ms: int = 0
+
+
+class WireOrderAnswer(Struct, rename="camel"):
+    """What a worker says to an order."""
+
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class WireHoldAnswer(Struct, rename="camel"):
+    """What runs and what ended; rows are lists, see the constants above."""
+
+    clock_ms: int = 0
+    reason: str = ""
+    running: list[list[str | int | float]] = []
+    finished: list[tuple[int, str, int, str, str]] = []
+
+
+Message = TypeVar("Message", bound=Struct)
+
+
+class PlatformWorkers:
+    """Implements ``WorkerOrders``."""
+
+    def __init__(self) -> None:
+        self._channels_by_id: dict[WorkerId, HttpChannel] = {}
+        self._closing: list[HttpChannel] = []
+
+    async def start(
+        self, worker: WorkerAddress, order: StartOrder, timeout_seconds: Seconds
+    ) -> Result[OrderAnswer, WorkerSilent]:
+        """Start a run."""
+        body = WireStart(
+            task=order.task_id,
+            run=order.run,
+            spec=order.payload,
+            until_ms=order.not_after_ms,
+            fence=order.fence,
+            checkpointed=order.checkpoint,
+            ticket=order.ticket,
+        )
+        return await self._order(worker, wire.RUN_START_PATH, body, timeout_seconds)
+
+    async def stop(
+        self, worker: WorkerAddress, order: StopOrder, timeout_seconds: Seconds
+    ) -> Result[OrderAnswer, WorkerSilent]:
+        """Stop a run."""
+        body = WireStop(order.task_id, order.run, order.fence)
+        return await self._order(worker, wire.RUN_STOP_PATH, body, timeout_seconds)
+
+    async def pace(
+        self, worker: WorkerAddress, order: PaceOrder, timeout_seconds: Seconds
+    ) -> Result[OrderAnswer, WorkerSilent]:
+        """Slow a run down, or speed it up again."""
+        body = WirePace(order.task_id, order.run, order.percent, order.fence)
+        return await self._order(worker, wire.PACE_PATH, body, timeout_seconds)
+
+    async def hold(
+        self, worker: WorkerAddress, order: HoldOrder, timeout_seconds: Seconds
+    ) -> Result[HoldAnswer, WorkerSilent]:
+        """Extend the lease and ask for the state."""
+        body = WireHold(
+            order.fence, order.acknowledged, order.lease_until_ms, order.wait_ms
+        )
+        try:
+            reply = await self._call(worker, wire.HOLD_PATH, body, timeout_seconds)
+            answer = _decode(reply, WireHoldAnswer)
+        except NotSent as error:
+            return Failure(WorkerSilent(worker.id, str(error), may_follow=False))
+        except Unanswered as error:
+            return Failure(WorkerSilent(worker.id, str(error), may_follow=True))
+        return Success(
+            HoldAnswer(
+                clock_ms=answer.clock_ms,
+                refusal=_find_refusal(reply.status, answer.reason),
+                running=tuple(_to_running(row) for row in answer.running),
+                ended=tuple(_to_ended(row) for row in answer.finished),
+            )
+        )
+
+    def forget(self, worker: WorkerAddress) -> None:
+        """Close the connections to a worker that is gone, at the next call."""
+        channel = self._channels_by_id.pop(worker.id, None)
+        if channel is not None:
+            self._closing.append(channel)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for channel in [*self._channels_by_id.values(), *self._closing]:
+            await channel.close()
+        self._channels_by_id.clear()
+        self._closing.clear()
+
+    async def _order(
+        self, worker: WorkerAddress, path: str, body: Struct, timeout_seconds: Seconds
+    ) -> Result[OrderAnswer, WorkerSilent]:
+        try:
+            reply = await self._call(worker, path, body, timeout_seconds)
+            answer = _decode(reply, WireOrderAnswer)
+        except NotSent as error:
+            return Failure(WorkerSilent(worker.id, str(error), may_follow=False))
+        except Unanswered as error:
+            return Failure(WorkerSilent(worker.id, str(error), may_follow=True))
+        refusal = _find_refusal(reply.status, answer.reason)
+        return Success(OrderAnswer(answer.clock_ms, refusal))
+
+    async def _call(
+        self, worker: WorkerAddress, path: str, body: Struct, timeout_seconds: Seconds
+    ) -> HttpAnswer:
+        while self._closing:
+            await self._closing.pop().close()
+        channel = self._channels_by_id.get(worker.id)
+        if channel is None or channel.address != worker.address:
+            channel = HttpChannel(worker.address, MAX_CONNECTIONS)
+            self._channels_by_id[worker.id] = channel
+        # An address may belong to another worker by now; the header keeps an
+        # order for the old one from being carried out there.
+        headers = {wire.EXPECTED_INSTANCE_HEADER: worker.id}
+        return await channel.call(
+            "POST", path, timeout_seconds, msgspec.json.encode(body), headers
+        )
+
+
+def _decode(reply: HttpAnswer, message_type: type[Message]) -> Message:
+    if reply.status in _REFUSALS_BY_STATUS:
+        return message_type()
+    if reply.status not in (HTTP_OK, HTTP_CONFLICT):
+        raise Unanswered(f"HTTP status {reply.status}")
+    try:
+        return msgspec.json.decode(reply.body, type=message_type)
+    except msgspec.MsgspecError as error:
+        raise Unanswered(f"unreadable answer ({error})") from error
+
+
+def _find_refusal(status: int, reason: str) -> Refusal | None:
+    if status == HTTP_OK:
+        return None
+    if status == HTTP_CONFLICT:
+        return _REFUSALS_BY_REASON.get(reason, Refusal.INVALID)
+    return _REFUSALS_BY_STATUS.get(status, Refusal.INVALID)
+
+
+def _to_running(row: list[str | int | float]) -> RunningRow:
+    """Decode [task, run, saved, percent] with a fifth entry where it is measured."""
+    task, run, saved, percent = row[:4]
+    gauge = row[4] if len(row) > 4 else 0  # noqa: PLR2004
+    return RunningRow(
+        task_id=str(task),
+        run=int(run),
+        checkpoint=str(saved),
+        percent=int(percent),
+        gauge=int(gauge),
+    )
+
+
+def _to_ended(row: tuple[int, str, int, str, str]) -> EndedRow:
+    """Decode [N, task, run, how, saved]."""
+    number, task, run, how, saved = row
+    # An unknown end is taken for a stop: the task runs again, no attempt is lost.
+    end = _ENDS_BY_WORD.get(how, RunEnd.STOPPED)
+    return EndedRow(number=number, task_id=task, run=run, end=end, checkpoint=saved)
+
+
+__all__ = ["PlatformWorkers"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/admission.py
@@ -0,0 +1,78 @@
+"""Checks on submitted jobs: what can be stored and can ever run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_tables import MedlarspringError
+
+if TYPE_CHECKING:
+    from medlarspring_tables.scheduling import JobSpec, StepSpec
+
+MAX_PAYLOAD_BYTES = 4_000
+"""Longest payload that workers take."""
+MAX_STEPS = 100
+MAX_TASKS = 10_000
+"""Over all steps; a progress record stays well below the store's value limit."""
+
+
+class JobInvalid(MedlarspringError):
+    """The submitted job can't run as written."""
+
+    code = "job-invalid"
+
+    def __init__(self, detail: str, remedy: str) -> None:
+        super().__init__(detail, remedy)
+        self.detail = detail
+        self.remedy = remedy
+
+    def message(self) -> str:
+        """Say what is wrong and how to mend it."""
+        return f"The job was not accepted: {self.detail}. {self.remedy}"
+
+
+def check_job(spec: JobSpec) -> JobInvalid | None:
+    """Return what keeps the job from ever running, if anything."""
+    if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
+        return JobInvalid(
+            f"the payload has more than {MAX_PAYLOAD_BYTES} bytes",
+            "Shorten it, or pass a reference to the data.",
+        )
+    if not spec.steps:
+        return JobInvalid("it has no steps", "State at least one step.")
+    if len(spec.steps) > MAX_STEPS:
+        return JobInvalid(
+            f"it has {len(spec.steps)} steps, {MAX_STEPS} at most",
+            "Split it into several jobs.",
+        )
+    if sum(step.count for step in spec.steps) > MAX_TASKS:
+        return JobInvalid(
+            f"it has more than {MAX_TASKS} tasks", "Split it into several jobs."
+        )
+    if spec.occurrences < 0 or (spec.occurrences > 1 and spec.interval_ms <= 0):
+        return JobInvalid(
+            "its occurrences have no interval",
+            "State a positive interval, or a single occurrence.",
+        )
+    for index, step in enumerate(spec.steps):
+        fault = _check_step(index, step)
+        if fault is not None:
+            return fault
+    return None
+
+
+def _check_step(index: int, step: StepSpec) -> JobInvalid | None:
+    if step.count < 1:
+        return JobInvalid(f"step {index} has no tasks", "State a count of 1 or more.")
+    sizes = (step.cpu_millis, step.memory_mb, step.accelerators, step.estimate_ms)
+    if min(sizes) < 0 or min(step.max_per_worker, step.max_unavailable) < 0:
+        return JobInvalid(f"step {index} has a negative size", "Use 0 for none.")
+    if any(not 0 <= earlier < index for earlier in step.after):
+        return JobInvalid(
+            f"step {index} waits for a step that is not before it",
+            "Let each step name only steps with smaller numbers.",
+        )
+    return None
+
+
+__all__ = ["JobInvalid", "check_job"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/availability.py
@@ -0,0 +1,57 @@
+"""How many long-running tasks of a step may be away by this system's doing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.placement import fits, is_allowed, is_open
+from medlarspring_tables.scheduling import RunState
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import Run, StepRun, Task, WorkTables
+
+AT_WORK_PERCENT = 100
+"""A long-running task is at work when it reports this."""
+
+
+def is_at_work(task: Task) -> bool:
+    """Tell whether a long-running task serves at present, as last reported."""
+    return any(
+        run.state is RunState.RUNNING
+        and run.percent >= AT_WORK_PERCENT
+        and not run.stopping
+        and not run.worker.gone
+        and not run.worker.unanswered_since
+        for run in task.runs
+    )
+
+
+def count_away(step: StepRun) -> int:
+    """Return how many tasks of a step are not at work, for whatever cause."""
+    return sum(1 for task in step.tasks if not is_at_work(task))
+
+
+def may_stop_long_run(tables: WorkTables, run: Run, now: Seconds) -> bool:
+    """Tell whether a long-running task may be stopped to run elsewhere.
+
+    It may when it is not at work anyhow; else only while fewer of its step are
+    away than the step allows, and another worker has room for it. Two drains at
+    once would otherwise each count the other's task as serving.
+    """
+    step = run.task.step
+    if not is_at_work(run.task):
+        return True
+    if count_away(step) >= max(step.spec.max_unavailable, 1):
+        return False
+    workers = tables.workers_by_pool.get(step.job.queue.pool_id, {}).values()
+    return any(
+        worker is not run.worker
+        and is_open(worker, now)
+        and fits(step, worker)
+        and is_allowed(step, worker, now)
+        for worker in workers
+    )
+
+
+__all__ = ["count_away", "is_at_work", "may_stop_long_run"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -0,0 +1,208 @@
+"""Operations on VMs that are planned, under way or done."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from medlarspring_tables.scheduling import VMPhase
+
+if TYPE_CHECKING:
+    from medlarspring_tables import PoolId, Seconds, VMId, WaveId
+    from medlarspring_tables.scheduling import (
+        FleetLimits,
+        Run,
+        VMEntry,
+        WaveOrder,
+        Worker,
+        WorkTables,
+    )
+
+SEEN_MARGIN_SECONDS = 0.3
+"""An operation shows in lists that were asked for so much later."""
+GIVE_UP_SECONDS = 6.0
+"""An operation that no list shows for so long was not carried out."""
+
+
+@dataclass(frozen=True, slots=True)
+class MoveVM:
+    """Move a VM to another pool."""
+
+    vm_id: VMId
+    pool_id: PoolId
+    from_pool_id: PoolId
+    reason: str
+
+    def describe(self) -> dict[str, str]:
+        """Return what a log line says of it."""
+        return {
+            "operation": "move",
+            "vm": self.vm_id,
+            "pool": self.pool_id,
+            "from_pool": self.from_pool_id,
+            "reason": self.reason,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class MaintainVM:
+    """Take a VM down for its maintenance."""
+
+    vm_id: VMId
+    wave_id: WaveId
+
+    def describe(self) -> dict[str, str]:
+        """Return what a log line says of it."""
+        return {"operation": "maintain", "vm": self.vm_id, "wave": self.wave_id}
+
+
+VMOperation = MoveVM | MaintainVM
+
+
+@dataclass(slots=True)
+class PendingOperation:
+    """An operation that was sent, until the VM list shows its end."""
+
+    operation: VMOperation
+    sent_at: Seconds
+    old_worker_id: str | None
+    """The life that the operation ends."""
+
+
+@dataclass(slots=True)
+class WaveProgress:
+    """A maintenance wave and how far it is."""
+
+    id: WaveId
+    order: WaveOrder
+    seen_at: Seconds
+    done: set[VMId] = field(default_factory=set)
+    """VMs whose maintenance the platform confirmed to have begun."""
+    announced: bool = False
+    complete: bool = False
+    reported: bool = False
+    """Whether the operator was told of the end."""
+
+    @property
+    def deadline_at(self) -> Seconds:
+        """When every VM of the wave should have had its maintenance."""
+        return self.seen_at + self.order.deadline_seconds
+
+
+@dataclass(slots=True)
+class FleetTables:
+    """Waves and operations of one controller."""
+
+    waves_by_id: dict[WaveId, WaveProgress] = field(default_factory=dict)
+    done_by_wave: dict[WaveId, set[VMId]] = field(default_factory=dict)
+    """As recorded by predecessors."""
+    pending_by_vm: dict[VMId, PendingOperation] = field(default_factory=dict)
+    refused_until: dict[VMId, Seconds] = field(default_factory=dict)
+    """VMs whose last operation was refused are left alone for a moment."""
+    wanted_by_pool: dict[PoolId, int] = field(default_factory=dict)
+    """VMs that each pool's work asked for at the last look."""
+    drained_for_wave: set[VMId] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class FleetPlan:
+    """What one look at the fleet decided."""
+
+    operations: list[VMOperation] = field(default_factory=list)
+    stops: list[tuple[Run, str]] = field(default_factory=list)
+    changed_pools: set[PoolId] = field(default_factory=set)
+    to_report: list[WaveProgress] = field(default_factory=list)
+
+
+REFUSED_SECONDS = 1.0
+
+
+def take_wave(fleet: FleetTables, order: WaveOrder, seen_at: Seconds) -> None:
+    """Enter an order of the operator."""
+    wave = fleet.waves_by_id.get(order.id)
+    if wave is None:
+        wave = WaveProgress(order.id, order, seen_at)
+        wave.done = fleet.done_by_wave.setdefault(order.id, set())
+        fleet.waves_by_id[order.id] = wave
+    wave.order = order
+
+
+def note_operation(
+    tables: WorkTables, fleet: FleetTables, operation: VMOperation, now: Seconds
+) -> None:
+    """Note that an operation is about to be sent."""
+    vm = tables.vms_by_id.get(operation.vm_id)
+    worker_id = vm.worker_id if vm is not None else None
+    fleet.pending_by_vm[operation.vm_id] = PendingOperation(operation, now, worker_id)
+
+
+def note_done(fleet: FleetTables, operation: VMOperation) -> None:
+    """Note that the platform confirmed an operation."""
+    if isinstance(operation, MaintainVM):
+        fleet.done_by_wave.setdefault(operation.wave_id, set()).add(operation.vm_id)
+        fleet.drained_for_wave.discard(operation.vm_id)
+
+
+def note_refused(fleet: FleetTables, operation: VMOperation, now: Seconds) -> None:
+    """Note that an operation was certainly not carried out."""
+    fleet.pending_by_vm.pop(operation.vm_id, None)
+    fleet.refused_until[operation.vm_id] = now + REFUSED_SECONDS
+
+
+def drop_seen(
+    tables: WorkTables, fleet: FleetTables, limits: FleetLimits, now: Seconds
+) -> None:
+    """Forget the operations whose end the VM list shows."""
+    for vm_id, pending in list(fleet.pending_by_vm.items()):
+        vm = tables.vms_by_id.get(vm_id)
+        given_up = now - pending.sent_at > GIVE_UP_SECONDS
+        if vm is None or given_up or _is_over(tables, vm, pending, limits):
+            del fleet.pending_by_vm[vm_id]
+
+
+def _is_over(
+    tables: WorkTables, vm: VMEntry, pending: PendingOperation, limits: FleetLimits
+) -> bool:
+    is_move = isinstance(pending.operation, MoveVM)
+    takes = limits.move if is_move else limits.maintenance
+    if tables.vms_read_at < pending.sent_at + takes + SEEN_MARGIN_SECONDS:
+        return False
+    return vm.phase is VMPhase.UP
+
+
+def find_worker_of(tables: WorkTables, vm: VMEntry) -> Worker | None:
+    """Return the VM's present life, if it is known as a worker."""
+    if vm.worker_id is None:
+        return None
+    return tables.workers_by_id.get(vm.worker_id)
+
+
+def is_standby(tables: WorkTables, pool_id: PoolId) -> bool:
+    """Tell whether a pool's VMs are off and cost nothing."""
+    policy = tables.config.pools_by_id.get(pool_id)
+    return policy is not None and policy.standby
+
+
+def is_free(fleet: FleetTables, vm: VMEntry, now: Seconds) -> bool:
+    """Tell whether a VM may be operated on at all."""
+    if vm.phase is not VMPhase.UP or vm.id in fleet.pending_by_vm:
+        return False
+    return fleet.refused_until.get(vm.id, 0.0) <= now
+
+
+__all__ = [
+    "FleetPlan",
+    "FleetTables",
+    "MaintainVM",
+    "MoveVM",
+    "VMOperation",
+    "WaveProgress",
+    "drop_seen",
+    "find_worker_of",
+    "is_free",
+    "is_standby",
+    "note_done",
+    "note_operation",
+    "note_refused",
+    "take_wave",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
@@ -0,0 +1,41 @@
+"""One look at the fleet: maintenance first, then moves between pools."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.fleet import FleetPlan, drop_seen
+from medlarspring_systems.scheduling.maintenance import plan_maintenance
+from medlarspring_systems.scheduling.pool_sizing import plan_moves
+
+if TYPE_CHECKING:
+    from medlarspring_systems.scheduling.fleet import FleetTables
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import FleetLimits, WorkTables
+
+
+def plan_operations(
+    tables: WorkTables, fleet: FleetTables, limits: FleetLimits, now: Seconds
+) -> FleetPlan:
+    """Return the operations on VMs to carry out now, and what to stop for them."""
+    drop_seen(tables, fleet, limits, now)
+    plan = FleetPlan()
+    fleet.drained_for_wave.clear()
+    plan_maintenance(tables, fleet, now, plan)
+    plan_moves(tables, fleet, now, plan)
+    _reserve(tables, fleet, plan)
+    return plan
+
+
+def _reserve(tables: WorkTables, fleet: FleetTables, plan: FleetPlan) -> None:
+    """Keep new tasks away from workers that are emptied or about to go."""
+    going = {operation.vm_id for operation in plan.operations}
+    going |= fleet.drained_for_wave
+    going |= set(fleet.pending_by_vm)
+    for worker in tables.workers_by_id.values():
+        was_reserved, worker.reserved = worker.reserved, worker.vm_id in going
+        if was_reserved and not worker.reserved:
+            plan.changed_pools.add(worker.pool_id)
+
+
+__all__ = ["plan_operations"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/jobs.py
@@ -0,0 +1,196 @@
+"""The life of a job: its occurrences, steps and tasks, until it ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.estimates import find_critical_paths
+from medlarspring_tables.scheduling import (
+    ActiveJob,
+    JobOutcome,
+    Room,
+    StepRun,
+    Task,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables import JobId, Revision, Seconds
+    from medlarspring_tables.scheduling import (
+        JobRecord,
+        Milliseconds,
+        WorkTables,
+    )
+
+LATE_FACTOR = 3.0
+"""A job is of little use after its objective, and of none after this many times."""
+EARLY_START_SECONDS = 0.05
+"""An occurrence is opened so much before it is due, to be ready in time."""
+
+
+def admit_job(
+    tables: WorkTables, job_id: JobId, record: JobRecord, revision: Revision
+) -> ActiveJob:
+    """Take an accepted job into the tables; its occurrences are opened later."""
+    assert record.spec is not None
+    job = ActiveJob(
+        id=job_id,
+        queue=record.queue,
+        spec=record.spec,
+        accepted_at_ms=record.accepted_at_ms,
+        job_revision=revision,
+    )
+    tables.jobs_by_id[job_id] = job
+    return job
+
+
+def count_occurrences(job: ActiveJob) -> int:
+    """Return how often the job's steps run in all."""
+    return max(job.spec.occurrences, 1)
+
+
+def find_due_ms(job: ActiveJob, occurrence: int) -> Milliseconds:
+    """Return the wall time at which an occurrence is due."""
+    if not job.spec.occurrences:
+        return job.accepted_at_ms
+    return job.spec.first_at_ms + occurrence * job.spec.interval_ms
+
+
+def open_due_occurrences(
+    tables: WorkTables, job: ActiveJob, now: Seconds, wall_ms: float
+) -> bool:
+    """Open the occurrences that are due; tell whether any was opened."""
+    opened = False
+    while job.outcome is None and not job.cancelled:
+        occurrence = job.next_occurrence
+        if occurrence >= count_occurrences(job):
+            break
+        due_ms = find_due_ms(job, occurrence)
+        if job.spec.occurrences and due_ms > wall_ms + EARLY_START_SECONDS * 1_000:
+            break
+        job.next_occurrence += 1
+        if occurrence in job.occurrences_done:
+            continue
+        open_occurrence(tables, job, occurrence, now, wall_ms)
+        opened = True
+    return opened
+
+
+def open_occurrence(
+    tables: WorkTables, job: ActiveJob, occurrence: int, now: Seconds, wall_ms: float
+) -> list[StepRun]:
+    """Create the steps of one occurrence and make those ready that can start."""
+    due_at = now + (find_due_ms(job, occurrence) - wall_ms) / 1_000.0
+    paths = find_critical_paths(tables, job.queue.id, job.spec.steps)
+    objective = job.queue.stretch * max(paths) + job.queue.allowance_ms / 1_000.0
+    steps: list[StepRun] = []
+    for index, spec in enumerate(job.spec.steps):
+        step = StepRun(job=job, occurrence=occurrence, index=index, spec=spec)
+        step.objective_at = due_at + objective
+        step.given_up_at = due_at + LATE_FACTOR * objective
+        step.remaining_path = paths[index]
+        cpu = 0 if spec.uses_leftover else spec.cpu_millis
+        step.room = Room(cpu, spec.memory_mb, spec.accelerators)
+        prefix = f"{job.id}.{occurrence}.{index}"
+        step.tasks = [
+            Task(step=step, index=number, id=f"{prefix}.{number}", waiting_since=now)
+            for number in range(spec.count)
+        ]
+        step.waiting = list(step.tasks)
+        steps.append(step)
+    job.occurrences_by_index[occurrence] = steps
+    refresh_ready(tables, steps, now)
+    return steps
+
+
+def refresh_ready(tables: WorkTables, steps: list[StepRun], now: Seconds) -> None:
+    """Make the steps ready whose earlier steps are all done."""
+    for step in steps:
+        if step.ready or step.is_done:
+            continue
+        if all(steps[earlier].is_done for earlier in step.spec.after):
+            step.ready = True
+            step.ready_at = now
+            queue_step(tables, step)
+
+
+def queue_step(tables: WorkTables, step: StepRun) -> None:
+    """Note that a step has tasks to place."""
+    pool = tables.ready_by_pool.setdefault(step.job.queue.pool_id, {})
+    pool[step] = None
+
+
+def note_task_done(tables: WorkTables, task: Task, now: Seconds) -> None:
+    """Mark a task done, and open or end what waited for it."""
+    if task.done:
+        return
+    step = task.step
+    task.done = True
+    step.done_count += 1
+    step.job.version += 1
+    if task in step.waiting:
+        step.waiting.remove(task)
+    if not step.is_done:
+        return
+    steps = step.job.occurrences_by_index.get(step.occurrence)
+    if steps is None:
+        return
+    if all(each.is_done for each in steps):
+        close_occurrence(step.job, step.occurrence)
+        return
+    refresh_ready(tables, steps, now)
+
+
+def close_occurrence(job: ActiveJob, occurrence: int) -> None:
+    """Forget a finished occurrence; the last one completes the job."""
+    job.occurrences_by_index.pop(occurrence, None)
+    job.occurrences_done.add(occurrence)
+    if len(job.occurrences_done) == count_occurrences(job) and job.outcome is None:
+        job.outcome = JobOutcome.COMPLETE
+
+
+def fail_job(job: ActiveJob, reason: str) -> None:
+    """End a job that has used up its attempts."""
+    if job.outcome is None:
+        job.outcome = JobOutcome.FAILED
+        job.reason = reason
+        job.version += 1
+
+
+def cancel_job(job: ActiveJob) -> None:
+    """End a job at its customer's wish."""
+    job.cancelled = True
+    if job.outcome is None:
+        job.outcome = JobOutcome.CANCELLED
+        job.reason = "cancelled by its customer"
+        job.version += 1
+
+
+def forget_job(tables: WorkTables, job: ActiveJob) -> None:
+    """Drop a job whose end is recorded."""
+    tables.jobs_by_id.pop(job.id, None)
+    ready = tables.ready_by_pool.get(job.queue.pool_id, {})
+    for steps in job.occurrences_by_index.values():
+        for step in steps:
+            ready.pop(step, None)
+
+
+def is_waiting(job: ActiveJob) -> bool:
+    """Tell whether no task of the job was started yet."""
+    return not job.started and job.outcome is None
+
+
+__all__ = [
+    "admit_job",
+    "cancel_job",
+    "close_occurrence",
+    "count_occurrences",
+    "fail_job",
+    "find_due_ms",
+    "forget_job",
+    "is_waiting",
+    "note_task_done",
+    "open_due_occurrences",
+    "open_occurrence",
+    "queue_step",
+    "refresh_ready",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -0,0 +1,209 @@
+"""What a worker's answer to a hold changes: ends, progress, lost and strange runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.evidence import note_failure, note_success
+from medlarspring_systems.scheduling.jobs import note_task_done
+from medlarspring_systems.scheduling.runs import (
+    attach_run,
+    confirm_run,
+    detach_run,
+    end_run,
+)
+from medlarspring_tables.scheduling import Run, RunEnd, RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from medlarspring_tables import JobId, Seconds
+    from medlarspring_tables.scheduling import (
+        ActiveJob,
+        EndedRow,
+        RunningRow,
+        Task,
+        Worker,
+        WorkTables,
+    )
+
+MAX_ENDS_LISTED = 500
+"""A worker lists so many ends at a time; more follow once these are acknowledged."""
+
+
+@dataclass(slots=True)
+class ListingOutcome:
+    """What came of one listing."""
+
+    ended: list[tuple[Run, RunEnd]] = field(default_factory=list)
+    lost: list[Run] = field(default_factory=list)
+    """Runs that the worker certainly does not have."""
+    absent: list[Run] = field(default_factory=list)
+    """Runs whose order may still be on its way; a stop settles them."""
+    strangers: list[tuple[str, int]] = field(default_factory=list)
+    """Runs, by task id and number, that must not go on."""
+    adopted: list[Run] = field(default_factory=list)
+    confirmed: list[Run] = field(default_factory=list)
+    ends: list[tuple[int, ActiveJob | None]] = field(default_factory=list)
+    """Numbers to acknowledge once the job's record holds the end."""
+    newly_doubted: bool = False
+
+
+def take_listing(
+    tables: WorkTables,
+    worker: Worker,
+    running: Iterable[RunningRow],
+    ended: list[EndedRow],
+    asked_at: Seconds,
+    now: Seconds,
+) -> ListingOutcome:
+    """Bring the tables up to what the worker says.
+
+    ``asked_at`` is when the call was sent: answers on different connections may
+    overtake each other, so absence counts only for what was confirmed before.
+    """
+    outcome = ListingOutcome()
+    for row in sorted(ended, key=lambda row: row.number):
+        if row.number > worker.listed_through:
+            _take_end(tables, worker, row, outcome, now)
+            worker.listed_through = row.number
+    listed = set()
+    for listed_run in running:
+        listed.add((listed_run.task_id, listed_run.run))
+        _take_running(tables, worker, listed_run, outcome, now)
+    if len(ended) < MAX_ENDS_LISTED:
+        _find_absent(tables, worker, listed, outcome, asked_at, now)
+    return outcome
+
+
+def _take_end(
+    tables: WorkTables,
+    worker: Worker,
+    row: EndedRow,
+    outcome: ListingOutcome,
+    now: Seconds,
+) -> None:
+    run = worker.runs.get((row.task_id, row.run))
+    if run is None:
+        outcome.ends.append((row.number, _take_stray_end(tables, row, now)))
+        return
+    if row.end is RunEnd.DONE:
+        note_success(worker)
+    elif row.end is RunEnd.FAILED and not run.stopping:
+        outcome.newly_doubted |= note_failure(tables, run, now)
+    end_run(tables, run, row.end, row.checkpoint, now)
+    outcome.ended.append((run, row.end))
+    outcome.ends.append((row.number, run.task.step.job))
+
+
+def _take_stray_end(
+    tables: WorkTables, row: EndedRow, now: Seconds
+) -> ActiveJob | None:
+    """Take over an end of a run that is on no worker's list of ours.
+
+    Once acknowledged, an end counts for good: a task that ended done must then
+    not start again, even if its run was believed never to have begun.
+    """
+    task = find_task(tables, row.task_id)
+    if task is None:
+        return None
+    if row.end is RunEnd.DONE and not task.step.spec.long_running:
+        note_task_done(tables, task, now)
+    task.last_run = max(task.last_run, row.run)
+    return task.step.job
+
+
+def _take_running(
+    tables: WorkTables,
+    worker: Worker,
+    row: RunningRow,
+    outcome: ListingOutcome,
+    now: Seconds,
+) -> None:
+    run = worker.runs.get((row.task_id, row.run))
+    if run is None:
+        run = _adopt(tables, worker, row, now)
+        if run is None:
+            outcome.strangers.append((row.task_id, row.run))
+            return
+        outcome.adopted.append(run)
+    if run.state is not RunState.RUNNING:
+        confirm_run(run, now)
+        outcome.confirmed.append(run)
+    run.absent_since = 0.0
+    run.gauge = row.gauge
+    if row.percent != run.percent:
+        run.percent = row.percent
+        run.advanced_at = now
+    if row.checkpoint:
+        run.task.checkpoint = row.checkpoint
+
+
+def _adopt(
+    tables: WorkTables, worker: Worker, row: RunningRow, now: Seconds
+) -> Run | None:
+    """Enter a run that was believed not to have begun, if its task needs one."""
+    task = find_task(tables, row.task_id)
+    if task is None or task.done or task.runs:
+        return None
+    if task.step.job.outcome is not None or task.step.spec.gang:
+        return None
+    run = Run(task=task, number=row.run, worker=worker, intended_at=now, ordered_at=now)
+    attach_run(run)
+    task.step.job.version += 1
+    return run
+
+
+def _find_absent(
+    tables: WorkTables,
+    worker: Worker,
+    listed: set[tuple[str, int]],
+    outcome: ListingOutcome,
+    asked_at: Seconds,
+    now: Seconds,
+) -> None:
+    for key, run in list(worker.runs.items()):
+        if key in listed or run.state in (RunState.INTENDED, RunState.ORDERED):
+            continue
+        settled_at = run.confirmed_at
+        if run.state is RunState.UNKNOWN:
+            settled_at = run.stop_confirmed_at
+            if not settled_at:
+                if run.ordered_at < asked_at:
+                    outcome.absent.append(run)
+                continue
+        if settled_at < asked_at:
+            detach_run(tables, run, now)
+            outcome.lost.append(run)
+
+
+def find_task(tables: WorkTables, task_id: str) -> Task | None:
+    """Return the task of a name as workers know it, if its job is open."""
+    parts = task_id.split(".")
+    if len(parts) != 4:  # noqa: PLR2004
+        return None
+    job_id, occurrence, step, index = parts
+    job = tables.jobs_by_id.get(job_id)  # type: ignore[call-overload]
+    if job is None:
+        return None
+    steps = job.occurrences_by_index.get(int(occurrence))
+    if steps is None or int(step) >= len(steps):
+        return None
+    tasks: list[Task] = steps[int(step)].tasks
+    return tasks[int(index)] if int(index) < len(tasks) else None
+
+
+def list_jobs(outcome: ListingOutcome) -> set[JobId]:
+    """Return the jobs whose records the listing changed."""
+    jobs = {run.task.step.job.id for run, _ in outcome.ended}
+    jobs |= {run.task.step.job.id for run in outcome.lost + outcome.adopted}
+    return jobs | {job.id for _, job in outcome.ends if job is not None}
+
+
+__all__ = [
+    "ListingOutcome",
+    "find_task",
+    "list_jobs",
+    "take_listing",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -0,0 +1,141 @@
+"""Maintenance waves: which VM goes down next, and what has to leave it first.
+
+VMs that do nothing go first. Others are emptied: they get no new tasks, and
+batch tasks end by themselves within seconds. Long-running tasks are stopped and
+placed elsewhere, never more of a step at once than it allows to be away.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.availability import may_stop_long_run
+from medlarspring_systems.scheduling.fleet import (
+    MaintainVM,
+    find_worker_of,
+    is_free,
+    is_standby,
+)
+from medlarspring_tables.scheduling import VMPhase
+
+if TYPE_CHECKING:
+    from medlarspring_systems.scheduling.fleet import (
+        FleetPlan,
+        FleetTables,
+        WaveProgress,
+    )
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import VMEntry, Worker, WorkTables
+
+DRAIN_AHEAD = 2
+"""VMs emptied ahead of a free place in the wave, so that none is left unused."""
+FORCE_SECONDS = 3.0
+"""So long before its deadline a wave ends batch work that still runs."""
+
+
+def plan_maintenance(
+    tables: WorkTables,
+    fleet: FleetTables,
+    now: Seconds,
+    plan: FleetPlan,
+) -> None:
+    """Add the operations and stops that the open waves call for."""
+    for wave in fleet.waves_by_id.values():
+        if not wave.reported:
+            _plan_wave(tables, fleet, wave, now, plan)
+
+
+def _plan_wave(
+    tables: WorkTables,
+    fleet: FleetTables,
+    wave: WaveProgress,
+    now: Seconds,
+    plan: FleetPlan,
+) -> None:
+    if not tables.vms_by_id:
+        return
+    left = [
+        tables.vms_by_id[vm_id]
+        for vm_id in wave.order.vm_ids
+        if vm_id in tables.vms_by_id and vm_id not in wave.done
+    ]
+    if not left:
+        wave.complete = True
+        plan.to_report.append(wave)
+        return
+    if not wave.announced:
+        plan.to_report.append(wave)
+    places = wave.order.max_at_once - _count_down(tables, fleet, wave)
+    candidates = [vm for vm in left if is_free(fleet, vm, now)]
+    candidates.sort(key=lambda vm: _rate(tables, vm))
+    forced = now > wave.deadline_at - FORCE_SECONDS
+    drains = max(places, 0) + DRAIN_AHEAD
+    for vm in candidates:
+        worker = find_worker_of(tables, vm)
+        if worker is None or not worker.runs:
+            if places > 0 and _may_go_down(tables, vm, worker):
+                plan.operations.append(MaintainVM(vm.id, wave.id))
+                places -= 1
+            continue
+        if drains <= 0:
+            continue
+        drains -= 1
+        _drain(tables, fleet, vm, worker, now, plan)
+        if forced and places > 0 and not worker.long_runs:
+            plan.operations.append(MaintainVM(vm.id, wave.id))
+            places -= 1
+
+
+def _may_go_down(tables: WorkTables, vm: VMEntry, worker: Worker | None) -> bool:
+    """Tell whether the pool still has another VM for its work."""
+    if worker is None or is_standby(tables, vm.pool_id):
+        return True
+    others = [
+        each
+        for each in tables.workers_by_pool.get(vm.pool_id, {}).values()
+        if each is not worker and each.listed and not each.draining
+    ]
+    return bool(others)
+
+
+def _count_down(tables: WorkTables, fleet: FleetTables, wave: WaveProgress) -> int:
+    """Return how many VMs of the wave are down for it, or may be."""
+    down = 0
+    for vm_id in wave.order.vm_ids:
+        vm = tables.vms_by_id.get(vm_id)
+        pending = fleet.pending_by_vm.get(vm_id)
+        is_sent = pending is not None and isinstance(pending.operation, MaintainVM)
+        if is_sent or (vm is not None and vm.phase is VMPhase.MAINTENANCE):
+            down += 1
+    return down
+
+
+def _rate(tables: WorkTables, vm: VMEntry) -> tuple[float, ...]:
+    """Return how costly it is to take a VM down; the smallest goes first."""
+    worker = find_worker_of(tables, vm)
+    if worker is None:
+        return (0.0, 0.0, 0.0)
+    busy = worker.room.cpu_millis - worker.cpu_free
+    return (1.0 if worker.runs else 0.0, float(worker.long_runs), float(busy))
+
+
+def _drain(
+    tables: WorkTables,
+    fleet: FleetTables,
+    vm: VMEntry,
+    worker: Worker,
+    now: Seconds,
+    plan: FleetPlan,
+) -> None:
+    """Give a VM no new tasks, and move its long-running ones."""
+    fleet.drained_for_wave.add(vm.id)
+    for run in worker.runs.values():
+        if not run.task.step.spec.long_running or run.stopping:
+            continue
+        if may_stop_long_run(tables, run, now):
+            plan.stops.append((run, "VM is due for maintenance"))
+            run.stopping = True
+            plan.changed_pools.add(worker.pool_id)
+
+
+__all__ = ["plan_maintenance"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -0,0 +1,241 @@
+"""How many VMs each pool needs now, and which VMs change their pool.
+
+The load it answers: each queue in its turn asks for five times its mean for some
+seconds, and for a twentieth of it in between. A VM in a pool is paid for whether
+it works or not; one in a standby pool costs nothing and serves 1.5 s after it is
+called. So pools keep what their work needs, and the rest waits in standby.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.estimates import expect_seconds
+from medlarspring_systems.scheduling.fleet import (
+    MoveVM,
+    find_worker_of,
+    is_free,
+    is_standby,
+)
+from medlarspring_tables.scheduling import VMPhase
+
+if TYPE_CHECKING:
+    from medlarspring_systems.scheduling.fleet import FleetPlan, FleetTables
+    from medlarspring_tables import PoolId, Seconds, VMId
+    from medlarspring_tables.scheduling import VMEntry, Worker, WorkTables
+
+HORIZON_SECONDS = 0.8
+"""Waiting work is to be done within so long by the VMs that are called."""
+FILL = 0.85
+"""Part of a VM that tasks of mixed sizes fill on average."""
+IDLE_SECONDS = 1.5
+"""A VM that did nothing for so long goes to standby.
+
+A move there and back costs as much as 1.3 s in the pool, and the way back takes
+another 1.5 s in which its work waits.
+"""
+LEAST_VMS = 1
+"""A pool with queues keeps at least so many, to start work at once."""
+LEAST_READ_AGE_SECONDS = 2.5
+"""Sizes are planned only on a VM list younger than this."""
+
+
+def plan_moves(
+    tables: WorkTables, fleet: FleetTables, now: Seconds, plan: FleetPlan
+) -> None:
+    """Add the moves that bring each pool to what its work needs."""
+    if not tables.vms_by_id or now - tables.vms_read_at > LEAST_READ_AGE_SECONDS:
+        return
+    standby = [
+        pool_id for pool_id in tables.config.pools_by_id if is_standby(tables, pool_id)
+    ]
+    if not standby:
+        return
+    taken = {operation.vm_id for operation in plan.operations}
+    wanted = {
+        pool_id: find_wanted(tables, pool_id)
+        for pool_id in tables.config.pools_by_id
+        if pool_id not in standby
+    }
+    fleet.wanted_by_pool = wanted
+    have = _count_vms(tables, fleet)
+    sources = _list_sources(tables, fleet, wanted, have, now, taken)
+    _grow(tables, wanted, have, sources, plan, taken)
+    _shrink(tables, wanted, have, standby[0], sources, now, plan, taken)
+
+
+def find_wanted(tables: WorkTables, pool_id: PoolId) -> int:
+    """Return how many VMs a pool's work asks for."""
+    cpu = memory = 0.0
+    largest_cpu = largest_memory = 1
+    for worker in tables.workers_by_pool.get(pool_id, {}).values():
+        cpu += worker.room.cpu_millis - worker.cpu_free
+        memory += worker.room.memory_mb - worker.memory_free
+        largest_cpu = max(largest_cpu, worker.room.cpu_millis)
+        largest_memory = max(largest_memory, worker.room.memory_mb)
+    for vm in tables.vms_by_id.values():
+        largest_cpu = max(largest_cpu, vm.room.cpu_millis)
+        largest_memory = max(largest_memory, vm.room.memory_mb)
+    waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id)
+    vms = max(
+        (cpu + waiting_cpu) / (largest_cpu * FILL),
+        (memory + waiting_memory) / (largest_memory * FILL),
+    )
+    return max(math.ceil(vms), LEAST_VMS, _count_needed_by_limits(tables, pool_id))
+
+
+def _measure_waiting(tables: WorkTables, pool_id: PoolId) -> tuple[float, float]:
+    """Return processors and memory that waiting work needs, to be done in time."""
+    cpu = memory = 0.0
+    for step in tables.ready_by_pool.get(pool_id, {}):
+        if step.job.outcome is not None or not step.waiting:
+            continue
+        part = 1.0
+        if not step.spec.long_running:
+            seconds = expect_seconds(tables, step.job.queue.id, step.spec, step.seen_ms)
+            part = min(seconds / HORIZON_SECONDS, 1.0)
+        cpu += part * len(step.waiting) * step.room.cpu_millis
+        memory += part * len(step.waiting) * step.room.memory_mb
+    return cpu, memory
+
+
+def _count_needed_by_limits(tables: WorkTables, pool_id: PoolId) -> int:
+    """Return how many VMs the steps need that limit their tasks on one worker."""
+    most = 0
+    for step in tables.ready_by_pool.get(pool_id, {}):
+        if step.spec.max_per_worker and step.spec.long_running:
+            most = max(most, math.ceil(step.spec.count / step.spec.max_per_worker))
+    return most
+
+
+def _count_vms(tables: WorkTables, fleet: FleetTables) -> dict[PoolId, int]:
+    """Return how many VMs each pool has or is about to have."""
+    have: dict[PoolId, int] = {}
+    for vm in tables.vms_by_id.values():
+        pending = fleet.pending_by_vm.get(vm.id)
+        pool_id = vm.pool_id
+        if pending is not None and isinstance(pending.operation, MoveVM):
+            pool_id = pending.operation.pool_id
+        elif vm.phase is VMPhase.DOWN:
+            continue
+        worker = find_worker_of(tables, vm)
+        if worker is not None and pending is None and _is_lost(worker):
+            continue
+        have[pool_id] = have.get(pool_id, 0) + 1
+    return have
+
+
+def _is_lost(worker: Worker) -> bool:
+    """Tell whether a worker does not count for its pool any more."""
+    return bool(worker.unanswered_since) or worker.draining
+
+
+def _list_sources(
+    tables: WorkTables,
+    fleet: FleetTables,
+    wanted: dict[PoolId, int],
+    have: dict[PoolId, int],
+    now: Seconds,
+    taken: set[VMId],
+) -> list[VMEntry]:
+    """Return the VMs that may move, standby ones first, maintained ones before."""
+    due = {
+        vm_id
+        for wave in fleet.waves_by_id.values()
+        if not wave.complete
+        for vm_id in wave.order.vm_ids
+        if vm_id not in wave.done
+    }
+    sources = [
+        vm
+        for vm in tables.vms_by_id.values()
+        if vm.id not in taken
+        and is_free(fleet, vm, now)
+        and _is_idle(tables, vm, 0.0, now)
+    ]
+    sources.sort(
+        key=lambda vm: (vm.id in due, not is_standby(tables, vm.pool_id), vm.id)
+    )
+    return sources
+
+
+def _is_idle(
+    tables: WorkTables, vm: VMEntry, idle_seconds: Seconds, now: Seconds
+) -> bool:
+    worker = find_worker_of(tables, vm)
+    if worker is None:
+        return is_standby(tables, vm.pool_id)
+    if worker.runs or worker.unanswered_since or not worker.settled:
+        return False
+    return now - worker.idle_since >= idle_seconds
+
+
+def _grow(
+    tables: WorkTables,
+    wanted: dict[PoolId, int],
+    have: dict[PoolId, int],
+    sources: list[VMEntry],
+    plan: FleetPlan,
+    taken: set[VMId],
+) -> None:
+    short = sorted(wanted, key=lambda pool_id: have.get(pool_id, 0) - wanted[pool_id])
+    for pool_id in short:
+        while have.get(pool_id, 0) < wanted[pool_id]:
+            vm = _take_source(tables, pool_id, wanted, have, sources)
+            if vm is None:
+                return
+            _move(vm, pool_id, "its work needs more VMs", have, plan)
+            taken.add(vm.id)
+
+
+def _take_source(
+    tables: WorkTables,
+    pool_id: PoolId,
+    wanted: dict[PoolId, int],
+    have: dict[PoolId, int],
+    sources: list[VMEntry],
+) -> VMEntry | None:
+    for vm in sources:
+        if vm.pool_id == pool_id:
+            continue
+        spare = is_standby(tables, vm.pool_id)
+        if spare or have.get(vm.pool_id, 0) > wanted.get(vm.pool_id, 0):
+            sources.remove(vm)
+            return vm
+    return None
+
+
+def _shrink(
+    tables: WorkTables,
+    wanted: dict[PoolId, int],
+    have: dict[PoolId, int],
+    standby_id: PoolId,
+    sources: list[VMEntry],
+    now: Seconds,
+    plan: FleetPlan,
+    taken: set[VMId],
+) -> None:
+    for vm in sources:
+        if vm.id in taken or is_standby(tables, vm.pool_id):
+            continue
+        if have.get(vm.pool_id, 0) <= wanted.get(vm.pool_id, 0):
+            continue
+        if not _is_idle(tables, vm, IDLE_SECONDS, now):
+            continue
+        _move(vm, standby_id, "idle", have, plan)
+
+
+def _move(
+    vm: VMEntry,
+    pool_id: PoolId,
+    reason: str,
+    have: dict[PoolId, int],
+    plan: FleetPlan,
+) -> None:
+    have[vm.pool_id] = have.get(vm.pool_id, 0) - 1
+    have[pool_id] = have.get(pool_id, 0) + 1
+    plan.operations.append(MoveVM(vm.id, pool_id, vm.pool_id, reason))
+
+
+__all__ = ["find_wanted", "plan_moves"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/recording.py
@@ -0,0 +1,131 @@
+"""A job's progress as it is kept in the store, and back into the tables."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.jobs import (
+    count_occurrences,
+    note_task_done,
+    open_occurrence,
+)
+from medlarspring_systems.scheduling.runs import attach_run
+from medlarspring_tables.scheduling import (
+    ProgressRecord,
+    Run,
+    RunRecord,
+    RunState,
+    StepRecord,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import (
+        ActiveJob,
+        StepRun,
+        Worker,
+        WorkerId,
+        WorkTables,
+    )
+
+
+def encode_progress(job: ActiveJob) -> ProgressRecord:
+    """Return what a successor has to know of a started job."""
+    steps: dict[str, StepRecord] = {}
+    for occurrence, occurrence_steps in job.occurrences_by_index.items():
+        for step in occurrence_steps:
+            record = _encode_step(step)
+            if record is not None:
+                steps[f"{occurrence}.{step.index}"] = record
+    first_open = 0
+    while first_open in job.occurrences_done:
+        first_open += 1
+    beyond = sorted(each for each in job.occurrences_done if each > first_open)
+    return ProgressRecord(
+        steps=steps, occurrences_done=first_open, done_beyond=tuple(beyond)
+    )
+
+
+def _encode_step(step: StepRun) -> StepRecord | None:
+    done = 0
+    record = StepRecord(runs={}, last_runs={}, failures={}, checkpoints={})
+    touched = False
+    for task in step.tasks:
+        if task.done:
+            done |= 1 << task.index
+            continue
+        if not task.last_run and not task.failures:
+            continue
+        touched = True
+        if task.runs:
+            record.runs[task.index] = tuple(
+                RunRecord(run.number, run.worker.id) for run in task.runs
+            )
+        highest = max((run.number for run in task.runs), default=0)
+        if task.last_run > highest:
+            record.last_runs[task.index] = task.last_run
+        if task.failures:
+            record.failures[task.index] = task.failures
+        if task.checkpoint:
+            record.checkpoints[task.index] = task.checkpoint
+    if done:
+        record.done = format(done, "x")
+    return record if done or touched else None
+
+
+def restore_progress(
+    tables: WorkTables,
+    job: ActiveJob,
+    record: ProgressRecord,
+    find_worker: Callable[[WorkerId], Worker],
+    now: Seconds,
+    wall_ms: float,
+) -> None:
+    """Enter recorded progress; recorded runs count as unknown until listed."""
+    job.started = True
+    job.occurrences_done = set(range(record.occurrences_done))
+    job.occurrences_done |= set(record.done_beyond)
+    indexes = {int(key.partition(".")[0]) for key in record.steps}
+    first_unopened = max(indexes, default=record.occurrences_done - 1) + 1
+    job.next_occurrence = min(first_unopened, count_occurrences(job))
+    for occurrence in range(record.occurrences_done, job.next_occurrence):
+        if occurrence in job.occurrences_done:
+            continue
+        steps = open_occurrence(tables, job, occurrence, now, wall_ms)
+        for step in steps:
+            kept = record.steps.get(f"{occurrence}.{step.index}")
+            if kept is not None:
+                _restore_step(tables, step, kept, find_worker, now)
+
+
+def _restore_step(
+    tables: WorkTables,
+    step: StepRun,
+    record: StepRecord,
+    find_worker: Callable[[WorkerId], Worker],
+    now: Seconds,
+) -> None:
+    done = int(record.done, 16) if record.done else 0
+    for task in step.tasks:
+        task.last_run = record.last_runs.get(task.index, 0)
+        task.failures = record.failures.get(task.index, 0)
+        task.checkpoint = record.checkpoints.get(task.index, "")
+        for kept in record.runs.get(task.index, ()):
+            run = Run(
+                task=task,
+                number=kept.number,
+                worker=find_worker(kept.worker_id),
+                state=RunState.UNKNOWN,
+                intended_at=now,
+                ordered_at=now,
+                checkpoint=task.checkpoint,
+            )
+            attach_run(run)
+    for task in step.tasks:
+        if done >> task.index & 1:
+            note_task_done(tables, task, now)
+
+
+__all__ = ["encode_progress", "restore_progress"]
