--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -0,0 +1,191 @@
+"""One scheduling round of a pool: waiting tasks to workers with room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.ordering import TIER_ON_TIME, rank_step
+from medlarspring_systems.scheduling.placement import (
+    choose_worker,
+    fits,
+    is_allowed,
+    is_open,
+)
+from medlarspring_systems.scheduling.runs import (
+    give_room_back,
+    intend_run,
+    take_room,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables.scheduling import Run, StepRun, Task, Worker, WorkTables
+
+MAX_INTENTS = 200
+"""Starts decided in one round; more are left to the next one."""
+RESERVE_AFTER_SECONDS = 0.25
+"""A step that waits so long for room keeps the emptiest worker to itself.
+
+Small tasks that fill each gap would otherwise keep large ones waiting for ever.
+"""
+
+
+def plan_round(tables: WorkTables, pool_id: PoolId, now: Seconds) -> list[Run]:
+    """Return the runs that can be started now, already entered in the tables."""
+    ready = tables.ready_by_pool.get(pool_id)
+    if not ready:
+        return []
+    workers = [
+        worker
+        for worker in tables.workers_by_pool.get(pool_id, {}).values()
+        if is_open(worker, now)
+    ]
+    intents: list[Run] = []
+    for step in _list_steps(ready, now):
+        if len(intents) >= MAX_INTENTS or not workers:
+            break
+        _place_step(step, workers, now, intents)
+        if not step.waiting:
+            ready.pop(step, None)
+    return intents
+
+
+def _list_steps(ready: dict[StepRun, None], now: Seconds) -> list[StepRun]:
+    steps: list[StepRun] = []
+    for step in list(ready):
+        if not step.waiting or step.job.outcome is not None:
+            del ready[step]
+            continue
+        steps.append(step)
+    steps.sort(key=lambda step: rank_step(step, now))
+    return steps
+
+
+def _place_step(
+    step: StepRun, workers: list[Worker], now: Seconds, intents: list[Run]
+) -> None:
+    if step.spec.gang:
+        _place_gang(step, workers, now, intents)
+        return
+    for task in list(step.waiting):
+        if task.not_before > now:
+            continue
+        worker = choose_worker(step, task, workers, now)
+        if worker is None:
+            _reserve_worker(step, task, workers, now)
+            return
+        intents.append(intend_run(task, worker, task.last_run + 1, now))
+
+
+def _reserve_worker(
+    step: StepRun, task: Task, workers: list[Worker], now: Seconds
+) -> None:
+    """Keep the worker nearest to having room away from steps of lower rank."""
+    if now - max(task.waiting_since, step.ready_at) < RESERVE_AFTER_SECONDS:
+        return
+    if rank_step(step, now)[0] > TIER_ON_TIME:
+        return
+    allowed = [
+        worker
+        for worker in workers
+        if is_allowed(step, worker, now)
+        and worker.room.cpu_millis >= step.room.cpu_millis
+        and worker.room.memory_mb >= step.room.memory_mb
+    ]
+    if not allowed or len(workers) == 1:
+        return
+    nearest = max(allowed, key=lambda worker: (worker.cpu_free, worker.memory_free))
+    workers.remove(nearest)
+
+
+def _place_gang(
+    step: StepRun, workers: list[Worker], now: Seconds, intents: list[Run]
+) -> None:
+    """Place all tasks of a gang, or none: a part of it would wait and end alone."""
+    members = step.tasks
+    if len(step.waiting) < len(members):
+        return
+    if any(member.not_before > now for member in members):
+        return
+    chosen = _choose_gang_workers(step, workers, now)
+    if chosen is None:
+        return
+    number = max(member.last_run for member in members) + 1
+    for member, worker in zip(members, chosen, strict=True):
+        intents.append(intend_run(member, worker, number, now))
+
+
+def _choose_gang_workers(
+    step: StepRun, workers: list[Worker], now: Seconds
+) -> list[Worker] | None:
+    if not step.spec.same_rack:
+        return _try_gang(step, workers, now)
+    racks = sorted({worker.rack_id for worker in workers})
+    racks.sort(key=lambda rack: rack != step.spec.data_rack)
+    for rack in racks:
+        chosen = _try_gang(
+            step, [each for each in workers if each.rack_id == rack], now
+        )
+        if chosen is not None:
+            return chosen
+    return _try_gang(step, workers, now)
+
+
+def _try_gang(
+    step: StepRun, workers: list[Worker], now: Seconds
+) -> list[Worker] | None:
+    """Return a worker for each member, or None; leaves the tables as they were."""
+    chosen: list[Worker] = []
+    for member in step.tasks:
+        worker = choose_worker(step, member, workers, now)
+        if worker is None:
+            break
+        take_room(worker, step)
+        step.per_worker[worker.id] = step.per_worker.get(worker.id, 0) + 1
+        chosen.append(worker)
+    for worker in chosen:
+        give_room_back(worker, step)
+        step.per_worker[worker.id] -= 1
+    return chosen if len(chosen) == len(step.tasks) else None
+
+
+def find_preemptible(step: StepRun, workers: list[Worker], now: Seconds) -> list[Run]:
+    """Return batch runs to stop so that a long-running task finds room.
+
+    Long-running tasks serve users all the time; a pool full of batch work would
+    keep a lost one away for as long as the longest task takes.
+    """
+    best: list[Run] = []
+    best_cost = float("inf")
+    for worker in workers:
+        if not is_open(worker, now) or not is_allowed(step, worker, now):
+            continue
+        if fits(step, worker):
+            return []
+        stops = _find_stops(step, worker)
+        cost = sum(run.percent * run.task.step.room.cpu_millis for run in stops)
+        if stops and cost < best_cost:
+            best, best_cost = stops, cost
+    return best
+
+
+def _find_stops(step: StepRun, worker: Worker) -> list[Run]:
+    """Return the fewest runs of little progress that make room, or none."""
+    cpu = step.room.cpu_millis - worker.cpu_free
+    memory = step.room.memory_mb - worker.memory_free
+    stops: list[Run] = []
+    candidates = [
+        run
+        for run in worker.runs.values()
+        if not run.task.step.spec.long_running and not run.stopping
+    ]
+    for run in sorted(candidates, key=lambda run: run.percent):
+        if cpu <= 0 and memory <= 0:
+            break
+        stops.append(run)
+        cpu -= run.task.step.room.cpu_millis
+        memory -= run.task.step.room.memory_mb
+    return stops if cpu <= 0 and memory <= 0 else []
+
+
+__all__ = ["find_preemptible", "plan_round"]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -0,0 +1,159 @@
+"""Runs of tasks on workers: intent, order, confirmation and end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.estimates import learn_duration
+from medlarspring_systems.scheduling.jobs import fail_job, note_task_done, queue_step
+from medlarspring_tables.scheduling import Run, RunEnd, RunState
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import StepRun, Task, Worker, WorkTables
+
+RETRY_SECONDS = 0.1
+"""Pause before a failed task starts again; a failing worker shows meanwhile."""
+LONG_RETRY_SECONDS = 0.2
+"""The same for long-running tasks, which have no limit of attempts."""
+
+
+def take_room(worker: Worker, step: StepRun) -> None:
+    """Set aside what one task of the step asks for."""
+    worker.cpu_free -= step.room.cpu_millis
+    worker.memory_free -= step.room.memory_mb
+    worker.accelerators_free -= step.room.accelerators
+
+
+def give_room_back(worker: Worker, step: StepRun) -> None:
+    """Free what one task of the step held."""
+    worker.cpu_free += step.room.cpu_millis
+    worker.memory_free += step.room.memory_mb
+    worker.accelerators_free += step.room.accelerators
+
+
+def intend_run(
+    task: Task, worker: Worker, number: int, now: Seconds, *, copy: bool = False
+) -> Run:
+    """Decide to start a task on a worker; the order follows once it is recorded."""
+    run = Run(
+        task=task,
+        number=number,
+        worker=worker,
+        intended_at=now,
+        checkpoint=task.checkpoint,
+        copy=copy,
+    )
+    attach_run(run)
+    job = task.step.job
+    job.started = True
+    job.version += 1
+    run.version = job.version
+    return run
+
+
+def attach_run(run: Run) -> None:
+    """Enter a run at its task and its worker."""
+    task, worker = run.task, run.worker
+    step = task.step
+    task.last_run = max(task.last_run, run.number)
+    task.runs.append(run)
+    if task in step.waiting:
+        step.waiting.remove(task)
+    worker.runs[(task.id, run.number)] = run
+    take_room(worker, step)
+    if step.spec.long_running:
+        worker.long_runs += 1
+    else:
+        worker.batch_runs += 1
+    if step.spec.max_per_worker:
+        step.per_worker[worker.id] = step.per_worker.get(worker.id, 0) + 1
+
+
+def detach_run(tables: WorkTables, run: Run, now: Seconds) -> None:
+    """Take a run that is certainly over off its task and worker."""
+    task, worker = run.task, run.worker
+    step = task.step
+    if worker.runs.pop((task.id, run.number), None) is None:
+        return
+    task.runs.remove(run)
+    give_room_back(worker, step)
+    if step.spec.long_running:
+        worker.long_runs -= 1
+    else:
+        worker.batch_runs -= 1
+    if not worker.runs:
+        worker.idle_since = now
+    if step.spec.max_per_worker:
+        step.per_worker[worker.id] = step.per_worker.get(worker.id, 1) - 1
+    step.job.version += 1
+    if not task.done and not task.runs and step.job.outcome is None:
+        task.waiting_since = now
+        step.waiting.append(task)
+        queue_step(tables, step)
+
+
+def confirm_run(run: Run, now: Seconds) -> None:
+    """Note that the worker has the run."""
+    if run.state is not RunState.RUNNING:
+        run.state = RunState.RUNNING
+        run.confirmed_at = now
+        run.advanced_at = now
+    run.absent_since = 0.0
+
+
+def end_run(
+    tables: WorkTables, run: Run, end: RunEnd, checkpoint: str, now: Seconds
+) -> None:
+    """Take over how a run ended, and decide what becomes of its task."""
+    task = run.task
+    if checkpoint:
+        task.checkpoint = checkpoint
+    if end is RunEnd.DONE:
+        _note_done(tables, run, now)
+    elif end is RunEnd.FAILED:
+        _note_failed(run, now)
+    detach_run(tables, run, now)
+
+
+def _note_done(tables: WorkTables, run: Run, now: Seconds) -> None:
+    task = run.task
+    if run.confirmed_at and not run.checkpoint and not task.step.spec.gang:
+        learn_duration(tables, task.step, (now - run.confirmed_at) * 1_000.0)
+    if task.step.spec.long_running:
+        return
+    if not task.step.spec.gang:
+        note_task_done(tables, task, now)
+        return
+    for member in list(task.step.tasks):
+        note_task_done(tables, member, now)
+
+
+def _note_failed(run: Run, now: Seconds) -> None:
+    task = run.task
+    step = task.step
+    task.failed_on.add(run.worker.vm_id)
+    if step.spec.long_running:
+        task.not_before = now + LONG_RETRY_SECONDS
+        return
+    task.failures += 1
+    task.not_before = now + RETRY_SECONDS
+    if count_failures(task) >= step.job.queue.max_attempts:
+        fail_job(step.job, f"task {task.id} failed {task.failures} times")
+
+
+def count_failures(task: Task) -> int:
+    """Return the failures that count against the task, or against its gang."""
+    if not task.step.spec.gang:
+        return task.failures
+    return sum(member.failures for member in task.step.tasks)
+
+
+__all__ = [
+    "attach_run",
+    "confirm_run",
+    "count_failures",
+    "detach_run",
+    "end_run",
+    "intend_run",
+]
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -0,0 +1,202 @@
+"""Workers as the registry and the VM list tell of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.runs import detach_run
+from medlarspring_tables import PoolId, RackId, VMId
+from medlarspring_tables.scheduling import (
+    Room,
+    RunState,
+    VMPhase,
+    Worker,
+    WorkerCondition,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import (
+        Run,
+        VMEntry,
+        WorkerEntry,
+        WorkerId,
+        WorkTables,
+    )
+
+CLOCK_ERROR = 0.02
+"""A worker's clock may run so much slower than ours."""
+
+
+def take_entry(tables: WorkTables, entry: WorkerEntry, now: Seconds) -> Worker | None:
+    """Take over a worker's own entry; None if its life is known to be over."""
+    if entry.id in tables.ended_ids:
+        return None
+    worker = tables.workers_by_id.get(entry.id)
+    if worker is None:
+        worker = _create_worker(entry, now)
+        tables.workers_by_id[entry.id] = worker
+    if not worker.address:
+        _complete_worker(worker, entry)
+    worker.listed = True
+    worker.draining = worker.draining or entry.condition is WorkerCondition.DRAINING
+    worker.ready_at = now + entry.warmup_ms / 1_000.0
+    tables.workers_by_pool.setdefault(worker.pool_id, {})[worker.id] = worker
+    return worker
+
+
+def _create_worker(entry: WorkerEntry, now: Seconds) -> Worker:
+    return Worker(
+        id=entry.id,
+        vm_id=entry.vm_id,
+        pool_id=entry.pool_id,
+        rack_id=entry.rack_id,
+        zone_id=entry.zone_id,
+        address="",
+        room=entry.room,
+        labels=frozenset(entry.labels),
+        idle_since=now,
+    )
+
+
+def _complete_worker(worker: Worker, entry: WorkerEntry) -> None:
+    """Fill in a worker that so far was known only by recorded runs."""
+    used = [run.task.step.room for run in worker.runs.values()]
+    worker.vm_id = entry.vm_id
+    worker.pool_id = entry.pool_id
+    worker.rack_id = entry.rack_id
+    worker.zone_id = entry.zone_id
+    worker.address = entry.address
+    worker.room = entry.room
+    worker.labels = frozenset(entry.labels)
+    worker.cpu_free = entry.room.cpu_millis - sum(room.cpu_millis for room in used)
+    worker.memory_free = entry.room.memory_mb - sum(room.memory_mb for room in used)
+    worker.accelerators_free = entry.room.accelerators - sum(
+        room.accelerators for room in used
+    )
+
+
+def find_or_create_worker(
+    tables: WorkTables, worker_id: WorkerId, now: Seconds
+) -> Worker:
+    """Return a worker that records name, although no registry may list it."""
+    worker = tables.workers_by_id.get(worker_id)
+    if worker is None:
+        worker = Worker(
+            id=worker_id,
+            vm_id=VMId(""),
+            pool_id=PoolId(""),
+            rack_id=RackId(""),
+            zone_id="",
+            address="",
+            room=Room(),
+            labels=frozenset(),
+            listed=False,
+            idle_since=now,
+        )
+        tables.workers_by_id[worker_id] = worker
+    return worker
+
+
+def note_entry_gone(tables: WorkTables, worker_id: WorkerId) -> None:
+    """Note that the registry no longer lists a worker; it may still run."""
+    worker = tables.workers_by_id.get(worker_id)
+    if worker is not None:
+        worker.listed = False
+
+
+def take_vms(
+    tables: WorkTables, vms: tuple[VMEntry, ...], asked_at: Seconds
+) -> list[Worker]:
+    """Take over the VM list; returns the workers whose life is certainly over.
+
+    ``asked_at`` is when the list was asked for. A worker that registered only
+    after that may be missing from an older list without being gone.
+    """
+    tables.vms_by_id = {vm.id: vm for vm in vms}
+    tables.vms_read_at = asked_at
+    return [
+        worker
+        for worker in tables.workers_by_id.values()
+        if not worker.gone and is_life_over(tables, worker)
+    ]
+
+
+def is_life_over(tables: WorkTables, worker: Worker) -> bool:
+    """Tell whether the VM list proves that this life of a VM has ended.
+
+    A VM has one life at a time. Silence proves nothing, since a worker that is
+    cut off runs on; but a VM that is down, or lives as another worker, has lost
+    all that ran in this life. Waiting for the lease would take up to 10 s.
+    """
+    if not worker.vm_id:
+        lives = {vm.worker_id for vm in tables.vms_by_id.values()}
+        return bool(lives) and worker.id not in lives
+    vm = tables.vms_by_id.get(worker.vm_id)
+    if vm is None:
+        return False
+    if vm.worker_id == worker.id:
+        return vm.phase in (VMPhase.DOWN, VMPhase.MAINTENANCE, VMPhase.MOVING)
+    return vm.phase is not VMPhase.UP or vm.worker_id is not None
+
+
+def end_life(tables: WorkTables, worker: Worker, now: Seconds) -> list[Run]:
+    """Drop a worker whose life is over; returns the runs that were lost."""
+    worker.gone = True
+    worker.listed = False
+    tables.ended_ids.add(worker.id)
+    lost = list(worker.runs.values())
+    for run in lost:
+        detach_run(tables, run, now)
+    forget_worker(tables, worker)
+    return lost
+
+
+def forget_worker(tables: WorkTables, worker: Worker) -> None:
+    """Remove a worker from all tables."""
+    tables.workers_by_id.pop(worker.id, None)
+    tables.workers_by_pool.get(worker.pool_id, {}).pop(worker.id, None)
+
+
+def note_clock(worker: Worker, clock_ms: int, received_at: Seconds) -> None:
+    """Learn the worker's clock from an answer."""
+    if clock_ms <= 0:
+        return
+    worker.clock_ms = float(clock_ms)
+    worker.clock_at = received_at
+
+
+def read_clock(worker: Worker, now: Seconds) -> float:
+    """Return the worker's clock, in ms, as far as it is known."""
+    return worker.clock_ms + (now - worker.clock_at) * 1_000.0
+
+
+def is_lease_over(worker: Worker, now: Seconds) -> bool:
+    """Tell whether all that ran there has certainly lapsed by the worker's clock.
+
+    The clock may be slower than ours, so time is counted with that error.
+    """
+    if not worker.lease_ms or not worker.clock_at:
+        return False
+    slowest = worker.clock_ms + (now - worker.clock_at) * 1_000.0 * (1 - CLOCK_ERROR)
+    return slowest > worker.lease_ms
+
+
+def has_unknown_runs(worker: Worker) -> bool:
+    """Tell whether a run's order has an unknown outcome."""
+    return any(run.state is RunState.UNKNOWN for run in worker.runs.values())
+
+
+__all__ = [
+    "end_life",
+    "find_or_create_worker",
+    "forget_worker",
+    "has_unknown_runs",
+    "is_lease_over",
+    "is_life_over",
+    "note_clock",
+    "note_entry_gone",
+    "read_clock",
+    "take_entry",
+    "take_vms",
+]
--- /dev/null
+++ b/packages/tables/src/medlarspring_tables/scheduling/records.py
@@ -0,0 +1,101 @@
+"""What the store keeps of jobs and maintenance waves."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct
+
+from medlarspring_tables.scheduling.ids import Milliseconds, WorkerId
+from medlarspring_tables.scheduling.specs import JobSpec, QueuePolicy
+
+
+class JobOutcome(Enum):
+    """How a job ended."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class JobRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """An accepted job; once it has ended, only its outcome.
+
+    Written once by the entry VM that accepts the job, and once more by the
+    controller when the job ends. The key stays for late repeats.
+    """
+
+    queue: QueuePolicy
+    accepted_at_ms: Milliseconds
+    spec: JobSpec | None = None
+    """None once the job has ended."""
+    outcome: JobOutcome | None = None
+    ended_at_ms: Milliseconds = 0
+    reason: str = ""
+
+
+class RunRecord(Struct, frozen=True, array_like=True):
+    """A start of a task that was, or is about to be, ordered."""
+
+    number: int
+    worker_id: WorkerId
+
+
+class StepRecord(Struct, kw_only=True, omit_defaults=True):
+    """Progress of one step in one occurrence."""
+
+    done: str = ""
+    """Indexes of the tasks done, as a bit mask in hexadecimal."""
+    runs: dict[int, tuple[RunRecord, ...]] = {}
+    """Runs by task index that may be on a worker."""
+    last_runs: dict[int, int] = {}
+    """Highest run number by task index, where no run of it is listed."""
+    failures: dict[int, int] = {}
+    checkpoints: dict[int, str] = {}
+
+
+class ProgressRecord(Struct, kw_only=True, omit_defaults=True):
+    """Progress of one job that has started: what a new controller must know.
+
+    Runs are written before the order goes to the worker, so that a successor
+    knows each task that may run on a worker it can't reach.
+    """
+
+    steps: dict[str, StepRecord] = {}
+    """By occurrence and step, as in ``0.1``; steps not begun are left out."""
+    occurrences_done: int = 0
+    """Occurrences before this one are done and no longer listed."""
+    done_beyond: tuple[int, ...] = ()
+    """Later occurrences that are done already."""
+
+
+class CancelRecord(Struct, frozen=True, kw_only=True):
+    """A customer's wish to cancel a job; the key's presence is what counts."""
+
+    requested_at_ms: Milliseconds = 0
+
+
+class ControllerRecord(Struct, frozen=True, kw_only=True):
+    """Who controls a cell; the key's revision is the fence."""
+
+    entry_vm_id: str
+    peer_address: str = ""
+    incarnation: int = 0
+
+
+class WaveRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Which VMs of a maintenance wave have begun their maintenance."""
+
+    begun: tuple[str, ...] = ()
+
+
+__all__ = [
+    "CancelRecord",
+    "ControllerRecord",
+    "JobOutcome",
+    "JobRecord",
+    "ProgressRecord",
+    "RunRecord",
+    "StepRecord",
+    "WaveRecord",
+]
--- /dev/null
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -0,0 +1,273 @@
+"""Jobs, tasks, runs and workers as the controller of a cell sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from medlarspring_tables.ids import JobId, PoolId, RackId, Revision, Seconds, VMId
+from medlarspring_tables.scheduling.fleet import (
+    OperatorConfig,
+    Room,
+    VMEntry,
+)
+
+if TYPE_CHECKING:
+    from medlarspring_tables.scheduling.ids import Milliseconds, QueueId, WorkerId
+    from medlarspring_tables.scheduling.records import JobOutcome
+    from medlarspring_tables.scheduling.specs import JobSpec, QueuePolicy, StepSpec
+
+
+class RunState(Enum):
+    """How far one start of a task has come."""
+
+    INTENDED = "intended"
+    """To be recorded; the worker has not been told."""
+    ORDERED = "ordered"
+    """The worker was told and has not answered yet."""
+    RUNNING = "running"
+    """The worker confirmed or listed it."""
+    UNKNOWN = "unknown"
+    """The order got no answer; it may be carried out later."""
+
+
+class RunEnd(Enum):
+    """How a worker says that a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    """Another member of the gang ended."""
+    ALONE = "alone"
+    """The other members of the gang did not come."""
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One start of a task on one worker."""
+
+    task: Task
+    number: int
+    worker: Worker
+    state: RunState = RunState.INTENDED
+    intended_at: Seconds = 0.0
+    ordered_at: Seconds = 0.0
+    order_ends_ms: Milliseconds = 0
+    """Worker's clock; an order that arrives later is refused as late."""
+    confirmed_at: Seconds = 0.0
+    version: int = 0
+    """Version of the job's record that holds the intent."""
+    checkpoint: str = ""
+    """What it was started from."""
+    percent: int = 0
+    advanced_at: Seconds = 0.0
+    """When ``percent`` last rose."""
+    gauge: int = 0
+    """Tail latency in ms of a long-running task, else millicores in use."""
+    pace_percent: int = 100
+    copy: bool = False
+    """A further run of a task that already has one."""
+    stopping: bool = False
+    """A stop was decided; it is repeated until the end is known."""
+    stop_reason: str = ""
+    stop_confirmed_at: Seconds = 0.0
+    absent_since: Seconds = 0.0
+    """First listing of its worker without it, after the order; 0 for none."""
+    blamed: bool = False
+    """Whether its standing still already counted against the worker."""
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task of a step."""
+
+    step: StepRun
+    index: int
+    id: str
+    """The task's name on the workers."""
+    done: bool = False
+    failures: int = 0
+    last_run: int = 0
+    """Highest run number used so far."""
+    runs: list[Run] = field(default_factory=list)
+    checkpoint: str = ""
+    checkpoint_percent: int = 0
+    failed_on: set[VMId] = field(default_factory=set)
+    waiting_since: Seconds = 0.0
+    not_before: Seconds = 0.0
+    """A task that just failed is not started again at once."""
+    last_seen_running: Seconds = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class StepRun:
+    """One step of a job in one occurrence."""
+
+    job: ActiveJob
+    occurrence: int
+    index: int
+    spec: StepSpec
+    tasks: list[Task] = field(default_factory=list)
+    done_count: int = 0
+    waiting: list[Task] = field(default_factory=list)
+    """Tasks that have no run and are not done."""
+    ready: bool = False
+    ready_at: Seconds = 0.0
+    objective_at: Seconds = 0.0
+    """Local time by which the occurrence should be complete."""
+    given_up_at: Seconds = 0.0
+    """Local time after which completing it is of no more use to the customer."""
+    remaining_path: Seconds = 0.0
+    """Longest chain of estimates from this step's start to the end."""
+    room: Room = field(default_factory=Room)
+    """What one task asks of a worker."""
+    per_worker: dict[WorkerId, int] = field(default_factory=dict)
+    """Runs by worker, where the step limits them."""
+    seen_ms: float = 0.0
+    """Mean duration of the step's own tasks that ended; 0 before the first."""
+    ended_runs: int = 0
+    reserved: Worker | None = None
+    tickets: dict[WorkerId, str] = field(default_factory=dict)
+    tickets_until: Seconds = 0.0
+    rack_id: RackId | None = None
+    """Rack chosen for a step whose tasks should share one."""
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task is done."""
+        return self.done_count >= self.spec.count
+
+
+@dataclass(slots=True, eq=False)
+class ActiveJob:
+    """An accepted job that has not ended."""
+
+    id: JobId
+    queue: QueuePolicy
+    spec: JobSpec
+    accepted_at_ms: Milliseconds
+    job_revision: Revision
+    """Store revision of the job's own record."""
+    progress_revision: Revision = Revision(0)
+    """Store revision of the progress record; 0 before the first write."""
+    occurrences_by_index: dict[int, list[StepRun]] = field(default_factory=dict)
+    occurrences_done: set[int] = field(default_factory=set)
+    next_occurrence: int = 0
+    started: bool = False
+    """Whether any task was ever started."""
+    cancelled: bool = False
+    outcome: JobOutcome | None = None
+    reason: str = ""
+    version: int = 0
+    """Counts changes that have to be recorded."""
+    written_version: int = 0
+    writing: bool = False
+
+
+class WorkerDoubt(Enum):
+    """Why a worker gets no new tasks, or fewer."""
+
+    NONE = "none"
+    UNREACHABLE = "unreachable"
+    FAILING = "failing"
+    STALLED = "stalled"
+    SLOW = "slow"
+    REFUSING = "refusing"
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """A worker as the controller knows it."""
+
+    id: WorkerId
+    vm_id: VMId
+    pool_id: PoolId
+    rack_id: RackId
+    zone_id: str
+    address: str
+    room: Room
+    labels: frozenset[str]
+    draining: bool = False
+    listed: bool = True
+    """Whether the registry still has its entry."""
+    reserved: bool = False
+    """Kept free for maintenance or a move; gets no new tasks."""
+    settled: bool = False
+    """Whether this controller knows all that runs there."""
+    gone: bool = False
+    """Whether this life of the VM is certainly over."""
+    cpu_free: int = 0
+    memory_free: int = 0
+    accelerators_free: int = 0
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
+    """By task id and run number."""
+    batch_runs: int = 0
+    """Runs that are not long-running."""
+    long_runs: int = 0
+    idle_since: Seconds = 0.0
+    clock_ms: float = 0.0
+    """The worker's clock at ``clock_at``, as last told."""
+    clock_at: Seconds = 0.0
+    lease_ms: Milliseconds = 0
+    """Latest lease end that any order asked for, on the worker's clock."""
+    listed_through: int = 0
+    """Number of the last end taken over."""
+    acknowledged: int = 0
+    """Ends up to this one are recorded; the worker may forget them."""
+    unanswered_since: Seconds = 0.0
+    """First call in a row without an answer; 0 when the last one was answered."""
+    answered_at: Seconds = 0.0
+    doubt: WorkerDoubt = WorkerDoubt.NONE
+    doubted_until: Seconds = 0.0
+    doubts: int = 0
+    failures_by_job: dict[JobId, int] = field(default_factory=dict)
+    """Jobs that failed here since the last success."""
+    slowness: float = 1.0
+    """Smoothed duration of its tasks against that of their siblings."""
+    ready_at: Seconds = 0.0
+    """When a worker that just started is at full speed."""
+
+
+@dataclass(slots=True)
+class PoolDemand:
+    """What the jobs of a pool ask for at present."""
+
+    running_millis: int = 0
+    waiting_millis: int = 0
+    waiting_core_seconds: float = 0.0
+    long_millis: int = 0
+
+
+@dataclass(slots=True)
+class WorkTables:
+    """All that the controller of a cell looks at."""
+
+    config: OperatorConfig
+    jobs_by_id: dict[JobId, ActiveJob] = field(default_factory=dict)
+    workers_by_id: dict[WorkerId, Worker] = field(default_factory=dict)
+    workers_by_pool: dict[PoolId, dict[WorkerId, Worker]] = field(default_factory=dict)
+    ended_ids: set[WorkerId] = field(default_factory=set)
+    """Workers whose life is over; a lagging registry may still list them."""
+    vms_by_id: dict[VMId, VMEntry] = field(default_factory=dict)
+    vms_read_at: Seconds = 0.0
+    ready_by_pool: dict[PoolId, dict[StepRun, None]] = field(default_factory=dict)
+    """Steps with waiting tasks, in the order in which they became ready."""
+    durations_by_queue: dict[QueueId, tuple[float, float]] = field(default_factory=dict)
+    """Sum of weights and weighted mean of log duration in ms, by queue."""
+
+
+__all__ = [
+    "ActiveJob",
+    "PoolDemand",
+    "Run",
+    "RunEnd",
+    "RunState",
+    "StepRun",
+    "Task",
+    "Worker",
+    "WorkerDoubt",
+    "WorkTables",
+]
