Keep calls to one worker from waiting for another's connections to close

Closing a channel to a dark worker waited for bytes that it never took, inside the next call to any other worker; that worker's hold loop then hung for good and nobody saw it crash (a long-running task was away for 19 s). Channels of workers that are gone are closed in the background. Links now start only when the recorded jobs are loaded: a listed end found no task, was acknowledged as unknown and its task ran again. A long-running task on a worker that is silent for a moment counts as serving when the next drain is weighed.

--- a/packages/adapters/src/medlarspring_adapters/http_channel.py
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -18,6 +18,8 @@
 after 15 s, and a request that meets such an end has an unknown outcome."""
 CONNECT_SECONDS = 0.4
 """Longest wait for a connection; a round trip in a region takes 3 ms."""
+CLOSE_SECONDS = 0.5
+"""Longest wait for connections to close when the process ends."""
 RETIRED_SECONDS = 3.0
 """How long calls in flight keep a session that is no longer used."""
 
@@ -79,15 +81,22 @@
             reason = str(error) or type(error).__name__
             raise Unanswered(f"{self.address}: {reason}") from error
 
+    def retire(self) -> None:
+        """Leave all connections behind; they are closed in the background.
+
+        Closing waits for bytes that a dead peer never takes, so nobody must wait
+        for it whose calls go elsewhere.
+        """
+        if self._session is not None:
+            self._retire(self._session)
+
     async def close(self) -> None:
-        """Close all connections."""
-        session, self._session = self._session, None
-        if session is not None:
-            await session.close()
-        retired = list(self._retired)
-        for task in retired:
+        """Close all connections, waiting for at most ``CLOSE_SECONDS``."""
+        self.retire()
+        for task in list(self._retired):
             task.cancel()
-        await asyncio.gather(*retired, return_exceptions=True)
+        if self._retired:
+            await asyncio.wait(list(self._retired), timeout=CLOSE_SECONDS)
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -119,6 +119,8 @@
             follower.start()
         await asyncio.gather(feed.loaded.wait(), workers.loaded.wait())
         self._running = True
+        for worker in list(self.tables.workers_by_id.values()):
+            self.note_worker(worker)
         self._directory.listeners.append(self._take_config)
         self._take_config()
         self._node.log.info(
@@ -158,7 +160,13 @@
         self._settle_job(job)
 
     def note_worker(self, worker: Worker) -> None:
-        """Connect to a worker that the registry lists."""
+        """Connect to a worker that the registry lists.
+
+        Not before the recorded jobs are loaded: an end listed by the worker would
+        find no task, be acknowledged as unknown, and its task would run again.
+        """
+        if not self._running:
+            return
         link = self._links_by_id.get(worker.id)
         if link is None and worker.address:
             link = WorkerLink(self._node, self._tenure, self, worker)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -18,6 +18,7 @@
     StopOrder,
     WorkerAddress,
 )
+from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.scheduling.evidence import note_refusal
 from medlarspring_systems.scheduling.listings import take_listing
 from medlarspring_systems.scheduling.runs import confirm_run, detach_run
@@ -98,8 +99,7 @@
         self._worker = worker
         self._address = WorkerAddress(worker.id, worker.address)
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
-        self._orders: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks(node.log)
         self._unacknowledged: deque[UnacknowledgedEnd] = deque()
         self._stops_sent: dict[tuple[str, int], Seconds] = {}
         self._strangers: set[tuple[str, int]] = set()
@@ -109,16 +109,11 @@
 
     def start(self) -> None:
         """Begin to hold the worker."""
-        self._task = asyncio.create_task(self._run())
+        self._tasks.keep(self._run)
 
     async def close(self) -> None:
         """End all calls."""
-        tasks = [*self._orders]
-        if self._task is not None:
-            tasks.append(self._task)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.cancel()
         self._node.orders.forget(self._address)
 
     def wake(self) -> None:
@@ -127,7 +122,7 @@
         # A call that waits for an end would hold the look back by half a second.
         if self._look_now and self._in_hold and not self._looking:
             self._looking = True
-            self._spawn(self._look())
+            self._tasks.start(self._look())
 
     async def _look(self) -> None:
         try:
@@ -143,12 +138,12 @@
         """Order a run whose intent is recorded."""
         run.state = RunState.ORDERED
         run.ordered_at = self._node.clock.now()
-        self._spawn(self._start(run))
+        self._tasks.start(self._start(run))
 
     def send_stop(self, run: Run, reason: str) -> None:
         """Have a run stopped; repeated until its end is listed."""
-        if not run.stopping:
-            run.stopping = True
+        run.stopping = True
+        if not run.stop_reason:
             run.stop_reason = reason
             self._node.log.info(
                 Event.RUN_STOP_ORDERED,
@@ -163,12 +158,7 @@
     def send_pace(self, run: Run, percent: int) -> None:
         """Let a run work at a part of its speed."""
         run.pace_percent = percent
-        self._spawn(self._pace(run, percent))
-
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
+        self._tasks.start(self._pace(run, percent))
 
     # Starts
 
@@ -273,7 +263,7 @@
         if now - self._stops_sent.get(key, -1e9) < STOP_REPEAT_SECONDS:
             return
         self._stops_sent[key] = now
-        self._spawn(self._stop(run.task.id, run.number, run))
+        self._tasks.start(self._stop(run.task.id, run.number, run))
 
     async def _stop(self, task_id: str, number: int, run: Run | None) -> None:
         order = StopOrder(task_id, number, self._tenure.fence)
@@ -421,7 +411,7 @@
             self._node.log.warning(
                 Event.RUN_STRANGE, task=task_id, run=number, worker=self._worker.id
             )
-            self._spawn(self._stop(task_id, number, None))
+            self._tasks.start(self._stop(task_id, number, None))
         if outcome.strangers:
             self._look_now = True
 
--- a/packages/platform/src/medlarspring_platform/workers.py
+++ b/packages/platform/src/medlarspring_platform/workers.py
@@ -121,7 +121,6 @@
 
     def __init__(self) -> None:
         self._channels_by_id: dict[WorkerId, HttpChannel] = {}
-        self._closing: list[HttpChannel] = []
 
     async def start(
         self, worker: WorkerAddress, order: StartOrder, timeout_seconds: Seconds
@@ -176,17 +175,16 @@
         )
 
     def forget(self, worker: WorkerAddress) -> None:
-        """Close the connections to a worker that is gone, at the next call."""
+        """Close the connections to a worker that is gone, in the background."""
         channel = self._channels_by_id.pop(worker.id, None)
         if channel is not None:
-            self._closing.append(channel)
+            channel.retire()
 
     async def close(self) -> None:
         """Close all connections."""
-        for channel in [*self._channels_by_id.values(), *self._closing]:
-            await channel.close()
+        channels = list(self._channels_by_id.values())
         self._channels_by_id.clear()
-        self._closing.clear()
+        await asyncio.gather(*(channel.close() for channel in channels))
 
     async def _order(
         self, worker: WorkerAddress, path: str, body: Struct, timeout_seconds: Seconds
@@ -204,8 +202,6 @@
     async def _call(
         self, worker: WorkerAddress, path: str, body: Struct, timeout_seconds: Seconds
     ) -> HttpAnswer:
-        while self._closing:
-            await self._closing.pop().close()
         channel = self._channels_by_id.get(worker.id)
         if channel is None or channel.address != worker.address:
             channel = HttpChannel(worker.address, MAX_CONNECTIONS)
--- a/packages/systems/src/medlarspring_systems/scheduling/availability.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/availability.py
@@ -15,11 +15,10 @@
 """A long-running task is at work when it reports this."""
 
 
-def is_at_work(task: Task) -> bool:
-    """Tell whether a long-running task serves at present, as last reported."""
+def is_surely_at_work(task: Task) -> bool:
+    """Tell whether a long-running task serves, by a worker that answers."""
     return any(
-        run.state is RunState.RUNNING
-        and run.percent >= AT_WORK_PERCENT
+        _was_at_work(run)
         and not run.stopping
         and not run.worker.gone
         and not run.worker.unanswered_since
@@ -27,22 +26,28 @@
     )
 
 
+def _was_at_work(run: Run) -> bool:
+    return run.state is RunState.RUNNING and run.percent >= AT_WORK_PERCENT
+
+
 def count_away(step: StepRun) -> int:
-    """Return how many tasks of a step are not at work, for whatever cause."""
-    return sum(1 for task in step.tasks if not is_at_work(task))
+    """Return how many tasks of a step may not be at work, for whatever cause."""
+    return sum(1 for task in step.tasks if not is_surely_at_work(task))
 
 
 def may_stop_long_run(tables: WorkTables, run: Run, now: Seconds) -> bool:
     """Tell whether a long-running task may be stopped to run elsewhere.
 
-    It may when it is not at work anyhow; else only while fewer of its step are
-    away than the step allows, and another worker has room for it. Two drains at
-    once would otherwise each count the other's task as serving.
+    It may while fewer of its step are away than the step allows, and another
+    worker has room for it. Two drains at once would otherwise each count the
+    other's task as serving. What is not known counts against the stop: a worker
+    that does not answer for a moment still runs what it had.
     """
     step = run.task.step
-    if not is_at_work(run.task):
-        return True
-    if count_away(step) >= max(step.spec.max_unavailable, 1):
+    others_away = sum(
+        1 for task in step.tasks if task is not run.task and not is_surely_at_work(task)
+    )
+    if others_away >= max(step.spec.max_unavailable, 1):
         return False
     workers = tables.workers_by_pool.get(step.job.queue.pool_id, {}).values()
     return any(
@@ -54,4 +59,4 @@
     )
 
 
-__all__ = ["count_away", "is_at_work", "may_stop_long_run"]
+__all__ = ["count_away", "is_surely_at_work", "may_stop_long_run"]
--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -134,6 +134,7 @@
             continue
         if may_stop_long_run(tables, run, now):
             plan.stops.append((run, "VM is due for maintenance"))
+            # Counted as away from here on, also by what is planned next.
             run.stopping = True
             plan.changed_pools.add(worker.pool_id)
 
--- a/packages/systems/src/medlarspring_systems/scheduling/repair.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/repair.py
@@ -44,6 +44,7 @@
     repairs = Repairs()
     for worker in tables.workers_by_id.values():
         _look_for_stalls(tables, worker, now, repairs)
+    _leave_draining(tables, now, repairs)
     _copy_silent(tables, now, repairs)
     _make_room(tables, now, repairs)
     return repairs
@@ -87,6 +88,25 @@
     return (now - max(run.advanced_at, run.confirmed_at)) / usual
 
 
+def _leave_draining(tables: WorkTables, now: Seconds, repairs: Repairs) -> None:
+    """Move long-running tasks off workers that leave, while others have room.
+
+    Left there, they would end with the worker at a moment of its choosing, and all
+    at once.
+    """
+    for worker in tables.workers_by_id.values():
+        if not worker.draining or worker.unanswered_since:
+            continue
+        for run in worker.runs.values():
+            step = run.task.step
+            if not step.spec.long_running or run.stopping:
+                continue
+            pool = tables.workers_by_pool.get(worker.pool_id, {}).values()
+            others = [each for each in pool if is_open(each, now)]
+            if choose_worker(step, run.task, others, now) is not None:
+                repairs.stops.append((run, "its worker leaves"))
+
+
 def _copy_silent(tables: WorkTables, now: Seconds, repairs: Repairs) -> None:
     """Start copies of tasks whose worker is silent, where copies are allowed."""
     for worker in list(tables.workers_by_id.values()):
