--- a/packages/platform/src/medlarspring_platform/workers.py
+++ b/packages/platform/src/medlarspring_platform/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
