Size pools by the work that comes in, and keep reserves only where they are needed

Sizing by what runs and waits grew pools to twice their work.

Now a pool grows by the processors that incoming jobs would use if served at once, and their trend; one whose jobs can't wait for a VM keeps its first size; VMs go to standby by the need of the last 2.5 s.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -99,6 +99,7 @@
     VM_OPERATION_DONE = (9061, "the platform carries out an operation on a VM")
     VM_OPERATION_REFUSED = (9062, "the platform refused an operation on a VM")
     VM_OPERATION_UNANSWERED = (9063, "an operation on a VM got no answer")
+    POOL_SIZED = (9065, "a pool needs another number of VMs")
     WAVE_REPORTED = (9064, "the operator was told how far a wave is")
 
     @property
--- a/packages/daemon/src/medlarspring_daemon/scheduling/keys.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/keys.py
@@ -54,6 +54,11 @@
         """Prefix of the progress of maintenance waves."""
         return f"waves/{self.cell_id}/"
 
+    @property
+    def sizes(self) -> str:
+        """Key of the pools' first sizes."""
+        return f"sizes/{self.cell_id}"
+
     def job(self, job_id: JobId) -> str:
         """Key of a job's record."""
         return f"{self.inbox_prefix}{InboxKind.JOB.value}/{job_id}"
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
@@ -21,15 +21,15 @@
     take_wave,
 )
 from medlarspring_systems.scheduling.fleet_plan import plan_operations
-from medlarspring_tables import VMId, WaveId
-from medlarspring_tables.scheduling import WaveRecord
+from medlarspring_tables import PoolId, VMId, WaveId
+from medlarspring_tables.scheduling import SizesRecord, WaveRecord
 
 if TYPE_CHECKING:
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.directory import Directory
     from medlarspring_daemon.scheduling.election import Tenure
     from medlarspring_systems.scheduling.fleet import VMOperation, WaveProgress
-    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import Run, WorkTables
 
 TICK_SECONDS = 0.2
@@ -81,10 +81,13 @@
             tenure.began_at + node.limits.vm_lease + SETTLE_SECONDS
         )
         self._loaded = False
+        self._sizes_recorded = False
+        self._logged_vms: dict[PoolId, int] = {}
 
     async def run(self) -> None:
         """Plan and carry out operations until cancelled."""
         await self._load_waves()
+        await self._load_sizes()
         while True:
             await self._step()
             await asyncio.sleep(TICK_SECONDS)
@@ -104,6 +107,35 @@
                 }
             self._loaded = True
 
+    async def _load_sizes(self) -> None:
+        """Take the pools' first sizes over, or record them if nobody has."""
+        key = self._tenure.keys.sizes
+        while True:
+            found = await self._node.store.read(key)
+            if is_successful(found):
+                break
+            await asyncio.sleep(RETRY_SECONDS)
+        entry = found.unwrap()
+        if entry is not None:
+            record = msgspec.json.decode(entry.value, type=SizesRecord)
+            self.fleet.first_sizes = {
+                PoolId(pool): vms for pool, vms in record.vms_by_pool.items()
+            }
+            self._sizes_recorded = True
+            self.fleet.sizes_known = True
+
+    async def _record_sizes(self) -> None:
+        if self._sizes_recorded or not self.fleet.sizes_known:
+            return
+        sizes = {str(pool): vms for pool, vms in self.fleet.first_sizes.items()}
+        put = Put(
+            self._tenure.keys.sizes, msgspec.json.encode(SizesRecord(vms_by_pool=sizes))
+        )
+        answer = await self._node.store.commit(
+            Transaction((self._tenure.expect(),), (put,))
+        )
+        self._sizes_recorded = is_successful(answer) and answer.unwrap().succeeded
+
     async def _step(self) -> None:
         if not self._tenure.holds():
             return
@@ -111,6 +143,8 @@
         for order, seen_at in self._directory.waves_by_key.values():
             take_wave(self.fleet, order, seen_at)
         plan = plan_operations(self._owner.tables, self.fleet, self._node.limits, now)
+        await self._record_sizes()
+        self._log_needs()
         for run, reason in plan.stops:
             self._owner.stop_run(run, reason)
         for pool_id in plan.changed_pools:
@@ -120,6 +154,23 @@
         for wave in plan.to_report:
             await self._report(wave)
 
+    def _log_needs(self) -> None:
+        """Log each pool whose need changed, with what it was worked out from."""
+        for pool_id, need in self.fleet.needs_by_pool.items():
+            if self._logged_vms.get(pool_id) == need.vms:
+                continue
+            self._logged_vms[pool_id] = need.vms
+            self._node.log.info(
+                Event.POOL_SIZED,
+                pool=pool_id,
+                wanted=need.vms,
+                has=self.fleet.have_by_pool.get(pool_id, 0),
+                lasting_millis=round(need.lasting_millis),
+                incoming_millis=round(need.incoming_millis),
+                waiting_millis=round(need.waiting_millis),
+                vms_read_at=round(self._owner.tables.vms_read_at, 3),
+            )
+
     async def _carry_out(self, operations: list[VMOperation]) -> None:
         now = self._node.clock.now()
         for operation in operations:
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/demand.py
@@ -0,0 +1,91 @@
+"""How many processors incoming work will keep busy, and whether that rises.
+
+What runs and waits at a moment says little about what to provide: while VMs are on
+their way work piles up, and a pool that grew for the pile would be twice as large
+as its work. So each job counts with the processors that it would use if it were
+served at once, for as long as that would take, whatever the pool's size.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.estimates import expect_seconds
+from medlarspring_tables.scheduling import ArrivalMeter
+
+if TYPE_CHECKING:
+    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables.scheduling import StepRun, WorkTables
+
+MEAN_SECONDS = 1.5
+"""The level is compared with its mean over so long, which is what a move takes."""
+TREND_GAIN = 1.0
+"""A rising level is taken to rise as much again until VMs called now are there."""
+SLACK_WEIGHT = 0.1
+"""Weight of the newest job in the smoothed slack of its queue."""
+SHORTEST_SECONDS = 0.3
+"""A job counts for at least so long; estimates may be much too short."""
+
+
+def note_arrival(tables: WorkTables, steps: list[StepRun], now: Seconds) -> None:
+    """Count the work of an occurrence that has become due."""
+    if not steps:
+        return
+    queue = steps[0].job.queue
+    work = sum(
+        step.spec.count
+        * step.room.cpu_millis
+        * expect_seconds(tables, queue.id, step.spec)
+        for step in steps
+        if not step.spec.long_running
+    )
+    if not work:
+        return
+    path = max(steps[0].remaining_path, SHORTEST_SECONDS)
+    meter = tables.arrivals_by_pool.setdefault(queue.pool_id, ArrivalMeter(at=now))
+    _advance(meter, now)
+    heapq.heappush(meter.ends, (now + path, work / path))
+    meter.level += work / path
+
+
+def note_slack(tables: WorkTables, steps: list[StepRun], slack: Seconds) -> None:
+    """Learn how long the jobs of a queue can wait for a VM to come."""
+    if any(step.spec.long_running for step in steps):
+        return
+    queue_id = steps[0].job.queue.id
+    known = tables.slack_by_queue.get(queue_id, slack)
+    tables.slack_by_queue[queue_id] = known + SLACK_WEIGHT * (slack - known)
+
+
+def find_slack(tables: WorkTables, pool_id: PoolId) -> Seconds | None:
+    """Return the least slack of the pool's queues; None before any had a job."""
+    slacks = [
+        tables.slack_by_queue[queue.id]
+        for queue in tables.config.queues_by_id.values()
+        if queue.pool_id == pool_id and queue.id in tables.slack_by_queue
+    ]
+    return min(slacks, default=None)
+
+
+def project_demand(tables: WorkTables, pool_id: PoolId, now: Seconds) -> float:
+    """Return the millicores that incoming work will keep busy in a moment."""
+    meter = tables.arrivals_by_pool.get(pool_id)
+    if meter is None:
+        return 0.0
+    _advance(meter, now)
+    return meter.level + TREND_GAIN * max(meter.level - meter.mean, 0.0)
+
+
+def _advance(meter: ArrivalMeter, now: Seconds) -> None:
+    weight = 1.0 - math.exp(-max(now - meter.at, 0.0) / MEAN_SECONDS)
+    meter.mean += weight * (meter.level - meter.mean)
+    meter.at = now
+    while meter.ends and meter.ends[0][0] <= now:
+        meter.level -= heapq.heappop(meter.ends)[1]
+    if not meter.ends:
+        meter.level = 0.0
+
+
+__all__ = ["find_slack", "note_arrival", "note_slack", "project_demand"]
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -89,6 +89,19 @@
         return self.seen_at + self.order.deadline_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class PoolNeed:
+    """How many VMs a pool needs, and what that is made of."""
+
+    vms: int
+    lasting_millis: float = 0.0
+    """Millicores of long-running tasks."""
+    incoming_millis: float = 0.0
+    """Millicores that incoming work is expected to keep busy."""
+    waiting_millis: float = 0.0
+    """Millicores that would clear what waits within the horizon."""
+
+
 @dataclass(slots=True)
 class FleetTables:
     """Waves and operations of one controller."""
@@ -99,8 +112,16 @@
     pending_by_vm: dict[VMId, PendingOperation] = field(default_factory=dict)
     refused_until: dict[VMId, Seconds] = field(default_factory=dict)
     """VMs whose last operation was refused are left alone for a moment."""
-    wanted_by_pool: dict[PoolId, int] = field(default_factory=dict)
-    """VMs that each pool's work asked for at the last look."""
+    needs_by_pool: dict[PoolId, PoolNeed] = field(default_factory=dict)
+    """What each pool's work asked for at the last look."""
+    recent_needs: dict[PoolId, list[tuple[Seconds, int]]] = field(default_factory=dict)
+    move_seconds: Seconds = 1.5
+    """What a move takes, as the platform states it."""
+    have_by_pool: dict[PoolId, int] = field(default_factory=dict)
+    first_sizes: dict[PoolId, int] = field(default_factory=dict)
+    """VMs of each pool when a controller first saw it, by the operator's hand."""
+    sizes_known: bool = False
+    sizes_since: Seconds = 0.0
     due_next: set[VMId] = field(default_factory=set)
     """VMs in service that a wave takes down next; their pools need others."""
     drained_for_wave: set[VMId] = field(default_factory=set)
@@ -198,6 +219,7 @@
     "FleetTables",
     "MaintainVM",
     "MoveVM",
+    "PoolNeed",
     "VMOperation",
     "WaveProgress",
     "drop_seen",
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
@@ -18,6 +18,7 @@
     tables: WorkTables, fleet: FleetTables, limits: FleetLimits, now: Seconds
 ) -> FleetPlan:
     """Return the operations on VMs to carry out now, and what to stop for them."""
+    fleet.move_seconds = limits.move
     drop_seen(tables, fleet, limits, now)
     plan = FleetPlan()
     fleet.due_next.clear()
--- a/packages/systems/src/medlarspring_systems/scheduling/jobs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/jobs.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.demand import note_arrival, note_slack
 from medlarspring_systems.scheduling.estimates import find_critical_paths
 from medlarspring_tables.scheduling import (
     ActiveJob,
@@ -98,6 +99,8 @@
         step.waiting = list(step.tasks)
         steps.append(step)
     job.occurrences_by_index[occurrence] = steps
+    note_arrival(tables, steps, now)
+    note_slack(tables, steps, objective - max(paths))
     refresh_ready(tables, steps, now)
     return steps
 
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -11,32 +11,47 @@
 import math
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.demand import find_slack, project_demand
 from medlarspring_systems.scheduling.estimates import expect_seconds
 from medlarspring_systems.scheduling.fleet import (
     MoveVM,
+    PoolNeed,
     find_worker_of,
     is_free,
     is_standby,
 )
-from medlarspring_tables.scheduling import VMPhase
+from medlarspring_tables.scheduling import Room, VMPhase
 
 if TYPE_CHECKING:
     from medlarspring_systems.scheduling.fleet import FleetPlan, FleetTables
     from medlarspring_tables import PoolId, Seconds, VMId
     from medlarspring_tables.scheduling import VMEntry, Worker, WorkTables
 
-HORIZON_SECONDS = 0.8
-"""Waiting work is to be done within so long by the VMs that are called."""
+HORIZON_SECONDS = 2.0
+"""What waits is to be done within so long, beside what comes in."""
 FILL = 0.85
 """Part of a VM that tasks of mixed sizes fill on average."""
-IDLE_SECONDS = 1.5
-"""A VM that did nothing for so long goes to standby.
+IDLE_SECONDS = 1.0
+"""A VM beyond the need that did nothing for so long goes to standby."""
+NEED_SECONDS = 2.5
+"""A pool keeps what it needed at any time within so long.
 
-A move there and back costs as much as 1.3 s in the pool, and the way back takes
-another 1.5 s in which its work waits.
+A move to standby and back costs as much as 1.3 s in the pool, and the way back
+takes another 1.5 s in which work waits.
 """
+TIGHT_PART = 1.0
+"""Part of its first size that a pool keeps whose jobs can't wait for a VM.
+
+Called at the start of its turn, VMs are there when the jobs of the first second
+and a half are late: a quarter of the turn's jobs.
+"""
+TIGHT_SECONDS = 0.6
+"""A queue's jobs can wait for a VM if so much slack is left when it is there."""
+LEARN_SECONDS = 6.0
+"""VMs of a fleet that starts come up within so long."""
 LEAST_VMS = 1
-"""A pool with queues keeps at least so many, to start work at once."""
+ROUNDING = 0.05
+"""Demand that exceeds whole VMs by less is not worth another one."""
 LEAST_READ_AGE_SECONDS = 2.5
 """Sizes are planned only on a VM list younger than this."""
 
@@ -53,40 +68,107 @@
     if not standby:
         return
     taken = {operation.vm_id for operation in plan.operations}
-    wanted = {
-        pool_id: find_wanted(tables, pool_id)
+    have = _count_vms(tables, fleet)
+    if not fleet.sizes_known:
+        _learn_first_sizes(fleet, have, now)
+        return
+    fleet.needs_by_pool = {
+        pool_id: find_need(tables, fleet, pool_id, now)
         for pool_id in tables.config.pools_by_id
         if pool_id not in standby
     }
-    fleet.wanted_by_pool = wanted
-    have = _count_vms(tables, fleet)
+    wanted = {pool_id: need.vms for pool_id, need in fleet.needs_by_pool.items()}
+    kept = {
+        pool_id: _note_need(fleet, pool_id, vms, now) for pool_id, vms in wanted.items()
+    }
+    fleet.have_by_pool = dict(have)
     sources = _list_sources(tables, fleet, wanted, have, now, taken)
     _grow(tables, wanted, have, sources, plan, taken)
-    _shrink(tables, wanted, have, standby[0], sources, now, plan, taken)
+    _shrink(tables, kept, have, standby[0], sources, now, plan, taken)
 
 
-def find_wanted(tables: WorkTables, pool_id: PoolId) -> int:
-    """Return how many VMs a pool's work asks for."""
-    cpu = memory = 0.0
-    largest_cpu = largest_memory = 1
-    for worker in tables.workers_by_pool.get(pool_id, {}).values():
-        cpu += worker.room.cpu_millis - worker.cpu_free
-        memory += worker.room.memory_mb - worker.memory_free
-        largest_cpu = max(largest_cpu, worker.room.cpu_millis)
-        largest_memory = max(largest_memory, worker.room.memory_mb)
-    for vm in tables.vms_by_id.values():
-        largest_cpu = max(largest_cpu, vm.room.cpu_millis)
-        largest_memory = max(largest_memory, vm.room.memory_mb)
+def _note_need(fleet: FleetTables, pool_id: PoolId, vms: int, now: Seconds) -> int:
+    """Return the highest need of a pool within the last seconds."""
+    recent = fleet.recent_needs.setdefault(pool_id, [])
+    recent.append((now, vms))
+    while recent[0][0] < now - NEED_SECONDS:
+        recent.pop(0)
+    return max(each for _, each in recent)
+
+
+def _learn_first_sizes(
+    fleet: FleetTables, have: dict[PoolId, int], now: Seconds
+) -> None:
+    """Note the largest size each pool had while the fleet came up."""
+    if not fleet.sizes_since:
+        fleet.sizes_since = now
+    for pool_id, vms in have.items():
+        fleet.first_sizes[pool_id] = max(fleet.first_sizes.get(pool_id, 0), vms)
+    fleet.sizes_known = now - fleet.sizes_since >= LEARN_SECONDS
+
+
+def find_need(
+    tables: WorkTables, fleet: FleetTables, pool_id: PoolId, now: Seconds
+) -> PoolNeed:
+    """Return how many VMs a pool's work asks for in a moment."""
+    largest = _find_largest_room(tables)
+    lasting_cpu, lasting_memory = _measure_lasting(tables, pool_id)
     waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id)
+    incoming = project_demand(tables, pool_id, now)
+    cpu = lasting_cpu + incoming + waiting_cpu
+    memory = lasting_memory + waiting_memory
     vms = max(
-        (cpu + waiting_cpu) / (largest_cpu * FILL),
-        (memory + waiting_memory) / (largest_memory * FILL),
+        cpu / (max(largest.cpu_millis, 1) * FILL),
+        memory / (max(largest.memory_mb, 1) * FILL),
+    )
+    needed = math.ceil(vms - ROUNDING)
+    floor = _find_floor(tables, fleet, pool_id)
+    limits = _count_needed_by_limits(tables, pool_id)
+    return PoolNeed(
+        vms=max(needed, LEAST_VMS, floor, limits),
+        lasting_millis=lasting_cpu,
+        incoming_millis=incoming,
+        waiting_millis=waiting_cpu,
     )
-    return max(math.ceil(vms), LEAST_VMS, _count_needed_by_limits(tables, pool_id))
+
+
+def _find_floor(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> int:
+    """Return the VMs that a pool keeps whatever it does now.
+
+    A pool that had no work yet keeps what the operator gave it.
+    """
+    first = fleet.first_sizes.get(pool_id, 0)
+    slack = find_slack(tables, pool_id)
+    if slack is None:
+        return first
+    if slack > fleet.move_seconds + TIGHT_SECONDS:
+        return LEAST_VMS
+    return math.ceil(first * TIGHT_PART)
+
+
+def _find_largest_room(tables: WorkTables) -> Room:
+    cpu = memory = 0
+    for vm in tables.vms_by_id.values():
+        cpu = max(cpu, vm.room.cpu_millis)
+        memory = max(memory, vm.room.memory_mb)
+    return Room(cpu, memory)
+
+
+def _measure_lasting(tables: WorkTables, pool_id: PoolId) -> tuple[float, float]:
+    """Return processors and memory that long-running tasks hold."""
+    cpu = memory = 0.0
+    for worker in tables.workers_by_pool.get(pool_id, {}).values():
+        if not worker.long_runs:
+            continue
+        for run in worker.runs.values():
+            if run.task.step.spec.long_running:
+                cpu += run.task.step.room.cpu_millis
+                memory += run.task.step.room.memory_mb
+    return cpu, memory
 
 
 def _measure_waiting(tables: WorkTables, pool_id: PoolId) -> tuple[float, float]:
-    """Return processors and memory that waiting work needs, to be done in time."""
+    """Return processors and memory that clear what waits within the horizon."""
     cpu = memory = 0.0
     for step in tables.ready_by_pool.get(pool_id, {}):
         if step.job.outcome is not None or not step.waiting:
@@ -94,9 +176,9 @@
         part = 1.0
         if not step.spec.long_running:
             seconds = expect_seconds(tables, step.job.queue.id, step.spec, step.seen_ms)
-            part = min(seconds / HORIZON_SECONDS, 1.0)
+            part = seconds / HORIZON_SECONDS
         cpu += part * len(step.waiting) * step.room.cpu_millis
-        memory += part * len(step.waiting) * step.room.memory_mb
+        memory += min(part, 1.0) * len(step.waiting) * step.room.memory_mb
     return cpu, memory
 
 
@@ -238,4 +320,4 @@
     plan.operations.append(MoveVM(vm.id, pool_id, vm.pool_id, reason))
 
 
-__all__ = ["find_wanted", "plan_moves"]
+__all__ = ["find_need", "plan_moves"]
--- a/packages/systems/tests/scheduling/test_maintenance_waves.py
+++ b/packages/systems/tests/scheduling/test_maintenance_waves.py
@@ -55,7 +55,7 @@
 
 
 def test_no_more_vms_go_down_than_the_wave_allows(scene: Scene):
-    fleet = FleetTables()
+    fleet = FleetTables(sizes_known=True)
     for number in range(1, 5):
         scene.add_vm(number)
     order_wave(fleet, 1, 2, 3, 4, most=2)
@@ -69,7 +69,7 @@
 
 
 def test_wave_is_complete_only_when_each_vm_had_its_maintenance(scene: Scene):
-    fleet = FleetTables()
+    fleet = FleetTables(sizes_known=True)
     scene.add_vm(1)
     order_wave(fleet, 1)
     (wave,) = fleet.waves_by_id.values()
@@ -90,7 +90,7 @@
     scene.add_worker(1)
     runs = serve(scene)
     scene.add_worker(2)
-    fleet = FleetTables()
+    fleet = FleetTables(sizes_known=True)
     order_wave(fleet, 1)
     found = plan(scene, fleet)
     assert [run for run, _ in found.stops] == runs[:1]
@@ -118,7 +118,7 @@
     scene.add_worker(1)
     serve(scene)
     scene.add_vm(9)
-    fleet = FleetTables()
+    fleet = FleetTables(sizes_known=True)
     order_wave(fleet, 1)
     found = plan(scene, fleet)
     assert found.stops == []
--- a/packages/tables/src/medlarspring_tables/scheduling/__init__.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/__init__.py
@@ -28,6 +28,7 @@
     JobRecord,
     ProgressRecord,
     RunRecord,
+    SizesRecord,
     StepRecord,
     WaveRecord,
 )
@@ -40,7 +41,7 @@
 )
 from medlarspring_tables.scheduling.work import (
     ActiveJob,
-    PoolDemand,
+    ArrivalMeter,
     Run,
     RunEnd,
     RunState,
@@ -54,6 +55,7 @@
 __all__ = [
     "ActiveJob",
     "AdvicePolicy",
+    "ArrivalMeter",
     "CancelRecord",
     "CellId",
     "ControllerRecord",
@@ -65,7 +67,6 @@
     "JobSpec",
     "Milliseconds",
     "OperatorConfig",
-    "PoolDemand",
     "PoolPolicy",
     "ProgressRecord",
     "QueueId",
@@ -77,6 +78,7 @@
     "RunRecord",
     "RunState",
     "RunningRow",
+    "SizesRecord",
     "StepRecord",
     "StepRun",
     "StepSpec",
--- a/packages/tables/src/medlarspring_tables/scheduling/records.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/records.py
@@ -89,6 +89,12 @@
     begun: tuple[str, ...] = ()
 
 
+class SizesRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """VMs of each pool when a controller first saw it; written once."""
+
+    vms_by_pool: dict[str, int] = {}
+
+
 __all__ = [
     "CancelRecord",
     "ControllerRecord",
@@ -96,6 +102,7 @@
     "JobRecord",
     "ProgressRecord",
     "RunRecord",
+    "SizesRecord",
     "StepRecord",
     "WaveRecord",
 ]
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -232,13 +232,15 @@
 
 
 @dataclass(slots=True)
-class PoolDemand:
-    """What the jobs of a pool ask for at present."""
+class ArrivalMeter:
+    """Millicores that a pool's incoming work would use if served at once."""
 
-    running_millis: int = 0
-    waiting_millis: int = 0
-    waiting_core_seconds: float = 0.0
-    long_millis: int = 0
+    at: Seconds
+    level: float = 0.0
+    mean: float = 0.0
+    """Smoothed level, to see whether it rises."""
+    ends: list[tuple[Seconds, float]] = field(default_factory=list)
+    """Heap of when a job's part of the level ends, and that part."""
 
 
 @dataclass(slots=True)
@@ -256,15 +258,18 @@
     before that still holds them."""
     vms_by_id: dict[VMId, VMEntry] = field(default_factory=dict)
     vms_read_at: Seconds = 0.0
+    arrivals_by_pool: dict[PoolId, ArrivalMeter] = field(default_factory=dict)
     ready_by_pool: dict[PoolId, dict[StepRun, None]] = field(default_factory=dict)
     """Steps with waiting tasks, in the order in which they became ready."""
+    slack_by_queue: dict[QueueId, Seconds] = field(default_factory=dict)
+    """Time that a queue's jobs can wait and still make their objective, smoothed."""
     durations_by_queue: dict[QueueId, tuple[float, float]] = field(default_factory=dict)
     """Sum of weights and weighted mean of log duration in ms, by queue."""
 
 
 __all__ = [
     "ActiveJob",
-    "PoolDemand",
+    "ArrivalMeter",
     "Run",
     "RunEnd",
     "RunState",
