Size pools of patient queues by their mean, and count waiting work once

Each lump of work called for VMs: pools stood at 24 VMs where 14 were in use. Work counts as incoming for as long as it would take if served at once, and as waiting only after that; pools whose jobs can wait for a VM follow the mean; pools that can't keep 0.6 of their first size.

--- a/packages/systems/src/medlarspring_systems/scheduling/demand.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/demand.py
@@ -48,6 +48,8 @@
     _advance(meter, now)
     heapq.heappush(meter.ends, (now + path, work / path))
     meter.level += work / path
+    for step in steps:
+        step.counted_until = now + path
 
 
 def note_slack(tables: WorkTables, steps: list[StepRun], slack: Seconds) -> None:
@@ -69,23 +71,38 @@
     return min(slacks, default=None)
 
 
-def project_demand(tables: WorkTables, pool_id: PoolId, now: Seconds) -> float:
-    """Return the millicores that incoming work will keep busy in a moment."""
+def project_demand(
+    tables: WorkTables, pool_id: PoolId, now: Seconds, *, can_wait: bool
+) -> float:
+    """Return the millicores that incoming work will keep busy in a moment.
+
+    Jobs that can wait for a VM even out: their pool needs no more than their mean,
+    where each one may be worth several VMs by itself.
+    """
     meter = tables.arrivals_by_pool.get(pool_id)
     if meter is None:
         return 0.0
     _advance(meter, now)
+    if can_wait:
+        return meter.mean
     return meter.level + TREND_GAIN * max(meter.level - meter.mean, 0.0)
 
 
 def _advance(meter: ArrivalMeter, now: Seconds) -> None:
-    weight = 1.0 - math.exp(-max(now - meter.at, 0.0) / MEAN_SECONDS)
-    meter.mean += weight * (meter.level - meter.mean)
-    meter.at = now
+    """Bring level and mean up to date, through each end in between."""
     while meter.ends and meter.ends[0][0] <= now:
-        meter.level -= heapq.heappop(meter.ends)[1]
+        ended_at, part = heapq.heappop(meter.ends)
+        _smooth(meter, ended_at)
+        meter.level -= part
     if not meter.ends:
         meter.level = 0.0
+    _smooth(meter, now)
+
+
+def _smooth(meter: ArrivalMeter, at: Seconds) -> None:
+    weight = 1.0 - math.exp(-max(at - meter.at, 0.0) / MEAN_SECONDS)
+    meter.mean += weight * (meter.level - meter.mean)
+    meter.at = max(meter.at, at)
 
 
 __all__ = ["find_slack", "note_arrival", "note_slack", "project_demand"]
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -39,7 +39,7 @@
 A move to standby and back costs as much as 1.3 s in the pool, and the way back
 takes another 1.5 s in which work waits.
 """
-TIGHT_PART = 1.0
+TIGHT_PART = 0.6
 """Part of its first size that a pool keeps whose jobs can't wait for a VM.
 
 Called at the start of its turn, VMs are there when the jobs of the first second
@@ -113,8 +113,10 @@
     """Return how many VMs a pool's work asks for in a moment."""
     largest = _find_largest_room(tables)
     lasting_cpu, lasting_memory = _measure_lasting(tables, pool_id)
-    waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id)
-    incoming = project_demand(tables, pool_id, now)
+    waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id, now)
+    incoming = project_demand(
+        tables, pool_id, now, can_wait=_can_wait(tables, fleet, pool_id)
+    )
     cpu = lasting_cpu + incoming + waiting_cpu
     memory = lasting_memory + waiting_memory
     vms = max(
@@ -138,14 +140,19 @@
     A pool that had no work yet keeps what the operator gave it.
     """
     first = fleet.first_sizes.get(pool_id, 0)
-    slack = find_slack(tables, pool_id)
-    if slack is None:
+    if find_slack(tables, pool_id) is None:
         return first
-    if slack > fleet.move_seconds + TIGHT_SECONDS:
+    if _can_wait(tables, fleet, pool_id):
         return LEAST_VMS
     return math.ceil(first * TIGHT_PART)
 
 
+def _can_wait(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> bool:
+    """Tell whether the pool's jobs are still in time when VMs called now are there."""
+    slack = find_slack(tables, pool_id)
+    return slack is not None and slack > fleet.move_seconds + TIGHT_SECONDS
+
+
 def _find_largest_room(tables: WorkTables) -> Room:
     cpu = memory = 0
     for vm in tables.vms_by_id.values():
@@ -167,12 +174,20 @@
     return cpu, memory
 
 
-def _measure_waiting(tables: WorkTables, pool_id: PoolId) -> tuple[float, float]:
-    """Return processors and memory that clear what waits within the horizon."""
+def _measure_waiting(
+    tables: WorkTables, pool_id: PoolId, now: Seconds
+) -> tuple[float, float]:
+    """Return processors and memory that clear what waits within the horizon.
+
+    Work that still counts as incoming is left out: counted twice, each rise of
+    demand called for twice the VMs that it then needed.
+    """
     cpu = memory = 0.0
     for step in tables.ready_by_pool.get(pool_id, {}):
         if step.job.outcome is not None or not step.waiting:
             continue
+        if now < step.counted_until:
+            continue
         part = 1.0
         if not step.spec.long_running:
             seconds = expect_seconds(tables, step.job.queue.id, step.spec, step.seen_ms)
--- a/packages/systems/tests/scheduling/conftest.py
+++ b/packages/systems/tests/scheduling/conftest.py
@@ -5,10 +5,15 @@
 
 import pytest
 
-from medlarspring_systems.scheduling.jobs import admit_job, open_due_occurrences
+from medlarspring_systems.scheduling.jobs import (
+    admit_job,
+    forget_job,
+    open_due_occurrences,
+)
 from medlarspring_systems.scheduling.workers import take_entry
 from medlarspring_tables import JobId, PoolId, RackId, Revision, VMId, ZoneId
 from medlarspring_tables.scheduling import (
+    JobOutcome,
     JobRecord,
     JobSpec,
     OperatorConfig,
@@ -90,8 +95,23 @@
         max_attempts: int = 3,
         stretch: float = 1.6,
         priority: int = 0,
+        now: float = NOW,
     ) -> ActiveJob:
-        queue = QueuePolicy(
+        queue = self.create_queue(max_attempts, stretch, priority)
+        record = JobRecord(
+            queue=queue,
+            accepted_at_ms=WALL_MS + round((now - NOW) * 1_000),
+            spec=JobSpec(payload=name, steps=steps),
+        )
+        job = admit_job(self.tables, JobId(name), record, Revision(1))
+        wall_ms = WALL_MS + (now - NOW) * 1_000
+        open_due_occurrences(self.tables, job, now, wall_ms)
+        return job
+
+    def create_queue(
+        self, max_attempts: int = 3, stretch: float = 1.6, priority: int = 0
+    ) -> QueuePolicy:
+        return QueuePolicy(
             id=QueueId("lookup"),
             pool_id=POOL,
             max_attempts=max_attempts,
@@ -99,14 +119,10 @@
             allowance_ms=600,
             priority=priority,
         )
-        record = JobRecord(
-            queue=queue,
-            accepted_at_ms=WALL_MS,
-            spec=JobSpec(payload=name, steps=steps),
-        )
-        job = admit_job(self.tables, JobId(name), record, Revision(1))
-        open_due_occurrences(self.tables, job, NOW, WALL_MS)
-        return job
+
+    def drop_job(self, job: ActiveJob) -> None:
+        job.outcome = JobOutcome.COMPLETE
+        forget_job(self.tables, job, NOW)
 
 
 @pytest.fixture
--- /dev/null
+++ b/packages/systems/tests/scheduling/test_pool_sizing.py
@@ -0,0 +1,121 @@
+"""Replays of the load that pools answer: a queue's turn begins, peaks and ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from medlarspring_systems.scheduling.fleet import FleetTables, MoveVM
+from medlarspring_systems.scheduling.fleet_plan import plan_operations
+from medlarspring_systems.scheduling.pool_sizing import find_need
+from medlarspring_tables import PoolId
+from medlarspring_tables.scheduling import FleetLimits, QueueId, StepSpec
+
+if TYPE_CHECKING:
+    from .conftest import Scene
+
+POOL = PoolId("consent")
+NOW = 1_000.0
+VM_MILLIS = 16_000
+QUEUE = QueueId("lookup")
+SHORT = StepSpec(count=6, cpu_millis=2_000, memory_mb=500, estimate_ms=600)
+LONG = StepSpec(count=8, cpu_millis=4_000, memory_mb=500, estimate_ms=4_000)
+
+
+@pytest.fixture
+def fleet(scene: Scene) -> FleetTables:
+    for number in range(4):
+        scene.add_worker(number)
+    for number in range(10, 30):
+        scene.add_vm(number)
+    fleet = FleetTables(sizes_known=True, first_sizes={POOL: 4})
+    scene.tables.config.queues_by_id[QUEUE] = scene.create_queue()
+    return fleet
+
+
+def arrive(scene: Scene, fleet: FleetTables, step: StepSpec, per_second, seconds):  # type: ignore[no-untyped-def]
+    """Let jobs come at a rate that may change, and return the need each 0.2 s.
+
+    Each job is served within its estimate.
+    """
+    needs, due, made, served = [], 0.0, 0, []
+    for tick in range(int(seconds / 0.2)):
+        now = NOW + tick * 0.2
+        while served and served[0][0] <= now:
+            scene.drop_job(served.pop(0)[1])
+        due += per_second(tick * 0.2) * 0.2
+        while made < due:
+            job = scene.add_job(f"{made:016x}", step, now=now)
+            served.append((now + step.estimate_ms / 1_000.0, job))
+            made += 1
+        needs.append(find_need(scene.tables, fleet, POOL, now).vms)
+    return needs
+
+
+def test_pool_grows_with_the_first_second_of_a_turn(scene: Scene, fleet: FleetTables):
+    """
+    Short jobs come at ten a second from one moment to the next. Sized by what
+    waits, the pool would call for VMs when the first jobs are late already.
+    """
+    needs = arrive(scene, fleet, SHORT, lambda at: 10.0, 1.0)
+    steady = 10.0 * 6 * 2_000 * 0.6 / VM_MILLIS
+    assert needs[-1] >= steady
+
+
+def test_work_is_not_counted_as_incoming_and_as_waiting(
+    scene: Scene, fleet: FleetTables
+):
+    """
+    While VMs are on their way all work waits. Counted twice, it called for twice
+    the VMs that the turn then needed.
+    """
+    needs = arrive(scene, fleet, SHORT, lambda at: 10.0, 0.6)
+    need = find_need(scene.tables, fleet, POOL, NOW + 0.5)
+    assert need.waiting_millis == 0.0
+    assert needs[-1] <= 14
+
+
+def test_jobs_that_can_wait_are_served_by_the_mean(scene: Scene, fleet: FleetTables):
+    """
+    Each job is worth two VMs by itself and can wait for three seconds. Following
+    every job up and down, the pool paid for half as many VMs again.
+    """
+    needs = arrive(scene, fleet, LONG, lambda at: 0.5, 12.0)
+    steady = 0.5 * 8 * 4_000 * 4.0 / VM_MILLIS
+    assert max(needs) <= 1.6 * steady
+
+
+@pytest.mark.parametrize(
+    ("step", "kept"),
+    [(None, 4), (SHORT, 3), (LONG, 1)],
+    ids=["no-work-yet", "cannot-wait", "can-wait"],
+)
+def test_what_a_pool_keeps_without_work(
+    scene: Scene, fleet: FleetTables, step: StepSpec | None, kept: int
+):
+    if step is not None:
+        job = scene.add_job("j", step)
+        scene.drop_job(job)
+    assert find_need(scene.tables, fleet, POOL, NOW + 30.0).vms == kept
+
+
+def test_vm_goes_to_standby_only_after_its_pool_needed_it_for_long(
+    scene: Scene, fleet: FleetTables
+):
+    """
+    Demand falls for a moment between two jobs. A VM sent away then would be called
+    back at once, and its work would wait for it.
+    """
+    limits = FleetLimits()
+    job = scene.add_job("j", SHORT)
+    scene.drop_job(job)
+    moves_at = []
+    for tick in range(30):
+        now = NOW + tick * 0.2
+        scene.tables.vms_read_at = now
+        fleet.pending_by_vm.clear()
+        plan = plan_operations(scene.tables, fleet, limits, now)
+        moves_at += [now for each in plan.operations if isinstance(each, MoveVM)]
+    assert moves_at
+    assert moves_at[0] >= NOW + 1.0
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -120,6 +120,8 @@
     """Local time by which the occurrence should be complete."""
     given_up_at: Seconds = 0.0
     """Local time after which completing it is of no more use to the customer."""
+    counted_until: Seconds = 0.0
+    """Until when the occurrence counts as incoming work of its pool."""
     remaining_path: Seconds = 0.0
     """Longest chain of estimates from this step's start to the end."""
     room: Room = field(default_factory=Room)
