Ask the adviser for restricted queues, pace what fills, keep racks together

Advice is asked for one step after the other, waiting ones first. Steps whose tasks should share a rack do.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -89,6 +89,8 @@
     RUN_ENDED = (9034, "a worker listed the end of a run")
     RUN_LOST = (9035, "a run is certainly over without an end")
     RUN_STRANGE = (9036, "a worker has a run that must not go on")
+    ADVICE_TAKEN = (9037, "the adviser said on which workers a step may run")
+    ADVICE_MISSING = (9038, "the adviser gave no advice")
     JOB_CANCELLED = (9040, "a job is cancelled; its runs are stopped")
     JOB_ENDED = (9041, "a job's end is recorded")
     WORKER_LISTED = (9050, "the registry lists a worker")
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/advice_desk.py
@@ -0,0 +1,99 @@
+"""Asks the adviser on which workers the steps of restricted queues may run."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.events import Event
+from medlarspring_systems.scheduling.advising import choose_question, take_advice
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.adviser import Adviser
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_systems.scheduling.advising import Question
+    from medlarspring_tables import PoolId
+    from medlarspring_tables.scheduling import WorkTables
+
+IDLE_SECONDS = 0.02
+"""Pause while there is nothing to ask."""
+UNNEEDED_SECONDS = 0.5
+"""Pause while no queue is restricted."""
+RETRY_SECONDS = 0.2
+"""Pause after a call without advice; the adviser refuses when too many wait."""
+
+
+class AdviceOwner(Protocol):
+    """What the desk needs of its controller."""
+
+    tables: WorkTables
+
+    def plan(self, pool_id: PoolId) -> None:
+        """Place what waits in a pool, soon."""
+        ...
+
+
+class AdviceDesk:
+    """One question after the other, the most urgent first."""
+
+    def __init__(
+        self, node: SchedulingNode, adviser: Adviser, owner: AdviceOwner
+    ) -> None:
+        self._node = node
+        self._adviser = adviser
+        self._owner = owner
+        self._looked_at = -1
+        """Version of the configuration that ``_needed`` was taken from."""
+        self._needed = False
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            if not self._is_needed():
+                await asyncio.sleep(UNNEEDED_SECONDS)
+                continue
+            question = choose_question(self._owner.tables, self._node.clock.now())
+            if question is None:
+                await asyncio.sleep(IDLE_SECONDS)
+                continue
+            await self._ask(question)
+
+    def _is_needed(self) -> bool:
+        """Tell whether any queue is restricted; looked up once a configuration."""
+        config = self._owner.tables.config
+        if config.version != self._looked_at:
+            self._looked_at = config.version
+            queues = config.queues_by_id.values()
+            self._needed = any(queue.advice is not None for queue in queues)
+        return self._needed
+
+    async def _ask(self, question: Question) -> None:
+        asked_at = self._node.clock.now()
+        answer = await self._adviser.advise(question.step_id, question.worker_ids)
+        if not is_successful(answer):
+            self._node.log.warning(
+                Event.ADVICE_MISSING,
+                step=question.step_id,
+                workers=len(question.worker_ids),
+                fault=answer.failure().message(),
+            )
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        advice = answer.unwrap()
+        take_advice(
+            question, advice.tickets_by_worker, asked_at + advice.valid_ms / 1_000.0
+        )
+        self._node.log.info(
+            Event.ADVICE_TAKEN,
+            step=question.step_id,
+            workers=len(question.worker_ids),
+            allowed=len(advice.tickets_by_worker),
+            valid_ms=advice.valid_ms,
+            took_ms=round((self._node.clock.now() - asked_at) * 1_000),
+        )
+        self._owner.plan(question.step.job.queue.pool_id)
+
+
+__all__ = ["AdviceDesk", "AdviceOwner"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -11,6 +11,7 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_adapters.store import Put, Transaction
+from medlarspring_daemon.scheduling.advice_desk import AdviceDesk
 from medlarspring_daemon.scheduling.intake import LoadRecord
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.journal import WRITTEN_FOR_GOOD, Journal
@@ -135,6 +136,9 @@
         self._tasks.keep(self._publish_forever)
         self._tasks.keep(self._list_vms_forever)
         self._tasks.keep(self._keeper.run)
+        if self._node.adviser is not None:
+            desk = AdviceDesk(self._node, self._node.adviser, self)
+            self._tasks.keep(desk.run)
         self.plan_all()
 
     async def _read_until(self, prefix: str):  # type: ignore[no-untyped-def]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -180,7 +180,7 @@
             not_after_ms=until,
             fence=self._tenure.fence,
             checkpoint=run.checkpoint,
-            ticket=run.task.step.tickets.get(worker.id, ""),
+            ticket=self._find_ticket(run),
         )
         answer = await self._node.orders.start(self._address, order, ORDER_SECONDS)
         now = self._node.clock.now()
@@ -191,6 +191,10 @@
         note_clock(worker, answer.unwrap().clock_ms, now)
         self._take_start_answer(run, answer.unwrap(), now)
 
+    def _find_ticket(self, run: Run) -> str:
+        ticket = run.task.step.tickets.get(self._worker.id)
+        return ticket.text if ticket is not None else ""
+
     def _plan_start_end(self, now: Seconds) -> int:
         """Return until when, on the worker's clock, a start may be carried out."""
         until = round(read_clock(self._worker, now)) + START_VALID_MS
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/pacing.py
@@ -0,0 +1,82 @@
+"""Slows tasks that fill down where they hurt the tasks that serve beside them.
+
+A task that serves has a target for its tail latency. What fills the rest of its
+worker disturbs it by amounts that differ and change within seconds, so nothing is
+worked out ahead: the pace is halved while the target is missed, and raised a little
+while there is room.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_tables.scheduling import RunState
+
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import Run, Worker, WorkTables
+
+LOWER_SECONDS = 0.7
+"""Between two steps down: the worker's figure covers the last half second."""
+RAISE_SECONDS = 1.5
+"""Between two steps up; a step too far up costs a second over the target."""
+LOWER_FACTOR = 0.5
+RAISE_POINTS = 15
+STOP_BELOW_PERCENT = 15
+"""A pace below this is set to 0: four steps down fit into the platform's limit."""
+COMFORT = 0.8
+"""The pace is raised while the tail is below this part of the target."""
+FULL_PERCENT = 100
+ADOPTED_PERCENT = 25
+"""Pace given to a task that fills whose pace a predecessor may have changed."""
+
+
+def plan_paces(tables: WorkTables, now: Seconds) -> list[tuple[Run, int]]:
+    """Return the runs whose pace changes, with the new pace in percent."""
+    changes: list[tuple[Run, int]] = []
+    for worker in tables.workers_by_id.values():
+        if worker.long_runs and not worker.unanswered_since:
+            changes += _plan_worker(worker, now)
+    return changes
+
+
+def _plan_worker(worker: Worker, now: Seconds) -> list[tuple[Run, int]]:
+    fills = [
+        run
+        for run in worker.runs.values()
+        if run.task.step.spec.uses_leftover and run.state is RunState.RUNNING
+    ]
+    if not fills:
+        return []
+    strain = _measure_strain(worker)
+    changes = []
+    for run in fills:
+        percent = _choose_pace(run, strain, now)
+        if percent != run.pace_percent:
+            run.pace_percent = percent
+            run.paced_at = now
+            changes.append((run, percent))
+    return changes
+
+
+def _measure_strain(worker: Worker) -> float:
+    """Return the highest tail latency against its target; 0 without any."""
+    ratios = [
+        run.gauge / run.task.step.spec.latency_target_ms
+        for run in worker.runs.values()
+        if run.task.step.spec.latency_target_ms and run.state is RunState.RUNNING
+    ]
+    return max(ratios, default=0.0)
+
+
+def _choose_pace(run: Run, strain: float, now: Seconds) -> int:
+    since = now - run.paced_at
+    if strain > 1.0 and since >= LOWER_SECONDS:
+        lowered = int(run.pace_percent * LOWER_FACTOR)
+        return lowered if lowered >= STOP_BELOW_PERCENT else 0
+    if strain < COMFORT and since >= RAISE_SECONDS:
+        return min(run.pace_percent + RAISE_POINTS, FULL_PERCENT)
+    return run.pace_percent
+
+
+__all__ = ["ADOPTED_PERCENT", "plan_paces"]
--- a/packages/systems/src/medlarspring_systems/scheduling/placement.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/placement.py
@@ -47,10 +47,16 @@
     if limit and step.per_worker.get(worker.id, 0) >= limit:
         return False
     if step.job.queue.advice is not None:
-        return now < step.tickets_until and worker.id in step.tickets
+        return has_ticket(step, worker, now)
     return True
 
 
+def has_ticket(step: StepRun, worker: Worker, now: Seconds) -> bool:
+    """Tell whether the adviser lets the step run on a worker now."""
+    ticket = step.tickets.get(worker.id)
+    return ticket is not None and bool(ticket.text) and now < ticket.valid_until
+
+
 def rate(step: StepRun, task: Task, worker: Worker) -> Score:
     """Return how good a worker is for a task; the smallest is best.
 
@@ -64,8 +70,16 @@
     rack = step.rack_id if spec.same_rack else spec.data_rack
     far = float(bool(rack) and worker.rack_id != rack)
     slow = float(worker.slowness >= SLOW_RATIO)
+    crowding = float(spec.uses_leftover and _serves_with_target(worker))
     releasable = float(not worker.long_runs)
-    return (failed, far, slow, releasable, worker.cpu_free)
+    return (failed, far, slow, crowding, releasable, worker.cpu_free)
+
+
+def _serves_with_target(worker: Worker) -> bool:
+    """Tell whether a task that fills would sit beside one with a latency target."""
+    return worker.long_runs > 0 and any(
+        run.task.step.spec.latency_target_ms for run in worker.runs.values()
+    )
 
 
 SLOW_RATIO = 1.5
@@ -89,4 +103,4 @@
     return best
 
 
-__all__ = ["choose_worker", "fits", "is_allowed", "is_open", "rate"]
+__all__ = ["choose_worker", "fits", "has_ticket", "is_allowed", "is_open", "rate"]
--- a/packages/systems/src/medlarspring_systems/scheduling/recording.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/recording.py
@@ -9,6 +9,7 @@
     note_task_done,
     open_occurrence,
 )
+from medlarspring_systems.scheduling.pacing import ADOPTED_PERCENT
 from medlarspring_systems.scheduling.runs import attach_run
 from medlarspring_tables.scheduling import (
     ProgressRecord,
@@ -122,6 +123,8 @@
                 ordered_at=now,
                 checkpoint=task.checkpoint,
             )
+            if step.spec.uses_leftover:
+                run.pace_percent = ADOPTED_PERCENT
             attach_run(run)
     for task in step.tasks:
         if done >> task.index & 1:
--- a/packages/systems/src/medlarspring_systems/scheduling/repair.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/repair.py
@@ -7,6 +7,7 @@
 
 from medlarspring_systems.scheduling.estimates import expect_seconds
 from medlarspring_systems.scheduling.evidence import doubt_worker
+from medlarspring_systems.scheduling.pacing import plan_paces
 from medlarspring_systems.scheduling.placement import choose_worker, is_open
 from medlarspring_systems.scheduling.rounds import find_preemptible
 from medlarspring_systems.scheduling.runs import intend_run
@@ -47,6 +48,7 @@
     _leave_draining(tables, now, repairs)
     _copy_silent(tables, now, repairs)
     _make_room(tables, now, repairs)
+    repairs.paces = plan_paces(tables, now)
     return repairs
 
 
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables import PoolId, RackId, Seconds
     from medlarspring_tables.scheduling import Run, StepRun, Task, Worker, WorkTables
 
 MAX_INTENTS = 200
@@ -70,13 +70,31 @@
     for task in list(step.waiting):
         if task.not_before > now:
             continue
-        worker = choose_worker(step, task, workers, now)
+        worker = choose_worker(step, task, _narrow(step, workers), now)
         if worker is None:
             _reserve_worker(step, task, workers, now)
             return
         intents.append(intend_run(task, worker, task.last_run + 1, now))
 
 
+def _narrow(step: StepRun, workers: list[Worker]) -> list[Worker]:
+    """Return the workers of the rack that a step's tasks share, if they should.
+
+    The rack is that of its first task; the one with most room is chosen for it.
+    """
+    if not step.spec.same_rack:
+        return workers
+    if step.rack_id is None:
+        room: dict[RackId, int] = {}
+        for worker in workers:
+            room[worker.rack_id] = room.get(worker.rack_id, 0) + worker.cpu_free
+        if not room:
+            return workers
+        data_rack = step.spec.data_rack
+        step.rack_id = max(room, key=lambda rack: (rack == data_rack, room[rack]))
+    return [worker for worker in workers if worker.rack_id == step.rack_id]
+
+
 def _reserve_worker(
     step: StepRun, task: Task, workers: list[Worker], now: Seconds
 ) -> None:
--- /dev/null
+++ b/packages/systems/tests/scheduling/test_advising.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from medlarspring_systems.scheduling.advising import choose_question, take_advice
+from medlarspring_systems.scheduling.rounds import plan_round
+from medlarspring_tables import PoolId
+from medlarspring_tables.scheduling import AdvicePolicy, StepSpec, WorkerId
+
+if TYPE_CHECKING:
+    from medlarspring_tables.scheduling import ActiveJob
+
+    from .conftest import Scene
+
+POOL = PoolId("consent")
+NOW = 1_000.0
+STEP = StepSpec(count=1, cpu_millis=2_000, memory_mb=500, estimate_ms=500)
+SECOND = StepSpec(count=1, cpu_millis=2_000, estimate_ms=500, after=(0,))
+
+
+def add_restricted_job(scene: Scene, name: str, *steps: StepSpec) -> ActiveJob:
+    job = scene.add_job(name, *steps)
+    job.queue = msgspec.structs.replace(job.queue, advice=AdvicePolicy(valid_ms=3_000))
+    return job
+
+
+def answer(scene: Scene, *allowed: str, valid_for: float = 3.0) -> str | None:
+    question = choose_question(scene.tables, NOW)
+    if question is None:
+        return None
+    tickets = {WorkerId(each): f"ticket-{each}" for each in allowed}
+    take_advice(question, tickets, NOW + valid_for)
+    return question.step_id
+
+
+def test_step_starts_only_where_the_adviser_allows_it(scene: Scene):
+    for number in (1, 2, 3):
+        scene.add_worker(number)
+    add_restricted_job(scene, "j", STEP)
+    assert plan_round(scene.tables, POOL, NOW) == []
+    assert answer(scene, "i-2") == "j.0.0"
+    (run,) = plan_round(scene.tables, POOL, NOW)
+    assert run.worker.id == "i-2"
+
+
+def test_lapsed_ticket_is_not_used_and_is_asked_for_again(scene: Scene):
+    scene.add_worker(1)
+    add_restricted_job(scene, "j", STEP)
+    answer(scene, "i-1", valid_for=0.5)
+    assert plan_round(scene.tables, POOL, NOW + 1.0) == []
+    question = choose_question(scene.tables, NOW + 1.0)
+    assert question is not None
+    assert question.worker_ids == ("i-1",)
+
+
+def test_nothing_is_asked_twice_and_new_workers_are_asked_about(scene: Scene):
+    scene.add_worker(1)
+    add_restricted_job(scene, "j", STEP)
+    assert answer(scene) == "j.0.0"
+    assert choose_question(scene.tables, NOW) is None
+    scene.add_worker(2)
+    question = choose_question(scene.tables, NOW)
+    assert question is not None
+    assert question.worker_ids == ("i-2",)
+
+
+def test_next_steps_are_asked_about_ahead_but_after_those_that_wait(scene: Scene):
+    scene.add_worker(1)
+    add_restricted_job(scene, "j", STEP, SECOND)
+    add_restricted_job(scene, "k", STEP)
+    asked = [answer(scene, "i-1") for _ in range(4)]
+    assert asked == ["k.0.0", "j.0.0", "j.0.1", None]
+
+
+def test_queues_without_restriction_ask_nothing(scene: Scene):
+    scene.add_worker(1)
+    scene.add_job("j", STEP)
+    assert choose_question(scene.tables, NOW) is None
--- a/packages/systems/tests/scheduling/test_rounds.py
+++ b/packages/systems/tests/scheduling/test_rounds.py
@@ -109,6 +109,14 @@
     assert sorted(run.worker.id for run in runs) == allowed
 
 
+def test_tasks_that_should_share_a_rack_do(scene: Scene):
+    for number, rack in ((1, "r1-1"), (2, "r1-1"), (3, "r2-1")):
+        scene.add_worker(number, cpu=4_000, rack=rack)
+    scene.add_job("j", step(count=5, same_rack=True))
+    runs = plan_round(scene.tables, POOL, NOW)
+    assert [run.worker.rack_id for run in runs] == ["r1-1"] * 4
+
+
 def test_gang_starts_whole_or_not_at_all(scene: Scene):
     """
     Members that start without the others wait, hold their room, and end alone
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -68,6 +68,7 @@
     gauge: int = 0
     """Tail latency in ms of a long-running task, else millicores in use."""
     pace_percent: int = 100
+    paced_at: Seconds = 0.0
     copy: bool = False
     """A further run of a task that already has one."""
     stopping: bool = False
@@ -102,6 +103,15 @@
     last_seen_running: Seconds = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """The adviser's word on one worker for one step."""
+
+    text: str
+    """What starts carry; empty if the step may not run there."""
+    valid_until: Seconds
+
+
 @dataclass(slots=True, eq=False)
 class StepRun:
     """One step of a job in one occurrence."""
@@ -132,8 +142,8 @@
     """Mean duration of the step's own tasks that ended; 0 before the first."""
     ended_runs: int = 0
     reserved: Worker | None = None
-    tickets: dict[WorkerId, str] = field(default_factory=dict)
-    tickets_until: Seconds = 0.0
+    tickets: dict[WorkerId, Ticket] = field(default_factory=dict)
+    """Advice for a queue whose steps may run only on some workers."""
     rack_id: RackId | None = None
     """Rack chosen for a step whose tasks should share one."""
 
@@ -279,6 +289,7 @@
     "RunState",
     "StepRun",
     "Task",
+    "Ticket",
     "Worker",
     "WorkerDoubt",
     "WorkTables",
