Bound the log, never block on it, and serve metrics as text

Lines go through a thread, so a reader that stops costs lines and not leases. Counters and histograms are on the metrics address of the deploy file.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -8,8 +8,12 @@
 from typing import TYPE_CHECKING, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
+
+from medlarspring_adapters.log_output import LineLimiter, QueuedHandler
 
 if TYPE_CHECKING:
+    from medlarspring_adapters.clock import Clock
     from medlarspring_tables import EntryVMId
 
 
@@ -42,6 +46,8 @@
     WAVE_PAUSED = (5021, "wave paused by evidence")
     WAVE_RESUMED = (5022, "wave resumed after its wait")
     WAVE_DONE = (5023, "wave is done")
+    LINES_LEFT_OUT = (1006, "log lines were left out")
+    METRICS_UNSERVED = (1007, "the metrics address can't be opened")
     TASK_FAILED = (1010, "a background task failed and is started again")
 
     REQUEST_FAILED = (2001, "a caller's request met a fault of this process")
@@ -119,8 +125,11 @@
 class EventLog:
     """Writes events with typed fields; one JSON document a line."""
 
-    def __init__(self, logger: logging.Logger) -> None:
+    def __init__(
+        self, logger: logging.Logger, limiter: LineLimiter | None = None
+    ) -> None:
         self._logger = logger
+        self._limiter = limiter
 
     def info(self, event: Event, **fields: object) -> None:
         """Log what went as planned."""
@@ -134,9 +143,23 @@
         """Log what an operator has to look at."""
         self._write(logging.ERROR, event, fields)
 
+    def take_left_out(self) -> dict[str, int]:
+        """Return how many lines were left out since the last call, by event."""
+        if self._limiter is None:
+            return {}
+        left_out = self._limiter.take_left_out()
+        return {str(event): lines for event, lines in left_out.items()}
+
+    def close(self) -> None:
+        """Write what waits, for a moment at most."""
+        for handler in self._logger.handlers:
+            handler.close()
+
     def _write(self, level: int, event: Event, fields: dict[str, object]) -> None:
         if not self._logger.isEnabledFor(level):
             return
+        if self._limiter is not None and not self._limiter.may_write(event.number):
+            return
         extra = {"event": event.number, "name_of_event": event.name.lower(), **fields}
         self._logger.log(level, event.text, extra=extra)
 
@@ -159,4 +182,23 @@
     return EventLog(logger)
 
 
-__all__ = ["Event", "EventLog", "create_event_log"]
+def create_bounded_log(
+    entry_vm_id: EntryVMId, clock: Clock, descriptor: int, level: str = "INFO"
+) -> EventLog:
+    """Return a log that never blocks and whose volume is bounded by event."""
+    limiter = LineLimiter(clock)
+    handler = QueuedHandler(descriptor, limiter.note_left_out)
+    handler.setFormatter(
+        MsgspecFormatter(
+            "%(levelname)s %(message)s",
+            timestamp=True,
+            rename_fields={"levelname": "level"},
+            static_fields={"entry_vm": entry_vm_id},
+        )
+    )
+    logger = logging.Logger("medlarspring", level=level)
+    logger.addHandler(handler)
+    return EventLog(logger, limiter)
+
+
+__all__ = ["Event", "EventLog", "create_bounded_log", "create_event_log"]
--- /dev/null
+++ b/packages/adapters/tests/test_log_output.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+import json
+import os
+import time
+
+from medlarspring_adapters.clock import ManualClock
+from medlarspring_adapters.events import Event, create_bounded_log
+from medlarspring_adapters.log_output import (
+    BURST_LINES,
+    LINES_PER_SECOND,
+    MAX_WAITING_LINES,
+    LineLimiter,
+)
+from medlarspring_tables import EntryVMId
+
+
+def test_lines_are_whole_json_documents_with_their_event():
+    reader, writer = os.pipe()
+    log = create_bounded_log(EntryVMId("entry-0"), ManualClock(), writer)
+    log.info(Event.JOB_ACCEPTED, job="00aa", queue="lookup", repeat=False)
+    log.close()
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        (line,) = lines.read().splitlines()
+    document = json.loads(line)
+    assert document["event"] == Event.JOB_ACCEPTED.number
+    assert document["job"] == "00aa"
+    assert document["entry_vm"] == "entry-0"
+
+
+def test_each_event_has_an_allowance_of_its_own_and_what_is_missing_is_counted():
+    clock = ManualClock()
+    limiter = LineLimiter(clock)
+    written = [limiter.may_write(9030) for _ in range(int(BURST_LINES) + 50)]
+    assert written.count(True) == BURST_LINES
+    assert limiter.may_write(9031)
+    assert limiter.take_left_out() == {9030: 50}
+    assert limiter.take_left_out() == {}
+    clock.advance(1.0)
+    refilled = [limiter.may_write(9030) for _ in range(int(2 * LINES_PER_SECOND))]
+    assert refilled.count(True) == LINES_PER_SECOND
+
+
+def test_reader_that_stops_holds_nothing_up():
+    """
+    The process that collects the logs hangs and reads no more. Lines pile up in
+    the pipe, then in the queue, then they are dropped and counted; a log call
+    that waited would stop the renewal of every lease.
+    """
+    reader, writer = os.pipe()
+    clock = ManualClock()
+    log = create_bounded_log(EntryVMId("entry-0"), clock, writer)
+    began_at = time.perf_counter()
+    lines = 0
+    while not log.take_left_out().get(str(Event.RUN_STARTED.number)):
+        clock.advance(1.0)
+        log.info(Event.RUN_STARTED, task="00aa.0.0.0", run=1, worker="i-1")
+        lines += 1
+        assert lines < 2 * MAX_WAITING_LINES
+    assert time.perf_counter() - began_at < 30.0
+    os.close(reader)
+    log.close()
+    os.close(writer)
--- a/packages/bench/src/medlarspring_bench/platform_world/world.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/world.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters.events import create_event_log
+from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.key_value_ops import DeleteOp, PutOp, RangeOp, RangeReply
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.platform_world.calls import SimulatedLifecycle, SimulatedOrders
@@ -246,6 +247,7 @@
             clock=self.clock,
             rng=random.Random(node.incarnation),
             log=create_event_log(EntryVMId(node.name), "INFO", node.log),
+            metrics=NoMetrics(),
             store=store,
             store_health=store,
             codec=PlatformCodec(),
--- a/packages/daemon/src/medlarspring_daemon/scheduling/context.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/context.py
@@ -14,6 +14,7 @@
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.events import EventLog
     from medlarspring_adapters.fleet_codec import FleetCodec
+    from medlarspring_adapters.metrics import Metrics
     from medlarspring_adapters.store import Store
     from medlarspring_adapters.vm_lifecycle import VMLifecycle
     from medlarspring_adapters.worker_orders import WorkerOrders
@@ -43,6 +44,7 @@
     clock: Clock
     rng: random.Random
     log: EventLog
+    metrics: Metrics
     store: Store
     store_health: StoreHealth
     codec: FleetCodec
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_adapters.store import Put, Transaction
 from medlarspring_daemon.scheduling.advice_desk import AdviceDesk
@@ -26,11 +27,18 @@
     open_due_occurrences,
 )
 from medlarspring_systems.scheduling.listings import list_jobs
+from medlarspring_systems.scheduling.placement import is_open
 from medlarspring_systems.scheduling.repair import plan_repairs
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_systems.scheduling.workers import end_life, is_lease_over, take_vms
-from medlarspring_tables.scheduling import RunState, WorkTables
+from medlarspring_tables.scheduling import (
+    JobOutcome,
+    RunEnd,
+    RunState,
+    WorkerDoubt,
+    WorkTables,
+)
 
 if TYPE_CHECKING:
     from medlarspring_daemon.scheduling.context import SchedulingNode
@@ -51,6 +59,13 @@
 LOAD_RETRY_SECONDS = 0.05
 
 
+METRICS_BY_OUTCOME = {
+    JobOutcome.COMPLETE: Metric.JOBS_COMPLETE,
+    JobOutcome.FAILED: Metric.JOBS_FAILED,
+    JobOutcome.CANCELLED: Metric.JOBS_CANCELLED,
+}
+
+
 class CellController:
     """Implements ``Term`` and ``LinkOwner``."""
 
@@ -124,13 +139,15 @@
             self.note_worker(worker)
         self._directory.listeners.append(self._take_config)
         self._take_config()
+        took_ms = (self._node.clock.now() - began_at) * 1_000
+        self._node.metrics.timing(Metric.TAKEOVER_MS, took_ms)
         self._node.log.info(
             Event.CELL_LOADED,
             cell=self._tenure.cell_id,
             fence=self._tenure.fence,
             jobs=len(self.tables.jobs_by_id),
             workers=len(self.tables.workers_by_id),
-            took_ms=round((self._node.clock.now() - began_at) * 1_000),
+            took_ms=round(took_ms),
         )
         self._tasks.keep(self._tick_forever)
         self._tasks.keep(self._publish_forever)
@@ -188,6 +205,8 @@
     def note_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
         """Record what a listing changed, and plan anew."""
         for run, end in outcome.ended:
+            if end is RunEnd.FAILED:
+                self._node.metrics.count(Metric.RUNS_FAILED)
             self._node.log.info(
                 Event.RUN_ENDED,
                 task=run.task.id,
@@ -294,13 +313,17 @@
 
     def _note_end_written(self, job: ActiveJob) -> None:
         forget_job(self.tables, job, self._node.clock.now())
+        assert job.outcome is not None
+        took_ms = self._node.clock.wall() * 1_000 - job.accepted_at_ms
+        self._node.metrics.count(METRICS_BY_OUTCOME[job.outcome])
+        self._node.metrics.timing(Metric.JOB_MS, took_ms)
         self._node.log.info(
             Event.JOB_ENDED,
             job=job.id,
             queue=job.queue.id,
-            outcome=job.outcome.value if job.outcome else "",
+            outcome=job.outcome.value,
             reason=job.reason,
-            took_ms=round(self._node.clock.wall() * 1_000 - job.accepted_at_ms),
+            took_ms=round(took_ms),
         )
         for worker_id in self._list_acknowledging(job):
             self._links_by_id[worker_id].wake()
@@ -381,9 +404,25 @@
 
     async def _publish_forever(self) -> None:
         while True:
+            self._measure()
             await self._publish_load()
             await asyncio.sleep(LOAD_SECONDS)
 
+    def _measure(self) -> None:
+        metrics, now = self._node.metrics, self._node.clock.now()
+        workers = self.tables.workers_by_id.values()
+        metrics.gauge(Metric.JOBS_OPEN, len(self.tables.jobs_by_id))
+        metrics.gauge(
+            Metric.WORKERS_OPEN, sum(1 for each in workers if is_open(each, now))
+        )
+        metrics.gauge(
+            Metric.WORKERS_SILENT, sum(1 for each in workers if each.unanswered_since)
+        )
+        metrics.gauge(
+            Metric.WORKERS_DOUBTED,
+            sum(1 for each in workers if each.doubt is not WorkerDoubt.NONE),
+        )
+
     async def _publish_load(self) -> None:
         waiting: dict[str, int] = {}
         for job in self.tables.jobs_by_id.values():
@@ -456,6 +495,7 @@
             self.plan(run.task.step.job.queue.pool_id)
 
     def _log_lost(self, run: Run, reason: str) -> None:
+        self._node.metrics.count(Metric.RUNS_LOST)
         self._node.log.warning(
             Event.RUN_LOST,
             task=run.task.id,
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_adapters.store import (
     Delete,
@@ -181,6 +182,7 @@
             fence=tenure.fence,
             lease_seconds=LEASE_SECONDS,
         )
+        self._node.metrics.gauge(Metric.CELLS_HELD, 1)
         self.term = self._create_term(tenure)
         await self.term.start()
 
@@ -261,6 +263,7 @@
         if term is not None:
             await term.stop(graceful=graceful)
         self.tenure = None
+        self._node.metrics.gauge(Metric.CELLS_HELD, 0)
         event = Event.CELL_RELEASED if graceful else Event.CELL_LOST
         log = self._node.log.info if graceful else self._node.log.warning
         log(event, cell=self._cell_id, fence=tenure.fence)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -13,6 +13,7 @@
 
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.group_commit import GroupCommit
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import (
     Expect,
     Put,
@@ -107,6 +108,7 @@
 
         ``patience`` is how long the customer waits for the answer, in seconds.
         """
+        came_at = self._node.clock.now()
         record = JobRecord(
             queue=queue,
             spec=spec,
@@ -119,7 +121,7 @@
             read_on_failure=(key,),
         )
         answer = await self._commit_until(transaction, patience)
-        self._log_submission(queue, job_id, answer)
+        self._log_submission(queue, job_id, answer, came_at)
         return answer.map(lambda _: None)
 
     async def cancel(
@@ -248,19 +250,35 @@
             await asyncio.sleep(RETRY_SECONDS)
 
     def _log_submission(
-        self, queue: QueuePolicy, job_id: JobId, answer: Result[bool, IntakeError]
+        self,
+        queue: QueuePolicy,
+        job_id: JobId,
+        answer: Result[bool, IntakeError],
+        came_at: Seconds,
     ) -> None:
+        took_ms = (self._node.clock.now() - came_at) * 1_000
+        metrics = self._node.metrics
+        metrics.timing(Metric.JOB_ACCEPT_MS, took_ms)
         if is_successful(answer):
+            metrics.count(Metric.JOBS_ACCEPTED)
             self._node.log.info(
                 Event.JOB_ACCEPTED,
                 job=job_id,
                 queue=queue.id,
                 repeat=not answer.unwrap(),
+                took_ms=round(took_ms),
             )
             return
         error = answer.failure()
+        is_unknown = isinstance(error, OutcomeUnknown)
+        metrics.count(Metric.JOBS_UNKNOWN if is_unknown else Metric.JOBS_REFUSED)
         self._node.log.warning(
-            Event.JOB_REFUSED, job=job_id, queue=queue.id, outcome=error.code
+            Event.JOB_REFUSED,
+            job=job_id,
+            queue=queue.id,
+            outcome=error.code,
+            took_ms=round(took_ms),
+            fault=error.message(),
         )
 
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/journal.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/journal.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import (
     Delete,
     Expect,
@@ -162,10 +163,14 @@
         transaction = Transaction(
             tuple(expects), tuple(writes), tuple(each.key for each in expects)
         )
+        sent_at = self._node.clock.now()
         answer = await self._node.store.commit(transaction)
+        took_ms = (self._node.clock.now() - sent_at) * 1_000
+        self._node.metrics.timing(Metric.RECORD_WRITE_MS, took_ms)
         for part in batch:
             part.job.writing = False
         if not is_successful(answer):
+            self._node.metrics.count(Metric.RECORDS_REPEATED)
             if not isinstance(answer.failure(), StoreOutcomeUnknown):
                 await asyncio.sleep(RETRY_SECONDS)
             self._mark_again(batch)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import Put, Transaction
 from medlarspring_adapters.vm_lifecycle import Authority
 from medlarspring_daemon.scheduling.election import LEASE_SECONDS
@@ -262,6 +263,9 @@
         refusal = answer.unwrap()
         if refusal is None:
             note_done(self.fleet, operation)
+            is_move = isinstance(operation, MoveVM)
+            metric = Metric.VMS_MOVED if is_move else Metric.VMS_MAINTAINED
+            self._node.metrics.count(metric)
             self._node.log.info(
                 Event.VM_OPERATION_DONE, fence=self._tenure.fence, **fields
             )
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -10,6 +10,7 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.worker_orders import (
     HoldOrder,
     PaceOrder,
@@ -184,6 +185,7 @@
         )
         answer = await self._node.orders.start(self._address, order, ORDER_SECONDS)
         now = self._node.clock.now()
+        self._node.metrics.timing(Metric.RUN_ORDER_MS, (now - sent_at) * 1_000)
         if not is_successful(answer):
             self._take_silence(run, answer.failure().may_follow, now)
             return
@@ -204,6 +206,7 @@
     def _take_silence(self, run: Run, may_follow: bool, now: Seconds) -> None:
         if run.state is not RunState.ORDERED:
             return
+        self._node.metrics.count(Metric.RUNS_UNANSWERED)
         self._node.log.warning(
             Event.RUN_UNANSWERED,
             task=run.task.id,
@@ -232,6 +235,7 @@
         if answer.refusal is Refusal.FENCE:
             self._owner.note_superseded()
             return
+        self._node.metrics.count(Metric.RUNS_REFUSED)
         self._node.log.warning(
             Event.RUN_REFUSED,
             task=run.task.id,
@@ -254,12 +258,15 @@
         self.wake()
 
     def _log_started(self, run: Run) -> None:
+        waited_ms = (run.confirmed_at - run.task.waiting_since) * 1_000
+        self._node.metrics.count(Metric.RUNS_STARTED)
+        self._node.metrics.timing(Metric.RUN_WAIT_MS, waited_ms)
         self._node.log.info(
             Event.RUN_STARTED,
             task=run.task.id,
             run=run.number,
             worker=self._worker.id,
-            waited_ms=round((run.confirmed_at - run.task.waiting_since) * 1_000),
+            waited_ms=round(waited_ms),
             copy=run.copy,
         )
 
--- a/packages/platform/src/medlarspring_platform/launcher.py
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+from http import HTTPStatus
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,7 +17,8 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.clock import SuspendAwareClock
-from medlarspring_adapters.events import Event, create_event_log
+from medlarspring_adapters.events import Event, create_bounded_log
+from medlarspring_adapters.prometheus_metrics import PrometheusMetrics
 from medlarspring_daemon.scheduling.context import SchedulingNode
 from medlarspring_daemon.scheduling.service import create_scheduling_service
 from medlarspring_platform import wire
@@ -34,6 +36,11 @@
     from medlarspring_platform.settings import PlatformSettings
 
 EXIT_SETTINGS = 2
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+"""As stated in ``deploy/system.toml``, which tells the platform where to read."""
+REPORT_SECONDS = 1.0
+"""How often left out log lines are counted in the log."""
 DRAIN_SECONDS = 2.6
 """Customers' connections are served so long after the signal to stop: the balancer
 sends new ones until it has missed two probes, one a second."""
@@ -50,7 +57,10 @@
         super().__init__()
         self._settings = settings
         self._clock = SuspendAwareClock()
-        self._log = create_event_log(EntryVMId(settings.node), "INFO", sys.stdout)
+        self._log = create_bounded_log(
+            EntryVMId(settings.node), self._clock, sys.stdout.fileno()
+        )
+        self._metrics = PrometheusMetrics()
         self._runners: list[web.ServerRunner] = []
 
     async def start(self) -> None:
@@ -60,7 +70,9 @@
         self._front = JobsFront(self._service)
         await self._serve(self._front.handle_readiness, self._settings.readiness)
         await self._serve(self._front.handle, self._settings.frontend)
+        await self._serve_metrics()
         await self._service.start()
+        self._reports = asyncio.create_task(self._report_left_out())
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._log.info(
@@ -81,7 +93,31 @@
         for runner in reversed(self._runners):
             await runner.cleanup()
         await self._close_clients()
+        self._reports.cancel()
         self._log.info(Event.STOPPED)
+        self._log.close()
+
+    async def _serve_metrics(self) -> None:
+        """Open the metrics address; a port in use costs the metrics, no more."""
+        address = f"{self._settings.inner_host}:{METRICS_PORT}"
+        try:
+            await self._serve(self._handle_metrics, address)
+        except OSError as error:
+            self._log.warning(
+                Event.METRICS_UNSERVED, address=address, fault=error.strerror or ""
+            )
+
+    async def _handle_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != METRICS_PATH:
+            return web.Response(status=HTTPStatus.NOT_FOUND)
+        return web.Response(body=self._metrics.render(), content_type="text/plain")
+
+    async def _report_left_out(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            left_out = self._log.take_left_out()
+            if left_out:
+                self._log.warning(Event.LINES_LEFT_OUT, lines_by_event=left_out)
 
     def _reload(self) -> None:
         read = read_settings(Path(os.environ[wire.CONFIG_VARIABLE]))
@@ -94,7 +130,7 @@
     def _create_node(self) -> SchedulingNode:
         settings = self._settings
         rng = random.Random()
-        self._store = PlatformStore(settings.store_address, self._clock)
+        self._store = PlatformStore(settings.store_address, self._clock, self._metrics)
         self._workers = PlatformWorkers()
         self._machines = PlatformMachines(settings.vm_control_address)
         self._adviser = None
@@ -106,6 +142,7 @@
             clock=self._clock,
             rng=rng,
             log=self._log,
+            metrics=self._metrics,
             store=self._store,
             store_health=self._store,
             codec=PlatformCodec(),
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
+from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import (
     Committed,
     Entry,
@@ -34,6 +35,7 @@
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.http_channel import HttpAnswer
+    from medlarspring_adapters.metrics import Metrics
     from medlarspring_tables import Seconds
 
 MAX_ENTRIES = 32
@@ -157,12 +159,12 @@
 class PlatformStore:
     """Implements ``Store`` by the platform's HTTP interface."""
 
-    def __init__(self, address: str, clock: Clock) -> None:
+    def __init__(self, address: str, clock: Clock, metrics: Metrics) -> None:
+        self._metrics = metrics
         self._channel = HttpChannel(address)
         self._watches = HttpChannel(address)
         self._clock = clock
         self._patience = PatienceMeter()
-        self.calls = 0
         self.failing_since: Seconds | None = None
         """When the first call failed that no answered one has followed."""
         self.answered_at: Seconds = 0.0
@@ -310,7 +312,7 @@
                 yield _to_batch(content)
 
     async def _watch_once(self, path: str) -> Result[HttpAnswer, StoreError]:
-        self.calls += 1
+        self._metrics.count(Metric.STORE_CALLS)
         timeout = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
         try:
             reply = await self._watches.call("GET", path, timeout)
@@ -325,7 +327,7 @@
     async def _call(
         self, method: str, path: str, body: bytes | None = None
     ) -> Result[HttpAnswer, StoreError]:
-        self.calls += 1
+        self._metrics.count(Metric.STORE_CALLS)
         sent_at = self._clock.now()
         try:
             reply = await self._channel.call(
@@ -341,12 +343,14 @@
             # The store's contract: a refusal (429, 503) was not carried out.
             return self._fail(StoreUnavailable(f"HTTP status {reply.status}"))
         now = self._clock.now()
+        self._metrics.timing(Metric.STORE_CALL_MS, (now - sent_at) * 1_000)
         self._patience.note_answer(now - sent_at)
         self.answered_at = now
         self.failing_since = None
         return Success(reply)
 
     def _fail(self, error: StoreError) -> Result[HttpAnswer, StoreError]:
+        self._metrics.count(Metric.STORE_CALLS_FAILED)
         if self.failing_since is None:
             self.failing_since = self._clock.now()
         return Failure(error)
