--- a/packages/bench/src/medlarspring_bench/control_nodes.py
+++ b/packages/bench/src/medlarspring_bench/control_nodes.py
@@ -13,16 +13,16 @@
 from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.memory_store import MemoryStore
-from medlarspring_daemon.node import Node, create_node
-from medlarspring_daemon.services.config_service import (
+from medlarspring_daemon.configuration.config_service import (
     ConfigService,
     create_config_service,
 )
-from medlarspring_daemon.services.holder_service import (
+from medlarspring_daemon.membership.holder_service import (
     HolderService,
     create_holder_service,
 )
-from medlarspring_daemon.services.peer_service import PeerService, create_peer_service
+from medlarspring_daemon.membership.peer_service import PeerService, create_peer_service
+from medlarspring_daemon.node import Node, create_node
 from medlarspring_daemon.settings import Settings
 from medlarspring_tables import (
     EntryVMId,
--- a/packages/bench/src/medlarspring_bench/fleet_world.py
+++ b/packages/bench/src/medlarspring_bench/fleet_world.py
@@ -27,9 +27,9 @@
     VMRow,
     VMTimes,
 )
-from medlarspring_daemon.services.fleet_controller import FleetController
-from medlarspring_daemon.services.fleet_feed import WATCHED_PREFIXES
-from medlarspring_daemon.services.fleet_rounds import FleetRounds
+from medlarspring_daemon.fleet.controller import FleetController
+from medlarspring_daemon.fleet.feed import WATCHED_PREFIXES
+from medlarspring_daemon.fleet.rounds import FleetRounds
 from medlarspring_tables import (
     ConfigTable,
     EntryVMId,
--- a/packages/bench/src/medlarspring_bench/job_histories.py
+++ b/packages/bench/src/medlarspring_bench/job_histories.py
@@ -18,7 +18,7 @@
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
 from medlarspring_bench.worker_tasks import DirectWorkerControl, TrueTask, WorkerTasks
-from medlarspring_daemon.services.job_controller import JobController
+from medlarspring_daemon.jobs.controller import JobController
 from medlarspring_systems.job_lifecycle import FINAL_STATES, cancel_job
 from medlarspring_systems.job_records import put_partner, put_worker
 from medlarspring_tables import (
--- a/packages/bench/src/medlarspring_bench/measure/requests_entry_vm.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_entry_vm.py
@@ -19,10 +19,10 @@
 )
 from medlarspring_bench.measure.requests_processes import create_settings
 from medlarspring_bench.memory_store import create_memory_store
+from medlarspring_daemon.callers.reports import CallerReports
+from medlarspring_daemon.callers.slot_exchange import SlotExchange
+from medlarspring_daemon.callers.state import CallerState
 from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services.caller_reports import CallerReports
-from medlarspring_daemon.services.caller_state import CallerState
-from medlarspring_daemon.services.slot_exchange import SlotExchange
 from medlarspring_systems import admission, fair_queue
 from medlarspring_systems.routing import choose_upstream
 from medlarspring_tables import (
--- a/packages/bench/src/medlarspring_bench/measure/requests_fleet.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_fleet.py
@@ -48,7 +48,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from medlarspring_daemon.services.slot_exchange import Asking
+    from medlarspring_daemon.callers.slot_exchange import Asking
 
 
 class Fleet:
--- a/packages/bench/src/medlarspring_bench/measure/requests_processes.py
+++ b/packages/bench/src/medlarspring_bench/measure/requests_processes.py
@@ -23,8 +23,8 @@
 from medlarspring_adapters.upstream_http import HOP_HEADERS
 from medlarspring_bench.memory_store import create_memory_store
 from medlarspring_bench.standins.server import announce, run, wait_for_end
+from medlarspring_daemon.callers.service import create_caller_service
 from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services.caller_service import create_caller_service
 from medlarspring_daemon.settings import (
     CallerSection,
     EntryVMSection,
--- a/packages/bench/src/medlarspring_bench/measure/table_edits.py
+++ b/packages/bench/src/medlarspring_bench/measure/table_edits.py
@@ -15,7 +15,7 @@
 
 from medlarspring_adapters.clock import SystemClock
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
-from medlarspring_daemon.services.table_editor import TableEditor
+from medlarspring_daemon.configuration.table_editor import TableEditor
 from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit, apply_edit
 from medlarspring_tables import ConfigTable, EditId, Revision, RowKind
 
--- a/packages/bench/tests/test_fleet_histories.py
+++ b/packages/bench/tests/test_fleet_histories.py
@@ -13,7 +13,10 @@
 
 from medlarspring_bench.fleet_histories import FaultyFleet, run_fleet_history
 from medlarspring_bench.vm_control_state import VMControlState
-from medlarspring_daemon.services import fleet_controller, fleet_rounds
+from medlarspring_daemon.fleet import (
+    controller as fleet_controller,
+    rounds as fleet_rounds,
+)
 from medlarspring_systems import availability, vm_progress, vm_steps
 from medlarspring_systems.draft import Draft
 from medlarspring_tables.vms import VMState
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -15,7 +15,7 @@
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
 from medlarspring_cli.application import main
 from medlarspring_daemon.node import Node, create_node
-from medlarspring_daemon.services.operator_service import create_operator_service
+from medlarspring_daemon.operators.service import create_operator_service
 from medlarspring_daemon.settings import Settings
 from medlarspring_tables import EntryVMId
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_connections.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/connections.py
@@ -14,7 +14,7 @@
     create_problem_response,
     encode_raw_problem,
 )
-from medlarspring_daemon.services.caller_reading import (
+from medlarspring_daemon.callers.reading import (
     HEADERS_TOO_LARGE,
     create_request_id,
 )
--- a/packages/daemon/src/medlarspring_daemon/services/caller_dispatch.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/dispatch.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
-from medlarspring_daemon.services.slot_service import SlotService
+from medlarspring_daemon.callers.slot_service import SlotService
 from medlarspring_systems import admission, fair_queue, upstream_health
 from medlarspring_systems.leaving import takes_new_work
 from medlarspring_systems.routing import choose_upstream
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from medlarspring_daemon.services.caller_state import CallerState
+    from medlarspring_daemon.callers.state import CallerState
     from medlarspring_tables import PartnerId, PoolId, Seconds, VMId
     from medlarspring_tables.requests import CallerRequest, PoolQueue
     from medlarspring_tables.upstreams import Upstream
--- a/packages/daemon/src/medlarspring_daemon/services/caller_forwarding.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/forwarding.py
@@ -18,7 +18,7 @@
     UpstreamClient,
     UpstreamFault,
 )
-from medlarspring_daemon.services.caller_answer import (
+from medlarspring_daemon.callers.answer import (
     HELD_ANSWER_BYTES,
     MAX_KEYED_ANSWER_BYTES,
     create_response,
@@ -33,9 +33,9 @@
     from aiohttp import web
     from multidict import CIMultiDict
 
-    from medlarspring_daemon.services.caller_dispatch import Dispatcher, Turn
-    from medlarspring_daemon.services.caller_reports import CallerReports
-    from medlarspring_daemon.services.caller_state import CallerState
+    from medlarspring_daemon.callers.dispatch import Dispatcher, Turn
+    from medlarspring_daemon.callers.reports import CallerReports
+    from medlarspring_daemon.callers.state import CallerState
     from medlarspring_tables import PoolId, Seconds, VMId
     from medlarspring_tables.requests import CallerRequest
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_keyed.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/keyed.py
@@ -9,13 +9,13 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from medlarspring_daemon.services.caller_claims import ClaimBook, Ticket
+from medlarspring_daemon.callers.claims import ClaimBook, Ticket
 from medlarspring_systems.claims import keep_answer
 from medlarspring_tables.requests import Outcome
 
 if TYPE_CHECKING:
+    from medlarspring_daemon.callers.forwarding import Exchange, Forwarder
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.caller_forwarding import Exchange, Forwarder
     from medlarspring_tables import Seconds
     from medlarspring_tables.claims import ClaimedAnswer
     from medlarspring_tables.requests import CallerRequest, Refusal
--- a/packages/daemon/src/medlarspring_daemon/services/caller_records.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/records.py
@@ -13,8 +13,8 @@
 from medlarspring_tables.requests import Outcome
 
 if TYPE_CHECKING:
+    from medlarspring_daemon.callers.forwarding import Exchange
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.caller_forwarding import Exchange
     from medlarspring_tables import RequestId
     from medlarspring_tables.requests import CallerRequest, Refusal
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_reports.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/reports.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from medlarspring_adapters import peer_pb2
-    from medlarspring_daemon.services.caller_state import CallerState
+    from medlarspring_daemon.callers.state import CallerState
     from medlarspring_tables import Seconds
 
 
--- a/packages/daemon/src/medlarspring_daemon/services/caller_service.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/service.py
@@ -13,18 +13,18 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.problems import create_problem_response
 from medlarspring_adapters.upstream_http import UpstreamClient
-from medlarspring_daemon.services.caller_answer import create_upstream_headers
-from medlarspring_daemon.services.caller_connections import CallerServer
-from medlarspring_daemon.services.caller_dispatch import Dispatcher
-from medlarspring_daemon.services.caller_forwarding import Exchange, Forwarder
-from medlarspring_daemon.services.caller_keyed import KeyedRunner
-from medlarspring_daemon.services.caller_reading import (
+from medlarspring_daemon.callers.answer import create_upstream_headers
+from medlarspring_daemon.callers.connections import CallerServer
+from medlarspring_daemon.callers.dispatch import Dispatcher
+from medlarspring_daemon.callers.forwarding import Exchange, Forwarder
+from medlarspring_daemon.callers.keyed import KeyedRunner
+from medlarspring_daemon.callers.reading import (
     RequestReader,
     create_request_id,
 )
-from medlarspring_daemon.services.caller_records import CallerRecords
-from medlarspring_daemon.services.caller_reports import CallerReports
-from medlarspring_daemon.services.caller_state import CallerState
+from medlarspring_daemon.callers.records import CallerRecords
+from medlarspring_daemon.callers.reports import CallerReports
+from medlarspring_daemon.callers.state import CallerState
 from medlarspring_systems.routing import count_idle_connections
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/medlarspring_daemon/services/slot_exchange.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/slot_exchange.py
@@ -12,15 +12,15 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters import peer_pb2
-from medlarspring_daemon.services.slot_home import SlotHome
+from medlarspring_daemon.callers.slot_home import SlotHome
 from medlarspring_systems import slots
 from medlarspring_systems.leaving import keep_floor, takes_new_work
 from medlarspring_tables import EntryVMId, PoolId, VMId, ZoneId
 from medlarspring_tables.slots import EntryVMView, Vote
 
 if TYPE_CHECKING:
+    from medlarspring_daemon.callers.state import CallerState
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.caller_state import CallerState
     from medlarspring_tables import Seconds
     from medlarspring_tables.upstreams import Upstream
 
--- a/packages/daemon/src/medlarspring_daemon/services/slot_home.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/slot_home.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from medlarspring_daemon.callers.state import CallerState
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.caller_state import CallerState
     from medlarspring_tables import Seconds, ZoneId
     from medlarspring_tables.slots import EntryVMView
     from medlarspring_tables.upstreams import Upstream
--- a/packages/daemon/src/medlarspring_daemon/services/slot_service.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/slot_service.py
@@ -7,15 +7,15 @@
 
 from returns.pipeline import is_successful
 
-from medlarspring_daemon.services.slot_exchange import SlotExchange
+from medlarspring_daemon.callers.slot_exchange import SlotExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from medlarspring_adapters import peer_pb2
+    from medlarspring_daemon.callers.slot_exchange import Asking
+    from medlarspring_daemon.callers.state import CallerState
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.caller_state import CallerState
-    from medlarspring_daemon.services.slot_exchange import Asking
     from medlarspring_tables import PoolId
 
 TICK_SECONDS = 0.05
--- a/packages/daemon/src/medlarspring_daemon/services/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
@@ -28,8 +28,8 @@
     from collections.abc import AsyncGenerator, Iterator
     from typing import Any
 
+    from medlarspring_daemon.membership.peer_service import PeerService
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.peer_service import PeerService
 
 CONFIG_KEY = "config/table"
 TICK_SECONDS = 0.25
--- a/packages/daemon/src/medlarspring_daemon/services/stored_table.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/stored_table.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from medlarspring_daemon.services.editor_errors import (
+from medlarspring_daemon.configuration.editor_errors import (
     TABLE_KEY,
     StoreTableOlder,
     TableUnreadable,
--- a/packages/daemon/src/medlarspring_daemon/services/table_editor.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/table_editor.py
@@ -18,14 +18,14 @@
     StoreOutcomeUnknown,
     Transaction,
 )
-from medlarspring_daemon.services.editor_errors import (
+from medlarspring_daemon.configuration.editor_errors import (
     MAX_WAITING_EDITS,
     TABLE_KEY,
     EditorBusy,
     EditRaced,
     NothingInForce,
 )
-from medlarspring_daemon.services.stored_table import StoredTable, decode_stored
+from medlarspring_daemon.configuration.stored_table import StoredTable, decode_stored
 from medlarspring_systems.table_edit import AcceptedChange, TableEdit, apply_edit
 from medlarspring_systems.table_republish import Republish, republish
 from medlarspring_tables import ConfigTable, MedlarspringError, Revision
--- a/packages/daemon/src/medlarspring_daemon/services/table_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/table_routes.py
@@ -11,8 +11,8 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.operator_api import EditAnswer, PlanAnswer, TableAnswer
 from medlarspring_adapters.store import StoreError, StoreOutcomeUnknown
-from medlarspring_daemon.services.editor_errors import StoreTableOlder
-from medlarspring_daemon.services.operator_answers import (
+from medlarspring_daemon.configuration.editor_errors import StoreTableOlder
+from medlarspring_daemon.operators.answers import (
     BadRequest,
     Refusal,
     answer,
@@ -27,8 +27,8 @@
 if TYPE_CHECKING:
     from returns.result import Result
 
+    from medlarspring_daemon.configuration.table_editor import TableEditor
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.table_editor import TableEditor
     from medlarspring_systems.table_edit import AcceptedChange
     from medlarspring_tables import MedlarspringError
 
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""VMs of pools: waves, moves, spare."""
+
+from __future__ import annotations
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_rounds.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/rounds.py
@@ -12,8 +12,8 @@
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.events import EventLog
+    from medlarspring_daemon.fleet.controller import FleetController
     from medlarspring_daemon.node import Holders
-    from medlarspring_daemon.services.fleet_controller import FleetController
     from medlarspring_tables import ConfigTable, PoolId, Revision, VMList
 
 IDLE_TICK_SECONDS = 5.0
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/routes.py
@@ -16,13 +16,13 @@
     VMsAnswer,
     WavesAnswer,
 )
-from medlarspring_daemon.services.fleet_views import (
+from medlarspring_daemon.fleet.views import (
     view_pool,
     view_spare,
     view_vm,
     view_wave,
 )
-from medlarspring_daemon.services.operator_answers import (
+from medlarspring_daemon.operators.answers import (
     BadRequest,
     NotFound,
     Refusal,
@@ -36,8 +36,8 @@
 
 if TYPE_CHECKING:
     from medlarspring_adapters.vm_control import VMControl
+    from medlarspring_daemon.fleet.desk import FleetDesk
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.fleet_desk import FleetDesk
     from medlarspring_tables import ConfigTable
     from medlarspring_tables.fleet_tables import FleetTables
 
--- a/packages/daemon/src/medlarspring_daemon/services/fleet_service.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/service.py
@@ -8,11 +8,11 @@
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_adapters.vm_control import HttpVMControl
-from medlarspring_daemon.services.fleet_controller import FleetController
-from medlarspring_daemon.services.fleet_desk import FleetDesk
-from medlarspring_daemon.services.fleet_feed import FleetFeed
-from medlarspring_daemon.services.fleet_rounds import FleetRounds
-from medlarspring_daemon.services.fleet_routes import FleetRoutes
+from medlarspring_daemon.fleet.controller import FleetController
+from medlarspring_daemon.fleet.desk import FleetDesk
+from medlarspring_daemon.fleet.feed import FleetFeed
+from medlarspring_daemon.fleet.rounds import FleetRounds
+from medlarspring_daemon.fleet.routes import FleetRoutes
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.availability import count_availability
 from medlarspring_systems.draft import Draft
--- a/packages/daemon/src/medlarspring_daemon/services/job_controller.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/controller.py
@@ -15,7 +15,7 @@
     decode_job,
 )
 from medlarspring_adapters.worker_control import Renewal, TaskState
-from medlarspring_daemon.services.job_workers import JobWorkers
+from medlarspring_daemon.jobs.workers import JobWorkers
 from medlarspring_systems.job_lifecycle import (
     FINAL_STATES,
     AttemptEnd,
@@ -42,7 +42,7 @@
     from medlarspring_adapters.decisions import DecisionLog
     from medlarspring_adapters.store import Expect, Listing, WatchBatch
     from medlarspring_adapters.worker_control import TaskReport, WorkerControl
-    from medlarspring_daemon.services.job_workers import WorkerAnswer
+    from medlarspring_daemon.jobs.workers import WorkerAnswer
     from medlarspring_tables import Job, PoolId, Seconds
 
 MAX_STARTS_PER_TICK = 256
--- a/packages/daemon/src/medlarspring_daemon/services/job_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/routes.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from medlarspring_adapters.job_api import CancelRequest, SubmitRequest
-from medlarspring_daemon.services.operator_answers import (
+from medlarspring_daemon.operators.answers import (
     BadRequest,
     NotFound,
     Refusal,
@@ -18,7 +18,7 @@
 from medlarspring_tables import JobId, JobState, PartnerId, PoolId
 
 if TYPE_CHECKING:
-    from medlarspring_daemon.services.job_desk import JobDesk
+    from medlarspring_daemon.jobs.desk import JobDesk
 
 MAX_JOBS_PER_CALL = 1000
 
--- a/packages/daemon/src/medlarspring_daemon/services/job_service.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/service.py
@@ -11,9 +11,9 @@
 from medlarspring_adapters.job_store import JobStore, pool_prefix
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_adapters.worker_control import create_worker_control
-from medlarspring_daemon.services.job_controller import JobController
-from medlarspring_daemon.services.job_desk import JobDesk
-from medlarspring_daemon.services.job_routes import JobRoutes
+from medlarspring_daemon.jobs.controller import JobController
+from medlarspring_daemon.jobs.desk import JobDesk
+from medlarspring_daemon.jobs.routes import JobRoutes
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.job_records import (
     forget_worker,
--- a/packages/daemon/src/medlarspring_daemon/main.py
+++ b/packages/daemon/src/medlarspring_daemon/main.py
@@ -16,7 +16,7 @@
 from medlarspring_adapters.events import Event, create_event_log
 from medlarspring_adapters.metrics import NoMetrics, StatsdMetrics
 from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services import create_parts, create_store
+from medlarspring_daemon.parts import create_parts, create_store
 from medlarspring_daemon.settings import read_settings
 from medlarspring_tables import EntryVMId, MedlarspringError
 
--- a/packages/daemon/src/medlarspring_daemon/services/holder_service.py
+++ b/packages/daemon/src/medlarspring_daemon/membership/holder_service.py
@@ -36,8 +36,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from medlarspring_daemon.membership.peer_service import PeerService
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.peer_service import PeerService
     from medlarspring_tables import Seconds
 
 HOLDERS_PREFIX = "holders/"
--- a/packages/daemon/src/medlarspring_daemon/services/peer_answers.py
+++ b/packages/daemon/src/medlarspring_daemon/membership/peer_answers.py
@@ -13,8 +13,8 @@
 from medlarspring_tables import EntryVMId
 
 if TYPE_CHECKING:
+    from medlarspring_daemon.membership.peer_reports import ReportBuilder
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.peer_reports import ReportBuilder
     from medlarspring_tables import ConfigTable
 
 COMPRESSION_LEVEL = 6
--- a/packages/daemon/src/medlarspring_daemon/services/peer_service.py
+++ b/packages/daemon/src/medlarspring_daemon/membership/peer_service.py
@@ -18,8 +18,8 @@
     create_peer_client,
 )
 from medlarspring_adapters.peer_server import create_peer_server
-from medlarspring_daemon.services.peer_answers import PeerAnswers
-from medlarspring_daemon.services.peer_reports import ReportBuilder, to_heartbeat
+from medlarspring_daemon.membership.peer_answers import PeerAnswers
+from medlarspring_daemon.membership.peer_reports import ReportBuilder, to_heartbeat
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems import membership
 from medlarspring_systems.exchange import ExchangePlan, forget, list_due, note_bytes
--- a/packages/daemon/src/medlarspring_daemon/services/audit_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/audit_routes.py
@@ -7,15 +7,15 @@
 from aiohttp import web
 
 from medlarspring_adapters.store_meter import Mechanism
-from medlarspring_daemon.services.audit_reader import read_audit
-from medlarspring_daemon.services.operator_answers import (
+from medlarspring_daemon.configuration.stored_table import read_revision
+from medlarspring_daemon.operators.answers import (
     BadRequest,
     Refusal,
     answer,
     read_number,
     unwrap_or_refuse,
 )
-from medlarspring_daemon.services.stored_table import read_revision
+from medlarspring_daemon.operators.audit_reader import read_audit
 from medlarspring_systems.audit import AuditFilter
 from medlarspring_tables import Revision
 
--- a/packages/daemon/src/medlarspring_daemon/services/control_metrics_service.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/metrics_service.py
@@ -10,8 +10,8 @@
 from medlarspring_daemon.tasks import Tasks
 
 if TYPE_CHECKING:
+    from medlarspring_daemon.membership.peer_service import PeerService
     from medlarspring_daemon.node import Node
-    from medlarspring_daemon.services.peer_service import PeerService
 
 SEND_SECONDS = 10.0
 
--- a/packages/daemon/src/medlarspring_daemon/services/operator_service.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/service.py
@@ -11,9 +11,10 @@
 
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.store_meter import Mechanism
-from medlarspring_daemon.services.audit_routes import AuditRoutes
-from medlarspring_daemon.services.caller_connections import CallerServer
-from medlarspring_daemon.services.operator_answers import (
+from medlarspring_daemon.callers.connections import CallerServer
+from medlarspring_daemon.configuration.table_editor import TableEditor
+from medlarspring_daemon.configuration.table_routes import TableRoutes
+from medlarspring_daemon.operators.answers import (
     BodyTooLarge,
     NotAuthorised,
     NotFound,
@@ -22,9 +23,8 @@
     RequestTooSlow,
     answer_error,
 )
-from medlarspring_daemon.services.status_routes import StatusRoutes
-from medlarspring_daemon.services.table_editor import TableEditor
-from medlarspring_daemon.services.table_routes import TableRoutes
+from medlarspring_daemon.operators.audit_routes import AuditRoutes
+from medlarspring_daemon.operators.status_routes import StatusRoutes
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/packages/daemon/src/medlarspring_daemon/services/status_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/status_routes.py
@@ -9,8 +9,8 @@
 
 from medlarspring_adapters.decisions import Decision, Subject
 from medlarspring_adapters.operator_api import ExplainAnswer
-from medlarspring_daemon.services.operator_answers import BadRequest, Refusal, answer
-from medlarspring_daemon.services.status import StatusReporter
+from medlarspring_daemon.operators.answers import BadRequest, Refusal, answer
+from medlarspring_daemon.operators.status import StatusReporter
 
 if TYPE_CHECKING:
     from medlarspring_daemon.node import Node
--- a/packages/daemon/src/medlarspring_daemon/services/__init__.py
+++ b/packages/daemon/src/medlarspring_daemon/parts.py
@@ -1,23 +1,23 @@
-"""The services of the daemon, in the order of their start."""
+"""The parts of the daemon, in the order of their start."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters.etcd_gateway import create_etcd_gateway_store
-from medlarspring_daemon.services.audit_trimmer import create_audit_trimmer
-from medlarspring_daemon.services.caller_service import create_caller_service
-from medlarspring_daemon.services.config_service import create_config_service
-from medlarspring_daemon.services.control_metrics_service import (
+from medlarspring_daemon.callers.service import create_caller_service
+from medlarspring_daemon.configuration.config_service import create_config_service
+from medlarspring_daemon.configuration.store_service import create_store_service
+from medlarspring_daemon.fleet.service import create_fleet_service
+from medlarspring_daemon.fleet.vm_list_service import create_vm_list_service
+from medlarspring_daemon.jobs.service import create_job_service
+from medlarspring_daemon.membership.holder_service import create_holder_service
+from medlarspring_daemon.membership.peer_service import create_peer_service
+from medlarspring_daemon.operators.audit_trimmer import create_audit_trimmer
+from medlarspring_daemon.operators.metrics_service import (
     create_control_metrics_service,
 )
-from medlarspring_daemon.services.fleet_service import create_fleet_service
-from medlarspring_daemon.services.holder_service import create_holder_service
-from medlarspring_daemon.services.job_service import create_job_service
-from medlarspring_daemon.services.operator_service import create_operator_service
-from medlarspring_daemon.services.peer_service import create_peer_service
-from medlarspring_daemon.services.store_service import create_store_service
-from medlarspring_daemon.services.vm_list_service import create_vm_list_service
+from medlarspring_daemon.operators.service import create_operator_service
 
 if TYPE_CHECKING:
     from medlarspring_adapters.clock import Clock
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -19,8 +19,8 @@
 from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
+from medlarspring_daemon.callers.service import create_caller_service
 from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services.caller_service import create_caller_service
 from medlarspring_daemon.settings import (
     CallerSection,
     EntryVMSection,
--- a/packages/daemon/tests/callers/test_claim_histories.py
+++ b/packages/daemon/tests/callers/test_claim_histories.py
@@ -20,9 +20,9 @@
 from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
+from medlarspring_daemon.callers import claims as caller_claims
+from medlarspring_daemon.callers.claims import ClaimBook, Ticket
 from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services import caller_claims
-from medlarspring_daemon.services.caller_claims import ClaimBook, Ticket
 from medlarspring_systems import claims
 from medlarspring_tables import EntryVMId, PartnerId, PoolId, RequestId, ServiceId
 from medlarspring_tables.claims import Claim, ClaimedAnswer, ClaimState
--- a/packages/daemon/tests/callers/test_slot_exchange.py
+++ b/packages/daemon/tests/callers/test_slot_exchange.py
@@ -11,9 +11,9 @@
 from medlarspring_adapters.clock import ManualClock
 from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
+from medlarspring_daemon.callers.slot_exchange import Asking, SlotExchange
+from medlarspring_daemon.callers.state import CallerState
 from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services.caller_state import CallerState
-from medlarspring_daemon.services.slot_exchange import Asking, SlotExchange
 from medlarspring_systems import fair_queue
 from medlarspring_systems.leaving import note_leaving
 from medlarspring_tables import (
--- a/packages/daemon/tests/test_audit_trail.py
+++ b/packages/daemon/tests/test_audit_trail.py
@@ -12,9 +12,9 @@
 from medlarspring_adapters.store import Put, Transaction
 from medlarspring_adapters.store_meter import create_metered_store
 from medlarspring_bench.memory_store import create_memory_store
-from medlarspring_daemon.services import audit_trimmer
-from medlarspring_daemon.services.audit_reader import MAX_PAGES_PER_CALL, read_audit
-from medlarspring_daemon.services.audit_trimmer import create_audit_trimmer
+from medlarspring_daemon.operators import audit_trimmer
+from medlarspring_daemon.operators.audit_reader import MAX_PAGES_PER_CALL, read_audit
+from medlarspring_daemon.operators.audit_trimmer import create_audit_trimmer
 from medlarspring_systems.audit import KEPT_SECONDS, AuditFilter
 from medlarspring_tables import ConfigTable, EditId, EntryVMId, Revision
 from medlarspring_tables.audit import AuditRecord, format_audit_key
--- a/packages/daemon/tests/test_config_service.py
+++ b/packages/daemon/tests/test_config_service.py
@@ -15,7 +15,7 @@
 )
 from medlarspring_bench.key_value_ops import DeleteOp, PutOp
 from medlarspring_bench.key_value_state import KeyValueState
-from medlarspring_daemon.services.config_service import CONFIG_KEY
+from medlarspring_daemon.configuration.config_service import CONFIG_KEY
 from medlarspring_tables import ConfigTable, Revision
 
 if TYPE_CHECKING:
--- a/packages/daemon/tests/test_fleet_desk.py
+++ b/packages/daemon/tests/test_fleet_desk.py
@@ -9,7 +9,7 @@
 from medlarspring_adapters.store import Put, Transaction
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
-from medlarspring_daemon.services.fleet_desk import FleetDesk
+from medlarspring_daemon.fleet.desk import FleetDesk
 from medlarspring_tables import (
     ConfigTable,
     PoolId,
--- a/packages/daemon/tests/test_fleet_rounds.py
+++ b/packages/daemon/tests/test_fleet_rounds.py
@@ -5,7 +5,7 @@
 from medlarspring_bench.fleet_checker import FleetChecker
 from medlarspring_bench.fleet_world import FleetShape, FleetWorld
 from medlarspring_bench.vm_control_state import Condition, VMTimes
-from medlarspring_daemon.services.fleet_rounds import PUT_BACK_AFTER_SECONDS
+from medlarspring_daemon.fleet.rounds import PUT_BACK_AFTER_SECONDS
 from medlarspring_tables import VMId, WaveId
 from medlarspring_tables.vms import VMState
 from medlarspring_tables.waves import WaveRecord
--- a/packages/daemon/tests/test_fleet_service.py
+++ b/packages/daemon/tests/test_fleet_service.py
@@ -22,8 +22,8 @@
 from medlarspring_bench.standins.vm_control import VMControlService
 from medlarspring_bench.standins.vm_list import LaggingList
 from medlarspring_bench.vm_control_state import VMControlState, VMRow
-from medlarspring_daemon.services import fleet_service
-from medlarspring_daemon.services.fleet_service import FleetService
+from medlarspring_daemon.fleet import service as fleet_service
+from medlarspring_daemon.fleet.service import FleetService
 from medlarspring_systems.vm_actions import Action
 from medlarspring_tables import (
     ConfigTable,
--- a/packages/daemon/tests/test_job_desk.py
+++ b/packages/daemon/tests/test_job_desk.py
@@ -8,7 +8,7 @@
 from medlarspring_adapters.job_store import JobStore
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
-from medlarspring_daemon.services.job_desk import JobDesk
+from medlarspring_daemon.jobs.desk import JobDesk
 from medlarspring_systems.job_records import put_partner, put_worker
 from medlarspring_tables import (
     JobId,
--- a/packages/daemon/tests/test_operator_port.py
+++ b/packages/daemon/tests/test_operator_port.py
@@ -12,8 +12,11 @@
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.memory_store import create_memory_store
 from medlarspring_daemon.node import create_node
-from medlarspring_daemon.services import operator_answers, operator_service
-from medlarspring_daemon.services.operator_service import (
+from medlarspring_daemon.operators import (
+    answers as operator_answers,
+    service as operator_service,
+)
+from medlarspring_daemon.operators.service import (
     OperatorLimits,
     create_operator_service,
 )
--- a/packages/daemon/tests/test_peer_service.py
+++ b/packages/daemon/tests/test_peer_service.py
@@ -17,7 +17,7 @@
     list_nodes,
 )
 from medlarspring_bench.key_value_state import KeyValueState
-from medlarspring_daemon.services.peer_reports import MAX_USAGE
+from medlarspring_daemon.membership.peer_reports import MAX_USAGE
 from medlarspring_tables import EntryVMId
 
 if TYPE_CHECKING:
--- a/packages/daemon/tests/test_table_editor.py
+++ b/packages/daemon/tests/test_table_editor.py
@@ -10,8 +10,8 @@
 from medlarspring_adapters.clock import ManualClock
 from medlarspring_adapters.store import Put, StoreOutcomeUnknown, Transaction
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
-from medlarspring_daemon.services.audit_reader import read_audit
-from medlarspring_daemon.services.table_editor import TABLE_KEY, TableEditor
+from medlarspring_daemon.configuration.table_editor import TABLE_KEY, TableEditor
+from medlarspring_daemon.operators.audit_reader import read_audit
 from medlarspring_systems.audit import AuditFilter
 from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit
 from medlarspring_systems.table_republish import Republish
--- a/packages/daemon/tests/test_table_machine.py
+++ b/packages/daemon/tests/test_table_machine.py
@@ -21,7 +21,7 @@
 from medlarspring_adapters.clock import ManualClock
 from medlarspring_adapters.store import StoreOutcomeUnknown
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
-from medlarspring_daemon.services.table_editor import TABLE_KEY, TableEditor
+from medlarspring_daemon.configuration.table_editor import TABLE_KEY, TableEditor
 from medlarspring_systems.table_checks import check_table
 from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit
 from medlarspring_systems.table_rows import describe_row, split_rows
