--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -5,42 +5,39 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import msgspec
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
-from medlarspring_adapters.store import Put, Transaction
 from medlarspring_daemon.scheduling.advice_desk import AdviceDesk
-from medlarspring_daemon.scheduling.intake import LoadRecord
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.journal import WRITTEN_FOR_GOOD, Journal
+from medlarspring_daemon.scheduling.load_report import LoadReport
 from medlarspring_daemon.scheduling.vm_keeper import VMKeeper
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
+from medlarspring_daemon.scheduling.worker_lives import WorkerLives, log_lost
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.scheduling.jobs import (
     cancel_job,
     forget_job,
-    is_waiting,
     open_due_occurrences,
 )
 from medlarspring_systems.scheduling.listings import list_jobs
-from medlarspring_systems.scheduling.placement import is_open
 from medlarspring_systems.scheduling.repair import plan_repairs
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import detach_run
-from medlarspring_systems.scheduling.workers import end_life, is_lease_over, take_vms
 from medlarspring_tables.scheduling import (
     JobOutcome,
     RunEnd,
     RunState,
-    WorkerDoubt,
     WorkTables,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.directory import Directory
     from medlarspring_daemon.scheduling.election import Tenure
@@ -51,11 +48,6 @@
 TICK_SECONDS = 0.1
 ROUND_SECONDS = 0.003
 """Ends that come within this time are followed by one round of placement."""
-LOAD_SECONDS = 0.8
-"""Counts of waiting jobs are published so often; customers may see 2 s old ones."""
-VM_LIST_SECONDS = 1.0
-VM_LOOK_SECONDS = 0.15
-"""Shortest time between two readings of the VM list when a worker is silent."""
 LOAD_RETRY_SECONDS = 0.05
 
 
@@ -82,14 +74,11 @@
         self._rounds_due: dict[PoolId, None] = {}
         self._round_timer: asyncio.TimerHandle | None = None
         self._followers: list[PrefixFollower] = []
-        self._published: dict[str, int] | None = None
-        self._published_at: Seconds = 0.0
-        self._vms_asked_at: Seconds = 0.0
-        self._vm_look = asyncio.Event()
         self._running = False
         assert directory.config is not None
         self.tables = WorkTables(config=directory.config)
         self._keeper = VMKeeper(node, tenure, directory, self)
+        self._lives = WorkerLives(node, self)
 
     # Term
 
@@ -150,8 +139,8 @@
             took_ms=round(took_ms),
         )
         self._tasks.keep(self._tick_forever)
-        self._tasks.keep(self._publish_forever)
-        self._tasks.keep(self._list_vms_forever)
+        self._tasks.keep(LoadReport(self._node, self._tenure, self.tables).run)
+        self._tasks.keep(self._lives.run)
         self._tasks.keep(self._keeper.run)
         if self._node.adviser is not None:
             desk = AdviceDesk(self._node, self._node.adviser, self)
@@ -217,7 +206,7 @@
                 failures=run.task.failures,
             )
         for run in outcome.lost:
-            self._log_lost(run, "not on its worker")
+            log_lost(self._node, run, "not on its worker")
         if outcome.newly_doubted:
             self._log_doubt(worker)
         for job_id in list_jobs(outcome):
@@ -241,7 +230,7 @@
 
     def look_at_vms(self) -> None:
         """Read the VM list soon."""
-        self._vm_look.set()
+        self._lives.look_soon()
 
     def note_superseded(self) -> None:
         """Stop: a controller with a higher fence has been at a worker."""
@@ -378,9 +367,7 @@
                 self.tables, job, now, wall_ms
             ):
                 self.plan(job.queue.pool_id)
-        for worker in list(self.tables.workers_by_id.values()):
-            if worker.unanswered_since and is_lease_over(worker, now):
-                self._drop_runs(worker, "lease lapsed")
+        self._lives.drop_lapsed(now)
         self._repair(now)
         self.plan_all()
 
@@ -402,107 +389,22 @@
         if self._directory.config is not None:
             self.tables.config = self._directory.config
 
-    async def _publish_forever(self) -> None:
-        while True:
-            self._measure()
-            await self._publish_load()
-            await asyncio.sleep(LOAD_SECONDS)
-
-    def _measure(self) -> None:
-        metrics, now = self._node.metrics, self._node.clock.now()
-        workers = self.tables.workers_by_id.values()
-        metrics.gauge(Metric.JOBS_OPEN, len(self.tables.jobs_by_id))
-        metrics.gauge(
-            Metric.WORKERS_OPEN, sum(1 for each in workers if is_open(each, now))
-        )
-        metrics.gauge(
-            Metric.WORKERS_SILENT, sum(1 for each in workers if each.unanswered_since)
-        )
-        metrics.gauge(
-            Metric.WORKERS_DOUBTED,
-            sum(1 for each in workers if each.doubt is not WorkerDoubt.NONE),
-        )
-
-    async def _publish_load(self) -> None:
-        waiting: dict[str, int] = {}
-        for job in self.tables.jobs_by_id.values():
-            if is_waiting(job):
-                waiting[job.queue.id] = waiting.get(job.queue.id, 0) + 1
-        if waiting == self._published or not self._tenure.holds():
-            return
-        record = LoadRecord(
-            at_ms=round(self._node.clock.wall() * 1_000), waiting_by_queue=waiting
-        )
-        put = Put(self._tenure.keys.load, msgspec.json.encode(record))
-        answer = await self._node.store.commit(
-            Transaction((self._tenure.expect(),), (put,))
-        )
-        if is_successful(answer):
-            self._published = waiting
-
-    # Lives of workers
-
-    async def _list_vms_forever(self) -> None:
-        while True:
-            await self._list_vms()
-            try:
-                async with asyncio.timeout(VM_LIST_SECONDS):
-                    await self._vm_look.wait()
-            except TimeoutError:
-                continue
-            wait = self._vms_asked_at + VM_LOOK_SECONDS - self._node.clock.now()
-            await asyncio.sleep(max(wait, 0.0))
-
-    async def _list_vms(self) -> None:
-        self._vm_look.clear()
-        asked_at = self._node.clock.now()
-        self._vms_asked_at = asked_at
-        listed = await self._node.lifecycle.list_vms()
-        if not is_successful(listed):
-            self._node.log.warning(
-                Event.VM_LIST_UNANSWERED, fault=listed.failure().message()
-            )
-            return
-        for worker in take_vms(self.tables, listed.unwrap(), asked_at):
-            self._end_worker(worker, "its VM has ended this life")
-
-    def _end_worker(self, worker: Worker, reason: str) -> None:
-        lost = end_life(self.tables, worker, self._node.clock.now())
-        self._node.log.warning(
-            Event.WORKER_GONE,
-            worker=worker.id,
-            vm=worker.vm_id,
-            reason=reason,
-            runs=len(lost),
-            vms_read_at=self.tables.vms_read_at,
-        )
-        for run in lost:
-            self._log_lost(run, reason)
-            self._journal.mark(run.task.step.job)
-            self.plan(run.task.step.job.queue.pool_id)
-        link = self._links_by_id.pop(worker.id, None)
-        if link is not None:
-            task = asyncio.create_task(link.close())
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+    # What the workers' lives tell
 
-    def _drop_runs(self, worker: Worker, reason: str) -> None:
-        now = self._node.clock.now()
-        for run in list(worker.runs.values()):
-            detach_run(self.tables, run, now)
-            self._log_lost(run, reason)
+    def note_lost(self, runs: Iterable[Run]) -> None:
+        """Record that runs are over without an end, and plan anew."""
+        for run in runs:
             self._journal.mark(run.task.step.job)
             self.plan(run.task.step.job.queue.pool_id)
 
-    def _log_lost(self, run: Run, reason: str) -> None:
-        self._node.metrics.count(Metric.RUNS_LOST)
-        self._node.log.warning(
-            Event.RUN_LOST,
-            task=run.task.id,
-            run=run.number,
-            worker=run.worker.id,
-            reason=reason,
-        )
+    def drop_link(self, worker: Worker) -> None:
+        """Close the connections to a worker that is gone."""
+        link = self._links_by_id.pop(worker.id, None)
+        if link is None:
+            return
+        task = asyncio.create_task(link.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
     def _log_doubt(self, worker: Worker) -> None:
         self._node.log.warning(
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -32,6 +32,7 @@
     CancelRecord,
     JobOutcome,
     JobRecord,
+    LoadRecord,
     QueueId,
 )
 
@@ -75,14 +76,6 @@
 }
 
 
-class LoadRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """What a controller tells of its queues, about once a second."""
-
-    at_ms: int
-    waiting_by_queue: dict[str, int] = {}
-    """Accepted jobs of which no task has started."""
-
-
 @dataclass(slots=True)
 class ReadLoad:
     """A load record and when it was read."""
@@ -286,4 +279,4 @@
     return msgspec.json.decode(entry.value, type=JobRecord)
 
 
-__all__ = ["Intake", "JobStatus", "LoadRecord"]
+__all__ = ["Intake", "JobStatus"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/load_report.py
@@ -0,0 +1,77 @@
+"""Tells customers' entry VMs and the metrics how much work a cell has."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.metrics import Metric
+from medlarspring_adapters.store import Put, Transaction
+from medlarspring_systems.scheduling.jobs import is_waiting
+from medlarspring_systems.scheduling.placement import is_open
+from medlarspring_tables.scheduling import LoadRecord, WorkerDoubt
+
+if TYPE_CHECKING:
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_daemon.scheduling.election import Tenure
+    from medlarspring_tables.scheduling import WorkTables
+
+REPORT_SECONDS = 0.8
+"""Counts of waiting jobs are published so often; customers may see 2 s old ones."""
+
+
+class LoadReport:
+    """Publishes the counts of a cell whenever they changed."""
+
+    def __init__(
+        self, node: SchedulingNode, tenure: Tenure, tables: WorkTables
+    ) -> None:
+        self._node = node
+        self._tenure = tenure
+        self._tables = tables
+        self._published: dict[str, int] | None = None
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            self._measure()
+            await self._publish()
+            await asyncio.sleep(REPORT_SECONDS)
+
+    def _measure(self) -> None:
+        metrics, now = self._node.metrics, self._node.clock.now()
+        workers = self._tables.workers_by_id.values()
+        metrics.gauge(Metric.JOBS_OPEN, len(self._tables.jobs_by_id))
+        metrics.gauge(
+            Metric.WORKERS_OPEN, sum(1 for each in workers if is_open(each, now))
+        )
+        metrics.gauge(
+            Metric.WORKERS_SILENT, sum(1 for each in workers if each.unanswered_since)
+        )
+        metrics.gauge(
+            Metric.WORKERS_DOUBTED,
+            sum(1 for each in workers if each.doubt is not WorkerDoubt.NONE),
+        )
+
+    async def _publish(self) -> None:
+        waiting: dict[str, int] = {}
+        for job in self._tables.jobs_by_id.values():
+            if is_waiting(job):
+                waiting[job.queue.id] = waiting.get(job.queue.id, 0) + 1
+        if waiting == self._published or not self._tenure.holds():
+            return
+        record = LoadRecord(
+            at_ms=round(self._node.clock.wall() * 1_000), waiting_by_queue=waiting
+        )
+        put = Put(self._tenure.keys.load, msgspec.json.encode(record))
+        answer = await self._node.store.commit(
+            Transaction((self._tenure.expect(),), (put,))
+        )
+        if is_successful(answer):
+            self._published = waiting
+
+
+__all__ = ["LoadReport"]
--- a/packages/tables/src/medlarspring_tables/scheduling/records.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/records.py
@@ -89,6 +89,14 @@
     begun: tuple[str, ...] = ()
 
 
+class LoadRecord(Struct, frozen=True, kw_only=True):
+    """What a controller tells of its queues, about once a second."""
+
+    at_ms: int
+    waiting_by_queue: dict[str, int] = {}
+    """Accepted jobs of which no task has started."""
+
+
 class OperationsRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """When each VM was last operated on, as far as that still matters."""
 
@@ -107,6 +115,7 @@
     "ControllerRecord",
     "JobOutcome",
     "JobRecord",
+    "LoadRecord",
     "OperationsRecord",
     "ProgressRecord",
     "RunRecord",
