--- a/packages/daemon/src/medlarspring_daemon/scheduling/service.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/service.py
@@ -8,6 +8,8 @@
 from medlarspring_daemon.scheduling.directory import Directory
 from medlarspring_daemon.scheduling.election import Election
 from medlarspring_daemon.scheduling.intake import Intake
+from medlarspring_daemon.scheduling.store_watch import StoreWatch
+from medlarspring_daemon.tasks import Tasks
 
 if TYPE_CHECKING:
     from medlarspring_daemon.scheduling.context import SchedulingNode
@@ -22,6 +24,7 @@
 
     def __init__(self, node: SchedulingNode) -> None:
         self._node = node
+        self._tasks = Tasks(node.log)
         self.directory = Directory(node)
         self.intake = Intake(node)
         self._elections = [
@@ -31,6 +34,7 @@
 
     async def start(self) -> None:
         """Follow the operator's records and stand for election."""
+        self._tasks.keep(StoreWatch(self._node).run)
         await self.directory.start()
         for election in self._elections:
             await election.start()
@@ -40,6 +44,7 @@
         for election in self._elections:
             await election.stop()
         await self.directory.stop()
+        await self._tasks.cancel()
 
     def is_ready(self) -> bool:
         """Tell whether this entry VM should get callers."""
