Let strong entry VMs control the cell, and size patient pools without delay

On the grown installation most entry VMs have half a core. Weaker candidates wait, and an overloaded weak controller gives the cell up. Pools of patient queues followed their turn 1.5 s late; single lumps are smoothed over 0.5 s only.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/context.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/context.py
@@ -53,6 +53,8 @@
     limits: FleetLimits
     adviser: Adviser | None = None
     peer_address: str = ""
+    cores: float = 1.0
+    """Processors that this process may use on average."""
     cells: tuple[CellId, ...] = CELLS
     stopping: bool = field(default=False)
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -46,6 +46,9 @@
     from medlarspring_tables.scheduling import ActiveJob, Run, Worker, WorkerId
 
 TICK_SECONDS = 0.1
+LAG_WEIGHT = 0.05
+OVERLOAD_LAG_SECONDS = 0.12
+"""Timers that are so late on average mean that orders wait as long in the process."""
 ROUND_SECONDS = 0.003
 """Ends that come within this time are followed by one round of placement."""
 LOAD_RETRY_SECONDS = 0.05
@@ -75,6 +78,8 @@
         self._round_timer: asyncio.TimerHandle | None = None
         self._followers: list[PrefixFollower] = []
         self._running = False
+        self._lag: Seconds = 0.0
+        """How late this process's timers are, smoothed over about two seconds."""
         assert directory.config is not None
         self.tables = WorkTables(config=directory.config)
         self._keeper = VMKeeper(node, tenure, directory, self)
@@ -102,6 +107,10 @@
             each for each in self._directory.listeners if each != self._take_config
         ]
 
+    def is_overloaded(self) -> bool:
+        """Tell whether this process can't keep up with the cell's work."""
+        return self._lag > OVERLOAD_LAG_SECONDS
+
     async def _take_over(self) -> None:
         """Read what is recorded, then follow the inbox and the workers."""
         began_at = self._node.clock.now()
@@ -355,10 +364,12 @@
 
     async def _tick_forever(self) -> None:
         while True:
+            slept_at = self._node.clock.now()
             await asyncio.sleep(TICK_SECONDS)
-            if not self._tenure.holds():
-                continue
-            self._tick()
+            late = self._node.clock.now() - slept_at - TICK_SECONDS
+            self._lag += LAG_WEIGHT * (late - self._lag)
+            if self._tenure.holds():
+                self._tick()
 
     def _tick(self) -> None:
         now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -42,6 +42,13 @@
 JITTER_SECONDS = 0.06
 """Candidates try at random moments, so that most see the winner's key first."""
 TICK_SECONDS = 0.1
+STRONG_CORES = 1.0
+"""An entry VM with less leaves the cell to others if it can: a controller of 1,300
+tasks a second took 0.5 of a core, and on half a core its orders timed out."""
+WEAK_SECONDS_PER_CORE = 0.6
+"""A weaker candidate waits so much longer for each core that it lacks."""
+SHY_SECONDS = 3.0
+"""An overloaded controller that gave the cell up lets others try for so long."""
 
 
 class Term(Protocol):
@@ -55,6 +62,10 @@
         """End all work for the cell; a graceful end records what is known."""
         ...
 
+    def is_overloaded(self) -> bool:
+        """Tell whether this process can't keep up with the cell's work."""
+        ...
+
 
 class Tenure:
     """One holding of a cell's key; its fence never changes."""
@@ -105,6 +116,7 @@
         self._known = False
         """Whether the key was read at all."""
         self._changed = asyncio.Event()
+        self._shy_until: Seconds = 0.0
         self.tenure: Tenure | None = None
         self.term: Term | None = None
         self._follower = PrefixFollower(
@@ -155,7 +167,7 @@
             if self.tenure is not None:
                 await self._keep(self.tenure)
             elif self._known and self._holder is None and self._may_try():
-                await asyncio.sleep(self._node.rng.uniform(0.0, JITTER_SECONDS))
+                await asyncio.sleep(self._choose_wait())
                 if self._holder is None:
                     await self._try()
             self._changed.clear()
@@ -165,6 +177,13 @@
             except TimeoutError:
                 continue
 
+    def _choose_wait(self) -> Seconds:
+        """Return how long to let stronger entry VMs go first."""
+        lacking = max(STRONG_CORES - self._node.cores, 0.0)
+        shy = max(self._shy_until - self._node.clock.now(), 0.0)
+        jitter = self._node.rng.uniform(0.0, JITTER_SECONDS)
+        return jitter + lacking * WEAK_SECONDS_PER_CORE + shy
+
     async def _try(self) -> None:
         sent_at = self._node.clock.now()
         granted = await self._node.store.grant_lease(LEASE_SECONDS)
@@ -230,6 +249,10 @@
         if tenure.superseded:
             await self._leave(tenure, graceful=False)
             return
+        if self._should_yield():
+            self._shy_until = self._node.clock.now() + SHY_SECONDS
+            await self._leave(tenure, graceful=True)
+            return
         remaining = tenure.safe_until - self._node.clock.now()
         full = LEASE_SECONDS - MARGIN_SECONDS
         if remaining > full - RENEW_SECONDS:
@@ -246,6 +269,12 @@
             return
         tenure.safe_until = max(tenure.safe_until, sent_at + full)
 
+    def _should_yield(self) -> bool:
+        """Tell whether a stronger entry VM should control the cell instead."""
+        if self._node.cores >= STRONG_CORES or self.term is None:
+            return False
+        return self.term.is_overloaded()
+
     async def _still_has_key(self, tenure: Tenure) -> bool:
         """Tell whether the key outlived a pause; a lease alone does not prove it."""
         found = await self._node.store.read(self._keys.controller)
--- a/packages/platform/src/medlarspring_platform/launcher.py
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -150,6 +150,7 @@
             lifecycle=self._machines,
             limits=settings.limits,
             adviser=self._adviser,
+            cores=settings.cores,
             peer_address=f"{settings.inner_host}:{settings.inner_port}",
         )
 
--- a/packages/systems/src/medlarspring_systems/scheduling/demand.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/demand.py
@@ -23,6 +23,9 @@
 """The level is compared with its mean over so long, which is what a move takes."""
 TREND_GAIN = 1.0
 """A rising level is taken to rise as much again until VMs called now are there."""
+PATIENT_SECONDS = 0.5
+"""For jobs that can wait for a VM single lumps of work are smoothed over so long;
+longer, their pool follows a turn too late to use what they can wait."""
 SLACK_WEIGHT = 0.1
 """Weight of the newest job in the smoothed slack of its queue."""
 SHORTEST_SECONDS = 0.3
@@ -76,15 +79,15 @@
 ) -> float:
     """Return the millicores that incoming work will keep busy in a moment.
 
-    Jobs that can wait for a VM even out: their pool needs no more than their mean,
-    where each one may be worth several VMs by itself.
+    Jobs that can wait for a VM even out: their pool needs no more than they bring
+    on average, where each one may be worth several VMs by itself.
     """
     meter = tables.arrivals_by_pool.get(pool_id)
     if meter is None:
         return 0.0
     _advance(meter, now)
     if can_wait:
-        return meter.mean
+        return meter.short_mean
     return meter.level + TREND_GAIN * max(meter.level - meter.mean, 0.0)
 
 
@@ -100,8 +103,11 @@
 
 
 def _smooth(meter: ArrivalMeter, at: Seconds) -> None:
-    weight = 1.0 - math.exp(-max(at - meter.at, 0.0) / MEAN_SECONDS)
-    meter.mean += weight * (meter.level - meter.mean)
+    elapsed = max(at - meter.at, 0.0)
+    above = meter.level - meter.mean
+    meter.mean += (1.0 - math.exp(-elapsed / MEAN_SECONDS)) * above
+    above = meter.level - meter.short_mean
+    meter.short_mean += (1.0 - math.exp(-elapsed / PATIENT_SECONDS)) * above
     meter.at = max(meter.at, at)
 
 
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -253,6 +253,8 @@
     level: float = 0.0
     mean: float = 0.0
     """Smoothed level, to see whether it rises."""
+    short_mean: float = 0.0
+    """Level smoothed over the lumps of single jobs only."""
     ends: list[tuple[Seconds, float]] = field(default_factory=list)
     """Heap of when a job's part of the level ends, and that part."""
 
