Refuse calls on jobs at once while the store is lost, and say when to come back

Calls are now refused before anything is sent once the store fails for 0.25 s; a write caught by the outage is reported as unknown after 1 s; Retry-After grows with the outage, so that four tries are not used up in its first seconds.

--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -90,6 +90,13 @@
         """End a lease."""
         return await self._call(lambda: self._inner.revoke_lease(lease_id), writes=True)
 
+    async def watch_health(self) -> None:
+        """Notice the store's return, as the polls of a real watch do."""
+        while True:
+            await asyncio.sleep(RETRY_SECONDS)
+            if self._mood() is StoreMood.WELL:
+                self.failing_since = None
+
     async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
         """Yield changes; while the store is away they are held back, not lost."""
         async for batch in self._inner.watch(prefix, start):
--- a/packages/bench/src/medlarspring_bench/platform_world/world.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/world.py
@@ -78,6 +78,7 @@
         self.name = name
         self.incarnation = incarnation
         self.service: SchedulingService
+        self.health: asyncio.Future[None]
         self.log = io.StringIO()
 
 
@@ -199,6 +200,7 @@
         token = _owner.set(incarnation)
         try:
             context = self._create_context(node, adviser)
+            node.health = asyncio.ensure_future(self._stores[-1].watch_health())
             node.service = create_scheduling_service(context)
             await node.service.start()
         finally:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -46,13 +47,21 @@
 """Each takes a condition and a write of the 32 entries of a transaction."""
 RETRY_SECONDS = 0.04
 """Pause before a call to the store is repeated within the customer's deadline."""
-REFUSE_AFTER_SECONDS = 0.6
-"""A submission that the store turned down for so long is refused as not run.
+LOST_SECONDS = 0.25
+"""The store counts as lost once it fails all calls for so long; calls on jobs are
+then refused at once, before anything is sent. The watches notice its return."""
+REFUSE_AFTER_SECONDS = 0.4
+"""A call that the store turned down for so long is refused as not run.
 
 Longer waits use up the customer's time, which another entry VM could serve.
 """
-RETRY_AFTER_SECONDS = 1
-"""An entry VM that lost the store is out of rotation about so much later."""
+GIVE_UP_SECONDS = 1.0
+"""A write without a known outcome is reported as unknown after so long; held to the
+customer's deadline instead, its repeat with the same id came three seconds later."""
+LEAST_RETRY_AFTER = 1
+MOST_RETRY_AFTER = 4
+"""Whole seconds. An outage is taken to last as long again as it has lasted, so that
+a customer's few tries are not used up within the first seconds of a long one."""
 ANSWER_MARGIN_SECONDS = 0.15
 """An answer leaves so much before the customer stops waiting."""
 LOAD_AGE_SECONDS = 0.5
@@ -204,15 +213,16 @@
     async def _read(
         self, key: str, ends_at: Seconds
     ) -> Result[Entry | None, IntakeError]:
-        while True:
+        clock = self._node.clock
+        refuse_at = min(clock.now() + REFUSE_AFTER_SECONDS, ends_at)
+        while not self._is_store_lost():
             answer = await self._node.store.read(key)
             if is_successful(answer):
                 return Success(answer.unwrap())
-            left = ends_at - self._node.clock.now() - ANSWER_MARGIN_SECONDS
-            if left <= RETRY_SECONDS:
-                detail = f"the store gives no answer ({answer.failure().message()})"
-                return Failure(NotReady(detail, RETRY_AFTER_SECONDS))
+            if clock.now() + RETRY_SECONDS >= refuse_at:
+                break
             await asyncio.sleep(RETRY_SECONDS)
+        return Failure(self._create_refusal("the store gives no answer"))
 
     async def _commit_until(
         self, transaction: Transaction, patience: Seconds
@@ -227,20 +237,36 @@
         clock = self._node.clock
         ends_at = clock.now() + patience - ANSWER_MARGIN_SECONDS
         refuse_at = min(clock.now() + REFUSE_AFTER_SECONDS, ends_at)
+        give_up_at = min(clock.now() + GIVE_UP_SECONDS, ends_at)
         may_follow = False
-        while True:
+        while may_follow or not self._is_store_lost():
             answer = await self._commits.commit(transaction)
             if is_successful(answer):
                 return Success(answer.unwrap().succeeded)
             error = answer.failure()
             may_follow = may_follow or isinstance(error, StoreOutcomeUnknown)
             now = clock.now()
-            if may_follow and now >= ends_at:
+            if may_follow and now >= give_up_at:
                 return Failure(OutcomeUnknown())
             if not may_follow and now >= refuse_at:
-                detail = "the store takes no writes from this entry VM"
-                return Failure(NotReady(detail, RETRY_AFTER_SECONDS))
+                break
             await asyncio.sleep(RETRY_SECONDS)
+        detail = "the store takes no writes from this entry VM"
+        return Failure(self._create_refusal(detail))
+
+    def _is_store_lost(self) -> bool:
+        return self._measure_outage() >= LOST_SECONDS
+
+    def _measure_outage(self) -> Seconds:
+        failing_since = self._node.store_health.failing_since
+        if failing_since is None:
+            return 0.0
+        return self._node.clock.now() - failing_since
+
+    def _create_refusal(self, detail: str) -> NotReady:
+        """Return a refusal that names a useful moment to come back."""
+        seconds = math.ceil(self._measure_outage())
+        return NotReady(detail, min(max(seconds, LEAST_RETRY_AFTER), MOST_RETRY_AFTER))
 
     def _log_submission(
         self,
--- /dev/null
+++ b/packages/daemon/tests/scheduling/test_intake.py
@@ -0,0 +1,121 @@
+"""What customers are answered while the store is lost, slow or loses replies."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from returns.pipeline import is_successful
+
+from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.virtual_time import run_virtual
+from medlarspring_bench.platform_world.weather import StoreMood
+from medlarspring_bench.platform_world.world import HOST, World, WorldPlan
+from medlarspring_daemon.scheduling.intake_errors import NotReady, OutcomeUnknown
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from medlarspring_bench.platform_world.virtual_time import VirtualClock
+
+PATIENCE = 3.0
+HELD_TOO_LONG = 1.5
+
+
+def play(story: Callable[[World, Customers], Awaitable[None]]) -> None:
+    async def main(clock: VirtualClock) -> None:
+        world = World(WorldPlan(), clock, 3)
+        await world.start()
+        await asyncio.sleep(3.0)
+        await story(world, Customers(world, world.rng))
+        await world.stop()
+
+    run_virtual(main)
+
+
+async def submit(world: World, customers: Customers):  # type: ignore[no-untyped-def]
+    """Submit a job at the first entry VM; returns the answer and how long it took."""
+    job_id, spec = customers.create_batch()
+    service = world.nodes_by_name["entry-0"].service
+    match = service.directory.match(HOST, f"/lookup/{job_id}")
+    assert match is not None
+    sent_at = world.clock.now()
+    answer = await service.intake.submit(match.queue, job_id, spec, PATIENCE)
+    return answer, world.clock.now() - sent_at
+
+
+@pytest.mark.parametrize("mood", [StoreMood.BUSY, StoreMood.SILENT])
+def test_calls_are_refused_at_once_while_the_store_is_lost(mood: StoreMood):
+    """
+    The store is down for seconds. A call held until its customer's deadline ends
+    without an answer in time; told at once, the customer knows when to come back.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        world.weather.store_mood = mood
+        await submit(world, customers)
+        answer, took = await submit(world, customers)
+        assert isinstance(answer.failure(), NotReady)
+        assert took < 0.05
+        job_id, _ = customers.create_batch()
+        intake = world.nodes_by_name["entry-0"].service.intake
+        asked_at = world.clock.now()
+        status = await intake.find_status(job_id, PATIENCE)
+        assert isinstance(status.failure(), NotReady)
+        assert world.clock.now() - asked_at < 0.05
+
+    play(story)
+
+
+def test_refusals_of_a_long_outage_name_a_later_return():
+    async def story(world: World, customers: Customers) -> None:
+        world.weather.store_mood = StoreMood.BUSY
+        first, _ = await submit(world, customers)
+        assert first.failure().retry_after == 1
+        await asyncio.sleep(3.0)
+        later, _ = await submit(world, customers)
+        assert 3 <= later.failure().retry_after <= 4
+
+    play(story)
+
+
+def test_store_that_is_back_is_used_at_once():
+    async def story(world: World, customers: Customers) -> None:
+        world.weather.store_mood = StoreMood.SILENT
+        await submit(world, customers)
+        await asyncio.sleep(2.0)
+        world.weather.store_mood = StoreMood.WELL
+        await asyncio.sleep(0.3)
+        answer, took = await submit(world, customers)
+        assert is_successful(answer)
+        assert took < 0.1
+
+    play(story)
+
+
+def test_submission_caught_by_an_outage_is_unknown_and_soon_said_to_be():
+    """
+    The store takes the write in and falls silent. "Not run" may be untrue, so the
+    answer is "unknown", and soon enough for the customer to repeat it elsewhere.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        world.weather.store_mood = StoreMood.SILENT
+        answer, took = await submit(world, customers)
+        assert isinstance(answer.failure(), OutcomeUnknown)
+        assert took < HELD_TOO_LONG
+
+    play(story)
+
+
+def test_lost_reply_is_followed_until_the_job_is_seen_to_stand():
+    async def story(world: World, customers: Customers) -> None:
+        world.weather.lost_replies = 1.0
+        task = asyncio.ensure_future(submit(world, customers))
+        await asyncio.sleep(0.2)
+        world.weather.lost_replies = 0.0
+        answer, _ = await task
+        assert is_successful(answer)
+
+    play(story)
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -321,6 +321,9 @@
         except Unanswered as error:
             return Failure(StoreOutcomeUnknown(str(error)))
         if reply.status in (HTTP_OK, HTTP_GONE):
+            # Watches are the calls that go on while nothing else is sent; their
+            # answers are how a lost store is known to be back.
+            self.failing_since = None
             return Success(reply)
         return Failure(StoreUnavailable(f"HTTP status {reply.status}"))
 
