Go on with a takeover that an outage of the store interrupts

The candidate stopped reading once its tenure no longer held by its own clock; its key outlived the outage, so it resumed the cell and did nothing for it: every job waited.

Ruled out: the watches, which go on by themselves.

--- a/packages/bench/src/medlarspring_bench/platform_world/customers.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/customers.py
@@ -3,25 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from returns.pipeline import is_successful
 
 from medlarspring_bench.platform_world.history import CallKind, CustomerCall
+from medlarspring_bench.platform_world.plans import HOST
 from medlarspring_bench.platform_world.worker_model import TaskFacts
-from medlarspring_bench.platform_world.world import HOST
 from medlarspring_daemon.scheduling.intake import JobStatus
 from medlarspring_tables import JobId
 from medlarspring_tables.scheduling import JobSpec, StepSpec
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Mapping
 
     from returns.result import Result
 
-    from medlarspring_bench.platform_world.world import Node, World
+    from medlarspring_adapters.clock import Clock
+    from medlarspring_bench.platform_world.history import History
+    from medlarspring_bench.platform_world.plans import WorldPlan
     from medlarspring_daemon.scheduling.intake_errors import IntakeError
+    from medlarspring_daemon.scheduling.service import SchedulingService
     from medlarspring_tables import Seconds
 
 PATIENCE_SECONDS = 3.0
@@ -35,12 +38,92 @@
 }
 
 
+class Installation(Protocol):
+    """What customers know of where they send their jobs."""
+
+    @property
+    def plan(self) -> WorldPlan:
+        """What stands where, and the rules of the store."""
+        ...
+
+    @property
+    def clock(self) -> Clock:
+        """Time that the history is stamped with."""
+        ...
+
+    @property
+    def history(self) -> History:
+        """Everything that customers saw."""
+        ...
+
+    @property
+    def facts_by_task(self) -> dict[str, TaskFacts]:
+        """What workers do with a task; filled before it is submitted."""
+        ...
+
+    @property
+    def nodes_by_name(self) -> Mapping[str, object]:
+        """Entry VMs that run at present."""
+        ...
+
+
+class Desk(Protocol):
+    """How a customer's call reaches an entry VM; answers are words."""
+
+    async def submit(self, node: str, queue: str, job_id: JobId, spec: JobSpec) -> str:
+        """Submit a job: ``ok``, the code of an error, or ``no-answer``."""
+        ...
+
+    async def cancel(self, node: str, job_id: JobId) -> str:
+        """Cancel a job: ``ok``, the code of an error, or ``no-answer``."""
+        ...
+
+    async def find_status(self, node: str, job_id: JobId) -> str:
+        """Return a job's status, the code of an error, or ``no-answer``."""
+        ...
+
+
+class InProcessDesk:
+    """Calls the intake of an emulated entry VM directly."""
+
+    def __init__(self, world: Installation) -> None:
+        self._world = world
+
+    async def submit(self, node: str, queue: str, job_id: JobId, spec: JobSpec) -> str:
+        """Submit a job."""
+        service = self._find(node)
+        match = service.directory.match(HOST, f"/{queue}/{job_id}")
+        if match is None:
+            return "no-such-queue"
+        return await _wait_for(
+            service.intake.submit(match.queue, job_id, spec, PATIENCE_SECONDS)
+        )
+
+    async def cancel(self, node: str, job_id: JobId) -> str:
+        """Cancel a job."""
+        intake = self._find(node).intake
+        return await _wait_for(intake.cancel(job_id, PATIENCE_SECONDS))
+
+    async def find_status(self, node: str, job_id: JobId) -> str:
+        """Return a job's status."""
+        intake = self._find(node).intake
+        return await _wait_for(intake.find_status(job_id, PATIENCE_SECONDS))
+
+    def _find(self, node: str) -> SchedulingService:
+        found = self._world.nodes_by_name[node]
+        service: SchedulingService = found.service  # type: ignore[attr-defined]
+        return service
+
+
 class Customers:
     """All customers; each job is one customer's."""
 
-    def __init__(self, world: World, rng: random.Random) -> None:
-        self._world = world
+    def __init__(
+        self, installation: Installation, rng: random.Random, desk: Desk | None = None
+    ) -> None:
+        self._world = installation
         self._rng = rng
+        self._desk = InProcessDesk(installation) if desk is None else desk
         self.accepted: set[JobId] = set()
         self.cancelled: set[JobId] = set()
         self._following: set[asyncio.Task[None]] = set()
@@ -106,6 +189,12 @@
         task.add_done_callback(self._following.discard)
         return task
 
+    async def leave(self) -> None:
+        """Stop following the jobs that are still open."""
+        for task in self._following:
+            task.cancel()
+        await asyncio.gather(*self._following, return_exceptions=True)
+
     async def submit(self, queue: str, job_id: JobId, spec: JobSpec) -> bool:
         """Submit with repeats; tells whether the job was accepted."""
         for queue_plan in self._world.plan.queues:
@@ -127,9 +216,7 @@
             node = self._choose_node()
             if node is not None:
                 sent_at = self._world.clock.now()
-                answer = await _wait_for(
-                    node.service.intake.cancel(job_id, PATIENCE_SECONDS)
-                )
+                answer = await self._desk.cancel(node, job_id)
                 self._note(CallKind.CANCEL, job_id, sent_at, node, answer)
                 if answer in ("ok", "no-such-job"):
                     return True
@@ -150,9 +237,7 @@
         if node is None:
             return "no-node"
         sent_at = self._world.clock.now()
-        answer = await _wait_for(
-            node.service.intake.find_status(job_id, PATIENCE_SECONDS)
-        )
+        answer = await self._desk.find_status(node, job_id)
         self._note(CallKind.STATUS, job_id, sent_at, node, answer)
         return answer
 
@@ -169,27 +254,19 @@
         sent_at = self._world.clock.now()
         if node is None:
             return "no-node"
-        match = node.service.directory.match(HOST, f"/{queue}/{job_id}")
-        if match is None:
-            answer = "no-such-queue"
-        else:
-            answer = await _wait_for(
-                node.service.intake.submit(match.queue, job_id, spec, PATIENCE_SECONDS)
-            )
+        answer = await self._desk.submit(node, queue, job_id, spec)
         self._note(CallKind.SUBMIT, job_id, sent_at, node, answer)
         return answer
 
-    def _choose_node(self) -> Node | None:
-        nodes = list(self._world.nodes_by_name.values())
-        return self._rng.choice(nodes) if nodes else None
+    def _choose_node(self) -> str | None:
+        names = list(self._world.nodes_by_name)
+        return self._rng.choice(names) if names else None
 
     def _note(
-        self, kind: CallKind, job_id: JobId, sent_at: Seconds, node: Node, answer: str
+        self, kind: CallKind, job_id: JobId, sent_at: Seconds, node: str, answer: str
     ) -> None:
         self._world.history.calls.append(
-            CustomerCall(
-                kind, job_id, sent_at, self._world.clock.now(), node.name, answer
-            )
+            CustomerCall(kind, job_id, sent_at, self._world.clock.now(), node, answer)
         )
 
 
@@ -208,4 +285,4 @@
     return "ok" if status is None else status.value
 
 
-__all__ = ["Customers"]
+__all__ = ["Customers", "Desk", "InProcessDesk", "Installation"]
--- a/packages/bench/src/medlarspring_bench/platform_world/days.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/days.py
@@ -8,19 +8,36 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from medlarspring_bench.platform_world.calls import VM_CONTROL
-from medlarspring_bench.platform_world.checks import Breach, check_history
+from medlarspring_bench.platform_world.checks import check_history
 from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.faults import (
+    crash_worker,
+    drain_worker,
+    forget_history,
+    lose_replies,
+    order_wave,
+    pause_store,
+    remove_worker,
+    slow_store,
+    spoil_worker,
+    take_store_down,
+)
+from medlarspring_bench.platform_world.plans import WorldPlan
+from medlarspring_bench.platform_world.verdicts import (
+    count_complete,
+    find_left_running,
+    find_unfinished,
+)
 from medlarspring_bench.platform_world.virtual_time import run_virtual
 from medlarspring_bench.platform_world.weather import StoreMood
-from medlarspring_bench.platform_world.worker_model import Temper
-from medlarspring_bench.platform_world.world import World, WorldPlan
-from medlarspring_daemon.scheduling.intake import JobStatus
-from medlarspring_tables.scheduling import RunEnd
+from medlarspring_bench.platform_world.world import World
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from medlarspring_bench.platform_world.checks import Breach
     from medlarspring_bench.platform_world.virtual_time import VirtualClock
+    from medlarspring_tables import VMId
 
 WARM_UP_SECONDS = 3.0
 TRAFFIC_SECONDS = 20.0
@@ -43,9 +60,6 @@
     logs: list[tuple[str, str]] = field(default_factory=list)
 
 
-MIN_VMS = 8
-"""VMs that are left in any case."""
-
 FaultTable: TypeAlias = "tuple[tuple[str, Callable[[Day], Awaitable[None]]], ...]"
 
 
@@ -100,7 +114,7 @@
         names = sorted(self.world.nodes_by_name)
         return self.rng.choice(names) if names else None
 
-    def choose_vm(self) -> str:
+    def choose_vm(self) -> VMId:
         """Return a VM."""
         return self.rng.choice(sorted(self.world.fleet.vms_by_id))
 
@@ -188,36 +202,6 @@
     day.world.weather.cut_links -= links
 
 
-async def take_store_down(day: Day) -> None:
-    """Let the store answer nobody."""
-    mood = day.rng.choice((StoreMood.BUSY, StoreMood.SILENT))
-    day.world.weather.store_mood = mood
-    await asyncio.sleep(day.rng.uniform(1.0, 5.0))
-    day.world.weather.store_mood = StoreMood.WELL
-
-
-async def pause_store(day: Day) -> None:
-    """Let the store answer nobody, and its leases stand still meanwhile."""
-    day.world.weather.leases_pause = True
-    await take_store_down(day)
-    day.world.weather.leases_pause = False
-
-
-async def slow_store(day: Day) -> None:
-    """Let the store answer late."""
-    day.world.weather.store_seconds = 0.2
-    await asyncio.sleep(day.rng.uniform(1.0, 5.0))
-    day.world.weather.store_seconds = 0.004
-
-
-async def lose_replies(day: Day) -> None:
-    """Lose the answers to some writes, some of which come late."""
-    day.world.weather.lost_replies = 0.35
-    day.world.weather.late_writes = day.rng.choice((0.0, 0.5))
-    await asyncio.sleep(day.rng.uniform(1.0, 5.0))
-    day.world.weather.lost_replies = 0.0
-
-
 async def lose_orders(day: Day) -> None:
     """Leave some orders unanswered, and carry them out seconds later."""
     day.world.weather.lost_orders = 0.15
@@ -225,46 +209,6 @@
     day.world.weather.lost_orders = 0.0
 
 
-async def forget_history(day: Day) -> None:
-    """Drop the store's history; watches are cut."""
-    day.world.forget_history()
-
-
-async def crash_worker(day: Day) -> None:
-    """End a worker without notice."""
-    day.world.fleet.crash(day.choose_vm(), day.rng.uniform(1.0, 6.0))  # type: ignore[arg-type]
-
-
-async def drain_worker(day: Day) -> None:
-    """Let a worker leave after its notice."""
-    day.world.fleet.drain(day.choose_vm(), day.rng.uniform(2.0, 6.0))  # type: ignore[arg-type]
-
-
-async def spoil_worker(day: Day) -> None:
-    """Let a worker fail or keep all that it starts."""
-    vm = day.world.fleet.vms_by_id[day.choose_vm()]  # type: ignore[index]
-    worker = vm.worker
-    if worker is None:
-        return
-    worker.temper = day.rng.choice((Temper.FAILING, Temper.HANGING))
-    await asyncio.sleep(day.rng.uniform(2.0, 6.0))
-    worker.temper = Temper.SOUND
-
-
-async def order_wave(day: Day) -> None:
-    """Order maintenance of half of the VMs."""
-    vms = [vm for vm in day.world.fleet.vms_by_id if day.rng.random() < 0.5]  # noqa: PLR2004
-    if vms:
-        number = len(day.world.fleet.waves) + 1
-        day.world.order_wave(number, vms, day.rng.randint(1, 4), 25)
-
-
-async def remove_worker(day: Day) -> None:
-    """End a VM for good, without notice."""
-    if len(day.world.fleet.vms_by_id) > MIN_VMS:
-        day.world.fleet.remove(day.choose_vm())  # type: ignore[arg-type]
-
-
 async def cancel_without_controller(day: Day) -> None:
     """End the controller and cancel jobs while nobody controls the cell."""
     name = day.world.find_controller()
@@ -332,48 +276,16 @@
 
 
 async def _judge(day: Day, seed: int) -> Verdict:
-    customers = day.customers
+    customers, history = day.customers, day.world.history
     verdict = Verdict(seed, faults=day.faults, accepted=len(customers.accepted))
-    for job_id in sorted(customers.accepted):
-        status = await customers.ask(job_id)
-        if status == JobStatus.COMPLETE.value:
-            verdict.complete += 1
-        elif not _is_explained(day, job_id, status):
-            verdict.unfinished.append(f"{job_id}: {status}")
-    verdict.breaches = check_history(day.world.history)
-    verdict.breaches += _check_left_running(day)
+    verdict.unfinished = await find_unfinished(customers, history)
+    verdict.complete = count_complete(history)
+    verdict.breaches = check_history(history)
+    verdict.breaches += find_left_running(customers, day.world.fleet)
     verdict.logs = [(name, log.getvalue()) for name, log in day.world.logs]
     return verdict
 
 
-def _check_left_running(day: Day) -> list[Breach]:
-    """Nothing of a cancelled job runs on, long after the last fault."""
-    return [
-        Breach("cancelled", run.task_id, f"still on {worker.id}")
-        for worker in day.world.fleet.workers_by_id.values()
-        for run in worker.runs.values()
-        if run.task_id.partition(".")[0] in day.customers.cancelled
-        and run.task_id.partition(".")[0] in day.customers.accepted
-    ]
-
-
-def _is_explained(day: Day, job_id, status: str) -> bool:  # type: ignore[no-untyped-def]
-    """Tell whether an end other than complete, or none, is right for a job."""
-    spec = day.world.history.specs_by_id[job_id]
-    if status == JobStatus.CANCELLED.value:
-        return job_id in day.customers.cancelled
-    if any(step.long_running for step in spec.steps):
-        return status == JobStatus.ACTIVE.value
-    if status != JobStatus.FAILED.value:
-        return False
-    most = day.world.history.max_attempts_by_id[job_id]
-    failures: dict[str, int] = {}
-    for run in day.world.history.runs:
-        if run.task_id.startswith(job_id) and run.end is RunEnd.FAILED:
-            failures[run.task_id] = failures.get(run.task_id, 0) + 1
-    return max(failures.values(), default=0) >= most
-
-
 __all__ = [
     "FAULTS",
     "FaultTable",
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/platform_world/faults.py
@@ -0,0 +1,149 @@
+"""Faults of the emulated platform itself; entry VMs' own are their driver's."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from medlarspring_bench.platform_world.weather import StoreMood
+from medlarspring_bench.platform_world.worker_model import Temper
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from medlarspring_bench.platform_world.fleet_model import FleetModel
+    from medlarspring_bench.platform_world.weather import Weather
+    from medlarspring_tables import VMId
+
+MIN_VMS = 8
+"""VMs that are left in any case."""
+
+
+class StruckPlatform(Protocol):
+    """The platform that a fault befalls."""
+
+    @property
+    def weather(self) -> Weather:
+        """What is out of order at present."""
+        ...
+
+    @property
+    def fleet(self) -> FleetModel:
+        """VMs and workers."""
+        ...
+
+    def order_wave(
+        self, number: int, vms: Sequence[str], most: int, seconds: int
+    ) -> None:
+        """Order maintenance."""
+        ...
+
+    def forget_history(self) -> None:
+        """Drop the store's history."""
+        ...
+
+
+class Scene(Protocol):
+    """What a fault needs of the day on which it strikes."""
+
+    @property
+    def world(self) -> StruckPlatform:
+        """The platform."""
+        ...
+
+    @property
+    def rng(self) -> random.Random:
+        """Source of all that is drawn."""
+        ...
+
+    def choose_vm(self) -> VMId:
+        """Return a VM."""
+        ...
+
+
+async def take_store_down(scene: Scene) -> None:
+    """Let the store answer nobody."""
+    mood = scene.rng.choice((StoreMood.BUSY, StoreMood.SILENT))
+    scene.world.weather.store_mood = mood
+    await asyncio.sleep(scene.rng.uniform(1.0, 5.0))
+    scene.world.weather.store_mood = StoreMood.WELL
+
+
+async def pause_store(scene: Scene) -> None:
+    """Let the store answer nobody, and its leases stand still meanwhile."""
+    scene.world.weather.leases_pause = True
+    await take_store_down(scene)
+    scene.world.weather.leases_pause = False
+
+
+async def slow_store(scene: Scene) -> None:
+    """Let the store answer late."""
+    scene.world.weather.store_seconds = 0.2
+    await asyncio.sleep(scene.rng.uniform(1.0, 5.0))
+    scene.world.weather.store_seconds = 0.004
+
+
+async def lose_replies(scene: Scene) -> None:
+    """Lose the answers to some writes, some of which come late."""
+    scene.world.weather.lost_replies = 0.35
+    scene.world.weather.late_writes = scene.rng.choice((0.0, 0.5))
+    await asyncio.sleep(scene.rng.uniform(1.0, 5.0))
+    scene.world.weather.lost_replies = 0.0
+
+
+async def forget_history(scene: Scene) -> None:
+    """Drop the store's history; watches are cut."""
+    scene.world.forget_history()
+
+
+async def crash_worker(scene: Scene) -> None:
+    """End a worker without notice."""
+    scene.world.fleet.crash(scene.choose_vm(), scene.rng.uniform(1.0, 6.0))
+
+
+async def drain_worker(scene: Scene) -> None:
+    """Let a worker leave after its notice."""
+    scene.world.fleet.drain(scene.choose_vm(), scene.rng.uniform(2.0, 6.0))
+
+
+async def spoil_worker(scene: Scene) -> None:
+    """Let a worker fail or keep all that it starts."""
+    vm = scene.world.fleet.vms_by_id[scene.choose_vm()]
+    worker = vm.worker
+    if worker is None:
+        return
+    worker.temper = scene.rng.choice((Temper.FAILING, Temper.HANGING))
+    await asyncio.sleep(scene.rng.uniform(2.0, 6.0))
+    worker.temper = Temper.SOUND
+
+
+async def order_wave(scene: Scene) -> None:
+    """Order maintenance of half of the VMs."""
+    vms = [vm for vm in scene.world.fleet.vms_by_id if scene.rng.random() < 0.5]  # noqa: PLR2004
+    if vms:
+        number = len(scene.world.fleet.waves) + 1
+        scene.world.order_wave(number, vms, scene.rng.randint(1, 4), 25)
+
+
+async def remove_worker(scene: Scene) -> None:
+    """End a VM for good, without notice."""
+    if len(scene.world.fleet.vms_by_id) > MIN_VMS:
+        scene.world.fleet.remove(scene.choose_vm())
+
+
+__all__ = [
+    "MIN_VMS",
+    "Scene",
+    "StruckPlatform",
+    "crash_worker",
+    "drain_worker",
+    "forget_history",
+    "lose_replies",
+    "order_wave",
+    "pause_store",
+    "remove_worker",
+    "slow_store",
+    "spoil_worker",
+    "take_store_down",
+]
--- a/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
@@ -63,8 +63,10 @@
         history: History,
         standby_pools: set[PoolId],
         find_facts: Callable[[str], TaskFacts | None],
+        find_address: Callable[[VMId], str] = lambda vm_id: f"worker-of-{vm_id}",
     ) -> None:
         self._state = state
+        self._find_address = find_address
         self._clock = clock
         self._rng = rng
         self._history = history
@@ -209,7 +211,7 @@
             vm_id=vm.id,
             pool_id=vm.pool_id,
             rack=vm.rack,
-            address=f"worker-{number}",
+            address=self._find_address(vm.id),
             room=vm.room,
             labels=("a", vm.rack),
             find_facts=self._find_facts,
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/platform_world/plans.py
@@ -0,0 +1,116 @@
+"""Size and shape of an emulated installation, and its configuration."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from medlarspring_bench.key_value_ops import PutOp
+from medlarspring_tables.scheduling import Room
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from medlarspring_bench.key_value_state import KeyValueState
+    from medlarspring_bench.platform_world.fleet_model import FleetModel
+
+STANDBY_POOL = "spare"
+HOST = "jobs.example"
+
+
+@dataclass(frozen=True, slots=True)
+class QueuePlan:
+    """A queue of the emulated installation."""
+
+    name: str
+    pool: str
+    max_attempts: int = 3
+    stretch: float = 1.6
+    allowance_ms: int = 600
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WorldPlan:
+    """Size and shape of an installation."""
+
+    nodes: int = 3
+    pools: tuple[str, ...] = ("consent", "survey")
+    vms_per_pool: int = 4
+    standby_vms: int = 3
+    zones: int = 2
+    room: Room = Room(16_000, 32_768, 0)
+    queues: tuple[QueuePlan, ...] = (
+        QueuePlan("lookup", "consent"),
+        QueuePlan("check", "survey"),
+        QueuePlan("archive", "consent", max_attempts=2),
+    )
+
+    def list_vm_ids(self) -> list[str]:
+        """Return the ids of all VMs, those of the pools first."""
+        count = len(self.pools) * self.vms_per_pool + self.standby_vms
+        return [f"m-{number:03d}" for number in range(count)]
+
+
+def write_operator_config(
+    plan: WorldPlan, version: int, dropped: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    """Return the operator's configuration as the platform spells it."""
+    routes = [
+        {
+            "name": queue.name,
+            "host": HOST,
+            "prefix": f"/{queue.name}/",
+            "service": queue.pool,
+            "priority": queue.priority,
+            "maxAttempts": queue.max_attempts,
+            "stretch": queue.stretch,
+            "targetDurationMs": queue.allowance_ms,
+        }
+        for queue in plan.queues
+        if queue.name not in dropped
+    ]
+    services: list[dict[str, Any]] = [{"name": pool} for pool in plan.pools]
+    services.append({"name": STANDBY_POOL, "standby": True})
+    return {"version": version, "routes": routes, "services": services}
+
+
+def add_vms(plan: WorldPlan, fleet: FleetModel) -> None:
+    """Boot the VMs of a plan; zones take turns, a rack has four."""
+    for number, vm_id in enumerate(plan.list_vm_ids()):
+        zone = number % plan.zones
+        pool_number = number // plan.vms_per_pool
+        is_pooled = pool_number < len(plan.pools)
+        pool = plan.pools[pool_number] if is_pooled else STANDBY_POOL
+        fleet.add_vm(vm_id, f"zone-{zone}", f"r{zone}-{number // 4}", pool, plan.room)
+
+
+def order_wave(
+    state: KeyValueState,
+    fleet: FleetModel,
+    number: int,
+    vms: Sequence[str],
+    most: int,
+    seconds: int,
+) -> None:
+    """Order maintenance, as the operator does."""
+    fleet.waves[str(number)] = (set(vms), most)
+    order = {
+        "wave": number,
+        "machines": list(vms),
+        "deadlineS": seconds,
+        "maxCount": most,
+    }
+    state.apply(PutOp(f"op/wave/{number}".encode(), json.dumps(order).encode()))
+
+
+__all__ = [
+    "HOST",
+    "STANDBY_POOL",
+    "QueuePlan",
+    "WorldPlan",
+    "add_vms",
+    "order_wave",
+    "write_operator_config",
+]
--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -20,7 +20,11 @@
 )
 from medlarspring_bench.memory_store import MemoryStore
 from medlarspring_bench.platform_world.virtual_time import spawn_apart
-from medlarspring_bench.platform_world.weather import StoreMood, Weather
+from medlarspring_bench.platform_world.weather import (
+    LATE_SECONDS,
+    StoreMood,
+    Weather,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -31,7 +35,6 @@
 
 LINK_SECONDS = 0.0015
 TIMEOUT_SECONDS = 0.3
-LATE_SECONDS = (0.5, 4.0)
 RETRY_SECONDS = 0.2
 T = TypeVar("T")
 
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/platform_world/verdicts.py
@@ -0,0 +1,72 @@
+"""What is left over at the end of a day: jobs without an end, tasks without a job."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_bench.platform_world.checks import Breach
+from medlarspring_bench.platform_world.history import CallKind
+from medlarspring_daemon.scheduling.intake import JobStatus
+from medlarspring_tables.scheduling import RunEnd
+
+if TYPE_CHECKING:
+    from medlarspring_bench.platform_world.customers import Customers
+    from medlarspring_bench.platform_world.fleet_model import FleetModel
+    from medlarspring_bench.platform_world.history import History
+    from medlarspring_tables import JobId
+
+
+async def find_unfinished(customers: Customers, history: History) -> list[str]:
+    """Return the accepted jobs whose status nothing explains, each with it."""
+    unfinished: list[str] = []
+    for job_id in sorted(customers.accepted):
+        status = await customers.ask(job_id)
+        if not _is_explained(customers, history, job_id, status):
+            unfinished.append(f"{job_id}: {status}")
+    return unfinished
+
+
+def count_complete(history: History) -> int:
+    """Return how many jobs a customer was told are complete."""
+    return len(
+        {
+            call.job_id
+            for call in history.calls
+            if call.kind is CallKind.STATUS and call.answer == JobStatus.COMPLETE.value
+        }
+    )
+
+
+def find_left_running(customers: Customers, fleet: FleetModel) -> list[Breach]:
+    """Nothing of a cancelled job runs on, long after the last fault."""
+    return [
+        Breach("cancelled", run.task_id, f"still on {worker.id}")
+        for worker in fleet.workers_by_id.values()
+        for run in worker.runs.values()
+        if run.task_id.partition(".")[0] in customers.cancelled
+        and run.task_id.partition(".")[0] in customers.accepted
+    ]
+
+
+def _is_explained(
+    customers: Customers, history: History, job_id: JobId, status: str
+) -> bool:
+    """Tell whether a status is right for a job when all is over."""
+    if status == JobStatus.COMPLETE.value:
+        return True
+    spec = history.specs_by_id[job_id]
+    if status == JobStatus.CANCELLED.value:
+        return job_id in customers.cancelled
+    if any(step.long_running for step in spec.steps):
+        return status == JobStatus.ACTIVE.value
+    if status != JobStatus.FAILED.value:
+        return False
+    most = history.max_attempts_by_id[job_id]
+    failures: dict[str, int] = {}
+    for run in history.runs:
+        if run.task_id.startswith(job_id) and run.end is RunEnd.FAILED:
+            failures[run.task_id] = failures.get(run.task_id, 0) + 1
+    return max(failures.values(), default=0) >= most
+
+
+__all__ = ["count_complete", "find_left_running", "find_unfinished"]
--- a/packages/bench/src/medlarspring_bench/platform_world/weather.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/weather.py
@@ -13,6 +13,10 @@
     from medlarspring_tables import Seconds
 
 
+LATE_SECONDS = (0.5, 4.0)
+"""When calls that got no answer are carried out, if late."""
+
+
 class StoreMood(Enum):
     """How the store answers a node."""
 
@@ -67,4 +71,4 @@
             await asyncio.Event().wait()
 
 
-__all__ = ["StoreMood", "Weather"]
+__all__ = ["LATE_SECONDS", "StoreMood", "Weather"]
--- a/packages/bench/src/medlarspring_bench/platform_world/world.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/world.py
@@ -7,7 +7,6 @@
 import io
 import json
 import random
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from medlarspring_adapters.events import create_event_log
@@ -17,13 +16,20 @@
 from medlarspring_bench.platform_world.calls import SimulatedLifecycle, SimulatedOrders
 from medlarspring_bench.platform_world.fleet_model import FleetModel
 from medlarspring_bench.platform_world.history import History
+from medlarspring_bench.platform_world.plans import (
+    STANDBY_POOL,
+    WorldPlan,
+    add_vms,
+    order_wave,
+    write_operator_config,
+)
 from medlarspring_bench.platform_world.store import SimulatedStore
 from medlarspring_bench.platform_world.weather import StoreMood, Weather
 from medlarspring_daemon.scheduling.context import SchedulingNode
 from medlarspring_daemon.scheduling.service import create_scheduling_service
 from medlarspring_platform.operator_records import PlatformCodec
 from medlarspring_tables import EntryVMId, PoolId
-from medlarspring_tables.scheduling import FleetLimits, Room
+from medlarspring_tables.scheduling import FleetLimits
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -36,41 +42,10 @@
 LEASE_TICK_SECONDS = 0.05
 RUN_TICK_SECONDS = 0.02
 RESTART_SECONDS = 0.5
-STANDBY_POOL = "spare"
-HOST = "jobs.example"
 
 _owner: contextvars.ContextVar[int] = contextvars.ContextVar("owner", default=0)
 
 
-@dataclass(frozen=True, slots=True)
-class QueuePlan:
-    """A queue of the emulated installation."""
-
-    name: str
-    pool: str
-    max_attempts: int = 3
-    stretch: float = 1.6
-    allowance_ms: int = 600
-    priority: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class WorldPlan:
-    """Size and shape of an installation."""
-
-    nodes: int = 3
-    pools: tuple[str, ...] = ("consent", "survey")
-    vms_per_pool: int = 4
-    standby_vms: int = 3
-    zones: int = 2
-    room: Room = Room(16_000, 32_768, 0)
-    queues: tuple[QueuePlan, ...] = (
-        QueuePlan("lookup", "consent"),
-        QueuePlan("check", "survey"),
-        QueuePlan("archive", "consent", max_attempts=2),
-    )
-
-
 class Node:
     """One process on one entry VM."""
 
@@ -114,7 +89,7 @@
         """Write the configuration, boot the VMs and start all nodes."""
         asyncio.get_running_loop().set_task_factory(self._create_task)
         self.write_config()
-        self._add_vms()
+        add_vms(self.plan, self.fleet)
         self._background = [
             asyncio.ensure_future(self._expire_leases()),
             asyncio.ensure_future(self._advance_workers()),
@@ -132,43 +107,14 @@
     def write_config(self, dropped: tuple[str, ...] = ()) -> None:
         """Write a newer configuration, as the operator does."""
         self._config_version += 1
-        routes = [
-            {
-                "name": queue.name,
-                "host": HOST,
-                "prefix": f"/{queue.name}/",
-                "service": queue.pool,
-                "priority": queue.priority,
-                "maxAttempts": queue.max_attempts,
-                "stretch": queue.stretch,
-                "targetDurationMs": queue.allowance_ms,
-            }
-            for queue in self.plan.queues
-            if queue.name not in dropped
-        ]
-        services: list[dict[str, object]] = [{"name": pool} for pool in self.plan.pools]
-        services.append({"name": STANDBY_POOL, "standby": True})
-        config = {
-            "version": self._config_version,
-            "routes": routes,
-            "services": services,
-        }
+        config = write_operator_config(self.plan, self._config_version, dropped)
         self.state.apply(PutOp(b"op/config", json.dumps(config).encode()))
 
     def order_wave(
         self, number: int, vms: Sequence[str], most: int, seconds: int
     ) -> None:
         """Order maintenance, as the operator does."""
-        self.fleet.waves[str(number)] = (set(vms), most)
-        order = {
-            "wave": number,
-            "machines": list(vms),
-            "deadlineS": seconds,
-            "maxCount": most,
-        }
-        self.state.apply(
-            PutOp(f"op/wave/{number}".encode(), json.dumps(order).encode())
-        )
+        order_wave(self.state, self.fleet, number, vms, most, seconds)
 
     def read_wave_state(self, number: int) -> str:
         """Return what the system told the operator of a wave."""
@@ -288,20 +234,5 @@
                     worker.advance(now)
             await asyncio.sleep(RUN_TICK_SECONDS)
 
-    def _add_vms(self) -> None:
-        number = 0
-        for pool in self.plan.pools:
-            for _ in range(self.plan.vms_per_pool):
-                self._add_vm(number, pool)
-                number += 1
-        for _ in range(self.plan.standby_vms):
-            self._add_vm(number, STANDBY_POOL)
-            number += 1
-
-    def _add_vm(self, number: int, pool: str) -> None:
-        zone = number % self.plan.zones
-        rack = f"r{zone}-{number // 4}"
-        self.fleet.add_vm(f"m-{number:03d}", f"zone-{zone}", rack, pool, self.plan.room)
-
 
-__all__ = ["HOST", "STANDBY_POOL", "Node", "QueuePlan", "World", "WorldPlan"]
+__all__ = ["Node", "World"]
--- a/packages/bench/src/medlarspring_bench/standins/server.py
+++ b/packages/bench/src/medlarspring_bench/standins/server.py
@@ -80,7 +80,7 @@
     """An application behind one gate per name."""
 
     def __init__(self, app: web.Application, gate_names: Iterable[str]) -> None:
-        app.middlewares.append(apply_faults)
+        app.middlewares.insert(0, apply_faults)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
         self.gates_by_name = {
             name: Gate(name, self._make_protocol) for name in gate_names
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -38,6 +38,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from medlarspring_adapters.store import Listing
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.directory import Directory
     from medlarspring_daemon.scheduling.election import Tenure
@@ -115,10 +116,8 @@
     async def _take_over(self) -> None:
         """Read what is recorded, then follow the inbox and the workers."""
         began_at = self._node.clock.now()
-        progress = await self._read_until(self._tenure.keys.progress_prefix)
-        if progress is None:
-            return
         prefix = self._tenure.keys.progress_prefix
+        progress = await self._read_until(prefix)
         records = {entry.key.removeprefix(prefix): entry for entry in progress.entries}
         feed = JobFeed(self._node, self._tenure, self, records)
         workers = WorkerFeed(self._node, self)
@@ -157,13 +156,17 @@
             self._tasks.keep(desk.run)
         self.plan_all()
 
-    async def _read_until(self, prefix: str):  # type: ignore[no-untyped-def]
-        while self._tenure.holds():
+    async def _read_until(self, prefix: str) -> Listing:
+        """Read a prefix, through an outage of the store if need be.
+
+        The key may outlive an outage in which leases stand still. A controller
+        that had stopped reading would then hold the cell and do nothing for it.
+        """
+        while True:
             listing = await self._node.store.read_prefix(prefix)
             if is_successful(listing):
                 return listing.unwrap()
             await asyncio.sleep(LOAD_RETRY_SECONDS)
-        return None
 
     # What the feeds tell
 
--- a/packages/daemon/tests/scheduling/test_intake.py
+++ b/packages/daemon/tests/scheduling/test_intake.py
@@ -9,9 +9,10 @@
 from returns.pipeline import is_successful
 
 from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.plans import HOST, WorldPlan
 from medlarspring_bench.platform_world.virtual_time import run_virtual
 from medlarspring_bench.platform_world.weather import StoreMood
-from medlarspring_bench.platform_world.world import HOST, World, WorldPlan
+from medlarspring_bench.platform_world.world import World
 from medlarspring_daemon.scheduling.intake_errors import NotReady, OutcomeUnknown
 
 if TYPE_CHECKING:
--- a/packages/daemon/tests/scheduling/test_takeover.py
+++ b/packages/daemon/tests/scheduling/test_takeover.py
@@ -7,9 +7,10 @@
 
 from medlarspring_bench.platform_world.checks import check_history
 from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.plans import WorldPlan
 from medlarspring_bench.platform_world.virtual_time import run_virtual
 from medlarspring_bench.platform_world.weather import StoreMood
-from medlarspring_bench.platform_world.world import World, WorldPlan
+from medlarspring_bench.platform_world.world import World
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -220,3 +221,27 @@
         await wait_for_end(customers, jobs)
 
     play(story)
+
+
+def test_takeover_that_an_outage_interrupts_goes_on_after_it():
+    """
+    A candidate wins the cell and the store falls silent before the records are
+    read; leases stand still meanwhile. When the store is back the key is still
+    the candidate's, so nobody else takes over: jobs wait without end unless the
+    candidate reads on.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        jobs = await submit(customers)
+        first = world.find_controller()
+        assert first is not None
+        world.kill_node(first)
+        while world.find_controller() is None:
+            await asyncio.sleep(0.001)
+        world.weather.leases_pause = True
+        world.weather.store_mood = StoreMood.BUSY
+        await asyncio.sleep(4.0)
+        world.weather.store_mood = StoreMood.WELL
+        await wait_for_end(customers, jobs)
+
+    play(story)
--- a/packages/platform/src/medlarspring_platform/launcher.py
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -68,18 +68,16 @@
         self._node = self._create_node()
         self._service: SchedulingService = create_scheduling_service(self._node)
         self._front = JobsFront(self._service)
-        await self._serve(self._front.handle_readiness, self._settings.readiness)
-        await self._serve(self._front.handle, self._settings.frontend)
+        readiness = await self._serve(
+            self._front.handle_readiness, self._settings.readiness
+        )
+        caller = await self._serve(self._front.handle, self._settings.frontend)
         await self._serve_metrics()
         await self._service.start()
         self._reports = asyncio.create_task(self._report_left_out())
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._log.info(
-            Event.LISTENING,
-            caller=self._settings.frontend,
-            readiness=self._settings.readiness,
-        )
+        self._log.info(Event.LISTENING, caller=caller, readiness=readiness)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Hand over, serve until the balancer has noticed, then finish."""
@@ -154,13 +152,16 @@
             peer_address=f"{settings.inner_host}:{settings.inner_port}",
         )
 
-    async def _serve(self, handler, address: str) -> None:  # type: ignore[no-untyped-def]
+    async def _serve(self, handler, address: str) -> str:  # type: ignore[no-untyped-def]
+        """Open a port and return its address; port 0 lets the kernel choose."""
         host, _, port = address.rpartition(":")
         server = web.Server(handler, access_log=None, keepalive_timeout=IDLE_SECONDS)
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
         await runner.setup()
         await web.TCPSite(runner, host, int(port)).start()
         self._runners.append(runner)
+        bound_host, bound_port = runner.addresses[0][:2]
+        return f"{bound_host}:{bound_port}"
 
     async def _close_clients(self) -> None:
         await self._store.close()
