Let sizes count while a pool is overloaded, and reserves yield to work

Second cause: with standby empty, a quarter of the fleet stood by in other pools. What works or waits now goes before what pools keep in reserve (test fails without it).

--- a/packages/bench/src/medlarspring_bench/measure/__main__.py
+++ b/packages/bench/src/medlarspring_bench/measure/__main__.py
@@ -14,6 +14,7 @@
     jobs,
     requests,
     table_edits,
+    turn_overload,
 )
 
 AREAS = {
@@ -22,6 +23,7 @@
     "jobs": jobs.main,
     "configuration": lambda: configuration.main([]),
     "table_edits": table_edits.main,
+    "turns": turn_overload.main,
 }
 
 
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/measure/turn_overload.py
@@ -0,0 +1,340 @@
+"""A queue's turn that asks for more than its pool holds, replayed in virtual time.
+
+Jobs of one queue come for four seconds at a rate beyond the pool's processors, with
+sizes, durations and estimates as wrong as customers' are. The product's own tables
+and rounds place them; workers are sound and take each task's true duration. What is
+compared is the order of the steps: ``python -m medlarspring_bench.measure turns``.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.jobs import (
+    admit_job,
+    forget_job,
+    open_due_occurrences,
+)
+from medlarspring_systems.scheduling.ordering import rank_step
+from medlarspring_systems.scheduling.rounds import plan_round
+from medlarspring_systems.scheduling.runs import end_run
+from medlarspring_systems.scheduling.workers import take_entry
+from medlarspring_tables import JobId, PoolId, RackId, Revision, VMId, ZoneId
+from medlarspring_tables.scheduling import (
+    JobOutcome,
+    JobRecord,
+    JobSpec,
+    OperatorConfig,
+    PoolPolicy,
+    QueueId,
+    QueuePolicy,
+    Room,
+    RunEnd,
+    RunState,
+    StepSpec,
+    WorkerCondition,
+    WorkerEntry,
+    WorkerId,
+    WorkTables,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_systems.scheduling.ordering import Rank
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import Run, StepRun
+
+    RankRule = Callable[[StepRun, Seconds, float], Rank]
+
+POOL = PoolId("consent")
+QUEUE = QueuePolicy(
+    id=QueueId("lookup"),
+    pool_id=POOL,
+    max_attempts=3,
+    stretch=1.6,
+    allowance_ms=600,
+)
+VM_ROOM = Room(32_000, 65_536, 0)
+TURN_SECONDS = 4.0
+SETTLE_SECONDS = 12.0
+"""After the turn; jobs that end later are of no use to anybody."""
+TICK_SECONDS = 0.015
+ORDER_SECONDS = 0.03
+"""From a decision to the start on the worker."""
+LATE_WORTH = 0.07
+"""Part of a job's worth that is left up to three times its objective."""
+LATE_FACTOR = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """A quantity that spreads log-normally, up to a limit."""
+
+    mean: float
+    spread: float
+    most: float
+
+    def draw(self, rng: random.Random) -> float:
+        """Draw a value."""
+        sigma = math.sqrt(math.log(1.0 + self.spread**2))
+        drawn = rng.lognormvariate(math.log(self.mean) - sigma**2 / 2.0, sigma)
+        return min(drawn, self.most)
+
+
+@dataclass(frozen=True, slots=True)
+class JobKind:
+    """What the jobs of a queue are like."""
+
+    steps: Spread
+    width: Spread
+    seconds: Spread
+    cores: Spread
+    memory_mb: Spread
+    uneven: float
+    """Spread of the tasks of one step, as a standard deviation of logarithms."""
+    estimate_error: float
+    """The same of estimates against true durations."""
+
+
+SHORT_JOBS = JobKind(
+    steps=Spread(1.6, 0.4, 4.0),
+    width=Spread(8.0, 0.6, 32.0),
+    seconds=Spread(0.64, 0.5, 1.6),
+    cores=Spread(3.1, 0.45, 9.3),
+    memory_mb=Spread(4_400.0, 0.6, 13_000.0),
+    uneven=0.15,
+    estimate_error=0.5,
+)
+LONG_JOBS = JobKind(
+    steps=Spread(2.0, 0.4, 4.0),
+    width=Spread(8.0, 0.6, 32.0),
+    seconds=Spread(2.1, 0.5, 5.2),
+    cores=Spread(6.7, 0.45, 20.0),
+    memory_mb=Spread(9_600.0, 0.6, 29_000.0),
+    uneven=0.3,
+    estimate_error=0.2,
+)
+
+
+@dataclass(slots=True)
+class TrueJob:
+    """What only the replay knows of a job."""
+
+    came_at: Seconds
+    seconds: list[list[Seconds]]
+    """True durations by step and task."""
+    objective: Seconds
+    work: float
+    """Core-seconds."""
+    took: Seconds | None = None
+
+    @property
+    def served(self) -> float:
+        """What is left of the job's worth when it ends."""
+        if self.took is None or self.took > LATE_FACTOR * self.objective:
+            return 0.0
+        return 1.0 if self.took <= self.objective else LATE_WORTH
+
+
+@dataclass(frozen=True, slots=True)
+class TurnOutcome:
+    """What came of a turn."""
+
+    jobs: int
+    in_time: float
+    """Part of the jobs that ended within their objective."""
+    worth: float
+    """Part of the worth that was earned; a job's worth grows with its work."""
+    largest: float
+    """What the largest tenth of the jobs earned, each counted alike."""
+
+
+@dataclass(slots=True)
+class Replay:
+    """One turn while it is replayed."""
+
+    kind: JobKind
+    rng: random.Random
+    tables: WorkTables
+    jobs_by_id: dict[JobId, TrueJob] = field(default_factory=dict)
+    ends: list[tuple[Seconds, int, Run]] = field(default_factory=list)
+
+    def add_job(self, number: int, came_at: Seconds, now: Seconds) -> None:
+        """Let a job come."""
+        count = max(round(self.kind.steps.draw(self.rng)), 1)
+        usual = self.kind.seconds.draw(self.rng)
+        steps = tuple(self._draw_step(index, usual) for index in range(count))
+        true = [self._draw_seconds(step, usual) for step in steps]
+        job_id = JobId(f"{number:016x}")
+        record = JobRecord(
+            queue=QUEUE,
+            accepted_at_ms=round(came_at * 1_000),
+            spec=JobSpec(payload="", steps=steps),
+        )
+        chain = sum(max(seconds) for seconds in true)
+        work = sum(
+            sum(seconds) * step.cpu_millis / 1_000.0
+            for seconds, step in zip(true, steps, strict=True)
+        )
+        objective = QUEUE.stretch * chain + QUEUE.allowance_ms / 1_000.0
+        self.jobs_by_id[job_id] = TrueJob(came_at, true, objective, work)
+        job = admit_job(self.tables, job_id, record, Revision(1))
+        open_due_occurrences(self.tables, job, now, now * 1_000)
+
+    def _draw_step(self, index: int, usual: Seconds) -> StepSpec:
+        error = math.exp(self.rng.gauss(0.0, self.kind.estimate_error))
+        return StepSpec(
+            count=max(round(self.kind.width.draw(self.rng)), 1),
+            cpu_millis=round(self.kind.cores.draw(self.rng) * 1_000),
+            memory_mb=round(self.kind.memory_mb.draw(self.rng)),
+            estimate_ms=round(usual * error * 1_000),
+            after=(index - 1,) if index else (),
+        )
+
+    def _draw_seconds(self, step: StepSpec, usual: Seconds) -> list[Seconds]:
+        return [
+            usual * math.exp(self.rng.gauss(0.0, self.kind.uneven))
+            for _ in range(step.count)
+        ]
+
+    def start(self, run: Run, now: Seconds) -> None:
+        """Carry a start out."""
+        step = run.task.step
+        run.state = RunState.RUNNING
+        run.confirmed_at = now + ORDER_SECONDS
+        true = self.jobs_by_id[step.job.id].seconds[step.index][run.task.index]
+        entry = (run.confirmed_at + true, id(run), run)
+        heapq.heappush(self.ends, entry)
+
+    def end_due(self, now: Seconds) -> None:
+        """Take over what has ended by now."""
+        while self.ends and self.ends[0][0] <= now:
+            run = heapq.heappop(self.ends)[2]
+            end_run(self.tables, run, RunEnd.DONE, "", now)
+            job = run.task.step.job
+            if job.outcome is JobOutcome.COMPLETE:
+                true = self.jobs_by_id[job.id]
+                true.took = now - true.came_at
+                forget_job(self.tables, job, now)
+
+
+def rank_by_latest_start(step: StepRun, now: Seconds, _: float) -> Rank:
+    """Return the rank that the product gave before sizes counted."""
+    return rank_step(step, now, 0.0)
+
+
+def replay_turn(
+    kind: JobKind,
+    seed: int,
+    vms: int,
+    jobs_per_second: float,
+    rule: RankRule = rank_step,
+) -> TurnOutcome:
+    """Replay one turn over a pool of ``vms`` VMs."""
+    rng = random.Random(seed)
+    replay = Replay(kind, rng, _create_tables(vms))
+    came_at = rng.expovariate(jobs_per_second)
+    ticks = round((TURN_SECONDS + SETTLE_SECONDS) / TICK_SECONDS)
+    number = 0
+    for tick in range(ticks):
+        now = tick * TICK_SECONDS
+        while came_at <= min(now, TURN_SECONDS):
+            replay.add_job(number, came_at, now)
+            number += 1
+            came_at += rng.expovariate(jobs_per_second)
+        replay.end_due(now)
+        for run in plan_round(replay.tables, POOL, now, rule):
+            replay.start(run, now)
+    return _judge(list(replay.jobs_by_id.values()))
+
+
+def _create_tables(vms: int) -> WorkTables:
+    config = OperatorConfig(
+        version=1,
+        pools_by_id={POOL: PoolPolicy(POOL)},
+        queues_by_id={QUEUE.id: QUEUE},
+    )
+    tables = WorkTables(config=config)
+    for number in range(vms):
+        entry = WorkerEntry(
+            id=WorkerId(f"i-{number}"),
+            vm_id=VMId(f"m-{number}"),
+            pool_id=POOL,
+            zone_id=ZoneId("zone-a"),
+            address="127.0.0.1:1",
+            condition=WorkerCondition.READY,
+            room=VM_ROOM,
+            labels=(),
+            rack_id=RackId(f"r1-{number // 8}"),
+            clock_ms=0,
+        )
+        worker = take_entry(tables, entry, 0.0)
+        assert worker is not None
+        worker.settled = True
+    return tables
+
+
+def _judge(jobs: list[TrueJob]) -> TurnOutcome:
+    mean = sum(job.work for job in jobs) / len(jobs)
+    owed = earned = 0.0
+    for job in jobs:
+        worth = min(0.3 + 0.7 * job.work / mean, 4.0)
+        owed += worth
+        earned += worth * job.served
+    largest = sorted(jobs, key=lambda job: job.work)[-max(len(jobs) // 10, 1) :]
+    return TurnOutcome(
+        jobs=len(jobs),
+        in_time=sum(job.served == 1.0 for job in jobs) / len(jobs),
+        worth=earned / owed,
+        largest=sum(job.served for job in largest) / len(largest),
+    )
+
+
+CASES = (
+    ("short jobs, 1.0 of the pool", SHORT_JOBS, 100.0),
+    ("short jobs, 1.5 of the pool", SHORT_JOBS, 150.0),
+    ("short jobs, 2.2 of the pool", SHORT_JOBS, 220.0),
+    ("long jobs, 1.0 of the pool", LONG_JOBS, 24.0),
+    ("long jobs, 1.7 of the pool", LONG_JOBS, 40.0),
+)
+VMS = 60
+SEEDS = range(4)
+
+
+def main() -> None:
+    """Print what each order earns of the replayed turns."""
+    rules: tuple[tuple[str, RankRule], ...] = (
+        ("latest start alone", rank_by_latest_start),
+        ("latest start and size", rank_step),
+    )
+    for title, kind, rate in CASES:
+        print(title)
+        for name, rule in rules:
+            outcomes = [replay_turn(kind, seed, VMS, rate, rule) for seed in SEEDS]
+            count = len(outcomes)
+            in_time = sum(each.in_time for each in outcomes) / count
+            worth = sum(each.worth for each in outcomes) / count
+            largest = sum(each.largest for each in outcomes) / count
+            print(
+                f"  {name:24} in time {in_time:.3f}  worth {worth:.3f}"
+                f"  largest tenth {largest:.3f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
+
+
+__all__ = [
+    "LONG_JOBS",
+    "SHORT_JOBS",
+    "TurnOutcome",
+    "main",
+    "rank_by_latest_start",
+    "replay_turn",
+]
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -94,6 +94,8 @@
     """How many VMs a pool needs, and what that is made of."""
 
     vms: int
+    busy_vms: int = 0
+    """How many of them its present work needs; the rest are kept for what may come."""
     lasting_millis: float = 0.0
     """Millicores of long-running tasks."""
     incoming_millis: float = 0.0
--- a/packages/systems/src/medlarspring_systems/scheduling/jobs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/jobs.py
@@ -5,7 +5,10 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.demand import note_arrival, note_slack
-from medlarspring_systems.scheduling.estimates import find_critical_paths
+from medlarspring_systems.scheduling.estimates import (
+    expect_seconds,
+    find_critical_paths,
+)
 from medlarspring_tables.scheduling import (
     ActiveJob,
     JobOutcome,
@@ -97,7 +100,9 @@
             for number in range(spec.count)
         ]
         step.waiting = list(step.tasks)
+        step.expected = expect_seconds(tables, job.queue.id, spec)
         steps.append(step)
+    _sum_remaining_work(steps)
     job.occurrences_by_index[occurrence] = steps
     note_arrival(tables, steps, now)
     note_slack(tables, steps, objective - max(paths))
@@ -105,6 +110,16 @@
     return steps
 
 
+def _sum_remaining_work(steps: list[StepRun]) -> None:
+    """Note for each step what is left to do from its start on."""
+    remaining = 0.0
+    for step in reversed(steps):
+        if not step.spec.long_running:
+            cores = step.room.cpu_millis / 1_000.0
+            remaining += step.spec.count * cores * step.expected
+        step.remaining_work = remaining
+
+
 def refresh_ready(tables: WorkTables, steps: list[StepRun], now: Seconds) -> None:
     """Make the steps ready whose earlier steps are all done."""
     for step in steps:
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -83,7 +83,11 @@
     }
     fleet.have_by_pool = dict(have)
     sources = _list_sources(tables, fleet, wanted, have, now, taken)
-    _grow(tables, wanted, have, sources, plan, taken)
+    # What works or waits now goes before what pools keep in reserve: in a turn's
+    # peak a quarter of the fleet stood by in other pools while jobs became late.
+    busy = {pool_id: need.busy_vms for pool_id, need in fleet.needs_by_pool.items()}
+    _grow(tables, busy, wanted, have, sources, plan, taken)
+    _grow(tables, wanted, wanted, have, sources, plan, taken)
     _shrink(tables, kept, have, standby[0], sources, now, plan, taken)
 
 
@@ -126,8 +130,10 @@
     needed = math.ceil(vms - ROUNDING)
     floor = _find_floor(tables, fleet, pool_id)
     limits = _count_needed_by_limits(tables, pool_id)
+    busy = max(needed, LEAST_VMS, limits)
     return PoolNeed(
-        vms=max(needed, LEAST_VMS, floor, limits),
+        vms=max(busy, floor),
+        busy_vms=busy,
         lasting_millis=lasting_cpu,
         incoming_millis=incoming,
         waiting_millis=waiting_cpu,
@@ -271,15 +277,23 @@
 def _grow(
     tables: WorkTables,
     wanted: dict[PoolId, int],
+    in_reserve: dict[PoolId, int],
     have: dict[PoolId, int],
     sources: list[VMEntry],
     plan: FleetPlan,
     taken: set[VMId],
 ) -> None:
+    """Move VMs to the pools that have fewer than wanted, the shortest first.
+
+    Pools give up what they have beyond ``in_reserve`` first, and then what they
+    have beyond ``wanted``.
+    """
     short = sorted(wanted, key=lambda pool_id: have.get(pool_id, 0) - wanted[pool_id])
     for pool_id in short:
         while have.get(pool_id, 0) < wanted[pool_id]:
-            vm = _take_source(tables, pool_id, wanted, have, sources)
+            vm = _take_source(tables, pool_id, in_reserve, have, sources)
+            if vm is None:
+                vm = _take_source(tables, pool_id, wanted, have, sources)
             if vm is None:
                 return
             _move(vm, pool_id, "its work needs more VMs", have, plan)
@@ -289,15 +303,16 @@
 def _take_source(
     tables: WorkTables,
     pool_id: PoolId,
-    wanted: dict[PoolId, int],
+    kept: dict[PoolId, int],
     have: dict[PoolId, int],
     sources: list[VMEntry],
 ) -> VMEntry | None:
+    """Take a VM of a standby pool, or of one that has more than it keeps."""
     for vm in sources:
         if vm.pool_id == pool_id:
             continue
         spare = is_standby(tables, vm.pool_id)
-        if spare or have.get(vm.pool_id, 0) > wanted.get(vm.pool_id, 0):
+        if spare or have.get(vm.pool_id, 0) > kept.get(vm.pool_id, 0):
             sources.remove(vm)
             return vm
     return None
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.ordering import TIER_ON_TIME, rank_step
+from medlarspring_systems.scheduling.ordering import (
+    TIER_ON_TIME,
+    measure_size_weight,
+    rank_step,
+)
 from medlarspring_systems.scheduling.placement import (
     choose_worker,
     fits,
@@ -18,8 +22,20 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_systems.scheduling.ordering import Rank
     from medlarspring_tables import PoolId, RackId, Seconds
-    from medlarspring_tables.scheduling import Run, StepRun, Task, Worker, WorkTables
+    from medlarspring_tables.scheduling import (
+        Room,
+        Run,
+        StepRun,
+        Task,
+        Worker,
+        WorkTables,
+    )
+
+    RankRule = Callable[[StepRun, Seconds, float], Rank]
 
 MAX_INTENTS = 200
 """Starts decided in one round; more are left to the next one."""
@@ -30,8 +46,16 @@
 """
 
 
-def plan_round(tables: WorkTables, pool_id: PoolId, now: Seconds) -> list[Run]:
-    """Return the runs that can be started now, already entered in the tables."""
+def plan_round(
+    tables: WorkTables,
+    pool_id: PoolId,
+    now: Seconds,
+    rank: RankRule = rank_step,
+) -> list[Run]:
+    """Return the runs that can be started now, already entered in the tables.
+
+    ``rank`` is for measurements that compare orders.
+    """
     ready = tables.ready_by_pool.get(pool_id)
     if not ready:
         return []
@@ -41,23 +65,49 @@
         if is_open(worker, now)
     ]
     intents: list[Run] = []
-    for step in _list_steps(ready, now):
+    refused: list[Room] = []
+    for step in _list_steps(ready, workers, now, rank):
         if len(intents) >= MAX_INTENTS or not workers:
             break
+        if any(_is_as_large(step.room, room) for room in refused):
+            continue
+        placed = len(intents)
         _place_step(step, workers, now, intents)
+        if placed == len(intents) and _fits_nowhere(step, workers):
+            refused.append(step.room)
         if not step.waiting:
             ready.pop(step, None)
     return intents
 
 
-def _list_steps(ready: dict[StepRun, None], now: Seconds) -> list[StepRun]:
+def _fits_nowhere(step: StepRun, workers: list[Worker]) -> bool:
+    return not any(fits(step, worker) for worker in workers)
+
+
+def _is_as_large(room: Room, refused: Room) -> bool:
+    """Tell whether a task needs as much of everything as one that fits nowhere.
+
+    In a turn's peak hundreds of steps wait for a full pool; each of them looked at
+    every worker in every round.
+    """
+    return (
+        room.cpu_millis >= refused.cpu_millis
+        and room.memory_mb >= refused.memory_mb
+        and room.accelerators >= refused.accelerators
+    )
+
+
+def _list_steps(
+    ready: dict[StepRun, None], workers: list[Worker], now: Seconds, rank: RankRule
+) -> list[StepRun]:
     steps: list[StepRun] = []
     for step in list(ready):
         if not step.waiting or step.job.outcome is not None:
             del ready[step]
             continue
         steps.append(step)
-    steps.sort(key=lambda step: rank_step(step, now))
+    size_weight = measure_size_weight(steps, workers)
+    steps.sort(key=lambda step: rank(step, now, size_weight))
     return steps
 
 
--- a/packages/systems/tests/scheduling/conftest.py
+++ b/packages/systems/tests/scheduling/conftest.py
@@ -52,11 +52,12 @@
         cpu: int = 16_000,
         memory: int = 32_768,
         rack: str = "r1-1",
+        pool: PoolId = POOL,
     ) -> Worker:
         entry = WorkerEntry(
             id=WorkerId(f"i-{number}"),
             vm_id=VMId(f"m-{number}"),
-            pool_id=POOL,
+            pool_id=pool,
             zone_id=ZoneId("z"),
             address=f"10.0.0.{number}:80",
             condition=WorkerCondition.READY,
@@ -69,7 +70,7 @@
         assert worker is not None
         worker.settled = True
         worker.answered_at = NOW
-        self.add_vm(number, POOL, worker.id)
+        self.add_vm(number, pool, worker.id)
         return worker
 
     def add_vm(
--- a/packages/systems/tests/scheduling/test_pool_sizing.py
+++ b/packages/systems/tests/scheduling/test_pool_sizing.py
@@ -10,7 +10,12 @@
 from medlarspring_systems.scheduling.fleet_plan import plan_operations
 from medlarspring_systems.scheduling.pool_sizing import find_need
 from medlarspring_tables import PoolId
-from medlarspring_tables.scheduling import FleetLimits, QueueId, StepSpec
+from medlarspring_tables.scheduling import (
+    FleetLimits,
+    PoolPolicy,
+    QueueId,
+    StepSpec,
+)
 
 if TYPE_CHECKING:
     from .conftest import Scene
@@ -119,3 +124,32 @@
         moves_at += [now for each in plan.operations if isinstance(each, MoveVM)]
     assert moves_at
     assert moves_at[0] >= NOW + 1.0
+
+
+@pytest.mark.parametrize(
+    ("standby", "taken"), [(0, 4), (15, 0)], ids=["none", "enough"]
+)
+def test_reserve_of_an_idle_pool_yields_to_work_once_standby_is_empty(
+    scene: Scene, standby: int, taken: int
+):
+    """
+    A queue's turn wants more VMs than are in standby, while another pool keeps
+    idle VMs for a turn of its own. Left there, they would stand by while the
+    first pool's jobs become late; a quarter of a fleet did.
+    """
+    other = PoolId("survey")
+    scene.tables.config.pools_by_id[other] = PoolPolicy(other)
+    scene.tables.config.queues_by_id[QUEUE] = scene.create_queue()
+    scene.add_worker(0)
+    for number in range(1, 6):
+        scene.add_worker(number, pool=other)
+    for number in range(10, 10 + standby):
+        scene.add_vm(number)
+    fleet = FleetTables(sizes_known=True, first_sizes={POOL: 1, other: 5})
+    scene.tables.vms_read_at = NOW
+    for number in range(6):
+        scene.add_job(f"{number:016x}", SHORT, now=NOW)
+    plan = plan_operations(scene.tables, fleet, FleetLimits(), NOW)
+    moves = [each for each in plan.operations if isinstance(each, MoveVM)]
+    assert len([each for each in moves if each.from_pool_id == other]) == taken
+    assert all(each.pool_id == POOL for each in moves)
--- /dev/null
+++ b/packages/systems/tests/scheduling/test_turn_overload.py
@@ -0,0 +1,51 @@
+"""Replays of a queue's turn that asks for more than its pool holds."""
+
+from __future__ import annotations
+
+import pytest
+
+from medlarspring_bench.measure.turn_overload import (
+    LONG_JOBS,
+    SHORT_JOBS,
+    JobKind,
+    rank_by_latest_start,
+    replay_turn,
+)
+from medlarspring_systems.scheduling.ordering import rank_step
+
+VMS = 20
+SEEDS = range(3)
+
+
+def measure(kind: JobKind, per_second: float, rule=rank_step) -> float:  # type: ignore[no-untyped-def]
+    outcomes = [replay_turn(kind, seed, VMS, per_second, rule) for seed in SEEDS]
+    return sum(outcome.worth for outcome in outcomes) / len(outcomes)
+
+
+@pytest.mark.parametrize(
+    ("kind", "per_second", "at_least", "gain"),
+    [
+        (SHORT_JOBS, 50.0, 0.65, 0.12),
+        (SHORT_JOBS, 73.0, 0.48, 0.15),
+        (LONG_JOBS, 13.3, 0.40, 0.05),
+    ],
+    ids=["short-1.5", "short-2.2", "long-1.7"],
+)
+def test_overloaded_turn_serves_what_it_can(
+    kind: JobKind, per_second: float, at_least: float, gain: float
+):
+    """
+    More jobs come than the pool can do in time. Ordered by their latest start
+    alone, each is started at its last moment and half of them too late: all the
+    pool's time goes into jobs that miss their objective by a little.
+    """
+    worth = measure(kind, per_second)
+    before = measure(kind, per_second, rank_by_latest_start)
+    assert worth >= at_least
+    assert worth - before >= gain
+
+
+def test_pool_that_is_just_full_serves_as_before():
+    worth = measure(SHORT_JOBS, 30.0)
+    before = measure(SHORT_JOBS, 30.0, rank_by_latest_start)
+    assert worth >= before - 0.02
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -134,6 +134,10 @@
     """Until when the occurrence counts as incoming work of its pool."""
     remaining_path: Seconds = 0.0
     """Longest chain of estimates from this step's start to the end."""
+    expected: Seconds = 0.0
+    """What one task is expected to take."""
+    remaining_work: float = 0.0
+    """Core-seconds expected of this step and those that follow it."""
     room: Room = field(default_factory=Room)
     """What one task asks of a worker."""
     per_worker: dict[WorkerId, int] = field(default_factory=dict)
