Soak the real programs: processes on loopback, faults from outside them

Entry VMs are processes; the platform runs in the driver behind proxies that delay, reset, hold back in one direction or silence connections; processes are killed, paused, stopped and rolled by signals, in series and overlapping, while customers keep their connections. The promises are checked from what workers and customers saw: the history checks, cuts of calls that a stopping process had read, and the grace.

--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/soak/__main__.py
@@ -0,0 +1,74 @@
+"""``python -m medlarspring_bench.soak``: plays seeds, several at a time."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import sys
+from pathlib import Path
+
+import uvloop
+
+from medlarspring_bench.soak.play import SoakPlan, SoakVerdict, play_soak
+
+DEFAULT_AT_ONCE = 4
+"""Each soak has four processes, at about half of a core together."""
+
+
+def main() -> int:
+    """Play the seeds asked for; returns 1 if a promise was broken."""
+    arguments = _parse()
+    seeds = list(range(arguments.first, arguments.first + arguments.count))
+    if arguments.fresh:
+        seeds = [random.SystemRandom().getrandbits(31) for _ in range(arguments.fresh)]
+    plan = SoakPlan(fault_count=arguments.faults)
+    verdicts = uvloop.run(_play_all(seeds, plan, arguments.at_once, arguments.logs))
+    broken = [verdict for verdict in verdicts if not verdict.kept]
+    print(f"{len(verdicts)} soaks, {len(broken)} with broken promises")
+    return 1 if broken else 0
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="medlarspring_bench.soak")
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--count", type=int, default=4, help="number of seeds")
+    parser.add_argument("--fresh", type=int, default=0, help="seeds drawn just now")
+    parser.add_argument("--faults", type=int, default=6, help="faults in each soak")
+    parser.add_argument("--at-once", type=int, default=DEFAULT_AT_ONCE)
+    parser.add_argument("--logs", type=Path, help="folder for the logs of failures")
+    return parser.parse_args()
+
+
+async def _play_all(
+    seeds: list[int], plan: SoakPlan, at_once: int, logs: Path | None
+) -> list[SoakVerdict]:
+    turns = asyncio.Semaphore(at_once)
+
+    async def play(seed: int) -> SoakVerdict:
+        async with turns:
+            verdict = await play_soak(seed, plan)
+        _report(verdict, logs)
+        return verdict
+
+    return await asyncio.gather(*(play(seed) for seed in seeds))
+
+
+def _report(verdict: SoakVerdict, logs: Path | None) -> None:
+    state = "kept" if verdict.kept else "BROKEN"
+    print(f"seed {verdict.seed}: {state}, {verdict.accepted} jobs; {verdict.faults}")
+    for breach in verdict.breaches[:10]:
+        print(f"  {breach.rule} {breach.subject}: {breach.detail}")
+    for line in verdict.unfinished[:10]:
+        print(f"  unfinished {line}")
+    sys.stdout.flush()
+    if logs is None or verdict.kept:
+        return
+    logs.mkdir(parents=True, exist_ok=True)
+    for number, (name, text) in enumerate(verdict.logs):
+        path = logs / f"{verdict.seed}-{number}-{name}.log"
+        path.write_text(text, encoding="utf-8")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/soak/desk.py
@@ -0,0 +1,110 @@
+"""Customers' calls over HTTP; connections are kept until their process is gone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from medlarspring_bench.platform_world.customers import PATIENCE_SECONDS, SLACK_SECONDS
+from medlarspring_bench.platform_world.plans import HOST
+
+if TYPE_CHECKING:
+    from medlarspring_bench.soak.installation import Installation
+    from medlarspring_tables import JobId
+    from medlarspring_tables.scheduling import JobSpec, StepSpec
+
+HTTP_OK = 200
+DEADLINE_HEADER = "X-Medlarspring-Deadline-Ms"
+WORDS_BY_STATE = {"canceled": "cancelled"}
+"""Where the platform's word for a status is not ours."""
+
+
+class HttpDesk:
+    """Implements ``Desk`` with one session for each entry VM."""
+
+    def __init__(self, installation: Installation) -> None:
+        self._installation = installation
+        self._sessions_by_node: dict[str, aiohttp.ClientSession] = {}
+        self._queues_by_job: dict[JobId, str] = {}
+
+    async def submit(self, node: str, queue: str, job_id: JobId, spec: JobSpec) -> str:
+        """Submit a job."""
+        self._queues_by_job[job_id] = queue
+        return await self._call("POST", node, job_id, encode_job(spec))
+
+    async def cancel(self, node: str, job_id: JobId) -> str:
+        """Cancel a job."""
+        return await self._call("DELETE", node, job_id)
+
+    async def find_status(self, node: str, job_id: JobId) -> str:
+        """Return a job's status."""
+        return await self._call("GET", node, job_id)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in self._sessions_by_node.values():
+            await session.close()
+
+    async def _call(
+        self, method: str, node: str, job_id: JobId, body: bytes | None = None
+    ) -> str:
+        queue = self._queues_by_job[job_id]
+        address = self._installation.links_by_node[node].customers.address
+        try:
+            async with self._find_session(node).request(
+                method,
+                f"http://{address}/{queue}/{job_id}",
+                data=body,
+                headers={
+                    "Host": HOST,
+                    DEADLINE_HEADER: str(round(PATIENCE_SECONDS * 1_000)),
+                },
+            ) as response:
+                return _read_answer(method, response.status, await response.read())
+        except (TimeoutError, aiohttp.ClientError):
+            # What the connection's end means is judged where it is proxied.
+            return "no-answer"
+
+    def _find_session(self, node: str) -> aiohttp.ClientSession:
+        session = self._sessions_by_node.get(node)
+        if session is None:
+            timeout = aiohttp.ClientTimeout(total=PATIENCE_SECONDS + SLACK_SECONDS)
+            session = aiohttp.ClientSession(timeout=timeout)
+            self._sessions_by_node[node] = session
+        return session
+
+
+def _read_answer(method: str, status: int, body: bytes) -> str:
+    if status != HTTP_OK:
+        return str(msgspec.json.decode(body)["error"])
+    if method != "GET":
+        return "ok"
+    state = str(msgspec.json.decode(body)["state"])
+    return WORDS_BY_STATE.get(state, state)
+
+
+def encode_job(spec: JobSpec) -> bytes:
+    """Return a job as the platform's customers spell it."""
+    return msgspec.json.encode(
+        {"spec": spec.payload, "steps": [_to_wire(step) for step in spec.steps]}
+    )
+
+
+def _to_wire(step: StepSpec) -> dict[str, object]:
+    fields: dict[str, object] = {
+        "count": step.count,
+        "cpu": step.cpu_millis,
+        "memMb": step.memory_mb,
+        "estimateMs": step.estimate_ms,
+        "after": list(step.after),
+        "speculative": step.speculative,
+        "maxPerServer": step.max_per_worker,
+        "serviceJob": step.long_running,
+        "maxUnavailable": step.max_unavailable,
+    }
+    return {name: value for name, value in fields.items() if value}
+
+
+__all__ = ["HttpDesk", "encode_job"]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/soak/entry_vms.py
@@ -0,0 +1,164 @@
+"""Entry VMs of a soak: real processes, started, signalled and replaced."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters.events import Event
+from medlarspring_bench.processes import Processes, ProcessFailed
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from medlarspring_bench.processes import Process
+    from medlarspring_bench.soak.installation import Installation
+    from medlarspring_tables import Seconds
+
+SETTINGS = """\
+node={name}
+role=entry
+zone=zone-a
+region=region-a
+ip=127.0.0.1
+portRange=0,0
+listen.frontend=127.0.0.1:0
+listen.readiness=127.0.0.1:0
+platform.address={store}
+cloud.address={vm_control}
+limits.memoryMb=300
+limits.cpuShare=1
+limits.cores=1
+bounds.leaseMs=3000
+bounds.graceS=6
+bounds.migrateS=1.5
+bounds.maintenanceS=2
+"""
+"""The settings file as the platform writes it; 0 lets the kernel choose a port."""
+GRACE_SECONDS = 6.0
+"""Between the signal to stop and the kill."""
+
+
+class EntryVM:
+    """One entry VM whose process runs."""
+
+    def __init__(self, name: str, process: Process) -> None:
+        self.name = name
+        self.process = process
+        self.stopping_since: Seconds | None = None
+        """When it was told to stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """A process that had not ended when its grace was over."""
+
+    node: str
+    told_at: Seconds
+    killed_at: Seconds
+
+
+class EntryVMs:
+    """All entry VMs of a soak."""
+
+    def __init__(self, installation: Installation, folder: Path) -> None:
+        self._installation = installation
+        self._folder = folder
+        self._processes = Processes()
+        self._starts = 0
+        self.logs: list[tuple[str, Process]] = []
+        """Every process that was ever started, with its VM's name."""
+        self.overdue: list[Overdue] = []
+        """Entry VMs that had to be killed when their grace was over."""
+
+    async def start(self, name: str) -> None:
+        """Start a process unless one of that name runs."""
+        if name in self._installation.nodes_by_name:
+            return
+        self._starts += 1
+        links = self._installation.links_by_node[name]
+        settings = self._folder / f"{name}.conf"
+        settings.write_text(
+            SETTINGS.format(
+                name=name,
+                store=links.store.address,
+                vm_control=links.vm_control.address,
+            ),
+            encoding="utf-8",
+        )
+        # In a thread: a fork holds the proxies up for a quarter of a second on a
+        # busy machine, and calls refused meanwhile would look as if they were cut.
+        process = await asyncio.to_thread(
+            self._processes.start,
+            f"{name}-{self._starts}",
+            [sys.executable, "-m", "medlarspring_platform.launcher"],
+            {"MEDLARSPRING_CONFIG": str(settings)},
+        )
+        entry_vm = EntryVM(name, process)
+        self.logs.append((name, process))
+        self._installation.nodes_by_name[name] = entry_vm
+        try:
+            listening = await asyncio.to_thread(process.wait_until_listening)
+        except ProcessFailed:
+            if process.status is None:
+                raise
+            # Another fault ended it while it started, and starts its successor.
+            return
+        links.customers.target = str(listening["caller"])
+
+    async def kill(self, name: str) -> None:
+        """End a process at once."""
+        entry_vm = self._installation.nodes_by_name.pop(name, None)
+        if entry_vm is not None:
+            await asyncio.to_thread(entry_vm.process.kill)
+
+    async def terminate(self, name: str) -> None:
+        """End a process as the platform does: a signal, then a kill.
+
+        Customers keep using its connections until it is gone.
+        """
+        entry_vm = self._installation.nodes_by_name.get(name)
+        if entry_vm is None or entry_vm.stopping_since is not None:
+            return
+        entry_vm.stopping_since = self._installation.clock.now()
+        entry_vm.process.terminate()
+        try:
+            await asyncio.to_thread(entry_vm.process.wait, GRACE_SECONDS)
+        except subprocess.TimeoutExpired:
+            killed_at = self._installation.clock.now()
+            self.overdue.append(Overdue(name, entry_vm.stopping_since, killed_at))
+        await asyncio.to_thread(entry_vm.process.kill)
+        if self._installation.nodes_by_name.get(name) is entry_vm:
+            del self._installation.nodes_by_name[name]
+
+    def pause(self, name: str) -> EntryVM | None:
+        """Freeze a process."""
+        entry_vm = self._installation.nodes_by_name.get(name)
+        if entry_vm is None or entry_vm.process.status is not None:
+            return None
+        entry_vm.process.pause()
+        return entry_vm
+
+    def resume(self, entry_vm: EntryVM) -> None:
+        """Let a frozen process go on."""
+        if entry_vm.process.status is None:
+            entry_vm.process.resume()
+
+    def find_controller(self) -> str | None:
+        """Return the entry VM that last said that it holds the cell."""
+        best: tuple[float, str] | None = None
+        for name, entry_vm in self._installation.nodes_by_name.items():
+            for record in entry_vm.process.records(Event.CELL_HELD.number):
+                held = (float(record["fence"]), name)
+                best = held if best is None or held > best else best
+        return best[1] if best else None
+
+    def close(self) -> None:
+        """Kill everything that still runs."""
+        self._processes.close()
+
+
+__all__ = ["EntryVM", "EntryVMs"]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/soak/play.py
@@ -0,0 +1,222 @@
+"""One seeded soak: load, faults from outside, and the promises checked throughout."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from medlarspring_bench.platform_world.checks import Breach, check_history
+from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.plans import WorldPlan
+from medlarspring_bench.platform_world.verdicts import (
+    find_left_running,
+    find_unfinished,
+)
+from medlarspring_bench.soak.desk import HttpDesk
+from medlarspring_bench.soak.entry_vms import EntryVMs
+from medlarspring_bench.soak.faults import FAULTS
+from medlarspring_bench.soak.installation import Installation
+
+if TYPE_CHECKING:
+    from medlarspring_bench.soak.faults import SoakFault
+    from medlarspring_tables import JobId, Seconds, VMId
+
+WARM_UP_SECONDS = 4.0
+SETTLE_SECONDS = 25.0
+"""Most time after the last fault until every job has ended."""
+CHECK_SECONDS = 2.0
+"""How often the promises are checked while the day goes on."""
+HARM_SECONDS = 1.5
+"""Calls that break so soon before or after a fault are the fault's doing."""
+CUT_AFTER_SECONDS = 0.2
+"""A connection that ends sooner was closed before its process read the call."""
+CANCELLED_PART = 0.05
+HOPELESS_PART = 0.03
+CONTROLLER_PART = 0.5
+"""Part of the faults of entry VMs that strike the controller."""
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """Size of a soak."""
+
+    world: WorldPlan = WorldPlan()
+    traffic_seconds: Seconds = 15.0
+    jobs_per_second: float = 2.0
+    fault_count: int = 6
+    schedule: tuple[tuple[Seconds, str], ...] = ()
+    """When which fault strikes, by name; drawn from the seed if empty."""
+
+
+@dataclass(slots=True)
+class SoakVerdict:
+    """What came of a soak."""
+
+    seed: int
+    breaches: list[Breach] = field(default_factory=list)
+    unfinished: list[str] = field(default_factory=list)
+    accepted: int = 0
+    faults: list[str] = field(default_factory=list)
+    logs: list[tuple[str, str]] = field(default_factory=list)
+
+    @property
+    def kept(self) -> bool:
+        """Whether every promise was kept."""
+        return not self.breaches and not self.unfinished and self.accepted > 0
+
+
+class SoakDay:
+    """One soak while it goes on; implements ``Scene`` for the platform's faults."""
+
+    def __init__(
+        self, plan: SoakPlan, seed: int, world: Installation, entry_vms: EntryVMs
+    ) -> None:
+        self.plan = plan
+        self.world = world
+        self.entry_vms = entry_vms
+        self.rng = random.Random(seed)
+        self.desk = HttpDesk(world)
+        self.customers = Customers(world, random.Random(seed + 7), self.desk)
+        self.faults: list[str] = []
+        self.breaches: list[Breach] = []
+        self._schedule = self._draw_schedule(seed)
+        self._harmed_at: dict[str, list[Seconds]] = {}
+
+    async def play(self) -> None:
+        """Send load and faults, then wait until everything has ended."""
+        await asyncio.sleep(WARM_UP_SECONDS)
+        checking = asyncio.create_task(self._check_forever())
+        self.customers.send("archive", *self.customers.create_lasting())
+        faults = [
+            asyncio.create_task(self._strike(wait, name, fault))
+            for wait, name, fault in self._schedule
+        ]
+        ends_at = self.world.clock.now() + self.plan.traffic_seconds
+        while self.world.clock.now() < ends_at:
+            await asyncio.sleep(self.rng.expovariate(self.plan.jobs_per_second))
+            self._send_one()
+        await asyncio.gather(*faults)
+        await self._settle()
+        checking.cancel()
+
+    def choose_node(self) -> str | None:
+        """Return an entry VM, the controller as often as not."""
+        names = sorted(self.world.nodes_by_name)
+        controller = self.entry_vms.find_controller()
+        if controller in names and self.rng.random() < CONTROLLER_PART:
+            return controller
+        return self.rng.choice(names) if names else None
+
+    def choose_vm(self) -> VMId:
+        """Return a VM."""
+        return self.rng.choice(sorted(self.world.fleet.vms_by_id))
+
+    def note_harm(self, node: str) -> None:
+        """Note that a fault may break connections of an entry VM's customers."""
+        self._harmed_at.setdefault(node, []).append(self.world.clock.now())
+
+    def _send_one(self) -> None:
+        hopeless = self.rng.random() < HOPELESS_PART
+        job_id, spec = self.customers.create_batch(hopeless=hopeless)
+        self.customers.send(self.rng.choice(("lookup", "check")), job_id, spec)
+        if self.rng.random() < CANCELLED_PART:
+            asyncio.get_running_loop().call_later(
+                self.rng.uniform(0.1, 2.0), self._cancel, job_id
+            )
+
+    def _cancel(self, job_id: JobId) -> None:
+        if job_id in self.customers.accepted:
+            asyncio.ensure_future(self.customers.cancel(job_id))
+
+    def _draw_schedule(self, seed: int) -> list[tuple[Seconds, str, SoakFault]]:
+        """Draw all faults ahead, so that a seed keeps them whatever else happens."""
+        if self.plan.schedule:
+            by_name = dict(FAULTS)
+            return [(wait, name, by_name[name]) for wait, name in self.plan.schedule]
+        rng = random.Random(seed + 3)
+        return [
+            (rng.uniform(0.0, self.plan.traffic_seconds), *rng.choice(FAULTS))
+            for _ in range(self.plan.fault_count)
+        ]
+
+    async def _strike(self, wait: Seconds, name: str, fault: SoakFault) -> None:
+        await asyncio.sleep(wait)
+        began_at = self.world.clock.now()
+        await fault(self)
+        took = self.world.clock.now() - began_at
+        self.faults.append(f"{name} at {wait:.2f} for {took:.2f} s")
+
+    async def _settle(self) -> None:
+        """Wait until no job is open, for a bounded time."""
+        ends_at = self.world.clock.now() + SETTLE_SECONDS
+        while self.world.clock.now() < ends_at:
+            await asyncio.sleep(CHECK_SECONDS)
+            if not await find_unfinished(self.customers, self.world.history):
+                return
+
+    async def _check_forever(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            self.breaches = check_history(self.world.history)
+
+    def check_cuts(self) -> list[Breach]:
+        """A process that is told to stop cuts no call that it has read."""
+        return [
+            Breach("cut", node, f"sent at {cut.sent_at:.2f}, cut at {cut.cut_at:.2f}")
+            for node, links in self.world.links_by_node.items()
+            for cut in links.customers.cuts
+            if cut.cut_at - cut.sent_at > CUT_AFTER_SECONDS
+            and not self._was_harmed(node, cut.sent_at, cut.cut_at)
+        ]
+
+    def check_grace(self) -> list[Breach]:
+        """A process that is told to stop, and runs, ends within its grace."""
+        return [
+            Breach("grace", each.node, "did not end in time")
+            for each in self.entry_vms.overdue
+            if not self._was_harmed(each.node, each.told_at, each.killed_at)
+        ]
+
+    def _was_harmed(self, node: str, since: Seconds, until: Seconds) -> bool:
+        return any(
+            since - HARM_SECONDS <= at <= until + HARM_SECONDS
+            for at in self._harmed_at.get(node, ())
+        )
+
+
+async def play_soak(seed: int, plan: SoakPlan | None = None) -> SoakVerdict:
+    """Play the soak of a seed in real time."""
+    plan = plan or SoakPlan()
+    names = [f"entry-{number}" for number in range(plan.world.nodes)]
+    world = Installation(plan.world, seed, names)
+    with tempfile.TemporaryDirectory(prefix="medlarspring-soak-") as folder:
+        entry_vms = EntryVMs(world, Path(folder))
+        try:
+            await world.start()
+            await asyncio.gather(*(entry_vms.start(name) for name in names))
+            day = SoakDay(plan, seed, world, entry_vms)
+            await day.play()
+            return await _judge(day, seed)
+        finally:
+            entry_vms.close()
+            await world.stop()
+
+
+async def _judge(day: SoakDay, seed: int) -> SoakVerdict:
+    verdict = SoakVerdict(seed, faults=day.faults, accepted=len(day.customers.accepted))
+    verdict.unfinished = await find_unfinished(day.customers, day.world.history)
+    verdict.breaches = check_history(day.world.history)
+    verdict.breaches += find_left_running(day.customers, day.world.fleet)
+    verdict.breaches += day.check_cuts()
+    verdict.breaches += day.check_grace()
+    verdict.logs = [(name, process.output()) for name, process in day.entry_vms.logs]
+    await day.customers.leave()
+    await day.desk.close()
+    return verdict
+
+
+__all__ = ["SoakDay", "SoakPlan", "SoakVerdict", "play_soak"]
