Count failures of copied steps as the platform does

Trace: the step allows copies; the order of run 1 was delayed on its link by 0.4 s and more (unanswered at 36.726), copies 2 to 4 failed until 38.359, run 1 was carried out in that moment and ended at 39.202. The contract allows copies to start until a second after the last failure is noted; the check now counts these for such steps only. A history with a later start is still found.

--- a/packages/bench/src/medlarspring_bench/platform_world/checks.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/checks.py
@@ -22,6 +22,8 @@
 """So long after a confirmed cancellation no task may start."""
 DRAIN_SECONDS = 2.0
 """So long after a worker's notice no task may start on it."""
+COPY_SECONDS = 1.0
+"""So long after an end is noted a copy that was ordered before it may still start."""
 HOLDERS_APART_SECONDS = 3.0
 REFUSALS_NOT_RUN = frozenset({"not-ready", "queue-full", "no-such-queue"})
 
@@ -98,17 +100,26 @@
         most = history.max_attempts_by_id.get(job_id, 1)
         for run in runs:
             failed = [
-                each
-                for each in runs
-                if each.end is RunEnd.FAILED
-                and each.noted_at is not None
-                and (each.ended_at or 0.0) < run.started_at
+                each for each in runs if _uses_up_attempt(each, run, spec.speculative)
             ]
             if len(failed) >= most:
                 breaches.append(Breach("attempts", task_id, f"after {len(failed)}"))
     return breaches
 
 
+def _uses_up_attempt(failed: RunHistory, later: RunHistory, copied: bool) -> bool:
+    """Tell whether a failure counts before a later start of its task.
+
+    A copy may be on its way to a slow worker while the last attempt fails; from
+    a second after that is noted, none may start any more.
+    """
+    if failed.end is not RunEnd.FAILED or failed.noted_at is None:
+        return False
+    if copied:
+        return failed.noted_at + COPY_SECONDS <= later.started_at
+    return (failed.ended_at or 0.0) < later.started_at
+
+
 def _check_cancelled(history: History) -> list[Breach]:
     """No task of a cancelled job starts after a short while."""
     breaches: list[Breach] = []
--- a/packages/bench/tests/test_platform_checks.py
+++ b/packages/bench/tests/test_platform_checks.py
@@ -65,6 +65,17 @@
     add_run(history, started_at=3.0, ended_at=4.0)
 
 
+def copy_beyond_attempts(history: History) -> None:
+    allow_copies(history)
+    add_run(history, end=RunEnd.FAILED)
+    add_run(history, started_at=3.1, ended_at=4.0)
+
+
+def allow_copies(history: History) -> None:
+    steps = (StepSpec(count=1, speculative=True), StepSpec(count=1, after=(0,)))
+    history.specs_by_id[JOB] = JobSpec(payload="p", steps=steps)
+
+
 def run_after_cancellation(history: History) -> None:
     add_call(history, CallKind.CANCEL, "ok", 0.5)
     add_run(history, started_at=5.0, ended_at=6.0)
@@ -124,6 +135,7 @@
         (run_again_after_noted_end, "twice"),
         (run_second_step_first, "order"),
         (run_beyond_attempts, "attempts"),
+        (copy_beyond_attempts, "attempts"),
         (run_after_cancellation, "cancelled"),
         (run_refused_job, "refused"),
         (run_on_leaving_worker, "drain"),
@@ -142,6 +154,18 @@
     assert rule in {breach.rule for breach in check_history(history)}
 
 
+def test_copy_that_was_under_way_when_the_last_attempt_failed_is_no_breach():
+    """
+    An order to a slow worker gets no answer, so a copy starts elsewhere and fails
+    for the last time. The first order is carried out half a second later.
+    """
+    history = create_history()
+    allow_copies(history)
+    add_run(history, end=RunEnd.FAILED)
+    add_run(history, started_at=2.5, ended_at=3.0, end=RunEnd.FAILED)
+    assert check_history(history) == []
+
+
 def test_sound_history_has_no_breach():
     history = create_history()
     add_call(history, CallKind.SUBMIT, "ok", 0.5)
