--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
@@ -213,10 +213,8 @@
         puts: dict[str, Put] = {}
         for operation in operations:
             if isinstance(operation, MaintainVM):
-                begun = self.fleet.done_by_wave.get(operation.wave_id, set())
-                record = WaveRecord(begun=tuple(sorted(begun)))
-                key = f"{self._tenure.keys.waves_prefix}{operation.wave_id}"
-                puts[key] = Put(key, msgspec.json.encode(record))
+                put = self._encode_wave(operation.wave_id)
+                puts[put.key] = put
         key = self._tenure.keys.operations
         puts[key] = Put(key, msgspec.json.encode(self._note_sent(operations)))
         transaction = Transaction((self._tenure.expect(),), tuple(puts.values()))
@@ -228,6 +226,12 @@
             return False
         return True
 
+    def _encode_wave(self, wave_id: WaveId) -> Put:
+        begun = self.fleet.done_by_wave.get(wave_id, set())
+        record = WaveRecord(begun=tuple(sorted(begun)))
+        key = f"{self._tenure.keys.waves_prefix}{wave_id}"
+        return Put(key, msgspec.json.encode(record))
+
     def _note_sent(self, operations: list[VMOperation]) -> OperationsRecord:
         wall_ms = round(self._node.clock.wall() * 1_000)
         oldest = wall_ms - round(OPERATIONS_KEPT_SECONDS * 1_000)
@@ -278,7 +282,10 @@
     async def _report(self, wave: WaveProgress) -> None:
         complete = wave.complete
         key, value = self._node.codec.encode_wave_status(wave.id, complete=complete)
-        transaction = Transaction((self._tenure.expect(),), (Put(key, value),))
+        # With the last VMs in the record: a successor that knew of one less told
+        # the operator that a complete wave was active again.
+        writes = (Put(key, value), self._encode_wave(wave.id))
+        transaction = Transaction((self._tenure.expect(),), writes)
         answer = await self._node.store.commit(transaction)
         if is_successful(answer) and answer.unwrap().succeeded:
             wave.reported = complete
--- a/packages/daemon/tests/scheduling/test_takeover.py
+++ b/packages/daemon/tests/scheduling/test_takeover.py
@@ -245,3 +245,28 @@
         await wait_for_end(customers, jobs)
 
     play(story)
+
+
+def test_complete_wave_stays_complete_after_a_takeover():
+    """
+    The operator was told that a wave is complete; then the controller is stopped.
+    Its successor knew of all VMs but the last ones, told the operator that the
+    wave was active again, and ordered their maintenance once more.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        vms = list(world.fleet.vms_by_id)
+        world.order_wave(1, vms, len(vms), 25)
+        while world.read_wave_state(1) != "complete":
+            await asyncio.sleep(0.05)
+        operations = len(world.history.operations)
+        controller = world.find_controller()
+        assert controller is not None
+        await world.stop_node(controller)
+        for _ in range(60):
+            await asyncio.sleep(0.05)
+            assert world.read_wave_state(1) == "complete"
+        kinds = [each.kind for each in world.history.operations[operations:]]
+        assert "maintain" not in kinds
+
+    play(story)
