--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -72,6 +72,7 @@
     if not fleet.sizes_known:
         _learn_first_sizes(fleet, have, now)
         return
+    fleet.have_by_pool = dict(have)
     fleet.needs_by_pool = {
         pool_id: find_need(tables, fleet, pool_id, now)
         for pool_id in tables.config.pools_by_id
@@ -81,7 +82,6 @@
     kept = {
         pool_id: _note_need(fleet, pool_id, vms, now) for pool_id, vms in wanted.items()
     }
-    fleet.have_by_pool = dict(have)
     sources = _list_sources(tables, fleet, wanted, have, now, taken)
     # What works or waits now goes before what pools keep in reserve: in a turn's
     # peak a quarter of the fleet stood by in other pools while jobs became late.
@@ -143,11 +143,13 @@
 def _find_floor(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> int:
     """Return the VMs that a pool keeps whatever it does now.
 
-    A pool that had no work yet keeps what the operator gave it.
+    A pool that had no work yet keeps what the operator gave it. It does not grow
+    back to that: after a takeover nothing is known of any pool, and each idle one
+    called its first eight VMs back.
     """
     first = fleet.first_sizes.get(pool_id, 0)
     if find_slack(tables, pool_id) is None:
-        return first
+        return min(first, fleet.have_by_pool.get(pool_id, first))
     if _can_wait(tables, fleet, pool_id):
         return LEAST_VMS
     return math.ceil(first * TIGHT_PART)
--- a/packages/systems/tests/scheduling/test_pool_sizing.py
+++ b/packages/systems/tests/scheduling/test_pool_sizing.py
@@ -153,3 +153,16 @@
     moves = [each for each in plan.operations if isinstance(each, MoveVM)]
     assert len([each for each in moves if each.from_pool_id == other]) == taken
     assert all(each.pool_id == POOL for each in moves)
+
+
+@pytest.mark.parametrize(("has", "kept"), [(4, 4), (1, 1), (9, 4)])
+def test_idle_pool_is_not_grown_back_by_a_new_controller(
+    scene: Scene, fleet: FleetTables, has: int, kept: int
+):
+    """
+    A controller takes over between two turns. It knows of no work of any pool;
+    taken for pools that never had work, all of them were grown to their first
+    size, with VMs that a queue's turn was waiting for.
+    """
+    fleet.have_by_pool = {POOL: has}
+    assert find_need(scene.tables, fleet, POOL, NOW).vms == kept
