Lead from a failed request's id to its cause

Questions and cancellations that were not carried out are logged (9004), refusals with how long the store has failed. An error that nothing raised is gone.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -80,6 +80,7 @@
     JOB_ACCEPTED = (9001, "a job is accepted and stored")
     JOB_REFUSED = (9002, "a job was not accepted, or its acceptance is unknown")
     JOB_CANCEL_ACCEPTED = (9003, "a wish to cancel a job is stored")
+    JOB_CALL_REFUSED = (9004, "a question or cancellation was not carried out")
     CONFIG_IN_FORCE = (9010, "a newer configuration of the operator is in force")
     WAVE_ORDERED = (9011, "the operator ordered a maintenance wave")
     RECORD_UNREADABLE = (9012, "a record in the store can't be read")
--- a/packages/bench/src/medlarspring_bench/platform_world/checks.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/checks.py
@@ -25,7 +25,7 @@
 COPY_SECONDS = 1.0
 """So long after an end is noted a copy that was ordered before it may still start."""
 HOLDERS_APART_SECONDS = 3.0
-REFUSALS_NOT_RUN = frozenset({"not-ready", "queue-full", "no-such-queue"})
+REFUSALS_NOT_RUN = frozenset({"not-ready", "no-such-queue"})
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -6,7 +6,7 @@
 import math
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from returns.pipeline import is_successful
@@ -130,6 +130,13 @@
         self, job_id: JobId, patience: Seconds
     ) -> Result[None, IntakeError]:
         """Record the wish to cancel a job; its controller stops the tasks."""
+        answer = await self._cancel(job_id, patience)
+        self._log_refused_call("cancel", job_id, answer)
+        return answer
+
+    async def _cancel(
+        self, job_id: JobId, patience: Seconds
+    ) -> Result[None, IntakeError]:
         keys = self._keys(job_id)
         ends_at = self._node.clock.now() + patience
         while True:
@@ -161,6 +168,13 @@
         self, job_id: JobId, patience: Seconds
     ) -> Result[JobStatus, IntakeError]:
         """Return what became of a job."""
+        answer = await self._find_status(job_id, patience)
+        self._log_refused_call("status", job_id, answer)
+        return answer
+
+    async def _find_status(
+        self, job_id: JobId, patience: Seconds
+    ) -> Result[JobStatus, IntakeError]:
         keys = self._keys(job_id)
         ends_at = self._node.clock.now() + patience
         found = await self._read(keys.job(job_id), ends_at)
@@ -268,6 +282,19 @@
         seconds = math.ceil(self._measure_outage())
         return NotReady(detail, min(max(seconds, LEAST_RETRY_AFTER), MOST_RETRY_AFTER))
 
+    def _log_refused_call(
+        self, call: str, job_id: JobId, answer: Result[Any, IntakeError]
+    ) -> None:
+        if is_successful(answer) or isinstance(answer.failure(), NoSuchJob):
+            return
+        self._node.log.warning(
+            Event.JOB_CALL_REFUSED,
+            job=job_id,
+            call=call,
+            outcome=answer.failure().code,
+            store_failing_ms=round(self._measure_outage() * 1_000),
+        )
+
     def _log_submission(
         self,
         queue: QueuePolicy,
@@ -297,6 +324,7 @@
             queue=queue.id,
             outcome=error.code,
             took_ms=round(took_ms),
+            store_failing_ms=round(self._measure_outage() * 1_000),
             fault=error.message(),
         )
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake_errors.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake_errors.py
@@ -38,23 +38,6 @@
         )
 
 
-class QueueFull(IntakeError):
-    """The queue has more work than it can do in any useful time."""
-
-    code = "queue-full"
-
-    def __init__(self, retry_after: int) -> None:
-        super().__init__(retry_after)
-        self.retry_after = retry_after
-
-    def message(self) -> str:
-        """Say what to do."""
-        return (
-            "The job was not accepted: the queue has more work than it can finish"
-            f" in time. Submit it again in {self.retry_after} s."
-        )
-
-
 class OutcomeUnknown(IntakeError):
     """The store's answer was lost; the call may have been carried out."""
 
@@ -68,4 +51,4 @@
         )
 
 
-__all__ = ["IntakeError", "NoSuchJob", "NotReady", "OutcomeUnknown", "QueueFull"]
+__all__ = ["IntakeError", "NoSuchJob", "NotReady", "OutcomeUnknown"]
--- a/packages/daemon/tests/scheduling/test_intake.py
+++ b/packages/daemon/tests/scheduling/test_intake.py
@@ -65,6 +65,9 @@
         status = await intake.find_status(job_id, PATIENCE)
         assert isinstance(status.failure(), NotReady)
         assert world.clock.now() - asked_at < 0.05
+        log = world.nodes_by_name["entry-0"].log.getvalue()
+        refused = [line for line in log.splitlines() if '"job_call_refused"' in line]
+        assert any(job_id in line and '"call": "status"' in line for line in refused)
 
     play(story)
 
--- a/packages/platform/src/medlarspring_platform/front.py
+++ b/packages/platform/src/medlarspring_platform/front.py
@@ -16,7 +16,6 @@
     NoSuchJob,
     NotReady,
     OutcomeUnknown,
-    QueueFull,
 )
 from medlarspring_platform import wire
 from medlarspring_systems.scheduling.admission import JobInvalid, check_job
@@ -42,7 +41,6 @@
 _HTTP_BY_ERROR: dict[type[MedlarspringError], HTTPStatus] = {
     NoSuchJob: HTTPStatus.GONE,
     NotReady: HTTPStatus.SERVICE_UNAVAILABLE,
-    QueueFull: HTTPStatus.TOO_MANY_REQUESTS,
     OutcomeUnknown: HTTPStatus.GATEWAY_TIMEOUT,
     JobInvalid: HTTPStatus.BAD_REQUEST,
 }
@@ -282,7 +280,7 @@
 
 def _refuse(error: MedlarspringError) -> web.Response:
     response = _problem(_HTTP_BY_ERROR[type(error)], error.code, error.message())
-    if isinstance(error, NotReady | QueueFull):
+    if isinstance(error, NotReady):
         response.headers["Retry-After"] = str(error.retry_after)
     return response
 
