--- /dev/null
+++ b/packages/platform/tests/test_fleet.py
@@ -0,0 +1,130 @@
+"""Workers and machines through the adapter's clients."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from medlarspring_adapters.vm_lifecycle import Authority, VMRefusal
+from medlarspring_adapters.worker_orders import (
+    HoldOrder,
+    Refusal,
+    StartOrder,
+    StopOrder,
+    WorkerAddress,
+)
+from medlarspring_bench.platform_world.worker_model import TaskFacts
+from medlarspring_tables import PoolId, VMId, WaveId
+from medlarspring_tables.scheduling import Fence, RunEnd, VMPhase, WorkerId
+
+from .conftest import STEP
+
+if TYPE_CHECKING:
+    from .conftest import Platform
+
+TASK = "00000000000000aa.0.0.0"
+FENCE = Fence(7)
+HOLDER = Authority("entry-0", FENCE)
+TIMEOUT = 1.0
+
+
+async def find_address(platform: Platform, vm: str = "m-0") -> WorkerAddress:
+    worker = await platform.wait_for_worker(vm)
+    return WorkerAddress(worker.id, worker.address)
+
+
+def order(platform: Platform, worker_id: str, **changes) -> StartOrder:  # type: ignore[no-untyped-def]
+    platform.facts_by_task[TASK] = TaskFacts(spec=STEP, seconds=60.0)
+    worker = platform.fleet.workers_by_id[WorkerId(worker_id)]
+    values = {
+        "task_id": TASK,
+        "run": 1,
+        "payload": "p",
+        "not_after_ms": worker.clock_ms(0.0) + 10**9,
+        "fence": FENCE,
+    }
+    return StartOrder(**{**values, **changes})
+
+
+async def test_run_is_started_listed_and_stopped(platform: Platform):
+    address = await find_address(platform)
+    start = order(platform, address.id)
+    started = await platform.workers.start(address, start, TIMEOUT)
+    assert started.unwrap().refusal is None
+    held = (await platform.workers.hold(address, HoldOrder(FENCE, 0, 0), TIMEOUT)).unwrap()
+    assert [(row.task_id, row.run) for row in held.running] == [(TASK, 1)]
+    await platform.workers.stop(address, StopOrder(TASK, 1, FENCE), TIMEOUT)
+    waiting = HoldOrder(FENCE, 0, 0, wait_ms=900)
+    held = (await platform.workers.hold(address, waiting, 2.0)).unwrap()
+    assert [row.end for row in held.ended] == [RunEnd.STOPPED]
+
+
+@pytest.mark.parametrize(
+    ("changes", "refusal"),
+    [
+        ({"fence": Fence(3)}, Refusal.FENCE),
+        ({"not_after_ms": 1}, Refusal.LATE),
+        ({"task_id": "unknown"}, Refusal.INVALID),
+    ],
+    ids=["older-fence", "late", "invalid"],
+)
+async def test_worker_refuses_an_order(
+    platform: Platform, changes: dict[str, object], refusal: Refusal
+):
+    address = await find_address(platform)
+    await platform.workers.hold(address, HoldOrder(FENCE, 0, 0), TIMEOUT)
+    start = order(platform, address.id, **changes)
+    answer = await platform.workers.start(address, start, TIMEOUT)
+    assert answer.unwrap().refusal is refusal
+
+
+async def test_order_for_a_former_life_is_not_carried_out(platform: Platform):
+    """
+    A VM is back under its old address as another worker. An order for the former
+    life must not start anything there: its record names a worker that is gone.
+    """
+    address = await find_address(platform)
+    former = WorkerAddress(WorkerId("i-gone"), address.address)
+    start = order(platform, address.id)
+    answer = await platform.workers.start(former, start, TIMEOUT)
+    assert answer.unwrap().refusal is Refusal.OTHER_LIFE
+    assert not platform.fleet.workers_by_id[address.id].runs
+
+
+async def test_order_to_nobody_has_certainly_not_been_carried_out(platform: Platform):
+    address = await find_address(platform)
+    start = order(platform, address.id)
+    nobody = WorkerAddress(address.id, "127.0.0.1:1")
+    answer = await platform.workers.start(nobody, start, TIMEOUT)
+    assert answer.failure().may_follow is False
+
+
+async def test_vms_are_listed_moved_and_maintained(platform: Platform):
+    listed = (await platform.machines.list_vms()).unwrap()
+    assert {vm.id: vm.phase for vm in listed} == {
+        VMId("m-0"): VMPhase.UP,
+        VMId("m-1"): VMPhase.UP,
+    }
+    platform.fleet.waves["4"] = ({"m-1"}, 1)
+    moved = await platform.machines.move(VMId("m-0"), PoolId("survey"), HOLDER)
+    maintained = await platform.machines.maintain(VMId("m-1"), WaveId("4"), HOLDER)
+    assert (moved.unwrap(), maintained.unwrap()) == (None, None)
+    listed = (await platform.machines.list_vms()).unwrap()
+    assert [vm.phase for vm in listed] == [VMPhase.MOVING, VMPhase.MAINTENANCE]
+
+
+@pytest.mark.parametrize(
+    ("vm", "wave", "refusal"),
+    [
+        ("m-9", "4", VMRefusal.INVALID),
+        ("m-0", "4", VMRefusal.NOT_IN_WAVE),
+    ],
+    ids=["no-such-vm", "not-in-wave"],
+)
+async def test_vm_control_refuses_an_operation(
+    platform: Platform, vm: str, wave: str, refusal: VMRefusal
+):
+    platform.fleet.waves["4"] = ({"m-1"}, 1)
+    answer = await platform.machines.maintain(VMId(vm), WaveId(wave), HOLDER)
+    assert answer.unwrap() is refusal
--- /dev/null
+++ b/packages/platform/tests/test_operator_records.py
@@ -0,0 +1,82 @@
+"""The operator's and the workers' records, decoded once."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from returns.pipeline import is_successful
+
+from medlarspring_platform.operator_records import PlatformCodec
+from medlarspring_tables import PoolId, VMId, WaveId
+from medlarspring_tables.scheduling import QueueId, WorkerCondition
+
+CODEC = PlatformCodec()
+
+
+def test_configuration_names_queues_and_pools():
+    config = CODEC.decode_config(
+        "op/config",
+        json.dumps(
+            {
+                "version": 9,
+                "routes": [
+                    {
+                        "name": "r-1",
+                        "host": "h.example",
+                        "prefix": "/q/",
+                        "service": "s-1",
+                        "maxAttempts": 4,
+                        "stretch": 1.6,
+                        "targetDurationMs": 600,
+                        "hint": {"decideMs": 5, "periodMs": 2, "validMs": 900},
+                        "unknown": True,
+                    }
+                ],
+                "services": [
+                    {"name": "s-1", "rejectsOverload": False},
+                    {"name": "s-2", "standby": True},
+                ],
+            }
+        ).encode(),
+    ).unwrap()
+    queue = config.queues_by_id[QueueId("r-1")]
+    assert (queue.pool_id, queue.max_attempts, queue.allowance_ms) == ("s-1", 4, 600)
+    assert queue.advice is not None
+    assert queue.advice.per_worker_ms == 2
+    assert not config.pools_by_id[PoolId("s-1")].guards_room
+    assert config.pools_by_id[PoolId("s-2")].standby
+
+
+def test_wave_order_and_its_status():
+    value = {"wave": 3, "machines": ["m-1"], "deadlineS": 25, "maxCount": 2}
+    order = CODEC.decode_wave("op/wave/3", json.dumps(value).encode()).unwrap()
+    assert (order.id, order.vm_ids, order.max_at_once) == ("3", (VMId("m-1"),), 2)
+    key, status = CODEC.encode_wave_status(WaveId("3"), complete=True)
+    assert key == "status/wave/3"
+    assert json.loads(status) == {"wave": 3, "state": "complete"}
+
+
+@pytest.mark.parametrize(
+    ("state", "condition"),
+    [("ready", WorkerCondition.READY), ("draining", WorkerCondition.DRAINING)],
+)
+def test_worker_entry_names_its_rack(state: str, condition: WorkerCondition):
+    value = {
+        "service": "s-1",
+        "address": "10.0.0.1:80",
+        "state": state,
+        "capacity": {"cpu": 32_000, "memMb": 65_536},
+        "labels": ["a", "r1-3"],
+        "machineId": "m-1",
+    }
+    entry = CODEC.decode_worker("servers/i-1", json.dumps(value).encode()).unwrap()
+    assert (entry.id, entry.rack_id, entry.condition) == ("i-1", "r1-3", condition)
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"version": "new"}', b"\xff"])
+def test_unreadable_record_is_named(value: bytes):
+    for decode in (CODEC.decode_config, CODEC.decode_wave, CODEC.decode_worker):
+        found = decode("op/config", value)
+        assert not is_successful(found)
+        assert "op/config" in found.failure().message()
--- /dev/null
+++ b/packages/platform/tests/test_store.py
@@ -0,0 +1,121 @@
+"""The platform's store through its client: calls, refusals, lost replies, watches."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.pipeline import is_successful
+
+from medlarspring_adapters.store import (
+    Delete,
+    Expect,
+    LeaseGone,
+    LeaseId,
+    Put,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    Transaction,
+)
+from medlarspring_bench.platform_world.weather import StoreMood
+from medlarspring_tables import Revision
+
+if TYPE_CHECKING:
+    from .conftest import Platform
+
+ABSENT = Revision(0)
+
+
+def create(key: str, value: bytes = b"v") -> Transaction:
+    return Transaction((Expect(key, ABSENT),), (Put(key, value),), (key,))
+
+
+async def test_entry_is_created_once_and_read_back(platform: Platform):
+    first = await platform.store.commit(create("a/1", b"\x00\xff"))
+    second = await platform.store.commit(create("a/1"))
+    entry = (await platform.store.read("a/1")).unwrap()
+    assert first.unwrap().succeeded
+    assert not second.unwrap().succeeded
+    assert second.unwrap().read_by_key["a/1"].value == b"\x00\xff"
+    assert entry is not None
+    assert entry.mod_revision == first.unwrap().revision
+    assert (await platform.store.read("a/2")).unwrap() is None
+
+
+async def test_prefix_is_read_over_several_pages(platform: Platform):
+    keys = [f"a/{number:04d}" for number in range(1_100)]
+    for start in range(0, len(keys), 16):
+        puts = tuple(Put(key, b"v") for key in keys[start : start + 16])
+        await platform.store.commit(Transaction((), puts))
+    listing = (await platform.store.read_prefix("a/")).unwrap()
+    assert [entry.key for entry in listing.entries] == keys
+
+
+async def test_joint_write_that_fails_is_decided_one_by_one(platform: Platform):
+    await platform.store.commit(create("a/1"))
+    answers = await platform.store.commit_each([create("a/1"), create("a/2")])
+    assert [each.succeeded for each in answers.unwrap()] == [False, True]
+
+
+async def test_keys_go_with_their_lease(platform: Platform):
+    lease = (await platform.store.grant_lease(60.0)).unwrap()
+    await platform.store.commit(Transaction((), (Put("a/1", b"v", lease),)))
+    assert (await platform.store.keep_lease(lease)).unwrap() > 0
+    await platform.store.revoke_lease(lease)
+    assert (await platform.store.read("a/1")).unwrap() is None
+    assert (await platform.store.keep_lease(lease)).unwrap() == 0.0
+    lost = await platform.store.commit(
+        Transaction((), (Put("a/2", b"v", LeaseId(lease)),))
+    )
+    assert isinstance(lost.failure(), LeaseGone)
+
+
+async def test_refused_write_is_known_not_to_have_been_done(platform: Platform):
+    platform.weather.store_mood = StoreMood.BUSY
+    refused = await platform.store.commit(create("a/1"))
+    assert isinstance(refused.failure(), StoreUnavailable)
+    assert platform.store.failing_since is not None
+    platform.weather.store_mood = StoreMood.WELL
+    assert (await platform.store.read("a/1")).unwrap() is None
+    assert platform.store.failing_since is None
+
+
+async def test_write_with_a_lost_reply_has_an_unknown_outcome(platform: Platform):
+    """
+    The store carries a write out and its answer never comes. Taken for a refusal,
+    the customer would be told that a job which runs was not accepted.
+    """
+    platform.weather.lost_replies = 1.0
+    lost = await platform.store.commit(create("a/1"))
+    platform.weather.lost_replies = 0.0
+    assert isinstance(lost.failure(), StoreOutcomeUnknown)
+    assert (await platform.store.read("a/1")).unwrap() is not None
+
+
+async def test_watch_yields_every_change_in_order(platform: Platform):
+    start = Revision((await platform.store.read_prefix("a/")).unwrap().revision + 1)
+    watch = platform.store.watch("a/", start)
+    following = asyncio.ensure_future(anext(watch))
+    await asyncio.sleep(0)
+    await platform.store.commit(create("b/1"))
+    await platform.store.commit(create("a/1"))
+    batch = await following
+    assert [entry.key for entry in batch.changed] == ["a/1"]
+    await platform.store.commit(Transaction((), (Delete("a/1"),)))
+    assert (await anext(watch)).deleted == ("a/1",)
+    await watch.aclose()  # type: ignore[attr-defined]
+
+
+async def test_watch_ends_when_the_history_is_gone(platform: Platform):
+    for number in range(3):
+        await platform.store.commit(create(f"a/{number}"))
+    platform.state.compact(platform.state.revision)
+    batches = [batch async for batch in platform.store.watch("a/", Revision(2))]
+    assert batches == []
+
+
+async def test_no_answer_from_a_store_that_is_not_there(platform: Platform):
+    await platform.store.close()
+    platform.weather.store_mood = StoreMood.SILENT
+    silent = await platform.store.read("a/1")
+    assert not is_successful(silent)
