--- a/packages/platform/tests/test_fleet.py
+++ b/packages/platform/tests/test_fleet.py
@@ -52,7 +52,9 @@
     start = order(platform, address.id)
     started = await platform.workers.start(address, start, TIMEOUT)
     assert started.unwrap().refusal is None
-    held = (await platform.workers.hold(address, HoldOrder(FENCE, 0, 0), TIMEOUT)).unwrap()
+    held = (
+        await platform.workers.hold(address, HoldOrder(FENCE, 0, 0), TIMEOUT)
+    ).unwrap()
     assert [(row.task_id, row.run) for row in held.running] == [(TASK, 1)]
     await platform.workers.stop(address, StopOrder(TASK, 1, FENCE), TIMEOUT)
     waiting = HoldOrder(FENCE, 0, 0, wait_ms=900)
--- /dev/null
+++ b/packages/platform/tests/test_front.py
@@ -0,0 +1,185 @@
+"""The customers' HTTP interface: accepting, repeating, refusing, bad input."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from medlarspring_adapters.clock import SystemClock
+from medlarspring_adapters.events import create_event_log
+from medlarspring_adapters.metrics import NoMetrics
+from medlarspring_bench.key_value_ops import PutOp
+from medlarspring_bench.platform_world.plans import (
+    HOST,
+    WorldPlan,
+    write_operator_config,
+)
+from medlarspring_bench.platform_world.weather import StoreMood
+from medlarspring_daemon.scheduling.context import SchedulingNode
+from medlarspring_daemon.scheduling.service import create_scheduling_service
+from medlarspring_platform.front import JobsFront
+from medlarspring_platform.operator_records import PlatformCodec
+from medlarspring_tables import EntryVMId
+from medlarspring_tables.scheduling import FleetLimits
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from .conftest import Platform
+
+JOB = "5c0e7a21d94b36f8"
+BODY: dict[str, Any] = {"spec": "text", "steps": [{"count": 1, "cpu": 500}]}
+
+
+@dataclass
+class Front:
+    """One entry VM's customers' port."""
+
+    address: str
+    session: aiohttp.ClientSession
+    platform: Platform
+
+    async def call(
+        self, method: str, path: str = f"/lookup/{JOB}", body: bytes | None = None
+    ) -> tuple[int, dict[str, Any], str]:
+        async with self.session.request(
+            method,
+            f"http://{self.address}{path}",
+            data=body,
+            headers={"Host": HOST, "X-Medlarspring-Deadline-Ms": "1500"},
+        ) as response:
+            text = await response.text()
+            return (
+                response.status,
+                json.loads(text) if text else {},
+                response.headers.get("Retry-After", ""),
+            )
+
+    async def submit(self, **changes: object) -> tuple[int, dict[str, Any], str]:
+        body = json.dumps({**BODY, **changes}).encode()
+        return await self.call("POST", body=body)
+
+
+@pytest.fixture
+async def front(platform: Platform) -> AsyncIterator[Front]:
+    config = json.dumps(write_operator_config(WorldPlan(), 2)).encode()
+    platform.state.apply(PutOp(b"op/config", config))
+    node = SchedulingNode(
+        id=EntryVMId("entry-0"),
+        incarnation=1,
+        clock=SystemClock(),
+        rng=random.Random(1),
+        log=create_event_log(EntryVMId("entry-0"), "INFO", io.StringIO()),
+        metrics=NoMetrics(),
+        store=platform.store,
+        store_health=platform.store,
+        codec=PlatformCodec(),
+        orders=platform.workers,
+        lifecycle=platform.machines,
+        limits=FleetLimits(),
+    )
+    service = create_scheduling_service(node)
+    await service.start()
+    while service.directory.config is None:
+        await asyncio.sleep(0.01)
+    runner = web.ServerRunner(web.Server(JobsFront(service).handle))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    async with aiohttp.ClientSession() as session:
+        yield Front(f"{host}:{port}", session, platform)
+    await runner.cleanup()
+    await service.stop()
+
+
+async def test_job_is_accepted_once_and_its_repeat_is_the_same_job(front: Front):
+    assert (await front.submit())[0] == 200
+    assert (await front.submit())[0] == 200
+    status, answer, _ = await front.call("GET")
+    assert status == 200
+    assert answer["state"] in ("queued", "active", "complete", "failed")
+
+
+async def test_job_that_nobody_submitted_is_unknown(front: Front):
+    assert (await front.call("GET"))[0] == 410
+    assert (await front.call("DELETE"))[0] == 410
+
+
+async def test_cancelled_job_is_shown_as_such(front: Front):
+    await front.submit(steps=[{"count": 1, "cpu": 500, "after": [], "requires": "no"}])
+    assert (await front.call("DELETE"))[0] == 200
+    async with asyncio.timeout(5.0):
+        while (await front.call("GET"))[1].get("state") != "canceled":
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"spec": 5},
+        {"spec": "x" * 4_001},
+        {"steps": []},
+        {"steps": "many"},
+        {"steps": [{"count": 0}]},
+        {"steps": [{"count": 1, "cpu": -1}]},
+        {"steps": [{"count": 1, "cpu": 1.5}]},
+        {"steps": [{"count": 1, "after": [0]}]},
+        {"steps": [{"count": 1}, {"count": 1, "after": [2]}]},
+        {"steps": [{"count": 1, "after": [-1]}]},
+        {"steps": [{"count": 10_001}]},
+        {"steps": [{"count": 1}] * 101},
+        {"times": -1},
+        {"times": 3, "startAtMs": 0, "intervalMs": 0},
+        {"times": 10_001, "intervalMs": 1},
+    ],
+    ids=lambda changes: str(changes)[:40],
+)
+async def test_job_that_can_not_be_is_refused_with_the_reason(
+    front: Front, changes: dict[str, object]
+):
+    status, answer, _ = await front.submit(**changes)
+    assert status == 400
+    assert answer["error"] == "job-invalid"
+    assert answer["message"].startswith("The job was not accepted")
+    assert (await front.call("GET"))[0] == 410
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"null"])
+async def test_unreadable_body_is_refused(front: Front, body: bytes):
+    assert (await front.call("POST", body=body))[0] == 400
+
+
+async def test_oversized_body_is_refused(front: Front):
+    assert (await front.call("POST", body=b" " * 262_145))[0] == 413
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/nowhere/5c0e7a21d94b36f8", 404),
+        ("GET", "/lookup/5C0E7A21D94B36F8", 400),
+        ("GET", "/lookup/5c0e", 400),
+        ("GET", "/lookup/5c0e7a21d94b36f8/more", 400),
+        ("PUT", "/lookup/5c0e7a21d94b36f8", 405),
+        ("POST", "/lookup/", 405),
+        ("GET", "/lookup/", 200),
+    ],
+)
+async def test_paths_and_methods(front: Front, method: str, path: str, status: int):
+    assert (await front.call(method, path))[0] == status
+
+
+async def test_refusal_while_the_store_is_away_says_when_to_come_back(front: Front):
+    front.platform.weather.store_mood = StoreMood.BUSY
+    status, answer, retry_after = await front.submit()
+    assert status == 503
+    assert answer["error"] == "not-ready"
+    assert int(retry_after) >= 1
--- a/packages/systems/src/medlarspring_systems/scheduling/admission.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/admission.py
@@ -15,6 +15,11 @@
 MAX_TASKS = 10_000
 """Over all steps; a progress record stays well below the store's value limit."""
 
+MAX_OCCURRENCES = 10_000
+MAX_TASKS_IN_ALL = 100_000
+"""Over all occurrences; a job that is due every millisecond would otherwise fill the
+controller's memory."""
+
 
 class JobInvalid(MedlarspringError):
     """The submitted job can't run as written."""
@@ -54,6 +59,13 @@
             "its occurrences have no interval",
             "State a positive interval, or a single occurrence.",
         )
+    tasks = sum(step.count for step in spec.steps) * max(spec.occurrences, 1)
+    if spec.occurrences > MAX_OCCURRENCES or tasks > MAX_TASKS_IN_ALL:
+        return JobInvalid(
+            f"it has {spec.occurrences} occurrences with {tasks} tasks in all,"
+            f" {MAX_OCCURRENCES} and {MAX_TASKS_IN_ALL} at most",
+            "Submit fewer occurrences at a time.",
+        )
     for index, step in enumerate(spec.steps):
         fault = _check_step(index, step)
         if fault is not None:
