Write libraries' lines as events, and close connections that are closed at once

On a rolling stop each process wrote bare lines between its JSON lines: the signal, and connections left open, since a closing that is cancelled before it has begun closes nothing. Both have a test that failed before.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -48,6 +48,7 @@
     WAVE_DONE = (5023, "wave is done")
     LINES_LEFT_OUT = (1006, "log lines were left out")
     METRICS_UNSERVED = (1007, "the metrics address can't be opened")
+    LIBRARY_LINE = (1008, "a library has something to say")
     TASK_FAILED = (1010, "a background task failed and is started again")
 
     REQUEST_FAILED = (2001, "a caller's request met a fault of this process")
--- a/packages/adapters/src/medlarspring_adapters/http_channel.py
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -92,11 +92,16 @@
 
     async def close(self) -> None:
         """Close all connections, waiting for at most ``CLOSE_SECONDS``."""
-        self.retire()
-        for task in list(self._retired):
+        session, self._session = self._session, None
+        # A task that is cancelled before it has begun would close nothing.
+        await asyncio.sleep(0)
+        closing = list(self._retired)
+        for task in closing:
             task.cancel()
-        if self._retired:
-            await asyncio.wait(list(self._retired), timeout=CLOSE_SECONDS)
+        if session is not None:
+            closing.append(asyncio.ensure_future(session.close()))
+        if closing:
+            await asyncio.wait(closing, timeout=CLOSE_SECONDS)
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/packages/adapters/tests/test_log_output.py
+++ b/packages/adapters/tests/test_log_output.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import time
 
 from medlarspring_adapters.clock import ManualClock
 from medlarspring_adapters.events import Event, create_bounded_log
+from medlarspring_adapters.library_log import take_library_lines
 from medlarspring_adapters.log_output import (
     BURST_LINES,
     LINES_PER_SECOND,
@@ -62,3 +64,23 @@
     os.close(reader)
     log.close()
     os.close(writer)
+
+
+def test_lines_of_libraries_become_events():
+    reader, writer = os.pipe()
+    log = create_bounded_log(EntryVMId("entry-0"), ManualClock(), writer)
+    former = logging.getLogger().handlers
+    try:
+        take_library_lines(log)
+        logging.getLogger("aiohttp.server").error("cannot write", exc_info=OSError("x"))
+        logging.getLogger("asyncio").info("left out")
+    finally:
+        logging.getLogger().handlers = former
+    log.close()
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        (line,) = lines.read().splitlines()
+    document = json.loads(line)
+    assert document["event"] == Event.LIBRARY_LINE.number
+    assert document["library"] == "aiohttp.server"
+    assert document["fault"] == "OSError('x')"
--- a/packages/platform/src/medlarspring_platform/launcher.py
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -18,6 +18,7 @@
 
 from medlarspring_adapters.clock import SuspendAwareClock
 from medlarspring_adapters.events import Event, create_bounded_log
+from medlarspring_adapters.library_log import take_library_lines
 from medlarspring_adapters.prometheus_metrics import PrometheusMetrics
 from medlarspring_daemon.scheduling.context import SchedulingNode
 from medlarspring_daemon.scheduling.service import create_scheduling_service
@@ -65,6 +66,7 @@
 
     async def start(self) -> None:
         """Open the ports and join the others."""
+        take_library_lines(self._log)
         self._node = self._create_node()
         self._service: SchedulingService = create_scheduling_service(self._node)
         self._front = JobsFront(self._service)
