--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
 from returns.pipeline import is_successful
@@ -19,6 +17,7 @@
     StopOrder,
     WorkerAddress,
 )
+from medlarspring_daemon.scheduling.end_ledger import EndLedger
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.scheduling.evidence import note_refusal
 from medlarspring_systems.scheduling.listings import take_listing
@@ -79,15 +78,6 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class UnacknowledgedEnd:
-    """An end that the worker keeps until its job's record holds it."""
-
-    number: int
-    job: ActiveJob | None
-    version: int
-
-
 class WorkerLink:
     """All calls to one worker under one tenure."""
 
@@ -101,7 +91,7 @@
         self._address = WorkerAddress(worker.id, worker.address)
         self._wake = asyncio.Event()
         self._tasks = Tasks(node.log)
-        self._unacknowledged: deque[UnacknowledgedEnd] = deque()
+        self._ends = EndLedger()
         self._stops_sent: dict[tuple[str, int], Seconds] = {}
         self._strangers: set[tuple[str, int]] = set()
         self._look_now = False
@@ -133,7 +123,7 @@
 
     def awaits_record_of(self, job: ActiveJob) -> bool:
         """Tell whether an end of the job's tasks can't be acknowledged yet."""
-        return any(end.job is job for end in self._unacknowledged)
+        return self._ends.awaits_record_of(job)
 
     def send_start(self, run: Run) -> None:
         """Order a run whose intent is recorded."""
@@ -322,12 +312,12 @@
         worker = self._worker
         if not worker.settled or worker.unanswered_since or self._look_now:
             return True
-        if self._unacknowledged and self._find_acknowledged() > worker.acknowledged:
+        if self._ends.find_recorded(worker.acknowledged) > worker.acknowledged:
             return True
         return any(run.state is not RunState.INTENDED for run in worker.runs.values())
 
     async def _hold_once(self) -> None:
-        acknowledged = self._find_acknowledged()
+        acknowledged = self._ends.find_recorded(self._worker.acknowledged)
         wait_ms = self._plan_wait()
         self._look_now = False
         asked_at = self._node.clock.now()
@@ -345,7 +335,7 @@
             await asyncio.sleep(SILENT_RETRY_SECONDS)
             return
         self._take_hold_answer(answer.unwrap(), acknowledged, asked_at, now)
-        if self._unacknowledged and not self._look_now:
+        if self._ends and not self._look_now:
             await asyncio.sleep(UNWRITTEN_PAUSE_SECONDS)
 
     def _plan_wait(self) -> int:
@@ -394,8 +384,7 @@
         self._note_answered(now)
         note_clock(worker, answer.clock_ms, now)
         worker.acknowledged = max(worker.acknowledged, acknowledged)
-        while self._unacknowledged and self._unacknowledged[0].number <= acknowledged:
-            self._unacknowledged.popleft()
+        self._ends.drop(acknowledged)
         outcome = take_listing(
             self._owner.tables,
             worker,
@@ -410,8 +399,7 @@
             # The lease could not be extended before the worker's clock was known.
             self._look_now = True
         for number, job in outcome.ends:
-            version = job.version if job is not None else 0
-            self._unacknowledged.append(UnacknowledgedEnd(number, job, version))
+            self._ends.add(number, job)
         for run in outcome.confirmed:
             self._log_started(run)
         self._settle_rest(outcome)
@@ -436,15 +424,6 @@
         if outcome.strangers:
             self._look_now = True
 
-    def _find_acknowledged(self) -> int:
-        """Return the highest end whose record, and those before it, are written."""
-        acknowledged = self._worker.acknowledged
-        for end in self._unacknowledged:
-            if end.job is not None and end.job.written_version < end.version:
-                break
-            acknowledged = max(acknowledged, end.number)
-        return acknowledged
-
     def _note_answered(self, now: Seconds) -> None:
         worker = self._worker
         worker.answered_at = now
