--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -93,7 +93,6 @@
         self._tasks = Tasks(node.log)
         self._ends = EndLedger()
         self._stops_sent: dict[tuple[str, int], Seconds] = {}
-        self._strangers: set[tuple[str, int]] = set()
         self._look_now = False
         self._in_hold = False
         self._looking = False
