Stop a serving task only beside tasks that this controller has seen at work for a while

Trace: the cell was handed over at 7.0, while a stop that the predecessor had ordered for task .3 was being carried out; its worker still listed the task at work, so the successor stopped task .2 of the same step for the wave. Ruled out: two waves at once, and a lagging list (both tasks' workers answered).

A task counts as at work once this controller has seen it running for 0.8 s; a stop takes 0.4 s.

--- a/packages/systems/src/medlarspring_systems/scheduling/availability.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/availability.py
@@ -9,16 +9,22 @@
 
 if TYPE_CHECKING:
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import Run, StepRun, Task, WorkTables
+    from medlarspring_tables.scheduling import Run, Task, WorkTables
 
 AT_WORK_PERCENT = 100
 """A long-running task is at work when it reports this."""
+SEEN_SECONDS = 0.8
+"""So long this controller must have seen a task running. A predecessor may have
+ordered its stop right before the hand-over; until that is carried out, 0.4 s later at
+most, the worker lists the task at work, and another one of its step would be stopped
+beside it."""
 
 
-def is_surely_at_work(task: Task) -> bool:
+def is_surely_at_work(task: Task, now: Seconds) -> bool:
     """Tell whether a long-running task serves, by a worker that answers."""
     return any(
         _was_at_work(run)
+        and now - run.confirmed_at >= SEEN_SECONDS
         and not run.stopping
         and not run.worker.gone
         and not run.worker.unanswered_since
@@ -30,11 +36,6 @@
     return run.state is RunState.RUNNING and run.percent >= AT_WORK_PERCENT
 
 
-def count_away(step: StepRun) -> int:
-    """Return how many tasks of a step may not be at work, for whatever cause."""
-    return sum(1 for task in step.tasks if not is_surely_at_work(task))
-
-
 def may_stop_long_run(tables: WorkTables, run: Run, now: Seconds) -> bool:
     """Tell whether a long-running task may be stopped to run elsewhere.
 
@@ -45,7 +46,9 @@
     """
     step = run.task.step
     others_away = sum(
-        1 for task in step.tasks if task is not run.task and not is_surely_at_work(task)
+        1
+        for task in step.tasks
+        if task is not run.task and not is_surely_at_work(task, now)
     )
     if others_away >= max(step.spec.max_unavailable, 1):
         return False
@@ -59,4 +62,4 @@
     )
 
 
-__all__ = ["count_away", "is_surely_at_work", "may_stop_long_run"]
+__all__ = ["is_surely_at_work", "may_stop_long_run"]
--- a/packages/systems/tests/scheduling/test_maintenance_waves.py
+++ b/packages/systems/tests/scheduling/test_maintenance_waves.py
@@ -45,11 +45,11 @@
     return [each.vm_id for each in found.operations if isinstance(each, MaintainVM)]
 
 
-def serve(scene: Scene, spec: StepSpec = LASTING) -> list[Run]:
+def serve(scene: Scene, spec: StepSpec = LASTING, since: float = NOW - 5) -> list[Run]:
     scene.add_job("lasting", spec)
     runs = plan_round(scene.tables, POOL, NOW)
     for run in runs:
-        confirm_run(run, NOW)
+        confirm_run(run, since)
         run.percent = 100
     return runs
 
@@ -128,3 +128,21 @@
     assert (move.vm_id, move.pool_id) == ("m-9", POOL)
     scene.add_worker(9)
     assert plan(scene, fleet).stops
+
+
+def test_new_controller_drains_only_what_it_has_seen_at_work_for_a_while(
+    scene: Scene,
+):
+    """
+    A controller orders the stop of a task that serves users, and hands the cell over.
+    Its worker still lists the task at work, so its successor stopped another one of
+    the same step: two were away where one may be.
+    """
+    fleet = FleetTables(sizes_known=True)
+    for number in range(1, 4):
+        scene.add_worker(number)
+    serve(scene, since=NOW)
+    order_wave(fleet, 1)
+    assert plan(scene, fleet, NOW + 0.1).stops == []
+    assert plan(scene, fleet, NOW + 0.5).stops == []
+    assert len(plan(scene, fleet, NOW + 1.0).stops) == 1
