--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/link_owner.py
@@ -0,0 +1,34 @@
+"""What the links to workers tell the controller of their cell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from medlarspring_systems.scheduling.listings import ListingOutcome
+    from medlarspring_tables.scheduling import Run, Worker, WorkTables
+
+
+class LinkOwner(Protocol):
+    """What a link tells the controller of its cell."""
+
+    tables: WorkTables
+
+    def note_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
+        """Record what a listing changed, and plan anew."""
+        ...
+
+    def note_changed(self, worker: Worker, run: Run) -> None:
+        """Record that a run is over or was refused, and plan anew."""
+        ...
+
+    def note_silent(self, worker: Worker) -> None:
+        """Look whether a worker that does not answer is still alive."""
+        ...
+
+    def note_superseded(self) -> None:
+        """Stop: a controller with a higher fence has been at a worker."""
+        ...
+
+
+__all__ = ["LinkOwner"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
 
@@ -29,9 +29,10 @@
     from medlarspring_adapters.worker_orders import HoldAnswer, OrderAnswer
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Tenure
+    from medlarspring_daemon.scheduling.link_owner import LinkOwner
     from medlarspring_systems.scheduling.listings import ListingOutcome
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import ActiveJob, Run, Worker, WorkTables
+    from medlarspring_tables.scheduling import ActiveJob, Run, Worker
 
 LEASE_MARGIN_SECONDS = 0.5
 """Leases are asked for so much below the worker's limit, which cuts longer ones."""
@@ -56,28 +57,6 @@
 """Between calls while ends wait for the store: the worker answers at once then."""
 
 
-class LinkOwner(Protocol):
-    """What a link tells the controller of its cell."""
-
-    tables: WorkTables
-
-    def note_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
-        """Record what a listing changed, and plan anew."""
-        ...
-
-    def note_changed(self, worker: Worker, run: Run) -> None:
-        """Record that a run is over or was refused, and plan anew."""
-        ...
-
-    def note_silent(self, worker: Worker) -> None:
-        """Look whether a worker that does not answer is still alive."""
-        ...
-
-    def note_superseded(self) -> None:
-        """Stop: a controller with a higher fence has been at a worker."""
-        ...
-
-
 class WorkerLink:
     """All calls to one worker under one tenure."""
 
@@ -449,4 +428,4 @@
         self._owner.note_silent(worker)
 
 
-__all__ = ["LinkOwner", "WorkerLink"]
+__all__ = ["WorkerLink"]
--- a/packages/systems/src/medlarspring_systems/scheduling/evacuation.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/evacuation.py
@@ -7,7 +7,7 @@
 
 So while a pool is short and standby is empty, the least busy VMs of pools with more
 than their work needs get no new tasks, and what runs there goes on elsewhere from its
-checkpoint: half a second for a job that can wait for three.
+checkpoint. By the platform's bounds that takes 0.4 s to stop and 0.1 s to resume.
 """
 
 from __future__ import annotations
