Take no worker, wave or record from bytes that can't be read

Cause: the registry and the store may hold entries of other writers. An entry without a state read as ready, one without address, VM or capacity was taken as a worker and links were opened to it; a value that is no base64 ended the listing or watch that brought it; an unreadable wave, size, operation or progress record raised in the keeper or in the middle of a takeover.

Now: a worker's entry has all that orders need, of the right types, and names a pool that the configuration has (it is taken later if the pool comes later). A known worker whose entry turns unreadable gets no new tasks; what runs there goes on. A job whose progress can't be read is left alone, since begun anew its done tasks would run twice. Each bad record is named once. A VM state that is not known is no longer taken for proof that the VM is down.

Found by the new tests: a pool counted a VM without a readable entry as its one VM, and its next job waited for ever; tasks of a worker known from records only waited without end when the worker lived on.

The emulator's entries now carry a zone and a real address, as the platform's do; one test's entry got its zone.

--- a/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from medlarspring_adapters.vm_lifecycle import VMRefusal
 from medlarspring_bench.key_value_ops import DeleteOp, PutOp
@@ -52,6 +54,11 @@
     """Wave on whose behalf it is down."""
 
 
+def invent_address(vm_id: VMId) -> str:
+    """Return an address for a VM that nobody connects to."""
+    return f"{ip_address(crc32(vm_id.encode()))}:8080"
+
+
 class FleetModel:
     """All VMs; implements what the VM control and the registry do."""
 
@@ -63,10 +70,10 @@
         history: History,
         standby_pools: set[PoolId],
         find_facts: Callable[[str], TaskFacts | None],
-        find_address: Callable[[VMId], str] = lambda vm_id: f"worker-of-{vm_id}",
+        find_address: Callable[[VMId], str] | None = None,
     ) -> None:
         self._state = state
-        self._find_address = find_address
+        self._find_address = find_address or invent_address
         self._clock = clock
         self._rng = rng
         self._history = history
@@ -248,7 +255,7 @@
         entry = {
             "service": worker.pool_id,
             "address": worker.address,
-            "zone": "",
+            "zone": self.vms_by_id[worker.vm_id].zone,
             "state": "draining" if worker.draining else "ready",
             "capacity": {
                 "cpu": worker.room.cpu_millis,
--- a/packages/daemon/src/medlarspring_daemon/scheduling/context.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from medlarspring_daemon.scheduling.unreadable import UnreadableRecords
 from medlarspring_tables.scheduling import CellId
 
 if TYPE_CHECKING:
@@ -57,6 +58,10 @@
     """Processors that this process may use on average."""
     cells: tuple[CellId, ...] = CELLS
     stopping: bool = field(default=False)
+    unreadable: UnreadableRecords = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.unreadable = UnreadableRecords(self.log)
 
 
 __all__ = ["CELLS", "SchedulingNode", "StoreHealth"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -78,6 +78,7 @@
         self._rounds_due: dict[PoolId, None] = {}
         self._round_timer: asyncio.TimerHandle | None = None
         self._followers: list[PrefixFollower] = []
+        self._workers: WorkerFeed | None = None
         self._running = False
         self._lag: Seconds = 0.0
         """How late this process's timers are, smoothed over about two seconds."""
@@ -120,7 +121,7 @@
         progress = await self._read_until(prefix)
         records = {entry.key.removeprefix(prefix): entry for entry in progress.entries}
         feed = JobFeed(self._node, self._tenure, self, records)
-        workers = WorkerFeed(self._node, self)
+        workers = self._workers = WorkerFeed(self._node, self)
         store, rng = self._node.store, self._node.rng
         inbox = self._tenure.keys.inbox_prefix
         self._followers = [
@@ -401,8 +402,11 @@
 
     def _take_config(self) -> None:
         """Take the operator's configuration over."""
-        if self._directory.config is not None:
-            self.tables.config = self._directory.config
+        if self._directory.config is None:
+            return
+        self.tables.config = self._directory.config
+        if self._workers is not None:
+            self._workers.take_config()
 
     # What the workers' lives tell
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/directory.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/directory.py
@@ -65,6 +65,7 @@
         """Take what changed."""
         for key in batch.deleted:
             self.waves_by_key.pop(key, None)
+            self._node.unreadable.forget(key)
         for entry in batch.changed:
             self._take(entry)
         self._tell()
@@ -82,9 +83,9 @@
     def _take_config(self, entry: Entry) -> None:
         decoded = self._node.codec.decode_config(entry.key, entry.value)
         if not is_successful(decoded):
-            fault = decoded.failure().message()
-            self._node.log.error(Event.RECORD_UNREADABLE, key=entry.key, fault=fault)
+            self._node.unreadable.note(entry.key, decoded.failure().message())
             return
+        self._node.unreadable.forget(entry.key)
         config = decoded.unwrap()
         # A lagging replica may answer with an older version after a newer one was
         # in force; callers would see a dropped queue come back.
@@ -104,9 +105,9 @@
     def _take_wave(self, entry: Entry) -> None:
         decoded = self._node.codec.decode_wave(entry.key, entry.value)
         if not is_successful(decoded):
-            fault = decoded.failure().message()
-            self._node.log.error(Event.RECORD_UNREADABLE, key=entry.key, fault=fault)
+            self._node.unreadable.note(entry.key, decoded.failure().message())
             return
+        self._node.unreadable.forget(entry.key)
         order = decoded.unwrap()
         known = self.waves_by_key.get(entry.key)
         seen_at = known[1] if known else self._node.clock.now()
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -64,6 +64,7 @@
 a customer's few tries are not used up within the first seconds of a long one."""
 ANSWER_MARGIN_SECONDS = 0.15
 """An answer leaves so much before the customer stops waiting."""
+UNREADABLE_JOB = "the job's record can't be read"
 LOAD_AGE_SECONDS = 0.5
 """Counts of waiting jobs are read again after so long; they may be 2 s old."""
 
@@ -146,7 +147,10 @@
             entry = found.unwrap()
             if entry is None:
                 return Failure(NoSuchJob())
-            if _decode_job(entry).outcome is not None:
+            record = self._node.unreadable.decode(entry, JobRecord)
+            if record is None:
+                return Failure(self._create_refusal(UNREADABLE_JOB))
+            if record.outcome is not None:
                 return Success(None)
             wish = CancelRecord(requested_at_ms=round(self._node.clock.wall() * 1_000))
             transaction = Transaction(
@@ -183,9 +187,11 @@
         entry = found.unwrap()
         if entry is None:
             return Failure(NoSuchJob())
-        outcome = _decode_job(entry).outcome
-        if outcome is not None:
-            return Success(STATUS_BY_OUTCOME[outcome])
+        record = self._node.unreadable.decode(entry, JobRecord)
+        if record is None:
+            return Failure(self._create_refusal(UNREADABLE_JOB))
+        if record.outcome is not None:
+            return Success(STATUS_BY_OUTCOME[record.outcome])
         progress = await self._read(keys.progress(job_id), ends_at)
         if not is_successful(progress):
             return Failure(progress.failure())
@@ -217,7 +223,7 @@
         entry = found.unwrap()
         record = LoadRecord(at_ms=0)
         if entry is not None:
-            record = msgspec.json.decode(entry.value, type=LoadRecord)
+            record = self._node.unreadable.decode(entry, LoadRecord) or record
         self._loads_by_cell[keys.cell_id] = ReadLoad(record, now)
         return Success(record)
 
@@ -329,8 +335,4 @@
         )
 
 
-def _decode_job(entry: Entry) -> JobRecord:
-    return msgspec.json.decode(entry.value, type=JobRecord)
-
-
 __all__ = ["Intake", "JobStatus"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -5,12 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
-import msgspec
-
 from medlarspring_adapters.events import Event
 from medlarspring_daemon.scheduling.keys import InboxKind
+from medlarspring_systems.scheduling.admission import check_job
 from medlarspring_systems.scheduling.jobs import admit_job
-from medlarspring_systems.scheduling.recording import restore_progress
+from medlarspring_systems.scheduling.recording import (
+    find_progress_fault,
+    restore_progress,
+)
 from medlarspring_systems.scheduling.workers import find_or_create_worker
 from medlarspring_tables.scheduling import JobRecord, ProgressRecord
 
@@ -19,7 +21,7 @@
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Tenure
     from medlarspring_tables import JobId
-    from medlarspring_tables.scheduling import ActiveJob, WorkTables
+    from medlarspring_tables.scheduling import ActiveJob, JobSpec, WorkTables
 
 
 class JobOwner(Protocol):
@@ -81,27 +83,41 @@
         tables = self._owner.tables
         if job_id in tables.jobs_by_id or job_id in tables.ended_job_ids:
             return
-        try:
-            record = msgspec.json.decode(entry.value, type=JobRecord)
-        except msgspec.MsgspecError as error:
-            self._node.log.error(
-                Event.RECORD_UNREADABLE, key=entry.key, fault=str(error)
-            )
+        record = self._node.unreadable.decode(entry, JobRecord)
+        if record is None or record.outcome is not None or record.spec is None:
+            return
+        fault = check_job(record.spec)
+        if fault is not None:
+            self._node.unreadable.note(entry.key, fault.message())
             return
-        if record.outcome is not None or record.spec is None:
+        progress_entry = self._progress_by_id.pop(job_id, None)
+        progress = self._read_progress(progress_entry, record.spec)
+        if progress_entry is not None and progress is None:
+            # Begun anew, its tasks that are done would run a second time.
             return
         job = admit_job(tables, job_id, record, entry.mod_revision)
-        self._restore(job)
+        if progress_entry is not None and progress is not None:
+            job.progress_revision = progress_entry.mod_revision
+            self._restore(job, progress)
         self._owner.note_job(job)
 
-    def _restore(self, job: ActiveJob) -> None:
-        entry = self._progress_by_id.pop(job.id, None)
+    def _read_progress(
+        self, entry: Entry | None, spec: JobSpec
+    ) -> ProgressRecord | None:
         if entry is None:
-            return
+            return None
+        record = self._node.unreadable.decode(entry, ProgressRecord)
+        if record is None:
+            return None
+        fault = find_progress_fault(record, spec)
+        if fault:
+            self._node.unreadable.note(entry.key, fault)
+            return None
+        return record
+
+    def _restore(self, job: ActiveJob, record: ProgressRecord) -> None:
         tables = self._owner.tables
         now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
-        job.progress_revision = entry.mod_revision
-        record = msgspec.json.decode(entry.value, type=ProgressRecord)
         restore_progress(
             tables,
             job,
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
@@ -106,7 +106,10 @@
                 continue
             for entry in listing.unwrap().entries:
                 wave_id = entry.key.removeprefix(prefix)
-                record = msgspec.json.decode(entry.value, type=WaveRecord)
+                record = self._node.unreadable.decode(entry, WaveRecord)
+                if record is None:
+                    # Its VMs are maintained again: late, but none is left out.
+                    continue
                 self.fleet.done_by_wave[WaveId(wave_id)] = {
                     VMId(vm_id) for vm_id in record.begun
                 }
@@ -121,8 +124,10 @@
                 break
             await asyncio.sleep(RETRY_SECONDS)
         entry = found.unwrap()
-        if entry is not None:
-            record = msgspec.json.decode(entry.value, type=SizesRecord)
+        if entry is None:
+            return
+        record = self._node.unreadable.decode(entry, SizesRecord)
+        if record is not None:
             self.fleet.first_sizes = {
                 PoolId(pool): vms for pool, vms in record.vms_by_pool.items()
             }
@@ -139,13 +144,20 @@
         entry = found.unwrap()
         if entry is None:
             return
-        record = msgspec.json.decode(entry.value, type=OperationsRecord)
+        record = self._node.unreadable.decode(entry, OperationsRecord)
+        if record is None:
+            self._begin_at = self._node.clock.now() + self._measure_apart()
+            return
         now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
-        apart = self._node.limits.vm_lease + SETTLE_SECONDS
+        apart = self._measure_apart()
         for vm, sent_ms in record.sent_ms_by_vm.items():
             elapsed = max(wall_ms - sent_ms, 0.0) / 1_000.0
             self.fleet.refused_until[VMId(vm)] = now + apart - elapsed
 
+    def _measure_apart(self) -> Seconds:
+        """Return how far apart two holders' operations on one VM must be."""
+        return self._node.limits.vm_lease + SETTLE_SECONDS
+
     async def _record_sizes(self) -> None:
         if self._sizes_recorded or not self.fleet.sizes_known:
             return
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_feed.py
@@ -38,11 +38,19 @@
         self._node = node
         self._owner = owner
         self.loaded = asyncio.Event()
+        self._of_unknown_pools: dict[str, Entry] = {}
+        """Entries by key that wait for a configuration with their pool."""
+
+    def take_config(self) -> None:
+        """Take the entries whose pools the configuration has now."""
+        for entry in list(self._of_unknown_pools.values()):
+            self._take(entry)
 
     def take_listing(self, listing: Listing) -> None:
         """Take the whole registry; a worker that is not in it was dropped."""
         prefix = self._node.codec.worker_prefix
         listed = {entry.key.removeprefix(prefix) for entry in listing.entries}
+        self._of_unknown_pools.clear()
         for entry in listing.entries:
             self._take(entry)
         for worker in list(self._owner.tables.workers_by_id.values()):
@@ -54,20 +62,33 @@
         """Take what changed."""
         prefix = self._node.codec.worker_prefix
         for key in batch.deleted:
+            self._of_unknown_pools.pop(key, None)
+            self._node.unreadable.forget(key)
             self._drop(WorkerId(key.removeprefix(prefix)))
         for entry in batch.changed:
             self._take(entry)
 
     def _take(self, entry: Entry) -> None:
         decoded = self._node.codec.decode_worker(entry.key, entry.value)
+        self._of_unknown_pools.pop(entry.key, None)
         if not is_successful(decoded):
-            fault = decoded.failure().message()
-            self._node.log.error(Event.RECORD_UNREADABLE, key=entry.key, fault=fault)
+            self._leave_out(entry, decoded.failure().message())
             return
+        found = decoded.unwrap()
         tables = self._owner.tables
-        known = tables.workers_by_id.get(decoded.unwrap().id)
+        if found.pool_id not in tables.config.pools_by_id:
+            # The configuration that adds the pool may be still on its way.
+            self._of_unknown_pools[entry.key] = entry
+            self._leave_out(
+                entry,
+                f"The entry names the pool {found.pool_id}, which the configuration"
+                " does not have; add the pool or remove the entry.",
+            )
+            return
+        self._node.unreadable.forget(entry.key)
+        known = tables.workers_by_id.get(found.id)
         was_draining = known is not None and known.draining
-        worker = take_entry(tables, decoded.unwrap(), self._node.clock.now())
+        worker = take_entry(tables, found, self._node.clock.now())
         if worker is None:
             return
         if known is None or worker.draining != was_draining:
@@ -81,6 +102,15 @@
             )
         self._owner.note_worker(worker)
 
+    def _leave_out(self, entry: Entry, fault: str) -> None:
+        """Give a worker no new tasks while its entry does not say what it is.
+
+        What runs there goes on: the entry proves nothing about the worker's life.
+        """
+        self._node.unreadable.note(entry.key, fault)
+        prefix = self._node.codec.worker_prefix
+        self._drop(WorkerId(entry.key.removeprefix(prefix)))
+
     def _drop(self, worker_id: WorkerId) -> None:
         tables = self._owner.tables
         worker = tables.workers_by_id.get(worker_id)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_lives.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_lives.py
@@ -10,7 +10,12 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_systems.scheduling.runs import detach_run
-from medlarspring_systems.scheduling.workers import end_life, is_lease_over, take_vms
+from medlarspring_systems.scheduling.workers import (
+    end_life,
+    is_lease_over,
+    is_record_over,
+    take_vms,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -67,12 +72,17 @@
     def drop_lapsed(self, now: Seconds) -> None:
         """Give up the runs of silent workers whose lease has certainly ended."""
         for worker in list(self._owner.tables.workers_by_id.values()):
-            if worker.unanswered_since and is_lease_over(worker, now):
+            if self._has_lapsed(worker, now):
                 lost = list(worker.runs.values())
                 for run in lost:
                     detach_run(self._owner.tables, run, now)
                 self._give_up(lost, "lease lapsed")
 
+    def _has_lapsed(self, worker: Worker, now: Seconds) -> bool:
+        if is_record_over(worker, self._node.limits.worker_lease, now):
+            return True
+        return bool(worker.unanswered_since) and is_lease_over(worker, now)
+
     async def _read_list(self) -> None:
         self._look.clear()
         self._asked_at = self._node.clock.now()
--- /dev/null
+++ b/packages/daemon/tests/scheduling/test_foreign_records.py
@@ -0,0 +1,313 @@
+"""One bad record in the store stops no takeover, no feed and no other job."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
+
+from medlarspring_adapters.events import Event
+from medlarspring_bench.key_value_ops import PutOp, RangeOp, RangeReply
+from medlarspring_bench.platform_world.checks import check_history
+from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.plans import WorldPlan
+from medlarspring_bench.platform_world.virtual_time import run_virtual
+from medlarspring_bench.platform_world.world import World
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from medlarspring_bench.platform_world.virtual_time import VirtualClock
+
+SEED = 11
+RECORD_UNREADABLE = Event.RECORD_UNREADABLE.number
+TASK_FAILED = Event.TASK_FAILED.number
+
+BAD_KEYS = (
+    "op/wave/9",
+    "op/wave/none",
+    "servers/i-foreign",
+    "servers/",
+    "inbox/0/job/00000000000000aa",
+    "inbox/0/cancel/00000000000000ab",
+    "inbox/0/elsewhere",
+    "progress/0/00000000000000ac",
+    "waves/0/9",
+    "sizes/0",
+    "operations/0",
+    "load/0",
+)
+
+
+def play(story: Callable[[World, Customers], Awaitable[None]]) -> World:
+    async def main(clock: VirtualClock) -> World:
+        world = World(WorldPlan(), clock, SEED)
+        await world.start()
+        await asyncio.sleep(3.0)
+        await story(world, Customers(world, world.rng))
+        await world.stop()
+        return world
+
+    world = run_virtual(main)
+    assert check_history(world.history) == []
+    return world
+
+
+def put(world: World, key: str, value: bytes) -> None:
+    world.state.apply(PutOp(key.encode(), value))
+
+
+def read(world: World, key: str) -> bytes | None:
+    reply = world.state.apply(RangeOp(key.encode()))
+    assert isinstance(reply, RangeReply)
+    return reply.kvs[0].value if reply.kvs else None
+
+
+def read_lines(world: World) -> list[dict[str, Any]]:
+    return [
+        json.loads(line)
+        for _, log in world.logs
+        for line in log.getvalue().splitlines()
+    ]
+
+
+def list_named(world: World, key: str) -> list[dict[str, Any]]:
+    return [
+        line
+        for line in read_lines(world)
+        if line.get("event") == RECORD_UNREADABLE and line.get("key") == key
+    ]
+
+
+async def complete(customers: Customers, count: int = 4) -> None:
+    jobs = []
+    for _ in range(count):
+        job_id, spec = customers.create_batch()
+        assert await customers.submit("lookup", job_id, spec)
+        jobs.append(job_id)
+    async with asyncio.timeout(60.0):
+        for job_id in jobs:
+            while await customers.ask(job_id) != "complete":
+                await asyncio.sleep(0.2)
+
+
+async def replace_controller(world: World) -> None:
+    controller = world.find_controller()
+    assert controller is not None
+    world.kill_node(controller)
+    await world.start_node(controller)
+    async with asyncio.timeout(10.0):
+        while world.find_controller() is None:
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{}", b'{"wave": {}}'])
+def test_bad_records_everywhere_hold_up_nothing(value: bytes):
+    """
+    Another program wrote unreadable values under every prefix that a controller
+    reads. The controller is killed; its successor reads them all while taking
+    over. Jobs are accepted and completed before, meanwhile and after.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        for key in BAD_KEYS:
+            put(world, key, value)
+        await complete(customers)
+        await replace_controller(world)
+        await complete(customers)
+        world.forget_history()
+        await complete(customers)
+
+    world = play(story)
+    failed = [line for line in read_lines(world) if line["event"] == TASK_FAILED]
+    assert failed == []
+
+
+@settings(
+    max_examples=15,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(seed=st.integers(0, 2**32))
+def test_damaged_copies_of_real_records_hold_up_nothing(seed: int):
+    """
+    Real records of jobs, progress and workers are written again with bytes cut,
+    changed or doubled, under ids of their own, while jobs run. A takeover reads
+    all of them and every real job still completes.
+    """
+    rng = random.Random(seed)
+
+    def damage(value: bytes) -> bytes:
+        at = rng.randrange(len(value) + 1)
+        choices = (
+            value[:at],
+            value[:at] + bytes([rng.randrange(256)]) + value[at + 1 :],
+            value.replace(b"0", b"-9"),
+            value.replace(b"1", b'"x"', 1),
+            value.replace(b":", b":[", 1),
+        )
+        return rng.choice(choices)
+
+    async def story(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_batch()
+        assert await customers.submit("lookup", job_id, spec)
+        await asyncio.sleep(0.4)
+        for prefix in ("inbox/0/job/", "progress/0/", "servers/"):
+            reply = world.state.apply(
+                RangeOp(prefix.encode(), prefix.encode() + b"\xff")
+            )
+            assert isinstance(reply, RangeReply)
+            for number, kv in enumerate(reply.kvs[:4]):
+                copy = f"{prefix}{number:016x}"
+                put(world, copy, damage(kv.value))
+        await replace_controller(world)
+        await complete(customers, 2)
+
+    async def main(clock: VirtualClock) -> None:
+        world = World(WorldPlan(), clock, SEED)
+        await world.start()
+        await asyncio.sleep(3.0)
+        await story(world, Customers(world, world.rng))
+        await world.stop()
+
+    run_virtual(main)
+
+
+def test_bad_record_is_named_once():
+    """
+    A worker's entry is written again every 1.5 s. One that can't be read gets one
+    line, not one for each write and each listing.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        for _ in range(5):
+            put(world, "servers/i-foreign", b"{}")
+            await asyncio.sleep(0.5)
+        world.forget_history()
+        await asyncio.sleep(1.0)
+
+    world = play(story)
+    assert len(list_named(world, "servers/i-foreign")) == 1
+
+
+def test_worker_whose_entry_turns_unreadable_gets_no_new_tasks_and_keeps_its_own():
+    """
+    Tasks run on a worker when its entry is overwritten with something unreadable.
+    Its tasks end there as usual, and new ones go to the other workers until its
+    entry can be read again.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_batch()
+        assert await customers.submit("lookup", job_id, spec)
+        await asyncio.sleep(0.3)
+        busy = next(each for each in world.fleet.workers_by_id.values() if each.runs)
+        kept = set(busy.runs)
+        key = f"servers/{busy.id}"
+        entry = read(world, key)
+        assert entry is not None
+        put(world, key, b'{"state": "unheard-of"}')
+        await asyncio.sleep(0.1)
+        before = {
+            (run.task_id, run.number)
+            for run in world.history.runs
+            if run.worker_id == busy.id
+        }
+        await complete(customers, 6)
+        after = {
+            (run.task_id, run.number)
+            for run in world.history.runs
+            if run.worker_id == busy.id
+        }
+        assert before == after
+        assert kept
+        put(world, key, entry)
+        await complete(customers, 6)
+
+    play(story)
+
+
+def test_entry_of_a_pool_that_comes_later_is_taken_with_its_configuration():
+    """
+    A worker registers for a pool that no configuration names yet. It is left out;
+    when the configuration with the pool arrives, its jobs run there without the
+    worker having to write its entry again.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        busy = next(iter(world.fleet.workers_by_id.values()))
+        entry = json.loads(read(world, f"servers/{busy.id}") or b"{}")
+        put(
+            world,
+            "servers/i-later",
+            json.dumps(entry | {"service": "later", "machineId": "m-x"}).encode(),
+        )
+        await asyncio.sleep(0.3)
+        assert len(list_named(world, "servers/i-later")) == 1
+        controller = world.find_controller()
+        assert controller is not None
+        config = json.loads(read(world, "op/config") or b"{}")
+        config["version"] += 1
+        config["services"].append({"name": "later"})
+        put(world, "op/config", json.dumps(config).encode())
+        await asyncio.sleep(0.3)
+        log = world.nodes_by_name[controller].log.getvalue()
+        assert any(
+            json.loads(line).get("worker") == "i-later" for line in log.splitlines()
+        )
+
+    play(story)
+
+
+def test_job_with_unreadable_progress_is_not_begun_anew():
+    """
+    A job has tasks done when its progress record is overwritten and the controller
+    is killed. Begun anew, its tasks would run a second time; it is left alone and
+    named, and other jobs go on.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_batch()
+        assert await customers.submit("lookup", job_id, spec)
+        await asyncio.sleep(0.4)
+        controller = world.find_controller()
+        assert controller is not None
+        world.kill_node(controller)
+        assert read(world, f"progress/0/{job_id}") is not None
+        put(world, f"progress/0/{job_id}", b'{"steps": {"0.0": {"done": "zz"}}}')
+        starts = len(world.history.runs)
+        await asyncio.sleep(4.0)
+        assert len(world.history.runs) == starts
+        assert list_named(world, f"progress/0/{job_id}")
+        await complete(customers)
+
+    play(story)
+
+
+def test_tasks_of_a_worker_whose_entry_is_lost_run_again_after_their_lease():
+    """
+    The controller is killed, and the entry of a worker with running tasks turns
+    unreadable before its successor reads it. The worker lives on and can't be
+    asked. Its tasks run again once no lease of theirs can be in force, and never
+    beside their first runs.
+    """
+
+    async def story(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_batch()
+        assert await customers.submit("lookup", job_id, spec)
+        await asyncio.sleep(0.3)
+        busy = next(each for each in world.fleet.workers_by_id.values() if each.runs)
+        controller = world.find_controller()
+        assert controller is not None
+        world.kill_node(controller)
+        put(world, f"servers/{busy.id}", b"{}")
+        async with asyncio.timeout(30.0):
+            while await customers.ask(job_id) != "complete":
+                await asyncio.sleep(0.2)
+
+    play(story)
--- a/packages/platform/src/medlarspring_platform/machines.py
+++ b/packages/platform/src/medlarspring_platform/machines.py
@@ -168,7 +168,7 @@
     return VMEntry(
         id=VMId(machine.machine_id),
         pool_id=PoolId(machine.pool),
-        phase=_PHASES_BY_WORD.get(machine.state, VMPhase.DOWN),
+        phase=_PHASES_BY_WORD.get(machine.state, VMPhase.UNKNOWN),
         zone_id=ZoneId(machine.zone),
         rack_id=find_rack(machine.labels),
         room=to_room(machine.capacity),
--- a/packages/platform/src/medlarspring_platform/operator_records.py
+++ b/packages/platform/src/medlarspring_platform/operator_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Literal
+
 import msgspec
 from msgspec import Struct
 from returns.result import Failure, Result, Success
@@ -99,18 +101,39 @@
     gpu: int = 0
 
 
+Size = Annotated[int, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+Address = Annotated[str, msgspec.Meta(pattern=wire.ADDRESS_PATTERN)]
+
+
+class WireWorkerRoom(Struct, rename="camel"):
+    """What a worker offers; without processors it could run nothing."""
+
+    cpu: Annotated[int, msgspec.Meta(gt=0)]
+    mem_mb: Size
+    gpu: Size = 0
+
+
 class WireWorker(Struct, rename="camel"):
-    """A worker's entry."""
-
-    service: str
-    address: str
-    zone: str = ""
-    state: str = "ready"
-    warmup_left_ms: int = 0
-    capacity: WireRoom = msgspec.field(default_factory=WireRoom)
+    """A worker's entry.
+
+    Other programs may write under the workers' prefix. Fields without a default
+    are in every worker's own entry; an entry that lacks one, or has it of another
+    type, leads nowhere, and each order sent there would be a task that waits.
+    """
+
+    service: Name
+    address: Address
+    zone: Name
+    state: Literal["ready", "draining"]
+    capacity: WireWorkerRoom
+    machine_id: Name
+    version: str = ""
+    slots: Size = 0
+    seq: Size = 0
+    warmup_left_ms: Size = 0
     labels: list[str] = []
-    machine_id: str = ""
-    clock_ms: int = 0
+    clock_ms: Size = 0
 
 
 _config_decoder = msgspec.json.Decoder(WireConfig)
@@ -131,6 +154,11 @@
     return RackId("")
 
 
+def _is_worker_id(text: str) -> bool:
+    """Tell whether an id can stand in the header that each order carries."""
+    return bool(text) and text.isascii() and text.isprintable() and " " not in text
+
+
 class PlatformCodec:
     """Implements ``FleetCodec`` for the platform's store."""
 
@@ -179,18 +207,20 @@
             entry = _worker_decoder.decode(value)
         except msgspec.MsgspecError as error:
             return Failure(RecordUnreadable(key, str(error)))
-        draining = entry.state != "ready"
+        worker_id = key.removeprefix(wire.WORKER_PREFIX)
+        if not _is_worker_id(worker_id):
+            return Failure(RecordUnreadable(key, "its key names no worker"))
         return Success(
             WorkerEntry(
-                id=WorkerId(key.removeprefix(wire.WORKER_PREFIX)),
+                id=WorkerId(worker_id),
                 vm_id=VMId(entry.machine_id),
                 pool_id=PoolId(entry.service),
                 zone_id=ZoneId(entry.zone),
                 address=entry.address,
-                condition=(
-                    WorkerCondition.DRAINING if draining else WorkerCondition.READY
+                condition=WorkerCondition(entry.state),
+                room=Room(
+                    entry.capacity.cpu, entry.capacity.mem_mb, entry.capacity.gpu
                 ),
-                room=to_room(entry.capacity),
                 labels=tuple(entry.labels),
                 rack_id=find_rack(entry.labels),
                 clock_ms=entry.clock_ms,
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -400,10 +400,23 @@
     return WireTxn(conditions, puts, deletes)
 
 
+def _decode_value(item: WireItem) -> bytes:
+    """Return an item's bytes; text that is no base64 is passed on as it stands.
+
+    One such item would otherwise end the listing or the watch that brings it, and
+    with it a takeover. As plain bytes it reaches the record's own reader, which
+    names the key and leaves it out.
+    """
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError:
+        return item.value.encode(errors="replace")
+
+
 def _to_entry(item: WireItem) -> Entry:
     return Entry(
         key=item.key,
-        value=base64.b64decode(item.value),
+        value=_decode_value(item),
         create_revision=Revision(item.created),
         mod_revision=Revision(item.revision),
         lease_id=LeaseId(item.lease) if item.lease else None,
--- a/packages/platform/src/medlarspring_platform/wire.py
+++ b/packages/platform/src/medlarspring_platform/wire.py
@@ -35,3 +35,11 @@
 
 RACK_LABEL_PREFIX = "r"
 """A worker's labels are its kind and its rack; racks look like ``r1-3``."""
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_PORT = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
+    r"|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+)
+ADDRESS_PATTERN = rf"^({_OCTET}\.){{3}}{_OCTET}:{_PORT}\Z"
+"""An IPv4 address and a port; there are no names to look up."""
--- a/packages/platform/src/medlarspring_platform/workers.py
+++ b/packages/platform/src/medlarspring_platform/workers.py
@@ -161,19 +161,15 @@
         )
         try:
             reply = await self._call(worker, wire.HOLD_PATH, body, timeout_seconds)
-            answer = _decode(reply, WireHoldAnswer)
+            content = _to_hold_answer(reply)
         except NotSent as error:
             return Failure(WorkerSilent(worker.id, str(error), may_follow=False))
         except Unanswered as error:
             return Failure(WorkerSilent(worker.id, str(error), may_follow=True))
-        return Success(
-            HoldAnswer(
-                clock_ms=answer.clock_ms,
-                refusal=_find_refusal(reply.status, answer.reason),
-                running=tuple(_to_running(row) for row in answer.running),
-                ended=tuple(_to_ended(row) for row in answer.finished),
-            )
-        )
+        except ValueError as error:
+            detail = f"unreadable rows ({error})"
+            return Failure(WorkerSilent(worker.id, detail, may_follow=True))
+        return Success(content)
 
     def forget(self, worker: WorkerAddress) -> None:
         """Close the connections to a worker that is gone, in the background."""
@@ -234,6 +230,16 @@
     return _REFUSALS_BY_STATUS.get(status, Refusal.INVALID)
 
 
+def _to_hold_answer(reply: HttpAnswer) -> HoldAnswer:
+    answer = _decode(reply, WireHoldAnswer)
+    return HoldAnswer(
+        clock_ms=answer.clock_ms,
+        refusal=_find_refusal(reply.status, answer.reason),
+        running=tuple(_to_running(row) for row in answer.running),
+        ended=tuple(_to_ended(row) for row in answer.finished),
+    )
+
+
 def _to_running(row: list[str | int | float]) -> RunningRow:
     """Decode [task, run, saved, percent] with a fifth entry where it is measured."""
     task, run, saved, percent = row[:4]
--- /dev/null
+++ b/packages/platform/tests/adapter/test_foreign_records.py
@@ -0,0 +1,174 @@
+"""Records by other writers: they name nothing to use, and stop nobody."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
+from returns.pipeline import is_successful
+
+from medlarspring_platform.machines import WireMachine, _to_vm
+from medlarspring_platform.operator_records import PlatformCodec
+from medlarspring_platform.store import WireItem, _to_entry
+from medlarspring_tables.scheduling import VMPhase
+
+CODEC = PlatformCodec()
+KEY = "servers/i-1"
+WORKER: dict[str, Any] = {
+    "service": "s-1",
+    "address": "10.0.0.1:8080",
+    "zone": "z-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "warmupLeftMs": 0,
+    "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "machineId": "m-1",
+    "clockMs": 482_113,
+    "seq": 4,
+}
+CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [{"name": "r-1", "host": "h", "prefix": "/a/", "service": "s-1"}],
+    "services": [{"name": "s-1", "standby": False}],
+    "limits": {"maxBodyBytes": 1_000},
+}
+WAVE: dict[str, Any] = {"wave": 3, "machines": ["m-1"], "deadlineS": 25, "maxCount": 2}
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+# The first draw reads all modules for constants, which takes seconds on a new machine.
+fixed = settings(
+    deadline=None, derandomize=True, suppress_health_check=[HealthCheck.too_slow]
+)
+
+
+@st.composite
+def mutated(draw: st.DrawFn, record: dict[str, Any]) -> bytes:
+    """Return a good record with some fields dropped or of other content."""
+    changed = dict(record)
+    for field in draw(st.lists(st.sampled_from(sorted(record)), max_size=4)):
+        if draw(st.booleans()):
+            changed.pop(field, None)
+        else:
+            changed[field] = draw(json_values)
+    return json.dumps(changed).encode()
+
+
+@fixed
+@given(
+    value=st.one_of(
+        st.binary(max_size=200), mutated(WORKER), mutated(CONFIG), mutated(WAVE)
+    )
+)
+def test_no_bytes_make_a_decoder_raise(value: bytes):
+    for decode in (CODEC.decode_worker, CODEC.decode_config, CODEC.decode_wave):
+        found = decode("op/wave/1", value)
+        if not is_successful(found):
+            assert "op/wave/1" in found.failure().message()
+
+
+@fixed
+@given(value=mutated(WORKER))
+def test_worker_that_is_taken_has_all_that_orders_need(value: bytes):
+    found = CODEC.decode_worker(KEY, value)
+    if not is_successful(found):
+        return
+    entry = found.unwrap()
+    assert entry.vm_id
+    assert entry.pool_id
+    assert entry.zone_id
+    assert entry.room.cpu_millis > 0
+    assert min(entry.room.memory_mb, entry.room.accelerators) >= 0
+    host, _, port = entry.address.rpartition(":")
+    assert all(0 <= int(octet) <= 255 for octet in host.split("."))
+    assert 0 < int(port) < 65_536
+
+
+def test_workers_own_entry_is_taken():
+    assert is_successful(CODEC.decode_worker(KEY, json.dumps(WORKER).encode()))
+
+
+@pytest.mark.parametrize(
+    "field", ["service", "address", "zone", "state", "capacity", "machineId"]
+)
+def test_entry_without_a_field_names_no_worker(field: str):
+    value = {name: each for name, each in WORKER.items() if name != field}
+    assert not is_successful(CODEC.decode_worker(KEY, json.dumps(value).encode()))
+
+
+@pytest.mark.parametrize(
+    ("field", "content"),
+    [
+        ("address", "garbage"),
+        ("address", ""),
+        ("address", "10.0.0.1"),
+        ("address", "10.0.0.1:99999999"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.256:80"),
+        ("address", "worker.example:80"),
+        ("address", "10.0.0.1:80\n"),
+        ("address", 8080),
+        ("state", "paused"),
+        ("state", None),
+        ("capacity", {}),
+        ("capacity", {"cpu": -1, "memMb": 5}),
+        ("capacity", {"cpu": 0, "memMb": 5}),
+        ("capacity", {"cpu": 1_000, "memMb": -5}),
+        ("capacity", {"cpu": "1000", "memMb": 5}),
+        ("capacity", {"cpu": 1_000}),
+        ("capacity", None),
+        ("labels", "a"),
+        ("labels", [3]),
+        ("warmupLeftMs", "soon"),
+        ("warmupLeftMs", -1),
+        ("seq", "four"),
+        ("slots", None),
+        ("version", 3),
+        ("service", ""),
+        ("service", ["s-1"]),
+        ("machineId", ""),
+        ("machineId", 7),
+        ("zone", ""),
+    ],
+)
+def test_entry_with_another_content_names_no_worker(field: str, content: object):
+    value = json.dumps(WORKER | {field: content}).encode()
+    assert not is_successful(CODEC.decode_worker(KEY, value))
+
+
+@pytest.mark.parametrize("name", ["", "two words", "line\nbreak", "é"])
+def test_key_that_no_header_can_carry_names_no_worker(name: str):
+    value = json.dumps(WORKER).encode()
+    assert not is_successful(CODEC.decode_worker(f"servers/{name}", value))
+
+
+@pytest.mark.parametrize("text", ["%%%", "abc", "é", "YQ==\n!"])
+def test_value_that_is_no_base64_does_not_end_its_listing(text: str):
+    entry = _to_entry(WireItem(key=KEY, value=text, revision=3))
+    assert (entry.key, entry.mod_revision) == (KEY, 3)
+    assert not is_successful(CODEC.decode_worker(KEY, entry.value))
+
+
+@fixed
+@given(value=st.binary(max_size=100))
+def test_any_bytes_are_read_back(value: bytes):
+    text = base64.b64encode(value).decode()
+    assert _to_entry(WireItem(key="k", value=text)).value == value
+
+
+def test_state_of_a_vm_that_is_not_known_is_no_proof_that_it_is_down():
+    machine = WireMachine(machine_id="m-1", pool="s-1", state="hibernating")
+    assert _to_vm(machine).phase is VMPhase.UNKNOWN
--- a/packages/platform/tests/adapter/test_operator_records.py
+++ b/packages/platform/tests/adapter/test_operator_records.py
@@ -65,6 +65,7 @@
     value = {
         "service": "s-1",
         "address": "10.0.0.1:80",
+        "zone": "z-1",
         "state": state,
         "capacity": {"cpu": 32_000, "memMb": 65_536},
         "labels": ["a", "r1-3"],
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -120,6 +120,8 @@
     move_seconds: Seconds = 1.5
     """What a move takes, as the platform states it."""
     have_by_pool: dict[PoolId, int] = field(default_factory=dict)
+    unlisted_since: dict[VMId, Seconds] = field(default_factory=dict)
+    """VMs in service that no entry in the registry leads to, and since when."""
     first_sizes: dict[PoolId, int] = field(default_factory=dict)
     """VMs of each pool when a controller first saw it, by the operator's hand."""
     sizes_known: bool = False
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -20,12 +20,13 @@
     is_free,
     is_standby,
 )
+from medlarspring_systems.scheduling.workers import NEW_VM_SECONDS
 from medlarspring_tables.scheduling import Room, VMPhase
 
 if TYPE_CHECKING:
     from medlarspring_systems.scheduling.fleet import FleetPlan, FleetTables
     from medlarspring_tables import PoolId, Seconds, VMId
-    from medlarspring_tables.scheduling import VMEntry, Worker, WorkTables
+    from medlarspring_tables.scheduling import VMEntry, WorkTables
 
 HORIZON_SECONDS = 2.0
 """What waits is to be done within so long, beside what comes in."""
@@ -68,7 +69,7 @@
     if not standby:
         return
     taken = {operation.vm_id for operation in plan.operations}
-    have = _count_vms(tables, fleet)
+    have = _count_vms(tables, fleet, now)
     if not fleet.sizes_known:
         _learn_first_sizes(fleet, have, now)
         return
@@ -214,7 +215,9 @@
     return most
 
 
-def _count_vms(tables: WorkTables, fleet: FleetTables) -> dict[PoolId, int]:
+def _count_vms(
+    tables: WorkTables, fleet: FleetTables, now: Seconds
+) -> dict[PoolId, int]:
     """Return how many VMs each pool has or is about to have."""
     have: dict[PoolId, int] = {}
     for vm in tables.vms_by_id.values():
@@ -222,18 +225,26 @@
         pool_id = vm.pool_id
         if pending is not None and isinstance(pending.operation, MoveVM):
             pool_id = pending.operation.pool_id
-        elif vm.phase is VMPhase.DOWN or vm.id in fleet.due_next:
+        elif vm.phase in (VMPhase.DOWN, VMPhase.UNKNOWN) or vm.id in fleet.due_next:
             continue
-        worker = find_worker_of(tables, vm)
-        if worker is not None and pending is None and _is_lost(worker):
+        if pending is None and _is_lost(tables, fleet, vm, now):
             continue
         have[pool_id] = have.get(pool_id, 0) + 1
     return have
 
 
-def _is_lost(worker: Worker) -> bool:
-    """Tell whether a worker does not count for its pool any more."""
-    return bool(worker.unanswered_since) or worker.draining
+def _is_lost(tables: WorkTables, fleet: FleetTables, vm: VMEntry, now: Seconds) -> bool:
+    """Tell whether a VM does not count for its pool any more.
+
+    A VM that no entry in the registry leads to takes no tasks. Counted, it was all
+    that an idle pool kept, and the pool's next job waited for ever.
+    """
+    worker = find_worker_of(tables, vm)
+    if is_standby(tables, vm.pool_id) or (worker is not None and worker.listed):
+        fleet.unlisted_since.pop(vm.id, None)
+        return worker is not None and (bool(worker.unanswered_since) or worker.draining)
+    since = fleet.unlisted_since.setdefault(vm.id, now)
+    return now - since > NEW_VM_SECONDS
 
 
 def _list_sources(
--- a/packages/systems/src/medlarspring_systems/scheduling/recording.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/recording.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import string
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.jobs import (
@@ -25,6 +26,7 @@
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import (
         ActiveJob,
+        JobSpec,
         StepRun,
         Worker,
         WorkerId,
@@ -76,6 +78,32 @@
     return record if done or touched else None
 
 
+def find_progress_fault(record: ProgressRecord, spec: JobSpec) -> str:
+    """Return what in a record does not belong to the job; empty if all of it does.
+
+    A record that names occurrences or steps the job does not have was written by
+    another program, or by another version; restoring it would end the takeover.
+    """
+    occurrences = max(spec.occurrences, 1)
+    if not 0 <= record.occurrences_done <= occurrences:
+        return f"{record.occurrences_done} of {occurrences} occurrences are done"
+    if any(not 0 <= each < occurrences for each in record.done_beyond):
+        return "an occurrence is done that the job does not have"
+    for key, step in record.steps.items():
+        occurrence, _, index = key.partition(".")
+        if not (occurrence.isdecimal() and index.isdecimal()):
+            return f"{key} names no step"
+        if int(occurrence) >= occurrences or int(index) >= len(spec.steps):
+            return f"the job has no step {key}"
+        if not _is_mask(step.done):
+            return f"the tasks done of step {key} are no bit mask"
+    return ""
+
+
+def _is_mask(text: str) -> bool:
+    return all(digit in string.hexdigits for digit in text)
+
+
 def restore_progress(
     tables: WorkTables,
     job: ActiveJob,
@@ -131,4 +159,4 @@
             note_task_done(tables, task, now)
 
 
-__all__ = ["encode_progress", "restore_progress"]
+__all__ = ["encode_progress", "find_progress_fault", "restore_progress"]
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -145,6 +145,8 @@
         return tables.vms_read_at > worker.seen_at + NEW_VM_SECONDS
     if vm.worker_id == worker.id:
         return vm.phase in (VMPhase.DOWN, VMPhase.MAINTENANCE, VMPhase.MOVING)
+    if vm.phase is VMPhase.UNKNOWN:
+        return vm.worker_id is not None
     return vm.phase is not VMPhase.UP or vm.worker_id is not None
 
 
@@ -190,6 +192,19 @@
     return slowest > worker.lease_ms
 
 
+def is_record_over(worker: Worker, longest_lease: Seconds, now: Seconds) -> bool:
+    """Tell whether all runs of a worker known from records only have lapsed.
+
+    A worker whose entry is missing or unreadable at a takeover can't be asked, and
+    its VM may live on. Its tasks would wait for ever; but nobody has extended its
+    leases since the takeover, and no lease is longer than the platform grants.
+    """
+    if worker.address or not worker.runs:
+        return False
+    restored_at = max(run.ordered_at for run in worker.runs.values())
+    return (now - restored_at) * (1 - CLOCK_ERROR) > longest_lease
+
+
 def has_unknown_runs(worker: Worker) -> bool:
     """Tell whether a run's order has an unknown outcome."""
     return any(run.state is RunState.UNKNOWN for run in worker.runs.values())
@@ -202,6 +217,7 @@
     "has_unknown_runs",
     "is_lease_over",
     "is_life_over",
+    "is_record_over",
     "note_clock",
     "note_entry_gone",
     "read_clock",
--- a/packages/tables/src/medlarspring_tables/scheduling/fleet.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/fleet.py
@@ -52,6 +52,8 @@
     MOVING = "moving"
     MAINTENANCE = "maintenance"
     DOWN = "down"
+    UNKNOWN = "unknown"
+    """A word of a newer platform: no ground to use the VM, and no proof of an end."""
 
 
 @dataclass(frozen=True, slots=True)
