Count a loaded job from when it came, not from the takeover

Cause: a new controller loads all open jobs in one moment, and each counted as if it had just come, with its whole path.

Ruled out: that the pool's own work asked for them; nothing waited there, and the level fell by itself only after the jobs' whole path.

Now: the level and its two means are rebuilt from the arrivals, in any order; a late job counts as work that waits. A job that is not loaded counts from its arrival and no longer from another entry VM's wall clock.

--- a/packages/bench/src/medlarspring_bench/measure/turn_overload.py
+++ b/packages/bench/src/medlarspring_bench/measure/turn_overload.py
@@ -183,7 +183,7 @@
         )
         objective = QUEUE.stretch * chain + QUEUE.allowance_ms / 1_000.0
         self.jobs_by_id[job_id] = TrueJob(came_at, true, objective, work)
-        job = admit_job(self.tables, job_id, record, Revision(1))
+        job = admit_job(self.tables, job_id, record, Revision(1), came_at)
         open_due_occurrences(self.tables, job, now, now * 1_000)
 
     def _draw_step(self, index: int, usual: Seconds) -> StepSpec:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -20,7 +20,7 @@
     from medlarspring_adapters.store import Entry, Listing, WatchBatch
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Tenure
-    from medlarspring_tables import JobId
+    from medlarspring_tables import JobId, Seconds
     from medlarspring_tables.scheduling import ActiveJob, JobSpec, WorkTables
 
 
@@ -95,12 +95,21 @@
         if progress_entry is not None and progress is None:
             # Begun anew, its tasks that are done would run a second time.
             return
-        job = admit_job(tables, job_id, record, entry.mod_revision)
+        arrived_at = self._find_arrival(record)
+        job = admit_job(tables, job_id, record, entry.mod_revision, arrived_at)
         if progress_entry is not None and progress is not None:
             job.progress_revision = progress_entry.mod_revision
             self._restore(job, progress)
         self._owner.note_job(job)
 
+    def _find_arrival(self, record: JobRecord) -> Seconds:
+        """Return when a job came; for one that is loaded by its record's clock."""
+        now = self._node.clock.now()
+        if self.loaded.is_set():
+            return now
+        age = self._node.clock.wall() - record.accepted_at_ms / 1_000.0
+        return now - max(age, 0.0)
+
     def _read_progress(
         self, entry: Entry | None, spec: JobSpec
     ) -> ProgressRecord | None:
--- a/packages/systems/src/medlarspring_systems/scheduling/demand.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/demand.py
@@ -32,8 +32,15 @@
 """A job counts for at least so long; estimates may be much too short."""
 
 
-def note_arrival(tables: WorkTables, steps: list[StepRun], now: Seconds) -> None:
-    """Count the work of an occurrence that has become due."""
+def note_arrival(
+    tables: WorkTables, steps: list[StepRun], due_at: Seconds, now: Seconds
+) -> None:
+    """Count the work of an occurrence that has become due.
+
+    A new controller loads jobs that came up to seconds ago; each counts from when
+    it came. Counted as if all had come at once, a pool whose turn was over wanted
+    half of the fleet for seconds while the next one waited for it.
+    """
     if not steps:
         return
     queue = steps[0].job.queue
@@ -49,10 +56,25 @@
     path = max(steps[0].remaining_path, SHORTEST_SECONDS)
     meter = tables.arrivals_by_pool.setdefault(queue.pool_id, ArrivalMeter(at=now))
     _advance(meter, now)
-    heapq.heappush(meter.ends, (now + path, work / path))
-    meter.level += work / path
+    ends_at = due_at + path
+    _add_past(meter, work / path, due_at, min(ends_at, now))
+    if ends_at > now:
+        heapq.heappush(meter.ends, (ends_at, work / path))
+        meter.level += work / path
     for step in steps:
-        step.counted_until = now + path
+        step.counted_until = ends_at
+
+
+def _add_past(meter: ArrivalMeter, part: float, began: Seconds, ended: Seconds) -> None:
+    """Bring a part of the level from before now into the means, as they decay."""
+    if began >= ended:
+        return
+    meter.mean += part * _weigh_past(meter.at, began, ended, MEAN_SECONDS)
+    meter.short_mean += part * _weigh_past(meter.at, began, ended, PATIENT_SECONDS)
+
+
+def _weigh_past(at: Seconds, began: Seconds, ended: Seconds, over: Seconds) -> float:
+    return math.exp((ended - at) / over) - math.exp((began - at) / over)
 
 
 def note_slack(tables: WorkTables, steps: list[StepRun], slack: Seconds) -> None:
--- a/packages/systems/src/medlarspring_systems/scheduling/jobs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/jobs.py
@@ -32,9 +32,16 @@
 
 
 def admit_job(
-    tables: WorkTables, job_id: JobId, record: JobRecord, revision: Revision
+    tables: WorkTables,
+    job_id: JobId,
+    record: JobRecord,
+    revision: Revision,
+    arrived_at: Seconds,
 ) -> ActiveJob:
-    """Take an accepted job into the tables; its occurrences are opened later."""
+    """Take an accepted job into the tables; its occurrences are opened later.
+
+    ``arrived_at`` is the local time at which it was accepted.
+    """
     assert record.spec is not None
     job = ActiveJob(
         id=job_id,
@@ -42,6 +49,7 @@
         spec=record.spec,
         accepted_at_ms=record.accepted_at_ms,
         job_revision=revision,
+        arrived_at=arrived_at,
     )
     tables.jobs_by_id[job_id] = job
     return job
@@ -59,6 +67,19 @@
     return job.spec.first_at_ms + occurrence * job.spec.interval_ms
 
 
+def find_due_at(
+    job: ActiveJob, occurrence: int, now: Seconds, wall_ms: float
+) -> Seconds:
+    """Return the local time at which an occurrence is due.
+
+    Wall clocks of two entry VMs differ and may jump; a job without a time of its
+    own counts from its arrival, and would otherwise be late when it comes.
+    """
+    if not job.spec.occurrences:
+        return job.arrived_at
+    return now + (find_due_ms(job, occurrence) - wall_ms) / 1_000.0
+
+
 def open_due_occurrences(
     tables: WorkTables, job: ActiveJob, now: Seconds, wall_ms: float
 ) -> bool:
@@ -83,7 +104,7 @@
     tables: WorkTables, job: ActiveJob, occurrence: int, now: Seconds, wall_ms: float
 ) -> list[StepRun]:
     """Create the steps of one occurrence and make those ready that can start."""
-    due_at = now + (find_due_ms(job, occurrence) - wall_ms) / 1_000.0
+    due_at = find_due_at(job, occurrence, now, wall_ms)
     paths = find_critical_paths(tables, job.queue.id, job.spec.steps)
     objective = job.queue.stretch * max(paths) + job.queue.allowance_ms / 1_000.0
     steps: list[StepRun] = []
@@ -104,7 +125,7 @@
         steps.append(step)
     _sum_remaining_work(steps)
     job.occurrences_by_index[occurrence] = steps
-    note_arrival(tables, steps, now)
+    note_arrival(tables, steps, due_at, now)
     note_slack(tables, steps, objective - max(paths))
     refresh_ready(tables, steps, now)
     return steps
--- a/packages/systems/tests/scheduling/conftest.py
+++ b/packages/systems/tests/scheduling/conftest.py
@@ -97,14 +97,17 @@
         stretch: float = 1.6,
         priority: int = 0,
         now: float = NOW,
+        age: float = 0.0,
     ) -> ActiveJob:
         queue = self.create_queue(max_attempts, stretch, priority)
         record = JobRecord(
             queue=queue,
-            accepted_at_ms=WALL_MS + round((now - NOW) * 1_000),
+            accepted_at_ms=WALL_MS + round((now - age - NOW) * 1_000),
             spec=JobSpec(payload=name, steps=steps),
         )
-        job = admit_job(self.tables, JobId(name), record, Revision(1))
+        job = admit_job(
+            self.tables, JobId(name), record, Revision(1), arrived_at=now - age
+        )
         wall_ms = WALL_MS + (now - NOW) * 1_000
         open_due_occurrences(self.tables, job, now, wall_ms)
         return job
--- /dev/null
+++ b/packages/systems/tests/scheduling/test_demand.py
@@ -0,0 +1,113 @@
+"""What a controller believes of incoming work when it takes over in mid-turn."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
+
+from medlarspring_systems.scheduling.demand import project_demand
+from medlarspring_systems.scheduling.fleet import FleetTables
+from medlarspring_systems.scheduling.jobs import admit_job, open_due_occurrences
+from medlarspring_systems.scheduling.pool_sizing import find_need
+from medlarspring_tables import JobId, PoolId, Revision
+from medlarspring_tables.scheduling import (
+    JobRecord,
+    JobSpec,
+    OperatorConfig,
+    QueueId,
+    StepSpec,
+    WorkTables,
+)
+
+from .conftest import WALL_MS, Scene
+
+if TYPE_CHECKING:
+    from medlarspring_tables.scheduling import ArrivalMeter
+
+POOL = PoolId("consent")
+NOW = 1_000.0
+STEP = StepSpec(count=6, cpu_millis=2_000, memory_mb=500, estimate_ms=1_000)
+LONG = StepSpec(count=8, cpu_millis=4_000, memory_mb=500, estimate_ms=4_000)
+
+
+def create_scene() -> Scene:
+    return Scene(WorkTables(config=OperatorConfig(version=1)))
+
+
+def read_meter(scene: Scene, now: float) -> ArrivalMeter:
+    project_demand(scene.tables, POOL, now, can_wait=False)
+    return scene.tables.arrivals_by_pool[POOL]
+
+
+@settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(
+    ages=st.lists(st.integers(0, 80), min_size=1, max_size=25),
+    order=st.randoms(use_true_random=False),
+)
+def test_rebuilt_demand_is_what_the_predecessor_believed(ages, order):  # type: ignore[no-untyped-def]
+    """
+    Jobs come over eight seconds; a controller that saw each of them come and one
+    that loads all of them now, in the order of their ids, believe the same of the
+    level and of its means.
+    """
+    seen, loaded = create_scene(), create_scene()
+    for number, age in enumerate(sorted(ages, reverse=True)):
+        seen.add_job(f"{number:016x}", STEP, now=NOW - age / 10)
+    shuffled = list(ages)
+    order.shuffle(shuffled)
+    for number, age in enumerate(shuffled):
+        loaded.add_job(f"{number:016x}", STEP, now=NOW, age=age / 10)
+    first, second = read_meter(seen, NOW), read_meter(loaded, NOW)
+    for name in ("level", "mean", "short_mean"):
+        assert getattr(second, name) == pytest.approx(getattr(first, name), abs=1e-3)
+
+
+def test_pool_whose_turn_is_over_does_not_grow_after_a_takeover(scene: Scene):
+    """
+    A queue's turn ended five seconds ago; what is left of it runs when the
+    controller is replaced. Counted as if all of it had just come, it made the pool
+    want 24 VMs while the queue in turn had four.
+    """
+    for number in range(20):
+        scene.add_worker(number)
+    for number in range(40):
+        scene.add_job(f"{number:016x}", LONG, age=5.0 + number / 10)
+    fleet = FleetTables(sizes_known=True, first_sizes={POOL: 4})
+    scene.tables.config.queues_by_id[QueueId("lookup")] = scene.create_queue()
+    for job in scene.tables.jobs_by_id.values():
+        for step in job.occurrences_by_index[0]:
+            step.waiting.clear()
+    needs = [find_need(scene.tables, fleet, POOL, NOW + at / 5).vms for at in range(20)]
+    assert max(needs) <= 4
+
+
+def test_late_job_still_counts_as_work_that_waits(scene: Scene):
+    scene.add_worker(0)
+    scene.add_job("00000000000000aa", LONG, age=9.0)
+    need = find_need(scene.tables, FleetTables(sizes_known=True), POOL, NOW)
+    assert need.incoming_millis == 0.0
+    assert need.waiting_millis > 0.0
+
+
+def test_entry_vm_whose_clock_is_behind_makes_no_new_job_late(scene: Scene):
+    """
+    The clock of the entry VM that accepted a job is an hour behind. Its job is not
+    late for that: without a time of its own it counts from its arrival.
+    """
+    queue = scene.create_queue()
+    record = JobRecord(
+        queue=queue,
+        accepted_at_ms=WALL_MS - 3_600_000,
+        spec=JobSpec(payload="", steps=(STEP,)),
+    )
+    job = admit_job(scene.tables, JobId("aa"), record, Revision(1), arrived_at=NOW)
+    open_due_occurrences(scene.tables, job, NOW, WALL_MS)
+    (step,) = job.occurrences_by_index[0]
+    assert step.objective_at > NOW
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -167,6 +167,8 @@
     accepted_at_ms: Milliseconds
     job_revision: Revision
     """Store revision of the job's own record."""
+    arrived_at: Seconds
+    """When it was accepted."""
     progress_revision: Revision = Revision(0)
     """Store revision of the progress record; 0 before the first write."""
     occurrences_by_index: dict[int, list[StepRun]] = field(default_factory=dict)
