--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/experiment/ablation.py
@@ -0,0 +1,113 @@
+"""Plays with one mechanism off at a time, each beside the same play with all on."""
+
+from __future__ import annotations
+
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from medlarspring_bench.experiment.mechanisms import MECHANISMS
+from medlarspring_bench.experiment.turns import TurnPlan, play_turns
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from medlarspring_bench.experiment.turns import TurnOutcome
+
+PLANS = {
+    "calm": TurnPlan(peak_vms=5.0),
+    "overload": TurnPlan(peak_vms=9.0),
+    "takeovers": TurnPlan(kills=(7.0, 19.0, 31.0)),
+    "cold-start": TurnPlan(restarts=(13.0,)),
+}
+ALL_ON = "all on"
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """One play of one variant."""
+
+    plan_name: str
+    mechanism: str
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What a mechanism is worth in one plan: with it less without it."""
+
+    plan_name: str
+    mechanism: str
+    in_time: tuple[float, ...]
+    """Difference of the part of jobs in time, by seed."""
+    paid: tuple[float, ...]
+    """Difference in paid VM-seconds, as a part of those with it."""
+    moves: tuple[int, ...]
+
+    def describe(self) -> str:
+        """Return a line of a Markdown table."""
+        low, high = min(self.in_time), max(self.in_time)
+        return (
+            f"| {self.plan_name} | {self.mechanism}"
+            f" | {statistics.mean(self.in_time):+.3f} ({low:+.3f} to {high:+.3f})"
+            f" | {statistics.mean(self.paid):+.1%}"
+            f" | {statistics.mean(self.moves):+.0f} |"
+        )
+
+
+HEADER = (
+    "| plan | mechanism | jobs in time | paid VM-seconds | moves |\n"
+    "| --- | --- | --- | --- | --- |"
+)
+
+
+def play(task: Task) -> TurnOutcome:
+    """Play one variant."""
+    plan = PLANS[task.plan_name]
+    if task.mechanism == ALL_ON:
+        return play_turns(plan, task.seed)
+    mechanism = next(each for each in MECHANISMS if each.name == task.mechanism)
+    with mechanism.switched_off():
+        return play_turns(plan, task.seed)
+
+
+def measure(
+    plan_names: Sequence[str], mechanisms: Sequence[str], seeds: int, jobs: int
+) -> list[Row]:
+    """Play everything, several at a time; returns a row a plan and mechanism."""
+    tasks = [
+        Task(plan_name, mechanism, seed)
+        for plan_name in plan_names
+        for mechanism in (ALL_ON, *mechanisms)
+        for seed in range(1, seeds + 1)
+    ]
+    with ProcessPoolExecutor(jobs) as pool:
+        outcomes = dict(zip(tasks, pool.map(play, tasks), strict=True))
+    return [
+        _compare(outcomes, plan_name, mechanism, seeds)
+        for plan_name in plan_names
+        for mechanism in mechanisms
+    ]
+
+
+def _compare(
+    outcomes: dict[Task, TurnOutcome], plan_name: str, mechanism: str, seeds: int
+) -> Row:
+    pairs = [
+        (
+            outcomes[Task(plan_name, ALL_ON, seed)],
+            outcomes[Task(plan_name, mechanism, seed)],
+        )
+        for seed in range(1, seeds + 1)
+    ]
+    return Row(
+        plan_name=plan_name,
+        mechanism=mechanism,
+        in_time=tuple(on.in_time_part - off.in_time_part for on, off in pairs),
+        paid=tuple(1.0 - off.paid_vm_seconds / on.paid_vm_seconds for on, off in pairs),
+        moves=tuple(on.moves - off.moves for on, off in pairs),
+    )
+
+
+__all__ = ["ALL_ON", "HEADER", "PLANS", "Row", "Task", "measure", "play"]
--- /dev/null
+++ b/packages/bench/src/medlarspring_bench/experiment/turns.py
@@ -0,0 +1,281 @@
+"""One play: queues have their turns one after the other, and faults strike.
+
+The emulated platform runs the real controller in virtual time. What is measured is
+what users and operators see: jobs complete within their objective, VMs that are paid
+for, and VMs that change their pool.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from medlarspring_bench.platform_world.checks import check_history
+from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.plans import (
+    STANDBY_POOL,
+    QueuePlan,
+    WorldPlan,
+)
+from medlarspring_bench.platform_world.virtual_time import run_virtual
+from medlarspring_bench.platform_world.worker_model import TaskFacts
+from medlarspring_bench.platform_world.world import World
+from medlarspring_tables import PoolId
+from medlarspring_tables.scheduling import JobSpec, Room, StepSpec
+
+if TYPE_CHECKING:
+    from medlarspring_bench.platform_world.checks import Breach
+    from medlarspring_bench.platform_world.virtual_time import VirtualClock
+    from medlarspring_tables import JobId, Seconds
+
+WARM_UP_SECONDS = 9.0
+"""The pools' first sizes are known after 6 s."""
+SETTLE_SECONDS = 20.0
+SAMPLE_SECONDS = 0.1
+WINDOW_SECONDS = 2.0
+QUIET_PART = 0.05
+"""Between its turns a queue asks for so much of its peak."""
+VM_MILLIS = 16_000
+RESTART_SECONDS = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class TurnPlan:
+    """Size of the fleet, and the shape of the demand."""
+
+    queues: int = 3
+    vms_per_pool: int = 4
+    standby_vms: int = 4
+    turn_seconds: float = 6.0
+    """Each queue's turn; 0 for no turns, all queues ask for their mean all the time."""
+    cycles: int = 2
+    peak_vms: float = 6.0
+    """What a queue in its turn keeps busy if served at once."""
+    task_seconds: float = 0.6
+    """Median; jobs have one to three steps."""
+    task_millis: int = 2_000
+    tasks: int = 5
+    """Tasks of a step on average."""
+    estimate_error: float = 0.4
+    """Standard deviation of the logarithm of the submitters' estimates."""
+    kills: tuple[float, ...] = ()
+    """Seconds into the traffic at which the controller is killed."""
+    restarts: tuple[float, ...] = ()
+    """Seconds into the traffic at which all processes are killed."""
+
+    @property
+    def traffic_seconds(self) -> Seconds:
+        """How long customers submit jobs."""
+        return max(self.turn_seconds, 4.0) * self.queues * self.cycles
+
+    @property
+    def jobs_per_second(self) -> float:
+        """Rate of a queue in its turn."""
+        cores = self.peak_vms * VM_MILLIS / self.task_millis
+        return cores / (self.tasks * 2 * self.task_seconds)
+
+    def create_world_plan(self) -> WorldPlan:
+        """Return the emulated installation."""
+        names = [f"queue-{number}" for number in range(self.queues)]
+        return WorldPlan(
+            pools=tuple(f"pool-{name}" for name in names),
+            vms_per_pool=self.vms_per_pool,
+            standby_vms=self.standby_vms,
+            room=Room(VM_MILLIS, 65_536, 0),
+            queues=tuple(QueuePlan(name, f"pool-{name}") for name in names),
+        )
+
+
+@dataclass(slots=True)
+class TurnOutcome:
+    """What came of a play."""
+
+    jobs: int = 0
+    in_time: int = 0
+    worst_window: float = 1.0
+    """Part of the jobs in time among those that came within 2 s of each other."""
+    paid_vm_seconds: float = 0.0
+    moves: int = 0
+    breaches: list[Breach] = field(default_factory=list)
+
+    @property
+    def in_time_part(self) -> float:
+        """Part of all jobs that were complete within their objective."""
+        return self.in_time / max(self.jobs, 1)
+
+
+@dataclass(slots=True)
+class SentJob:
+    """A job as its customer knows it."""
+
+    sent_at: Seconds
+    objective: Seconds
+
+
+class TurnPlay:
+    """Sends the load of a plan into a world, and measures."""
+
+    def __init__(self, plan: TurnPlan, world: World, seed: int) -> None:
+        self._plan = plan
+        self._world = world
+        self._rng = random.Random(seed)
+        self._customers = Customers(world, random.Random(seed + 1))
+        self._sent_by_id: dict[JobId, SentJob] = {}
+        self._paid = 0.0
+
+    async def run(self) -> TurnOutcome:
+        """Play the plan to its end."""
+        await asyncio.sleep(WARM_UP_SECONDS)
+        began_at = self._world.clock.now()
+        faults = [asyncio.ensure_future(self._kill(at)) for at in self._plan.kills]
+        faults += [
+            asyncio.ensure_future(self._restart(at)) for at in self._plan.restarts
+        ]
+        sampling = asyncio.ensure_future(self._sample())
+        loads = [
+            asyncio.ensure_future(self._load(number, began_at))
+            for number in range(self._plan.queues)
+        ]
+        await asyncio.gather(*loads, *faults)
+        await asyncio.sleep(SETTLE_SECONDS)
+        sampling.cancel()
+        return self._measure()
+
+    async def _load(self, number: int, began_at: Seconds) -> None:
+        plan, clock = self._plan, self._world.clock
+        ends_at = began_at + plan.traffic_seconds
+        while clock.now() < ends_at:
+            rate = self._find_rate(number, clock.now() - began_at)
+            await asyncio.sleep(self._rng.expovariate(plan.jobs_per_second))
+            if self._rng.random() < rate:
+                self._send(number)
+
+    def _find_rate(self, number: int, at: Seconds) -> float:
+        """Return the part of its peak that a queue asks for."""
+        plan = self._plan
+        if not plan.turn_seconds:
+            return 1.0 / plan.queues
+        in_turn = int(at / plan.turn_seconds) % plan.queues == number
+        return 1.0 if in_turn else QUIET_PART
+
+    def _send(self, number: int) -> None:
+        job_id = self._customers.create_job_id()
+        steps = tuple(
+            self._draw_step(index) for index in range(self._rng.randint(1, 3))
+        )
+        spec = JobSpec(payload=job_id, steps=steps)
+        chain = self._add_facts(job_id, spec)
+        queue = self._world.plan.queues[number]
+        objective = queue.stretch * chain + queue.allowance_ms / 1_000.0
+        self._sent_by_id[job_id] = SentJob(self._world.clock.now(), objective)
+        self._customers.send(queue.name, job_id, spec)
+
+    def _draw_step(self, index: int) -> StepSpec:
+        error = math.exp(self._rng.gauss(0.0, self._plan.estimate_error))
+        return StepSpec(
+            count=self._rng.randint(1, 2 * self._plan.tasks - 1),
+            cpu_millis=round(self._plan.task_millis * self._rng.uniform(0.5, 1.5)),
+            memory_mb=512,
+            estimate_ms=max(round(self._plan.task_seconds * error * 1_000), 1),
+            after=(index - 1,) if index else (),
+            checkpoints=True,
+        )
+
+    def _add_facts(self, job_id: JobId, spec: JobSpec) -> Seconds:
+        """Decide how long the tasks take; returns the longest chain of them."""
+        chain = 0.0
+        self._world.history.specs_by_id[job_id] = spec
+        for index, step in enumerate(spec.steps):
+            usual = self._plan.task_seconds * math.exp(self._rng.gauss(0.0, 0.3))
+            longest = 0.0
+            for number in range(step.count):
+                seconds = usual * self._rng.uniform(0.8, 1.2)
+                longest = max(longest, seconds)
+                task_id = f"{job_id}.0.{index}.{number}"
+                self._world.facts_by_task[task_id] = TaskFacts(step, seconds)
+            chain += longest
+        return chain
+
+    async def _kill(self, at: Seconds) -> None:
+        await asyncio.sleep(at)
+        name = self._world.find_controller()
+        if name is None:
+            return
+        self._world.kill_node(name)
+        await asyncio.sleep(RESTART_SECONDS)
+        await self._world.start_node(name)
+
+    async def _restart(self, at: Seconds) -> None:
+        await asyncio.sleep(at)
+        names = list(self._world.nodes_by_name)
+        for name in names:
+            self._world.kill_node(name)
+        await asyncio.sleep(RESTART_SECONDS)
+        for name in names:
+            await self._world.start_node(name)
+
+    async def _sample(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_SECONDS)
+            paid = sum(
+                1
+                for vm in self._world.fleet.vms_by_id.values()
+                if vm.pool_id != PoolId(STANDBY_POOL)
+            )
+            self._paid += paid * SAMPLE_SECONDS
+
+    def _measure(self) -> TurnOutcome:
+        ended_at = find_job_ends(self._world)
+        outcome = TurnOutcome(jobs=len(self._sent_by_id), paid_vm_seconds=self._paid)
+        by_window: dict[int, list[bool]] = {}
+        for job_id, sent in self._sent_by_id.items():
+            end = ended_at.get(job_id)
+            in_time = end is not None and end - sent.sent_at <= sent.objective
+            outcome.in_time += in_time
+            window = by_window.setdefault(int(sent.sent_at / WINDOW_SECONDS), [])
+            window.append(in_time)
+        outcome.worst_window = min(
+            (sum(each) / len(each) for each in by_window.values()), default=1.0
+        )
+        outcome.moves = sum(
+            1 for each in self._world.history.operations if each.kind == "move"
+        )
+        outcome.breaches = check_history(self._world.history)
+        return outcome
+
+
+def find_job_ends(world: World) -> dict[JobId, Seconds]:
+    """Return when the last task of each job was done."""
+    tasks_done: dict[str, Seconds] = {}
+    for run in world.history.runs:
+        if run.end is not None and run.end.value == "done" and run.ended_at is not None:
+            tasks_done.setdefault(run.task_id, run.ended_at)
+    ends: dict[JobId, Seconds] = {}
+    for job_id, spec in world.history.specs_by_id.items():
+        names = [
+            f"{job_id}.0.{index}.{number}"
+            for index, step in enumerate(spec.steps)
+            for number in range(step.count)
+        ]
+        if all(name in tasks_done for name in names):
+            ends[job_id] = max(tasks_done[name] for name in names)
+    return ends
+
+
+def play_turns(plan: TurnPlan, seed: int) -> TurnOutcome:
+    """Play a plan in virtual time; the same seed gives the same outcome."""
+
+    async def main(clock: VirtualClock) -> TurnOutcome:
+        world = World(plan.create_world_plan(), clock, seed)
+        await world.start()
+        outcome = await TurnPlay(plan, world, seed).run()
+        await world.stop()
+        return outcome
+
+    return run_virtual(main)
+
+
+__all__ = ["TurnOutcome", "TurnPlan", "TurnPlay", "play_turns"]
