Record ends with the starts that take their room

Cause: half of all store calls are the controller's records. Each end was written 2 ms after it was listed, and the start that took its room some milliseconds later, in a write of its own.

Ends of a job that goes on now wait up to 20 ms for the next start. Only their acknowledgement depends on the record; starts and ends of whole jobs are written as before.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -333,10 +333,11 @@
 
     def _settle_job(self, job: ActiveJob) -> None:
         """Record a job, and stop what still runs of it once it has ended."""
-        self._journal.mark(job)
         if job.outcome is None:
+            self._journal.mark_ends(job)
             self.plan(job.queue.pool_id)
             return
+        self._journal.mark(job)
         now = self._node.clock.now()
         for worker in list(self.tables.workers_by_id.values()):
             for run in list(worker.runs.values()):
--- a/packages/daemon/src/medlarspring_daemon/scheduling/journal.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/journal.py
@@ -27,6 +27,7 @@
     from medlarspring_adapters.store import Committed
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Tenure
+    from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import ActiveJob
 
 MAX_ENTRIES = 32
@@ -35,6 +36,9 @@
 """One call that hangs must not hold up all that come after it."""
 GATHER_SECONDS = 0.002
 """Changes of one moment share a transaction; starts wait no longer for it."""
+ENDS_GATHER_SECONDS = 0.02
+"""Ends free room, and the starts that take it are recorded some milliseconds later:
+0.9 writes a run in place of 1.3 when sixty jobs keep a pool full."""
 RETRY_SECONDS = 0.05
 FLUSH_SECONDS = 0.3
 """Longest wait for records when the cell is handed over; what is not recorded the
@@ -75,22 +79,34 @@
         self._tenure = tenure
         self._keys = tenure.keys
         self._note_written = note_written
-        self._dirty: dict[ActiveJob, None] = {}
+        self._urgent_by_job: dict[ActiveJob, bool] = {}
+        """Jobs to be written; a start or an end of the whole job can't wait."""
         self._writes: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._closed = False
 
     def mark(self, job: ActiveJob) -> None:
         """Have a job's record written."""
+        self._mark(job, urgent=True)
+
+    def mark_ends(self, job: ActiveJob) -> None:
+        """Have ends of a job that goes on written, with the next starts if any come.
+
+        Nothing waits for such a record but the worker, which lists the ends until
+        they are acknowledged.
+        """
+        self._mark(job, urgent=False)
+
+    def _mark(self, job: ActiveJob, *, urgent: bool) -> None:
         if self._closed or job.written_version >= job.version or job.writing:
             return
-        self._dirty[job] = None
-        self._plan_flush(GATHER_SECONDS)
+        self._urgent_by_job[job] = urgent or self._urgent_by_job.get(job, False)
+        self._plan_flush(GATHER_SECONDS if urgent else ENDS_GATHER_SECONDS)
 
     async def close(self, *, flush: bool) -> None:
         """Stop writing; with ``flush``, first write the marked jobs for a moment."""
         ends_at = self._node.clock.now() + FLUSH_SECONDS
-        while flush and (self._dirty or self._writes):
+        while flush and (self._urgent_by_job or self._writes):
             if not self._tenure.holds() or self._node.clock.now() > ends_at:
                 break
             self._flush()
@@ -102,36 +118,43 @@
             write.cancel()
         await asyncio.gather(*self._writes, return_exceptions=True)
 
-    def _plan_flush(self, wait: float) -> None:
-        if self._timer is None and not self._closed:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(wait, self._flush)
+    def _plan_flush(self, wait: Seconds) -> None:
+        if self._closed:
+            return
+        loop = asyncio.get_running_loop()
+        if self._timer is not None:
+            if self._timer.when() <= loop.time() + wait:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_later(wait, self._flush)
 
     def _flush(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        while self._dirty and len(self._writes) < MAX_IN_FLIGHT:
+        while self._urgent_by_job and len(self._writes) < MAX_IN_FLIGHT:
             write = asyncio.create_task(self._write(self._take_batch()))
             self._writes.add(write)
             write.add_done_callback(self._end_write)
 
     def _end_write(self, write: asyncio.Task[None]) -> None:
         self._writes.discard(write)
-        if self._dirty:
+        if any(self._urgent_by_job.values()):
             self._plan_flush(0.0)
+        elif self._urgent_by_job:
+            self._plan_flush(ENDS_GATHER_SECONDS)
 
     def _take_batch(self) -> list[Part]:
         batch: list[Part] = []
         entries = 1
-        for job in list(self._dirty):
+        for job in list(self._urgent_by_job):
             ends = job.outcome is not None
             part = Part(job, job.version, ends, self._encode(job))
             size = len(part.transaction.expects) + len(part.transaction.writes)
             if entries + size > MAX_ENTRIES:
                 break
             entries += size
-            del self._dirty[job]
+            del self._urgent_by_job[job]
             job.writing = True
             batch.append(part)
         return batch
