--- a/packages/bench/src/medlarspring_bench/experiment/mechanisms.py
+++ b/packages/bench/src/medlarspring_bench/experiment/mechanisms.py
@@ -11,7 +11,6 @@
 from medlarspring_systems.scheduling import (
     demand,
     estimates,
-    fleet_plan,
     ordering,
     pool_sizing,
     repair,
@@ -89,13 +88,6 @@
         0.0,
         "demand that falls for a moment and rises again",
     ),
-    Mechanism(
-        "evacuation",
-        fleet_plan,
-        "plan_evacuations",
-        _plan_nothing,
-        "the end of one turn and the beginning of the next",
-    ),
     Mechanism(
         "size-order",
         rounds,
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -130,8 +130,6 @@
     """VMs in service that a wave takes down next; their pools need others."""
     drained_for_wave: set[VMId] = field(default_factory=set)
     """Those of them that get no new tasks."""
-    leaving_pool: set[VMId] = field(default_factory=set)
-    """VMs that get no new tasks because another pool's work needs them."""
 
 
 @dataclass(slots=True)
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.evacuation import plan_evacuations
 from medlarspring_systems.scheduling.fleet import FleetPlan, drop_seen
 from medlarspring_systems.scheduling.maintenance import plan_maintenance
 from medlarspring_systems.scheduling.pool_sizing import plan_moves
@@ -24,10 +23,8 @@
     plan = FleetPlan()
     fleet.due_next.clear()
     fleet.drained_for_wave.clear()
-    fleet.leaving_pool.clear()
     plan_maintenance(tables, fleet, now, plan)
     plan_moves(tables, fleet, now, plan)
-    plan_evacuations(tables, fleet, plan)
     _reserve(tables, fleet, plan)
     return plan
 
@@ -35,7 +32,7 @@
 def _reserve(tables: WorkTables, fleet: FleetTables, plan: FleetPlan) -> None:
     """Keep new tasks away from workers that are emptied or about to go."""
     going = {operation.vm_id for operation in plan.operations}
-    going |= fleet.drained_for_wave | fleet.leaving_pool
+    going |= fleet.drained_for_wave
     going |= set(fleet.pending_by_vm)
     for worker in tables.workers_by_id.values():
         was_reserved, worker.reserved = worker.reserved, worker.vm_id in going
