--- a/packages/bench/src/medlarspring_bench/experiment/turns.py
+++ b/packages/bench/src/medlarspring_bench/experiment/turns.py
@@ -34,6 +34,8 @@
 WARM_UP_SECONDS = 9.0
 """The pools' first sizes are known after 6 s."""
 SETTLE_SECONDS = 20.0
+SETTLE_TASKS = 8.0
+"""A play goes on for so many usual tasks; the objective of a job is shorter."""
 SAMPLE_SECONDS = 0.1
 WINDOW_SECONDS = 2.0
 QUIET_PART = 0.05
@@ -140,7 +142,8 @@
             for number in range(self._plan.queues)
         ]
         await asyncio.gather(*loads, *faults)
-        await asyncio.sleep(SETTLE_SECONDS)
+        settle = SETTLE_TASKS * self._plan.task_seconds
+        await asyncio.sleep(max(settle, SETTLE_SECONDS))
         sampling.cancel()
         return self._measure()
 
