Keep the time of a planned flush instead of asking its handle

Cause: uvloop returns a plain handle, without a time, for a call that is due at once. While one was pending, the next end of a task asked it for its time; the error ended the link in the middle of a listing, whose further ends were not recorded, and their jobs never went on. The emulated platform runs on asyncio's own loop, where each handle has a time.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/journal.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/journal.py
@@ -82,7 +82,9 @@
         self._urgent_by_job: dict[ActiveJob, bool] = {}
         """Jobs to be written; a start or an end of the whole job can't wait."""
         self._writes: set[asyncio.Task[None]] = set()
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: asyncio.Handle | None = None
+        self._flush_at: Seconds = 0.0
+        """When the timer is due; uvloop's handles of calls without a wait don't say."""
         self._closed = False
 
     def mark(self, job: ActiveJob) -> None:
@@ -121,12 +123,13 @@
     def _plan_flush(self, wait: Seconds) -> None:
         if self._closed:
             return
-        loop = asyncio.get_running_loop()
+        flush_at = self._node.clock.now() + wait
         if self._timer is not None:
-            if self._timer.when() <= loop.time() + wait:
+            if self._flush_at <= flush_at:
                 return
             self._timer.cancel()
-        self._timer = loop.call_later(wait, self._flush)
+        self._flush_at = flush_at
+        self._timer = asyncio.get_running_loop().call_later(wait, self._flush)
 
     def _flush(self) -> None:
         if self._timer is not None:
--- a/packages/daemon/tests/scheduling/test_journal.py
+++ b/packages/daemon/tests/scheduling/test_journal.py
@@ -3,15 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
 
+import uvloop
+from returns.result import Success
+
+from medlarspring_adapters.clock import SystemClock
+from medlarspring_adapters.metrics import NoMetrics
+from medlarspring_adapters.store import Committed, Expect
 from medlarspring_bench.platform_world.checks import check_history
 from medlarspring_bench.platform_world.customers import Customers
 from medlarspring_bench.platform_world.plans import WorldPlan
 from medlarspring_bench.platform_world.virtual_time import run_virtual
 from medlarspring_bench.platform_world.world import World
+from medlarspring_daemon.scheduling.journal import Journal
+from medlarspring_daemon.scheduling.keys import CellKeys
+from medlarspring_tables import JobId, PoolId, Revision
+from medlarspring_tables.scheduling import (
+    ActiveJob,
+    CellId,
+    JobSpec,
+    QueueId,
+    QueuePolicy,
+    StepSpec,
+)
 
 if TYPE_CHECKING:
+    from medlarspring_adapters.store import Transaction
     from medlarspring_bench.key_value_ops import Commit
     from medlarspring_bench.platform_world.virtual_time import VirtualClock
 
@@ -53,3 +72,63 @@
     runs = len(world.history.runs)
     assert runs > 5 * JOBS
     assert writes < MOST_WRITES_PER_RUN * runs
+
+
+def create_job(number: int) -> ActiveJob:
+    return ActiveJob(
+        id=JobId(f"{number:016x}"),
+        queue=QueuePolicy(id=QueueId("lookup"), pool_id=PoolId("consent")),
+        spec=JobSpec(payload="", steps=(StepSpec(count=1),)),
+        accepted_at_ms=0,
+        job_revision=Revision(1),
+        arrived_at=0.0,
+        version=1,
+    )
+
+
+def test_records_are_written_while_more_come_than_fit_in_flight():
+    """
+    A hundred jobs change in one moment; four writes are in flight and the rest
+    waits. As writes end, more ends of the same jobs come. On the event loop that
+    serves, a flush that is due at once has no time of its own; asked for one, it
+    ended the link that had listed the ends, and its jobs never went on.
+    """
+    jobs = [create_job(number) for number in range(100)]
+    keys = CellKeys(CellId("0"))
+    faults: list[dict[str, Any]] = []
+    journal: Journal
+
+    async def commit(transaction: Transaction) -> Any:
+        await asyncio.sleep(0)
+        for job in jobs:
+            if job.version < 4:
+                job.version += 1
+                journal.mark_ends(job)
+        return Success(Committed(succeeded=True, revision=Revision(2), read_by_key={}))
+
+    async def main() -> None:
+        nonlocal journal
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: faults.append(context)
+        )
+        node: Any = SimpleNamespace(
+            clock=SystemClock(),
+            metrics=NoMetrics(),
+            store=SimpleNamespace(commit=commit),
+        )
+        tenure: Any = SimpleNamespace(
+            keys=keys,
+            holds=lambda: True,
+            expect=lambda: Expect(keys.controller, Revision(1)),
+        )
+        journal = Journal(node, tenure, lambda job: None)
+        for job in jobs:
+            journal.mark(job)
+        async with asyncio.timeout(10.0):
+            while any(job.written_version < job.version for job in jobs):
+                await asyncio.sleep(0.005)
+        await journal.close(flush=True)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+    assert faults == []
