Catch signals in stand-ins before saying where they listen

Traced: the line with the address was written before the handlers were set, and the starter ends the process as soon as it has read the line.

--- a/packages/bench/src/medlarspring_bench/standins/server.py
+++ b/packages/bench/src/medlarspring_bench/standins/server.py
@@ -143,19 +143,27 @@
     return host, int(port)
 
 
+_ended = asyncio.Event()
+"""Set once this process was told to end."""
+
+
 def announce(**addresses: object) -> None:
-    """Print the line that tells the starter where this stand-in listens."""
+    """Print the line that tells the starter where this stand-in listens.
+
+    Signals are caught from before on: a starter that ends a stand-in as soon as it
+    has read the line would otherwise kill it, on a busy machine, before it listens
+    for them.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _ended.set)
     sys.stdout.write(msgspec.json.encode(addresses).decode() + "\n")
     sys.stdout.flush()
 
 
 async def wait_for_end() -> None:
     """Wait for SIGTERM or SIGINT."""
-    ended = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ended.set)
-    await ended.wait()
+    await _ended.wait()
 
 
 def run(main: Coroutine[object, object, None]) -> None:
--- a/packages/bench/tests/test_standins.py
+++ b/packages/bench/tests/test_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import signal
 import socket
 from typing import Any
 
@@ -16,6 +17,7 @@
     WorkerRefused,
 )
 from medlarspring_bench.processes import Processes, ProcessFailed
+from medlarspring_bench.standins.server import announce
 from medlarspring_tables import JobId, Size
 
 STANDINS = "medlarspring_bench.standins"
@@ -231,3 +233,28 @@
     assert seen["a"]["state"] == "draining"
     refused = await send(http, "POST", f"{vms}/a/drain", {"revision": 0})
     assert refused == {"reason": "stale"}
+
+
+async def test_signals_are_caught_before_the_line_that_tells_the_address(monkeypatch):  # type: ignore[no-untyped-def]
+    """
+    The starter reads a stand-in's line and ends it at once. On a busy machine the
+    signal came before the stand-in listened for it, and the stand-in was killed
+    instead of ending by itself.
+    """
+    handlers: list[object] = []
+
+    class Output:
+        def write(self, _: str) -> None:
+            handlers.append(signal.getsignal(signal.SIGTERM))
+
+        def flush(self) -> None:
+            pass
+
+    before = signal.getsignal(signal.SIGTERM)
+    monkeypatch.setattr("sys.stdout", Output())
+    announce(name="any")
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.remove_signal_handler(number)
+    assert handlers
+    assert all(each is not before for each in handlers)
