Bring workers that are set aside back, and lost tasks beside them

Three ways into that were read in the code, each with a test that failed first: a worker set aside was tried again only once it was empty, which one with a lasting task never is; the ends of one moment each doubled the wait (two logs show 4 and 8 s noted within 20 ms, 16 s is the most); and VMs set aside counted as the pool's, so that an idle pool of two called no other.

Now a worker is tried by one run at a time whatever else is on it, a lasting task at work clears it, an accepted order ends a refusal, ends of one moment are one doubt, and a lasting task that no worker takes for a second calls one VM.

The needs of pools move to a module of their own.

--- a/packages/bench/src/medlarspring_bench/experiment/mechanisms.py
+++ b/packages/bench/src/medlarspring_bench/experiment/mechanisms.py
@@ -12,6 +12,7 @@
     demand,
     estimates,
     ordering,
+    pool_needs,
     pool_sizing,
     repair,
     rounds,
@@ -76,7 +77,7 @@
     Mechanism("trend", demand, "TREND_GAIN", 0.0, "the beginning of a turn"),
     Mechanism(
         "reserve",
-        pool_sizing,
+        pool_needs,
         "TIGHT_PART",
         0.0,
         "the first second and a half of a turn of short jobs",
--- a/packages/bench/src/medlarspring_bench/platform_world/checks.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/checks.py
@@ -47,6 +47,7 @@
     breaches += _check_drained(history)
     breaches += _check_operations(history)
     breaches += _check_statuses(history)
+    breaches += _check_forgotten(history)
     return breaches
 
 
@@ -237,6 +238,14 @@
     return True
 
 
+def _check_forgotten(history: History) -> list[Breach]:
+    """Each task that waits stands in the line of its pool."""
+    return [
+        Breach("forgotten", task_id, f"in no line at {at:.2f}")
+        for task_id, at in history.forgotten_at.items()
+    ]
+
+
 def _find_step(history: History, task_id: str):  # type: ignore[no-untyped-def]
     job_id, _, step_index, _ = task_id.split(".")
     spec = history.specs_by_id.get(JobId(job_id))
--- a/packages/bench/src/medlarspring_bench/platform_world/history.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/history.py
@@ -83,6 +83,8 @@
     operations: list[VMOperationRecord] = field(default_factory=list)
     drains: dict[WorkerId, Seconds] = field(default_factory=dict)
     final_states: dict[JobId, str] = field(default_factory=dict)
+    forgotten_at: dict[str, Seconds] = field(default_factory=dict)
+    """Tasks that a controller would never have placed, and when that was seen."""
 
     def add_run(self, run: RunHistory) -> None:
         """Note that a worker began a run."""
--- a/packages/bench/src/medlarspring_bench/platform_world/world.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/world.py
@@ -28,6 +28,7 @@
 from medlarspring_daemon.scheduling.context import SchedulingNode
 from medlarspring_daemon.scheduling.service import create_scheduling_service
 from medlarspring_platform.operator_records import PlatformCodec
+from medlarspring_systems.scheduling.waiting import list_forgotten
 from medlarspring_tables import EntryVMId, PoolId
 from medlarspring_tables.scheduling import FleetLimits
 
@@ -42,6 +43,8 @@
 LEASE_TICK_SECONDS = 0.05
 RUN_TICK_SECONDS = 0.02
 RESTART_SECONDS = 0.5
+WATCH_SECONDS = 0.1
+"""As often as a controller looks at what waits."""
 
 _owner: contextvars.ContextVar[int] = contextvars.ContextVar("owner", default=0)
 
@@ -93,6 +96,7 @@
         self._background = [
             asyncio.ensure_future(self._expire_leases()),
             asyncio.ensure_future(self._advance_workers()),
+            asyncio.ensure_future(self._watch_tables()),
         ]
         for number in range(self.plan.nodes):
             await self.start_node(f"entry-{number}")
@@ -234,5 +238,15 @@
                     worker.advance(now)
             await asyncio.sleep(RUN_TICK_SECONDS)
 
+    async def _watch_tables(self) -> None:
+        """Look for tasks that a controller has lost sight of."""
+        while True:
+            now = self.clock.now()
+            for node in self.nodes_by_name.values():
+                for tables in node.service.list_tables():
+                    for task in list_forgotten(tables):
+                        self.history.forgotten_at.setdefault(task.id, now)
+            await asyncio.sleep(WATCH_SECONDS)
+
 
 __all__ = ["Node", "World"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -30,7 +30,7 @@
     from medlarspring_adapters.store import Entry, Listing, WatchBatch
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import CellId
+    from medlarspring_tables.scheduling import CellId, WorkTables
 
 LEASE_SECONDS = 1.4
 """A killed controller is replaced so much later; tasks run on meanwhile, and only
@@ -54,6 +54,8 @@
 class Term(Protocol):
     """What runs while this process controls a cell."""
 
+    tables: WorkTables
+
     async def start(self) -> None:
         """Take the cell over."""
         ...
--- a/packages/daemon/src/medlarspring_daemon/scheduling/service.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/service.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Tenure, Term
+    from medlarspring_tables.scheduling import WorkTables
 
 READY_SILENCE_SECONDS = 1.0
 """An entry VM that the store fails for so long takes itself out of rotation."""
@@ -62,6 +63,14 @@
             for election in self._elections
         )
 
+    def list_tables(self) -> list[WorkTables]:
+        """Return what this process knows of the cells that it controls."""
+        return [
+            election.term.tables
+            for election in self._elections
+            if election.term is not None
+        ]
+
     def _may_control(self) -> bool:
         return self.directory.config is not None and not self._node.stopping
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -19,7 +19,7 @@
 )
 from medlarspring_daemon.scheduling.end_ledger import EndLedger
 from medlarspring_daemon.tasks import Tasks
-from medlarspring_systems.scheduling.evidence import note_refusal
+from medlarspring_systems.scheduling.evidence import note_accepted, note_refusal
 from medlarspring_systems.scheduling.listings import take_listing
 from medlarspring_systems.scheduling.runs import confirm_run, detach_run
 from medlarspring_systems.scheduling.workers import note_clock, read_clock
@@ -195,6 +195,7 @@
 
     def _take_start_answer(self, run: Run, answer: OrderAnswer, now: Seconds) -> None:
         if answer.refusal is None:
+            note_accepted(self._worker)
             if run.state in (RunState.ORDERED, RunState.UNKNOWN):
                 confirm_run(run, now)
                 self._log_started(run)
--- a/packages/systems/src/medlarspring_systems/scheduling/availability.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/availability.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.evidence import AT_WORK_PERCENT
 from medlarspring_systems.scheduling.placement import fits, is_allowed, is_open
 from medlarspring_tables.scheduling import RunState
 
@@ -11,8 +12,6 @@
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import Run, Task, WorkTables
 
-AT_WORK_PERCENT = 100
-"""A long-running task is at work when it reports this."""
 SEEN_SECONDS = 0.8
 """So long this controller must have seen a task running. A predecessor may have
 ordered its stop right before the hand-over; until that is carried out, 0.4 s later at
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
@@ -0,0 +1,200 @@
+"""How many VMs a pool's work asks for in a moment, and why."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.demand import find_slack, project_demand
+from medlarspring_systems.scheduling.estimates import expect_seconds
+from medlarspring_systems.scheduling.fleet import PoolNeed
+from medlarspring_systems.scheduling.placement import is_allowed, is_open
+from medlarspring_tables.scheduling import Room
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from medlarspring_systems.scheduling.fleet import FleetTables
+    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables.scheduling import StepRun, Worker, WorkTables
+
+HORIZON_SECONDS = 2.0
+"""What waits is to be done within so long, beside what comes in."""
+FILL = 0.85
+"""Part of a VM that tasks of mixed sizes fill on average."""
+TIGHT_PART = 0.6
+"""Part of its first size that a pool keeps whose jobs can't wait for a VM.
+
+Called at the start of its turn, VMs are there when the jobs of the first second
+and a half are late: a quarter of the turn's jobs.
+"""
+TIGHT_SECONDS = 0.6
+"""A queue's jobs can wait for a VM if so much slack is left when it is there."""
+LEAST_VMS = 1
+ROUNDING = 0.05
+"""Demand that exceeds whole VMs by less is not worth another one."""
+SHUT_OUT_SECONDS = 1.0
+"""A long-running task that no worker of its pool takes for so long gets another VM;
+room that batch work gives up is there within half a second."""
+
+
+def find_need(
+    tables: WorkTables, fleet: FleetTables, pool_id: PoolId, now: Seconds
+) -> PoolNeed:
+    """Return how many VMs a pool's work asks for in a moment."""
+    largest = _find_largest_room(tables)
+    lasting_cpu, lasting_memory = _measure_lasting(tables, pool_id)
+    waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id, now)
+    incoming = project_demand(
+        tables, pool_id, now, can_wait=_can_wait(tables, fleet, pool_id)
+    )
+    cpu = lasting_cpu + incoming + waiting_cpu
+    memory = lasting_memory + waiting_memory
+    vms = max(
+        cpu / (max(largest.cpu_millis, 1) * FILL),
+        memory / (max(largest.memory_mb, 1) * FILL),
+    )
+    needed = math.ceil(vms - ROUNDING)
+    floor = _find_floor(tables, fleet, pool_id)
+    limits = _count_needed_by_limits(tables, pool_id)
+    shut_out = _count_needed_by_shut_out(tables, fleet, pool_id, largest, now)
+    busy = max(needed, LEAST_VMS, limits, shut_out)
+    return PoolNeed(
+        vms=max(busy, floor),
+        busy_vms=busy,
+        lasting_millis=lasting_cpu,
+        incoming_millis=incoming,
+        waiting_millis=waiting_cpu,
+    )
+
+
+def _find_floor(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> int:
+    """Return the VMs that a pool keeps whatever it does now.
+
+    A pool that had no work yet keeps what the operator gave it. It does not grow
+    back to that: after a takeover nothing is known of any pool, and each idle one
+    called its first eight VMs back.
+    """
+    first = fleet.first_sizes.get(pool_id, 0)
+    if find_slack(tables, pool_id) is None:
+        return min(first, fleet.have_by_pool.get(pool_id, first))
+    if _can_wait(tables, fleet, pool_id):
+        return LEAST_VMS
+    return math.ceil(first * TIGHT_PART)
+
+
+def _can_wait(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> bool:
+    """Tell whether the pool's jobs are still in time when VMs called now are there."""
+    slack = find_slack(tables, pool_id)
+    return slack is not None and slack > fleet.move_seconds + TIGHT_SECONDS
+
+
+def _find_largest_room(tables: WorkTables) -> Room:
+    cpu = memory = 0
+    for vm in tables.vms_by_id.values():
+        cpu = max(cpu, vm.room.cpu_millis)
+        memory = max(memory, vm.room.memory_mb)
+    return Room(cpu, memory)
+
+
+def _measure_lasting(tables: WorkTables, pool_id: PoolId) -> tuple[float, float]:
+    """Return processors and memory that long-running tasks hold."""
+    cpu = memory = 0.0
+    for worker in tables.workers_by_pool.get(pool_id, {}).values():
+        if worker.long_runs:
+            cpu_there, memory_there = _measure_lasting_on(worker)
+            cpu += cpu_there
+            memory += memory_there
+    return cpu, memory
+
+
+def _measure_lasting_on(worker: Worker) -> tuple[float, float]:
+    cpu = memory = 0.0
+    for run in worker.runs.values():
+        if run.task.step.spec.long_running:
+            cpu += run.task.step.room.cpu_millis
+            memory += run.task.step.room.memory_mb
+    return cpu, memory
+
+
+def _measure_waiting(
+    tables: WorkTables, pool_id: PoolId, now: Seconds
+) -> tuple[float, float]:
+    """Return processors and memory that clear what waits within the horizon.
+
+    Work that still counts as incoming is left out: counted twice, each rise of
+    demand called for twice the VMs that it then needed.
+    """
+    cpu = memory = 0.0
+    for step in tables.ready_by_pool.get(pool_id, {}):
+        if step.job.outcome is not None or not step.waiting:
+            continue
+        if now < step.counted_until:
+            continue
+        part = 1.0
+        if not step.spec.long_running:
+            seconds = expect_seconds(tables, step.job.queue.id, step.spec, step.seen_ms)
+            part = seconds / HORIZON_SECONDS
+        cpu += part * len(step.waiting) * step.room.cpu_millis
+        memory += min(part, 1.0) * len(step.waiting) * step.room.memory_mb
+    return cpu, memory
+
+
+def _count_needed_by_limits(tables: WorkTables, pool_id: PoolId) -> int:
+    """Return how many VMs the steps need that limit their tasks on one worker."""
+    most = 0
+    for step in tables.ready_by_pool.get(pool_id, {}):
+        if step.spec.max_per_worker and step.spec.long_running:
+            most = max(most, math.ceil(step.spec.count / step.spec.max_per_worker))
+    return most
+
+
+def _count_needed_by_shut_out(
+    tables: WorkTables, fleet: FleetTables, pool_id: PoolId, largest: Room, now: Seconds
+) -> int:
+    """Return the VMs that the pool needs for a long-running task that none takes.
+
+    Workers that are set aside count as the pool's VMs and give no room: in an idle
+    pool a lost task waited next to them for up to 16 s. One VM is called at a time,
+    and none while one is on its way.
+    """
+    workers = tables.workers_by_pool.get(pool_id, {}).values()
+    if not any(
+        _is_shut_out(step, workers, largest, now)
+        for step in tables.ready_by_pool.get(pool_id, {})
+    ):
+        return 0
+    have = fleet.have_by_pool.get(pool_id, 0)
+    is_coming = have > sum(1 for worker in workers if worker.listed)
+    return have if is_coming else have + 1
+
+
+def _is_shut_out(
+    step: StepRun, workers: Collection[Worker], largest: Room, now: Seconds
+) -> bool:
+    """Tell whether no worker takes a step's lost task, even if batch work yields.
+
+    Steps that only some workers may run are left out: another VM may not help.
+    """
+    spec = step.spec
+    if not spec.long_running or not step.waiting or step.job.outcome is not None:
+        return False
+    if spec.required_label or step.job.queue.advice is not None:
+        return False
+    if step.room.cpu_millis > largest.cpu_millis:
+        return False
+    since = max(step.ready_at, min(task.waiting_since for task in step.waiting))
+    if now - since < SHUT_OUT_SECONDS:
+        return False
+    return not any(_may_hold(step, worker, now) for worker in workers)
+
+
+def _may_hold(step: StepRun, worker: Worker, now: Seconds) -> bool:
+    if not is_open(worker, now) or not is_allowed(step, worker, now):
+        return False
+    cpu, memory = _measure_lasting_on(worker)
+    has_cpu = worker.room.cpu_millis - cpu >= step.room.cpu_millis
+    return has_cpu and worker.room.memory_mb - memory >= step.room.memory_mb
+
+
+__all__ = ["find_need"]
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -8,30 +8,23 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.demand import find_slack, project_demand
-from medlarspring_systems.scheduling.estimates import expect_seconds
 from medlarspring_systems.scheduling.fleet import (
     MoveVM,
-    PoolNeed,
     find_worker_of,
     is_free,
     is_standby,
 )
+from medlarspring_systems.scheduling.pool_needs import find_need
 from medlarspring_systems.scheduling.workers import NEW_VM_SECONDS
-from medlarspring_tables.scheduling import Room, VMPhase
+from medlarspring_tables.scheduling import VMPhase
 
 if TYPE_CHECKING:
     from medlarspring_systems.scheduling.fleet import FleetPlan, FleetTables
     from medlarspring_tables import PoolId, Seconds, VMId
     from medlarspring_tables.scheduling import VMEntry, WorkTables
 
-HORIZON_SECONDS = 2.0
-"""What waits is to be done within so long, beside what comes in."""
-FILL = 0.85
-"""Part of a VM that tasks of mixed sizes fill on average."""
 IDLE_SECONDS = 1.0
 """A VM beyond the need that did nothing for so long goes to standby."""
 NEED_SECONDS = 2.5
@@ -40,19 +33,8 @@
 A move to standby and back costs as much as 1.3 s in the pool, and the way back
 takes another 1.5 s in which work waits.
 """
-TIGHT_PART = 0.6
-"""Part of its first size that a pool keeps whose jobs can't wait for a VM.
-
-Called at the start of its turn, VMs are there when the jobs of the first second
-and a half are late: a quarter of the turn's jobs.
-"""
-TIGHT_SECONDS = 0.6
-"""A queue's jobs can wait for a VM if so much slack is left when it is there."""
 LEARN_SECONDS = 6.0
 """VMs of a fleet that starts come up within so long."""
-LEAST_VMS = 1
-ROUNDING = 0.05
-"""Demand that exceeds whole VMs by less is not worth another one."""
 LEAST_READ_AGE_SECONDS = 2.5
 """Sizes are planned only on a VM list younger than this."""
 
@@ -112,109 +94,6 @@
     fleet.sizes_known = now - fleet.sizes_since >= LEARN_SECONDS
 
 
-def find_need(
-    tables: WorkTables, fleet: FleetTables, pool_id: PoolId, now: Seconds
-) -> PoolNeed:
-    """Return how many VMs a pool's work asks for in a moment."""
-    largest = _find_largest_room(tables)
-    lasting_cpu, lasting_memory = _measure_lasting(tables, pool_id)
-    waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id, now)
-    incoming = project_demand(
-        tables, pool_id, now, can_wait=_can_wait(tables, fleet, pool_id)
-    )
-    cpu = lasting_cpu + incoming + waiting_cpu
-    memory = lasting_memory + waiting_memory
-    vms = max(
-        cpu / (max(largest.cpu_millis, 1) * FILL),
-        memory / (max(largest.memory_mb, 1) * FILL),
-    )
-    needed = math.ceil(vms - ROUNDING)
-    floor = _find_floor(tables, fleet, pool_id)
-    limits = _count_needed_by_limits(tables, pool_id)
-    busy = max(needed, LEAST_VMS, limits)
-    return PoolNeed(
-        vms=max(busy, floor),
-        busy_vms=busy,
-        lasting_millis=lasting_cpu,
-        incoming_millis=incoming,
-        waiting_millis=waiting_cpu,
-    )
-
-
-def _find_floor(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> int:
-    """Return the VMs that a pool keeps whatever it does now.
-
-    A pool that had no work yet keeps what the operator gave it. It does not grow
-    back to that: after a takeover nothing is known of any pool, and each idle one
-    called its first eight VMs back.
-    """
-    first = fleet.first_sizes.get(pool_id, 0)
-    if find_slack(tables, pool_id) is None:
-        return min(first, fleet.have_by_pool.get(pool_id, first))
-    if _can_wait(tables, fleet, pool_id):
-        return LEAST_VMS
-    return math.ceil(first * TIGHT_PART)
-
-
-def _can_wait(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> bool:
-    """Tell whether the pool's jobs are still in time when VMs called now are there."""
-    slack = find_slack(tables, pool_id)
-    return slack is not None and slack > fleet.move_seconds + TIGHT_SECONDS
-
-
-def _find_largest_room(tables: WorkTables) -> Room:
-    cpu = memory = 0
-    for vm in tables.vms_by_id.values():
-        cpu = max(cpu, vm.room.cpu_millis)
-        memory = max(memory, vm.room.memory_mb)
-    return Room(cpu, memory)
-
-
-def _measure_lasting(tables: WorkTables, pool_id: PoolId) -> tuple[float, float]:
-    """Return processors and memory that long-running tasks hold."""
-    cpu = memory = 0.0
-    for worker in tables.workers_by_pool.get(pool_id, {}).values():
-        if not worker.long_runs:
-            continue
-        for run in worker.runs.values():
-            if run.task.step.spec.long_running:
-                cpu += run.task.step.room.cpu_millis
-                memory += run.task.step.room.memory_mb
-    return cpu, memory
-
-
-def _measure_waiting(
-    tables: WorkTables, pool_id: PoolId, now: Seconds
-) -> tuple[float, float]:
-    """Return processors and memory that clear what waits within the horizon.
-
-    Work that still counts as incoming is left out: counted twice, each rise of
-    demand called for twice the VMs that it then needed.
-    """
-    cpu = memory = 0.0
-    for step in tables.ready_by_pool.get(pool_id, {}):
-        if step.job.outcome is not None or not step.waiting:
-            continue
-        if now < step.counted_until:
-            continue
-        part = 1.0
-        if not step.spec.long_running:
-            seconds = expect_seconds(tables, step.job.queue.id, step.spec, step.seen_ms)
-            part = seconds / HORIZON_SECONDS
-        cpu += part * len(step.waiting) * step.room.cpu_millis
-        memory += min(part, 1.0) * len(step.waiting) * step.room.memory_mb
-    return cpu, memory
-
-
-def _count_needed_by_limits(tables: WorkTables, pool_id: PoolId) -> int:
-    """Return how many VMs the steps need that limit their tasks on one worker."""
-    most = 0
-    for step in tables.ready_by_pool.get(pool_id, {}):
-        if step.spec.max_per_worker and step.spec.long_running:
-            most = max(most, math.ceil(step.spec.count / step.spec.max_per_worker))
-    return most
-
-
 def _count_vms(
     tables: WorkTables, fleet: FleetTables, now: Seconds
 ) -> dict[PoolId, int]:
@@ -363,4 +242,4 @@
     plan.operations.append(MoveVM(vm.id, pool_id, vm.pool_id, reason))
 
 
-__all__ = ["find_need", "plan_moves"]
+__all__ = ["plan_moves"]
--- a/packages/systems/src/medlarspring_systems/scheduling/repair.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/repair.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.estimates import expect_seconds
-from medlarspring_systems.scheduling.evidence import doubt_worker
+from medlarspring_systems.scheduling.evidence import clear_proven, doubt_worker
 from medlarspring_systems.scheduling.pacing import plan_paces
 from medlarspring_systems.scheduling.placement import choose_worker, is_open
 from medlarspring_systems.scheduling.rounds import find_preemptible
@@ -45,6 +45,7 @@
     repairs = Repairs()
     for worker in tables.workers_by_id.values():
         _look_for_stalls(tables, worker, now, repairs)
+        clear_proven(worker, now)
     _leave_draining(tables, now, repairs)
     _copy_silent(tables, now, repairs)
     _make_room(tables, now, repairs)
@@ -71,8 +72,7 @@
     for run in stalled:
         if several or _find_stall(tables, run, now) > ALONE_FACTOR:
             repairs.stops.append((run, "no progress"))
-    if several and worker.doubt is not WorkerDoubt.STALLED:
-        doubt_worker(worker, WorkerDoubt.STALLED, now)
+    if several and doubt_worker(worker, WorkerDoubt.STALLED, now):
         repairs.doubted.append(worker)
 
 
@@ -89,10 +89,12 @@
         return 0.0
     if step.spec.uses_leftover:
         return 0.0
-    expected = expect_seconds(tables, step.job.queue.id, step.spec, step.seen_ms)
-    usual = max(STALL_SECONDS, STALL_PART * expected)
     heard_at = min(run.worker.answered_at, now)
-    return (heard_at - max(run.advanced_at, run.confirmed_at)) / usual
+    still = heard_at - max(run.advanced_at, run.confirmed_at)
+    if still <= STALL_SECONDS:
+        return 0.0
+    expected = expect_seconds(tables, step.job.queue.id, step.spec, step.seen_ms)
+    return still / max(STALL_SECONDS, STALL_PART * expected)
 
 
 def _leave_draining(tables: WorkTables, now: Seconds, repairs: Repairs) -> None:
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -20,6 +20,7 @@
     intend_run,
     take_room,
 )
+from medlarspring_tables.scheduling import WorkerDoubt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -125,6 +126,9 @@
             _reserve_worker(step, task, workers, now)
             return
         intents.append(intend_run(task, worker, task.last_run + 1, now))
+        if worker.doubt is not WorkerDoubt.NONE:
+            # This run tries the worker; others wait for what becomes of it.
+            workers.remove(worker)
 
 
 def _narrow(step: StepRun, workers: list[Worker]) -> list[Worker]:
--- /dev/null
+++ b/packages/systems/src/medlarspring_systems/scheduling/waiting.py
@@ -0,0 +1,100 @@
+"""Why a task waits, and which tasks wait for nothing that could ever come."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from medlarspring_systems.scheduling.placement import fits, is_allowed, is_open
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import StepRun, Task, WorkTables
+
+
+class WaitCause(Enum):
+    """What a task waits for."""
+
+    EARLIER_STEPS = "earlier-steps"
+    """Steps that it comes after are not done."""
+    RETRY_PAUSE = "retry-pause"
+    """It just failed or was refused."""
+    NO_OPEN_WORKER = "no-open-worker"
+    """Each worker of the pool leaves, is silent, set aside or kept for maintenance."""
+    NOT_ALLOWED = "not-allowed"
+    """Label, advice or the limit for one worker rule out each open worker."""
+    ROOM = "room"
+    """No open worker that it may use has room."""
+    OTHER_MEMBERS = "other-members"
+    """There is room for it, but not for its whole gang."""
+    NEXT_ROUND = "next-round"
+    """There is room; the next round of placement takes it."""
+    FORGOTTEN = "forgotten"
+    """A defect: no round will ever look at it."""
+
+
+def find_wait_cause(tables: WorkTables, task: Task, now: Seconds) -> WaitCause | None:
+    """Return what a task waits for; None if it runs, is done or not wanted."""
+    step = task.step
+    if task.runs or task.done or step.job.outcome is not None:
+        return None
+    if not step.ready:
+        return WaitCause.EARLIER_STEPS
+    if not _is_in_line(tables, step, task):
+        return WaitCause.FORGOTTEN
+    if task.not_before > now:
+        return WaitCause.RETRY_PAUSE
+    return _find_obstacle(tables, step, now)
+
+
+def _is_in_line(tables: WorkTables, step: StepRun, task: Task) -> bool:
+    line = tables.ready_by_pool.get(step.job.queue.pool_id, {})
+    return step in line and task in step.waiting
+
+
+def _find_obstacle(tables: WorkTables, step: StepRun, now: Seconds) -> WaitCause:
+    pool = tables.workers_by_pool.get(step.job.queue.pool_id, {}).values()
+    workers = [worker for worker in pool if is_open(worker, now)]
+    if not workers:
+        return WaitCause.NO_OPEN_WORKER
+    workers = [worker for worker in workers if is_allowed(step, worker, now)]
+    if not workers:
+        return WaitCause.NOT_ALLOWED
+    if not any(fits(step, worker) for worker in workers):
+        return WaitCause.ROOM
+    return WaitCause.OTHER_MEMBERS if step.spec.gang else WaitCause.NEXT_ROUND
+
+
+def list_forgotten(tables: WorkTables) -> list[Task]:
+    """Return the tasks that wait and that no round of placement will look at.
+
+    There should never be any. A task gets into the line and out of it in many places
+    (a run that ends, is lost, refused, adopted); one missed place, and it would wait
+    for good while its pool stands idle.
+    """
+    return [
+        task
+        for task in _list_waiting(tables)
+        if not _is_in_line(tables, task.step, task)
+    ]
+
+
+def _list_waiting(tables: WorkTables) -> Iterator[Task]:
+    for job in tables.jobs_by_id.values():
+        if job.outcome is not None:
+            continue
+        for steps in job.occurrences_by_index.values():
+            for step in steps:
+                if step.ready:
+                    yield from _list_waiting_of(step)
+
+
+def _list_waiting_of(step: StepRun) -> Iterator[Task]:
+    for task in step.tasks:
+        if not task.runs and not task.done:
+            yield task
+
+
+__all__ = ["WaitCause", "find_wait_cause", "list_forgotten"]
--- a/packages/systems/tests/scheduling/test_demand.py
+++ b/packages/systems/tests/scheduling/test_demand.py
@@ -10,7 +10,7 @@
 from medlarspring_systems.scheduling.demand import project_demand
 from medlarspring_systems.scheduling.fleet import FleetTables
 from medlarspring_systems.scheduling.jobs import admit_job, open_due_occurrences
-from medlarspring_systems.scheduling.pool_sizing import find_need
+from medlarspring_systems.scheduling.pool_needs import find_need
 from medlarspring_tables import JobId, PoolId, Revision
 from medlarspring_tables.scheduling import (
     JobRecord,
--- /dev/null
+++ b/packages/systems/tests/scheduling/test_evidence.py
@@ -0,0 +1,145 @@
+"""Workers that are set aside come back, whatever else runs on them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from medlarspring_systems.scheduling.evidence import (
+    DOUBT_SECONDS,
+    doubt_worker,
+    note_accepted,
+    note_refusal,
+)
+from medlarspring_systems.scheduling.repair import plan_repairs
+from medlarspring_systems.scheduling.rounds import plan_round
+from medlarspring_systems.scheduling.runs import confirm_run, detach_run, end_run
+from medlarspring_tables import PoolId
+from medlarspring_tables.scheduling import RunEnd, StepSpec, WorkerDoubt
+
+if TYPE_CHECKING:
+    from medlarspring_tables.scheduling import Run, Worker
+
+    from .conftest import Scene
+
+POOL = PoolId("consent")
+NOW = 1_000.0
+LASTING = StepSpec(count=1, cpu_millis=1_000, memory_mb=1_000, long_running=True)
+BATCH = StepSpec(count=4, cpu_millis=1_000, memory_mb=1_000, estimate_ms=500)
+
+
+def start_lasting(scene: Scene, name: str, now: float = NOW) -> Run:
+    scene.add_job(name, LASTING, now=now)
+    (run,) = plan_round(scene.tables, POOL, now)
+    confirm_run(run, now)
+    run.percent = 100
+    return run
+
+
+def refuse(worker: Worker, now: float) -> None:
+    note_refusal(worker, now)
+
+
+def fail(worker: Worker, now: float) -> None:
+    doubt_worker(worker, WorkerDoubt.FAILING, now)
+
+
+def stall(worker: Worker, now: float) -> None:
+    doubt_worker(worker, WorkerDoubt.STALLED, now)
+
+
+@pytest.mark.parametrize("set_aside", [refuse, fail, stall])
+def test_worker_with_a_lasting_task_is_tried_again(scene: Scene, set_aside):  # type: ignore[no-untyped-def]
+    """
+    The only worker of an idle pool serves a lasting task and is set aside. Tried
+    again only when nothing ran there, it stayed closed for good: a second lasting
+    task waited for ever beside free room.
+    """
+    worker = scene.add_worker(1)
+    start_lasting(scene, "first")
+    set_aside(worker, NOW)
+    scene.add_job("second", LASTING)
+    assert plan_round(scene.tables, POOL, NOW + 0.5) == []
+    (run,) = plan_round(scene.tables, POOL, worker.doubted_until + 0.1)
+    assert run.worker is worker
+
+
+def test_worker_set_aside_is_tried_with_one_task_at_a_time(scene: Scene):
+    """
+    A worker fails all that it starts. Tried with all that waits, it would use up an
+    attempt of each of them.
+    """
+    worker = scene.add_worker(1)
+    fail(worker, NOW)
+    scene.add_job("j", BATCH)
+    later = worker.doubted_until + 0.1
+    (run,) = plan_round(scene.tables, POOL, later)
+    assert plan_round(scene.tables, POOL, later + 0.1) == []
+    end_run(scene.tables, run, RunEnd.FAILED, "", later + 0.2)
+    assert len(plan_round(scene.tables, POOL, later + 0.5)) == 1
+
+
+def test_lasting_task_at_work_clears_its_worker(scene: Scene):
+    """
+    The task that tries a worker lasts, so that its end will never be heard. At work
+    for a while, it speaks for the worker as an end would.
+    """
+    worker = scene.add_worker(1)
+    stall(worker, NOW)
+    later = worker.doubted_until + 0.1
+    start_lasting(scene, "j", later)
+    worker.answered_at = later + 1.0
+    plan_repairs(scene.tables, later + 1.0)
+    assert worker.doubt is WorkerDoubt.STALLED
+    plan_repairs(scene.tables, later + 2.1)
+    assert worker.doubt is WorkerDoubt.NONE
+
+
+def test_lasting_task_from_before_the_doubt_says_nothing(scene: Scene):
+    worker = scene.add_worker(1)
+    start_lasting(scene, "j")
+    stall(worker, NOW + 1.0)
+    plan_repairs(scene.tables, worker.doubted_until + 5.0)
+    assert worker.doubt is WorkerDoubt.STALLED
+
+
+def test_worker_that_takes_an_order_again_is_open(scene: Scene):
+    worker = scene.add_worker(1)
+    refuse(worker, NOW)
+    scene.add_job("j", BATCH)
+    (run,) = plan_round(scene.tables, POOL, NOW + 1.1)
+    note_accepted(run.worker)
+    assert (
+        len(plan_round(scene.tables, POOL, NOW + 1.2)) == len(run.task.step.tasks) - 1
+    )
+
+
+def test_worker_that_refuses_again_is_left_alone_again(scene: Scene):
+    """
+    A worker refuses whatever it is told for seconds. Left alone only after its
+    first refusal, it was asked again each 0.15 s from then on.
+    """
+    worker = scene.add_worker(1)
+    refuse(worker, NOW)
+    scene.add_job("j", BATCH)
+    (run,) = plan_round(scene.tables, POOL, NOW + 1.1)
+    refuse(worker, NOW + 1.1)
+    detach_run(scene.tables, run, NOW + 1.1)
+    assert plan_round(scene.tables, POOL, NOW + 1.6) == []
+    assert len(plan_round(scene.tables, POOL, NOW + 2.2)) == 1
+
+
+def test_ends_of_one_moment_count_as_one_doubt(scene: Scene):
+    """
+    A worker fails what runs on it, and its ends come in one listing. Each doubled the
+    wait: three of them set the only VM of an idle pool aside for 16 s in place of 4 s,
+    and a lasting task that had failed with them waited as long.
+    """
+    worker = scene.add_worker(1)
+    for _ in range(4):
+        fail(worker, NOW)
+    assert worker.doubted_until == pytest.approx(NOW + DOUBT_SECONDS)
+    again = worker.doubted_until + 0.5
+    fail(worker, again)
+    assert worker.doubted_until == pytest.approx(again + 2 * DOUBT_SECONDS)
--- a/packages/systems/tests/scheduling/test_pool_sizing.py
+++ b/packages/systems/tests/scheduling/test_pool_sizing.py
@@ -6,18 +6,22 @@
 
 import pytest
 
-from medlarspring_systems.scheduling.fleet import FleetTables, MoveVM
+from medlarspring_systems.scheduling.evidence import doubt_worker
+from medlarspring_systems.scheduling.fleet import FleetTables, MoveVM, note_operation
 from medlarspring_systems.scheduling.fleet_plan import plan_operations
-from medlarspring_systems.scheduling.pool_sizing import find_need
+from medlarspring_systems.scheduling.pool_needs import find_need
 from medlarspring_tables import PoolId
 from medlarspring_tables.scheduling import (
     FleetLimits,
     PoolPolicy,
     QueueId,
     StepSpec,
+    WorkerDoubt,
 )
 
 if TYPE_CHECKING:
+    from medlarspring_tables.scheduling import Worker
+
     from .conftest import Scene
 
 POOL = PoolId("consent")
@@ -166,3 +170,65 @@
     """
     fleet.have_by_pool = {POOL: has}
     assert find_need(scene.tables, fleet, POOL, NOW).vms == kept
+
+
+LASTING = StepSpec(count=1, cpu_millis=1_000, memory_mb=1_000, long_running=True)
+
+
+def set_aside(worker: Worker) -> None:
+    doubt_worker(worker, WorkerDoubt.FAILING, NOW)
+
+
+def fill_with_batch(worker: Worker) -> None:
+    worker.cpu_free = 0
+
+
+def leave_open(worker: Worker) -> None:
+    pass
+
+
+@pytest.mark.parametrize(
+    ("spoil", "spec", "waited", "calls"),
+    [
+        (set_aside, LASTING, 1.5, True),
+        (set_aside, LASTING, 0.5, False),
+        (fill_with_batch, LASTING, 1.5, False),
+        (leave_open, LASTING, 1.5, False),
+        (set_aside, SHORT, 1.5, False),
+    ],
+    ids=["set-aside", "only-just", "room-after-preemption", "open", "no-lasting-task"],
+)
+def test_lasting_task_that_no_worker_takes_calls_another_vm(  # type: ignore[no-untyped-def]
+    scene: Scene, spoil, spec: StepSpec, waited: float, calls: bool
+):
+    """
+    Both VMs of an idle pool are set aside for seconds. They count as the pool's
+    VMs, so it wanted no other, and its lasting task waited until one was tried.
+    """
+    fleet = FleetTables(sizes_known=True, have_by_pool={POOL: 2})
+    for number in (1, 2):
+        spoil(scene.add_worker(number))
+    scene.add_job("j", spec)
+    need = find_need(scene.tables, fleet, POOL, NOW + waited)
+    assert (need.busy_vms == 3) is calls
+
+
+def test_one_vm_is_called_at_a_time_for_a_task_that_is_shut_out(scene: Scene):
+    """
+    A VM takes 1.5 s to come. Called again at each look until it is there, half of
+    the fleet would be on its way for one task.
+    """
+    fleet = FleetTables(sizes_known=True)
+    set_aside(scene.add_worker(1))
+    for number in range(10, 20):
+        scene.add_vm(number)
+    scene.add_job("j", LASTING)
+    moves = []
+    for tick in range(12):
+        now = NOW + 1.2 + tick * 0.1
+        scene.tables.vms_read_at = now
+        plan = plan_operations(scene.tables, fleet, FleetLimits(), now)
+        for operation in plan.operations:
+            moves.append(operation)
+            note_operation(scene.tables, fleet, operation, now)
+    assert len(moves) == 1
--- /dev/null
+++ b/packages/systems/tests/scheduling/test_waiting.py
@@ -0,0 +1,75 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from medlarspring_systems.scheduling.rounds import plan_round
+from medlarspring_systems.scheduling.runs import detach_run, end_run
+from medlarspring_systems.scheduling.waiting import (
+    WaitCause,
+    find_wait_cause,
+    list_forgotten,
+)
+from medlarspring_tables import PoolId
+from medlarspring_tables.scheduling import RunEnd, StepSpec
+
+if TYPE_CHECKING:
+    from .conftest import Scene
+
+POOL = PoolId("consent")
+NOW = 1_000.0
+
+
+def step(**changes: object) -> StepSpec:
+    values = {"count": 1, "cpu_millis": 2_000, "memory_mb": 1_000, "estimate_ms": 500}
+    return StepSpec(**{**values, **changes})  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("cpu", "rules", "cause"),
+    [
+        (0, {}, WaitCause.NO_OPEN_WORKER),
+        (1_000, {}, WaitCause.ROOM),
+        (4_000, {}, WaitCause.NEXT_ROUND),
+        (4_000, {"required_label": "gpu"}, WaitCause.NOT_ALLOWED),
+        (4_000, {"count": 3, "gang": True}, WaitCause.OTHER_MEMBERS),
+    ],
+)
+def test_what_a_task_waits_for(
+    scene: Scene, cpu: int, rules: dict[str, object], cause: WaitCause
+):
+    if cpu:
+        scene.add_worker(1, cpu=cpu)
+    job = scene.add_job("j", step(**rules))
+    task = job.occurrences_by_index[0][0].tasks[0]
+    assert find_wait_cause(scene.tables, task, NOW) is cause
+
+
+def test_what_a_task_waits_for_over_its_life(scene: Scene):
+    scene.add_worker(1)
+    job = scene.add_job("j", step(), step(after=(0,)))
+    first, second = (each.tasks[0] for each in job.occurrences_by_index[0])
+    assert find_wait_cause(scene.tables, second, NOW) is WaitCause.EARLIER_STEPS
+    (run,) = plan_round(scene.tables, POOL, NOW)
+    assert find_wait_cause(scene.tables, first, NOW) is None
+    end_run(scene.tables, run, RunEnd.FAILED, "", NOW)
+    assert find_wait_cause(scene.tables, first, NOW) is WaitCause.RETRY_PAUSE
+    (run,) = plan_round(scene.tables, POOL, NOW + 1.0)
+    end_run(scene.tables, run, RunEnd.DONE, "", NOW + 1.0)
+    assert find_wait_cause(scene.tables, second, NOW + 1.0) is WaitCause.NEXT_ROUND
+
+
+def test_task_that_fell_out_of_the_line_is_found(scene: Scene):
+    """
+    A run is lost and its task goes back into the line. Were the line cleared behind
+    its back, its pool could stand idle and the task would wait for good.
+    """
+    scene.add_worker(1)
+    scene.add_job("j", step())
+    (run,) = plan_round(scene.tables, POOL, NOW)
+    detach_run(scene.tables, run, NOW)
+    assert list_forgotten(scene.tables) == []
+    scene.tables.ready_by_pool[POOL].clear()
+    assert list_forgotten(scene.tables) == [run.task]
+    assert find_wait_cause(scene.tables, run.task, NOW) is WaitCause.FORGOTTEN
