--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -14,6 +14,7 @@
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.journal import WRITTEN_FOR_GOOD, Journal
 from medlarspring_daemon.scheduling.load_report import LoadReport
+from medlarspring_daemon.scheduling.unrecorded_ends import UnrecordedEnds
 from medlarspring_daemon.scheduling.vm_keeper import VMKeeper
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
@@ -74,6 +75,7 @@
         self._tasks = Tasks(node.log)
         self._journal = Journal(node, tenure, self._note_written)
         self._links_by_id: dict[WorkerId, WorkerLink] = {}
+        self._unrecorded = UnrecordedEnds()
         self._closing: set[asyncio.Task[None]] = set()
         self._rounds_due: dict[PoolId, None] = {}
         self._round_timer: asyncio.TimerHandle | None = None
@@ -207,22 +209,12 @@
 
     def note_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
         """Record what a listing changed, and plan anew."""
-        for run, end in outcome.ended:
-            if end is RunEnd.FAILED:
-                self._node.metrics.count(Metric.RUNS_FAILED)
-            self._node.log.info(
-                Event.RUN_ENDED,
-                task=run.task.id,
-                run=run.number,
-                worker=worker.id,
-                end=end.value,
-                reason=run.stop_reason,
-                failures=run.task.failures,
-            )
+        self._log_ends(worker, outcome)
         for run in outcome.lost:
             log_lost(self._node, run, "not on its worker")
         if outcome.newly_doubted:
             self._log_doubt(worker)
+        self._unrecorded.note(worker.id, outcome.ends)
         for job_id in list_jobs(outcome):
             job = self.tables.jobs_by_id.get(job_id)
             if job is not None:
@@ -233,6 +225,20 @@
         if outcome.ended or outcome.lost:
             self.plan(worker.pool_id)
 
+    def _log_ends(self, worker: Worker, outcome: ListingOutcome) -> None:
+        for run, end in outcome.ended:
+            if end is RunEnd.FAILED:
+                self._node.metrics.count(Metric.RUNS_FAILED)
+            self._node.log.info(
+                Event.RUN_ENDED,
+                task=run.task.id,
+                run=run.number,
+                worker=worker.id,
+                end=end.value,
+                reason=run.stop_reason,
+                failures=run.task.failures,
+            )
+
     def note_changed(self, worker: Worker, run: Run) -> None:
         """Record that a run is over or was refused, and plan anew."""
         self._journal.mark(run.task.step.job)
@@ -287,13 +293,9 @@
         if job.written_version == WRITTEN_FOR_GOOD:
             self._note_end_written(job)
             return
-        for steps in job.occurrences_by_index.values():
-            for step in steps:
-                for task in step.tasks:
-                    for run in task.runs:
-                        self._send_if_recorded(run)
-        for worker_id in self._list_acknowledging(job):
-            self._links_by_id[worker_id].wake()
+        for run in list(job.runs):
+            self._send_if_recorded(run)
+        self._wake_acknowledging(job)
 
     def _send_if_recorded(self, run: Run) -> None:
         if run.state is not RunState.INTENDED:
@@ -307,12 +309,12 @@
             return
         link.send_start(run)
 
-    def _list_acknowledging(self, job: ActiveJob) -> list[WorkerId]:
-        return [
-            worker_id
-            for worker_id, link in self._links_by_id.items()
-            if link.awaits_record_of(job)
-        ]
+    def _wake_acknowledging(self, job: ActiveJob) -> None:
+        """Have ends acknowledged that the job's record holds now."""
+        for worker_id in self._unrecorded.take(job):
+            link = self._links_by_id.get(worker_id)
+            if link is not None:
+                link.wake()
 
     def _note_end_written(self, job: ActiveJob) -> None:
         forget_job(self.tables, job, self._node.clock.now())
@@ -328,8 +330,7 @@
             reason=job.reason,
             took_ms=round(took_ms),
         )
-        for worker_id in self._list_acknowledging(job):
-            self._links_by_id[worker_id].wake()
+        self._wake_acknowledging(job)
 
     def _settle_job(self, job: ActiveJob) -> None:
         """Record a job, and stop what still runs of it once it has ended."""
@@ -339,14 +340,11 @@
             return
         self._journal.mark(job)
         now = self._node.clock.now()
-        for worker in list(self.tables.workers_by_id.values()):
-            for run in list(worker.runs.values()):
-                if run.task.step.job is not job:
-                    continue
-                if run.state is RunState.INTENDED:
-                    detach_run(self.tables, run, now)
-                else:
-                    self.stop_run(run, f"job {job.outcome.value}")
+        for run in list(job.runs):
+            if run.state is RunState.INTENDED:
+                detach_run(self.tables, run, now)
+            else:
+                self.stop_run(run, f"job {job.outcome.value}")
 
     def _stop_unwanted(self, worker: Worker) -> None:
         """Stop the runs of jobs that have ended.
--- a/packages/daemon/src/medlarspring_daemon/scheduling/end_ledger.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/end_ledger.py
@@ -39,10 +39,6 @@
         version = job.version if job is not None else 0
         self._ends.append(ListedEnd(number, job, version))
 
-    def awaits_record_of(self, job: ActiveJob) -> bool:
-        """Tell whether an end of the job's tasks can't be acknowledged yet."""
-        return any(end.job is job for end in self._ends)
-
     def find_recorded(self, acknowledged: int) -> int:
         """Return the highest end that is recorded, and all before it."""
         recorded = acknowledged
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -32,7 +32,7 @@
     from medlarspring_daemon.scheduling.link_owner import LinkOwner
     from medlarspring_systems.scheduling.listings import ListingOutcome
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import ActiveJob, Run, Worker
+    from medlarspring_tables.scheduling import Run, Worker
 
 LEASE_MARGIN_SECONDS = 0.5
 """Leases are asked for so much below the worker's limit, which cuts longer ones."""
@@ -99,10 +99,6 @@
         finally:
             self._looking = False
 
-    def awaits_record_of(self, job: ActiveJob) -> bool:
-        """Tell whether an end of the job's tasks can't be acknowledged yet."""
-        return self._ends.awaits_record_of(job)
-
     def send_start(self, run: Run) -> None:
         """Order a run whose intent is recorded."""
         run.state = RunState.ORDERED
--- /dev/null
+++ b/packages/daemon/tests/scheduling/test_unrecorded_ends.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+from medlarspring_daemon.scheduling.journal import WRITTEN_FOR_GOOD
+from medlarspring_daemon.scheduling.unrecorded_ends import UnrecordedEnds
+from medlarspring_tables import JobId, PoolId, Revision
+from medlarspring_tables.scheduling import (
+    ActiveJob,
+    JobSpec,
+    QueueId,
+    QueuePolicy,
+    WorkerId,
+)
+
+FIRST, SECOND = WorkerId("i-1"), WorkerId("i-2")
+
+
+def create_job(name: str) -> ActiveJob:
+    queue = QueuePolicy(
+        id=QueueId("q"),
+        pool_id=PoolId("p"),
+        max_attempts=3,
+        stretch=1.5,
+        allowance_ms=0,
+        priority=0,
+    )
+    spec = JobSpec(payload=name, steps=())
+    return ActiveJob(
+        id=JobId(name),
+        queue=queue,
+        spec=spec,
+        accepted_at_ms=0,
+        job_revision=Revision(1),
+        arrived_at=0.0,
+    )
+
+
+def test_workers_wait_for_the_record_of_their_job_only():
+    ends = UnrecordedEnds()
+    job, other = create_job("a"), create_job("b")
+    ends.note(FIRST, [(1, job), (2, None), (3, job)])
+    ends.note(SECOND, [(1, other)])
+    assert list(ends.take(job)) == [FIRST]
+    assert list(ends.take(job)) == []
+    assert list(ends.take(other)) == [SECOND]
+
+
+def test_worker_whose_end_the_record_lacks_is_told_again():
+    """
+    A record is on its way to the store when another worker lists an end of the same
+    job. Forgotten with the first answer of the store, that worker would keep the end,
+    and list it again at each call, until another end made it look.
+    """
+    ends = UnrecordedEnds()
+    job = create_job("a")
+    job.version, job.written_version = 2, 1
+    ends.note(FIRST, [(1, job)])
+    ends.note(SECOND, [(7, job)])
+    assert set(ends.take(job)) == {FIRST, SECOND}
+    job.written_version = 2
+    assert set(ends.take(job)) == {FIRST, SECOND}
+    assert list(ends.take(job)) == []
+
+
+def test_nothing_is_kept_of_a_job_whose_end_is_recorded():
+    ends = UnrecordedEnds()
+    job = create_job("a")
+    job.version = 5
+    ends.note(FIRST, [(1, job)])
+    job.written_version = WRITTEN_FOR_GOOD
+    assert list(ends.take(job)) == [FIRST]
+    assert list(ends.take(job)) == []
--- a/packages/systems/src/medlarspring_systems/scheduling/placement.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.evidence import may_take_probe
@@ -93,9 +94,7 @@
     best: Worker | None = None
     best_score: Score = ()
     for worker in workers:
-        if not fits(step, worker) or not is_allowed(step, worker, now):
-            continue
-        if any(run.worker is worker for run in task.runs):
+        if not may_take(step, task, worker, now):
             continue
         score = rate(step, task, worker)
         if best is None or score < best_score:
@@ -103,4 +102,73 @@
     return best
 
 
-__all__ = ["choose_worker", "fits", "has_ticket", "is_allowed", "is_open", "rate"]
+def may_take(step: StepRun, task: Task, worker: Worker, now: Seconds) -> bool:
+    """Tell whether an open worker may take the task now."""
+    if not fits(step, worker) or not is_allowed(step, worker, now):
+        return False
+    return not any(run.worker is worker for run in task.runs)
+
+
+class WorkerChoice:
+    """The open workers for the tasks of one step, the best first.
+
+    Tasks of a step resemble each other: what is best for one is best for the next,
+    but for the worker that just took one. Compared anew for each task, a step of
+    eight looked at every worker of its pool eight times; in a peak of 80 jobs a
+    second on 200 workers that was a tenth of the controller's time.
+    """
+
+    def __init__(self, step: StepRun, workers: Iterable[Worker], now: Seconds) -> None:
+        self._step = step
+        self._workers = list(workers)
+        self._now = now
+        self._heap: list[tuple[Score, int]] | None = None
+        """Scores with places in the list of workers; made for the first task."""
+
+    def choose(self, task: Task) -> Worker | None:
+        """Return what ``choose_worker`` would; the caller enters the run."""
+        if task.failed_on or task.runs:
+            # The worker it goes to becomes better for the next one, wherever it is
+            # in the heap.
+            self._heap = None
+            return choose_worker(self._step, task, self._workers, self._now)
+        if self._heap is None:
+            self._heap = self._build(task)
+        while self._heap:
+            score, place = self._heap[0]
+            worker = self._workers[place]
+            if not may_take(self._step, task, worker, self._now):
+                heapq.heappop(self._heap)
+                continue
+            present = rate(self._step, task, worker)
+            if present == score:
+                return worker
+            heapq.heapreplace(self._heap, (present, place))
+        return None
+
+    def drop(self, worker: Worker) -> None:
+        """Leave a worker out from now on."""
+        place = self._workers.index(worker)
+        del self._workers[place]
+        self._heap = None
+
+    def _build(self, task: Task) -> list[tuple[Score, int]]:
+        heap = [
+            (rate(self._step, task, worker), place)
+            for place, worker in enumerate(self._workers)
+            if may_take(self._step, task, worker, self._now)
+        ]
+        heapq.heapify(heap)
+        return heap
+
+
+__all__ = [
+    "WorkerChoice",
+    "choose_worker",
+    "fits",
+    "has_ticket",
+    "is_allowed",
+    "is_open",
+    "may_take",
+    "rate",
+]
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -10,6 +10,7 @@
     rank_step,
 )
 from medlarspring_systems.scheduling.placement import (
+    WorkerChoice,
     choose_worker,
     fits,
     is_allowed,
@@ -118,10 +119,11 @@
     if step.spec.gang:
         _place_gang(step, workers, now, intents)
         return
+    choice = WorkerChoice(step, _narrow(step, workers), now)
     for task in list(step.waiting):
         if task.not_before > now:
             continue
-        worker = choose_worker(step, task, _narrow(step, workers), now)
+        worker = choice.choose(task)
         if worker is None:
             _reserve_worker(step, task, workers, now)
             return
@@ -129,6 +131,7 @@
         if worker.doubt is not WorkerDoubt.NONE:
             # This run tries the worker; others wait for what becomes of it.
             workers.remove(worker)
+            choice.drop(worker)
 
 
 def _narrow(step: StepRun, workers: list[Worker]) -> list[Worker]:
--- a/packages/systems/src/medlarspring_systems/scheduling/runs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -61,6 +61,7 @@
     if task in step.waiting:
         step.waiting.remove(task)
     worker.runs[(task.id, run.number)] = run
+    step.job.runs[run] = None
     take_room(worker, step)
     if step.spec.long_running:
         worker.long_runs += 1
@@ -77,6 +78,7 @@
     if worker.runs.pop((task.id, run.number), None) is None:
         return
     task.runs.remove(run)
+    del step.job.runs[run]
     give_room_back(worker, step)
     if step.spec.long_running:
         worker.long_runs -= 1
--- /dev/null
+++ b/packages/systems/tests/scheduling/test_worker_choice.py
@@ -0,0 +1,62 @@
+"""The workers of a step's tasks, chosen together and one by one."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from medlarspring_systems.scheduling.placement import WorkerChoice, choose_worker
+from medlarspring_systems.scheduling.runs import intend_run
+from medlarspring_tables.scheduling import StepSpec
+
+if TYPE_CHECKING:
+    from .conftest import Scene
+
+NOW = 1_000.0
+RACKS = ("r1-1", "r1-2", "r2-1")
+RULES = (
+    {},
+    {"max_per_worker": 2},
+    {"data_rack": "r1-2"},
+    {"long_running": True},
+    {"required_label": "r2-1"},
+)
+
+
+def fill(scene: Scene, rng: random.Random) -> None:
+    """Fill the tables with workers of different room, load and kind."""
+    for number in range(12):
+        worker = scene.add_worker(number, rack=rng.choice(RACKS))
+        worker.cpu_free = rng.randrange(0, 16_000, 500)
+        worker.long_runs = rng.choice((0, 0, 1))
+        worker.slowness = rng.choice((1.0, 1.0, 2.0))
+
+
+@pytest.mark.parametrize("rules", RULES, ids=str)
+@pytest.mark.parametrize("seed", range(6))
+def test_chosen_together_is_chosen_one_by_one(
+    scene: Scene, seed: int, rules: dict[str, object]
+):
+    """
+    The choice for a whole step keeps its ranking of workers from task to task. A
+    place in it that is out of date would put a task beside the better worker, or
+    on one that has no room.
+    """
+    rng = random.Random(seed)
+    fill(scene, rng)
+    values = {"count": 14, "cpu_millis": 2_500, "memory_mb": 100, "estimate_ms": 500}
+    job = scene.add_job("j", StepSpec(**{**values, **rules}))  # type: ignore[arg-type]
+    step = job.occurrences_by_index[0][0]
+    workers = list(scene.tables.workers_by_id.values())
+    choice = WorkerChoice(step, workers, NOW)
+    for task in list(step.waiting):
+        if rng.random() < 0.2:
+            task.failed_on.add(rng.choice(workers).vm_id)
+        expected = choose_worker(step, task, workers, NOW)
+        chosen = choice.choose(task)
+        assert chosen is expected
+        if chosen is None:
+            break
+        intend_run(task, chosen, 1, NOW)
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -173,6 +173,8 @@
     """Store revision of the progress record; 0 before the first write."""
     occurrences_by_index: dict[int, list[StepRun]] = field(default_factory=dict)
     occurrences_done: set[int] = field(default_factory=set)
+    runs: dict[Run, None] = field(default_factory=dict)
+    """Its runs on all workers."""
     next_occurrence: int = 0
     started: bool = False
     """Whether any task was ever started."""
