--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -314,7 +314,7 @@
         for worker_id in self._unrecorded.take(job):
             link = self._links_by_id.get(worker_id)
             if link is not None:
-                link.wake()
+                link.note_recorded()
 
     def _note_end_written(self, job: ActiveJob) -> None:
         forget_job(self.tables, job, self._node.clock.now())
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -53,8 +53,9 @@
 HOLD_SLACK_SECONDS = 0.35
 SILENT_RETRY_SECONDS = 0.15
 STOP_REPEAT_SECONDS = 0.35
-UNWRITTEN_PAUSE_SECONDS = 0.01
-"""Between calls while ends wait for the store: the worker answers at once then."""
+UNRECORDED_SECONDS = 0.05
+"""Longest pause between calls while ends wait for the store. Until it may forget them
+the worker lists them at once, so that more calls tell only of further ends."""
 
 
 class WorkerLink:
@@ -69,6 +70,8 @@
         self._worker = worker
         self._address = WorkerAddress(worker.id, worker.address)
         self._wake = asyncio.Event()
+        self._next_call = asyncio.Event()
+        """Set when a call has something to tell or to learn before the pause is over."""
         self._tasks = Tasks(node.log)
         self._ends = EndLedger()
         self._stops_sent: dict[tuple[str, int], Seconds] = {}
@@ -88,11 +91,18 @@
     def wake(self) -> None:
         """Look at the worker again: there is something to hold, stop or confirm."""
         self._wake.set()
+        if self._look_now:
+            self._next_call.set()
         # A call that waits for an end would hold the look back by half a second.
         if self._look_now and self._in_hold and not self._looking:
             self._looking = True
             self._tasks.start(self._look())
 
+    def note_recorded(self) -> None:
+        """Have the worker forget ends: a job's record holds them now."""
+        self._next_call.set()
+        self.wake()
+
     async def _look(self) -> None:
         try:
             await self._hold_once()
@@ -311,7 +321,22 @@
             return
         self._take_hold_answer(answer.unwrap(), acknowledged, asked_at, now)
         if self._ends and not self._look_now:
-            await asyncio.sleep(UNWRITTEN_PAUSE_SECONDS)
+            await self._await_record()
+
+    async def _await_record(self) -> None:
+        """Wait until an end is recorded, or another call can't wait.
+
+        Asked again each 10 ms meanwhile, a busy worker took two calls more for each
+        end, and each call 0.2 ms of the controller's time.
+        """
+        self._next_call.clear()
+        if self._ends.find_recorded(0):
+            return
+        try:
+            async with asyncio.timeout(UNRECORDED_SECONDS):
+                await self._next_call.wait()
+        except TimeoutError:
+            return
 
     def _plan_wait(self) -> int:
         worker = self._worker
