--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -71,7 +71,7 @@
         self._address = WorkerAddress(worker.id, worker.address)
         self._wake = asyncio.Event()
         self._next_call = asyncio.Event()
-        """Set when a call has something to tell or to learn before the pause is over."""
+        """Set when a call has something to tell or to learn before its pause ends."""
         self._tasks = Tasks(node.log)
         self._ends = EndLedger()
         self._stops_sent: dict[tuple[str, int], Seconds] = {}
