--- a/packages/bench/src/medlarspring_bench/disturbances.py
+++ b/packages/bench/src/medlarspring_bench/disturbances.py
@@ -123,7 +123,8 @@
 
     The newest goes first, and those whose end waits go after all others.
     """
-    return sorted(reversed(begun), key=lambda phrase: DISTURBANCES[phrase].end_waits)
+    newest_first = list(reversed(begun))
+    return sorted(newest_first, key=lambda phrase: DISTURBANCES[phrase].end_waits)
 
 
 __all__ = ["DISTURBANCES", "Disturbance", "first_daemon", "first_vms", "order_ends"]
