--- /dev/null
+++ b/packages/daemon/tests/scheduling/test_work_per_event.py
@@ -0,0 +1,101 @@
+"""The controller's work for an event does not grow with the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from statistics import mean
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from medlarspring_bench.platform_world.customers import Customers
+from medlarspring_bench.platform_world.plans import WorldPlan
+from medlarspring_bench.platform_world.virtual_time import run_virtual
+from medlarspring_bench.platform_world.world import World
+from medlarspring_daemon.scheduling.controller import CellController
+
+from .stories import submit, wait_for_end
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import FrameType
+
+    from medlarspring_bench.platform_world.virtual_time import VirtualClock
+
+SEED = 5
+JOBS = 10
+SMALL, LARGE = 18, 134
+"""VMs of each of two pools: 40 and 272 in all with those in standby."""
+STANDBY_VMS = 4
+ALLOWED_GROWTH = 1.1
+EVENTS = ("note_listing", "_note_written", "_settle_job", "_wake_acknowledging")
+
+
+class LineCounter:
+    """Counts the lines of ours that run within a function."""
+
+    def __init__(self) -> None:
+        self.lines = 0
+
+    def _trace(self, frame: FrameType, event: str, _: object) -> Any:
+        if "medlarspring" not in frame.f_code.co_filename:
+            return None
+        if event == "line":
+            self.lines += 1
+        return self._trace
+
+    def count(self, function: Callable[..., None], *args: object) -> int:
+        """Return how many lines one call runs."""
+        self.lines = 0
+        former = sys.gettrace()
+        sys.settrace(self._trace)
+        try:
+            function(*args)
+        finally:
+            sys.settrace(former)
+        return self.lines
+
+
+def play_jobs(vms_per_pool: int) -> None:
+    """Have some jobs done by a fleet of this size."""
+
+    async def main(clock: VirtualClock) -> None:
+        plan = WorldPlan(vms_per_pool=vms_per_pool, standby_vms=STANDBY_VMS)
+        world = World(plan, clock, SEED)
+        await world.start()
+        await asyncio.sleep(3.0)
+        customers = Customers(world, world.rng)
+        await wait_for_end(customers, await submit(customers, JOBS))
+        await world.stop()
+
+    run_virtual(main)
+
+
+def measure(monkeypatch: pytest.MonkeyPatch, name: str, vms_per_pool: int) -> float:
+    """Return the mean number of lines for an event."""
+    original = getattr(CellController, name)
+    counted: list[int] = []
+
+    def wrapper(controller: CellController, *args: object) -> None:
+        counted.append(LineCounter().count(original, controller, *args))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(CellController, name, wrapper)
+        play_jobs(vms_per_pool)
+    assert counted
+    return mean(counted)
+
+
+@pytest.mark.parametrize("name", EVENTS)
+def test_event_takes_as_much_work_with_40_vms_as_with_272(
+    monkeypatch: pytest.MonkeyPatch, name: str
+):
+    """
+    A worker lists ends, a record is written, a job ends. Each of these looked through
+    all workers; at 272 of them orders waited in the process, and jobs were late while
+    their pools had room.
+    """
+    small = measure(monkeypatch, name, SMALL)
+    large = measure(monkeypatch, name, LARGE)
+    assert large <= ALLOWED_GROWTH * small
