--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -55,6 +55,7 @@
     """What runs while this process controls a cell."""
 
     tables: WorkTables
+    """What the controller knows of its cell."""
 
     async def start(self) -> None:
         """Take the cell over."""
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -326,8 +326,8 @@
     async def _await_record(self) -> None:
         """Wait until an end is recorded, or another call can't wait.
 
-        Asked again each 10 ms meanwhile, a busy worker took two calls more for each
-        end, and each call 0.2 ms of the controller's time.
+        Asked again each 10 ms meanwhile, the workers of a day took a third more calls
+        (85,600 in place of 63,600, 272 VMs), each 0.12 ms in the HTTP client alone.
         """
         self._next_call.clear()
         if self._ends.find_recorded(0):
--- a/packages/systems/src/medlarspring_systems/scheduling/placement.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/placement.py
@@ -129,8 +129,8 @@
 
     Tasks of a step resemble each other: what is best for one is best for the next,
     but for the worker that just took one. Compared anew for each task, a step of
-    eight looked at every worker of its pool eight times; in a peak of 80 jobs a
-    second on 200 workers that was a tenth of the controller's time.
+    eight looked at every worker of its pool eight times: 6% of the controller's own
+    time at 80 jobs a second on 200 workers, by a profiler.
     """
 
     def __init__(self, step: StepRun, workers: Iterable[Worker], now: Seconds) -> None:
--- a/packages/systems/tests/scheduling/test_worker_choice.py
+++ b/packages/systems/tests/scheduling/test_worker_choice.py
@@ -16,6 +16,7 @@
 
 NOW = 1_000.0
 RACKS = ("r1-1", "r1-2", "r2-1")
+ZONES = ("z-a", "z-b", "z-c")
 RULES = (
     {},
     {"max_per_worker": 2},
@@ -32,6 +33,7 @@
         worker.cpu_free = rng.randrange(0, 16_000, 500)
         worker.long_runs = rng.choice((0, 0, 1))
         worker.slowness = rng.choice((1.0, 1.0, 2.0))
+        worker.zone_id = rng.choice(ZONES)
 
 
 @pytest.mark.parametrize("rules", RULES, ids=str)
