Use one piece where placement, waiting and work of tasks stood twice

The open workers of a pool were listed in five places, what counts as at work in two, how long a step has waited in two, a test's step in three. The largest VM was looked for once a pool and look at the fleet, the slack of a pool's queues twice; both once now. A choice of workers is made anew when one of them is tried, in place of a method that took it out of the list.

--- a/packages/systems/src/medlarspring_systems/scheduling/advising.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advising.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.ordering import rank_step
-from medlarspring_systems.scheduling.placement import has_ticket, is_open
+from medlarspring_systems.scheduling.placement import has_ticket, list_open_workers
 from medlarspring_tables.scheduling import Ticket
 
 if TYPE_CHECKING:
@@ -67,8 +67,7 @@
 
 def _ask_about(tables: WorkTables, step: StepRun, now: Seconds) -> Question | None:
     """Return a question about workers of whom nothing fresh is known."""
-    pool = tables.workers_by_pool.get(step.job.queue.pool_id, {}).values()
-    workers = [worker for worker in pool if is_open(worker, now)]
+    workers = list_open_workers(tables, step.job.queue.pool_id, now)
     unknown = [worker for worker in workers if not _is_known(step, worker, now)]
     if not unknown:
         return None
--- a/packages/systems/src/medlarspring_systems/scheduling/availability.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/availability.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.evidence import AT_WORK_PERCENT
 from medlarspring_systems.scheduling.placement import fits, is_allowed, is_open
-from medlarspring_tables.scheduling import RunState
+from medlarspring_systems.scheduling.runs import is_at_work
 
 if TYPE_CHECKING:
     from medlarspring_tables import Seconds
@@ -22,7 +21,7 @@
 def is_surely_at_work(task: Task, now: Seconds) -> bool:
     """Tell whether a long-running task serves, by a worker that answers."""
     return any(
-        _was_at_work(run)
+        is_at_work(run)
         and now - run.confirmed_at >= SEEN_SECONDS
         and not run.stopping
         and not run.worker.gone
@@ -31,10 +30,6 @@
     )
 
 
-def _was_at_work(run: Run) -> bool:
-    return run.state is RunState.RUNNING and run.percent >= AT_WORK_PERCENT
-
-
 def may_stop_long_run(tables: WorkTables, run: Run, now: Seconds) -> bool:
     """Tell whether a long-running task may be stopped to run elsewhere.
 
--- a/packages/systems/src/medlarspring_systems/scheduling/evidence.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/evidence.py
@@ -9,7 +9,8 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_tables.scheduling import RunState, WorkerDoubt
+from medlarspring_systems.scheduling.runs import is_at_work
+from medlarspring_tables.scheduling import WorkerDoubt
 
 if TYPE_CHECKING:
     from medlarspring_tables import JobId, Seconds
@@ -29,8 +30,6 @@
 PROVEN_SECONDS = 2.0
 """A lasting task at work for so long speaks for its worker; workers that fail or
 stall what they start show it within a second."""
-AT_WORK_PERCENT = 100
-"""A long-running task is at work when it reports this."""
 
 
 def note_success(worker: Worker) -> None:
@@ -124,15 +123,12 @@
 
 
 def _is_proof(run: Run, now: Seconds) -> bool:
-    if not run.task.step.spec.long_running or run.state is not RunState.RUNNING:
+    if not run.task.step.spec.long_running or not is_at_work(run):
         return False
-    if run.percent < AT_WORK_PERCENT or now - run.confirmed_at < PROVEN_SECONDS:
-        return False
-    return _is_probe(run)
+    return _is_probe(run) and now - run.confirmed_at >= PROVEN_SECONDS
 
 
 __all__ = [
-    "AT_WORK_PERCENT",
     "clear_proven",
     "doubt_worker",
     "may_take_probe",
--- a/packages/systems/src/medlarspring_systems/scheduling/placement.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/placement.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import StepRun, Task, Worker
+    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables.scheduling import StepRun, Task, Worker, WorkTables
 
 Score = tuple[float, ...]
 """The smallest is best."""
@@ -29,6 +29,14 @@
     return may_take_probe(worker, now)
 
 
+def list_open_workers(
+    tables: WorkTables, pool_id: PoolId, now: Seconds
+) -> list[Worker]:
+    """Return the workers of a pool that take new tasks."""
+    pool = tables.workers_by_pool.get(pool_id, {}).values()
+    return [worker for worker in pool if is_open(worker, now)]
+
+
 def fits(step: StepRun, worker: Worker) -> bool:
     """Tell whether a worker has room for one more task of the step."""
     room = step.room
@@ -161,12 +169,6 @@
             heapq.heapreplace(self._heap, (present, place))
         return None
 
-    def drop(self, worker: Worker) -> None:
-        """Leave a worker out from now on."""
-        place = self._workers.index(worker)
-        del self._workers[place]
-        self._heap = None
-
     def _build(self, task: Task) -> list[tuple[Score, int]]:
         heap = [
             (rate(self._step, task, worker), place)
@@ -184,6 +186,7 @@
     "has_ticket",
     "is_allowed",
     "is_open",
+    "list_open_workers",
     "may_take",
     "rate",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
@@ -9,10 +9,11 @@
 from medlarspring_systems.scheduling.estimates import expect_seconds
 from medlarspring_systems.scheduling.fleet import PoolNeed
 from medlarspring_systems.scheduling.placement import is_allowed, is_open
+from medlarspring_systems.scheduling.waiting import measure_wait
 from medlarspring_tables.scheduling import Room
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from medlarspring_systems.scheduling.fleet import FleetTables
     from medlarspring_tables import PoolId, Seconds
@@ -38,16 +39,32 @@
 room that batch work gives up is there within half a second."""
 
 
+def find_needs(
+    tables: WorkTables, fleet: FleetTables, pool_ids: Iterable[PoolId], now: Seconds
+) -> dict[PoolId, PoolNeed]:
+    """Return how many VMs the work of each pool asks for in a moment."""
+    largest = _find_largest_room(tables)
+    return {
+        pool_id: _find_need(tables, fleet, pool_id, largest, now)
+        for pool_id in pool_ids
+    }
+
+
 def find_need(
     tables: WorkTables, fleet: FleetTables, pool_id: PoolId, now: Seconds
 ) -> PoolNeed:
     """Return how many VMs a pool's work asks for in a moment."""
-    largest = _find_largest_room(tables)
+    return find_needs(tables, fleet, (pool_id,), now)[pool_id]
+
+
+def _find_need(
+    tables: WorkTables, fleet: FleetTables, pool_id: PoolId, largest: Room, now: Seconds
+) -> PoolNeed:
     lasting_cpu, lasting_memory = _measure_lasting(tables, pool_id)
     waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id, now)
-    incoming = project_demand(
-        tables, pool_id, now, can_wait=_can_wait(tables, fleet, pool_id)
-    )
+    slack = find_slack(tables, pool_id)
+    can_wait = _can_wait(fleet, slack)
+    incoming = project_demand(tables, pool_id, now, can_wait=can_wait)
     cpu = lasting_cpu + incoming + waiting_cpu
     memory = lasting_memory + waiting_memory
     vms = max(
@@ -55,7 +72,7 @@
         memory / (max(largest.memory_mb, 1) * FILL),
     )
     needed = math.ceil(vms - ROUNDING)
-    floor = _find_floor(tables, fleet, pool_id)
+    floor = _find_floor(fleet, pool_id, slack)
     limits = _count_needed_by_limits(tables, pool_id)
     shut_out = _count_needed_by_shut_out(tables, fleet, pool_id, largest, now)
     busy = max(needed, LEAST_VMS, limits, shut_out)
@@ -68,7 +85,7 @@
     )
 
 
-def _find_floor(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> int:
+def _find_floor(fleet: FleetTables, pool_id: PoolId, slack: Seconds | None) -> int:
     """Return the VMs that a pool keeps whatever it does now.
 
     A pool that had no work yet keeps what the operator gave it. It does not grow
@@ -76,16 +93,15 @@
     called its first eight VMs back.
     """
     first = fleet.first_sizes.get(pool_id, 0)
-    if find_slack(tables, pool_id) is None:
+    if slack is None:
         return min(first, fleet.have_by_pool.get(pool_id, first))
-    if _can_wait(tables, fleet, pool_id):
+    if _can_wait(fleet, slack):
         return LEAST_VMS
     return math.ceil(first * TIGHT_PART)
 
 
-def _can_wait(tables: WorkTables, fleet: FleetTables, pool_id: PoolId) -> bool:
+def _can_wait(fleet: FleetTables, slack: Seconds | None) -> bool:
     """Tell whether the pool's jobs are still in time when VMs called now are there."""
-    slack = find_slack(tables, pool_id)
     return slack is not None and slack > fleet.move_seconds + TIGHT_SECONDS
 
 
@@ -183,8 +199,7 @@
         return False
     if step.room.cpu_millis > largest.cpu_millis:
         return False
-    since = max(step.ready_at, min(task.waiting_since for task in step.waiting))
-    if now - since < SHUT_OUT_SECONDS:
+    if measure_wait(step, now) < SHUT_OUT_SECONDS:
         return False
     return not any(_may_hold(step, worker, now) for worker in workers)
 
@@ -197,4 +212,4 @@
     return has_cpu and worker.room.memory_mb - memory >= step.room.memory_mb
 
 
-__all__ = ["find_need"]
+__all__ = ["find_need", "find_needs"]
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -16,7 +16,7 @@
     is_free,
     is_standby,
 )
-from medlarspring_systems.scheduling.pool_needs import find_need
+from medlarspring_systems.scheduling.pool_needs import find_needs
 from medlarspring_systems.scheduling.workers import NEW_VM_SECONDS
 from medlarspring_tables.scheduling import VMPhase
 
@@ -56,11 +56,8 @@
         _learn_first_sizes(fleet, have, now)
         return
     fleet.have_by_pool = dict(have)
-    fleet.needs_by_pool = {
-        pool_id: find_need(tables, fleet, pool_id, now)
-        for pool_id in tables.config.pools_by_id
-        if pool_id not in standby
-    }
+    paid = [pool_id for pool_id in tables.config.pools_by_id if pool_id not in standby]
+    fleet.needs_by_pool = find_needs(tables, fleet, paid, now)
     wanted = {pool_id: need.vms for pool_id, need in fleet.needs_by_pool.items()}
     kept = {
         pool_id: _note_need(fleet, pool_id, vms, now) for pool_id, vms in wanted.items()
--- a/packages/systems/src/medlarspring_systems/scheduling/repair.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/repair.py
@@ -8,9 +8,10 @@
 from medlarspring_systems.scheduling.estimates import expect_seconds
 from medlarspring_systems.scheduling.evidence import clear_proven, doubt_worker
 from medlarspring_systems.scheduling.pacing import plan_paces
-from medlarspring_systems.scheduling.placement import choose_worker, is_open
+from medlarspring_systems.scheduling.placement import choose_worker, list_open_workers
 from medlarspring_systems.scheduling.rounds import find_preemptible
 from medlarspring_systems.scheduling.runs import intend_run
+from medlarspring_systems.scheduling.waiting import measure_wait
 from medlarspring_tables.scheduling import RunState, WorkerDoubt
 
 if TYPE_CHECKING:
@@ -106,12 +107,11 @@
     for worker in tables.workers_by_id.values():
         if not worker.draining or worker.unanswered_since:
             continue
+        others = list_open_workers(tables, worker.pool_id, now)
         for run in worker.runs.values():
             step = run.task.step
             if not step.spec.long_running or run.stopping:
                 continue
-            pool = tables.workers_by_pool.get(worker.pool_id, {}).values()
-            others = [each for each in pool if is_open(each, now)]
             if choose_worker(step, run.task, others, now) is not None:
                 repairs.stops.append((run, "its worker leaves"))
 
@@ -134,10 +134,8 @@
         return None
     if step.job.outcome is not None:
         return None
-    workers = tables.workers_by_pool.get(step.job.queue.pool_id, {}).values()
-    choice = choose_worker(
-        step, task, [each for each in workers if is_open(each, now)], now
-    )
+    workers = list_open_workers(tables, step.job.queue.pool_id, now)
+    choice = choose_worker(step, task, workers, now)
     if choice is None:
         return None
     return intend_run(task, choice, task.last_run + 1, now, copy=True)
@@ -158,8 +156,7 @@
 def _is_crowded_out(step: StepRun, now: Seconds) -> bool:
     if not step.spec.long_running or not step.waiting:
         return False
-    since = max(step.ready_at, min(task.waiting_since for task in step.waiting))
-    return now - since > PREEMPT_AFTER_SECONDS
+    return measure_wait(step, now) > PREEMPT_AFTER_SECONDS
 
 
 __all__ = ["Repairs", "plan_repairs"]
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -15,6 +15,7 @@
     fits,
     is_allowed,
     is_open,
+    list_open_workers,
 )
 from medlarspring_systems.scheduling.runs import (
     give_room_back,
@@ -61,11 +62,7 @@
     ready = tables.ready_by_pool.get(pool_id)
     if not ready:
         return []
-    workers = [
-        worker
-        for worker in tables.workers_by_pool.get(pool_id, {}).values()
-        if is_open(worker, now)
-    ]
+    workers = list_open_workers(tables, pool_id, now)
     intents: list[Run] = []
     refused: list[Room] = []
     for step in _list_steps(ready, workers, now, rank):
@@ -131,7 +128,7 @@
         if worker.doubt is not WorkerDoubt.NONE:
             # This run tries the worker; others wait for what becomes of it.
             workers.remove(worker)
-            choice.drop(worker)
+            choice = WorkerChoice(step, _narrow(step, workers), now)
 
 
 def _narrow(step: StepRun, workers: list[Worker]) -> list[Worker]:
--- a/packages/systems/src/medlarspring_systems/scheduling/runs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -14,6 +14,8 @@
 
 RETRY_SECONDS = 0.1
 """Pause before a failed task starts again; a failing worker shows meanwhile."""
+AT_WORK_PERCENT = 100
+"""A long-running task is at work when it reports this."""
 LONG_RETRY_SECONDS = 0.2
 """The same for long-running tasks, which have no limit of attempts."""
 
@@ -146,6 +148,11 @@
         fail_job(step.job, f"task {task.id} failed {task.failures} times")
 
 
+def is_at_work(run: Run) -> bool:
+    """Tell whether a long-running task's run serves, by its worker's word."""
+    return run.state is RunState.RUNNING and run.percent >= AT_WORK_PERCENT
+
+
 def count_failures(task: Task) -> int:
     """Return the failures that count against the task, or against its gang."""
     if not task.step.spec.gang:
@@ -160,4 +167,5 @@
     "detach_run",
     "end_run",
     "intend_run",
+    "is_at_work",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/waiting.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/waiting.py
@@ -5,7 +5,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.placement import fits, is_allowed, is_open
+from medlarspring_systems.scheduling.placement import (
+    fits,
+    is_allowed,
+    list_open_workers,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -55,8 +59,7 @@
 
 
 def _find_obstacle(tables: WorkTables, step: StepRun, now: Seconds) -> WaitCause:
-    pool = tables.workers_by_pool.get(step.job.queue.pool_id, {}).values()
-    workers = [worker for worker in pool if is_open(worker, now)]
+    workers = list_open_workers(tables, step.job.queue.pool_id, now)
     if not workers:
         return WaitCause.NO_OPEN_WORKER
     workers = [worker for worker in workers if is_allowed(step, worker, now)]
@@ -67,6 +70,15 @@
     return WaitCause.OTHER_MEMBERS if step.spec.gang else WaitCause.NEXT_ROUND
 
 
+def measure_wait(step: StepRun, now: Seconds) -> Seconds:
+    """Return how long a step's tasks have waited; the longest counts.
+
+    Some of its tasks must be waiting.
+    """
+    since = min(task.waiting_since for task in step.waiting)
+    return now - max(since, step.ready_at)
+
+
 def list_forgotten(tables: WorkTables) -> list[Task]:
     """Return the tasks that wait and that no round of placement will look at.
 
@@ -97,4 +109,4 @@
             yield task
 
 
-__all__ = ["WaitCause", "find_wait_cause", "list_forgotten"]
+__all__ = ["WaitCause", "find_wait_cause", "list_forgotten", "measure_wait"]
--- a/packages/systems/tests/scheduling/test_rounds.py
+++ b/packages/systems/tests/scheduling/test_rounds.py
@@ -8,7 +8,9 @@
 from medlarspring_systems.scheduling.rounds import find_preemptible, plan_round
 from medlarspring_systems.scheduling.runs import confirm_run, end_run
 from medlarspring_tables import PoolId
-from medlarspring_tables.scheduling import RunEnd, StepSpec, WorkerDoubt
+from medlarspring_tables.scheduling import RunEnd, WorkerDoubt
+
+from .specs import create_step
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,15 +23,10 @@
 NOW = 1_000.0
 
 
-def step(**changes: object) -> StepSpec:
-    values = {"count": 1, "cpu_millis": 2_000, "memory_mb": 1_000, "estimate_ms": 500}
-    return StepSpec(**{**values, **changes})  # type: ignore[arg-type]
-
-
 def test_tasks_start_within_the_room_of_the_workers(scene: Scene):
     scene.add_worker(1, cpu=4_000)
     scene.add_worker(2, cpu=2_000)
-    scene.add_job("j", step(count=5))
+    scene.add_job("j", create_step(count=5))
     runs = plan_round(scene.tables, POOL, NOW)
     assert [run.worker.id for run in runs] == ["i-2", "i-1", "i-1"]
     assert [worker.cpu_free for worker in scene.tables.workers_by_id.values()] == [0, 0]
@@ -37,7 +34,7 @@
 
 def test_steps_wait_for_all_tasks_of_earlier_steps(scene: Scene):
     scene.add_worker(1)
-    scene.add_job("j", step(count=2), step(after=(0,)))
+    scene.add_job("j", create_step(count=2), create_step(after=(0,)))
     first = plan_round(scene.tables, POOL, NOW)
     assert [run.task.id for run in first] == ["j.0.0.0", "j.0.0.1"]
     end_run(scene.tables, first[0], RunEnd.DONE, "", NOW)
@@ -85,7 +82,7 @@
     scene: Scene, spoil: Callable[[Worker], None]
 ):
     spoil(scene.add_worker(1))
-    scene.add_job("j", step())
+    scene.add_job("j", create_step())
     assert plan_round(scene.tables, POOL, NOW) == []
 
 
@@ -104,7 +101,7 @@
 ):
     scene.add_worker(1, cpu=8_000)
     scene.add_worker(2, cpu=9_000, rack="r2-1")
-    scene.add_job("j", step(count=4, **rules))
+    scene.add_job("j", create_step(count=4, **rules))
     runs = plan_round(scene.tables, POOL, NOW)
     assert sorted(run.worker.id for run in runs) == allowed
 
@@ -112,7 +109,7 @@
 def test_tasks_that_should_share_a_rack_do(scene: Scene):
     for number, rack in ((1, "r1-1"), (2, "r1-1"), (3, "r2-1")):
         scene.add_worker(number, cpu=4_000, rack=rack)
-    scene.add_job("j", step(count=5, same_rack=True))
+    scene.add_job("j", create_step(count=5, same_rack=True))
     runs = plan_round(scene.tables, POOL, NOW)
     assert [run.worker.rack_id for run in runs] == ["r1-1"] * 4
 
@@ -123,7 +120,7 @@
     after some seconds; the gang then begins again from nothing.
     """
     scene.add_worker(1, cpu=4_000)
-    scene.add_job("j", step(count=3, gang=True))
+    scene.add_job("j", create_step(count=3, gang=True))
     assert plan_round(scene.tables, POOL, NOW) == []
     assert scene.tables.workers_by_id["i-1"].cpu_free == 4_000  # type: ignore[index]
     scene.add_worker(2, cpu=2_000)
@@ -139,7 +136,7 @@
     """
     scene.add_worker(1, cpu=2_000)
     scene.add_worker(2, cpu=9_000)
-    scene.add_job("j", step())
+    scene.add_job("j", create_step())
     (run,) = plan_round(scene.tables, POOL, NOW)
     assert run.worker.id == "i-1"
     end_run(scene.tables, run, RunEnd.FAILED, "", NOW)
@@ -150,7 +147,7 @@
 def test_job_fails_with_its_last_attempt_and_starts_no_more(scene: Scene):
     for number in (1, 2, 3):
         scene.add_worker(number)
-    job = scene.add_job("j", step(), step(after=(0,)), max_attempts=2)
+    job = scene.add_job("j", create_step(), create_step(after=(0,)), max_attempts=2)
     now = NOW
     for _ in range(2):
         (run,) = plan_round(scene.tables, POOL, now)
@@ -167,9 +164,9 @@
     they would make each next one late as well, and nobody would be in time.
     """
     worker = scene.add_worker(1, cpu=2_000)
-    scene.add_job("old", step())
+    scene.add_job("old", create_step())
     later = NOW + 3.0
-    fresh = scene.add_job("new", step())
+    fresh = scene.add_job("new", create_step())
     for each in fresh.occurrences_by_index[0]:
         each.objective_at += 3.0
         each.given_up_at += 3.0
@@ -185,10 +182,10 @@
     """
     scene.add_worker(1, cpu=8_000)
     scene.add_worker(2, cpu=8_000)
-    scene.add_job("small", *[step(count=8, estimate_ms=800)])
+    scene.add_job("small", *[create_step(count=8, estimate_ms=800)])
     running = plan_round(scene.tables, POOL, NOW)
-    scene.add_job("large", step(cpu_millis=8_000, estimate_ms=100))
-    scene.add_job("more", step(count=8, estimate_ms=2_000))
+    scene.add_job("large", create_step(cpu_millis=8_000, estimate_ms=100))
+    scene.add_job("more", create_step(count=8, estimate_ms=2_000))
     on_first = [run for run in running if run.worker.id == "i-1"]
     end_run(scene.tables, on_first[0], RunEnd.DONE, "", NOW + 0.3)
     assert plan_round(scene.tables, POOL, NOW + 0.3) == []
@@ -196,12 +193,12 @@
 
 def test_long_running_task_takes_room_from_batch_work_of_least_progress(scene: Scene):
     worker = scene.add_worker(1, cpu=4_000)
-    scene.add_job("batch", step(count=2))
+    scene.add_job("batch", create_step(count=2))
     first, second = plan_round(scene.tables, POOL, NOW)
     for run, percent in ((first, 80), (second, 10)):
         confirm_run(run, NOW)
         run.percent = percent
-    job = scene.add_job("lasting", step(long_running=True))
+    job = scene.add_job("lasting", create_step(long_running=True))
     (lasting,) = job.occurrences_by_index[0]
     assert find_preemptible(lasting, [worker], NOW) == [second]
 
@@ -217,9 +214,9 @@
     for number in range(12):
         worker = scene.add_worker(number)
         worker.zone_id = ZONES[number % len(ZONES)]  # type: ignore[assignment]
-        scene.add_job(f"other-{number}", step())
+        scene.add_job(f"other-{number}", create_step())
         plan_round(scene.tables, POOL, NOW)
-    jobs = [scene.add_job(f"j{number}", step(count=8)) for number in range(6)]
+    jobs = [scene.add_job(f"j{number}", create_step(count=8)) for number in range(6)]
     plan_round(scene.tables, POOL, NOW)
     zones = [{run.worker.zone_id for run in job.runs} for job in jobs]
     assert all(zones)
@@ -231,6 +228,6 @@
     for number in range(2):
         worker = scene.add_worker(number, cpu=4_000)
         worker.zone_id = ZONES[number]  # type: ignore[assignment]
-    job = scene.add_job("j", step(count=4))
+    job = scene.add_job("j", create_step(count=4))
     assert len(plan_round(scene.tables, POOL, NOW)) == 4
     assert {run.worker.zone_id for run in job.runs} == {"z-a", "z-b"}
--- a/packages/systems/tests/scheduling/test_waiting.py
+++ b/packages/systems/tests/scheduling/test_waiting.py
@@ -12,7 +12,9 @@
     list_forgotten,
 )
 from medlarspring_tables import PoolId
-from medlarspring_tables.scheduling import RunEnd, StepSpec
+from medlarspring_tables.scheduling import RunEnd
+
+from .specs import create_step
 
 if TYPE_CHECKING:
     from .conftest import Scene
@@ -21,11 +23,6 @@
 NOW = 1_000.0
 
 
-def step(**changes: object) -> StepSpec:
-    values = {"count": 1, "cpu_millis": 2_000, "memory_mb": 1_000, "estimate_ms": 500}
-    return StepSpec(**{**values, **changes})  # type: ignore[arg-type]
-
-
 @pytest.mark.parametrize(
     ("cpu", "rules", "cause"),
     [
@@ -41,14 +38,14 @@
 ):
     if cpu:
         scene.add_worker(1, cpu=cpu)
-    job = scene.add_job("j", step(**rules))
+    job = scene.add_job("j", create_step(**rules))
     task = job.occurrences_by_index[0][0].tasks[0]
     assert find_wait_cause(scene.tables, task, NOW) is cause
 
 
 def test_what_a_task_waits_for_over_its_life(scene: Scene):
     scene.add_worker(1)
-    job = scene.add_job("j", step(), step(after=(0,)))
+    job = scene.add_job("j", create_step(), create_step(after=(0,)))
     first, second = (each.tasks[0] for each in job.occurrences_by_index[0])
     assert find_wait_cause(scene.tables, second, NOW) is WaitCause.EARLIER_STEPS
     (run,) = plan_round(scene.tables, POOL, NOW)
@@ -66,7 +63,7 @@
     its back, its pool could stand idle and the task would wait for good.
     """
     scene.add_worker(1)
-    scene.add_job("j", step())
+    scene.add_job("j", create_step())
     (run,) = plan_round(scene.tables, POOL, NOW)
     detach_run(scene.tables, run, NOW)
     assert list_forgotten(scene.tables) == []
--- a/packages/systems/tests/scheduling/test_worker_choice.py
+++ b/packages/systems/tests/scheduling/test_worker_choice.py
@@ -9,7 +9,8 @@
 
 from medlarspring_systems.scheduling.placement import WorkerChoice, choose_worker
 from medlarspring_systems.scheduling.runs import intend_run
-from medlarspring_tables.scheduling import StepSpec
+
+from .specs import create_step
 
 if TYPE_CHECKING:
     from .conftest import Scene
@@ -48,8 +49,8 @@
     """
     rng = random.Random(seed)
     fill(scene, rng)
-    values = {"count": 14, "cpu_millis": 2_500, "memory_mb": 100, "estimate_ms": 500}
-    job = scene.add_job("j", StepSpec(**{**values, **rules}))  # type: ignore[arg-type]
+    spec = create_step(count=14, cpu_millis=2_500, memory_mb=100, **rules)
+    job = scene.add_job("j", spec)
     step = job.occurrences_by_index[0][0]
     workers = list(scene.tables.workers_by_id.values())
     choice = WorkerChoice(step, workers, NOW)
