--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -14,11 +14,18 @@
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.journal import WRITTEN_FOR_GOOD, Journal
 from medlarspring_daemon.scheduling.load_report import LoadReport
+from medlarspring_daemon.scheduling.round_timer import RoundTimer
+from medlarspring_daemon.scheduling.run_log import (
+    log_doubted,
+    log_ended,
+    log_job_ended,
+    log_lost,
+)
 from medlarspring_daemon.scheduling.unrecorded_ends import UnrecordedEnds
 from medlarspring_daemon.scheduling.vm_keeper import VMKeeper
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
-from medlarspring_daemon.scheduling.worker_lives import WorkerLives, log_lost
+from medlarspring_daemon.scheduling.worker_lives import WorkerLives
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.scheduling.jobs import (
     cancel_job,
@@ -30,8 +37,6 @@
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_tables.scheduling import (
-    JobOutcome,
-    RunEnd,
     RunState,
     WorkTables,
 )
@@ -51,24 +56,9 @@
 LAG_WEIGHT = 0.05
 OVERLOAD_LAG_SECONDS = 0.12
 """Timers that are so late on average mean that orders wait as long in the process."""
-ROUND_SECONDS = 0.003
-"""Ends that come within this time are followed by one round of placement."""
-ROUND_SECONDS_PER_ROW = 0.00002
-"""Added for each waiting step and worker that a round looks at. A row takes 1.3
-microseconds (150 workers, 300 waiting steps, 0.58 ms a round), so that placement takes
-a fifteenth of the time at most; a round each 3 ms took a sixth of a core."""
-MAX_ROUND_SECONDS = 0.015
-"""A start waits no longer than that for others to share its round."""
 LOAD_RETRY_SECONDS = 0.05
 
 
-METRICS_BY_OUTCOME = {
-    JobOutcome.COMPLETE: Metric.JOBS_COMPLETE,
-    JobOutcome.FAILED: Metric.JOBS_FAILED,
-    JobOutcome.CANCELLED: Metric.JOBS_CANCELLED,
-}
-
-
 class CellController:
     """Implements ``Term`` and ``LinkOwner``."""
 
@@ -83,8 +73,6 @@
         self._links_by_id: dict[WorkerId, WorkerLink] = {}
         self._unrecorded = UnrecordedEnds()
         self._closing: set[asyncio.Task[None]] = set()
-        self._rounds_due: dict[PoolId, None] = {}
-        self._round_timer: asyncio.TimerHandle | None = None
         self._followers: list[PrefixFollower] = []
         self._workers: WorkerFeed | None = None
         self._running = False
@@ -92,6 +80,7 @@
         """How late this process's timers are, smoothed over about two seconds."""
         assert directory.config is not None
         self.tables = WorkTables(config=directory.config)
+        self._rounds = RoundTimer(self.tables, self._place)
         self._keeper = VMKeeper(node, tenure, directory, self)
         self._lives = WorkerLives(node, self)
 
@@ -104,8 +93,7 @@
     async def stop(self, *, graceful: bool) -> None:
         """Stop deciding; a graceful end records what is known."""
         self._running = False
-        if self._round_timer is not None:
-            self._round_timer.cancel()
+        self._rounds.cancel()
         await self._tasks.cancel()
         # First the links: while ends come in there is always more to record, and
         # the hand-over took 0.7 s of the lease instead of some milliseconds.
@@ -215,11 +203,12 @@
 
     def note_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
         """Record what a listing changed, and plan anew."""
-        self._log_ends(worker, outcome)
+        for run, end in outcome.ended:
+            log_ended(self._node, run, end)
         for run in outcome.lost:
             log_lost(self._node, run, "not on its worker")
         if outcome.newly_doubted:
-            self._log_doubt(worker)
+            log_doubted(self._node, worker)
         self._unrecorded.note(worker.id, outcome.ends)
         for job_id in list_jobs(outcome):
             job = self.tables.jobs_by_id.get(job_id)
@@ -231,20 +220,6 @@
         if outcome.ended or outcome.lost:
             self.plan(worker.pool_id)
 
-    def _log_ends(self, worker: Worker, outcome: ListingOutcome) -> None:
-        for run, end in outcome.ended:
-            if end is RunEnd.FAILED:
-                self._node.metrics.count(Metric.RUNS_FAILED)
-            self._node.log.info(
-                Event.RUN_ENDED,
-                task=run.task.id,
-                run=run.number,
-                worker=worker.id,
-                end=end.value,
-                reason=run.stop_reason,
-                failures=run.task.failures,
-            )
-
     def note_changed(self, worker: Worker, run: Run) -> None:
         """Record that a run is over or was refused, and plan anew."""
         self._journal.mark(run.task.step.job)
@@ -266,19 +241,8 @@
 
     def plan(self, pool_id: PoolId) -> None:
         """Place what waits in a pool, soon."""
-        if not self._running:
-            return
-        self._rounds_due[pool_id] = None
-        if self._round_timer is None:
-            loop = asyncio.get_running_loop()
-            wait = self._plan_round_wait(pool_id)
-            self._round_timer = loop.call_later(wait, self._run_rounds)
-
-    def _plan_round_wait(self, pool_id: PoolId) -> Seconds:
-        steps = len(self.tables.ready_by_pool.get(pool_id, ()))
-        workers = len(self.tables.workers_by_pool.get(pool_id, ()))
-        wait = ROUND_SECONDS + ROUND_SECONDS_PER_ROW * (steps + workers)
-        return min(wait, MAX_ROUND_SECONDS)
+        if self._running:
+            self._rounds.plan(pool_id)
 
     def plan_all(self) -> None:
         """Place what waits in every pool."""
@@ -291,15 +255,11 @@
         if link is not None and run.state is not RunState.INTENDED:
             link.send_stop(run, reason)
 
-    def _run_rounds(self) -> None:
-        self._round_timer = None
-        due, self._rounds_due = self._rounds_due, {}
+    def _place(self, pool_id: PoolId) -> None:
         if not self._running or not self._tenure.holds():
             return
-        now = self._node.clock.now()
-        for pool_id in due:
-            for run in plan_round(self.tables, pool_id, now):
-                self._journal.mark(run.task.step.job)
+        for run in plan_round(self.tables, pool_id, self._node.clock.now()):
+            self._journal.mark(run.task.step.job)
 
     def _note_written(self, job: ActiveJob) -> None:
         """Send the orders whose intents are now recorded."""
@@ -331,18 +291,7 @@
 
     def _note_end_written(self, job: ActiveJob) -> None:
         forget_job(self.tables, job, self._node.clock.now())
-        assert job.outcome is not None
-        took_ms = self._node.clock.wall() * 1_000 - job.accepted_at_ms
-        self._node.metrics.count(METRICS_BY_OUTCOME[job.outcome])
-        self._node.metrics.timing(Metric.JOB_MS, took_ms)
-        self._node.log.info(
-            Event.JOB_ENDED,
-            job=job.id,
-            queue=job.queue.id,
-            outcome=job.outcome.value,
-            reason=job.reason,
-            took_ms=round(took_ms),
-        )
+        log_job_ended(self._node, job)
         self._wake_acknowledging(job)
 
     def _settle_job(self, job: ActiveJob) -> None:
@@ -402,7 +351,7 @@
     def _repair(self, now: Seconds) -> None:
         repairs = plan_repairs(self.tables, now)
         for worker in repairs.doubted:
-            self._log_doubt(worker)
+            log_doubted(self._node, worker)
         for run, reason in repairs.stops:
             self.stop_run(run, reason)
         for run in repairs.copies:
@@ -437,15 +386,5 @@
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
-    def _log_doubt(self, worker: Worker) -> None:
-        self._node.log.warning(
-            Event.WORKER_DOUBTED,
-            worker=worker.id,
-            vm=worker.vm_id,
-            doubt=worker.doubt.value,
-            until=round(worker.doubted_until, 3),
-            jobs=sorted(worker.failures_by_job),
-        )
-
 
 __all__ = ["CellController"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/round_timer.py
@@ -0,0 +1,58 @@
+"""When the next rounds of placement run, and for which pools."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_tables import PoolId, Seconds
+    from medlarspring_tables.scheduling import WorkTables
+
+ROUND_SECONDS = 0.003
+"""Ends that come within this time are followed by one round of placement."""
+ROUND_SECONDS_PER_ROW = 0.00002
+"""Added for each waiting step and worker that a round looks at. A row takes 1.3
+microseconds (150 workers, 300 waiting steps, 0.58 ms a round), so that placement takes
+a fifteenth of the time at most; a round each 3 ms took a sixth of a core."""
+MAX_ROUND_SECONDS = 0.015
+"""A start waits no longer than that for others to share its round."""
+
+
+class RoundTimer:
+    """Lets what happens in a moment share one round of each pool."""
+
+    def __init__(self, tables: WorkTables, place: Callable[[PoolId], None]) -> None:
+        self._tables = tables
+        self._place = place
+        self._due: dict[PoolId, None] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def plan(self, pool_id: PoolId) -> None:
+        """Place what waits in a pool, soon."""
+        self._due[pool_id] = None
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(self._plan_wait(pool_id), self._run)
+
+    def cancel(self) -> None:
+        """Run no round any more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _plan_wait(self, pool_id: PoolId) -> Seconds:
+        steps = len(self._tables.ready_by_pool.get(pool_id, ()))
+        workers = len(self._tables.workers_by_pool.get(pool_id, ()))
+        wait = ROUND_SECONDS + ROUND_SECONDS_PER_ROW * (steps + workers)
+        return min(wait, MAX_ROUND_SECONDS)
+
+    def _run(self) -> None:
+        self._timer = None
+        due, self._due = self._due, {}
+        for pool_id in due:
+            self._place(pool_id)
+
+
+__all__ = ["RoundTimer"]
--- /dev/null
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/run_log.py
@@ -0,0 +1,131 @@
+"""Log lines and metrics of what becomes of runs, of their workers and jobs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.metrics import Metric
+from medlarspring_tables.scheduling import JobOutcome, RunEnd
+
+if TYPE_CHECKING:
+    from medlarspring_adapters.worker_orders import Refusal
+    from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_tables import Seconds
+    from medlarspring_tables.scheduling import ActiveJob, Run, Worker
+
+METRICS_BY_OUTCOME = {
+    JobOutcome.COMPLETE: Metric.JOBS_COMPLETE,
+    JobOutcome.FAILED: Metric.JOBS_FAILED,
+    JobOutcome.CANCELLED: Metric.JOBS_CANCELLED,
+}
+
+
+def log_started(node: SchedulingNode, run: Run) -> None:
+    """Log a run that its worker confirmed."""
+    waited_ms = (run.confirmed_at - run.task.waiting_since) * 1_000
+    node.metrics.count(Metric.RUNS_STARTED)
+    node.metrics.timing(Metric.RUN_WAIT_MS, waited_ms)
+    node.log.info(
+        Event.RUN_STARTED,
+        task=run.task.id,
+        run=run.number,
+        worker=run.worker.id,
+        waited_ms=round(waited_ms),
+        copy=run.copy,
+    )
+
+
+def log_unanswered(
+    node: SchedulingNode, run: Run, waited: Seconds, *, may_follow: bool
+) -> None:
+    """Log a start that got no answer; it ``may_follow`` later all the same."""
+    node.metrics.count(Metric.RUNS_UNANSWERED)
+    node.log.warning(
+        Event.RUN_UNANSWERED,
+        task=run.task.id,
+        run=run.number,
+        worker=run.worker.id,
+        waited_ms=round(waited * 1_000),
+        may_follow=may_follow,
+    )
+
+
+def log_refused(node: SchedulingNode, run: Run, refusal: Refusal) -> None:
+    """Log a start that its worker refused."""
+    node.metrics.count(Metric.RUNS_REFUSED)
+    node.log.warning(
+        Event.RUN_REFUSED,
+        task=run.task.id,
+        run=run.number,
+        worker=run.worker.id,
+        reason=refusal.value,
+        cpu_free=run.worker.cpu_free,
+        memory_free=run.worker.memory_free,
+    )
+
+
+def log_ended(node: SchedulingNode, run: Run, end: RunEnd) -> None:
+    """Log an end that a worker listed."""
+    if end is RunEnd.FAILED:
+        node.metrics.count(Metric.RUNS_FAILED)
+    node.log.info(
+        Event.RUN_ENDED,
+        task=run.task.id,
+        run=run.number,
+        worker=run.worker.id,
+        end=end.value,
+        reason=run.stop_reason,
+        failures=run.task.failures,
+    )
+
+
+def log_lost(node: SchedulingNode, run: Run, reason: str) -> None:
+    """Log a run that is over without an end."""
+    node.metrics.count(Metric.RUNS_LOST)
+    node.log.warning(
+        Event.RUN_LOST,
+        task=run.task.id,
+        run=run.number,
+        worker=run.worker.id,
+        reason=reason,
+    )
+
+
+def log_doubted(node: SchedulingNode, worker: Worker) -> None:
+    """Log a worker that is set aside."""
+    node.log.warning(
+        Event.WORKER_DOUBTED,
+        worker=worker.id,
+        vm=worker.vm_id,
+        doubt=worker.doubt.value,
+        until=round(worker.doubted_until, 3),
+        jobs=sorted(worker.failures_by_job),
+    )
+
+
+def log_job_ended(node: SchedulingNode, job: ActiveJob) -> None:
+    """Log a job whose end is recorded."""
+    assert job.outcome is not None
+    took_ms = node.clock.wall() * 1_000 - job.accepted_at_ms
+    node.metrics.count(METRICS_BY_OUTCOME[job.outcome])
+    node.metrics.timing(Metric.JOB_MS, took_ms)
+    node.log.info(
+        Event.JOB_ENDED,
+        job=job.id,
+        queue=job.queue.id,
+        outcome=job.outcome.value,
+        reason=job.reason,
+        took_ms=round(took_ms),
+    )
+
+
+__all__ = [
+    "log_doubted",
+    "log_ended",
+    "log_job_ended",
+    "log_lost",
+    "log_refused",
+    "log_started",
+    "log_unanswered",
+]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, TypeVar
 
 import msgspec
 from returns.pipeline import is_successful
@@ -27,6 +27,11 @@
 from medlarspring_tables.scheduling import OperationsRecord, SizesRecord, WaveRecord
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from returns.result import Result
+
+    from medlarspring_adapters.store import StoreError
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.directory import Directory
     from medlarspring_daemon.scheduling.election import Tenure
@@ -41,6 +46,8 @@
 OPERATIONS_KEPT_SECONDS = 10.0
 """Older operations are no concern of a successor."""
 
+Answer = TypeVar("Answer")
+
 
 class KeeperOwner(Protocol):
     """What the keeper needs of its controller."""
@@ -89,7 +96,6 @@
         self._maintain_at: Seconds = tenure.began_at + LEASE_SECONDS + SETTLE_SECONDS
         self._move_at: Seconds = tenure.began_at
         self._sent_ms_by_vm: dict[str, int] = {}
-        self._loaded = False
         self._sizes_recorded = False
         self._logged_vms: dict[PoolId, int] = {}
 
@@ -104,31 +110,21 @@
 
     async def _load_waves(self) -> None:
         prefix = self._tenure.keys.waves_prefix
-        while not self._loaded:
-            listing = await self._node.store.read_prefix(prefix)
-            if not is_successful(listing):
-                await asyncio.sleep(RETRY_SECONDS)
+        listing = await self._ask(lambda: self._node.store.read_prefix(prefix))
+        for entry in listing.entries:
+            wave_id = entry.key.removeprefix(prefix)
+            record = self._node.unreadable.decode(entry, WaveRecord)
+            if record is None:
+                # Its VMs are maintained again: late, but none is left out.
                 continue
-            for entry in listing.unwrap().entries:
-                wave_id = entry.key.removeprefix(prefix)
-                record = self._node.unreadable.decode(entry, WaveRecord)
-                if record is None:
-                    # Its VMs are maintained again: late, but none is left out.
-                    continue
-                self.fleet.done_by_wave[WaveId(wave_id)] = {
-                    VMId(vm_id) for vm_id in record.begun
-                }
-            self._loaded = True
+            self.fleet.done_by_wave[WaveId(wave_id)] = {
+                VMId(vm_id) for vm_id in record.begun
+            }
 
     async def _load_sizes(self) -> None:
         """Take the pools' first sizes over, or record them if nobody has."""
         key = self._tenure.keys.sizes
-        while True:
-            found = await self._node.store.read(key)
-            if is_successful(found):
-                break
-            await asyncio.sleep(RETRY_SECONDS)
-        entry = found.unwrap()
+        entry = await self._ask(lambda: self._node.store.read(key))
         if entry is None:
             return
         record = self._node.unreadable.decode(entry, SizesRecord)
@@ -141,12 +137,8 @@
 
     async def _load_operations(self) -> None:
         """Leave the VMs alone that predecessors operated on a moment ago."""
-        while True:
-            found = await self._node.store.read(self._tenure.keys.operations)
-            if is_successful(found):
-                break
-            await asyncio.sleep(RETRY_SECONDS)
-        entry = found.unwrap()
+        key = self._tenure.keys.operations
+        entry = await self._ask(lambda: self._node.store.read(key))
         if entry is None:
             return
         record = self._node.unreadable.decode(entry, OperationsRecord)
@@ -160,6 +152,16 @@
             elapsed = max(wall_ms - sent_ms, 0.0) / 1_000.0
             self.fleet.refused_until[VMId(vm)] = now + apart - elapsed
 
+    async def _ask(
+        self, read: Callable[[], Awaitable[Result[Answer, StoreError]]]
+    ) -> Answer:
+        """Read from the store until it answers."""
+        while True:
+            answer = await read()
+            if is_successful(answer):
+                return answer.unwrap()
+            await asyncio.sleep(RETRY_SECONDS)
+
     def _measure_apart(self) -> Seconds:
         """Return how far apart two holders' operations on one VM must be."""
         return self._node.limits.vm_lease + SETTLE_SECONDS
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -18,11 +18,21 @@
     WorkerAddress,
 )
 from medlarspring_daemon.scheduling.end_ledger import EndLedger
+from medlarspring_daemon.scheduling.run_log import (
+    log_refused,
+    log_started,
+    log_unanswered,
+)
 from medlarspring_daemon.tasks import Tasks
 from medlarspring_systems.scheduling.evidence import note_accepted, note_refusal
+from medlarspring_systems.scheduling.lease_plan import (
+    extend_lease,
+    limit_start,
+    plan_wait,
+)
 from medlarspring_systems.scheduling.listings import take_listing
 from medlarspring_systems.scheduling.runs import confirm_run, detach_run
-from medlarspring_systems.scheduling.workers import note_clock, read_clock
+from medlarspring_systems.scheduling.workers import note_clock
 from medlarspring_tables.scheduling import RunState
 
 if TYPE_CHECKING:
@@ -34,22 +44,8 @@
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import Run, Worker
 
-LEASE_MARGIN_SECONDS = 0.5
-"""Leases are asked for so much below the worker's limit, which cuts longer ones."""
 ORDER_SECONDS = 0.35
 """An order without an answer for so long is taken for lost; most take 4 ms."""
-START_VALID_MS = 1_500
-"""A start that arrives later than this is refused by the worker.
-
-A lost start may be carried out seconds later, when its task already runs
-elsewhere; with this limit it is refused instead.
-"""
-HOLD_WAIT_MS = 500
-"""How long a worker holds the answer back without news.
-
-Progress is needed about twice a second to see tasks that stand still; the lease
-itself would allow 2,000 ms.
-"""
 HOLD_SLACK_SECONDS = 0.35
 SILENT_RETRY_SECONDS = 0.15
 STOP_REPEAT_SECONDS = 0.35
@@ -146,7 +142,7 @@
             detach_run(self._owner.tables, run, sent_at)
             self._owner.note_changed(worker, run)
             return
-        until = self._plan_start_end(sent_at)
+        until = limit_start(worker, sent_at)
         run.order_ends_ms = until
         order = StartOrder(
             task_id=run.task.id,
@@ -171,24 +167,10 @@
         ticket = run.task.step.tickets.get(self._worker.id)
         return ticket.text if ticket is not None else ""
 
-    def _plan_start_end(self, now: Seconds) -> int:
-        """Return until when, on the worker's clock, a start may be carried out."""
-        until = round(read_clock(self._worker, now)) + START_VALID_MS
-        self._worker.lease_ms = max(self._worker.lease_ms, until)
-        return until
-
     def _take_silence(self, run: Run, may_follow: bool, now: Seconds) -> None:
         if run.state is not RunState.ORDERED:
             return
-        self._node.metrics.count(Metric.RUNS_UNANSWERED)
-        self._node.log.warning(
-            Event.RUN_UNANSWERED,
-            task=run.task.id,
-            run=run.number,
-            worker=self._worker.id,
-            waited_ms=round((now - run.ordered_at) * 1_000),
-            may_follow=may_follow,
-        )
+        log_unanswered(self._node, run, now - run.ordered_at, may_follow=may_follow)
         if not may_follow:
             detach_run(self._owner.tables, run, now)
             self._owner.note_changed(self._worker, run)
@@ -204,22 +186,13 @@
             note_accepted(self._worker)
             if run.state in (RunState.ORDERED, RunState.UNKNOWN):
                 confirm_run(run, now)
-                self._log_started(run)
+                log_started(self._node, run)
             self.wake()
             return
         if answer.refusal is Refusal.FENCE:
             self._owner.note_superseded()
             return
-        self._node.metrics.count(Metric.RUNS_REFUSED)
-        self._node.log.warning(
-            Event.RUN_REFUSED,
-            task=run.task.id,
-            run=run.number,
-            worker=self._worker.id,
-            reason=answer.refusal.value,
-            cpu_free=self._worker.cpu_free,
-            memory_free=self._worker.memory_free,
-        )
+        log_refused(self._node, run, answer.refusal)
         if answer.refusal in (Refusal.UNHEALTHY, Refusal.ROOM):
             note_refusal(self._worker, now)
         elif answer.refusal is Refusal.OTHER_LIFE:
@@ -232,19 +205,6 @@
         self._look_now = True
         self.wake()
 
-    def _log_started(self, run: Run) -> None:
-        waited_ms = (run.confirmed_at - run.task.waiting_since) * 1_000
-        self._node.metrics.count(Metric.RUNS_STARTED)
-        self._node.metrics.timing(Metric.RUN_WAIT_MS, waited_ms)
-        self._node.log.info(
-            Event.RUN_STARTED,
-            task=run.task.id,
-            run=run.number,
-            worker=self._worker.id,
-            waited_ms=round(waited_ms),
-            copy=run.copy,
-        )
-
     # Stops and pace
 
     def _stop_when_due(self, run: Run) -> None:
@@ -303,7 +263,7 @@
 
     async def _hold_once(self) -> None:
         acknowledged = self._ends.find_recorded(self._worker.acknowledged)
-        wait_ms = self._plan_wait()
+        wait_ms = plan_wait(self._worker, look_now=self._look_now)
         self._look_now = False
         asked_at = self._node.clock.now()
         order = HoldOrder(
@@ -338,34 +298,10 @@
         except TimeoutError:
             return
 
-    def _plan_wait(self) -> int:
-        worker = self._worker
-        if self._look_now or not worker.settled or worker.unanswered_since:
-            return 0
-        if not worker.runs:
-            return 0
-        if any(
-            run.stopping or run.state is RunState.UNKNOWN
-            for run in worker.runs.values()
-        ):
-            return 50
-        return HOLD_WAIT_MS
-
     def _plan_lease(self, now: Seconds) -> int:
-        """Return the lease end to ask for; 0 to ask for none.
-
-        A worker that is silent is only looked at: each further extension might
-        reach it unheard, and its runs would never be known to have lapsed.
-        """
-        worker = self._worker
-        if not worker.clock_at or not self._tenure.holds():
-            return 0
-        if worker.unanswered_since:
+        if not self._tenure.holds():
             return 0
-        length = self._node.limits.worker_lease - LEASE_MARGIN_SECONDS
-        until = round(read_clock(worker, now) + length * 1_000)
-        worker.lease_ms = max(worker.lease_ms, until)
-        return until
+        return extend_lease(self._worker, self._node.limits.worker_lease, now)
 
     def _take_hold_answer(
         self, answer: HoldAnswer, acknowledged: int, asked_at: Seconds, now: Seconds
@@ -401,7 +337,7 @@
         for number, job in outcome.ends:
             self._ends.add(number, job)
         for run in outcome.confirmed:
-            self._log_started(run)
+            log_started(self._node, run)
         self._settle_rest(outcome)
         self._owner.note_listing(worker, outcome)
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_lives.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_lives.py
@@ -8,7 +8,7 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
-from medlarspring_adapters.metrics import Metric
+from medlarspring_daemon.scheduling.run_log import log_lost
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_systems.scheduling.workers import (
     end_life,
@@ -116,16 +116,4 @@
         self._owner.note_lost(lost)
 
 
-def log_lost(node: SchedulingNode, run: Run, reason: str) -> None:
-    """Log a run that is over without an end."""
-    node.metrics.count(Metric.RUNS_LOST)
-    node.log.warning(
-        Event.RUN_LOST,
-        task=run.task.id,
-        run=run.number,
-        worker=run.worker.id,
-        reason=reason,
-    )
-
-
-__all__ = ["LivesOwner", "WorkerLives", "log_lost"]
+__all__ = ["LivesOwner", "WorkerLives"]
--- a/packages/systems/tests/scheduling/test_rounds.py
+++ b/packages/systems/tests/scheduling/test_rounds.py
@@ -10,7 +10,7 @@
 from medlarspring_tables import PoolId
 from medlarspring_tables.scheduling import RunEnd, WorkerDoubt
 
-from .specs import create_step
+from .conftest import create_step
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/systems/tests/scheduling/test_waiting.py
+++ b/packages/systems/tests/scheduling/test_waiting.py
@@ -14,7 +14,7 @@
 from medlarspring_tables import PoolId
 from medlarspring_tables.scheduling import RunEnd
 
-from .specs import create_step
+from .conftest import create_step
 
 if TYPE_CHECKING:
     from .conftest import Scene
--- a/packages/systems/tests/scheduling/test_worker_choice.py
+++ b/packages/systems/tests/scheduling/test_worker_choice.py
@@ -10,7 +10,7 @@
 from medlarspring_systems.scheduling.placement import WorkerChoice, choose_worker
 from medlarspring_systems.scheduling.runs import intend_run
 
-from .specs import create_step
+from .conftest import create_step
 
 if TYPE_CHECKING:
     from .conftest import Scene
