--- a/packages/bench/src/medlarspring_bench/experiment/turns.py
+++ b/packages/bench/src/medlarspring_bench/experiment/turns.py
@@ -205,20 +205,13 @@
     async def _kill(self, at: Seconds) -> None:
         await asyncio.sleep(at)
         name = self._world.find_controller()
-        if name is None:
-            return
-        self._world.kill_node(name)
-        await asyncio.sleep(RESTART_SECONDS)
-        await self._world.start_node(name)
+        if name is not None:
+            await self._world.replace_nodes([name], RESTART_SECONDS)
 
     async def _restart(self, at: Seconds) -> None:
         await asyncio.sleep(at)
         names = list(self._world.nodes_by_name)
-        for name in names:
-            self._world.kill_node(name)
-        await asyncio.sleep(RESTART_SECONDS)
-        for name in names:
-            await self._world.start_node(name)
+        await self._world.replace_nodes(names, RESTART_SECONDS)
 
     async def _sample(self) -> None:
         while True:
--- a/packages/bench/src/medlarspring_bench/platform_world/days.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/days.py
@@ -124,19 +124,13 @@
     name = day.choose_node()
     if name is None:
         return
-    day.world.kill_node(name)
-    await asyncio.sleep(day.rng.uniform(0.3, 3.0))
-    await _start_again(day, name)
+    await day.world.replace_nodes([name], day.rng.uniform(0.3, 3.0))
 
 
 async def kill_all(day: Day) -> None:
     """End all processes at once."""
     names = list(day.world.nodes_by_name)
-    for name in names:
-        day.world.kill_node(name)
-    await asyncio.sleep(day.rng.uniform(0.3, 2.0))
-    for name in names:
-        await _start_again(day, name)
+    await day.world.replace_nodes(names, day.rng.uniform(0.3, 2.0))
 
 
 async def stop_node(day: Day) -> None:
--- a/packages/bench/src/medlarspring_bench/platform_world/world.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/world.py
@@ -39,10 +39,10 @@
     from medlarspring_bench.platform_world.virtual_time import VirtualClock
     from medlarspring_bench.platform_world.worker_model import TaskFacts
     from medlarspring_daemon.scheduling.service import SchedulingService
+    from medlarspring_tables import Seconds
 
 LEASE_TICK_SECONDS = 0.05
 RUN_TICK_SECONDS = 0.02
-RESTART_SECONDS = 0.5
 WATCH_SECONDS = 0.1
 """As often as a controller looks at what waits."""
 
@@ -182,6 +182,15 @@
         for task in list(self._tasks_by_owner.pop(node.incarnation, ())):
             task.cancel()
 
+    async def replace_nodes(self, names: Sequence[str], pause: Seconds) -> None:
+        """End processes at once; others of their names start after a pause."""
+        for name in names:
+            self.kill_node(name)
+        await asyncio.sleep(pause)
+        for name in names:
+            if name not in self.nodes_by_name:
+                await self.start_node(name)
+
     def find_controller(self) -> str | None:
         """Return the node that controls the cell, by its own belief."""
         for name, node in self.nodes_by_name.items():
