Log why tasks of a pool wait, and what suspects had against them

The log could not tell whether sound tasks wait for room, behind isolated runs or behind workers kept free for suspected tasks: a job that waits had one line, its acceptance. Gauges tasks.suspected, workers.isolated and workers.kept_free.

No decision is changed: a round notes on a worker that it keeps it free.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/load_reporter.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/load_reporter.py
@@ -11,6 +11,8 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import Put, Transaction
+from medlarspring_daemon.scheduling.run_log import log_backlog
+from medlarspring_systems.scheduling.backlog import describe_backlog
 from medlarspring_systems.scheduling.jobs import is_unstarted
 from medlarspring_systems.scheduling.placement import is_schedulable
 from medlarspring_systems.scheduling.waiting import (
@@ -45,6 +47,7 @@
         while True:
             self._update_metrics()
             self._report_quotas()
+            self._report_backlogs()
             await self._publish()
             await asyncio.sleep(PUBLISH_SECONDS)
 
@@ -84,6 +87,22 @@
             self._node.log.info(Event.QUOTA_LEFT, **self._describe_usage(partner_id))
         self._at_quota = set(waiting)
 
+    def _report_backlogs(self) -> None:
+        """Log the pools whose tasks have waited for long, and why they wait."""
+        suspected = isolated = kept_free = 0
+        for pool_id in self._tables.ready_by_pool:
+            now = self._node.clock.now()
+            backlog = describe_backlog(self._tables, pool_id, now)
+            if backlog is None:
+                continue
+            log_backlog(self._node, pool_id, backlog)
+            suspected += backlog.suspected
+            isolated += backlog.isolated
+            kept_free += backlog.kept_free
+        self._node.metrics.gauge(Metric.TASKS_SUSPECTED, suspected)
+        self._node.metrics.gauge(Metric.WORKERS_ISOLATED, isolated)
+        self._node.metrics.gauge(Metric.WORKERS_KEPT_FREE, kept_free)
+
     def _describe_usage(self, partner_id: PartnerId) -> dict[str, str | int]:
         usage = self._tables.usage_by_partner[partner_id]
         return {
--- a/packages/daemon/src/medlarspring_daemon/scheduling/run_log.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/run_log.py
@@ -11,8 +11,9 @@
 if TYPE_CHECKING:
     from medlarspring_adapters.worker_orders import OrderRefusal
     from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_systems.scheduling.backlog import Backlog, LongWait
     from medlarspring_systems.scheduling.crashes import CrashAssessment
-    from medlarspring_tables import Revision, Seconds
+    from medlarspring_tables import PoolId, Revision, Seconds
     from medlarspring_tables.scheduling import (
         ActiveJob,
         Milliseconds,
@@ -42,6 +43,7 @@
         worker=run.worker.id,
         waited_ms=round(waited_ms),
         copy=run.copy,
+        crashes=run.task.crashes.total,
     )
 
 
@@ -125,12 +127,47 @@
         planned=verdict.planned,
         runs=len(worker.runs),
         suspects=_list_tasks(verdict.suspects),
+        attributed=verdict.attributed,
         vms_read_at=vms_read_at,
     )
 
 
 def _list_tasks(runs: list[Run]) -> list[str]:
-    return [run.task.id for run in runs[:MAX_SUSPECTS_LOGGED]]
+    """Return the tasks' ids, each with its crash counts after this crash."""
+    return [
+        f"{run.task.id} {counts.total}/{counts.suspected}/{counts.alone}"
+        for run in runs[:MAX_SUSPECTS_LOGGED]
+        for counts in (run.task.crashes,)
+    ]
+
+
+def log_backlog(node: SchedulingNode, pool_id: PoolId, backlog: Backlog) -> None:
+    """Log why tasks of a pool have waited for long."""
+    node.log.info(
+        Event.TASKS_WAIT,
+        pool=pool_id,
+        waiting=backlog.waiting,
+        suspected=backlog.suspected,
+        **_describe_wait(backlog.longest, ""),
+        **_describe_wait(backlog.longest_suspected, "suspect_"),
+        workers=backlog.workers,
+        idle=backlog.idle,
+        isolated=backlog.isolated,
+        kept_free=backlog.kept_free,
+        unstable=backlog.unstable,
+        cpu=backlog.cpu_millis,
+        cpu_free=backlog.cpu_free,
+    )
+
+
+def _describe_wait(wait: LongWait | None, prefix: str) -> dict[str, str | int]:
+    if wait is None:
+        return {}
+    return {
+        f"{prefix}task": wait.task.id,
+        f"{prefix}cause": wait.cause.value if wait.cause is not None else "",
+        f"{prefix}waited_ms": round(wait.waited * 1_000),
+    }
 
 
 def log_worker_quarantined(node: SchedulingNode, worker: Worker) -> None:
@@ -166,6 +203,7 @@
         lost=lost,
         unsettled=len(worker.runs),
         suspects=_list_tasks(verdict.suspects),
+        attributed=verdict.attributed,
     )
 
 
@@ -206,6 +244,7 @@
 
 
 __all__ = [
+    "log_backlog",
     "log_worker_quarantined",
     "log_run_ended",
     "log_job_ended",
--- a/packages/systems/src/medlarspring_systems/scheduling/crashes.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/crashes.py
@@ -62,6 +62,8 @@
     """The VM was moved or maintained, or the worker left after notice."""
     suspects: list[Run] = field(default_factory=list)
     """Runs that may have crashed the worker."""
+    attributed: bool = False
+    """Whether only the suspects' job can explain the crash."""
     jobs: list[ActiveJob] = field(default_factory=list)
     """Jobs against which the crash counts, without repeats; some may have failed."""
 
@@ -89,6 +91,7 @@
     return CrashAssessment(
         planned=False,
         suspects=[] if outage else suspects,
+        attributed=alone,
         jobs=list(dict.fromkeys(run.task.step.job for run in counted)),
     )
 
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -247,7 +247,9 @@
         and is_allowed(step, worker, now)
     ]
     if allowed:
-        workers.remove(min(allowed, key=lambda worker: rate_for_isolation(worker, now)))
+        worker = min(allowed, key=lambda worker: rate_for_isolation(worker, now))
+        worker.kept_free_at = now
+        workers.remove(worker)
 
 
 def _place_gang(
--- a/packages/systems/src/medlarspring_systems/scheduling/waiting.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/waiting.py
@@ -17,7 +17,10 @@
     from collections.abc import Iterator
 
     from medlarspring_tables import PartnerId, Seconds
-    from medlarspring_tables.scheduling import StepRun, Task, WorkTables
+    from medlarspring_tables.scheduling import StepRun, Task, Worker, WorkTables
+
+KEPT_FREE_SECONDS = 0.25
+"""Time for which a worker counts as kept free; two planning rounds are due in it."""
 
 
 class WaitCause(Enum):
@@ -38,6 +41,8 @@
     """No schedulable worker that it may use has enough free resources."""
     ISOLATION = "trial"
     """Resources are free only where the isolation of a suspected task excludes it."""
+    KEPT_FREE = "kept-free"
+    """Resources are free only on workers that rounds keep free for suspected tasks."""
     QUOTA = "quota"
     """Its partner's running tasks leave too little of the partner's quota."""
     OTHER_MEMBERS = "other-members"
@@ -80,11 +85,19 @@
     workers = [worker for worker in workers if fits(step, worker)]
     if not workers:
         return WaitCause.RESOURCES
-    if not any(preserves_isolation(task, worker, now) for worker in workers):
+    workers = [worker for worker in workers if preserves_isolation(task, worker, now)]
+    if not workers:
         return WaitCause.ISOLATION
+    if not task.is_suspect and all(is_kept_free(worker, now) for worker in workers):
+        return WaitCause.KEPT_FREE
     return WaitCause.OTHER_MEMBERS if step.spec.gang else WaitCause.NEXT_ROUND
 
 
+def is_kept_free(worker: Worker, now: Seconds) -> bool:
+    """Return whether the latest rounds kept a worker free for a suspected task."""
+    return bool(worker.kept_free_at) and now - worker.kept_free_at < KEPT_FREE_SECONDS
+
+
 def measure_wait(step: StepRun, now: Seconds) -> Seconds:
     """Return how long the longest waiting task of a step has waited.
 
@@ -160,6 +173,7 @@
     "count_waiting",
     "count_waiting_for_quota",
     "find_wait_cause",
+    "is_kept_free",
     "list_unqueued_tasks",
     "measure_wait",
 ]
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -326,6 +326,8 @@
 
     A crash before then is not attributed to a task.
     """
+    kept_free_at: Seconds = 0.0
+    """When a round last kept it free for a suspected task; 0 for never."""
 
 
 @dataclass(frozen=True, slots=True)
