Bound what suspected tasks may withhold from other work

Cause: a worker is withheld from sound work for each suspected task, kept free or isolated, and nothing bounded how many. Each crash suspected all jobs of the last second on its worker; no crash on an unstable VM was attributed, and each such crash made its VM unstable for 30 s more, so that after a while no VM was stable, suspects waited for one in vain, and a task took five workers instead of three.

- A crash right after a start is attributed to it, also on an unstable VM and among many other crashes; two of these suffice, where nearly all crashes of the pool come right after a start.
While a pool is at risk, no two jobs start on a worker within 0.1 s, and a poll tells whether the worker lives.
- Suspected tasks of a job start one after the other, and not on a VM that crashed under them.
- A pool's need counts the workers that isolations take.

--- a/packages/bench/src/medlarspring_bench/platform_world/calls.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/calls.py
@@ -164,12 +164,23 @@
     async def _time_out(
         self, worker: WorkerAddress, timeout_seconds: Seconds
     ) -> Result[Answer, WorkerUnresponsive]:
+        if self._has_reset_connections(worker):
+            await asyncio.sleep(LINK_SECONDS)
+            await self._wait_until_runnable()
+            reset = WorkerUnresponsive(worker.id, "connection reset", may_follow=True)
+            return Failure(reset)
         await asyncio.sleep(timeout_seconds)
         await self._wait_until_runnable()
         return Failure(
             WorkerUnresponsive(worker.id, "no answer in time", may_follow=True)
         )
 
+    def _has_reset_connections(self, worker: WorkerAddress) -> bool:
+        model = self._fleet.workers_by_id.get(worker.id)
+        if not self._fault_state.resets_connections or model is None or model.alive:
+            return False
+        return not self._fault_state.is_cut(self._node_id, model.vm_id)
+
     def _find(self, worker: WorkerAddress) -> WorkerModel | None:
         model = self._fleet.workers_by_id.get(worker.id)
         if model is None or not model.alive:
--- a/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
@@ -46,6 +46,8 @@
     """Fraction of worker orders that get no reply and are applied later."""
     lost_answers: float = 0.0
     """Fraction of worker orders that are applied immediately but get no reply."""
+    resets_connections: bool = False
+    """Whether a worker that ends resets its connections instead of falling silent."""
     cut_links: set[tuple[str, str]] = field(default_factory=set)
     """Partitioned pairs of node and VM, or of node and VM control."""
     dead_incarnations: set[int] = field(default_factory=set)
--- a/packages/bench/src/medlarspring_bench/platform_world/plans.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/plans.py
@@ -46,6 +46,8 @@
     resources: Resources = Resources(16_000, 32_768, 0)
     unenforced_pools: tuple[str, ...] = ()
     """Pools whose workers start every task, even without enough resources."""
+    resets_connections: bool = False
+    """Whether a worker that ends resets its open connections, or just falls silent."""
     queues: tuple[QueuePlan, ...] = (
         QueuePlan("lookup", "consent"),
         QueuePlan("check", "survey"),
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -32,6 +32,7 @@
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
 from medlarspring_daemon.scheduling.worker_liveness import WorkerLivenessMonitor
+from medlarspring_systems.scheduling.crash_timing import is_at_crash_risk
 from medlarspring_systems.scheduling.crashes import record_worker_end
 from medlarspring_systems.scheduling.jobs import (
     cancel_job,
@@ -264,7 +265,12 @@
         for run, _ in outcome.ended:
             self._stop_other_copies(run)
         self._stop_runs_of_ended_jobs(worker)
-        if outcome.ended or outcome.lost:
+        # Where starts are staggered, a listing may end the probation of runs.
+        if (
+            outcome.ended
+            or outcome.lost
+            or is_at_crash_risk(worker, self._node.clock.now())
+        ):
             self.plan(worker.pool_id)
 
     def handle_detached_run(self, worker: Worker, run: Run) -> None:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -29,6 +29,10 @@
     log_start_unanswered,
 )
 from medlarspring_daemon.scheduling.unacknowledged_ends import UnacknowledgedEnds
+from medlarspring_systems.scheduling.isolation import (
+    PROBATION_SECONDS,
+    needs_probation_poll,
+)
 from medlarspring_systems.scheduling.late_orders import (
     pop_late_orders,
     record_unanswered_order,
@@ -92,6 +96,7 @@
         self._poll_requested = False
         self._hold_in_flight = False
         self._side_poll_in_flight = False
+        self._probation_poll_due = False
 
     def uses_address(self, address: str) -> bool:
         """Return whether calls go to this address."""
@@ -125,6 +130,23 @@
         self._poll_requested = True
         self.wake()
 
+    def _poll_after_probation(self) -> None:
+        """Poll the worker when its latest starts have proven themselves.
+
+        Without this poll, a start would wait for the next end on the worker, and a
+        silent crash would be noticed half a second later.
+        """
+        if self._probation_poll_due:
+            return
+        if needs_probation_poll(self._worker, self._node.clock.now()):
+            self._probation_poll_due = True
+            self._tasks.start(self._poll_later())
+
+    async def _poll_later(self) -> None:
+        await asyncio.sleep(PROBATION_SECONDS)
+        self._probation_poll_due = False
+        self.poll()
+
     def acknowledge_ends(self) -> None:
         """Acknowledge, with the next call, ends that job records in the store hold."""
         self._call_due.set()
@@ -228,6 +250,7 @@
             if run.state in (RunState.ORDERED, RunState.UNKNOWN):
                 confirm_run(run, now)
                 log_run_started(self._node, run)
+                self._poll_after_probation()
             self.wake()
             return
         if answer.refusal is OrderRefusal.FENCE:
@@ -403,6 +426,7 @@
             self._ends.add(number, job)
         for run in outcome.confirmed:
             log_run_started(self._node, run)
+        self._poll_after_probation()
         self._send_due_stops(outcome)
         self._owner.handle_listing(worker, outcome)
 
--- a/packages/systems/src/medlarspring_systems/scheduling/crashes.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/crashes.py
@@ -11,6 +11,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.crash_timing import (
+    IMMEDIATE_SECONDS,
+    find_last_contact,
+    is_immediate,
+    is_start_decisive,
+    record_crash_timing,
+)
 from medlarspring_systems.scheduling.jobs import fail_job
 from medlarspring_systems.scheduling.runs import is_serving
 from medlarspring_tables.scheduling import (
@@ -41,6 +48,10 @@
 """A long-running task that has served for this long is not suspected of a crash."""
 MAX_ATTRIBUTABLE_CRASHES = 3
 """Crashes attributable to the task's own job alone at which the job fails."""
+MAX_IMMEDIATE_CRASHES = 2
+"""The same for crashes right after the start, which hardly have another cause."""
+MAX_CRASHES_BESIDE = 2
+"""A task with more crashes explains another one as well as a start just before it."""
 MAX_CRASHES = 5
 """Crashes of any kind at which the job fails.
 
@@ -50,6 +61,8 @@
 """Workers of a zone that end at most this far apart are taken to have one cause."""
 OUTAGE_WORKERS = 4
 """This many of them count as an outage, even if each had a recent start."""
+SIMULTANEOUS_LOSS_SECONDS = 0.1
+"""In an outage, workers stop answering at most this far apart."""
 UNSTABLE_SECONDS = 30.0
 """Time for which a VM counts as unstable after a crash that was not attributable."""
 
@@ -84,10 +97,18 @@
     for run in worker.runs.values():
         if _has_run_healthily(run, now):
             run.task.crashes = CrashTally()
+    if suspects and not outage:
+        record_crash_timing(tables, suspects, now)
+    decisive = is_start_decisive(tables, suspects, now)
     counted = _list_counted_runs(worker, now)
     for run in counted:
         suspected = run in suspects
-        _count_crash(run, suspected=suspected and not outage, alone=suspected and alone)
+        _count_crash(
+            run,
+            suspected=suspected and not outage,
+            alone=suspected and alone,
+            immediate=suspected and alone and decisive,
+        )
     return CrashAssessment(
         planned=False,
         suspects=[] if outage else suspects,
@@ -103,10 +124,10 @@
     towards the limit for crashes of any kind; the task is not suspected for it.
     """
     if not run.crash_counted:
-        _count_crash(run, suspected=False, alone=False)
+        _count_crash(run, suspected=False, alone=False, immediate=False)
 
 
-def _count_crash(run: Run, *, suspected: bool, alone: bool) -> None:
+def _count_crash(run: Run, *, suspected: bool, alone: bool, immediate: bool) -> None:
     run.crash_counted = True
     task, job = run.task, run.task.step.job
     if task.done:
@@ -118,6 +139,7 @@
         total=known.total + 1,
         suspected=known.suspected + suspected,
         alone=known.alone + alone,
+        immediate=known.immediate + (alone and immediate),
     )
     job.version += 1
     if suspected:
@@ -136,6 +158,7 @@
     """
     return (
         task.crashes.alone >= MAX_ATTRIBUTABLE_CRASHES
+        or task.crashes.immediate >= MAX_IMMEDIATE_CRASHES
         or task.crashes.total >= MAX_CRASHES
     )
 
@@ -164,7 +187,10 @@
     newest = max(run.started_at for run in runs)
     if not _is_recent(worker, newest, now):
         return runs
-    return [run for run in runs if run.started_at >= newest - SIMULTANEOUS_SECONDS]
+    window = SIMULTANEOUS_SECONDS
+    if is_immediate(worker, newest, now):
+        window = IMMEDIATE_SECONDS
+    return [run for run in runs if run.started_at >= newest - window]
 
 
 def _list_counted_runs(worker: Worker, now: Seconds) -> list[Run]:
@@ -189,52 +215,56 @@
     """Return whether a long-running task has served long enough not to be suspected."""
     if not run.task.step.spec.long_running or not is_serving(run):
         return False
-    return _find_last_contact(run.worker, now) - run.confirmed_at >= HEALTHY_RUN_SECONDS
+    return find_last_contact(run.worker, now) - run.confirmed_at >= HEALTHY_RUN_SECONDS
 
 
 def _is_recent(worker: Worker, started_at: Seconds, now: Seconds) -> bool:
-    return _find_last_contact(worker, now) - started_at <= RECENT_START_SECONDS
-
-
-def _find_last_contact(worker: Worker, now: Seconds) -> Seconds:
-    """Return when a worker stopped answering; ``now`` if it still answers."""
-    return worker.unanswered_since or now
+    return find_last_contact(worker, now) - started_at <= RECENT_START_SECONDS
 
 
 def _is_attributable(worker: Worker, suspects: list[Run], now: Seconds) -> bool:
     """Return whether only the job of the suspected runs can explain a crash.
 
-    The crash is not attributable if the suspects belong to several jobs, if the VM
-    is unstable, or if another job's task there has earlier crashes and might be one
-    that crashes its workers late. Nor is it if no suspect is known to have started
-    recently; for runs restored from records the time of the start is not known.
+    The crash is not attributable if the suspects belong to several jobs. Unless it
+    came right after a start, it is not either if the VM is unstable, or if another
+    job's task there has earlier crashes and might be one that crashes its workers
+    late. Nor is it if no suspect is known to have started recently; for runs restored
+    from records the time of the start is not known.
     """
     jobs = {run.task.step.job for run in suspects}
-    if len(jobs) != 1 or now < worker.unstable_until:
+    if len(jobs) != 1:
         return False
-    if any(
-        run.task.crashes.total and run.task.step.job not in jobs
-        for run in worker.runs.values()
-    ):
+    known = [run.started_at for run in suspects if run.version or run.confirmed_at]
+    others = [run for run in worker.runs.values() if run.task.step.job not in jobs]
+    most_crashes = max((run.task.crashes.total for run in others), default=0)
+    if any(is_immediate(worker, started_at, now) for started_at in known):
+        return most_crashes <= MAX_CRASHES_BESIDE
+    if now < worker.unstable_until or most_crashes:
         return False
-    return any(
-        _is_recent(worker, run.started_at, now)
-        for run in suspects
-        if run.version or run.confirmed_at
-    )
+    return any(_is_recent(worker, started_at, now) for started_at in known)
 
 
 def _is_outage(tables: WorkTables, worker: Worker, now: Seconds) -> bool:
     """Return whether a crash is part of an outage of its zone.
 
     It is if many workers of the zone have just ended, or one that no task can have
-    crashed.
+    crashed. Where tasks crash many workers, those of a zone end one after the other;
+    a crash right after a start is part of an outage only if the others stopped
+    answering at the same moment.
     """
     same_zone = [
         crash
         for crash in tables.recent_crashes
         if crash.zone_id == worker.zone_id and now - crash.at <= OUTAGE_SECONDS
     ]
+    newest = max((run.started_at for run in worker.runs.values()), default=0.0)
+    if newest and is_immediate(worker, newest, now):
+        lost_at = find_last_contact(worker, now)
+        same_zone = [
+            crash
+            for crash in same_zone
+            if abs(crash.lost_contact_at - lost_at) <= SIMULTANEOUS_LOSS_SECONDS
+        ]
     return len(same_zone) >= OUTAGE_WORKERS or any(crash.idle for crash in same_zone)
 
 
@@ -244,7 +274,10 @@
     tables.recent_crashes = [
         crash for crash in tables.recent_crashes if now - crash.at <= OUTAGE_SECONDS
     ]
-    tables.recent_crashes.append(WorkerCrash(now, worker.zone_id, idle=idle))
+    lost_contact_at = find_last_contact(worker, now)
+    tables.recent_crashes.append(
+        WorkerCrash(now, worker.zone_id, lost_contact_at, idle=idle)
+    )
     if attributed:
         return
     worker.unstable_until = now + UNSTABLE_SECONDS
@@ -258,6 +291,7 @@
 
 
 __all__ = [
+    "MAX_CRASHES",
     "SIMULTANEOUS_SECONDS",
     "CrashAssessment",
     "may_have_caused_crash",
--- a/packages/systems/src/medlarspring_systems/scheduling/isolation.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/isolation.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.crashes import SIMULTANEOUS_SECONDS
+from medlarspring_systems.scheduling.crash_timing import is_at_crash_risk
+from medlarspring_systems.scheduling.crashes import MAX_CRASHES, SIMULTANEOUS_SECONDS
 from medlarspring_tables.scheduling import SUSPECT_AFTER, RunState
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import ActiveJob, Run, StepRun, Task, Worker
 
@@ -24,6 +28,65 @@
 """
 EXTENDED_ISOLATION_SECONDS = 4.0
 """Isolation of a task with several crashes, which may crash its worker late."""
+PROBATION_SECONDS = 0.1
+"""Time after a start in which a crash is attributed to it.
+
+While tasks of a pool crash their workers, no two jobs have a task in its probation on
+the same worker. Otherwise each crash would bring all of them under suspicion.
+"""
+LONG_WAIT_SECONDS = 1.5
+"""Waiting time of any task of the pool from which isolations are limited."""
+MAX_ISOLATED_FRACTION = 0.25
+"""Fraction of a pool that isolations may use while tasks wait for long.
+
+An isolated worker is mostly idle; the others have to keep most of the pool busy.
+"""
+
+
+class IsolationBudget:
+    """How many workers of a pool isolations may still use in one round.
+
+    Without a limit, tasks that crash their workers can bring so many others under
+    suspicion that isolations take the whole pool, and tasks without any suspicion
+    wait beside idle processors.
+    """
+
+    def __init__(
+        self, steps: Iterable[StepRun], workers: Collection[Worker], now: Seconds
+    ) -> None:
+        limit = len(workers)
+        if any(_has_waited_for_long(step, now) for step in steps):
+            limit = max(math.floor(limit * MAX_ISOLATED_FRACTION), 1)
+        isolated = sum(find_isolated_run(each, now) is not None for each in workers)
+        self._left = limit - isolated
+
+    def is_used_up(self) -> bool:
+        """Return whether no further worker may be isolated or kept free."""
+        return self._left <= 0
+
+    def allows(self, task: Task) -> bool:
+        """Return whether a suspected task may be isolated on a worker now.
+
+        Tasks whose next crash would be their last are few; they don't wait for others.
+        """
+        return not self.is_used_up() or _has_last_chance(task)
+
+    def use(self) -> None:
+        """Count one more worker that is isolated or kept free."""
+        self._left -= 1
+
+
+def _has_last_chance(task: Task) -> bool:
+    return task.crashes.total >= MAX_CRASHES - 1 and not task.step.spec.gang
+
+
+def _has_waited_for_long(step: StepRun, now: Seconds) -> bool:
+    """Return whether a task of a step has waited too long beside isolated workers."""
+    if step.spec.gang:
+        return False
+    return any(
+        _measure_waiting_time(task, now) > LONG_WAIT_SECONDS for task in step.waiting
+    )
 
 
 def preserves_isolation(task: Task, worker: Worker, now: Seconds) -> bool:
@@ -37,6 +100,8 @@
     isolated_run = find_isolated_run(worker, now)
     if isolated_run is not None and isolated_run.task.step.job is not job:
         return False
+    if not task.step.spec.gang and _is_in_others_probation(worker, job, now):
+        return False
     if not task.is_suspect:
         return True
     if (
@@ -44,7 +109,7 @@
         and _measure_waiting_time(task, now) <= STABLE_VM_WAIT_SECONDS
     ):
         return _would_crash_be_attributable(worker, job, now)
-    if _may_skip_isolation(task, now):
+    if may_skip_isolation(task, now):
         return True
     return not any(
         run.task.step.job is not job and _is_recent(run, now)
@@ -72,11 +137,27 @@
     )
 
 
+def count_most_crashes(step: StepRun) -> int:
+    """Return the most crashes of a waiting suspected task of a step; 0 for none."""
+    if not step.job.suspected:
+        return 0
+    return max(
+        (task.crashes.total for task in step.waiting if task.is_suspect), default=0
+    )
+
+
 def has_suspected_task(step: StepRun) -> bool:
     """Return whether a suspected task of the step is waiting."""
     return step.job.suspected and any(task.is_suspect for task in step.waiting)
 
 
+def can_be_kept_free(task: Task, worker: Worker, now: Seconds) -> bool:
+    """Return whether a suspected task could start on a worker if it is kept free."""
+    if find_isolated_run(worker, now) is not None:
+        return False
+    return not _needs_attributable_crash(task) or not measure_unstable_time(worker, now)
+
+
 def find_isolated_run(worker: Worker, now: Seconds) -> Run | None:
     """Return the suspected run of a worker that still has to be isolated, or None."""
     isolated_run = worker.isolated_run
@@ -117,16 +198,63 @@
     )
 
 
-def _may_skip_isolation(task: Task, now: Seconds) -> bool:
+def may_skip_isolation(task: Task, now: Seconds) -> bool:
     """Return whether a task has waited long enough to start without isolation.
 
-    A task suspected more than once never may, unless it belongs to a gang: a gang
-    needs many workers at once and might never find them in a full pool.
+    A task whose next crash would be its last never may, unless it belongs to a gang:
+    a gang needs many workers at once and might never find them in a full pool.
+    """
+    if _has_last_chance(task):
+        return False
+    longest = ISOLATION_WAIT_SECONDS
+    if task.crashes.suspected > 1 or _needs_attributable_crash(task):
+        longest = STABLE_VM_WAIT_SECONDS
+    return _measure_waiting_time(task, now) > longest
+
+
+def _is_in_others_probation(worker: Worker, job: ActiveJob, now: Seconds) -> bool:
+    """Return whether another job's task has just started on a worker at risk."""
+    if not is_at_crash_risk(worker, now):
+        return False
+    return any(
+        run.task.step.job is not job and is_on_probation(run)
+        for run in worker.runs.values()
+    )
+
+
+def is_on_probation(run: Run) -> bool:
+    """Return whether a crash of its worker would be attributed to a run.
+
+    The probation lasts until the worker has answered a call some time after the
+    start. A worker that crashed silently never does.
+    """
+    if run.state is not RunState.RUNNING:
+        return True
+    return run.worker.answered_at < run.started_at + PROBATION_SECONDS
+
+
+def needs_probation_poll(worker: Worker, now: Seconds) -> bool:
+    """Return whether a poll of the worker should end the probation of its runs."""
+    if not is_at_crash_risk(worker, now) or worker.unanswered_since:
+        return False
+    return any(
+        run.state is RunState.RUNNING and is_on_probation(run)
+        for run in worker.runs.values()
+    )
+
+
+def must_wait_for_sibling(task: Task) -> bool:
+    """Return whether another task of the job has to prove itself first.
+
+    Started together, several tasks of a job that crash their workers would crash as
+    many workers at once, and a sound one would be counted as the cause.
     """
     step = task.step
-    if task.crashes.suspected > 1 and not step.spec.gang:
+    if not step.job.suspected or step.spec.gang:
+        return False
+    if not task.is_suspect and not any(each.crashes.alone for each in step.tasks):
         return False
-    return _measure_waiting_time(task, now) > ISOLATION_WAIT_SECONDS
+    return any(is_on_probation(run) for run in step.job.runs)
 
 
 def _measure_waiting_time(task: Task, now: Seconds) -> Seconds:
@@ -134,9 +262,17 @@
 
 
 __all__ = [
+    "PROBATION_SECONDS",
+    "IsolationBudget",
+    "can_be_kept_free",
+    "count_most_crashes",
     "find_isolated_run",
     "has_suspected_task",
+    "is_on_probation",
+    "may_skip_isolation",
     "measure_unstable_time",
+    "must_wait_for_sibling",
+    "needs_probation_poll",
     "preserves_isolation",
     "rate_for_isolation",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/placement.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/placement.py
@@ -148,19 +148,24 @@
             continue
         score = score_worker(step, task, worker)
         if task.is_suspect:
-            score = (*_rate_for_suspect(worker, now), *score)
+            score = (*_rate_for_suspect(task, worker, now), *score)
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
 
 
-def _rate_for_suspect(worker: Worker, now: Seconds) -> Score:
+def _rate_for_suspect(task: Task, worker: Worker, now: Seconds) -> Score:
     """Return the part of the score that is for suspected tasks only.
 
     It prefers workers whose crash could be attributed, then those with the fewest
-    runs that a crash would affect.
+    runs that a crash would affect. A VM that crashed under the task before may just
+    keep crashing.
     """
-    return (measure_unstable_time(worker, now), float(len(worker.runs)))
+    return (
+        float(worker.vm_id in task.failed_on),
+        measure_unstable_time(worker, now),
+        float(len(worker.runs)),
+    )
 
 
 def can_start_on(step: StepRun, task: Task, worker: Worker, now: Seconds) -> bool:
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
@@ -5,9 +5,14 @@
 import math
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.crashes import SIMULTANEOUS_SECONDS
 from medlarspring_systems.scheduling.demand import find_slack, project_demand
 from medlarspring_systems.scheduling.estimates import estimate_seconds
 from medlarspring_systems.scheduling.fleet import PoolNeed
+from medlarspring_systems.scheduling.isolation import (
+    find_isolated_run,
+    has_suspected_task,
+)
 from medlarspring_systems.scheduling.placement import is_allowed, is_schedulable
 from medlarspring_systems.scheduling.quotas import fits_quota
 from medlarspring_systems.scheduling.waiting import measure_wait
@@ -79,6 +84,7 @@
         memory / (max(largest.memory_mb, 1) * PACKING_EFFICIENCY),
     )
     needed = math.ceil(vms - ROUNDING_TOLERANCE_VMS)
+    needed += _count_vms_for_isolation(tables, pool_id, now)
     floor = _find_floor(fleet, pool_id, slack)
     limits = _count_vms_for_task_limits(tables, pool_id)
     unplaceable = _count_vms_for_unplaceable_tasks(tables, fleet, pool_id, largest, now)
@@ -169,6 +175,23 @@
     return cpu, memory
 
 
+def _count_vms_for_isolation(tables: WorkTables, pool_id: PoolId, now: Seconds) -> int:
+    """Return how many VMs the pool needs because suspected tasks run in isolation.
+
+    An isolated worker is mostly idle, so that the pool's need for CPU does not show
+    it. Without these VMs, the more jobs were suspected the smaller their pool was.
+    """
+    workers = tables.workers_by_pool.get(pool_id, {}).values()
+    isolated = sum(find_isolated_run(each, now) is not None for each in workers)
+    waiting_jobs = {
+        step.job.id
+        for step in tables.ready_by_pool.get(pool_id, {})
+        if step.job.outcome is None and has_suspected_task(step)
+    }
+    seconds = len(waiting_jobs) * SIMULTANEOUS_SECONDS
+    return isolated + math.ceil(seconds / BACKLOG_HORIZON_SECONDS)
+
+
 def _count_vms_for_task_limits(tables: WorkTables, pool_id: PoolId) -> int:
     """Return how many VMs long-running steps need for their tasks-per-worker limits."""
     most = 0
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -10,8 +10,12 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.isolation import (
+    IsolationBudget,
+    can_be_kept_free,
+    count_most_crashes,
     find_isolated_run,
-    has_suspected_task,
+    may_skip_isolation,
+    must_wait_for_sibling,
     rate_for_isolation,
 )
 from medlarspring_systems.scheduling.ordering import (
@@ -79,16 +83,17 @@
     if not ready:
         return []
     workers = list_schedulable_workers(tables, pool_id, now)
-    min_workers = len(workers) // 2
+    steps = _list_steps(ready, workers, now, rank)
+    budget = IsolationBudget(steps, workers, now)
     intents: list[Run] = []
     unplaceable: list[Resources] = []
-    for step in _list_steps(ready, workers, now, rank):
+    for step in steps:
         if len(intents) >= MAX_STARTS_PER_ROUND or not workers:
             break
         if any(_needs_at_least(step.resources, resources) for resources in unplaceable):
             continue
         placed = len(intents)
-        _place_step(step, workers, min_workers, now, intents)
+        _place_step(step, workers, budget, now, intents)
         if placed == len(intents) and _fits_nowhere(step, workers):
             unplaceable.append(step.resources)
         if not step.waiting:
@@ -126,48 +131,69 @@
     size_weight = measure_size_weight(steps, workers)
     steps.sort(key=lambda step: rank(step, now, size_weight))
     # Suspected tasks go first: after other steps were placed, they would never find
-    # a worker without recent starts.
-    steps.sort(key=lambda step: not has_suspected_task(step))
+    # a worker without recent starts. Those with the most crashes need it most.
+    steps.sort(key=count_most_crashes, reverse=True)
     return steps
 
 
 def _place_step(
     step: StepRun,
     workers: list[Worker],
-    min_workers: int,
+    budget: IsolationBudget,
     now: Seconds,
     intents: list[Run],
 ) -> None:
     """Place the waiting tasks of a step.
 
-    Removes from ``workers`` those that later steps must not use. At least
-    ``min_workers`` remain when workers are kept free for suspected tasks.
+    Removes from ``workers`` those that later steps must not use.
     """
     if step.spec.gang:
         _place_gang(step, workers, now, intents)
         return
     ranking = WorkerRanking(step, _list_rack_workers(step, workers), now)
-    for task in list(step.waiting):
-        if task.not_before > now:
+    for task in _list_waiting(step):
+        if task.not_before > now or must_wait_for_sibling(task):
             continue
         if not fits_quota(step):
             return
+        if task.is_suspect and not _may_try(task, budget, now):
+            continue
         worker = ranking.choose(task)
         if worker is None and _may_leave_rack(step, task, workers, now):
             worker = choose_worker(step, task, workers, now)
         if worker is None and task.is_suspect:
-            _keep_free_for_isolation(step, workers, min_workers, now)
+            _keep_free_for_isolation(task, workers, budget, now)
             continue
         if worker is None:
             _reserve_worker(step, task, workers, now)
             return
-        intents.append(intend_run(task, worker, task.last_run + 1, now))
+        intents.append(_start(task, worker, budget, now))
         if worker.quarantine_reason is not QuarantineReason.NONE:
             # This run is the worker's probe; no other may start until it has ended.
             workers.remove(worker)
             ranking = WorkerRanking(step, _list_rack_workers(step, workers), now)
 
 
+def _list_waiting(step: StepRun) -> list[Task]:
+    """Return the waiting tasks of a step, those with the most crashes first."""
+    if not step.job.suspected:
+        return list(step.waiting)
+    return sorted(step.waiting, key=lambda task: -task.crashes.suspected)
+
+
+def _may_try(task: Task, budget: IsolationBudget, now: Seconds) -> bool:
+    """Return whether a suspected task may start now, isolated or not."""
+    return budget.allows(task) or may_skip_isolation(task, now)
+
+
+def _start(task: Task, worker: Worker, budget: IsolationBudget, now: Seconds) -> Run:
+    """Record the start of a task; a suspected one is isolated within the budget."""
+    is_isolated = task.is_suspect and budget.allows(task)
+    if is_isolated and find_isolated_run(worker, now) is None:
+        budget.use()
+    return intend_run(task, worker, task.last_run + 1, now, isolated=is_isolated)
+
+
 def _list_rack_workers(step: StepRun, workers: list[Worker]) -> list[Worker]:
     """Return the workers of the rack that a step's tasks share, else all workers.
 
@@ -234,15 +260,16 @@
 
 
 def _keep_free_for_isolation(
-    step: StepRun, workers: list[Worker], min_workers: int, now: Seconds
+    task: Task, workers: list[Worker], budget: IsolationBudget, now: Seconds
 ) -> None:
     """Keep other starts off a worker so that a suspected task can start there later."""
-    if len(workers) <= min_workers:
+    if budget.is_used_up():
         return
+    step = task.step
     allowed = [
         worker
         for worker in workers
-        if find_isolated_run(worker, now) is None
+        if can_be_kept_free(task, worker, now)
         and fits(step, worker)
         and is_allowed(step, worker, now)
     ]
@@ -250,6 +277,7 @@
         worker = min(allowed, key=lambda worker: rate_for_isolation(worker, now))
         worker.kept_free_at = now
         workers.remove(worker)
+        budget.use()
 
 
 def _place_gang(
--- a/packages/systems/src/medlarspring_systems/scheduling/runs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -36,7 +36,13 @@
 
 
 def intend_run(
-    task: Task, worker: Worker, number: int, now: Seconds, *, copy: bool = False
+    task: Task,
+    worker: Worker,
+    number: int,
+    now: Seconds,
+    *,
+    copy: bool = False,
+    isolated: bool = True,
 ) -> Run:
     """Create a run to be started; it is ordered once the intent has been recorded."""
     run = Run(
@@ -47,6 +53,7 @@
         life_ms=worker.born_ms,
         checkpoint=task.checkpoint,
         copy=copy,
+        isolated=isolated,
     )
     attach_run(run)
     job = task.step.job
@@ -65,7 +72,7 @@
     if task in step.waiting:
         step.waiting.remove(task)
     worker.runs[(task.id, run.number)] = run
-    if task.is_suspect:
+    if task.is_suspect and run.isolated:
         worker.isolated_run = run
     step.job.runs[run] = None
     if not step.job.zone_id:
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.crash_timing import find_crash_risk_end
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_tables import PoolId, RackId, VMId
 from medlarspring_tables.scheduling import (
@@ -86,6 +87,7 @@
     worker.labels = frozenset(entry.labels)
     worker.born_ms = worker.entry_born_ms = entry.born_ms
     worker.unstable_until = tables.unstable_until_by_vm.get(entry.vm_id, 0.0)
+    worker.crash_risk_until = find_crash_risk_end(tables, entry.pool_id)
     _set_resources(worker, entry.resources)
 
 
--- a/packages/systems/tests/scheduling/test_isolation.py
+++ b/packages/systems/tests/scheduling/test_isolation.py
@@ -6,6 +6,11 @@
 
 import pytest
 
+from medlarspring_systems.scheduling.crashes import MAX_CRASHES
+from medlarspring_systems.scheduling.isolation import (
+    PROBATION_SECONDS,
+    find_isolated_run,
+)
 from medlarspring_systems.scheduling.repair import plan_repairs
 from medlarspring_systems.scheduling.waiting import WaitCause, find_wait_cause
 from medlarspring_tables import PoolId
@@ -14,7 +19,7 @@
 from .conftest import create_step, get_task, start
 
 if TYPE_CHECKING:
-    from medlarspring_tables.scheduling import ActiveJob
+    from medlarspring_tables.scheduling import ActiveJob, Worker
 
     from .conftest import Scene
 
@@ -169,3 +174,106 @@
     assert plan_repairs(scene.tables, NOW + 1.0).copies == []
     get_task(job).crashes = CrashTally()
     assert len(plan_repairs(scene.tables, NOW + 1.0).copies) == 1
+
+
+def add_suspects(scene: Scene, count: int, crashes: CrashTally) -> list[ActiveJob]:
+    """Add jobs whose first tasks have the same crash counts."""
+    jobs = [add_suspect_job(scene, f"s{number}") for number in range(count)]
+    for job in jobs:
+        get_task(job).crashes = crashes
+    return jobs
+
+
+@pytest.mark.parametrize(
+    "crashes",
+    [CrashTally(1, 1), CrashTally(3, 2), CrashTally(3)],
+    ids=["suspected", "suspected twice", "several crashes"],
+)
+def test_other_tasks_start_while_many_are_suspected(scene: Scene, crashes: CrashTally):
+    """
+    Guards against withholding a whole pool for suspected tasks. Each of them has a
+    worker to itself, and other tasks would wait for all of them.
+    """
+    workers = [scene.add_worker(number) for number in range(8)]
+    for worker in workers:
+        worker.unstable_until = NOW + 30.0
+    add_suspects(scene, 40, crashes)
+    now, sound = NOW, scene.add_job("sound", create_step())
+    while not get_task(sound).runs:
+        now += 0.1
+        assert now < NOW + 2.5
+        start(scene, now)
+        isolated = sum(find_isolated_run(each, now) is not None for each in workers)
+    assert isolated < len(workers)
+
+
+def test_no_suspected_task_waits_for_isolation_for_long(scene: Scene):
+    """Guards against suspected tasks that wait for each other beside free workers."""
+    for number in range(4):
+        scene.add_worker(number)
+    jobs = add_suspects(scene, 24, CrashTally(2, 2))
+    for tick in range(1, 28):
+        start(scene, NOW + 0.1 * tick)
+    assert all(get_task(job).runs for job in jobs)
+
+
+def test_isolations_take_a_quarter_of_a_pool_while_others_wait(scene: Scene):
+    workers = [scene.add_worker(number) for number in range(8)]
+    add_suspects(scene, 8, CrashTally(1, 1))
+    scene.add_job("sound", create_step(cpu_millis=20_000), age=2.0)
+    runs = start(scene, NOW + 1.6)
+    assert len(runs) == len(workers) // 4
+
+
+def test_task_with_its_last_chance_is_always_isolated(scene: Scene):
+    """Guards against failing a sound job for a last crash that another task caused."""
+    for number in range(4):
+        scene.add_worker(number)
+    add_suspects(scene, 4, CrashTally(1, 1))
+    scene.add_job("sound", create_step(cpu_millis=20_000), age=2.0)
+    last = add_suspect_job(scene, "last")
+    get_task(last).crashes = CrashTally(total=MAX_CRASHES - 1)
+    runs = start(scene, NOW + 9.0)
+    (run,) = get_task(last).runs
+    assert run.isolated
+    assert [each for each in runs if each.worker is run.worker] == [run]
+
+
+def answer(worker: Worker, now: float) -> None:
+    worker.answered_at = now
+
+
+def test_starts_of_two_jobs_are_staggered_on_a_worker_at_risk(scene: Scene):
+    """Guards against suspecting several jobs for a crash that one of them caused."""
+    worker = scene.add_worker(1)
+    worker.crash_risk_until = NOW + 20.0
+    first, second = (scene.add_job(name, create_step(count=2)) for name in "ab")
+    assert {run.task.step.job for run in start(scene)} == {first}
+    answer(worker, NOW + 0.5 * PROBATION_SECONDS)
+    assert start(scene, NOW + 2 * PROBATION_SECONDS) == []
+    answer(worker, NOW + PROBATION_SECONDS)
+    runs = start(scene, NOW + 2 * PROBATION_SECONDS)
+    assert {run.task.step.job for run in runs} == {second}
+
+
+def test_suspected_tasks_of_a_job_start_one_after_the_other(scene: Scene):
+    """Guards against crashing several workers at once by the tasks of one job."""
+    workers = [scene.add_worker(number) for number in range(3)]
+    job = add_suspect_job(scene, count=3)
+    for task in job.occurrences_by_index[0][0].tasks:
+        task.crashes = CrashTally(1, 1, 1)
+    assert len(start(scene)) == 1
+    assert start(scene, NOW + 0.5) == []
+    for worker in workers:
+        answer(worker, NOW + 0.6)
+    assert len(start(scene, NOW + 0.7)) == 1
+
+
+def test_suspected_task_does_not_return_to_a_vm_that_crashed_under_it(scene: Scene):
+    """Guards against failing a sound job on a VM that keeps crashing."""
+    first, other = scene.add_worker(1), scene.add_worker(2)
+    job = add_suspect_job(scene)
+    get_task(job).failed_on.add(first.vm_id)
+    other.unstable_until = NOW + 30.0
+    (run,) = start(scene)
+    assert run.worker is other
--- a/packages/systems/tests/scheduling/test_pool_sizing.py
+++ b/packages/systems/tests/scheduling/test_pool_sizing.py
@@ -16,6 +16,7 @@
 from medlarspring_systems.scheduling.quarantine import quarantine_worker
 from medlarspring_tables import PoolId
 from medlarspring_tables.scheduling import (
+    CrashTally,
     FleetLimits,
     PoolPolicy,
     QuarantineReason,
@@ -23,6 +24,8 @@
     StepSpec,
 )
 
+from .conftest import get_task
+
 if TYPE_CHECKING:
     from medlarspring_tables.scheduling import Worker
 
@@ -264,3 +267,18 @@
             moves.append(operation)
             record_operation_sent(scene.tables, fleet, operation, now)
     assert len(moves) == 1
+
+
+def test_pool_grows_for_suspected_tasks_that_run_in_isolation(
+    scene: Scene, fleet: FleetTables
+):
+    """
+    Guards against a pool that shrinks as more of its jobs are suspected. Each of them
+    has a worker to itself, of which it uses little.
+    """
+    jobs = [scene.add_job(f"s{number}", SHORT) for number in range(12)]
+    before = find_pool_need(scene.tables, fleet, POOL, NOW).vms
+    for job in jobs:
+        get_task(job).crashes = CrashTally(total=1, suspected=1)
+        job.suspected = True
+    assert find_pool_need(scene.tables, fleet, POOL, NOW).vms >= before + 6
--- a/packages/tables/src/medlarspring_tables/scheduling/records.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/records.py
@@ -63,6 +63,8 @@
     """Crashes that the task may have caused; part of ``total``."""
     alone: int = 0
     """Crashes attributable to its own job alone; part of ``suspected``."""
+    immediate: int = 0
+    """Crashes right after its start; part of ``alone``."""
 
 
 class StepRecord(Struct, kw_only=True, omit_defaults=True):
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -102,6 +102,8 @@
     """Whether its stall has already been counted against the worker."""
     crash_counted: bool = False
     """Whether its worker's end has already been counted against the task."""
+    isolated: bool = True
+    """Whether other jobs' tasks stay away from it if its task is suspected."""
 
     @property
     def started_at(self) -> Seconds:
@@ -326,6 +328,8 @@
 
     A crash before then is not attributed to a task.
     """
+    crash_risk_until: Seconds = 0.0
+    """Time until which starts in its pool are staggered, after a crash there."""
     kept_free_at: Seconds = 0.0
     """When a round last kept it free for a suspected task; 0 for never."""
 
@@ -337,10 +341,22 @@
     at: Seconds
     """When it was noticed."""
     zone_id: str
+    lost_contact_at: Seconds
+    """When the worker stopped answering; ``at`` if it answered until then."""
     idle: bool
     """Whether the worker had no run that can have caused it."""
 
 
+@dataclass(frozen=True, slots=True)
+class CrashTiming:
+    """A crash of a worker on which tasks had started."""
+
+    at: Seconds
+    """When it was noticed."""
+    immediate: bool
+    """Whether it came right after a start."""
+
+
 @dataclass(slots=True)
 class ArrivalMeter:
     """Millicores that a pool's incoming work would use if it were served at once."""
@@ -376,6 +392,8 @@
     recent_crashes: list[WorkerCrash] = field(default_factory=list)
     """Crashes within the time in which they may be one outage; the latest is last."""
     unstable_until_by_vm: dict[VMId, Seconds] = field(default_factory=dict)
+    crash_timings_by_pool: dict[PoolId, list[CrashTiming]] = field(default_factory=dict)
+    """The recent crashes of each pool's workers under a start, oldest first."""
     ended_job_ids: dict[JobId, Seconds] = field(default_factory=dict)
     """Times of the recently recorded ends of jobs.
 
@@ -397,6 +415,7 @@
     "SUSPECT_AFTER",
     "ActiveJob",
     "ArrivalMeter",
+    "CrashTiming",
     "PartnerUsage",
     "QuarantineReason",
     "Run",
