Do not stagger starts for workers that crashed together

A failure of some VMs slowed the starts of their pool for 20 s. Now a pool is at risk after a crash right after a start, or after crashes at two moments.

--- a/packages/systems/src/medlarspring_systems/scheduling/crash_timing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/crash_timing.py
@@ -21,6 +21,8 @@
 """
 CRASH_RISK_SECONDS = 20.0
 """Time for which the starts in a pool are staggered after a crash under a start."""
+TOGETHER_SECONDS = 1.0
+"""Crashes that are noticed at most this far apart may have one cause."""
 MIN_IMMEDIATE_FRACTION = 0.8
 """Fraction of a pool's crashes that have to be immediate for one of them to prove much.
 
@@ -48,15 +50,16 @@
 
 
 def record_crash_timing(tables: WorkTables, suspects: list[Run], now: Seconds) -> None:
-    """Record a crash under a start; starts in its pool are staggered from now on."""
+    """Record a crash under a start; starts in its pool may be staggered from now on."""
     pool_id = suspects[0].worker.pool_id
     timings = tables.crash_timings_by_pool.setdefault(pool_id, [])
     immediate = any(_is_confirmed_and_immediate(run, now) for run in suspects)
     timings.append(CrashTiming(now, immediate=immediate))
     while timings[0].at < now - CRASH_RISK_SECONDS:
         timings.pop(0)
+    until = find_crash_risk_end(tables, pool_id)
     for worker in tables.workers_by_pool.get(pool_id, {}).values():
-        worker.crash_risk_until = now + CRASH_RISK_SECONDS
+        worker.crash_risk_until = until
 
 
 def is_start_decisive(tables: WorkTables, suspects: list[Run], now: Seconds) -> bool:
@@ -88,9 +91,18 @@
 
 
 def find_crash_risk_end(tables: WorkTables, pool_id: PoolId) -> Seconds:
-    """Return the time until which the starts in a pool are staggered; 0 for none."""
+    """Return the time until which the starts in a pool are staggered; 0 for none.
+
+    They are not for workers that crashed together, unless right after a start: that
+    is a failure of their VMs rather than of a task.
+    """
     timings = tables.crash_timings_by_pool.get(pool_id)
-    return timings[-1].at + CRASH_RISK_SECONDS if timings else 0.0
+    if not timings:
+        return 0.0
+    is_repeated = timings[-1].at - timings[0].at > TOGETHER_SECONDS
+    if not is_repeated and not any(timing.immediate for timing in timings):
+        return 0.0
+    return timings[-1].at + CRASH_RISK_SECONDS
 
 
 def is_at_crash_risk(worker: Worker, now: Seconds) -> bool:
--- a/packages/systems/tests/scheduling/test_crash_timing.py
+++ b/packages/systems/tests/scheduling/test_crash_timing.py
@@ -169,3 +169,15 @@
     for worker in (sound, new):
         assert is_at_crash_risk(worker, NOW + CRASH_RISK_SECONDS)
         assert not is_at_crash_risk(worker, NOW + CRASH_RISK_SECONDS + 1.0)
+
+
+@pytest.mark.parametrize(("pause", "at_risk"), [(0.5, False), (2.0, True)])
+def test_starts_are_not_staggered_for_workers_that_crashed_together(
+    scene: Scene, pause: float, at_risk: bool
+):
+    """Guards against slowing a pool down for a failure of some of its VMs."""
+    sound = scene.add_worker(9, cpu=1_000)
+    for number in range(2):
+        scene.add_job(f"j{number}", create_step())
+        crash_under(scene, number, NOW + pause * number, after=0.2)
+    assert is_at_crash_risk(sound, NOW + 3.0) is at_risk
