Reset the connection of a call that timed out

Cause: the controller sent two moves at 33.5 s, as its zone was cut off; both timed out at 34.5 s and their connections were closed. A closed connection's kernel goes on sending, so that the calls arrived when the cut ended (39.2 s). The successor had waited 4.6 s since they were sent, as the separation asks. Now connections are reset when they are closed, with all that is left to send.

--- a/packages/adapters/src/medlarspring_adapters/http_channel.py
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -21,6 +23,8 @@
 """Longest wait for a connection; a round trip in a region takes 3 ms."""
 CLOSE_SECONDS = 0.5
 """Longest wait for connections to close at shutdown."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER``: switched on, with 0 s to send what is left."""
 RETIRED_SECONDS = 3.0
 """Time for which a retired session stays open for its calls in flight."""
 
@@ -130,7 +134,9 @@
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
-                    limit=self._max_connections, keepalive_timeout=KEEPALIVE_SECONDS
+                    limit=self._max_connections,
+                    keepalive_timeout=KEEPALIVE_SECONDS,
+                    socket_factory=_create_socket,
                 ),
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
                 headers={"Content-Type": "application/json"},
@@ -150,6 +156,18 @@
         task.add_done_callback(self._retired.discard)
 
 
+def _create_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket that is reset when it is closed, with all unsent data discarded.
+
+    Otherwise the kernel goes on sending after the close. A call that timed out during
+    a partition would be carried out seconds later, when the partition ends.
+    """
+    family, kind, protocol, *_ = address
+    created = socket.socket(family, kind, protocol)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return created
+
+
 def _create_reuse_guard() -> aiohttp.TraceConfig:
     guard = aiohttp.TraceConfig()
     guard.on_connection_create_start.append(_refuse_to_open)
