Close the gaps that a review of the bounds on suspected tasks found

A reviewer that had not seen the work showed each by a script:

- A task with its last chance starved on unstable VMs under a flow of sound starts (30 s, to the end of the script), as no unstable VM was kept free for it even when it no longer waited for a stable one.
Now any VM is after that wait.
- Such tasks were outside every bound: eight of them held four workers for 8 s.
Now they take half of a pool at most while any task waits for long.
- Staggering admitted one job at a time to a worker, however small: 20 jobs a second of one core and 0.2 s waited up to 19 s beside a worker that was used to a tenth.
Now several jobs may be on probation within an eighth of a worker's CPU.
- Suspects of a job waited while a sibling's worker was silent; a wide step was started one task at a time to its end (40 tasks 4.7 s).
Silent workers no longer count, and twice as many tasks may start as have survived.
- Gangs that wait for long did not limit isolations.
- A reset long after a start counted as immediate if the pool came to be at risk in between; a silent outage of a zone at risk was attributed to tasks; a sibling whose order had no answer was counted in full.
Orders without an answer are no longer evidence that a crash is attributable.

Each has a test.

Left as found: pools of one worker, steps that only part of a pool may run, planned ends that are not counted, five vanished runs that give a job up.

--- a/packages/systems/src/medlarspring_systems/scheduling/crash_timing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/crash_timing.py
@@ -39,7 +39,8 @@
     is followed by a poll, so that the last answer tells when it fell silent.
     """
     lost_at = find_last_contact(worker, now)
-    if is_at_crash_risk(worker, now) and worker.answered_at >= started_at:
+    was_staggered = worker.crash_risk_since <= started_at <= worker.crash_risk_until
+    if was_staggered and worker.answered_at >= started_at:
         lost_at = min(lost_at, worker.answered_at)
     return lost_at - started_at <= IMMEDIATE_SECONDS
 
@@ -59,6 +60,8 @@
         timings.pop(0)
     until = find_crash_risk_end(tables, pool_id)
     for worker in tables.workers_by_pool.get(pool_id, {}).values():
+        if not is_at_crash_risk(worker, now):
+            worker.crash_risk_since = now
         worker.crash_risk_until = until
 
 
--- a/packages/systems/src/medlarspring_systems/scheduling/crashes.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/crashes.py
@@ -107,7 +107,7 @@
             run,
             suspected=suspected and not outage,
             alone=suspected and alone,
-            immediate=suspected and alone and decisive,
+            immediate=suspected and alone and decisive and bool(run.confirmed_at),
         )
     return CrashAssessment(
         planned=False,
@@ -234,7 +234,7 @@
     jobs = {run.task.step.job for run in suspects}
     if len(jobs) != 1:
         return False
-    known = [run.started_at for run in suspects if run.version or run.confirmed_at]
+    known = [run.confirmed_at for run in suspects if run.confirmed_at]
     others = [run for run in worker.runs.values() if run.task.step.job not in jobs]
     most_crashes = max((run.task.crashes.total for run in others), default=0)
     if any(is_immediate(worker, started_at, now) for started_at in known):
@@ -258,8 +258,8 @@
         if crash.zone_id == worker.zone_id and now - crash.at <= OUTAGE_SECONDS
     ]
     newest = max((run.started_at for run in worker.runs.values()), default=0.0)
-    if newest and is_immediate(worker, newest, now):
-        lost_at = find_last_contact(worker, now)
+    lost_at = find_last_contact(worker, now)
+    if newest and lost_at - newest <= IMMEDIATE_SECONDS:
         same_zone = [
             crash
             for crash in same_zone
--- a/packages/systems/src/medlarspring_systems/scheduling/isolation.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/isolation.py
@@ -31,9 +31,16 @@
 PROBATION_SECONDS = 0.1
 """Time after a start in which a crash is attributed to it.
 
-While tasks of a pool crash their workers, no two jobs have a task in its probation on
-the same worker. Otherwise each crash would bring all of them under suspicion.
+While tasks of a pool crash their workers, few jobs have a task on probation on the same
+worker. Otherwise each crash would bring many of them under suspicion.
 """
+MAX_PROBATION_FRACTION = 0.125
+"""Fraction of a worker's CPU that tasks of several jobs on probation may use.
+
+If it were one job at a time, many small jobs would wait beside an idle worker.
+"""
+STARTS_PER_SURVIVOR = 2
+"""Tasks of a suspected step that may be on probation for each that has survived."""
 LONG_WAIT_SECONDS = 1.5
 """Waiting time of any task of the pool from which isolations are limited."""
 MAX_ISOLATED_FRACTION = 0.25
@@ -41,6 +48,8 @@
 
 An isolated worker is mostly idle; the others have to keep most of the pool busy.
 """
+MAX_LAST_FRACTION = 0.5
+"""The same for tasks whose next crash is their last."""
 
 
 class IsolationBudget:
@@ -54,26 +63,23 @@
     def __init__(
         self, steps: Iterable[StepRun], workers: Collection[Worker], now: Seconds
     ) -> None:
-        limit = len(workers)
+        limit = last_limit = len(workers)
         if any(_has_waited_for_long(step, now) for step in steps):
-            limit = max(math.floor(limit * MAX_ISOLATED_FRACTION), 1)
+            limit = max(math.floor(len(workers) * MAX_ISOLATED_FRACTION), 1)
+            last_limit = max(math.floor(len(workers) * MAX_LAST_FRACTION), 1)
         isolated = sum(find_isolated_run(each, now) is not None for each in workers)
         self._left = limit - isolated
-
-    def is_used_up(self) -> bool:
-        """Return whether no further worker may be isolated or kept free."""
-        return self._left <= 0
+        self._left_for_last = last_limit - isolated
 
     def allows(self, task: Task) -> bool:
-        """Return whether a suspected task may be isolated on a worker now.
-
-        Tasks whose next crash would be their last are few; they don't wait for others.
-        """
-        return not self.is_used_up() or _has_last_chance(task)
+        """Return whether a worker may be isolated or kept free for a task."""
+        left = self._left_for_last if _has_last_chance(task) else self._left
+        return left > 0
 
     def use(self) -> None:
         """Count one more worker that is isolated or kept free."""
         self._left -= 1
+        self._left_for_last -= 1
 
 
 def _has_last_chance(task: Task) -> bool:
@@ -82,8 +88,6 @@
 
 def _has_waited_for_long(step: StepRun, now: Seconds) -> bool:
     """Return whether a task of a step has waited too long beside isolated workers."""
-    if step.spec.gang:
-        return False
     return any(
         _measure_waiting_time(task, now) > LONG_WAIT_SECONDS for task in step.waiting
     )
@@ -100,14 +104,11 @@
     isolated_run = find_isolated_run(worker, now)
     if isolated_run is not None and isolated_run.task.step.job is not job:
         return False
-    if not task.step.spec.gang and _is_in_others_probation(worker, job, now):
+    if not task.step.spec.gang and _exceeds_probation_share(worker, task.step, now):
         return False
     if not task.is_suspect:
         return True
-    if (
-        _needs_attributable_crash(task)
-        and _measure_waiting_time(task, now) <= STABLE_VM_WAIT_SECONDS
-    ):
+    if _needs_stable_vm(task, now):
         return _would_crash_be_attributable(worker, job, now)
     if may_skip_isolation(task, now):
         return True
@@ -127,6 +128,13 @@
     return task.crashes.total >= SUSPECT_AFTER
 
 
+def _needs_stable_vm(task: Task, now: Seconds) -> bool:
+    """Return whether a task still waits for a stable VM without other suspects."""
+    if not _needs_attributable_crash(task):
+        return False
+    return _measure_waiting_time(task, now) <= STABLE_VM_WAIT_SECONDS
+
+
 def _would_crash_be_attributable(worker: Worker, job: ActiveJob, now: Seconds) -> bool:
     """Return whether only the job itself could explain a crash of the worker."""
     if measure_unstable_time(worker, now):
@@ -155,7 +163,9 @@
     """Return whether a suspected task could start on a worker if it is kept free."""
     if find_isolated_run(worker, now) is not None:
         return False
-    return not _needs_attributable_crash(task) or not measure_unstable_time(worker, now)
+    if not _needs_stable_vm(task, now):
+        return True
+    return not measure_unstable_time(worker, now)
 
 
 def find_isolated_run(worker: Worker, now: Seconds) -> Run | None:
@@ -212,18 +222,23 @@
     return _measure_waiting_time(task, now) > longest
 
 
-def _is_in_others_probation(worker: Worker, job: ActiveJob, now: Seconds) -> bool:
-    """Return whether another job's task has just started on a worker at risk."""
+def _exceeds_probation_share(worker: Worker, step: StepRun, now: Seconds) -> bool:
+    """Return whether too much on a worker at risk would be on probation at once."""
     if not is_at_crash_risk(worker, now):
         return False
-    return any(
-        run.task.step.job is not job and is_on_probation(run)
+    used = sum(
+        run.task.step.resources.cpu_millis
         for run in worker.runs.values()
+        if run.task.step.job is not step.job and is_on_probation(run)
     )
+    if not used:
+        return False
+    most = MAX_PROBATION_FRACTION * worker.resources.cpu_millis
+    return used + len(step.tasks) * step.resources.cpu_millis > most
 
 
 def is_on_probation(run: Run) -> bool:
-    """Return whether a crash of its worker would be attributed to a run.
+    """Return whether a run is not yet known to have survived its start.
 
     The probation lasts until the worker has answered a call some time after the
     start. A worker that crashed silently never does.
@@ -243,18 +258,46 @@
     )
 
 
-def must_wait_for_sibling(task: Task) -> bool:
-    """Return whether another task of the job has to prove itself first.
+class SiblingGate:
+    """Lets the tasks of a suspected step start one after the other.
 
     Started together, several tasks of a job that crash their workers would crash as
     many workers at once, and a sound one would be counted as the cause.
     """
-    step = task.step
-    if not step.job.suspected or step.spec.gang:
-        return False
-    if not task.is_suspect and not any(each.crashes.alone for each in step.tasks):
-        return False
-    return any(is_on_probation(run) for run in step.job.runs)
+
+    def __init__(self, step: StepRun) -> None:
+        self._on_probation = 0
+        self._most = 0
+        """Most tasks without suspicion on probation at once; 0 for no limit."""
+        self._is_open = not step.job.suspected or step.spec.gang
+        if self._is_open:
+            return
+        # A run on a worker that does not answer may stay on probation for long.
+        self._on_probation = sum(
+            is_on_probation(run) and not run.worker.unanswered_since
+            for run in step.job.runs
+        )
+        if any(task.crashes.alone for task in step.tasks):
+            # More for each that has survived, so that a wide step is started soon.
+            survivors = sum(_has_survived(task) for task in step.tasks)
+            self._most = max(STARTS_PER_SURVIVOR * survivors, 1)
+
+    def holds_back(self, task: Task) -> bool:
+        """Return whether a task has to wait for other tasks of its job."""
+        if self._is_open:
+            return False
+        if task.is_suspect:
+            return self._on_probation > 0
+        return 0 < self._most <= self._on_probation
+
+    def record_start(self) -> None:
+        """Record that a task of the step was started."""
+        self._on_probation += 1
+
+
+def _has_survived(task: Task) -> bool:
+    """Return whether a task is done or runs beyond its probation."""
+    return task.done or any(not is_on_probation(run) for run in task.runs)
 
 
 def _measure_waiting_time(task: Task, now: Seconds) -> Seconds:
@@ -264,6 +307,7 @@
 __all__ = [
     "PROBATION_SECONDS",
     "IsolationBudget",
+    "SiblingGate",
     "can_be_kept_free",
     "count_most_crashes",
     "find_isolated_run",
@@ -271,7 +315,6 @@
     "is_on_probation",
     "may_skip_isolation",
     "measure_unstable_time",
-    "must_wait_for_sibling",
     "needs_probation_poll",
     "preserves_isolation",
     "rate_for_isolation",
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -11,11 +11,11 @@
 
 from medlarspring_systems.scheduling.isolation import (
     IsolationBudget,
+    SiblingGate,
     can_be_kept_free,
     count_most_crashes,
     find_isolated_run,
     may_skip_isolation,
-    must_wait_for_sibling,
     rate_for_isolation,
 )
 from medlarspring_systems.scheduling.ordering import (
@@ -151,8 +151,9 @@
         _place_gang(step, workers, now, intents)
         return
     ranking = WorkerRanking(step, _list_rack_workers(step, workers), now)
+    gate = SiblingGate(step)
     for task in _list_waiting(step):
-        if task.not_before > now or must_wait_for_sibling(task):
+        if task.not_before > now or gate.holds_back(task):
             continue
         if not fits_quota(step):
             return
@@ -168,6 +169,7 @@
             _reserve_worker(step, task, workers, now)
             return
         intents.append(_start(task, worker, budget, now))
+        gate.record_start()
         if worker.quarantine_reason is not QuarantineReason.NONE:
             # This run is the worker's probe; no other may start until it has ended.
             workers.remove(worker)
@@ -263,7 +265,7 @@
     task: Task, workers: list[Worker], budget: IsolationBudget, now: Seconds
 ) -> None:
     """Keep other starts off a worker so that a suspected task can start there later."""
-    if budget.is_used_up():
+    if not budget.allows(task):
         return
     step = task.step
     allowed = [
--- a/packages/systems/tests/scheduling/test_crash_timing.py
+++ b/packages/systems/tests/scheduling/test_crash_timing.py
@@ -108,9 +108,10 @@
 def test_crashes_one_after_the_other_are_no_outage(scene: Scene):
     """Guards against taking many tasks that crash their workers for an outage."""
     for number in range(6):
-        scene.add_job(f"j{number}", create_step())
+        job = scene.add_job(f"j{number}", create_step())
         assessment = crash_under(scene, number, NOW + 0.15 * number)
         assert assessment.attributed
+        job.outcome = JobOutcome.CANCELLED
 
 
 def add_timings(scene: Scene, immediate: int, others: int) -> None:
@@ -181,3 +182,44 @@
         scene.add_job(f"j{number}", create_step())
         crash_under(scene, number, NOW + pause * number, after=0.2)
     assert is_at_crash_risk(sound, NOW + 3.0) is at_risk
+
+
+def test_late_reset_is_not_taken_for_a_silent_crash(scene: Scene):
+    """
+    Guards against failing a sound job for crashes some time after its starts. Where
+    the pool came to be at risk after the start, no poll followed it, so that the last
+    answer may be much older than the crash.
+    """
+    worker = scene.add_worker(1)
+    worker.unstable_until = NOW + 30.0
+    job = scene.add_job("j", create_step())
+    start(scene)
+    worker.answered_at = NOW + 0.03
+    worker.crash_risk_since, worker.crash_risk_until = NOW + 0.2, NOW + 20.0
+    assert not crash(scene, worker, NOW + 0.45).attributed
+    assert get_task(job).crashes == CrashTally(1, 1)
+
+
+def test_run_without_an_answer_is_not_counted_as_immediate(scene: Scene):
+    """Guards against counting a crash in full for a task that may not have begun."""
+    worker = scene.add_worker(1)
+    job = scene.add_job("j", create_step(count=2))
+    confirmed, ordered = start(scene)
+    ordered.confirmed_at, ordered.ordered_at = 0.0, NOW
+    assert crash(scene, worker, NOW + 0.01).attributed
+    assert confirmed.task.crashes.immediate == 1
+    assert ordered.task.crashes.immediate == 0
+    assert job.outcome is None
+
+
+def test_silent_outage_of_a_zone_at_risk_is_not_attributed(scene: Scene):
+    """Guards against failing jobs for an outage that calls notice one by one."""
+    workers = [scene.add_worker(number, cpu=2_000) for number in range(6)]
+    for number, worker in enumerate(workers):
+        worker.crash_risk_until = NOW + 20.0
+        scene.add_job(f"j{number}", create_step())
+    start(scene)
+    for worker in workers:
+        worker.answered_at = NOW
+    ends = [crash(scene, w, NOW + 0.4 + 0.1 * i, 0.0) for i, w in enumerate(workers)]
+    assert [end.attributed for end in ends[4:]] == [False, False]
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -328,6 +328,8 @@
 
     A crash before then is not attributed to a task.
     """
+    crash_risk_since: Seconds = 0.0
+    """When its starts began to be staggered; 0 if they were from its beginning."""
     crash_risk_until: Seconds = 0.0
     """Time until which starts in its pool are staggered, after a crash there."""
     kept_free_at: Seconds = 0.0
