--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -29,10 +29,6 @@
     log_start_unanswered,
 )
 from medlarspring_daemon.scheduling.unacknowledged_ends import UnacknowledgedEnds
-from medlarspring_systems.scheduling.isolation import (
-    PROBATION_SECONDS,
-    needs_probation_poll,
-)
 from medlarspring_systems.scheduling.late_orders import (
     pop_late_orders,
     record_unanswered_order,
@@ -44,6 +40,10 @@
 )
 from medlarspring_systems.scheduling.listings import apply_listing
 from medlarspring_systems.scheduling.placement import find_ticket
+from medlarspring_systems.scheduling.probation import (
+    PROBATION_SECONDS,
+    needs_probation_poll,
+)
 from medlarspring_systems.scheduling.quarantine import record_acceptance, record_refusal
 from medlarspring_systems.scheduling.runs import confirm_run, detach_run
 from medlarspring_systems.scheduling.workers import (
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -11,7 +11,6 @@
 
 from medlarspring_systems.scheduling.isolation import (
     IsolationBudget,
-    SiblingGate,
     can_be_kept_free,
     count_most_crashes,
     find_isolated_run,
@@ -31,6 +30,7 @@
     is_schedulable,
     list_schedulable_workers,
 )
+from medlarspring_systems.scheduling.probation import SiblingGate
 from medlarspring_systems.scheduling.quotas import fits_quota
 from medlarspring_systems.scheduling.runs import (
     allocate_resources,
--- a/packages/systems/tests/scheduling/test_isolation.py
+++ b/packages/systems/tests/scheduling/test_isolation.py
@@ -7,10 +7,7 @@
 import pytest
 
 from medlarspring_systems.scheduling.crashes import MAX_CRASHES
-from medlarspring_systems.scheduling.isolation import (
-    PROBATION_SECONDS,
-    find_isolated_run,
-)
+from medlarspring_systems.scheduling.isolation import find_isolated_run
 from medlarspring_systems.scheduling.repair import plan_repairs
 from medlarspring_systems.scheduling.waiting import WaitCause, find_wait_cause
 from medlarspring_tables import PoolId
@@ -19,7 +16,7 @@
 from .conftest import create_step, get_task, start
 
 if TYPE_CHECKING:
-    from medlarspring_tables.scheduling import ActiveJob, Worker
+    from medlarspring_tables.scheduling import ActiveJob
 
     from .conftest import Scene
 
@@ -239,38 +236,6 @@
     assert [each for each in runs if each.worker is run.worker] == [run]
 
 
-def answer(worker: Worker, now: float) -> None:
-    worker.answered_at = now
-
-
-def test_starts_of_two_jobs_are_staggered_on_a_worker_at_risk(scene: Scene):
-    """Guards against suspecting several jobs for a crash that one of them caused."""
-    worker = scene.add_worker(1)
-    worker.crash_risk_until = NOW + 20.0
-    first, second = (
-        scene.add_job(name, create_step(count=2, cpu_millis=3_000)) for name in "ab"
-    )
-    assert {run.task.step.job for run in start(scene)} == {first}
-    answer(worker, NOW + 0.5 * PROBATION_SECONDS)
-    assert start(scene, NOW + 2 * PROBATION_SECONDS) == []
-    answer(worker, NOW + PROBATION_SECONDS)
-    runs = start(scene, NOW + 2 * PROBATION_SECONDS)
-    assert {run.task.step.job for run in runs} == {second}
-
-
-def test_suspected_tasks_of_a_job_start_one_after_the_other(scene: Scene):
-    """Guards against crashing several workers at once by the tasks of one job."""
-    workers = [scene.add_worker(number) for number in range(3)]
-    job = add_suspect_job(scene, count=3)
-    for task in job.occurrences_by_index[0][0].tasks:
-        task.crashes = CrashTally(1, 1, 1)
-    assert len(start(scene)) == 1
-    assert start(scene, NOW + 0.5) == []
-    for worker in workers:
-        answer(worker, NOW + 0.6)
-    assert len(start(scene, NOW + 0.7)) == 1
-
-
 def test_suspected_task_does_not_return_to_a_vm_that_crashed_under_it(scene: Scene):
     """Guards against failing a sound job on a VM that keeps crashing."""
     first, other = scene.add_worker(1), scene.add_worker(2)
@@ -281,15 +246,6 @@
     assert run.worker is other
 
 
-def test_small_jobs_start_together_on_a_worker_at_risk(scene: Scene):
-    """Guards against small jobs that wait for each other beside an idle worker."""
-    worker = scene.add_worker(1)
-    worker.crash_risk_until = NOW + 20.0
-    for number in range(8):
-        scene.add_job(f"j{number}", create_step(cpu_millis=500))
-    assert len(start(scene)) == 4
-
-
 def test_task_with_its_last_chance_finds_a_worker_on_unstable_vms(scene: Scene):
     """
     Guards against starving a task that must be isolated: sound starts on the only VM,
@@ -306,34 +262,6 @@
         start(scene, now)
 
 
-def test_suspected_tasks_do_not_wait_for_a_sibling_on_a_silent_worker(scene: Scene):
-    """Guards against tasks that wait until the lease of another one has ended."""
-    silent = scene.add_worker(1)
-    job = add_suspect_job(scene, count=2)
-    for task in job.occurrences_by_index[0][0].tasks:
-        task.crashes = CrashTally(1, 1, 1)
-    assert len(start(scene)) == 1
-    silent.unanswered_since = NOW + 0.5
-    scene.add_worker(2)
-    assert len(start(scene, NOW + 0.6)) == 1
-
-
-def test_wide_step_starts_soon_after_one_of_its_tasks_was_suspected(scene: Scene):
-    """Guards against starting the tasks of a wide step one by one to its end."""
-    workers = [scene.add_worker(number) for number in range(8)]
-    job = scene.add_job("j", create_step(count=40))
-    get_task(job).crashes = CrashTally(1, 1, 1)
-    job.suspected = True
-    starts = []
-    for tick in range(6):
-        now = NOW + 2 * PROBATION_SECONDS * tick
-        for worker in workers:
-            answer(worker, now)
-        starts.append(len(start(scene, now)))
-    assert starts[:2] == [1, 2]
-    assert sum(starts) == 40
-
-
 def test_gang_that_waits_for_long_limits_isolations(scene: Scene):
     """Guards against suspected tasks that always hold a worker which a gang needs."""
     for number in range(4):
