Drop what is left to send on connections to the VM control only

As the change of the connections was new for watches too, it was limited to the calls that need it, those to the VM control.

--- a/packages/adapters/src/medlarspring_adapters/http_channel.py
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -55,6 +55,9 @@
     A middlebox may drop its connection state: existing connections stay open but
     pass no data, while new ones work. All pooled connections are then dead at once
     and each would cost one timeout, so the first timeout retires them all.
+
+    With ``drops_unsent``, what is left to send when a connection is closed is dropped.
+    It is for calls that must not be carried out after they have timed out.
     """
 
     def __init__(
@@ -63,8 +66,10 @@
         max_connections: int = 0,
         *,
         allows_reuse_only: bool = False,
+        drops_unsent: bool = False,
     ) -> None:
         self.address = address
+        self._socket_factory = _create_dropping_socket if drops_unsent else None
         self._max_connections = max_connections
         self._trace_configs = [_create_reuse_guard()] if allows_reuse_only else None
         self._session: aiohttp.ClientSession | None = None
@@ -136,7 +141,7 @@
                 connector=aiohttp.TCPConnector(
                     limit=self._max_connections,
                     keepalive_timeout=KEEPALIVE_SECONDS,
-                    socket_factory=_create_socket,
+                    socket_factory=self._socket_factory,
                 ),
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
                 headers={"Content-Type": "application/json"},
@@ -156,7 +161,7 @@
         task.add_done_callback(self._retired.discard)
 
 
-def _create_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+def _create_dropping_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     """Return a socket that is reset when it is closed, with all unsent data discarded.
 
     Otherwise the kernel goes on sending after the close. A call that timed out during
--- a/packages/adapters/tests/test_http_channel.py
+++ b/packages/adapters/tests/test_http_channel.py
@@ -56,7 +56,7 @@
         listener.bind(("127.0.0.1", 0))
         server = await asyncio.start_server(serve, sock=listener, limit=1_024)
         host, port = listener.getsockname()
-        channel = HttpChannel(f"{host}:{port}")
+        channel = HttpChannel(f"{host}:{port}", drops_unsent=True)
         body = b"x" * 400_000
         with pytest.raises(Unanswered):
             await channel.call("POST", "/", 0.2, body=body)
--- a/packages/platform/src/medlarspring_platform/machines.py
+++ b/packages/platform/src/medlarspring_platform/machines.py
@@ -82,7 +82,9 @@
     """Implements ``VMLifecycle`` over the platform's HTTP interface."""
 
     def __init__(self, address: str) -> None:
-        self._channel = HttpChannel(address)
+        # The next controller may operate on a VM as soon as an operation of this one
+        # can no longer be under way.
+        self._channel = HttpChannel(address, drops_unsent=True)
         self.calls = 0
 
     async def close(self) -> None:
