--- a/packages/systems/src/medlarspring_systems/scheduling/backlog.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/backlog.py
@@ -8,6 +8,7 @@
 from medlarspring_systems.scheduling.isolation import (
     find_isolated_run,
     measure_unstable_time,
+    measure_waiting_time,
 )
 from medlarspring_systems.scheduling.placement import list_schedulable_workers
 from medlarspring_systems.scheduling.waiting import find_wait_cause, is_kept_free
@@ -93,17 +94,13 @@
 def _find_longest(
     tables: WorkTables, tasks: Iterable[Task], now: Seconds
 ) -> LongWait | None:
-    task = min(tasks, key=_get_waiting_since, default=None)
+    task = max(tasks, key=lambda each: measure_waiting_time(each, now), default=None)
     if task is None:
         return None
-    waited = now - _get_waiting_since(task)
+    waited = measure_waiting_time(task, now)
     if waited < LONG_WAIT_SECONDS:
         return None
     return LongWait(task, waited, find_wait_cause(tables, task, now))
 
 
-def _get_waiting_since(task: Task) -> Seconds:
-    return max(task.waiting_since, task.step.ready_at)
-
-
 __all__ = ["Backlog", "LongWait", "describe_backlog"]
--- a/packages/systems/src/medlarspring_systems/scheduling/isolation.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/isolation.py
@@ -76,7 +76,7 @@
 def _has_waited_for_long(step: StepRun, now: Seconds) -> bool:
     """Return whether a task of a step has waited too long beside isolated workers."""
     return any(
-        _measure_waiting_time(task, now) > LONG_WAIT_SECONDS for task in step.waiting
+        measure_waiting_time(task, now) > LONG_WAIT_SECONDS for task in step.waiting
     )
 
 
@@ -119,7 +119,7 @@
     """Return whether a task still waits for a stable VM without other suspects."""
     if not _needs_attributable_crash(task):
         return False
-    return _measure_waiting_time(task, now) <= STABLE_VM_WAIT_SECONDS
+    return measure_waiting_time(task, now) <= STABLE_VM_WAIT_SECONDS
 
 
 def _would_crash_be_attributable(worker: Worker, job: ActiveJob, now: Seconds) -> bool:
@@ -206,10 +206,11 @@
     longest = ISOLATION_WAIT_SECONDS
     if task.crashes.suspected > 1 or _needs_attributable_crash(task):
         longest = STABLE_VM_WAIT_SECONDS
-    return _measure_waiting_time(task, now) > longest
+    return measure_waiting_time(task, now) > longest
 
 
-def _measure_waiting_time(task: Task, now: Seconds) -> Seconds:
+def measure_waiting_time(task: Task, now: Seconds) -> Seconds:
+    """Return how long a task has waited for a start since it was ready."""
     return now - max(task.waiting_since, task.step.ready_at)
 
 
@@ -221,6 +222,7 @@
     "has_suspected_task",
     "may_skip_isolation",
     "measure_unstable_time",
+    "measure_waiting_time",
     "preserves_isolation",
     "rate_for_isolation",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -15,6 +15,7 @@
     count_most_crashes,
     find_isolated_run,
     may_skip_isolation,
+    measure_waiting_time,
     rate_for_isolation,
 )
 from medlarspring_systems.scheduling.ordering import (
@@ -232,7 +233,7 @@
     """
     if not step.spec.same_rack:
         return False
-    if now - max(task.waiting_since, step.ready_at) < SAME_RACK_WAIT_SECONDS:
+    if measure_waiting_time(task, now) < SAME_RACK_WAIT_SECONDS:
         return False
     free = sum(worker.cpu_free for worker in workers)
     return free >= IDLE_CPU_FRACTION * sum(
@@ -244,7 +245,7 @@
     step: StepRun, task: Task, workers: list[Worker], now: Seconds
 ) -> None:
     """Reserve the worker with the most free CPU: steps of lower rank can't use it."""
-    if now - max(task.waiting_since, step.ready_at) < RESERVE_AFTER_SECONDS:
+    if measure_waiting_time(task, now) < RESERVE_AFTER_SECONDS:
         return
     if rank_step(step, now)[0] > TIER_ON_TIME:
         return
