Wait for leases that a former controller may have extended after it lost its key

After a takeover, tasks on a worker that the next controller can't reach are started elsewhere once the longest lease has passed since the runs were restored. A former controller whose key is gone while it can't reach the store does not know that: it acts for up to 1.15 s after its last renewal, and extends leases on workers that it still reaches. Tasks then ran beside their former run for up to 0.6 s.

The lease is counted from the last moment at which a former controller can have acted: 1.15 s after this one got the key, as no renewal can be younger than that.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -91,7 +91,9 @@
         self._running = False
         self._overload_detector = OverloadDetector()
         assert operator_records.config is not None
-        self.tables = WorkTables(config=operator_records.config)
+        self.tables = WorkTables(
+            operator_records.config, predecessors_until=term.predecessors_until
+        )
         self._rounds = RoundTimer(self.tables, self._run_round)
         self._vm_manager = VMManager(node, term, operator_records, self)
         self._liveness_monitor = WorkerLivenessMonitor(node, self)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -39,6 +39,8 @@
 """Allows four attempts per lease; a renewal costs a tenth of a read."""
 LEASE_MARGIN_SECONDS = 0.25
 """The holder stops acting this long before its lease can expire, by its own clock."""
+VALID_SECONDS = LEASE_SECONDS - LEASE_MARGIN_SECONDS
+"""How long the holder acts after a renewal that the store confirmed."""
 MAX_JITTER_SECONDS = 0.06
 """Random delay that lets most candidates see the winner's key before they try."""
 TICK_SECONDS = 0.1
@@ -92,6 +94,16 @@
         """Return whether this process may still act for the cell, by its own clock."""
         return not self.superseded and self._node.clock.now() < self.valid_until
 
+    @property
+    def predecessors_until(self) -> Seconds:
+        """Local time after which no earlier holder of the cell acts for it.
+
+        An earlier holder may have renewed its lease right before it lost its key. If
+        it can't reach the store it does not know of the loss, and acts until its own
+        validity ends.
+        """
+        return self.began_at + VALID_SECONDS
+
     def expect(self) -> Expect:
         """Return the condition for every write to the cell's records."""
         return Expect(self.keys.controller, Revision(self.fence))
@@ -209,7 +221,7 @@
         if not is_successful(granted):
             return
         term = Term(self._node, self._cell_id, granted.unwrap())
-        term.valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN_SECONDS
+        term.valid_until = sent_at + VALID_SECONDS
         if not await self._write_key(term):
             return
         term.began_at = self._node.clock.now()
@@ -273,8 +285,7 @@
             await self._release(term, graceful=True)
             return
         remaining = term.valid_until - self._node.clock.now()
-        full_validity = LEASE_SECONDS - LEASE_MARGIN_SECONDS
-        if remaining > full_validity - RENEW_SECONDS:
+        if remaining > VALID_SECONDS - RENEW_SECONDS:
             return
         sent_at = self._node.clock.now()
         renewed = await self._node.store.keep_lease(term.lease_id)
@@ -286,7 +297,7 @@
             return
         if not term.is_active() and not await self._still_has_key(term):
             return
-        term.valid_until = max(term.valid_until, sent_at + full_validity)
+        term.valid_until = max(term.valid_until, sent_at + VALID_SECONDS)
 
     def _should_step_down(self) -> bool:
         """Return whether an entry VM with more cores should take over the cell."""
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_liveness.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_liveness.py
@@ -92,7 +92,8 @@
                 self._report_lost(lost, "lease expired")
 
     def _has_expired(self, worker: Worker, now: Seconds) -> bool:
-        if have_recorded_runs_lapsed(worker, self._node.limits.worker_lease, now):
+        longest = self._node.limits.worker_lease
+        if have_recorded_runs_lapsed(self._owner.tables, worker, longest, now):
             return True
         return bool(worker.unanswered_since) and is_lease_over(worker, now)
 
--- a/packages/daemon/tests/scheduling/test_takeover.py
+++ b/packages/daemon/tests/scheduling/test_takeover.py
@@ -6,6 +6,8 @@
 import json
 from typing import TYPE_CHECKING
 
+import pytest
+
 from medlarspring_bench.key_value_ops import PutOp, RangeOp, RangeReply
 from medlarspring_bench.platform_world.fault_state import StoreMode
 
@@ -17,16 +19,23 @@
 
 SEED = 5
 LEASE_SECONDS = 2.0
+LONGEST_WORKER_LEASE_SECONDS = 10.0
 
 
-def cut_off_worker_and_kill_controller(world: World) -> None:
-    """Disconnect a worker with tasks from all entry VMs, and kill the controller."""
+def cut_off_busy_worker(world: World, besides: str = "") -> None:
+    """Disconnect a worker with tasks from all entry VMs, or all but one."""
     busy = next(
         worker.vm_id for worker in world.fleet.workers_by_id.values() if worker.runs
     )
+    nodes = [name for name in world.nodes_by_name if name != besides]
+    world.fault_state.cut_links |= {(name, busy) for name in nodes}
+
+
+def cut_off_worker_and_kill_controller(world: World) -> None:
+    """Disconnect a worker with tasks from all entry VMs, and kill the controller."""
     controller = world.find_controller()
     assert controller is not None
-    world.fault_state.cut_links |= {(name, busy) for name in world.nodes_by_name}
+    cut_off_busy_worker(world)
     world.kill_node(controller)
 
 
@@ -157,6 +166,34 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize("phase", [0.0, 0.1, 0.2, 0.3])
+def test_tasks_wait_for_leases_that_a_former_controller_still_extends(phase: float):
+    """
+    Guards against a second run beside the first one after a controller lost its key.
+
+    It can't reach the store, so it acts until its own validity ends, and extends the
+    lease on a worker that only it reaches. The next controller has restored the run
+    by then.
+    """
+
+    async def scenario(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_long_running()
+        assert await customers.submit("archive", job_id, spec)
+        await asyncio.sleep(2.0 + phase)
+        former = world.find_controller()
+        assert former is not None
+        cut_off_busy_worker(world, besides=former)
+        world.fault_state.store_modes_by_node[former] = StoreMode.SILENT
+        world.revoke_controller()
+        await asyncio.sleep(2.0)
+        cut_off_busy_worker(world)
+        await asyncio.sleep(LONGEST_WORKER_LEASE_SECONDS + 3.0)
+        (task_id, *_) = world.history.runs_by_task
+        assert len(world.history.runs_by_task[task_id]) > 1
+
+    run_scenario(scenario, SEED)
+
+
 def test_controller_cut_off_from_the_store_starts_no_more_tasks():
     """
     The store refuses the controller's calls, and another process gets the key. Both
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -286,19 +286,20 @@
 
 
 def have_recorded_runs_lapsed(
-    worker: Worker, longest_lease: Seconds, now: Seconds
+    tables: WorkTables, worker: Worker, longest_lease: Seconds, now: Seconds
 ) -> bool:
     """Return whether all runs of a worker known only from records have lapsed.
 
     If a worker has not answered since a takeover, or its entry is missing or
     unreadable, its clock is not known and its VM may still run. Without this check
-    its tasks would wait forever. Their leases have not been extended since the
-    takeover, and none is longer than ``longest_lease``.
+    its tasks would wait forever. No lease is longer than ``longest_lease``, and none
+    was extended after the last moment at which an earlier controller acted.
     """
     if worker.clock_at or not worker.runs:
         return False
     restored_at = max(run.ordered_at for run in worker.runs.values())
-    return (now - restored_at) * (1 - CLOCK_ERROR) > longest_lease
+    extended_until = max(restored_at, tables.predecessors_until)
+    return (now - extended_until) * (1 - CLOCK_ERROR) > longest_lease
 
 
 def has_unknown_runs(worker: Worker) -> bool:
--- a/packages/systems/tests/scheduling/test_workers.py
+++ b/packages/systems/tests/scheduling/test_workers.py
@@ -15,6 +15,7 @@
     apply_vm_list,
     begin_incarnation,
     end_incarnation,
+    have_recorded_runs_lapsed,
     is_lease_over,
     is_other_incarnation,
     is_overcommitted,
@@ -234,6 +235,25 @@
     assert is_lease_over(worker, NOW + 1.5 + LONGEST_LEASE)
 
 
+@pytest.mark.parametrize(
+    ("predecessors_until", "after", "lapsed"),
+    [
+        (NOW - 5.0, 10.1, False),
+        (NOW - 5.0, 10.3, True),
+        (NOW + 1.0, 11.1, False),
+        (NOW + 1.0, 11.3, True),
+    ],
+)
+def test_recorded_runs_lapse_one_lease_after_the_last_possible_extension(
+    scene: Scene, predecessors_until: float, after: float, lapsed: bool
+):
+    worker, _ = start_runs(scene, RunState.UNKNOWN)
+    worker.clock_at = 0.0
+    scene.tables.predecessors_until = predecessors_until
+    found = have_recorded_runs_lapsed(scene.tables, worker, LONGEST_LEASE, NOW + after)
+    assert found is lapsed
+
+
 @pytest.mark.parametrize(
     ("known_ms", "reported_ms", "is_other"),
     [
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -378,6 +378,8 @@
     """All state on which the controller of a cell bases its decisions."""
 
     config: OperatorConfig
+    predecessors_until: Seconds = 0.0
+    """Local time after which no earlier controller of the cell extends a lease."""
     jobs_by_id: dict[JobId, ActiveJob] = field(default_factory=dict)
     workers_by_id: dict[WorkerId, Worker] = field(default_factory=dict)
     workers_by_pool: dict[PoolId, dict[WorkerId, Worker]] = field(default_factory=dict)
