End the other runs of a task that turns out to be done

A run is given up when its worker's lease has expired, and its task starts again. If the run had ended as done meanwhile, the worker lists that end when it is reachable again, and the task counts as done.

Runs that are not ordered yet are dropped now, the others are stopped, as for copies.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -40,11 +40,14 @@
     forget_job,
     open_due_occurrences,
 )
-from medlarspring_systems.scheduling.listings import list_changed_jobs
+from medlarspring_systems.scheduling.listings import (
+    list_changed_jobs,
+    list_ended_tasks,
+)
 from medlarspring_systems.scheduling.quotas import apply_quotas
 from medlarspring_systems.scheduling.repair import plan_repairs
 from medlarspring_systems.scheduling.rounds import plan_round
-from medlarspring_systems.scheduling.runs import detach_run
+from medlarspring_systems.scheduling.runs import detach_run, drop_needless_runs
 from medlarspring_systems.scheduling.workers import begin_incarnation, is_overcommitted
 from medlarspring_tables.scheduling import (
     RunState,
@@ -268,8 +271,7 @@
             job = self.tables.jobs_by_id.get(job_id)
             if job is not None:
                 self._record_job(job)
-        for run, _ in outcome.ended:
-            self._stop_other_copies(run)
+        self._end_needless_runs(outcome)
         self._stop_runs_of_ended_jobs(worker)
         # Where starts are staggered, a listing may end the probation of runs.
         if (
@@ -388,11 +390,12 @@
             if job.outcome is not None and not run.stopping:
                 self.stop_run(run, f"job {job.outcome.value}")
 
-    def _stop_other_copies(self, ended: Run) -> None:
-        if not ended.task.done:
-            return
-        for run in list(ended.task.runs):
-            self.stop_run(run, "another copy finished")
+    def _end_needless_runs(self, outcome: ListingOutcome) -> None:
+        """Stop or drop the runs that tasks still have although they are done."""
+        now = self._node.clock.now()
+        for task in list_ended_tasks(self.tables, outcome):
+            for run in drop_needless_runs(self.tables, task, now):
+                self.stop_run(run, "its task is done")
 
     # Periodic work
 
--- /dev/null
+++ b/packages/daemon/tests/scheduling/test_given_up_runs.py
@@ -0,0 +1,52 @@
+"""Runs that were given up after their lease expired, and what ends them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from medlarspring_tables.scheduling import RunEnd
+
+from .scenarios import run_scenario, wait_for_end
+
+if TYPE_CHECKING:
+    from medlarspring_bench.platform_world.customers import Customers
+    from medlarspring_bench.platform_world.history import RunHistory
+    from medlarspring_bench.platform_world.world import World
+
+SEED = 5
+TASK_SECONDS = 4.0
+UNTIL_EXTENDED_SECONDS = 1.0
+"""A started run holds a full lease by then."""
+POLL_SECONDS = 0.01
+
+
+async def wait_for_start(world: World, task_id: str, number: int) -> RunHistory:
+    """Wait until a run of a task has started."""
+    while True:
+        for run in world.history.runs_by_task.get(task_id, ()):
+            if run.number == number:
+                return run
+        await asyncio.sleep(POLL_SECONDS)
+
+
+def test_second_run_is_stopped_when_the_first_one_turns_out_to_be_done():
+    """Guards against a task that runs on after a run that was given up completed it."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_batch()
+        for facts in world.facts_by_task.values():
+            facts.seconds = TASK_SECONDS
+        assert await customers.submit("lookup", job_id, spec)
+        task_id = f"{job_id}.0.0.0"
+        first = await wait_for_start(world, task_id, 1)
+        await asyncio.sleep(UNTIL_EXTENDED_SECONDS)
+        vm_id = world.fleet.workers_by_id[first.worker_id].vm_id
+        world.fault_state.cut_links |= {(name, vm_id) for name in world.nodes_by_name}
+        second = await wait_for_start(world, task_id, 2)
+        world.fault_state.cut_links.clear()
+        await wait_for_end(customers, [job_id])
+        assert first.end is RunEnd.DONE
+        assert second.end is RunEnd.STOPPED
+
+    run_scenario(scenario, SEED)
--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -240,6 +240,13 @@
     return TaskBelief.RUNS_ELSEWHERE if task.runs else TaskBelief.WAITING
 
 
+def list_ended_tasks(tables: WorkTables, outcome: ListingOutcome) -> list[Task]:
+    """Return the tasks of which the listing had ends, if their jobs are open."""
+    tasks = [run.task for run, _ in outcome.ended]
+    found = [find_task(tables, end.row.task_id) for end in outcome.unknown_ends]
+    return tasks + [task for task in found if task is not None]
+
+
 def list_changed_jobs(outcome: ListingOutcome) -> list[JobId]:
     """Return the jobs whose records must be updated after the listing, each once."""
     runs = [run for run, _ in outcome.ended] + outcome.lost + outcome.adopted
@@ -256,4 +263,5 @@
     "find_belief",
     "find_task",
     "list_changed_jobs",
+    "list_ended_tasks",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/runs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -166,6 +166,20 @@
         fail_job(step.job, f"task {task.id} failed {task.failures} times")
 
 
+def drop_needless_runs(tables: WorkTables, task: Task, now: Seconds) -> list[Run]:
+    """Detach the runs of a done task that are not ordered; return those to stop.
+
+    A task has other runs when it is done if it was copied, or if a run that was given
+    up turns out to have succeeded.
+    """
+    if not task.done:
+        return []
+    for run in list(task.runs):
+        if run.state is RunState.INTENDED:
+            detach_run(tables, run, now)
+    return list(task.runs)
+
+
 def is_serving(run: Run) -> bool:
     """Return whether a run of a long-running task serves, as its worker reports."""
     return run.state is RunState.RUNNING and run.percent >= SERVING_PERCENT
@@ -183,6 +197,7 @@
     "confirm_run",
     "count_failures",
     "detach_run",
+    "drop_needless_runs",
     "end_run",
     "intend_run",
     "is_serving",
--- a/packages/systems/tests/scheduling/test_listings.py
+++ b/packages/systems/tests/scheduling/test_listings.py
@@ -14,6 +14,7 @@
 from medlarspring_systems.scheduling.runs import (
     confirm_run,
     detach_run,
+    drop_needless_runs,
     record_task_or_gang_done,
 )
 from medlarspring_tables import PoolId
@@ -155,6 +156,33 @@
     assert apply(scene, run, [], [row]).unknown_ends == [UnknownEnd(row, belief)]
 
 
+@pytest.mark.parametrize(
+    ("state", "is_to_stop"),
+    [
+        (RunState.INTENDED, False),
+        (RunState.ORDERED, True),
+        (RunState.UNKNOWN, True),
+        (RunState.RUNNING, True),
+    ],
+)
+def test_run_of_a_done_task_is_stopped_or_never_ordered(
+    scene: Scene, state: RunState, is_to_stop: bool
+):
+    """Guards against the start of a task whose run was given up but had succeeded."""
+    scene.add_worker(1)
+    scene.add_job("j", create_step(count=2))
+    given_up, _ = plan_round(scene.tables, POOL, NOW)
+    task = given_up.task
+    detach_run(scene.tables, given_up, NOW)
+    (again,) = plan_round(scene.tables, POOL, NOW + 0.05)
+    again.state = state
+    running = [RunningRow(task.id, 2, "", 5)] if state is RunState.RUNNING else []
+    apply(scene, given_up, running, [EndedRow(1, task.id, 1, RunEnd.DONE, "")])
+    needless = drop_needless_runs(scene.tables, task, NOW + 0.2)
+    assert needless == ([again] if is_to_stop else [])
+    assert task.runs == needless
+
+
 def test_listing_updates_progress_and_checkpoint(scene: Scene):
     run = start_run(scene)
     apply(scene, run, [RunningRow(run.task.id, 1, "saved", 40, 1_900)], [])
