Do not start a job over whose progress could not be read

A controller passes over a job with an unreadable progress record, as its finished tasks would run again. When the store drops its history the inbox is read anew, by then without the progress records, and the job was taken for one that had not started: its tasks ran a second time.

Such jobs are remembered for the term.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -53,6 +53,8 @@
         self._owner = owner
         self._progress_by_id = progress_by_id
         """Progress recorded by earlier controllers, kept until its job is loaded."""
+        self._withheld_ids: set[JobId] = set()
+        """Jobs that are not loaded because their progress can't be read."""
         self.loaded = asyncio.Event()
 
     def apply_listing(self, listing: Listing) -> None:
@@ -86,6 +88,8 @@
         tables = self._owner.tables
         if job_id in tables.jobs_by_id or job_id in tables.ended_job_ids:
             return
+        if job_id in self._withheld_ids:
+            return
         record = self._node.unreadable.decode(entry, JobRecord)
         if record is None or record.outcome is not None or record.spec is None:
             return
@@ -97,6 +101,7 @@
         progress = self._read_progress(progress_entry, record.spec)
         if progress_entry is not None and progress is None:
             # Started without its progress, the job would run finished tasks again.
+            self._withheld_ids.add(job_id)
             return
         arrived_at = self._find_arrival_time(record)
         job = admit_job(tables, job_id, record, entry.mod_revision, arrived_at)
--- a/packages/daemon/tests/scheduling/test_foreign_records.py
+++ b/packages/daemon/tests/scheduling/test_foreign_records.py
@@ -146,6 +146,32 @@
     run_scenario(scenario, SEED, checked=False)
 
 
+def test_job_whose_progress_is_unreadable_does_not_start_over():
+    """
+    Guards against tasks that run again after they were done. A controller passes over
+    a job whose progress it can't read, and reads all jobs again when the store drops
+    its history.
+    """
+
+    async def scenario(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_long_running()
+        assert await customers.submit("archive", job_id, spec)
+        await asyncio.sleep(0.5)
+        put(world, f"progress/0/{job_id}", b"not a record")
+        await replace_controller(world)
+        started = len(world.history.runs)
+        world.forget_history()
+        await complete_jobs(customers)
+        again = [
+            run
+            for run in world.history.runs[started:]
+            if run.task_id.startswith(job_id)
+        ]
+        assert again == []
+
+    run_scenario(scenario, SEED)
+
+
 def test_unreadable_record_is_logged_once():
     """
     A worker rewrites its entry every 1.5 s. An unreadable entry must be logged once,
