Bound leases and late orders that a controller did not give itself

A worker that answers one call of a new controller and is silent from then on had no bound on its lease: what the former controller granted is not known here, and the first call grants nothing. Its tasks waited until the VM list told of its end. After a restart under the same id the bound was counted on the clock of the former incarnation; on the next one's clock it was over at once, or never. The bound is set at the first answer now, on the clock of that answer: the longest lease, since no other controller can extend it afterwards.

Orders of a former controller that were never confirmed count as late orders of their worker's id, too, so that its next incarnation is told to refuse them.

The tests of the clock and of the late orders failed before.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -48,6 +48,7 @@
 from medlarspring_systems.scheduling.quarantine import record_acceptance, record_refusal
 from medlarspring_systems.scheduling.runs import confirm_run, detach_run
 from medlarspring_systems.scheduling.workers import (
+    bound_unknown_lease,
     is_ended_incarnation,
     is_other_incarnation,
     record_clock,
@@ -415,14 +416,8 @@
             requested_at,
             now,
         )
-        first_answer = not worker.reconciled
-        worker.reconciled = True
-        if first_answer:
-            self._refuse_late_orders(now)
-        if first_answer and worker.runs:
-            # The first call could not extend the lease, because the worker's clock
-            # was not known yet.
-            self._poll_requested = True
+        if not worker.reconciled:
+            self._handle_first_answer(now)
         for number, job in outcome.ends:
             self._ends.add(number, job)
         for run in outcome.confirmed:
@@ -431,6 +426,16 @@
         self._send_due_stops(outcome)
         self._owner.handle_listing(worker, outcome)
 
+    def _handle_first_answer(self, now: Seconds) -> None:
+        """Handle the first answer of the worker's incarnation in this term."""
+        self._worker.reconciled = True
+        bound_unknown_lease(self._worker, self._node.limits.worker_lease)
+        self._refuse_late_orders(now)
+        if self._worker.runs:
+            # The first call could not extend the lease, because the worker's clock
+            # was not known yet.
+            self._poll_requested = True
+
     def _refuse_late_orders(self, now: Seconds) -> None:
         """Stop start orders that an earlier incarnation left unanswered.
 
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.crash_timing import find_crash_risk_end
+from medlarspring_systems.scheduling.late_orders import record_unanswered_order
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_tables import PoolId, RackId, VMId
 from medlarspring_tables.scheduling import (
@@ -250,6 +251,11 @@
     tables.ended_incarnations.add((worker.id, worker.born_ms))
     lost = list(worker.runs.values())
     for run in lost:
+        if run.state is RunState.UNKNOWN:
+            # Also an earlier controller's order may still reach the next incarnation.
+            record_unanswered_order(
+                tables, worker.id, run.task.id, run.number, run.ordered_at
+            )
         detach_run(tables, run, now)
     remove_worker(tables, worker)
     return lost
@@ -269,6 +275,16 @@
     worker.clock_at = received_at
 
 
+def bound_unknown_lease(worker: Worker, longest_lease: Seconds) -> None:
+    """Record the latest end of the leases on a worker that has answered just now.
+
+    Called at the first answer of an incarnation in a term. An earlier controller, or
+    an order meant for the former incarnation, may have extended the lease until then;
+    from then on only this controller extends it.
+    """
+    worker.lease_ms = round(worker.clock_ms + longest_lease * 1_000)
+
+
 def read_clock(worker: Worker, now: Seconds) -> float:
     """Return the estimated time of the worker's clock, in ms."""
     return worker.clock_ms + (now - worker.clock_at) * 1_000.0
@@ -311,6 +327,7 @@
     "apply_entry",
     "apply_vm_list",
     "begin_incarnation",
+    "bound_unknown_lease",
     "end_incarnation",
     "find_or_create_worker",
     "has_unknown_runs",
--- a/packages/systems/tests/scheduling/test_workers.py
+++ b/packages/systems/tests/scheduling/test_workers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from medlarspring_systems.scheduling.late_orders import pop_late_orders
 from medlarspring_systems.scheduling.listings import apply_listing
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import confirm_run
@@ -14,6 +15,7 @@
     apply_entry,
     apply_vm_list,
     begin_incarnation,
+    bound_unknown_lease,
     end_incarnation,
     have_recorded_runs_lapsed,
     is_lease_over,
@@ -235,6 +237,43 @@
     assert is_lease_over(worker, NOW + 1.5 + LONGEST_LEASE)
 
 
+@pytest.mark.parametrize("clock_ms", [700, 9_000_000])
+def test_lease_of_the_next_incarnation_is_counted_on_its_own_clock(
+    scene: Scene, clock_ms: int
+):
+    """Guards against leases that seem over at once, or never, on another clock."""
+    worker, _ = start_runs(scene, RunState.ORDERED)
+    begin_incarnation(scene.tables, worker, NEXT_MS, LONGEST_LEASE, NOW + 1.0)
+    record_clock(worker, clock_ms, NOW + 2.0)
+    bound_unknown_lease(worker, LONGEST_LEASE)
+    assert not is_lease_over(worker, NOW + 2.0 + LONGEST_LEASE)
+    assert is_lease_over(worker, NOW + 2.5 + LONGEST_LEASE)
+
+
+def test_worker_that_answered_one_call_of_a_new_controller_lapses(scene: Scene):
+    """Guards against tasks that wait forever for a worker that fell silent again."""
+    worker, _ = start_runs(scene, RunState.UNKNOWN)
+    worker.lease_ms = 0
+    bound_unknown_lease(worker, LONGEST_LEASE)
+    assert not is_lease_over(worker, NOW + LONGEST_LEASE)
+    assert is_lease_over(worker, NOW + 0.5 + LONGEST_LEASE)
+
+
+@pytest.mark.parametrize(
+    ("state", "late_orders"),
+    [(RunState.UNKNOWN, [("j.0.0.0", 1)]), (RunState.RUNNING, [])],
+)
+def test_next_incarnation_refuses_orders_that_were_never_confirmed(
+    scene: Scene, state: RunState, late_orders: list[tuple[str, int]]
+):
+    """Guards against a late order of an earlier controller that starts a task twice."""
+    worker, _ = start_runs(scene, state)
+    end_incarnation(scene.tables, worker, NOW + 1.0)
+    following = apply_entry(scene.tables, replace(ENTRY, born_ms=NEXT_MS), NOW + 2.0)
+    assert following is not None
+    assert pop_late_orders(scene.tables, following, NOW + 3.0) == late_orders
+
+
 @pytest.mark.parametrize(
     ("predecessors_until", "after", "lapsed"),
     [
