Give a worker's answer more time after unanswered calls

A controller whose answers arrive late, because its own link is narrow or busy, timed out on each hold call (0.35 s beyond its wait), while the workers answered. It took them for silent, did not extend their leases, gave their runs up and started tasks again that had ended as done and been listed.

The margin doubles with each unanswered call in a row, up to 1.4 s.

--- a/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
@@ -46,6 +46,8 @@
     """Fraction of worker orders that get no reply and are applied later."""
     lost_answers: float = 0.0
     """Fraction of worker orders that are applied immediately but get no reply."""
+    answer_seconds_by_node: dict[str, Seconds] = field(default_factory=dict)
+    """Additional time until answers to holds reach a node over its own link."""
     resets_connections: bool = False
     """Whether a worker that ends resets its connections instead of falling silent."""
     cut_links: set[tuple[str, str]] = field(default_factory=set)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -68,6 +68,10 @@
 """An order that is unanswered for this long is treated as lost; most take 4 ms."""
 HOLD_TIMEOUT_MARGIN_SECONDS = 0.35
 """Added to the wait time of a hold call for its timeout."""
+MAX_TIMEOUT_DOUBLINGS = 2
+"""How often the margin is doubled while hold calls go unanswered. An answer that is
+late because this process or its link is slow would otherwise be missed each time, and
+the worker's tasks would run again although it has listed their ends."""
 RETRY_SECONDS = 0.15
 """Pause after an unanswered hold call, and before a refused task is placed again."""
 STOP_REPEAT_SECONDS = 0.35
@@ -99,6 +103,8 @@
         self._hold_in_flight = False
         self._side_poll_in_flight = False
         self._probation_poll_due = False
+        self._unanswered_holds = 0
+        """Hold calls without an answer since the last one with an answer."""
 
     def uses_address(self, address: str) -> bool:
         """Return whether calls go to this address."""
@@ -345,18 +351,24 @@
             wait_ms=wait_ms,
             is_concurrent=is_concurrent,
         )
-        timeout = wait_ms / 1_000.0 + HOLD_TIMEOUT_MARGIN_SECONDS
+        timeout = wait_ms / 1_000.0 + self._get_timeout_margin()
         answer = await self._node.orders.hold(self._address, order, timeout)
         now = self._node.clock.now()
         if not is_successful(answer):
+            self._unanswered_holds += 1
             self._record_unanswered(now)
             await asyncio.sleep(RETRY_SECONDS)
             return
+        self._unanswered_holds = 0
         self._handle_hold_answer(answer.unwrap(), requested_at, now)
         ends.drop(answer.unwrap().acknowledged)
         if self._ends and not self._poll_requested:
             await self._wait_for_record()
 
+    def _get_timeout_margin(self) -> Seconds:
+        doublings = min(self._unanswered_holds, MAX_TIMEOUT_DOUBLINGS)
+        return HOLD_TIMEOUT_MARGIN_SECONDS * 2.0**doublings
+
     def _get_current_ends(self) -> UnacknowledgedEnds:
         """Return the ends of the current incarnation; discard those of a former one."""
         if self._ends.life_ms != self._worker.born_ms:
--- a/packages/daemon/tests/scheduling/test_given_up_runs.py
+++ b/packages/daemon/tests/scheduling/test_given_up_runs.py
@@ -5,9 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
+
 from medlarspring_tables.scheduling import RunEnd
 
-from .scenarios import run_scenario, wait_for_end
+from .scenarios import run_scenario, submit, wait_for_end
 
 if TYPE_CHECKING:
     from medlarspring_bench.platform_world.customers import Customers
@@ -30,6 +32,25 @@
         await asyncio.sleep(POLL_SECONDS)
 
 
+@pytest.mark.parametrize("late_seconds", [0.2, 0.5, 1.0])
+def test_tasks_run_once_while_answers_reach_the_controller_late(late_seconds: float):
+    """Guards against workers that are given up because of the controller's own link."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        controller = world.find_controller()
+        assert controller is not None
+        world.fault_state.answer_seconds_by_node[controller] = late_seconds
+        jobs = await submit(customers, 4)
+        await wait_for_end(customers, jobs)
+        assert world.find_controller() == controller
+        for task_id, runs in world.history.runs_by_task.items():
+            step = world.history.find_step(task_id)
+            assert step is not None
+            assert step.speculative or len(runs) == 1
+
+    run_scenario(scenario, SEED)
+
+
 def test_second_run_is_stopped_when_the_first_one_turns_out_to_be_done():
     """Guards against a task that runs on after a run that was given up completed it."""
 
