Receive large configurations over narrow links

Cause: a watch call had 1.2 s for its whole response, waiting included. A version of 1,450 routes is a response of 370 kB, 0.6 s on such a link. Changes that came late in the wait did not fit, and the next call returned two versions, 740 kB, of which 704 kB arrived before the timeout. Each further version made the response larger (1.48 MB), so no later call could succeed until the store dropped its history 20 s later. The listing that follows was held to 0.15 s at first, and failed as well.

Fix: reads of the store fail if their body stops arriving for 0.4 s, not if it takes long. A watch response beyond 256 KiB is not received; the prefix is listed instead, which returns each key once, so the time to catch up depends on the size of the configuration and not on the number of changes. Large responses no longer count towards the mean response time, from which the timeouts of writes follow.

--- a/packages/adapters/src/medlarspring_adapters/http_channel.py
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -41,6 +41,10 @@
     """No answer came; the request may have been carried out or may be later."""
 
 
+class AnswerTooLarge(Exception):
+    """The answer is larger than the caller accepts; the rest of it was not read."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """A complete HTTP response."""
@@ -49,6 +53,16 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class BodyLimits:
+    """Limits on the reception of a response's body, in place of the call's timeout."""
+
+    silence_seconds: Seconds
+    """Longest time without data; a body may take any time while it arrives."""
+    max_bytes: int | None = None
+    """Largest body that is accepted; None for no limit."""
+
+
 class HttpChannel:
     """Connections to one address.
 
@@ -84,16 +98,20 @@
         headers: Mapping[str, str] | None = None,
         *,
         reuse_only: bool = False,
+        body_limits: BodyLimits | None = None,
     ) -> HttpAnswer:
         """Make one call; raises ``NotSent`` or ``Unanswered``.
 
+        With ``body_limits``, the timeout applies to the response's headers only, and
+        the call may also raise ``AnswerTooLarge``.
+
         With ``reuse_only``, where the channel allows it, the call is made only over a
         connection that has carried an answer before; without one it raises
         ``NoOpenConnection``.
         """
         session = self._open_session()
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with asyncio.timeout(timeout_seconds) as timeout:
                 async with session.request(
                     method,
                     f"http://{self.address}{path}",
@@ -101,7 +119,11 @@
                     headers=headers,
                     trace_request_ctx=reuse_only,
                 ) as reply:
-                    return HttpAnswer(reply.status, await reply.read())
+                    if body_limits is None:
+                        received = await reply.read()
+                    else:
+                        received = await _receive(reply, timeout, body_limits)
+                    return HttpAnswer(reply.status, received)
         except aiohttp.ClientConnectorError as error:
             raise NotSent(f"{self.address}: {error.strerror or error}") from error
         except aiohttp.ConnectionTimeoutError as error:
@@ -161,6 +183,25 @@
         task.add_done_callback(self._retired.discard)
 
 
+async def _receive(
+    reply: aiohttp.ClientResponse, timeout: asyncio.Timeout, limits: BodyLimits
+) -> bytes:
+    """Read a body; the connection is closed if the body is not read to its end."""
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    announced = reply.content_length or 0
+    while True:
+        if limits.max_bytes is not None:
+            size = max(announced, len(received))
+            if size > limits.max_bytes:
+                raise AnswerTooLarge(f"{size} bytes")
+        timeout.reschedule(loop.time() + limits.silence_seconds)
+        part = await reply.content.readany()
+        if not part:
+            return bytes(received)
+        received += part
+
+
 def _create_dropping_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     """Return a socket that is reset when it is closed, with all unsent data discarded.
 
@@ -195,4 +236,12 @@
         await session.close()
 
 
-__all__ = ["HttpAnswer", "HttpChannel", "NoOpenConnection", "NotSent", "Unanswered"]
+__all__ = [
+    "AnswerTooLarge",
+    "BodyLimits",
+    "HttpAnswer",
+    "HttpChannel",
+    "NoOpenConnection",
+    "NotSent",
+    "Unanswered",
+]
--- a/packages/adapters/tests/test_http_channel.py
+++ b/packages/adapters/tests/test_http_channel.py
@@ -4,11 +4,17 @@
 
 import asyncio
 import socket
+from contextlib import asynccontextmanager
 
 import pytest
 from aiohttp import web
 
-from medlarspring_adapters.http_channel import HttpChannel, Unanswered
+from medlarspring_adapters.http_channel import (
+    AnswerTooLarge,
+    BodyLimits,
+    HttpChannel,
+    Unanswered,
+)
 
 
 async def test_closing_leaves_no_connection_open():
@@ -65,3 +71,71 @@
         await asyncio.wait_for(is_over.wait(), 5.0)
         server.close()
     assert sum(map(len, received)) < len(body)
+
+
+@asynccontextmanager
+async def serve_body(parts: int, pause_seconds: float, length: int):
+    """Serve one response per connection, in parts of 1,000 bytes with pauses."""
+    is_closed = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode()
+            )
+            for _ in range(parts):
+                writer.write(b"x" * 1_000)
+                await writer.drain()
+                await asyncio.sleep(pause_seconds)
+            await reader.read()
+        except ConnectionError:
+            pass
+        finally:
+            is_closed.set()
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    channel = HttpChannel(f"{host}:{port}")
+    yield channel, is_closed
+    await channel.close()
+    server.close()
+
+
+async def test_body_may_take_longer_than_the_timeout_while_it_arrives():
+    """
+    Guards against a large body that is never received on a narrow link, because each
+    call is given up before its end.
+    """
+    async with serve_body(10, 0.05, 10_000) as (channel, _):
+        limits = BodyLimits(silence_seconds=0.3)
+        answer = await channel.call("GET", "/", 0.2, body_limits=limits)
+    assert answer.body == b"x" * 10_000
+
+
+async def test_body_that_stops_arriving_is_unanswered():
+    async with serve_body(5, 0.0, 10_000) as (channel, _):
+        limits = BodyLimits(silence_seconds=0.2)
+        with pytest.raises(Unanswered):
+            async with asyncio.timeout(1.0):
+                await channel.call("GET", "/", 5.0, body_limits=limits)
+
+
+async def test_body_that_is_too_large_is_not_received():
+    """
+    Guards against a body that nobody reads but that still takes up the link: the
+    connection is closed at once.
+    """
+    async with serve_body(1, 0.0, 10_000) as (channel, is_closed):
+        limits = BodyLimits(silence_seconds=5.0, max_bytes=9_999)
+        with pytest.raises(AnswerTooLarge):
+            await channel.call("GET", "/", 1.0, body_limits=limits)
+        await asyncio.wait_for(is_closed.wait(), 1.0)
+
+
+async def test_body_within_the_limit_is_received():
+    async with serve_body(10, 0.0, 10_000) as (channel, _):
+        limits = BodyLimits(silence_seconds=1.0, max_bytes=10_000)
+        answer = await channel.call("GET", "/", 1.0, body_limits=limits)
+    assert len(answer.body) == 10_000
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -12,7 +12,13 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
+from medlarspring_adapters.http_channel import (
+    AnswerTooLarge,
+    BodyLimits,
+    HttpChannel,
+    NotSent,
+    Unanswered,
+)
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import (
     Committed,
@@ -52,6 +58,21 @@
 MAX_WATCH_RETRY_SECONDS = 0.2
 """With 0.4 s, and a wait in the first watch call that succeeded, most entry VMs refused
 callers for 0.9 s more after an outage of 2.6 s."""
+BODY_SILENCE_SECONDS = 0.4
+"""A response fails if its body stops arriving for this long.
+
+A configuration of 1,400 routes takes 0.6 s to arrive on a link of 5 Mbit/s, so that
+the time of a whole response can't tell a narrow link from a connection that no longer
+passes data.
+"""
+MAX_WATCH_BYTES = 262_144
+"""Largest response of a watch call that is received; beyond it the prefix is listed.
+
+A watch returns every version of a key, a listing only the newest. On a narrow link,
+large versions that follow each other quickly would arrive long after they were written.
+"""
+MAX_TIMED_BYTES = 65_536
+"""Responses beyond this size don't count towards the mean response time."""
 MIN_TIMEOUT_SECONDS = 0.15
 MAX_TIMEOUT_SECONDS = 1.2
 TIMEOUT_FACTOR = 5.0
@@ -148,10 +169,11 @@
         usual = max(TIMEOUT_FACTOR * self._mean, MIN_TIMEOUT_SECONDS)
         return min(usual * 2.0**self._timeouts, MAX_TIMEOUT_SECONDS)
 
-    def record_answer(self, seconds: Seconds) -> None:
-        """Update the mean with a response time and reset the backoff."""
+    def record_answer(self, seconds: Seconds, size: int) -> None:
+        """Reset the backoff, and update the mean unless the body was large."""
         self._timeouts = 0
-        self._mean += 0.2 * (seconds - self._mean)
+        if size <= MAX_TIMED_BYTES:
+            self._mean += 0.2 * (seconds - self._mean)
 
     def record_timeout(self) -> None:
         """Double the timeout of the next calls, up to three times."""
@@ -284,8 +306,9 @@
     async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
         """Yield changes from revision ``start`` on.
 
-        Ends when the store no longer has the history. Broken and unresponsive
-        connections are replaced without ending the iteration.
+        Ends when the store no longer has the history, or when a listing of the prefix
+        is likely to be smaller than the changes. Broken and unresponsive connections
+        are replaced without ending the iteration.
         """
         after = start - 1
         failures = 0
@@ -297,7 +320,10 @@
                 f"{wire.WATCH_PATH}?prefix={quote(prefix, safe='')}&after={after}"
                 f"&waitMs={round(wait * 1_000)}"
             )
-            answer = await self._watch_once(path)
+            try:
+                answer = await self._watch_once(path)
+            except AnswerTooLarge:
+                return
             if not is_successful(answer):
                 failures += 1
                 pause = min(WATCH_RETRY_SECONDS * failures, MAX_WATCH_RETRY_SECONDS)
@@ -319,8 +345,9 @@
     async def _watch_once(self, path: str) -> Result[HttpAnswer, StoreError]:
         self._metrics.count(Metric.STORE_CALLS)
         timeout = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
+        limits = BodyLimits(BODY_SILENCE_SECONDS, MAX_WATCH_BYTES)
         try:
-            reply = await self._watches.call("GET", path, timeout)
+            reply = await self._watches.call("GET", path, timeout, body_limits=limits)
         except NotSent as error:
             return Failure(StoreUnavailable(str(error)))
         except Unanswered as error:
@@ -339,7 +366,11 @@
         sent_at = self._clock.now()
         try:
             reply = await self._channel.call(
-                method, path, self._adaptive_timeout.timeout(), body
+                method,
+                path,
+                self._adaptive_timeout.timeout(),
+                body,
+                body_limits=BodyLimits(BODY_SILENCE_SECONDS),
             )
         except NotSent as error:
             return self._fail(StoreUnavailable(str(error)))
@@ -352,7 +383,7 @@
             return self._fail(StoreUnavailable(f"HTTP status {reply.status}"))
         now = self._clock.now()
         self._metrics.timing(Metric.STORE_CALL_MS, (now - sent_at) * 1_000)
-        self._adaptive_timeout.record_answer(now - sent_at)
+        self._adaptive_timeout.record_answer(now - sent_at, len(reply.body))
         self.answered_at = now
         self.failing_since = None
         return Success(reply)
