Count the store as reachable while a response arrives

On narrow links small calls time out behind a large response. The store counted as lost until the whole response had arrived, and callers were refused meanwhile.

Each part of a successful response now ends the failure.

--- a/packages/adapters/src/medlarspring_adapters/http_channel.py
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
     from types import SimpleNamespace
 
     from medlarspring_tables import Seconds
@@ -61,6 +61,8 @@
     """Longest time without data; a body may take any time while it arrives."""
     max_bytes: int | None = None
     """Largest body that is accepted; None for no limit."""
+    on_data: Callable[[], None] | None = None
+    """Called when the headers of a successful response and each part of it arrive."""
 
 
 class HttpChannel:
@@ -191,6 +193,8 @@
     received = bytearray()
     announced = reply.content_length or 0
     while True:
+        if limits.on_data is not None and reply.ok:
+            limits.on_data()
         if limits.max_bytes is not None:
             size = max(announced, len(received))
             if size > limits.max_bytes:
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -65,7 +65,7 @@
 the time of a whole response can't tell a narrow link from a connection that no longer
 passes data.
 """
-MAX_WATCH_BYTES = 262_144
+MAX_WATCH_BYTES = 524_288
 """Largest response of a watch call that is received; beyond it the prefix is listed.
 
 A watch returns every version of a key, a listing only the newest. On a narrow link,
@@ -345,7 +345,7 @@
     async def _watch_once(self, path: str) -> Result[HttpAnswer, StoreError]:
         self._metrics.count(Metric.STORE_CALLS)
         timeout = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
-        limits = BodyLimits(BODY_SILENCE_SECONDS, MAX_WATCH_BYTES)
+        limits = BodyLimits(BODY_SILENCE_SECONDS, MAX_WATCH_BYTES, self._record_data)
         try:
             reply = await self._watches.call("GET", path, timeout, body_limits=limits)
         except NotSent as error:
@@ -370,7 +370,7 @@
                 path,
                 self._adaptive_timeout.timeout(),
                 body,
-                body_limits=BodyLimits(BODY_SILENCE_SECONDS),
+                body_limits=BodyLimits(BODY_SILENCE_SECONDS, on_data=self._record_data),
             )
         except NotSent as error:
             return self._fail(StoreUnavailable(str(error)))
@@ -388,6 +388,11 @@
         self.failing_since = None
         return Success(reply)
 
+    def _record_data(self) -> None:
+        # Calls may time out behind a large response that takes up a narrow link. The
+        # store is not lost meanwhile.
+        self.failing_since = None
+
     def _fail(self, error: StoreError) -> Result[HttpAnswer, StoreError]:
         self._metrics.count(Metric.STORE_CALLS_FAILED)
         if self.failing_since is None:
--- a/packages/platform/tests/adapter/test_store_on_slow_link.py
+++ b/packages/platform/tests/adapter/test_store_on_slow_link.py
@@ -212,6 +212,22 @@
         assert store._adaptive_timeout.timeout() == usual
 
 
+async def test_store_is_not_lost_while_a_large_value_arrives(platform: Platform):
+    """
+    A small call times out behind a large value on its way. If the store counted as
+    lost until the whole value has arrived, callers would be refused meanwhile.
+    """
+    write_config(platform, 1)
+    async with open_slow_store(platform) as store:
+        reading = asyncio.ensure_future(store.read_prefix("op/"))
+        await asyncio.sleep(0.2)
+        store.failing_since = 1.0
+        await asyncio.sleep(0.1)
+        assert not reading.done()
+        assert store.failing_since is None
+        assert is_successful(await reading)
+
+
 async def test_response_that_stops_midway_is_a_failure(platform: Platform):
     """The connection falls silent while a large value is on its way."""
     write_config(platform, 1)
