Do not renew leases at a worker of the product that answers nothing

A renewal whose answer was lost took effect, and another one followed every 5 s, while the worker's tasks were placed elsewhere 35 s after its last answer: the first attempt then ran on for up to 30 s beside the second. After an unanswered call reports are asked for without renewals until one is answered.

--- a/packages/bench/src/medlarspring_bench/worker_tasks.py
+++ b/packages/bench/src/medlarspring_bench/worker_tasks.py
@@ -194,6 +194,8 @@
     def __init__(self, workers_by_address: dict[str, WorkerTasks]) -> None:
         self.workers_by_address = workers_by_address
         self.unreachable: set[str] = set()
+        self.renewal_answers_lost: set[str] = set()
+        """Addresses at which renewals take effect without an answer."""
 
     async def start(self, address: str, order: TaskOrder) -> Result[None, WorkerError]:
         """Start an attempt."""
@@ -221,7 +223,10 @@
         self, address: str, request: RenewalRequest
     ) -> Result[RenewalReply, WorkerError]:
         """Renew leases and read all reports."""
-        return self._find(address).map(lambda worker: worker.renew(request))
+        reply = self._find(address).map(lambda worker: worker.renew(request))
+        if address in self.renewal_answers_lost:
+            return Failure(WorkerError(address, "no answer in time"))
+        return reply
 
     def _find(self, address: str) -> Result[WorkerTasks, WorkerError]:
         if address in self.unreachable or address not in self.workers_by_address:
--- a/packages/daemon/src/medlarspring_daemon/jobs/workers.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/workers.py
@@ -44,6 +44,8 @@
     renewed_at: Seconds
     """When its tasks' leases were last renewed, or the latest possible time."""
     due_at: Seconds = 0.0
+    answers: bool = True
+    """Whether the last call was answered."""
     forget: set[Renewal] = field(default_factory=set)
 
 
@@ -139,13 +141,19 @@
     ) -> WorkerAnswer:
         sent_at = self._clock.now()
         link.due_at = sent_at + RENEW_SECONDS
+        # A renewal whose answer is lost takes effect all the same. Sent repeatedly, it
+        # would let tasks outlive the time after which they are placed elsewhere.
+        renewals = tuple(self._list_renewals(job_ids)) if link.answers else ()
         request = RenewalRequest(
             lease_seconds=TASK_LEASE_SECONDS,
-            renewals=tuple(self._list_renewals(job_ids)),
+            renewals=renewals,
             forget=tuple(link.forget),
         )
         reply = await self._workers.renew(link.address, request)
-        if is_successful(reply):
+        if is_successful(reply) and not link.answers:
+            link.due_at = sent_at
+        link.answers = is_successful(reply)
+        if link.answers:
             link.renewed_at = self._clock.now()
             link.forget.difference_update(request.forget)
         return WorkerAnswer(link, job_ids, reply)
--- a/packages/daemon/tests/test_job_controller.py
+++ b/packages/daemon/tests/test_job_controller.py
@@ -165,6 +165,20 @@
     assert read_job(pool, "job").attempts_made == 1
 
 
+async def test_job_does_not_run_twice_while_answers_of_its_worker_are_lost():
+    """Guards against renewals that reach a worker which counts as unresponsive."""
+    pool = FakePool(seed=1, workers=2)
+    await submit(pool, "job")
+    await run_rounds(pool)
+    placed = read_job(pool, "job").attempt
+    assert placed is not None
+    pool.control.renewal_answers_lost.add(placed.vm_id)
+    (task,) = pool.workers_by_id[placed.vm_id].tasks_by_id.values()
+    while read_job(pool, "job").attempts_made == 1:
+        await run_rounds(pool, 1)
+    assert task.lease_until <= pool.clock.now()
+
+
 async def test_urgent_job_starts_within_two_seconds_on_a_full_pool():
     """
     An urgent job arrives while every worker is full of jobs that can checkpoint.
