Do not take a list of VMs that was cut off for complete

A VM that is missing from the list counts as removed, and its worker's tasks start elsewhere. After 100 pages the rest of the list was left out without an error. Found by review; the test failed before.

--- a/packages/platform/src/medlarspring_platform/machines.py
+++ b/packages/platform/src/medlarspring_platform/machines.py
@@ -109,8 +109,10 @@
             machines += [_to_vm(machine) for machine in page.machines]
             token = page.next_token
             if not token:
-                break
-        return Success(tuple(machines))
+                return Success(tuple(machines))
+        # A VM that is missing from a list counts as removed.
+        detail = f"more than {MAX_PAGES} pages"
+        return Failure(VMControlUnresponsive(detail, may_follow=False))
 
     async def move(
         self, vm_id: VMId, pool_id: PoolId, authority: Authority
--- a/packages/platform/tests/adapter/test_fleet.py
+++ b/packages/platform/tests/adapter/test_fleet.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from unittest.mock import AsyncMock
 
 import pytest
 
+from medlarspring_adapters.http_channel import HttpAnswer
 from medlarspring_adapters.vm_lifecycle import Authority, VMRefusal
 from medlarspring_adapters.worker_orders import (
     HoldOrder,
@@ -172,6 +174,17 @@
     assert [vm.phase for vm in listed] == [VMPhase.MOVING, VMPhase.MAINTENANCE]
 
 
+async def test_list_of_vms_without_an_end_is_not_taken_for_complete(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against VMs that count as removed because they are on a later page."""
+    page = HttpAnswer(200, b'{"machines": [], "nextToken": "next"}')
+    channel = platform.machines._channel
+    monkeypatch.setattr(channel, "call", AsyncMock(return_value=page))
+    listed = await platform.machines.list_vms()
+    assert "pages" in listed.failure().message()
+
+
 @pytest.mark.parametrize(
     ("vm", "wave", "refusal"),
     [
