--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -345,7 +345,7 @@
         is_unavailable = (
             run.worker.gone or run.worker.draining or is_overcommitted(run.worker)
         )
-        if link is None or is_unavailable:
+        if link is None or is_unavailable or run.task.done:
             detach_run(self.tables, run, self._node.clock.now())
             self.handle_detached_run(run.worker, run)
             return
