Count leases by the first answer to a hold call, not by the first clock

A stop that a worker answered made its clock known. If it answered nothing else, neither rule for the end of its lease applied, and its tasks waited for the VM list; extensions might be sent on the clock of a former incarnation, and the bound set at the first answer could be lower than what was ordered. Until the first answer to a hold call no extension is sent, and leases count as those of a former controller. Found by review, read and shown by unit tests that failed before.

--- a/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
@@ -51,9 +51,10 @@
 
     No extension is requested from an unresponsive worker. It might receive the
     extension although its answer is lost, and this controller could then never tell
-    that the worker's runs have expired.
+    that the worker's runs have expired. Before the first answer to a hold call, the
+    clock may be that of a former incarnation.
     """
-    if not worker.clock_at or worker.unanswered_since:
+    if not worker.reconciled or not worker.clock_at or worker.unanswered_since:
         return 0
     length = max_lease - LEASE_MARGIN_SECONDS
     return _record_lease_end(worker, round(read_clock(worker, now) + length * 1_000))
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -306,15 +306,15 @@
 ) -> bool:
     """Return whether all runs of a worker known only from records have lapsed.
 
-    If a worker has not answered since a takeover, or its entry is missing or
-    unreadable, its clock is not known and its VM may still run. Without this check
+    If a worker has not answered a hold call since a takeover, or its entry is missing
+    or unreadable, its lease is not known and its VM may still run. Without this check
     its tasks would wait forever. No lease is longer than ``longest_lease``, and none
     was extended after the last moment at which an earlier controller acted.
     """
-    if worker.clock_at or not worker.runs:
+    if worker.reconciled or not worker.runs:
         return False
     restored_at = max(run.ordered_at for run in worker.runs.values())
-    extended_until = max(restored_at, tables.predecessors_until)
+    extended_until = max(restored_at, worker.first_seen_at, tables.predecessors_until)
     return (now - extended_until) * (1 - CLOCK_ERROR) > longest_lease
 
 
--- a/packages/systems/tests/scheduling/test_lease_plan.py
+++ b/packages/systems/tests/scheduling/test_lease_plan.py
@@ -89,6 +89,15 @@
     assert worker.lease_ms == CLOCK_MS + 9_500
 
 
+def test_worker_that_answered_no_hold_call_gets_no_lease_extension(scene: Scene):
+    """Guards against leases on the clock of a former incarnation."""
+    worker = scene.add_worker(1)
+    record_clock(worker, CLOCK_MS, NOW)
+    worker.reconciled = False
+    assert plan_lease_end(worker, MAX_LEASE_SECONDS, NOW) == 0
+    assert worker.lease_ms == 0
+
+
 def test_unresponsive_worker_gets_no_lease_extension(scene: Scene):
     """
     A worker keeps running but its answers are lost. If it received an extension, its
--- a/packages/systems/tests/scheduling/test_workers.py
+++ b/packages/systems/tests/scheduling/test_workers.py
@@ -237,6 +237,16 @@
     assert is_lease_over(worker, NOW + 1.5 + LONGEST_LEASE)
 
 
+def test_runs_lapse_on_a_worker_that_answered_nothing_but_a_stop(scene: Scene):
+    """Guards against tasks that wait forever because only the clock is known."""
+    worker, _ = start_runs(scene, RunState.UNKNOWN)
+    worker.reconciled = False
+    worker.lease_ms = 0
+    record_clock(worker, 5_000, NOW + 0.1)
+    later = NOW + 0.5 + LONGEST_LEASE
+    assert have_recorded_runs_lapsed(scene.tables, worker, LONGEST_LEASE, later)
+
+
 @pytest.mark.parametrize("clock_ms", [700, 9_000_000])
 def test_lease_of_the_next_incarnation_is_counted_on_its_own_clock(
     scene: Scene, clock_ms: int
@@ -287,7 +297,7 @@
     scene: Scene, predecessors_until: float, after: float, lapsed: bool
 ):
     worker, _ = start_runs(scene, RunState.UNKNOWN)
-    worker.clock_at = 0.0
+    worker.reconciled = False
     scene.tables.predecessors_until = predecessors_until
     found = have_recorded_runs_lapsed(scene.tables, worker, LONGEST_LEASE, NOW + after)
     assert found is lapsed
