--- a/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
@@ -13,7 +13,7 @@
 from medlarspring_bench.key_value_ops import DeleteOp, PutOp
 from medlarspring_bench.platform_world.history import RunHistory, VMOperationRecord
 from medlarspring_bench.platform_world.virtual_time import spawn_detached
-from medlarspring_bench.platform_world.worker_model import WorkerModel
+from medlarspring_bench.platform_world.worker_model import HOLD_MAX_MS, WorkerModel
 from medlarspring_tables import PoolId, RackId, VMId, ZoneId
 from medlarspring_tables.scheduling import Resources, VMEntry, VMPhase, WorkerId
 
@@ -82,6 +82,7 @@
         find_facts: Callable[[str], TaskFacts | None],
         find_address: Callable[[VMId], str] | None = None,
         unenforced_pools: frozenset[PoolId] = frozenset(),
+        worker_lease: Seconds = HOLD_MAX_MS / 1_000.0,
     ) -> None:
         self._state = state
         self._find_address = find_address or invent_address
@@ -90,6 +91,7 @@
         self._history = history
         self._standby_pools = standby_pools
         self._unenforced_pools = unenforced_pools
+        self._worker_lease = worker_lease
         self._registered_resources: dict[
             tuple[WorkerId, Milliseconds], list[tuple[Seconds, Resources]]
         ]
@@ -287,6 +289,7 @@
             clock_offset=self._rng.uniform(100.0, 9_000.0),
             clock_rate=self._rng.uniform(0.981, 1.0),
             born_at=self._clock.now(),
+            hold_max_ms=round(self._worker_lease * 1_000),
         )
         vm.worker = worker
         self.workers_by_id[worker.id] = worker
--- a/packages/bench/src/medlarspring_bench/platform_world/plans.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/plans.py
@@ -15,6 +15,7 @@
 
     from medlarspring_bench.key_value_state import KeyValueState
     from medlarspring_bench.platform_world.fleet_model import FleetModel
+    from medlarspring_tables import Seconds
 
 STANDBY_POOL = "spare"
 HOST = "jobs.example"
@@ -46,6 +47,8 @@
     resources: Resources = Resources(16_000, 32_768, 0)
     unenforced_pools: tuple[str, ...] = ()
     """Pools whose workers start every task, even without enough resources."""
+    worker_lease: Seconds = 10.0
+    """Longest lease that a worker grants."""
     resets_connections: bool = False
     """Whether a worker that ends resets its open connections, or just falls silent."""
     queues: tuple[QueuePlan, ...] = (
--- a/packages/bench/src/medlarspring_bench/platform_world/worker_model.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/worker_model.py
@@ -90,6 +90,8 @@
     slowness: float = 1.0
     fence: int = 0
     lease_ms: int = 0
+    hold_max_ms: Milliseconds = HOLD_MAX_MS
+    """Length to which it shortens longer leases."""
     runs: dict[tuple[str, int], WorkerRun] = field(default_factory=dict)
     ended: list[EndedRow] = field(default_factory=list)
     next_end: int = 1
@@ -212,7 +214,7 @@
             self.on_acknowledge(self, self.acknowledged)
 
     def _extend(self, until_ms: int, clock_ms: int) -> None:
-        capped = min(until_ms, clock_ms + HOLD_MAX_MS)
+        capped = min(until_ms, clock_ms + self.hold_max_ms)
         self.lease_ms = max(self.lease_ms, capped)
 
     def sum_resources_with(self, spec: StepSpec) -> Resources:
@@ -231,4 +233,4 @@
         )
 
 
-__all__ = ["TaskFacts", "WorkerBehavior", "WorkerModel", "WorkerRun"]
+__all__ = ["HOLD_MAX_MS", "TaskFacts", "WorkerBehavior", "WorkerModel", "WorkerRun"]
--- a/packages/bench/src/medlarspring_bench/platform_world/world.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/world.py
@@ -83,6 +83,7 @@
             {PoolId(STANDBY_POOL)},
             self.facts_by_task.get,
             unenforced_pools=frozenset(map(PoolId, plan.unenforced_pools)),
+            worker_lease=plan.worker_lease,
         )
         self.nodes_by_name: dict[str, Node] = {}
         self.logs: list[tuple[str, io.StringIO]] = []
@@ -226,7 +227,7 @@
             codec=PlatformCodec(),
             orders=SimulatedOrders(self.fleet, *parts),
             lifecycle=SimulatedLifecycle(self.fleet, *parts),
-            limits=FleetLimits(),
+            limits=FleetLimits(worker_lease=self.plan.worker_lease),
             adviser=adviser,
         )
 
