--- a/packages/bench/src/medlarspring_bench/platform_world/calls.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/calls.py
@@ -38,7 +38,6 @@
 LINK_SECONDS = 0.0015
 VM_CONTROL_SECONDS = 0.01
 VM_CONTROL = "vm-control"
-LATE_SECONDS = (2.0, 12.0)
 POLL_SECONDS = 0.02
 Answer = TypeVar("Answer", OrderAnswer, HoldAnswer)
 T = TypeVar("T")
@@ -110,7 +109,12 @@
         if connected is not None and connected is not model:
             reset = WorkerUnresponsive(worker.id, "connection reset", may_follow=True)
             return Failure(reset)
+        if self._is_hit_by(self._fault_state.lost_holds):
+            spawn_detached(self._apply_hold_late(model, order), self._late)
+            return await self._time_out(worker, timeout_seconds)
         answer = model.hold(order, self._clock.now())
+        if self._is_hit_by(self._fault_state.lost_hold_answers):
+            return await self._time_out(worker, timeout_seconds)
         until = self._clock.now() + order.wait_ms / 1_000.0
         while answer.refusal is None and not answer.ended:
             if self._clock.now() >= until or not model.alive:
@@ -144,20 +148,29 @@
             spawn_detached(self._apply_late(model, apply), self._late)
             return await self._time_out(worker, timeout_seconds)
         answer = apply(model, self._clock.now())
-        lost = self._fault_state.lost_answers
-        if lost and self._fault_state.rng.random() < lost:
+        if self._is_hit_by(self._fault_state.lost_answers):
             return await self._time_out(worker, timeout_seconds)
         await asyncio.sleep(LINK_SECONDS)
         await self._wait_until_runnable()
         return Success(answer)
 
+    async def _apply_hold_late(self, model: WorkerModel, order: HoldOrder) -> None:
+        """Apply a hold call seconds later, unless the worker incarnation has ended."""
+        seconds = self._fault_state.late_order_seconds
+        await asyncio.sleep(self._fault_state.rng.uniform(*seconds))
+        if model.alive:
+            model.hold(order, self._clock.now())
+
     async def _apply_late(
         self,
         model: WorkerModel,
         apply: Callable[[WorkerModel, Seconds], OrderAnswer],
     ) -> None:
-        """Apply an order seconds later, unless the worker incarnation has ended."""
-        await asyncio.sleep(self._fault_state.rng.uniform(*LATE_SECONDS))
+        """Apply an order seconds later; it names only the worker's id."""
+        seconds = self._fault_state.late_order_seconds
+        await asyncio.sleep(self._fault_state.rng.uniform(*seconds))
+        if self._fault_state.late_orders_outlive_workers:
+            model = self._fleet.workers_by_id.get(model.id, model)
         if model.alive:
             apply(model, self._clock.now())
 
@@ -175,6 +188,10 @@
             WorkerUnresponsive(worker.id, "no answer in time", may_follow=True)
         )
 
+    def _is_hit_by(self, fraction: float) -> bool:
+        # Draws only while the fault is active, as the days of all seeds depend on it.
+        return fraction > 0 and self._fault_state.rng.random() < fraction
+
     def _has_reset_connections(self, worker: WorkerAddress) -> bool:
         model = self._fleet.workers_by_id.get(worker.id)
         if not self._fault_state.resets_connections or model is None or model.alive:
--- a/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
@@ -15,6 +15,7 @@
 
 LATE_SECONDS = (0.5, 4.0)
 """Range of the delay after which a write without a reply is applied late."""
+LATE_ORDER_SECONDS = (2.0, 12.0)
 
 
 class StoreMode(Enum):
@@ -46,6 +47,16 @@
     """Fraction of worker orders that get no reply and are applied later."""
     lost_answers: float = 0.0
     """Fraction of worker orders that are applied immediately but get no reply."""
+    late_order_seconds: tuple[Seconds, Seconds] = LATE_ORDER_SECONDS
+    """Range of the delay after which lost orders and hold calls are applied."""
+    late_orders_outlive_workers: bool = False
+    """Whether a worker that restarts under its id gets orders meant for the former."""
+    lost_holds: float = 0.0
+    """Fraction of hold calls that get no reply and are applied later."""
+    lost_hold_answers: float = 0.0
+    """Fraction of hold calls that are applied immediately but get no reply."""
+    stalled_watches: set[str] = field(default_factory=set)
+    """Nodes whose watches deliver nothing, while the store answers other calls."""
     resets_connections: bool = False
     """Whether a worker that ends resets its connections instead of falling silent."""
     cut_links: set[tuple[str, str]] = field(default_factory=set)
@@ -60,6 +71,20 @@
             return self.store_mode
         return self.store_modes_by_node.get(node_id, StoreMode.WELL)
 
+    def clear(self) -> None:
+        """End all faults of links, the store and orders, and thaw all processes."""
+        self.store_mode = StoreMode.WELL
+        self.leases_pause = False
+        self.store_modes_by_node.clear()
+        self.lost_replies = self.late_writes = 0.0
+        self.lost_orders = self.lost_answers = 0.0
+        self.lost_holds = self.lost_hold_answers = 0.0
+        self.late_order_seconds = LATE_ORDER_SECONDS
+        self.late_orders_outlive_workers = False
+        self.stalled_watches.clear()
+        self.cut_links.clear()
+        self.frozen_until.clear()
+
     def is_cut(self, node_id: str, other: str) -> bool:
         """Return whether calls from a node to a VM or the VM control are lost."""
         return (node_id, other) in self.cut_links
@@ -77,4 +102,4 @@
             await asyncio.Event().wait()
 
 
-__all__ = ["LATE_SECONDS", "StoreMode", "FaultState"]
+__all__ = ["LATE_ORDER_SECONDS", "LATE_SECONDS", "StoreMode", "FaultState"]
--- a/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
@@ -213,6 +213,13 @@
             worker.resources = resources
             self._register_if_alive(worker)
 
+    def drop_entry(self, vm_id: VMId, seconds: Seconds) -> None:
+        """Remove the registry entry of a running worker, and restore it later."""
+        worker = self.vms_by_id[vm_id].worker
+        if worker is not None:
+            self._unregister(worker)
+            self._after(seconds, lambda: self._register_if_alive(worker))
+
     def remove(self, vm_id: VMId) -> None:
         """Remove a VM permanently, without notice; listings no longer show it."""
         vm = self.vms_by_id[vm_id]
--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -104,7 +104,7 @@
         """Yield changes; while the store is unavailable they are delayed, not lost."""
         async for batch in self._inner.watch(prefix, start):
             await asyncio.sleep(LINK_SECONDS + self._fault_state.store_seconds)
-            while self._mode() is not StoreMode.WELL:
+            while self._is_watch_stalled():
                 await asyncio.sleep(RETRY_SECONDS)
             await self._wait_until_runnable()
             yield batch
@@ -113,6 +113,11 @@
         """End all watches, as a store does when it compacts its history."""
         self._inner.end_watches()
 
+    def _is_watch_stalled(self) -> bool:
+        if self._node_id in self._fault_state.stalled_watches:
+            return True
+        return self._mode() is not StoreMode.WELL
+
     def _mode(self) -> StoreMode:
         return self._fault_state.mode(self._node_id)
 
