--- a/packages/daemon/tests/scheduling/test_takeover_histories.py
+++ b/packages/daemon/tests/scheduling/test_takeover_histories.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from functools import wraps
+from typing import TYPE_CHECKING, Any
 
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import (
@@ -29,7 +30,9 @@
 from medlarspring_tables.scheduling import StepSpec
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
+
+    from hypothesis.strategies import SearchStrategy
 
     from medlarspring_tables import Seconds
 
@@ -55,10 +58,30 @@
 vms = st.sampled_from([VMId(vm_id) for vm_id in PLAN.list_vm_ids()[:3]])
 scopes = st.sampled_from(SCOPES)
 store_modes = st.sampled_from((StoreMode.SILENT, StoreMode.BUSY))
-pauses = st.sampled_from((0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0))
+pauses = st.sampled_from((0.0, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0))
 fractions = st.sampled_from((0.3, 1.0))
 
 
+def timed_rule(
+    **strategies: SearchStrategy[Any],
+) -> Callable[[Callable[..., None]], Callable[..., None]]:
+    """Make a method a rule after which some time passes."""
+
+    def decorate(act: Callable[..., None]) -> Callable[..., None]:
+        @wraps(act)
+        def act_and_wait(
+            self: TakeoverHistory, *args: Any, then: Seconds = 0.0, **kwargs: Any
+        ) -> None:
+            act(self, *args, **kwargs)
+            if then:
+                self.pass_time(then)
+
+        as_rule: Callable[..., Callable[..., Callable[..., None]]] = rule
+        return as_rule(then=pauses, **strategies)(act_and_wait)
+
+    return decorate
+
+
 class TakeoverHistory(RuleBasedStateMachine):
     """Three entry VMs and a few workers, whose tasks run while faults come and go."""
 
@@ -88,7 +111,7 @@
 
     # Load
 
-    @rule(
+    @timed_rule(
         count=st.integers(1, 4),
         seconds=st.sampled_from(((0.2, 1.2), (3.0, 9.0))),
     )
@@ -106,14 +129,14 @@
 
         self.run(send())
 
-    @rule()
+    @timed_rule()
     def send_lasting(self) -> None:
         async def send() -> None:
             self.customers.send("archive", *self.customers.create_long_running(2))
 
         self.run(send())
 
-    @rule()
+    @timed_rule()
     def cancel_job(self) -> None:
         async def cancel() -> None:
             for job_id in self.customers.list_open()[-1:]:
@@ -140,34 +163,34 @@
 
     # Store
 
-    @rule()
+    @timed_rule()
     def revoke_controller(self) -> None:
         self.world.revoke_controller()
 
-    @rule(name=nodes, mode=store_modes)
+    @timed_rule(name=nodes, mode=store_modes)
     def cut_store(self, name: str, mode: StoreMode) -> None:
         self.world.fault_state.store_modes_by_node[name] = mode
 
-    @rule(mode=store_modes)
+    @timed_rule(mode=store_modes)
     def cut_store_from_controller(self, mode: StoreMode) -> None:
         for name in self.choose_names("controller"):
             self.world.fault_state.store_modes_by_node[name] = mode
 
     @precondition(lambda self: self.world.fault_state.store_modes_by_node)
-    @rule()
+    @timed_rule()
     def heal_store(self) -> None:
         self.world.fault_state.store_modes_by_node.clear()
 
-    @rule(lost=fractions, late=st.sampled_from((0.0, 0.5)))
+    @timed_rule(lost=fractions, late=st.sampled_from((0.0, 0.5)))
     def lose_store_replies(self, lost: float, late: float) -> None:
         self.world.fault_state.lost_replies = lost * 0.5
         self.world.fault_state.late_writes = late
 
-    @rule()
+    @timed_rule()
     def forget_history(self) -> None:
         self.world.forget_history()
 
-    @rule(scope=scopes)
+    @timed_rule(scope=scopes)
     def stall_watches(self, scope: str) -> None:
         """Let watches of some nodes deliver nothing, until that is noticed."""
         stalled = set(self.choose_names(scope))
@@ -184,12 +207,12 @@
 
     # Links to workers
 
-    @rule(vm_id=vms, scope=scopes)
+    @timed_rule(vm_id=vms, scope=scopes)
     def cut_worker(self, vm_id: VMId, scope: str) -> None:
         names = self.choose_names(scope)
         self.world.fault_state.cut_links |= {(name, vm_id) for name in names}
 
-    @rule(vm_id=vms, mode=store_modes)
+    @timed_rule(vm_id=vms, mode=store_modes)
     def split(self, vm_id: VMId, mode: StoreMode) -> None:
         """Give the cell to another node, which doesn't reach a worker of the former."""
         self.cut_worker(vm_id, "others")
@@ -197,17 +220,17 @@
         self.world.revoke_controller()
 
     @precondition(lambda self: self.world.fault_state.cut_links)
-    @rule()
+    @timed_rule()
     def heal_links(self) -> None:
         self.world.fault_state.cut_links.clear()
 
     @precondition(lambda self: self.world.fault_state.cut_links)
-    @rule(vm_id=vms)
+    @timed_rule(vm_id=vms)
     def heal_worker(self, vm_id: VMId) -> None:
         healed = {(name, vm_id) for name in NODES}
         self.world.fault_state.cut_links -= healed
 
-    @rule(
+    @timed_rule(
         lost=fractions,
         late=st.sampled_from(((0.05, 0.5), (0.3, 1.5), (2.0, 12.0))),
     )
@@ -215,16 +238,16 @@
         self.world.fault_state.lost_orders = lost
         self.world.fault_state.late_order_seconds = late
 
-    @rule(lost=fractions)
+    @timed_rule(lost=fractions)
     def lose_answers(self, lost: float) -> None:
         self.world.fault_state.lost_answers = lost
 
-    @rule(lost=fractions, answers=st.booleans())
+    @timed_rule(lost=fractions, answers=st.booleans())
     def lose_holds(self, lost: float, answers: bool) -> None:
         self.world.fault_state.lost_holds = 0.0 if answers else lost
         self.world.fault_state.lost_hold_answers = lost if answers else 0.0
 
-    @rule()
+    @timed_rule()
     def lose_no_more(self) -> None:
         fault_state = self.world.fault_state
         fault_state.lost_orders = fault_state.lost_answers = 0.0
@@ -233,58 +256,58 @@
 
     # Workers
 
-    @rule(vm_id=vms, seconds=st.sampled_from((0.0, 0.3, 1.0, 4.0)))
+    @timed_rule(vm_id=vms, seconds=st.sampled_from((0.0, 0.3, 1.0, 4.0)))
     def crash_worker(self, vm_id: VMId, seconds: Seconds) -> None:
         async def crash() -> None:
             self.world.fleet.crash(vm_id, seconds)
 
         self.run(crash())
 
-    @rule(vm_id=vms, seconds=st.sampled_from((0.0, 0.3, 2.0)))
+    @timed_rule(vm_id=vms, seconds=st.sampled_from((0.0, 0.3, 2.0)))
     def restart_worker(self, vm_id: VMId, seconds: Seconds) -> None:
         async def restart() -> None:
             self.world.fleet.restart(vm_id, seconds)
 
         self.run(restart())
 
-    @rule(vm_id=vms, seconds=st.sampled_from((0.5, 2.0)))
+    @timed_rule(vm_id=vms, seconds=st.sampled_from((0.5, 2.0)))
     def drop_entry(self, vm_id: VMId, seconds: Seconds) -> None:
         async def drop() -> None:
             self.world.fleet.drop_entry(vm_id, seconds)
 
         self.run(drop())
 
-    @rule(vm_ids=st.sets(vms, min_size=1, max_size=2))
+    @timed_rule(vm_ids=st.sets(vms, min_size=1, max_size=2))
     def order_wave(self, vm_ids: set[VMId]) -> None:
         number = len(self.world.fleet.waves) + 1
         self.world.order_wave(number, sorted(vm_ids), 1, 25)
 
     # Nodes
 
-    @rule(name=nodes)
+    @timed_rule(name=nodes)
     def stop_node(self, name: str) -> None:
         self.run(self.world.stop_node(name))
 
-    @rule()
+    @timed_rule()
     def stop_controller(self) -> None:
         self.stop_node(*self.choose_names("controller"))
 
-    @rule(name=nodes)
+    @timed_rule(name=nodes)
     def kill_node(self, name: str) -> None:
         self.world.kill_node(name)
 
-    @rule()
+    @timed_rule()
     def kill_controller(self) -> None:
         self.kill_node(*self.choose_names("controller"))
 
     @precondition(lambda self: len(self.world.nodes_by_name) < len(NODES))
-    @rule()
+    @timed_rule()
     def start_nodes(self) -> None:
         for name in NODES:
             if name not in self.world.nodes_by_name:
                 self.run(self.world.start_node(name))
 
-    @rule(scope=st.sampled_from(("controller", "all")), seconds=pauses)
+    @timed_rule(scope=st.sampled_from(("controller", "all")), seconds=pauses)
     def freeze_nodes(self, scope: str, seconds: Seconds) -> None:
         until = self.runner.clock.now() + seconds
         for name in self.choose_names(scope):
