Read the clock of an idle worker again after 20 s

An idle worker is not called, and its clock may be 2% slow, so that the estimate runs ahead: after 300 s a start was valid for 7 s in place of 1.5 s. After 20 s a start is valid for 1.9 s at most, and a lease stays below the worker's maximum.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -76,6 +76,9 @@
 """Pause after an unanswered hold call, and before a refused task is placed again."""
 STOP_REPEAT_SECONDS = 0.35
 """Shortest interval between two stop orders for the same run."""
+CLOCK_MAX_AGE_SECONDS = 20.0
+"""Age from which an idle worker's clock is read again. Its estimate may be 2% ahead by
+then, which a start order's limit and the margin of a lease must not exceed."""
 UNRECORDED_WAIT_SECONDS = 0.05
 """Longest pause between calls while ends wait to be recorded in the store. Until they
 are acknowledged the worker answers each call at once, so that more frequent calls would
@@ -320,8 +323,7 @@
     async def _run(self) -> None:
         while not self._worker.gone:
             if not self._needs_hold():
-                self._wake.clear()
-                await self._wake.wait()
+                await self._wait_until_woken()
                 continue
             self._hold_in_flight = True
             try:
@@ -329,6 +331,15 @@
             finally:
                 self._hold_in_flight = False
 
+    async def _wait_until_woken(self) -> None:
+        """Wait for a wake-up, at most until the worker's clock is due to be read."""
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(CLOCK_MAX_AGE_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            self._poll_requested = True
+
     def _needs_hold(self) -> bool:
         worker = self._worker
         if not worker.reconciled or worker.unanswered_since or self._poll_requested:
