Count the time until a former controller learns that its key is gone

Its watch may deliver nothing for 1.4 s, and it renews a lease that lives on without the key. Tasks on workers that a new controller can't reach wait as much longer.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -41,6 +41,10 @@
 """The holder stops acting this long before its lease can expire, by its own clock."""
 VALID_SECONDS = LEASE_SECONDS - LEASE_MARGIN_SECONDS
 """How long the holder acts after a renewal that the store confirmed."""
+WATCH_NOTICE_SECONDS = 1.4
+"""Longest time until a holder learns from its watch that its key is gone, also if the
+watch's connection no longer passes data. It may renew a lease that lives on until then.
+"""
 MAX_JITTER_SECONDS = 0.06
 """Random delay that lets most candidates see the winner's key before they try."""
 TICK_SECONDS = 0.1
@@ -98,11 +102,10 @@
     def predecessors_until(self) -> Seconds:
         """Local time after which no earlier holder of the cell acts for it.
 
-        An earlier holder may have renewed its lease right before it lost its key. If
-        it can't reach the store it does not know of the loss, and acts until its own
-        validity ends.
+        An earlier holder may renew its lease until it learns that it lost its key. If
+        it can't reach the store from then on, it acts until its own validity ends.
         """
-        return self.began_at + VALID_SECONDS
+        return self.began_at + WATCH_NOTICE_SECONDS + VALID_SECONDS
 
     def expect(self) -> Expect:
         """Return the condition for every write to the cell's records."""
