--- a/packages/daemon/src/medlarspring_daemon/jobs/workers.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/workers.py
@@ -44,7 +44,7 @@
     renewed_at: Seconds
     """When its tasks' leases were last renewed, or the latest possible time."""
     due_at: Seconds = 0.0
-    answers: bool = True
+    is_answering: bool = True
     """Whether the last call was answered."""
     forget: set[Renewal] = field(default_factory=set)
 
@@ -143,17 +143,18 @@
         link.due_at = sent_at + RENEW_SECONDS
         # A renewal whose answer is lost takes effect all the same. Sent repeatedly, it
         # would let tasks outlive the time after which they are placed elsewhere.
-        renewals = tuple(self._list_renewals(job_ids)) if link.answers else ()
+        renewals = tuple(self._list_renewals(job_ids)) if link.is_answering else ()
         request = RenewalRequest(
             lease_seconds=TASK_LEASE_SECONDS,
             renewals=renewals,
             forget=tuple(link.forget),
         )
         reply = await self._workers.renew(link.address, request)
-        if is_successful(reply) and not link.answers:
+        if is_successful(reply) and not link.is_answering:
+            # The leases were not renewed by this call.
             link.due_at = sent_at
-        link.answers = is_successful(reply)
-        if link.answers:
+        link.is_answering = is_successful(reply)
+        if link.is_answering:
             link.renewed_at = self._clock.now()
             link.forget.difference_update(request.forget)
         return WorkerAnswer(link, job_ids, reply)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -77,8 +77,9 @@
 STOP_REPEAT_SECONDS = 0.35
 """Shortest interval between two stop orders for the same run."""
 CLOCK_MAX_AGE_SECONDS = 20.0
-"""Age from which an idle worker's clock is read again. Its estimate may be 2% ahead by
-then, which a start order's limit and the margin of a lease must not exceed."""
+"""Time without calls after which an idle worker's clock is read again. Its estimate may
+be 0.4 s ahead by then: a start is valid for 1.9 s at most, and no lease exceeds the
+worker's maximum."""
 UNRECORDED_WAIT_SECONDS = 0.05
 """Longest pause between calls while ends wait to be recorded in the store. Until they
 are acknowledged the worker answers each call at once, so that more frequent calls would
