Bound how far the estimate of an idle worker's clock may run ahead

Limits of orders are bounded by the slowest clock that a worker may have, plus 0.4 s, so that a start is valid for 1.9 s at most after any idle time and no lease exceeds its maximum. A start on a worker that was idle for over 95 s may be refused as late once; the refusal tells the clock.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -76,10 +76,6 @@
 """Pause after an unanswered hold call, and before a refused task is placed again."""
 STOP_REPEAT_SECONDS = 0.35
 """Shortest interval between two stop orders for the same run."""
-CLOCK_MAX_AGE_SECONDS = 20.0
-"""Time without calls after which an idle worker's clock is read again. Its estimate may
-be 0.4 s ahead by then: a start is valid for 1.9 s at most, and no lease exceeds the
-worker's maximum."""
 UNRECORDED_WAIT_SECONDS = 0.05
 """Longest pause between calls while ends wait to be recorded in the store. Until they
 are acknowledged the worker answers each call at once, so that more frequent calls would
@@ -324,7 +320,8 @@
     async def _run(self) -> None:
         while not self._worker.gone:
             if not self._needs_hold():
-                await self._wait_until_woken()
+                self._wake.clear()
+                await self._wake.wait()
                 continue
             self._hold_in_flight = True
             try:
@@ -332,15 +329,6 @@
             finally:
                 self._hold_in_flight = False
 
-    async def _wait_until_woken(self) -> None:
-        """Wait for a wake-up, at most until the worker's clock is due to be read."""
-        self._wake.clear()
-        try:
-            async with asyncio.timeout(CLOCK_MAX_AGE_SECONDS):
-                await self._wake.wait()
-        except TimeoutError:
-            self._poll_requested = True
-
     def _needs_hold(self) -> bool:
         worker = self._worker
         if not worker.reconciled or worker.unanswered_since or self._poll_requested:
--- a/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.workers import read_clock
+from medlarspring_systems.scheduling.workers import read_clock, read_slowest_clock
 from medlarspring_tables.scheduling import RunState
 
 if TYPE_CHECKING:
@@ -19,6 +19,13 @@
 A start order that seems lost may be delivered seconds later, when its task already
 runs elsewhere. This limit makes the worker refuse it.
 """
+MAX_CLOCK_LEAD_MS = 400
+"""Most by which the clock in an order's limit may exceed the worker's slowest one.
+
+While a worker is idle its clock is not read, and the estimate runs ahead. A start that
+is carried out late would be accepted seconds after its time, when its task may already
+run elsewhere. If the limit is too early instead, the refusal tells the time.
+"""
 HOLD_WAIT_MS = 500
 """How long a worker delays its answer to a hold call if nothing changes.
 
@@ -57,12 +64,19 @@
     if not worker.reconciled or not worker.clock_at or worker.unanswered_since:
         return 0
     length = max_lease - LEASE_MARGIN_SECONDS
-    return _record_lease_end(worker, round(read_clock(worker, now) + length * 1_000))
+    clock_ms = _read_bounded_clock(worker, now)
+    return _record_lease_end(worker, round(clock_ms + length * 1_000))
 
 
 def plan_start_deadline(worker: Worker, now: Seconds) -> Milliseconds:
     """Return the time, on the worker's clock, until which it may accept a start."""
-    return _record_lease_end(worker, round(read_clock(worker, now)) + START_VALID_MS)
+    clock_ms = _read_bounded_clock(worker, now)
+    return _record_lease_end(worker, round(clock_ms) + START_VALID_MS)
+
+
+def _read_bounded_clock(worker: Worker, now: Seconds) -> float:
+    slowest_ms = read_slowest_clock(worker, now)
+    return min(read_clock(worker, now), slowest_ms + MAX_CLOCK_LEAD_MS)
 
 
 def _record_lease_end(worker: Worker, until: Milliseconds) -> Milliseconds:
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -290,6 +290,12 @@
     return worker.clock_ms + (now - worker.clock_at) * 1_000.0
 
 
+def read_slowest_clock(worker: Worker, now: Seconds) -> float:
+    """Return the least time that the worker's clock may show, in ms."""
+    elapsed = (now - worker.clock_at) * (1 - CLOCK_ERROR)
+    return worker.clock_ms + elapsed * 1_000.0
+
+
 def is_lease_over(worker: Worker, now: Seconds) -> bool:
     """Return whether all runs of a worker have certainly lapsed by its own clock.
 
@@ -297,8 +303,7 @@
     """
     if not worker.lease_ms or not worker.clock_at:
         return False
-    slowest = worker.clock_ms + (now - worker.clock_at) * 1_000.0 * (1 - CLOCK_ERROR)
-    return slowest > worker.lease_ms
+    return read_slowest_clock(worker, now) > worker.lease_ms
 
 
 def have_recorded_runs_lapsed(
@@ -338,6 +343,7 @@
     "is_other_incarnation",
     "is_overcommitted",
     "read_clock",
+    "read_slowest_clock",
     "record_clock",
     "record_entry_gone",
     "remove_worker",
--- a/packages/systems/tests/scheduling/test_lease_plan.py
+++ b/packages/systems/tests/scheduling/test_lease_plan.py
@@ -81,6 +81,23 @@
     assert worker.lease_ms == CLOCK_MS + 10_500
 
 
+@pytest.mark.parametrize(
+    ("idle_seconds", "deadline_ms"),
+    [
+        (10.0, CLOCK_MS + 10_000 + 1_500),
+        (20.0, CLOCK_MS + 20_000 + 1_500),
+        (300.0, CLOCK_MS + 294_000 + 400 + 1_500),
+    ],
+)
+def test_start_deadline_does_not_follow_an_old_estimate(
+    scene: Scene, idle_seconds: float, deadline_ms: int
+):
+    """Guards against starts that a slow clock accepts seconds after their time."""
+    worker = scene.add_worker(1)
+    record_clock(worker, CLOCK_MS, NOW)
+    assert plan_start_deadline(worker, NOW + idle_seconds) == deadline_ms
+
+
 def test_start_deadline_does_not_shorten_a_longer_lease(scene: Scene):
     worker = scene.add_worker(1)
     record_clock(worker, CLOCK_MS, NOW)
