Close background work whose task is cancelled before its first step

Cause: a task cancelled before it runs never reaches the coroutine that it wraps.

The coroutine is closed when its task ends.

--- a/packages/daemon/src/medlarspring_daemon/background_tasks.py
+++ b/packages/daemon/src/medlarspring_daemon/background_tasks.py
@@ -31,6 +31,8 @@
         task = asyncio.ensure_future(self._run_logged(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        # A task that is cancelled before its first step never awaits its work.
+        task.add_done_callback(lambda _: work.close())
         return task
 
     def run_with_restart(self, run: Callable[[], Awaitable[None]]) -> asyncio.Task[Any]:
