Trial: divide scarce VMs by the work that can still be on time

Where several customers share the pools, a pool that works off late jobs yields its VMs to pools whose work can still meet its objective.

--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -104,6 +104,9 @@
     """Millicores that incoming work is expected to keep busy."""
     waiting_millis: float = 0.0
     """Millicores needed to finish the waiting tasks within the backlog horizon."""
+    timely_vms: int = 0
+    """VMs of ``busy_vms`` without which work would be late that can still be on time.
+    """
 
 
 @dataclass(slots=True)
@@ -136,6 +139,12 @@
     """VMs in service that a wave takes down next; they don't count for their pools."""
     drained_for_wave: set[VMId] = field(default_factory=set)
     """The VMs of ``due_next`` that get no new tasks."""
+    moved_at_by_vm: dict[VMId, Seconds] = field(default_factory=dict)
+    """When each VM was last ordered to another pool."""
+    yielding_since_by_vm: dict[VMId, Seconds] = field(default_factory=dict)
+    """VMs that get no new tasks so that another pool can have them, and since when."""
+    kept_until_by_vm: dict[VMId, Seconds] = field(default_factory=dict)
+    """VMs that were not taken in time while they yielded; until then they serve."""
 
 
 @dataclass(slots=True)
@@ -178,6 +187,8 @@
     worker_id = vm.worker_id if vm is not None else None
     pending = PendingOperation(operation, now, worker_id)
     fleet.pending_by_vm[operation.vm_id] = pending
+    if isinstance(operation, MoveVM):
+        fleet.moved_at_by_vm[operation.vm_id] = now
     _mark_leaving(tables, pending, leaving=True)
 
 
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
@@ -32,13 +32,14 @@
 def _update_reservations(
     tables: WorkTables, fleet: FleetTables, plan: FleetPlan
 ) -> None:
-    """Reserve the workers that are drained or about to leave, and release others.
+    """Reserve the workers that are drained, yield or leave, and release others.
 
     Reserved workers get no new tasks.
     """
     reserved_vm_ids = {operation.vm_id for operation in plan.operations}
     reserved_vm_ids |= fleet.drained_for_wave
     reserved_vm_ids |= set(fleet.pending_by_vm)
+    reserved_vm_ids |= set(fleet.yielding_since_by_vm)
     for worker in tables.workers_by_id.values():
         was_reserved, worker.reserved = worker.reserved, worker.vm_id in reserved_vm_ids
         if was_reserved and not worker.reserved:
--- a/packages/systems/src/medlarspring_systems/scheduling/ordering.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/ordering.py
@@ -95,4 +95,9 @@
     return (TIER_OVERDUE, priority, step.ready_at)
 
 
-__all__ = ["Rank", "measure_size_weight", "rank_step"]
+def can_be_on_time(step: StepRun, now: Seconds) -> bool:
+    """Return whether a step's job can still meet its objective."""
+    return rank_step(step, now)[0] <= TIER_ON_TIME
+
+
+__all__ = ["Rank", "can_be_on_time", "measure_size_weight", "rank_step"]
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.crashes import SIMULTANEOUS_SECONDS
@@ -13,6 +14,7 @@
     find_isolated_run,
     has_suspected_task,
 )
+from medlarspring_systems.scheduling.ordering import can_be_on_time
 from medlarspring_systems.scheduling.placement import is_allowed, is_schedulable
 from medlarspring_systems.scheduling.quotas import fits_quota
 from medlarspring_systems.scheduling.waiting import measure_wait
@@ -73,29 +75,50 @@
     now: Seconds,
 ) -> PoolNeed:
     long_running_cpu, long_running_memory = _measure_long_running(tables, pool_id)
-    waiting_cpu, waiting_memory = _measure_waiting(tables, pool_id, now)
+    waiting, timely_waiting = _measure_waiting(tables, pool_id, now)
     slack = find_slack(tables, pool_id)
     can_wait = _can_wait(fleet, slack)
     incoming = project_demand(tables, pool_id, now, can_wait=can_wait)
-    cpu = long_running_cpu + incoming + waiting_cpu
-    memory = long_running_memory + waiting_memory
-    vms = max(
-        cpu / (max(largest.cpu_millis, 1) * PACKING_EFFICIENCY),
-        memory / (max(largest.memory_mb, 1) * PACKING_EFFICIENCY),
-    )
-    needed = math.ceil(vms - ROUNDING_TOLERANCE_VMS)
-    needed += _count_vms_for_isolation(tables, pool_id, now)
+    present = _Demand(long_running_cpu + incoming, long_running_memory)
+    isolation = _count_vms_for_isolation(tables, pool_id, now)
     floor = _find_floor(fleet, pool_id, slack)
-    limits = _count_vms_for_task_limits(tables, pool_id)
-    unplaceable = _count_vms_for_unplaceable_tasks(tables, fleet, pool_id, largest, now)
-    busy = max(needed, MIN_VMS, limits, unplaceable)
+    least = max(
+        MIN_VMS,
+        _count_vms_for_task_limits(tables, pool_id),
+        _count_vms_for_unplaceable_tasks(tables, fleet, pool_id, largest, now),
+    )
+    busy = max(_count_vms(present + waiting, largest) + isolation, least)
+    timely = max(_count_vms(present + timely_waiting, largest) + isolation, least)
     return PoolNeed(
         vms=max(busy, floor),
         busy_vms=busy,
         lasting_millis=long_running_cpu,
         incoming_millis=incoming,
-        waiting_millis=waiting_cpu,
+        waiting_millis=waiting.cpu_millis,
+        timely_vms=timely,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    """Capacity that some work needs."""
+
+    cpu_millis: float = 0.0
+    memory_mb: float = 0.0
+
+    def __add__(self, other: _Demand) -> _Demand:
+        return _Demand(
+            self.cpu_millis + other.cpu_millis, self.memory_mb + other.memory_mb
+        )
+
+
+def _count_vms(demand: _Demand, largest: Resources) -> int:
+    """Return how many VMs of the largest kind a demand needs."""
+    vms = max(
+        demand.cpu_millis / (max(largest.cpu_millis, 1) * PACKING_EFFICIENCY),
+        demand.memory_mb / (max(largest.memory_mb, 1) * PACKING_EFFICIENCY),
     )
+    return math.ceil(vms - ROUNDING_TOLERANCE_VMS)
 
 
 def _find_floor(fleet: FleetTables, pool_id: PoolId, slack: Seconds | None) -> int:
@@ -150,13 +173,15 @@
 
 def _measure_waiting(
     tables: WorkTables, pool_id: PoolId, now: Seconds
-) -> tuple[float, float]:
-    """Return the millicores and MB needed to finish waiting tasks within the horizon.
+) -> tuple[_Demand, _Demand]:
+    """Return what it takes to finish all waiting tasks, and those still on time.
+
+    Each is the capacity that finishes them within the horizon.
 
     Work that still counts as incoming is excluded. If it were counted twice, each rise
     of demand would request twice the VMs that it needs.
     """
-    cpu = memory = 0.0
+    waiting = timely = _Demand()
     for step in tables.ready_by_pool.get(pool_id, {}):
         if step.job.outcome is not None or not step.waiting:
             continue
@@ -170,9 +195,14 @@
                 tables, step.job.queue.id, step.spec, step.mean_duration_ms
             )
             fraction = seconds / BACKLOG_HORIZON_SECONDS
-        cpu += fraction * len(step.waiting) * step.resources.cpu_millis
-        memory += min(fraction, 1.0) * len(step.waiting) * step.resources.memory_mb
-    return cpu, memory
+        demand = _Demand(
+            fraction * len(step.waiting) * step.resources.cpu_millis,
+            min(fraction, 1.0) * len(step.waiting) * step.resources.memory_mb,
+        )
+        waiting += demand
+        if can_be_on_time(step, now):
+            timely += demand
+    return waiting, timely
 
 
 def _count_vms_for_isolation(tables: WorkTables, pool_id: PoolId, now: Seconds) -> int:
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -18,7 +18,9 @@
     is_standby,
 )
 from medlarspring_systems.scheduling.pool_needs import find_pool_needs
+from medlarspring_systems.scheduling.vm_division import divide_vms
 from medlarspring_systems.scheduling.workers import NEW_VM_SECONDS
+from medlarspring_systems.scheduling.yields import plan_yields
 from medlarspring_tables.scheduling import VMPhase
 
 if TYPE_CHECKING:
@@ -72,6 +74,9 @@
     # Current work takes precedence over the pools' reserves. Otherwise, at the peak of
     # a burst, a quarter of the fleet stays idle in other pools while jobs become late.
     busy = {pool_id: need.busy_vms for pool_id, need in fleet.needs_by_pool.items()}
+    if tables.config.has_competing_partners:
+        busy = divide_vms(fleet.needs_by_pool, sum(vm_counts.values()))
+        plan_yields(tables, fleet, busy, vm_counts, now)
     _grow(tables, busy, wanted, vm_counts, sources, plan, assigned)
     _grow(tables, wanted, wanted, vm_counts, sources, plan, assigned)
     _shrink(tables, kept, vm_counts, standby_pool_ids[0], sources, now, plan, assigned)
--- a/packages/systems/src/medlarspring_systems/slot_shares.py
+++ b/packages/systems/src/medlarspring_systems/slot_shares.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from medlarspring_systems.rendezvous import HASH_BYTES, rank, weigh
 from medlarspring_tables.slots import RequesterDemand
@@ -15,6 +15,8 @@
     from medlarspring_tables import EntryVMId, PartnerId, PoolId, Seconds, VMId
     from medlarspring_tables.slots import HomeTable
 
+Key = TypeVar("Key")
+
 DEMAND_DECAY_SECONDS = 1.0
 """Time constant of the exponential decay of former demand."""
 MIN_DEMAND = 0.5
@@ -85,30 +87,31 @@
 
 
 def divide_fairly(
-    demand: Mapping[PartnerId, float],
-    weights: Mapping[PartnerId, float],
+    demand: Mapping[Key, float],
+    weights: Mapping[Key, float],
     slots: float,
-) -> dict[PartnerId, float]:
-    """Divide slots by weight and at most by demand (weighted max-min fairness)."""
-    shares = dict.fromkeys(demand, 0.0)
-    unsatisfied = [partner for partner, count in demand.items() if count]
+) -> dict[Key, float]:
+    """Divide slots by weight and at most by demand (weighted max-min fairness).
+
+    A key without a weight has the weight 1.
+    """
+    shares: dict[Key, float] = dict.fromkeys(demand, 0.0)
+    unsatisfied = [key for key, count in demand.items() if count]
     left = slots
     while unsatisfied and left > 0.0:
-        total = sum(weights.get(partner, 1.0) for partner in unsatisfied)
+        total = sum(weights.get(key, 1.0) for key in unsatisfied)
         level = left / total
         satisfied = [
-            partner
-            for partner in unsatisfied
-            if demand[partner] <= level * weights.get(partner, 1.0)
+            key for key in unsatisfied if demand[key] <= level * weights.get(key, 1.0)
         ]
         if not satisfied:
-            for partner in unsatisfied:
-                shares[partner] = level * weights.get(partner, 1.0)
+            for key in unsatisfied:
+                shares[key] = level * weights.get(key, 1.0)
             break
-        for partner in satisfied:
-            shares[partner] = demand[partner]
-            left -= demand[partner]
-        unsatisfied = [partner for partner in unsatisfied if partner not in satisfied]
+        for key in satisfied:
+            shares[key] = demand[key]
+            left -= demand[key]
+        unsatisfied = [key for key in unsatisfied if key not in satisfied]
     return shares
 
 
--- a/packages/tables/src/medlarspring_tables/scheduling/fleet.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/fleet.py
@@ -134,6 +134,11 @@
     header_timeout_ms: Milliseconds = 3_000
     idle_timeout_ms: Milliseconds = 15_000
 
+    @property
+    def has_competing_partners(self) -> bool:
+        """Whether several partners share the pools, by their weights and quotas."""
+        return len(self.partners_by_id) > 1
+
 
 @dataclass(frozen=True, slots=True)
 class WaveOrder:
