--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -122,6 +122,7 @@
     VM_OPERATION_REFUSED = (9062, "the platform refused an operation on a VM")
     VM_OPERATION_UNANSWERED = (9063, "an operation on a VM got no answer")
     POOL_SIZED = (9065, "the number of VMs that a pool needs changed")
+    VMS_YIELD = (9068, "VMs get no new tasks so that another pool can have them")
     WAVE_REPORTED = (9064, "a wave's progress was reported to the operator")
 
     @property
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -71,6 +71,7 @@
     WORKERS_ISOLATED = "workers.isolated"
     WORKERS_KEPT_FREE = "workers.kept_free"
     VMS_MOVED = "vms.moved"
+    VMS_YIELDING = "vms.yielding"
     VMS_MAINTAINED = "vms.maintained"
     STORE_CALL_MS = "store.call_ms"
     STORE_CALLS_FAILED = "store.calls_failed"
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
@@ -13,6 +13,7 @@
 from medlarspring_adapters.store import Expect, Put, Transaction
 from medlarspring_adapters.vm_lifecycle import Authority
 from medlarspring_daemon.scheduling.election import LEASE_SECONDS
+from medlarspring_daemon.scheduling.pool_log import PoolLog
 from medlarspring_systems.scheduling.fleet import (
     FleetTables,
     MaintainVM,
@@ -103,7 +104,7 @@
         self._operations_revision = Revision(0)
         """Store revision of the operations record; 0 before the first one."""
         self._sizes_recorded = False
-        self._logged_vms: dict[PoolId, int] = {}
+        self._pool_log = PoolLog(node)
 
     async def run(self) -> None:
         """Plan and carry out operations until cancelled."""
@@ -203,7 +204,7 @@
             record_wave_order(self.fleet, order, seen_at)
         plan = plan_operations(self._owner.tables, self.fleet, self._node.limits, now)
         await self._record_sizes()
-        self._log_needs()
+        self._pool_log.record(self._owner.tables, self.fleet)
         for run, reason in plan.stops:
             self._owner.stop_run(run, reason)
         for pool_id in plan.changed_pools:
@@ -219,23 +220,6 @@
         is_move = isinstance(operation, MoveVM)
         return self._moves_allowed_at if is_move else self._maintenance_allowed_at
 
-    def _log_needs(self) -> None:
-        """Log each pool whose need changed, with the figures behind it."""
-        for pool_id, need in self.fleet.needs_by_pool.items():
-            if self._logged_vms.get(pool_id) == need.vms:
-                continue
-            self._logged_vms[pool_id] = need.vms
-            self._node.log.info(
-                Event.POOL_SIZED,
-                pool=pool_id,
-                wanted=need.vms,
-                has=self.fleet.vm_counts_by_pool.get(pool_id, 0),
-                lasting_millis=round(need.lasting_millis),
-                incoming_millis=round(need.incoming_millis),
-                waiting_millis=round(need.waiting_millis),
-                vms_read_at=round(self._owner.tables.vms_read_at, 3),
-            )
-
     async def _execute(self, operations: list[VMOperation]) -> None:
         now = self._node.clock.now()
         for operation in operations:
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -128,6 +128,8 @@
     """Duration of a move, as configured by the platform."""
     vm_counts_by_pool: dict[PoolId, int] = field(default_factory=dict)
     """VMs that each pool has or is about to have."""
+    allotted_by_pool: dict[PoolId, int] = field(default_factory=dict)
+    """VMs that each pool may use for its present work while VMs are scarce."""
     unlisted_since: dict[VMId, Seconds] = field(default_factory=dict)
     """VMs in service without an entry in the worker registry, and since when."""
     initial_sizes: dict[PoolId, int] = field(default_factory=dict)
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -76,6 +76,7 @@
     busy = {pool_id: need.busy_vms for pool_id, need in fleet.needs_by_pool.items()}
     if tables.config.has_competing_partners:
         busy = divide_vms(fleet.needs_by_pool, sum(vm_counts.values()))
+        fleet.allotted_by_pool = busy
         plan_yields(tables, fleet, busy, vm_counts, now)
     _grow(tables, busy, wanted, vm_counts, sources, plan, assigned)
     _grow(tables, wanted, wanted, vm_counts, sources, plan, assigned)
