--- a/packages/systems/src/medlarspring_systems/scheduling/yields.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/yields.py
@@ -42,8 +42,9 @@
 ) -> None:
     """Update the VMs that yield, from the number of VMs allotted to each pool.
 
-    As many VMs yield as the other pools lack, and from each pool at most as many as
-    it has beyond its part.
+    As many VMs yield as the other pools lack. A pool keeps its part, and also those
+    that its own work needs that can still be on time: a VM serves nobody while it is
+    emptied and moved.
     """
     _end_overdue_yields(fleet, now)
     lacking = sum(
