--- a/packages/systems/src/medlarspring_systems/scheduling/yields.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/yields.py
@@ -56,7 +56,8 @@
     since_by_vm = fleet.yielding_since_by_vm
     chosen = {}
     excess = {
-        pool_id: vm_counts.get(pool_id, 0) - count
+        pool_id: vm_counts.get(pool_id, 0)
+        - max(count, fleet.needs_by_pool[pool_id].timely_vms)
         for pool_id, count in allotted.items()
     }
     for vm in sorted(
--- a/packages/systems/tests/scheduling/test_scarce_vms.py
+++ b/packages/systems/tests/scheduling/test_scarce_vms.py
@@ -73,7 +73,9 @@
         step = create_step(count=8, estimate_ms=1_000)
         scene.add_job(f"{number:016x}", step, age=4.0)
     start(scene)
-    return FleetTables(initial_sizes_known=True, initial_sizes={POOL: 1, OTHER: 1})
+    fleet = FleetTables(initial_sizes_known=True, initial_sizes={POOL: 1, OTHER: 1})
+    fleet.needs_by_pool = {POOL: create_need(0, 20), OTHER: create_need(20)}
+    return fleet
 
 
 def test_pool_with_late_work_yields_to_a_burst_that_can_be_on_time(
@@ -87,6 +89,14 @@
     assert len(fleet.yielding_since_by_vm) == 8
 
 
+def test_pool_keeps_the_vms_that_its_own_timely_work_needs(
+    scene: Scene, fleet: FleetTables
+):
+    fleet.needs_by_pool[POOL] = create_need(7, 20)
+    plan_yields(scene.tables, fleet, {POOL: 2, OTHER: 8}, {POOL: VM_COUNT}, NOW)
+    assert len(fleet.yielding_since_by_vm) == VM_COUNT - 7
+
+
 def test_yielding_vm_gets_no_new_tasks(scene: Scene, fleet: FleetTables):
     plan_operations(scene.tables, fleet, FleetLimits(), NOW)
     yielding = [each for each in scene.tables.workers_by_id.values() if each.reserved]
