--- a/packages/systems/src/medlarspring_systems/scheduling/ordering.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/ordering.py
@@ -95,9 +95,13 @@
     return (TIER_OVERDUE, priority, step.ready_at)
 
 
-def can_be_on_time(step: StepRun, now: Seconds) -> bool:
-    """Return whether a step's job can still meet its objective."""
-    return rank_step(step, now)[0] <= TIER_ON_TIME
+def may_be_on_time(step: StepRun, now: Seconds) -> bool:
+    """Return whether a step's job may still meet its objective.
+
+    Until its objective has passed a job is not known to be late, as it may take less
+    time than estimated.
+    """
+    return step.spec.long_running or now <= step.objective_at
 
 
-__all__ = ["Rank", "can_be_on_time", "measure_size_weight", "rank_step"]
+__all__ = ["Rank", "may_be_on_time", "measure_size_weight", "rank_step"]
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
@@ -14,7 +14,7 @@
     find_isolated_run,
     has_suspected_task,
 )
-from medlarspring_systems.scheduling.ordering import can_be_on_time
+from medlarspring_systems.scheduling.ordering import may_be_on_time
 from medlarspring_systems.scheduling.placement import is_allowed, is_schedulable
 from medlarspring_systems.scheduling.quotas import fits_quota
 from medlarspring_systems.scheduling.waiting import measure_wait
@@ -200,7 +200,7 @@
             min(fraction, 1.0) * len(step.waiting) * step.resources.memory_mb,
         )
         waiting += demand
-        if can_be_on_time(step, now):
+        if may_be_on_time(step, now):
             timely += demand
     return waiting, timely
 
