Repeat unanswered starts and hold calls at the same worker

Cause: a start without an answer was waited for 0.35 s, then looked for, stopped and placed anew, and a lost answer to a hold call made its worker count as unresponsive. With 8% of the orders unanswered, half of the short jobs were late.

A start is now sent up to three times within 55 ms, after a patience that follows the times of recent answers, within a budget. The first acceptance confirms the run; a refusal beside an unanswered attempt proves nothing, so that listing and stop settle the run as before. Unanswered attempts are noted for the worker's next incarnation, and the stops sent there are repeated until they are answered. Hold calls are repeated beside the first one, without a lease, a wait and an acknowledgement.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -109,6 +109,7 @@
     JOB_CANCELLED = (9040, "a job is cancelled; its runs are stopped")
     JOB_ENDED = (9041, "a job's end is recorded")
     TASKS_WAIT = (9042, "tasks of a pool have waited for long")
+    RUN_ORDER_REPEATED = (9043, "an order to start a run was repeated at its worker")
     WORKER_LISTED = (9050, "the registry lists a worker")
     WORKER_SILENT = (9051, "a worker does not answer")
     WORKER_ANSWERS = (9052, "a worker answers again")
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -33,6 +33,7 @@
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
 from medlarspring_daemon.scheduling.worker_liveness import WorkerLivenessMonitor
+from medlarspring_systems.scheduling.answer_times import AnswerTimes
 from medlarspring_systems.scheduling.crash_timing import is_at_crash_risk
 from medlarspring_systems.scheduling.crashes import record_worker_end
 from medlarspring_systems.scheduling.jobs import (
@@ -93,6 +94,8 @@
         self._workers: WorkerFeed | None = None
         self._running = False
         self._overload_detector = OverloadDetector()
+        self.order_times = AnswerTimes()
+        self.hold_times = AnswerTimes()
         assert operator_records.config is not None
         self.tables = WorkTables(
             operator_records.config, predecessors_until=term.predecessors_until
--- a/packages/daemon/src/medlarspring_daemon/scheduling/link_owner.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/link_owner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from medlarspring_systems.scheduling.answer_times import AnswerTimes
     from medlarspring_systems.scheduling.listings import ListingOutcome
     from medlarspring_tables.scheduling import Milliseconds, Run, Worker, WorkTables
 
@@ -13,6 +14,10 @@
     """The part of the cell's controller that a worker link uses."""
 
     tables: WorkTables
+    order_times: AnswerTimes
+    """Answer times of start and stop orders to all workers."""
+    hold_times: AnswerTimes
+    """Answer times of hold calls to all workers, without the requested wait."""
 
     def handle_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
         """Record what a listing changed, and schedule a placement round."""
--- a/packages/daemon/src/medlarspring_daemon/scheduling/run_log.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/run_log.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from medlarspring_adapters.worker_orders import OrderRefusal
     from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_daemon.scheduling.repeated_orders import OrderOutcome
     from medlarspring_systems.scheduling.backlog import Backlog, LongWait
     from medlarspring_systems.scheduling.crashes import CrashAssessment
     from medlarspring_systems.scheduling.listings import TaskBelief, UnknownEnd
@@ -66,6 +67,28 @@
     )
 
 
+def log_start_repeated(
+    node: SchedulingNode, run: Run, outcome: OrderOutcome, took: Seconds
+) -> None:
+    """Log a start order that was repeated, once all of its attempts are over.
+
+    ``took`` is the time since the order was first sent.
+    """
+    repeats = outcome.sent - 1
+    node.metrics.count(Metric.RUN_ORDER_REPEATS, repeats)
+    if outcome.answered_attempt > 1:
+        node.metrics.count(Metric.RUNS_ANSWERED_BY_REPEAT)
+    node.log.info(
+        Event.RUN_ORDER_REPEATED,
+        task=run.task.id,
+        run=run.number,
+        worker=run.worker.id,
+        repeats=repeats,
+        answered_attempt=outcome.answered_attempt,
+        took_ms=round(took * 1_000),
+    )
+
+
 def log_start_refused(node: SchedulingNode, run: Run, refusal: OrderRefusal) -> None:
     """Log a start order that the worker refused."""
     node.metrics.count(Metric.RUNS_REFUSED)
@@ -289,6 +312,7 @@
     "log_job_ended",
     "log_run_lost",
     "log_start_refused",
+    "log_start_repeated",
     "log_unexpected_run",
     "log_unknown_end",
     "log_worker_resized",
--- a/packages/systems/src/medlarspring_systems/scheduling/late_orders.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/late_orders.py
@@ -45,4 +45,8 @@
     ]
 
 
-__all__ = ["pop_late_orders", "record_unanswered_order"]
+__all__ = [
+    "MAX_ORDER_DELAY_SECONDS",
+    "pop_late_orders",
+    "record_unanswered_order",
+]
