Order steps among partners by recent use while a pool is overloaded

Work waits in one order by latest start and size, so that a partner that sends eight times its usual is served eight times as much. Under overload, steps of a tier and priority now go to the partner with the smallest dominant use for its weight; recent use is counted where runs are attached and detached, with one decay rule shared with the request queue.

--- a/packages/systems/src/medlarspring_systems/fair_queue.py
+++ b/packages/systems/src/medlarspring_systems/fair_queue.py
@@ -8,9 +8,9 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.decayed_use import find_remaining, grow_unit
 from medlarspring_tables.requests import (
     PartnerQueue,
     PeerUsage,
@@ -33,9 +33,6 @@
 USAGE_DECAY_SECONDS = 2.0
 """Time constant of the exponential decay of past use."""
 
-MAX_UNIT_EXPONENT = 200.0
-"""The units of use are rebased at this exponent, before they overflow a float."""
-
 SMOOTHING = 0.05
 """Weight of one request in the smoothed service time."""
 
@@ -237,15 +234,16 @@
     """
     if pool.units_since is None:
         pool.units_since = now
-    exponent = (now - pool.units_since) / USAGE_DECAY_SECONDS
-    if exponent > MAX_UNIT_EXPONENT:
-        _rebase(pool, exponent, now)
-        exponent = 0.0
-    return seconds * math.exp(exponent)
+    elapsed = now - pool.units_since
+    unit = grow_unit(elapsed, USAGE_DECAY_SECONDS)
+    if unit is None:
+        _rebase(pool, elapsed, now)
+        unit = 1.0
+    return seconds * unit
 
 
-def _rebase(pool: PoolQueue, exponent: float, now: Seconds) -> None:
-    factor = math.exp(-min(exponent, 700.0))
+def _rebase(pool: PoolQueue, elapsed: Seconds, now: Seconds) -> None:
+    factor = find_remaining(elapsed, USAGE_DECAY_SECONDS)
     for queue in pool.queues_by_partner.values():
         queue.used *= factor
     pool.units_since = now
--- a/packages/systems/src/medlarspring_systems/scheduling/quotas.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/quotas.py
@@ -1,4 +1,4 @@
-"""Quotas: what the tasks of one partner may use at a time over all workers.
+"""Quotas and weights: what a partner's tasks may use at a time over all workers.
 
 A partner's usage changes only where a run is attached to or detached from its worker.
 It therefore includes runs that were intended, ordered without an answer, restored
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.weights import normalise_weight
 from medlarspring_tables import MedlarspringError
 from medlarspring_tables.scheduling import PartnerUsage, Resources
 
@@ -44,9 +45,11 @@
 
 
 def apply_quotas(tables: WorkTables, config: OperatorConfig) -> None:
-    """Put the partners' quotas of a configuration into force."""
+    """Put the partners' quotas and weights of a configuration into force."""
     for policy in config.partners_by_id.values():
-        find_usage(tables, policy.id).quota = policy.quota
+        usage = find_usage(tables, policy.id)
+        usage.quota = policy.quota
+        usage.weight = normalise_weight(policy.weight)
 
 
 def find_usage(tables: WorkTables, partner_id: PartnerId) -> PartnerUsage:
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.fair_order import has_shares, order_by_shares
 from medlarspring_systems.scheduling.isolation import (
     IsolationBudget,
     can_be_kept_free,
@@ -33,6 +35,7 @@
 )
 from medlarspring_systems.scheduling.probation import SiblingGate
 from medlarspring_systems.scheduling.quotas import fits_quota
+from medlarspring_systems.scheduling.recent_use import measure_capacity
 from medlarspring_systems.scheduling.runs import (
     allocate_resources,
     intend_run,
@@ -84,7 +87,7 @@
     if not ready:
         return []
     workers = list_schedulable_workers(tables, pool_id, now)
-    steps = _list_steps(ready, workers, now, rank)
+    steps = _list_steps(tables, ready, workers, now, rank)
     budget = IsolationBudget(steps, workers, now)
     intents: list[Run] = []
     unplaceable: list[Resources] = []
@@ -120,7 +123,11 @@
 
 
 def _list_steps(
-    ready: dict[StepRun, None], workers: list[Worker], now: Seconds, rank: RankRule
+    tables: WorkTables,
+    ready: dict[StepRun, None],
+    workers: list[Worker],
+    now: Seconds,
+    rank: RankRule,
 ) -> list[StepRun]:
     steps: list[StepRun] = []
     for step in list(ready):
@@ -130,7 +137,12 @@
         if fits_quota(step):
             steps.append(step)
     size_weight = measure_size_weight(steps, workers)
-    steps.sort(key=lambda step: rank(step, now, size_weight))
+    ranked = [(rank(step, now, size_weight), step) for step in steps]
+    ranked.sort(key=itemgetter(0))
+    if size_weight and has_shares(tables.config):
+        steps = order_by_shares(ranked, measure_capacity(tables), now)
+    else:
+        steps = [step for _, step in ranked]
     # Suspected tasks go first: after other steps were placed, they would never find
     # a worker without recent starts. Those with the most crashes need it most.
     steps.sort(key=count_most_crashes, reverse=True)
--- a/packages/systems/src/medlarspring_systems/scheduling/runs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -7,6 +7,7 @@
 from medlarspring_systems.scheduling.estimates import record_duration
 from medlarspring_systems.scheduling.jobs import fail_job, mark_task_done, queue_step
 from medlarspring_systems.scheduling.quotas import add_usage, remove_usage
+from medlarspring_systems.scheduling.recent_use import begin_use, end_use
 from medlarspring_tables.scheduling import Run, RunEnd, RunState
 
 if TYPE_CHECKING:
@@ -79,6 +80,7 @@
         step.job.zone_id = worker.zone_id
     allocate_resources(worker, step)
     add_usage(step.job.partner, step.spec)
+    begin_use(step, run.intended_at)
     if step.spec.long_running:
         worker.long_runs += 1
     else:
@@ -99,6 +101,7 @@
         worker.isolated_run = None
     release_resources(worker, step)
     remove_usage(step.job.partner, step.spec)
+    end_use(step, now)
     if step.spec.long_running:
         worker.long_runs -= 1
     else:
--- a/packages/tables/src/medlarspring_tables/scheduling/__init__.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/__init__.py
@@ -31,10 +31,12 @@
     JobRecord,
     LoadRecord,
     OperationsRecord,
+    PartnerUse,
     ProgressRecord,
     RunRecord,
     SizesRecord,
     StepRecord,
+    UsageRecord,
     WaveRecord,
 )
 from medlarspring_tables.scheduling.reports import EndedRow, RunningRow
@@ -85,6 +87,7 @@
     "OperatorConfig",
     "PartnerPolicy",
     "PartnerUsage",
+    "PartnerUse",
     "PoolPolicy",
     "ProgressRecord",
     "QuarantineReason",
@@ -106,6 +109,7 @@
     "VMEntry",
     "VMPhase",
     "WaveOrder",
+    "UsageRecord",
     "WaveRecord",
     "WorkTables",
     "Worker",
--- a/packages/tables/src/medlarspring_tables/scheduling/records.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/records.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from medlarspring_tables.ids import PartnerId
 from medlarspring_tables.scheduling.ids import Milliseconds, WorkerId
 from medlarspring_tables.scheduling.specs import JobSpec, QueuePolicy
 
+Amount = Annotated[float, Meta(ge=0.0, le=1e12)]
+"""Recorded use; the limits keep out what no fleet can have used."""
+
 
 class JobOutcome(Enum):
     """How a job ended."""
@@ -124,6 +128,21 @@
     """Number of accepted jobs of which no task has started."""
 
 
+class PartnerUse(Struct, frozen=True, array_like=True):
+    """What a partner's batch tasks used, decayed to the time of the record."""
+
+    core_seconds: Amount
+    mb_seconds: Amount
+
+
+class UsageRecord(Struct, frozen=True, kw_only=True):
+    """Recent use of the partners that used most, written at most once a second."""
+
+    at_ms: Milliseconds
+    """Wall time of the VM that wrote it."""
+    use_by_partner: dict[PartnerId, PartnerUse] = {}
+
+
 class OperationsRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Time of the last operation on each VM, for as long as it is needed."""
 
@@ -147,9 +166,11 @@
     "JobRecord",
     "LoadRecord",
     "OperationsRecord",
+    "PartnerUse",
     "ProgressRecord",
     "RunRecord",
     "SizesRecord",
     "StepRecord",
+    "UsageRecord",
     "WaveRecord",
 ]
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -210,6 +210,15 @@
     cpu_millis: int = 0
     memory_mb: int = 0
     accelerators: int = 0
+    weight: float = 1.0
+    """Its share relative to the other partners' under overload; always positive."""
+    held_cpu_millis: int = 0
+    """CPU that the workers of its batch runs have reserved for them."""
+    held_memory_mb: int = 0
+    used_core_seconds: float = 0.0
+    """Use by its batch runs, decayed to ``used_at``."""
+    used_mb_seconds: float = 0.0
+    used_at: Seconds = 0.0
 
 
 @dataclass(slots=True, eq=False)
