Record partners' recent use for the next controller, and report shares

A takeover forgot what each partner had used. usage/<cell> holds the use of the 50 partners that used most, written at most once a second under the controller's key when it changed by 1% of the fleet; the next controller reads it once in the background.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -91,6 +91,12 @@
     CREDENTIAL_SHARED = (9013, "two partners have the same credential")
     QUOTA_REACHED = (9014, "a partner's tasks wait because its quota is used up")
     QUOTA_LEFT = (9015, "no task of a partner waits for its quota any more")
+    SHARE_EXCEEDED = (
+        9016,
+        "a partner's tasks wait behind others because it used more than its share",
+    )
+    SHARE_KEPT = (9017, "no task of a partner waits for its share any more")
+    USAGE_RECORD = (9018, "the record of recent use was read, or not written")
     CELL_HELD = (9020, "this process controls a cell")
     CELL_LOADED = (9021, "a cell's jobs and workers are loaded")
     CELL_RELEASED = (9022, "this process gave up a cell")
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -66,6 +66,8 @@
     WORKERS_DOUBTED = "workers.doubted"
     TASKS_WAITING = "tasks.waiting"
     TASKS_OVER_QUOTA = "tasks.over_quota"
+    SHARES_PARTNERS_OVER = "shares.partners_over"
+    SHARES_MOST_OVER = "shares.most_over"
     TASKS_SHUT_OUT = "tasks.shut_out"
     TASKS_SUSPECTED = "tasks.suspected"
     WORKERS_ISOLATED = "workers.isolated"
--- a/packages/bench/src/medlarspring_bench/measure/burst_overload.py
+++ b/packages/bench/src/medlarspring_bench/measure/burst_overload.py
@@ -28,6 +28,7 @@
 from medlarspring_tables import JobId, PoolId, RackId, Revision, VMId, ZoneId
 from medlarspring_tables.scheduling import (
     JobOutcome,
+    JobOwner,
     JobRecord,
     JobSpec,
     OperatorConfig,
@@ -54,6 +55,7 @@
     RankRule = Callable[[StepRun, Seconds, float], Rank]
 
 POOL = PoolId("consent")
+NO_OWNER = JobOwner()
 QUEUE = QueuePolicy(
     id=QueueId("lookup"),
     pool_id=POOL,
@@ -166,7 +168,13 @@
     jobs_by_id: dict[JobId, SimulatedJob] = field(default_factory=dict)
     ends: list[tuple[Seconds, int, Run]] = field(default_factory=list)
 
-    def add_job(self, number: int, arrived_at: Seconds, now: Seconds) -> None:
+    def add_job(
+        self,
+        number: int,
+        arrived_at: Seconds,
+        now: Seconds,
+        owner: JobOwner = NO_OWNER,
+    ) -> None:
         """Draw a job and admit it to the tables."""
         count = max(round(self.kind.steps.draw(self.rng)), 1)
         typical_seconds = self.kind.seconds.draw(self.rng)
@@ -177,6 +185,7 @@
             queue=QUEUE,
             accepted_at_ms=round(arrived_at * 1_000),
             spec=JobSpec(payload="", steps=steps),
+            owner=owner,
         )
         chain = sum(max(seconds) for seconds in true)
         work = sum(
@@ -239,7 +248,7 @@
 ) -> BurstOutcome:
     """Replay one burst on a pool of ``vms`` VMs."""
     rng = random.Random(seed)
-    replay = Replay(kind, rng, _create_tables(vms))
+    replay = Replay(kind, rng, create_tables(vms))
     arrived_at = rng.expovariate(jobs_per_second)
     ticks = round((BURST_SECONDS + SETTLE_SECONDS) / TICK_SECONDS)
     number = 0
@@ -252,10 +261,11 @@
         replay.end_due(now)
         for run in plan_round(replay.tables, POOL, now, rule):
             replay.start(run, now)
-    return _compute_outcome(list(replay.jobs_by_id.values()))
+    return compute_outcome(list(replay.jobs_by_id.values()))
 
 
-def _create_tables(vms: int) -> WorkTables:
+def create_tables(vms: int) -> WorkTables:
+    """Return tables with one pool of ``vms`` equal workers."""
     config = OperatorConfig(
         version=1,
         pools_by_id={POOL: PoolPolicy(POOL)},
@@ -281,7 +291,8 @@
     return tables
 
 
-def _compute_outcome(jobs: list[SimulatedJob]) -> BurstOutcome:
+def compute_outcome(jobs: list[SimulatedJob]) -> BurstOutcome:
+    """Return the results of the replayed jobs."""
     mean = sum(job.work for job in jobs) / len(jobs)
     total_value = earned = 0.0
     for job in jobs:
@@ -333,9 +344,18 @@
 
 
 __all__ = [
+    "BURST_SECONDS",
     "LONG_JOBS",
+    "POOL",
+    "QUEUE",
+    "SETTLE_SECONDS",
     "SHORT_JOBS",
+    "TICK_SECONDS",
     "BurstOutcome",
+    "JobKind",
+    "Replay",
+    "compute_outcome",
+    "create_tables",
     "main",
     "rank_by_latest_start",
     "replay_burst",
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -29,6 +29,7 @@
     log_worker_restarted,
 )
 from medlarspring_daemon.scheduling.unrecorded_ends import UnrecordedEnds
+from medlarspring_daemon.scheduling.usage_recorder import UsageRecorder
 from medlarspring_daemon.scheduling.vm_manager import VMManager
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
@@ -98,6 +99,7 @@
             operator_records.config, predecessors_until=term.predecessors_until
         )
         self._rounds = RoundTimer(self.tables, self._run_round)
+        self._usage_recorder = UsageRecorder(node, term, self.tables, self._tasks)
         self._vm_manager = VMManager(node, term, operator_records, self)
         self._liveness_monitor = WorkerLivenessMonitor(node, self)
 
@@ -132,6 +134,7 @@
     async def _take_over(self) -> None:
         """Load the records, then follow the inbox and the worker registry."""
         began_at = self._node.clock.now()
+        self._usage_recorder.start_if_shared()
         prefix = self._term.keys.progress_prefix
         progress = await self._read_with_retries(prefix)
         records = {entry.key.removeprefix(prefix): entry for entry in progress.entries}
@@ -438,6 +441,7 @@
             return
         self.tables.config = self._operator_records.config
         apply_quotas(self.tables, self.tables.config)
+        self._usage_recorder.start_if_shared()
         if self._workers is not None:
             self._workers.apply_config()
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/keys.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/keys.py
@@ -49,6 +49,11 @@
         """Key of the controller's counts of waiting jobs by queue."""
         return f"load/{self.cell_id}"
 
+    @property
+    def usage(self) -> str:
+        """Key of the partners' recent use."""
+        return f"usage/{self.cell_id}"
+
     @property
     def waves_prefix(self) -> str:
         """Prefix of the progress of maintenance waves."""
--- a/packages/platform/src/medlarspring_platform/operator_records.py
+++ b/packages/platform/src/medlarspring_platform/operator_records.py
@@ -11,6 +11,7 @@
 from medlarspring_adapters.fleet_codec import RecordUnreadable
 from medlarspring_platform import wire
 from medlarspring_systems.credentials import digest_credential
+from medlarspring_systems.weights import normalise_weight
 from medlarspring_tables import PartnerId, PoolId, RackId, VMId, WaveId, ZoneId
 from medlarspring_tables.scheduling import (
     AdvicePolicy,
@@ -84,7 +85,8 @@
 
     name: str
     api_keys: list[str] = []
-    weight: float = 1.0
+    weight: float | None = None
+    """Counts as 1 if it is missing, not positive or not finite."""
     max_count: WireRoom = msgspec.field(default_factory=WireRoom)
     """Limit on what runs at a time; 0 for no limit."""
 
@@ -296,7 +298,7 @@
 def _to_partner(tenant: WireTenant) -> PartnerPolicy:
     return PartnerPolicy(
         id=PartnerId(tenant.name),
-        weight=tenant.weight,
+        weight=normalise_weight(tenant.weight),
         quota=to_resources(tenant.max_count),
         credentials_sha256=tuple(map(digest_credential, tenant.api_keys)),
     )
--- a/packages/systems/src/medlarspring_systems/scheduling/recent_use.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/recent_use.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.decayed_use import accumulate, find_remaining
+from medlarspring_systems.scheduling.quotas import find_usage
 from medlarspring_tables.scheduling import PartnerUse
 
 if TYPE_CHECKING:
@@ -172,9 +173,9 @@
     remaining = find_remaining(age, RECENT_SECONDS)
     restored = 0
     for partner_id, use in use_by_partner.items():
-        usage = tables.usage_by_partner.get(partner_id)
-        if usage is None or partner_id not in tables.config.partners_by_id:
+        if partner_id not in tables.config.partners_by_id:
             continue
+        usage = find_usage(tables, partner_id)
         count_use(usage, now)
         usage.used_core_seconds += remaining * use.core_seconds
         usage.used_mb_seconds += remaining * use.mb_seconds
