--- a/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
@@ -32,11 +32,6 @@
     from medlarspring_tables.scheduling import OperatorConfig, PartnerUsage, StepRun
 
 MIN_PARTNERS = 2
-STEPS_BEYOND_SHARE = 1.0
-"""Mean waiting steps by which a partner may exceed its share.
-
-Steps are started whole, so that partners with equal use are this far apart at any time.
-"""
 
 
 @dataclass(slots=True, eq=False)
@@ -101,7 +96,6 @@
         """Set the limits of the steps' partners, and return their claims."""
         cpu_unit, memory_unit = self._cpu_unit, self._memory_unit
         claims: dict[PartnerUsage, _Claim] = {}
-        waiting = 0.0
         for step in steps:
             usage = step.job.partner
             claim = claims.get(usage)
@@ -110,13 +104,10 @@
             resources = step.resources
             cpu = resources.cpu_millis * cpu_unit
             memory = resources.memory_mb * memory_unit
-            part = len(step.waiting) * (cpu if cpu >= memory else memory)
-            claim.wanted += part
-            waiting += part
+            claim.wanted += len(step.waiting) * (cpu if cpu >= memory else memory)
         level = _find_share_level(claims.values())
-        allowance = STEPS_BEYOND_SHARE * waiting / len(steps)
         for usage, claim in claims.items():
-            claim.limit = level * usage.weight + allowance
+            claim.limit = level * usage.weight
         return claims
 
     def _get_claim(self, usage: PartnerUsage) -> _Claim:
--- a/packages/systems/src/medlarspring_systems/scheduling/recent_use.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/recent_use.py
@@ -120,7 +120,9 @@
             parts.append((part, partner_id))
     parts.sort(reverse=True)
     return {
-        partner_id: PartnerUse(usage.used_core_seconds, usage.used_mb_seconds)
+        partner_id: PartnerUse(
+            round(usage.used_core_seconds, 1), round(usage.used_mb_seconds)
+        )
         for _, partner_id in parts[:limit]
         for usage in (tables.usage_by_partner[partner_id],)
     }
