--- a/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
@@ -32,6 +32,11 @@
     from medlarspring_tables.scheduling import OperatorConfig, PartnerUsage, StepRun
 
 MIN_PARTNERS = 2
+MAX_FILLED_STEPS = 400
+"""Steps beyond the shares that are put in order; the others follow by their rank.
+
+A round starts at most half as many tasks, and sorting the rest would take most of it.
+"""
 
 
 @dataclass(slots=True, eq=False)
@@ -81,35 +86,47 @@
 
     def add_group(self, steps: list[StepRun]) -> None:
         """Add steps of equal tier and priority, which are sorted by rank."""
-        claims = self._set_limits(steps)
+        claims = self._find_claims(steps)
+        self._set_limits(dict.fromkeys(claims))
+        excess: list[StepRun] = []
         exceeding: dict[_Claim, None] = {}
-        for step in steps:
-            claim = claims[step.job.partner]
+        for step, claim in zip(steps, claims, strict=True):
             if claim.part <= claim.limit:
                 self._pick(step, claim)
             else:
+                excess.append(step)
                 claim.excess.append(step)
                 exceeding[claim] = None
-        self._fill_evenly(list(exceeding))
+        self._fill_evenly(excess, list(exceeding))
 
-    def _set_limits(self, steps: list[StepRun]) -> dict[PartnerUsage, _Claim]:
-        """Set the limits of the steps' partners, and return their claims."""
+    def _find_claims(self, steps: list[StepRun]) -> list[_Claim]:
+        """Return the claim of each step's partner, with all that it wants."""
         cpu_unit, memory_unit = self._cpu_unit, self._memory_unit
-        claims: dict[PartnerUsage, _Claim] = {}
+        by_usage: dict[PartnerUsage, _Claim] = {}
+        claims: list[_Claim] = []
         for step in steps:
             usage = step.job.partner
-            claim = claims.get(usage)
+            claim = by_usage.get(usage)
             if claim is None:
-                claim = claims[usage] = self._get_claim(usage)
+                claim = by_usage[usage] = self._get_claim(usage)
             resources = step.resources
             cpu = resources.cpu_millis * cpu_unit
             memory = resources.memory_mb * memory_unit
             claim.wanted += len(step.waiting) * (cpu if cpu >= memory else memory)
-        level = _find_share_level(claims.values())
-        for usage, claim in claims.items():
-            claim.limit = level * usage.weight
+            claims.append(claim)
         return claims
 
+    def _set_limits(self, claims: Iterable[_Claim]) -> None:
+        """Set the shares: what is used now, divided fairly among those who want it."""
+        by_id = {claim.usage.partner_id: claim for claim in claims}
+        shares = divide_fairly(
+            {partner_id: claim.wanted for partner_id, claim in by_id.items()},
+            {partner_id: claim.usage.weight for partner_id, claim in by_id.items()},
+            sum(claim.part for claim in by_id.values()),
+        )
+        for partner_id, claim in by_id.items():
+            claim.limit = shares[partner_id]
+
     def _get_claim(self, usage: PartnerUsage) -> _Claim:
         claim = self._claims.get(usage)
         if claim is None:
@@ -128,7 +145,7 @@
         claim.part = claim.cpu if claim.cpu >= claim.memory else claim.memory
         self.steps.append(step)
 
-    def _fill_evenly(self, claims: list[_Claim]) -> None:
+    def _fill_evenly(self, excess: list[StepRun], claims: list[_Claim]) -> None:
         """Append the steps beyond the shares, always of the partner with least use."""
         # Of partners with equal use, the one whose first step ranks first goes first.
         heap = [
@@ -136,7 +153,8 @@
             for place, claim in enumerate(claims)
         ]
         heapify(heap)
-        while heap:
+        begin = len(self.steps)
+        while heap and len(self.steps) < begin + MAX_FILLED_STEPS:
             place = heap[0][1]
             claim = claims[place]
             self._pick(claim.excess.popleft(), claim)
@@ -144,19 +162,11 @@
                 heapreplace(heap, (claim.part / claim.usage.weight, place))
             else:
                 heappop(heap)
-
-
-def _find_share_level(claims: Iterable[_Claim]) -> float:
-    """Return the use for its weight up to which a partner is within its share."""
-    by_id = {claim.usage.partner_id: claim for claim in claims}
-    shares = divide_fairly(
-        {partner_id: claim.wanted for partner_id, claim in by_id.items()},
-        {partner_id: claim.usage.weight for partner_id, claim in by_id.items()},
-        sum(claim.part for claim in by_id.values()),
-    )
-    return max(
-        share / by_id[partner_id].usage.weight for partner_id, share in shares.items()
-    )
+        if heap:
+            filled = set(self.steps[begin:])
+            self.steps.extend(step for step in excess if step not in filled)
+            for claim in claims:
+                claim.excess.clear()
 
 
 __all__ = ["has_shares", "order_by_shares"]
--- a/packages/systems/src/medlarspring_systems/scheduling/isolation.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/isolation.py
@@ -75,6 +75,8 @@
 
 def _has_waited_for_long(step: StepRun, now: Seconds) -> bool:
     """Return whether a task of a step has waited too long beside isolated workers."""
+    if now - step.ready_at <= LONG_WAIT_SECONDS:
+        return False
     return any(
         measure_waiting_time(task, now) > LONG_WAIT_SECONDS for task in step.waiting
     )
