--- a/packages/systems/src/medlarspring_systems/decayed_use.py
+++ b/packages/systems/src/medlarspring_systems/decayed_use.py
@@ -33,12 +33,9 @@
     return math.exp(-min(max(elapsed, 0.0) / decay_seconds, MAX_EXPONENT))
 
 
-def accumulate(
-    amount: float, rate: float, elapsed: Seconds, decay_seconds: Seconds
-) -> float:
-    """Return the amount after a time in which ``rate`` was used per second."""
-    remaining = find_remaining(elapsed, decay_seconds)
-    return amount * remaining + rate * decay_seconds * (1.0 - remaining)
+def integrate(elapsed: Seconds, decay_seconds: Seconds) -> Seconds:
+    """Return what a constant use of 1 adds to an amount in a time of at least 0."""
+    return decay_seconds * (1.0 - find_remaining(elapsed, decay_seconds))
 
 
-__all__ = ["accumulate", "find_remaining", "grow_unit"]
+__all__ = ["find_remaining", "grow_unit", "integrate"]
--- a/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
@@ -20,7 +20,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.ordering import TIER_LONG_RUNNING
-from medlarspring_systems.scheduling.recent_use import measure_cpu, measure_memory
+from medlarspring_systems.scheduling.recent_use import measure_use
 from medlarspring_systems.slot_shares import divide_fairly
 
 if TYPE_CHECKING:
@@ -32,10 +32,10 @@
     from medlarspring_tables.scheduling import OperatorConfig, PartnerUsage, StepRun
 
 MIN_PARTNERS = 2
-MAX_FILLED_STEPS = 400
-"""Steps beyond the shares that are put in order; the others follow by their rank.
+MAX_ORDERED_STEPS = 400
+"""Steps after which the others follow by their rank.
 
-A round starts at most half as many tasks, and sorting the rest would take most of it.
+A round starts at most half as many tasks, and to order the rest would double its cost.
 """
 
 
@@ -67,7 +67,7 @@
     order = _Order(capacity, now)
     for (tier, _), group in groupby(ranked, key=lambda pair: pair[0][:2]):
         steps = [step for _, step in group]
-        if tier == TIER_LONG_RUNNING:
+        if tier == TIER_LONG_RUNNING or len(order.steps) >= MAX_ORDERED_STEPS:
             order.steps.extend(steps)
         else:
             order.add_group(steps)
@@ -130,8 +130,8 @@
     def _get_claim(self, usage: PartnerUsage) -> _Claim:
         claim = self._claims.get(usage)
         if claim is None:
-            cpu = measure_cpu(usage, self._now) * self._cpu_unit
-            memory = measure_memory(usage, self._now) * self._memory_unit
+            cpu, memory = measure_use(usage, self._now)
+            cpu, memory = cpu * self._cpu_unit, memory * self._memory_unit
             claim = _Claim(usage, cpu, memory, max(cpu, memory))
             self._claims[usage] = claim
         claim.wanted = claim.part
@@ -154,7 +154,7 @@
         ]
         heapify(heap)
         begin = len(self.steps)
-        while heap and len(self.steps) < begin + MAX_FILLED_STEPS:
+        while heap and len(self.steps) < MAX_ORDERED_STEPS:
             place = heap[0][1]
             claim = claims[place]
             self._pick(claim.excess.popleft(), claim)
--- a/packages/systems/src/medlarspring_systems/scheduling/recent_use.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/recent_use.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.decayed_use import accumulate, find_remaining
+from medlarspring_systems.decayed_use import find_remaining, integrate
 from medlarspring_systems.scheduling.quotas import find_usage
 from medlarspring_tables.scheduling import PartnerUse
 
@@ -71,28 +71,23 @@
     elapsed = now - usage.used_at
     if elapsed <= 0.0:
         return
-    usage.used_core_seconds = accumulate(
-        usage.used_core_seconds,
-        usage.held_cpu_millis / 1_000.0,
-        elapsed,
-        RECENT_SECONDS,
-    )
-    usage.used_mb_seconds = accumulate(
-        usage.used_mb_seconds, usage.held_memory_mb, elapsed, RECENT_SECONDS
+    remaining = find_remaining(elapsed, RECENT_SECONDS)
+    added = integrate(elapsed, RECENT_SECONDS)
+    cores = usage.held_cpu_millis / 1_000.0
+    usage.used_core_seconds = remaining * usage.used_core_seconds + added * cores
+    usage.used_mb_seconds = (
+        remaining * usage.used_mb_seconds + added * usage.held_memory_mb
     )
     usage.used_at = now
 
 
-def measure_cpu(usage: PartnerUsage, now: Seconds) -> float:
-    """Return the millicores held now plus those held recently on average."""
+def measure_use(usage: PartnerUsage, now: Seconds) -> tuple[float, float]:
+    """Return the millicores and MB held now plus those held recently on average."""
     count_use(usage, now)
-    return usage.held_cpu_millis + 1_000.0 * usage.used_core_seconds / RECENT_SECONDS
-
-
-def measure_memory(usage: PartnerUsage, now: Seconds) -> float:
-    """Return the MB held now plus those held recently on average."""
-    count_use(usage, now)
-    return usage.held_memory_mb + usage.used_mb_seconds / RECENT_SECONDS
+    return (
+        usage.held_cpu_millis + 1_000.0 * usage.used_core_seconds / RECENT_SECONDS,
+        usage.held_memory_mb + usage.used_mb_seconds / RECENT_SECONDS,
+    )
 
 
 def measure_level(usage: PartnerUsage, capacity: FleetCapacity, now: Seconds) -> float:
@@ -100,10 +95,8 @@
 
     The dominant resource is the one of which it uses the larger part of the fleet's.
     """
-    part = max(
-        measure_cpu(usage, now) / capacity.cpu_millis,
-        measure_memory(usage, now) / capacity.memory_mb,
-    )
+    cpu, memory = measure_use(usage, now)
+    part = max(cpu / capacity.cpu_millis, memory / capacity.memory_mb)
     return part / usage.weight
 
 
@@ -195,8 +188,7 @@
     "list_largest_use",
     "measure_capacity",
     "measure_change",
-    "measure_cpu",
     "measure_level",
-    "measure_memory",
+    "measure_use",
     "restore_use",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/share_report.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/share_report.py
@@ -11,9 +11,8 @@
 from medlarspring_systems.scheduling.quotas import fits_quota
 from medlarspring_systems.scheduling.recent_use import (
     measure_capacity,
-    measure_cpu,
     measure_level,
-    measure_memory,
+    measure_use,
 )
 
 if TYPE_CHECKING:
@@ -71,12 +70,13 @@
         if ratio <= (1.0 if partner_id in former else OVER_RATIO):
             continue
         usage = tables.usage_by_partner[partner_id]
+        cpu, memory = measure_use(usage, now)
         over[partner_id] = OverShare(
             ratio=ratio,
             waiting=tasks,
             weight=usage.weight,
-            cpu_millis=round(measure_cpu(usage, now)),
-            memory_mb=round(measure_memory(usage, now)),
+            cpu_millis=round(cpu),
+            memory_mb=round(memory),
         )
     return over
 
--- a/packages/systems/tests/scheduling/test_recent_use.py
+++ b/packages/systems/tests/scheduling/test_recent_use.py
@@ -8,7 +8,7 @@
 import pytest
 
 from medlarspring_bench.measure.partner_shares import put_partners_in_force
-from medlarspring_systems.decayed_use import accumulate, find_remaining, grow_unit
+from medlarspring_systems.decayed_use import find_remaining, grow_unit, integrate
 from medlarspring_systems.scheduling.quotas import find_usage
 from medlarspring_systems.scheduling.recent_use import (
     MAX_RECORD_AGE_SECONDS,
@@ -36,8 +36,8 @@
     assert 1.0 / unit == pytest.approx(find_remaining(3.0, 2.0))
     assert grow_unit(1_000.0, 2.0) is None
     assert find_remaining(1e9, 2.0) >= 0.0
-    halves = accumulate(accumulate(5.0, 2.0, 1.0, 4.0), 2.0, 2.0, 4.0)
-    assert halves == pytest.approx(accumulate(5.0, 2.0, 3.0, 4.0))
+    later = find_remaining(2.0, 4.0) * integrate(1.0, 4.0) + integrate(2.0, 4.0)
+    assert later == pytest.approx(integrate(3.0, 4.0))
 
 
 def test_use_rises_while_a_run_lasts_and_decays_after_it(scene: Scene):
