--- a/packages/bench/src/medlarspring_bench/measure/__main__.py
+++ b/packages/bench/src/medlarspring_bench/measure/__main__.py
@@ -13,6 +13,7 @@
     configuration,
     fleet,
     jobs,
+    partner_shares,
     requests,
     table_edits,
 )
@@ -24,6 +25,7 @@
     "configuration": lambda: configuration.main([]),
     "table_edits": table_edits.main,
     "turns": burst_overload.main,
+    "shares": partner_shares.main,
 }
 
 
