--- a/packages/systems/src/medlarspring_systems/scheduling/quotas.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/quotas.py
@@ -134,8 +134,8 @@
 def list_miscounted_partners(tables: WorkTables) -> list[PartnerId]:
     """Return the partners whose usage differs from the sum over all workers' runs.
 
-    There should be none: a partner whose usage is too high never starts its work, and
-    one whose usage is too low exceeds its quota.
+    There should be none: a partner whose usage is too high never starts its work, or
+    waits behind all others, and one whose usage is too low exceeds its quota or share.
     """
     summed: dict[PartnerId, PartnerUsage] = {}
     for worker in tables.workers_by_id.values():
@@ -143,6 +143,9 @@
             partner_id = run.task.step.job.partner.partner_id
             usage = summed.setdefault(partner_id, PartnerUsage(partner_id))
             add_usage(usage, run.task.step.spec)
+            if not run.task.step.spec.long_running:
+                usage.held_cpu_millis += run.task.step.resources.cpu_millis
+                usage.held_memory_mb += run.task.step.resources.memory_mb
     return [
         partner_id
         for partner_id, usage in tables.usage_by_partner.items()
@@ -151,8 +154,15 @@
     ]
 
 
-def _list_amounts(usage: PartnerUsage) -> tuple[int, int, int, int]:
-    return usage.runs, usage.cpu_millis, usage.memory_mb, usage.accelerators
+def _list_amounts(usage: PartnerUsage) -> tuple[int, ...]:
+    return (
+        usage.runs,
+        usage.cpu_millis,
+        usage.memory_mb,
+        usage.accelerators,
+        usage.held_cpu_millis,
+        usage.held_memory_mb,
+    )
 
 
 __all__ = [
