--- a/packages/systems/src/medlarspring_systems/scheduling/quotas.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/quotas.py
@@ -1,4 +1,4 @@
-"""Quotas: what the tasks of one partner may use at a time over all workers.
+"""Quotas and weights: what a partner's tasks may use at a time over all workers.
 
 A partner's usage changes only where a run is attached to or detached from its worker.
 It therefore includes runs that were intended, ordered without an answer, restored
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.weights import normalise_weight
 from medlarspring_tables import MedlarspringError
 from medlarspring_tables.scheduling import PartnerUsage, Resources
 
@@ -44,9 +45,11 @@
 
 
 def apply_quotas(tables: WorkTables, config: OperatorConfig) -> None:
-    """Put the partners' quotas of a configuration into force."""
+    """Put the partners' quotas and weights of a configuration into force."""
     for policy in config.partners_by_id.values():
-        find_usage(tables, policy.id).quota = policy.quota
+        usage = find_usage(tables, policy.id)
+        usage.quota = policy.quota
+        usage.weight = normalise_weight(policy.weight)
 
 
 def find_usage(tables: WorkTables, partner_id: PartnerId) -> PartnerUsage:
@@ -131,8 +134,8 @@
 def list_miscounted_partners(tables: WorkTables) -> list[PartnerId]:
     """Return the partners whose usage differs from the sum over all workers' runs.
 
-    There should be none: a partner whose usage is too high never starts its work, and
-    one whose usage is too low exceeds its quota.
+    There should be none: a partner whose usage is too high never starts its work, or
+    waits behind all others, and one whose usage is too low exceeds its quota or share.
     """
     summed: dict[PartnerId, PartnerUsage] = {}
     for worker in tables.workers_by_id.values():
@@ -140,6 +143,9 @@
             partner_id = run.task.step.job.partner.partner_id
             usage = summed.setdefault(partner_id, PartnerUsage(partner_id))
             add_usage(usage, run.task.step.spec)
+            if not run.task.step.spec.long_running:
+                usage.held_cpu_millis += run.task.step.resources.cpu_millis
+                usage.held_memory_mb += run.task.step.resources.memory_mb
     return [
         partner_id
         for partner_id, usage in tables.usage_by_partner.items()
@@ -148,8 +154,15 @@
     ]
 
 
-def _list_amounts(usage: PartnerUsage) -> tuple[int, int, int, int]:
-    return usage.runs, usage.cpu_millis, usage.memory_mb, usage.accelerators
+def _list_amounts(usage: PartnerUsage) -> tuple[int, ...]:
+    return (
+        usage.runs,
+        usage.cpu_millis,
+        usage.memory_mb,
+        usage.accelerators,
+        usage.held_cpu_millis,
+        usage.held_memory_mb,
+    )
 
 
 __all__ = [
--- a/packages/systems/src/medlarspring_systems/slot_shares.py
+++ b/packages/systems/src/medlarspring_systems/slot_shares.py
@@ -101,9 +101,11 @@
     while unsatisfied and left > 0.0:
         total = sum(weights.get(key, 1.0) for key in unsatisfied)
         level = left / total
-        satisfied = [
-            key for key in unsatisfied if demand[key] <= level * weights.get(key, 1.0)
-        ]
+        satisfied = {
+            key: None
+            for key in unsatisfied
+            if demand[key] <= level * weights.get(key, 1.0)
+        }
         if not satisfied:
             for key in unsatisfied:
                 shares[key] = level * weights.get(key, 1.0)
