Refuse at once new jobs that their partner's share can't complete in time

The controller forecasts how long a new job of each partner beyond its weighted max-min share or quota waits, and publishes it in load/<cell>. Entry VMs read the record in the background of submissions and refuse (429 share-exceeded, with Retry-After) what can't complete within three times its objective. Each doubt accepts: an old, missing or future record, a slow or lost store, an id that is stored or may be being written. Off with fewer than two partners.

The checks of the emulated platform count share-exceeded among the refusals after which a job must not run; that makes them stricter.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -85,6 +85,10 @@
     JOB_CANCEL_ACCEPTED = (9003, "a job's cancellation request is stored")
     JOB_CALL_REFUSED = (9004, "a job query or cancellation was not carried out")
     CALL_UNAUTHORISED = (9005, "a call had no credential that is in force")
+    JOB_REFUSED_FOR_LOAD = (
+        9006,
+        "a job was refused at once, as its partner's share is in use",
+    )
     CONFIG_IN_FORCE = (9010, "a newer configuration of the operator is in force")
     WAVE_ORDERED = (9011, "the operator ordered a maintenance wave")
     RECORD_UNREADABLE = (9012, "a record in the store can't be read")
--- a/packages/bench/src/medlarspring_bench/platform_world/checks.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/checks.py
@@ -29,7 +29,9 @@
 STARTS_AFTER_CRASHES = 2
 """Number of starts allowed after that many crashes."""
 HOLDERS_APART_SECONDS = 3.0
-REFUSALS_NOT_RUN = frozenset({"not-ready", "no-such-queue", "credential-unknown"})
+REFUSALS_NOT_RUN = frozenset(
+    {"not-ready", "no-such-queue", "credential-unknown", "share-exceeded"}
+)
 
 
 def check_history(history: History) -> list[Breach]:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
@@ -27,24 +26,32 @@
     NoSuchJob,
     NotReady,
     OutcomeUnknown,
+    ShareExceeded,
 )
 from medlarspring_daemon.scheduling.keys import CellKeys, find_cell
+from medlarspring_daemon.scheduling.load_gate import LoadGate
+from medlarspring_daemon.scheduling.load_view import LoadView
 from medlarspring_systems.scheduling.quotas import JobExceedsQuota, check_quota
 from medlarspring_tables import Revision
 from medlarspring_tables.scheduling import (
     CancelRecord,
     JobOutcome,
     JobRecord,
-    LoadRecord,
-    QueueId,
 )
 
 if TYPE_CHECKING:
     from medlarspring_adapters.store import Committed, Entry
     from medlarspring_daemon.scheduling.context import SchedulingNode
+    from medlarspring_daemon.scheduling.operator_records import OperatorRecords
     from medlarspring_systems.scheduling.callers import Caller
+    from medlarspring_systems.scheduling.load_admission import LoadRefusal
     from medlarspring_tables import JobId, Seconds
-    from medlarspring_tables.scheduling import JobSpec, QueuePolicy
+    from medlarspring_tables.scheduling import (
+        JobSpec,
+        LoadRecord,
+        QueueId,
+        QueuePolicy,
+    )
 
 MAX_ACCEPTED_PER_CALL = 16
 """Each job takes a condition and a write of a transaction's 32 entries."""
@@ -96,23 +103,21 @@
 }
 
 
-@dataclass(slots=True)
-class CachedLoad:
-    """A load record and the time at which it was read."""
-
-    record: LoadRecord
-    read_at: Seconds
-
-
 class Intake:
     """Handles the submissions, cancellations and queries that one entry VM receives."""
 
-    def __init__(self, node: SchedulingNode) -> None:
+    def __init__(self, node: SchedulingNode, operator_records: OperatorRecords) -> None:
         self._node = node
         self._commits = GroupCommit(
             node.store, node.clock, lambda: 0.0, MAX_ACCEPTED_PER_CALL
         )
-        self._loads_by_cell: dict[str, CachedLoad] = {}
+        self._loads = LoadView(node)
+        self._gate = LoadGate(node, operator_records, self._loads)
+
+    async def stop(self) -> None:
+        """Stop the reads in the background."""
+        await self._gate.stop()
+        await self._loads.stop()
 
     async def submit(
         self,
@@ -144,21 +149,29 @@
         fault = check_quota(caller.policy, spec)
         if fault is not None:
             return Failure(fault)
+        keys = self._keys(job_id)
+        refusal = await self._gate.find_refusal(queue, job_id, spec, caller, keys)
+        if refusal is not None:
+            return Failure(ShareExceeded(refusal))
         record = JobRecord(
             queue=queue,
             spec=spec,
             accepted_at_ms=round(self._node.clock.wall() * 1_000),
             owner=caller.owner,
         )
-        key = self._keys(job_id).job(job_id)
+        key = keys.job(job_id)
         transaction = Transaction(
             expects=(Expect(key, Revision(0)),),
             writes=(Put(key, msgspec.json.encode(record)),),
             read_on_failure=(key,),
         )
+        self._gate.unsettled.add(job_id, self._node.clock.now())
         answer = await self._commit_until(transaction, timeout)
         if not is_successful(answer):
+            if not isinstance(answer.failure(), OutcomeUnknown):
+                self._gate.unsettled.settle(job_id)
             return Failure(answer.failure())
+        self._gate.unsettled.settle(job_id)
         committed = answer.unwrap()
         existing = committed.read_by_key.get(key)
         if not committed.succeeded and existing is not None:
@@ -259,19 +272,14 @@
     async def _read_load(
         self, keys: CellKeys, timeout: Seconds
     ) -> Result[LoadRecord, IntakeError]:
+        recent = self._loads.find_recent(keys.cell_id, MAX_LOAD_AGE_SECONDS)
+        if recent is not None:
+            return Success(recent)
         now = self._node.clock.now()
-        cached = self._loads_by_cell.get(keys.cell_id)
-        if cached is not None and now - cached.read_at < MAX_LOAD_AGE_SECONDS:
-            return Success(cached.record)
         found = await self._read(keys.load, now + timeout)
         if not is_successful(found):
             return Failure(found.failure())
-        entry = found.unwrap()
-        record = LoadRecord(at_ms=0)
-        if entry is not None:
-            record = self._node.unreadable.decode(entry, LoadRecord) or record
-        self._loads_by_cell[keys.cell_id] = CachedLoad(record, now)
-        return Success(record)
+        return Success(self._loads.record(keys.cell_id, found.unwrap(), now))
 
     def _keys(self, job_id: JobId) -> CellKeys:
         return CellKeys(find_cell(job_id, self._node.cells))
@@ -371,6 +379,9 @@
             )
             return
         error = answer.failure()
+        if isinstance(error, ShareExceeded):
+            self._log_load_refusal(queue, job_id, caller, error.refusal)
+            return
         is_unknown = isinstance(error, OutcomeUnknown)
         metrics.count(Metric.JOBS_UNKNOWN if is_unknown else Metric.JOBS_REFUSED)
         self._node.log.warning(
@@ -384,5 +395,21 @@
             fault=error.message(),
         )
 
+    def _log_load_refusal(
+        self, queue: QueuePolicy, job_id: JobId, caller: Caller, refusal: LoadRefusal
+    ) -> None:
+        self._node.metrics.count(Metric.JOBS_REFUSED_FOR_LOAD)
+        self._node.log.info(
+            Event.JOB_REFUSED_FOR_LOAD,
+            job=job_id,
+            queue=queue.id,
+            partner=caller.owner.partner_id,
+            expected_wait_ms=round(refusal.expected_wait * 1_000),
+            path_ms=round(refusal.path * 1_000),
+            limit_ms=round(refusal.limit * 1_000),
+            record_age_ms=round(refusal.record_age * 1_000),
+            retry_after=refusal.retry_after,
+        )
+
 
 __all__ = ["Intake", "JobStatus"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake_errors.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake_errors.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from medlarspring_tables import MedlarspringError
 
+if TYPE_CHECKING:
+    from medlarspring_systems.scheduling.load_admission import LoadRefusal
+
 
 class IntakeError(MedlarspringError):
     """Base of errors of a customer's call that failed or has an unknown outcome."""
@@ -75,6 +80,31 @@
         )
 
 
+class ShareExceeded(IntakeError):
+    """The partner's open work leaves no room for the job while it is of use.
+
+    It speaks of this attempt: nothing was written, and no job had this id.
+    """
+
+    code = "share-exceeded"
+
+    def __init__(self, refusal: LoadRefusal) -> None:
+        super().__init__(refusal)
+        self.refusal = refusal
+        """The figures that the decision is based on."""
+        self.retry_after = refusal.retry_after
+        """Whole seconds to wait before the next attempt."""
+
+    def message(self) -> str:
+        """Return the reason and what to do next."""
+        return (
+            "The job was not accepted: your partner's open jobs fill its share for"
+            f" about {self.refusal.expected_wait:.1f} s, too long for this job to be in"
+            f" time. Repeat it with the same id in {self.retry_after} s, submit fewer"
+            " jobs at a time, or ask the operator for a larger weight or quota."
+        )
+
+
 class OutcomeUnknown(IntakeError):
     """The store's answer was lost; the call may have been carried out."""
 
@@ -96,4 +126,5 @@
     "NoSuchQueue",
     "NotReady",
     "OutcomeUnknown",
+    "ShareExceeded",
 ]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/load_reporter.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/load_reporter.py
@@ -14,6 +14,7 @@
 from medlarspring_daemon.scheduling.run_log import log_backlog
 from medlarspring_systems.scheduling.backlog import describe_backlog
 from medlarspring_systems.scheduling.jobs import is_unstarted
+from medlarspring_systems.scheduling.load_forecast import forecast_waits
 from medlarspring_systems.scheduling.placement import is_schedulable
 from medlarspring_systems.scheduling.waiting import (
     count_waiting,
@@ -39,6 +40,8 @@
         self._term = term
         self._tables = tables
         self._published: dict[str, int] | None = None
+        self._has_forecasts = False
+        """Whether the record last written contains forecasts."""
         self._at_quota: set[PartnerId] = set()
         """Partners whose tasks wait for their quota, as last logged."""
 
@@ -117,14 +120,24 @@
         }
 
     async def _publish(self) -> None:
+        """Write the load if it has changed, or if it contains forecasts.
+
+        Entry VMs use forecasts only while they are fresh, so these are written anew
+        each time. None are left once no partner is beyond its share.
+        """
+        if not self._term.is_active():
+            return
         waiting: dict[str, int] = {}
         for job in self._tables.jobs_by_id.values():
             if is_unstarted(job):
                 waiting[job.queue.id] = waiting.get(job.queue.id, 0) + 1
-        if waiting == self._published or not self._term.is_active():
+        waits = forecast_waits(self._tables, self._node.clock.now())
+        if waiting == self._published and not waits and not self._has_forecasts:
             return
         record = LoadRecord(
-            at_ms=round(self._node.clock.wall() * 1_000), waiting_by_queue=waiting
+            at_ms=round(self._node.clock.wall() * 1_000),
+            waiting_by_queue=waiting,
+            waits=waits,
         )
         put = Put(self._term.keys.load, msgspec.json.encode(record))
         answer = await self._node.store.commit(
@@ -132,6 +145,7 @@
         )
         if is_successful(answer):
             self._published = waiting
+            self._has_forecasts = bool(waits)
 
 
 __all__ = ["LoadReporter"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/service.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/service.py
@@ -27,7 +27,7 @@
         self._node = node
         self._tasks = BackgroundTasks(node.log)
         self.operator_records = OperatorRecords(node)
-        self.intake = Intake(node)
+        self.intake = Intake(node, self.operator_records)
         self._elections = [
             Election(node, cell_id, self._may_control, self._create_controller)
             for cell_id in node.cells
@@ -47,6 +47,7 @@
         for election in self._elections:
             await election.stop()
         await self.operator_records.stop()
+        await self.intake.stop()
         await self._tasks.cancel()
 
     def is_ready(self) -> bool:
--- a/packages/platform/src/medlarspring_platform/jobs_frontend.py
+++ b/packages/platform/src/medlarspring_platform/jobs_frontend.py
@@ -19,6 +19,7 @@
     NoSuchQueue,
     NotReady,
     OutcomeUnknown,
+    ShareExceeded,
 )
 from medlarspring_platform import wire
 from medlarspring_systems.scheduling.admission import JobInvalid, check_job
@@ -51,6 +52,7 @@
     CredentialUnknown: HTTPStatus.UNAUTHORIZED,
     JobOfOtherPartner: HTTPStatus.FORBIDDEN,
     NotReady: HTTPStatus.SERVICE_UNAVAILABLE,
+    ShareExceeded: HTTPStatus.TOO_MANY_REQUESTS,
     OutcomeUnknown: HTTPStatus.GATEWAY_TIMEOUT,
     JobInvalid: HTTPStatus.BAD_REQUEST,
     JobExceedsQuota: HTTPStatus.BAD_REQUEST,
@@ -299,8 +301,9 @@
 
 def _refuse(error: MedlarspringError) -> web.Response:
     response = _problem(_HTTP_BY_ERROR[type(error)], error.code, error.message())
-    if isinstance(error, NotReady):
+    if isinstance(error, NotReady | ShareExceeded):
         response.headers["Retry-After"] = str(error.retry_after)
+    if isinstance(error, NotReady):
         # An entry VM that cannot reach the store leaves the balancer's rotation, but
         # open connections stay with it. Closing them lets the customer's next attempt
         # reach another entry VM: 0.02 more of the payoff on five days with outages
--- a/packages/tables/src/medlarspring_tables/scheduling/__init__.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/__init__.py
@@ -35,6 +35,7 @@
     RunRecord,
     SizesRecord,
     StepRecord,
+    WaitForecast,
     WaveRecord,
 )
 from medlarspring_tables.scheduling.reports import EndedRow, RunningRow
@@ -105,6 +106,7 @@
     "Ticket",
     "VMEntry",
     "VMPhase",
+    "WaitForecast",
     "WaveOrder",
     "WaveRecord",
     "WorkTables",
--- a/packages/tables/src/medlarspring_tables/scheduling/records.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/records.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct
 
-from medlarspring_tables.ids import PartnerId
+from medlarspring_tables.ids import PartnerId, PoolId
 from medlarspring_tables.scheduling.ids import Milliseconds, WorkerId
 from medlarspring_tables.scheduling.specs import JobSpec, QueuePolicy
 
@@ -116,12 +116,25 @@
     begun: tuple[str, ...] = ()
 
 
+class WaitForecast(Struct, frozen=True, array_like=True):
+    """Expected wait of a partner's new job, where the partner is beyond its share."""
+
+    pool_id: PoolId
+    priority: int
+    """Holds for jobs of queues of this priority, and of less urgent ones."""
+    partner_id: PartnerId
+    wait_ms: Milliseconds
+    """Time until a new job would get room, counted from the record's ``at_ms``."""
+
+
 class LoadRecord(Struct, frozen=True, kw_only=True):
     """Load of a controller's queues, written about once a second."""
 
     at_ms: int
     waiting_by_queue: dict[str, int] = {}
     """Number of accepted jobs of which no task has started."""
+    waits: tuple[WaitForecast, ...] = ()
+    """The longest waits, longest first; former versions neither write nor read them."""
 
 
 class OperationsRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -151,5 +164,6 @@
     "RunRecord",
     "SizesRecord",
     "StepRecord",
+    "WaitForecast",
     "WaveRecord",
 ]
