--- a/packages/daemon/src/medlarspring_daemon/scheduling/usage_recorder.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/usage_recorder.py
@@ -12,7 +12,6 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import Put, Transaction
-from medlarspring_systems.scheduling.fair_order import has_shares
 from medlarspring_systems.scheduling.recent_use import (
     MAX_RECORD_AGE_SECONDS,
     list_largest_use,
@@ -78,7 +77,7 @@
 
     def start_if_shared(self) -> None:
         """Start in the background once the configuration has shares."""
-        if self._started or not has_shares(self._tables.config):
+        if self._started or not self._tables.config.has_competing_partners:
             return
         self._started = True
         self._tasks.start(self._restore())
@@ -157,7 +156,7 @@
 
     async def _record(self) -> None:
         """Write the record if a successor would otherwise be noticeably wrong."""
-        if not has_shares(self._tables.config) or not self._term.is_active():
+        if not self._tables.config.has_competing_partners or not self._term.is_active():
             return
         now = self._node.clock.now()
         use = list_largest_use(self._tables, MAX_RECORDED_PARTNERS, now)
--- a/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fair_order.py
@@ -29,9 +29,8 @@
     from medlarspring_systems.scheduling.ordering import Rank
     from medlarspring_systems.scheduling.recent_use import FleetCapacity
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import OperatorConfig, PartnerUsage, StepRun
+    from medlarspring_tables.scheduling import PartnerUsage, StepRun
 
-MIN_PARTNERS = 2
 MAX_ORDERED_STEPS = 400
 """Steps after which the others follow by their rank.
 
@@ -55,11 +54,6 @@
     excess: deque[StepRun] = field(default_factory=deque)
 
 
-def has_shares(config: OperatorConfig) -> bool:
-    """Return whether a configuration divides the fleet among partners."""
-    return len(config.partners_by_id) >= MIN_PARTNERS
-
-
 def order_by_shares(
     ranked: Iterable[tuple[Rank, StepRun]], capacity: FleetCapacity, now: Seconds
 ) -> list[StepRun]:
@@ -169,4 +163,4 @@
                 claim.excess.clear()
 
 
-__all__ = ["has_shares", "order_by_shares"]
+__all__ = ["order_by_shares"]
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -10,7 +10,7 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.fair_order import has_shares, order_by_shares
+from medlarspring_systems.scheduling.fair_order import order_by_shares
 from medlarspring_systems.scheduling.isolation import (
     IsolationBudget,
     can_be_kept_free,
@@ -139,7 +139,7 @@
     size_weight = measure_size_weight(steps, workers)
     ranked = [(rank(step, now, size_weight), step) for step in steps]
     ranked.sort(key=itemgetter(0))
-    if size_weight and has_shares(tables.config):
+    if size_weight and tables.config.has_competing_partners:
         steps = order_by_shares(ranked, measure_capacity(tables), now)
     else:
         steps = [step for _, step in ranked]
--- a/packages/systems/src/medlarspring_systems/scheduling/share_report.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/share_report.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.fair_order import has_shares
 from medlarspring_systems.scheduling.ordering import measure_size_weight
 from medlarspring_systems.scheduling.placement import list_schedulable_workers
 from medlarspring_systems.scheduling.quotas import fits_quota
@@ -50,7 +49,7 @@
 
     ``former`` are those that were returned the last time.
     """
-    if not has_shares(tables.config):
+    if not tables.config.has_competing_partners:
         return {}
     waiting = _count_waiting_in_overload(tables, now)
     if len(waiting) < 2:
--- a/packages/tables/src/medlarspring_tables/scheduling/__init__.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/__init__.py
@@ -37,6 +37,7 @@
     SizesRecord,
     StepRecord,
     UsageRecord,
+    WaitForecast,
     WaveRecord,
 )
 from medlarspring_tables.scheduling.reports import EndedRow, RunningRow
@@ -108,6 +109,7 @@
     "Ticket",
     "VMEntry",
     "VMPhase",
+    "WaitForecast",
     "WaveOrder",
     "UsageRecord",
     "WaveRecord",
