--- a/packages/daemon/tests/scheduling/test_usage_record.py
+++ b/packages/daemon/tests/scheduling/test_usage_record.py
@@ -140,23 +140,27 @@
     assert outcome in [each["outcome"] for each in list_outcomes(world)]
 
 
-def test_refused_write_is_logged_once_and_made_up_for():
+def test_refused_write_is_logged_and_made_up_for():
     """Guards against a store's refusal after which use is never recorded again."""
 
     async def scenario(world: World, customers: Customers) -> None:
         jobs = await submit(customers)
         controller = world.find_controller()
         assert controller is not None
-        world.fault_state.store_modes_by_node[controller] = StoreMode.BUSY
-        await asyncio.sleep(1.0)
-        world.fault_state.store_modes_by_node.clear()
-        await asyncio.sleep(2.5)
+        for _ in range(4):
+            # Shorter than the lease, so that the controller stays in office.
+            world.fault_state.store_modes_by_node[controller] = StoreMode.BUSY
+            await asyncio.sleep(0.7)
+            world.fault_state.store_modes_by_node.clear()
+            await asyncio.sleep(0.65)
+        assert world.find_controller() == controller
+        await asyncio.sleep(1.5)
         assert read_record(world) is not None
         await wait_for_end(customers, jobs)
 
     world = run_scenario(scenario, SEED, plan=PLAN)
     outcomes = [each["outcome"] for each in list_outcomes(world)]
-    assert outcomes.count("not_written") <= 1
+    assert 1 <= outcomes.count("not_written") <= 4
 
 
 def test_use_is_written_at_most_once_a_second():
--- a/packages/platform/tests/adapter/test_operator_records.py
+++ b/packages/platform/tests/adapter/test_operator_records.py
@@ -86,6 +86,17 @@
     assert "secret" not in repr(config)
 
 
+@pytest.mark.parametrize(
+    ("fields", "weight"),
+    [({}, 1.0), ({"weight": None}, 1.0), ({"weight": 0}, 1.0), ({"weight": -3}, 1.0)],
+)
+def test_unusable_weight_does_not_keep_a_configuration_out_of_force(
+    fields: dict[str, object], weight: float
+):
+    config = decode_config(tenants=[{"name": "t-1", **fields}, {"name": "t-2"}])
+    assert config.partners_by_id[PartnerId("t-1")].weight == weight
+
+
 @pytest.mark.parametrize(("fields", "required"), [({}, False), ({"tenants": []}, True)])
 def test_only_a_configuration_with_partners_requires_credentials(
     fields: dict[str, object], required: bool
