Plan maintenance waves as a whole, and say early when one will be late

The trace: one step's tasks on due VMs move one at a time, about two seconds each, and that chain is nearly as long as the wave. It lost 7 s: tasks that were stopped came back to the VM that they had left once it was no longer drained, and during a burst none found free room.

Long-running tasks now leave due VMs from the beginning of the wave, VM by VM, to VMs that are not due, with room kept for them. A VM goes down with its last long-running tasks where their steps allow that, which saves the time of a stop. VMs take batch tasks until their long-running ones are nearly gone.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -123,6 +123,8 @@
     VM_OPERATION_UNANSWERED = (9063, "an operation on a VM got no answer")
     POOL_SIZED = (9065, "the number of VMs that a pool needs changed")
     WAVE_REPORTED = (9064, "a wave's progress was reported to the operator")
+    WAVE_LATE = (9066, "a wave is expected to end after its deadline")
+    WAVE_ON_TIME = (9067, "a wave is expected to end before its deadline again")
 
     @property
     def number(self) -> int:
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -72,6 +72,7 @@
     WORKERS_KEPT_FREE = "workers.kept_free"
     VMS_MOVED = "vms.moved"
     VMS_MAINTAINED = "vms.maintained"
+    WAVES_LATE_VMS = "waves.late_vms"
     STORE_CALL_MS = "store.call_ms"
     STORE_CALLS_FAILED = "store.calls_failed"
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
@@ -104,6 +104,8 @@
         """Store revision of the operations record; 0 before the first one."""
         self._sizes_recorded = False
         self._logged_vms: dict[PoolId, int] = {}
+        self._late_vms = 0
+        """Number of late VMs that the metrics show."""
 
     async def run(self) -> None:
         """Plan and carry out operations until cancelled."""
@@ -204,6 +206,7 @@
         plan = plan_operations(self._owner.tables, self.fleet, self._node.limits, now)
         await self._record_sizes()
         self._log_needs()
+        self._report_forecasts(plan.changed_forecasts)
         for run, reason in plan.stops:
             self._owner.stop_run(run, reason)
         for pool_id in plan.changed_pools:
@@ -236,6 +239,27 @@
                 vms_read_at=round(self._owner.tables.vms_read_at, 3),
             )
 
+    def _report_forecasts(self, changed: list[WaveProgress]) -> None:
+        """Log the waves that are newly late or on time, and count the late VMs."""
+        waves = self.fleet.waves_by_id.values()
+        late_vms = sum(len(wave.forecast.late) for wave in waves if not wave.complete)
+        if late_vms != self._late_vms:
+            self._late_vms = late_vms
+            self._node.metrics.gauge(Metric.WAVES_LATE_VMS, late_vms)
+        now = self._node.clock.now()
+        for wave in changed:
+            log = self._node.log.warning if wave.is_late else self._node.log.info
+            log(
+                Event.WAVE_LATE if wave.is_late else Event.WAVE_ON_TIME,
+                wave=wave.id,
+                left=len(wave.order.vm_ids) - len(wave.done),
+                late=len(wave.forecast.late),
+                max_at_once=wave.order.max_at_once,
+                ends_in_s=round(wave.forecast.ends_in, 1),
+                deadline_in_s=round(wave.deadline_at - now, 1),
+                obstacle=wave.forecast.obstacle.value,
+            )
+
     async def _execute(self, operations: list[VMOperation]) -> None:
         now = self._node.clock.now()
         for operation in operations:
--- a/packages/systems/src/medlarspring_systems/scheduling/availability.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/availability.py
@@ -4,15 +4,20 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.placement import fits, is_allowed, is_schedulable
+from medlarspring_systems.scheduling.move_targets import (
+    find_move_targets,
+    has_room_for_move,
+)
 from medlarspring_systems.scheduling.runs import is_serving
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import Run, Task, WorkTables
+    from medlarspring_tables.scheduling import Run, StepRun, Task, Worker, WorkTables
 
 MIN_OBSERVED_SECONDS = 0.8
-"""How long this controller must have seen a task running to count it as available.
+"""How long this controller must have seen a run that it took over to count it.
 
 The previous controller may have ordered its stop right before the takeover. The worker
 lists the task as running until it carries out the stop, at most 0.4 s later. Without
@@ -24,14 +29,52 @@
     """Return whether a long-running task is known to serve on a responsive worker."""
     return any(
         is_serving(run)
-        and now - run.confirmed_at >= MIN_OBSERVED_SECONDS
+        and (not run.taken_over or now - run.confirmed_at >= MIN_OBSERVED_SECONDS)
         and not run.stopping
+        and not run.worker.leaving
         and not run.worker.gone
         and not run.worker.unanswered_since
         for run in task.runs
     )
 
 
+def count_unavailable(
+    step: StepRun, now: Seconds, excluded: Collection[Task] = ()
+) -> int:
+    """Return how many tasks of a step, other than ``excluded``, are unavailable."""
+    return sum(
+        1
+        for task in step.tasks
+        if task not in excluded and not is_confirmed_serving(task, now)
+    )
+
+
+def may_end_long_runs(
+    tables: WorkTables, worker: Worker, ended: Mapping[StepRun, int], now: Seconds
+) -> bool:
+    """Return whether a VM may go down with the long-running tasks that it still runs.
+
+    Each step must allow that these tasks and those that are away already are
+    unavailable together. ``ended`` counts the tasks that are ended in the same pass.
+    """
+    tasks_by_step: dict[StepRun, set[Task]] = {}
+    for run in worker.runs.values():
+        if not run.stopping:
+            tasks_by_step.setdefault(run.task.step, set()).add(run.task)
+    for step, tasks in tasks_by_step.items():
+        away = count_unavailable(step, now, tasks) + ended.get(step, 0)
+        if away + len(tasks) > max(step.spec.max_unavailable, 1):
+            return False
+        targets = [
+            target
+            for target in find_move_targets(tables, step, now)
+            if target is not worker and not target.due
+        ]
+        if not has_room_for_move(step, targets, len(tasks) + ended.get(step, 0)):
+            return False
+    return True
+
+
 def may_stop_long_run(tables: WorkTables, run: Run, now: Seconds) -> bool:
     """Return whether a long-running task may be stopped to run elsewhere.
 
@@ -42,21 +85,19 @@
     usually still runs its tasks.
     """
     step = run.task.step
-    others_away = sum(
-        1
-        for task in step.tasks
-        if task is not run.task and not is_confirmed_serving(task, now)
-    )
-    if others_away >= max(step.spec.max_unavailable, 1):
+    if count_unavailable(step, now, {run.task}) >= max(step.spec.max_unavailable, 1):
         return False
-    workers = tables.workers_by_pool.get(step.job.queue.pool_id, {}).values()
-    return any(
-        worker is not run.worker
-        and is_schedulable(worker, now)
-        and fits(step, worker)
-        and is_allowed(step, worker, now)
-        for worker in workers
-    )
+    targets = [
+        worker
+        for worker in find_move_targets(tables, step, now)
+        if worker is not run.worker
+    ]
+    return has_room_for_move(step, targets)
 
 
-__all__ = ["is_confirmed_serving", "may_stop_long_run"]
+__all__ = [
+    "count_unavailable",
+    "is_confirmed_serving",
+    "may_end_long_runs",
+    "may_stop_long_run",
+]
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.wave_plan import WaveForecast
 from medlarspring_tables.scheduling import VMPhase, WorkerId
 
 if TYPE_CHECKING:
@@ -12,6 +13,7 @@
     from medlarspring_tables.scheduling import (
         FleetLimits,
         Run,
+        Task,
         VMEntry,
         WaveOrder,
         Worker,
@@ -84,6 +86,12 @@
     complete: bool = False
     reported: bool = False
     """Whether the operator was told that the wave is complete."""
+    forecast: WaveForecast = field(default_factory=WaveForecast)
+    """Result of the last planning pass."""
+    is_late: bool = False
+    """Whether the wave was last announced to end after its deadline."""
+    differs_since: Seconds = 0.0
+    """Since when the forecast contradicts ``is_late``; 0 while it agrees."""
 
     @property
     def deadline_at(self) -> Seconds:
@@ -91,6 +99,16 @@
         return self.received_at + self.order.deadline_seconds
 
 
+@dataclass(frozen=True, slots=True)
+class LongRunMove:
+    """A long-running task that was stopped on a due VM to run elsewhere."""
+
+    task: Task
+    stopped_run: int
+    """Number of the run that was stopped."""
+    stopped_at: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class PoolNeed:
     """How many VMs a pool needs, and the demand behind that number."""
@@ -136,6 +154,16 @@
     """VMs in service that a wave takes down next; they don't count for their pools."""
     drained_for_wave: set[VMId] = field(default_factory=set)
     """The VMs of ``due_next`` that get no new tasks."""
+    due: set[VMId] = field(default_factory=set)
+    """VMs that still need their maintenance in an open wave."""
+    begun: set[VMId] = field(default_factory=set)
+    """The VMs of ``due`` that long-running tasks have begun to leave."""
+    pools_short_of_targets: set[PoolId] = field(default_factory=set)
+    """Pools where more long-running tasks have to move than workers could take next."""
+    moves_by_task: dict[str, LongRunMove] = field(default_factory=dict)
+    """Long-running tasks that are being moved, by task id."""
+    long_run_move_seconds: Seconds = 0.0
+    """Mean time in which such a task is available again; 0 before the first one."""
 
 
 @dataclass(slots=True)
@@ -149,6 +177,8 @@
     """Pools whose waiting tasks should be placed again."""
     to_report: list[WaveProgress] = field(default_factory=list)
     """Waves that are newly active or complete."""
+    changed_forecasts: list[WaveProgress] = field(default_factory=list)
+    """Waves that are newly expected to be late, or to be on time again."""
 
 
 REFUSAL_PAUSE_SECONDS = 1.0
@@ -253,6 +283,7 @@
 __all__ = [
     "FleetPlan",
     "FleetTables",
+    "LongRunMove",
     "MaintainVM",
     "MoveVM",
     "PoolNeed",
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
@@ -23,7 +23,7 @@
     plan = FleetPlan()
     fleet.due_next.clear()
     fleet.drained_for_wave.clear()
-    plan_maintenance(tables, fleet, now, plan)
+    plan_maintenance(tables, fleet, limits, now, plan)
     plan_moves(tables, fleet, now, plan)
     _update_reservations(tables, fleet, plan)
     return plan
--- a/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.runs import is_serving
 from medlarspring_systems.scheduling.workers import read_clock, read_slowest_clock
 from medlarspring_tables.scheduling import RunState
 
 if TYPE_CHECKING:
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import Milliseconds, Worker
+    from medlarspring_tables.scheduling import Milliseconds, Run, Worker
 
 LEASE_MARGIN_SECONDS = 0.5
 """Margin below the worker's maximum lease; the worker truncates longer leases."""
@@ -36,6 +37,12 @@
 """Same as ``HOLD_WAIT_MS``, while the outcome of a stop or an unanswered order is open.
 """
 
+STARTUP_WAIT_MS = 100
+"""Same as ``HOLD_WAIT_MS``, while a long-running task starts up.
+
+Until it is seen to serve, no other task of its step may move.
+"""
+
 
 def plan_hold_wait(worker: Worker, *, immediate: bool) -> Milliseconds:
     """Return how long the worker may delay its answer to a hold call.
@@ -50,9 +57,15 @@
         run.stopping or run.state is RunState.UNKNOWN for run in worker.runs.values()
     ):
         return UNRESOLVED_WAIT_MS
+    if worker.long_runs and any(_starts_up(run) for run in worker.runs.values()):
+        return STARTUP_WAIT_MS
     return HOLD_WAIT_MS
 
 
+def _starts_up(run: Run) -> bool:
+    return run.task.step.spec.long_running and not is_serving(run)
+
+
 def plan_lease_end(worker: Worker, max_lease: Seconds, now: Seconds) -> Milliseconds:
     """Return the lease end to request, on the worker's clock; 0 to request none.
 
--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -178,7 +178,14 @@
         return None
     if task.step.job.outcome is not None or task.step.spec.gang:
         return None
-    run = Run(task=task, number=row.run, worker=worker, intended_at=now, ordered_at=now)
+    run = Run(
+        task=task,
+        number=row.run,
+        worker=worker,
+        intended_at=now,
+        ordered_at=now,
+        taken_over=True,
+    )
     attach_run(run)
     task.step.job.version += 1
     return run
--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -1,21 +1,34 @@
-"""Planning of maintenance waves: the order of VMs, and draining them beforehand.
+"""Planning of maintenance waves: which VMs go down now, and which are drained.
 
 Idle VMs go first. Busy VMs are drained: they get no new tasks, and their batch tasks
-finish within seconds. Long-running tasks are stopped and placed elsewhere, within the
-number of tasks that their step allows to be unavailable.
+finish within seconds. Long-running tasks move to VMs that are not due, from the
+beginning of the wave on, within the number of tasks that their step allows to be
+unavailable. A VM takes batch tasks until its long-running ones are nearly gone.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.availability import may_stop_long_run
+from medlarspring_systems.scheduling.availability import may_end_long_runs
 from medlarspring_systems.scheduling.fleet import (
+    LIST_MARGIN_SECONDS,
     MaintainVM,
     find_vm_worker,
     is_available_for_operation,
     is_standby,
 )
+from medlarspring_systems.scheduling.long_run_moves import (
+    describe_due_vms,
+    end_for_maintenance,
+    estimate_move_seconds,
+    prepare_moves,
+    record_finished_moves,
+    stop_for_moves,
+)
+from medlarspring_systems.scheduling.move_targets import release_room
+from medlarspring_systems.scheduling.wave_plan import WaveSlots, forecast_wave
 from medlarspring_tables.scheduling import VMPhase
 
 if TYPE_CHECKING:
@@ -24,51 +37,142 @@
         FleetTables,
         WaveProgress,
     )
-    from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import VMEntry, Worker, WorkTables
+    from medlarspring_systems.scheduling.wave_plan import DueVM, StepMoves
+    from medlarspring_tables import Seconds, WaveId
+    from medlarspring_tables.scheduling import (
+        FleetLimits,
+        StepRun,
+        VMEntry,
+        Worker,
+        WorkTables,
+    )
 
 EXTRA_DRAINS = 2
 """VMs drained beyond the wave's free slots, so that a freed slot is used at once."""
 FORCE_MARGIN_SECONDS = 3.0
 """Time before a wave's deadline from which VMs go down with batch tasks running."""
+DRAIN_LEAD_SECONDS = 3.0
+"""Time before a VM's long-running tasks are gone from which it gets no new tasks."""
+FORECAST_SECONDS = 1.0
+"""Time for which a forecast must differ from the announced one to be announced."""
 
 
 def plan_maintenance(
     tables: WorkTables,
     fleet: FleetTables,
+    limits: FleetLimits,
     now: Seconds,
     plan: FleetPlan,
 ) -> None:
     """Add the operations and stops that the open waves require to the plan."""
+    kept_before = release_room(tables.workers_by_id.values())
+    fleet.pools_short_of_targets.clear()
+    record_finished_moves(fleet, now)
+    remaining_by_wave = _list_remaining(tables, fleet, plan)
+    _mark_due(tables, fleet)
+    due_by_wave = {
+        wave_id: describe_due_vms(tables, fleet, vms)
+        for wave_id, vms in remaining_by_wave.items()
+    }
+    due_vms = [vm for each in due_by_wave.values() for vm in each]
+    moves_by_step = prepare_moves(tables, fleet, due_vms, kept_before, now)
+    ended: Counter[StepRun] = Counter()
+    for wave_id, remaining in remaining_by_wave.items():
+        wave = fleet.waves_by_id[wave_id]
+        vms_down = _count_vms_down(tables, fleet, wave)
+        _forecast(
+            fleet, limits, wave, due_by_wave[wave_id], moves_by_step, vms_down, now
+        )
+        _record_forecast(wave, now, plan)
+        _take_down(tables, fleet, wave, remaining, vms_down, ended, now, plan)
+    stop_for_moves(tables, fleet, due_vms, moves_by_step, ended, now, plan)
+
+
+def _list_remaining(
+    tables: WorkTables, fleet: FleetTables, plan: FleetPlan
+) -> dict[WaveId, list[VMEntry]]:
+    """Return the VMs that each open wave still has to maintain."""
+    remaining_by_wave: dict[WaveId, list[VMEntry]] = {}
+    if not tables.vms_by_id:
+        return remaining_by_wave
     for wave in fleet.waves_by_id.values():
-        if not wave.reported:
-            _plan_wave(tables, fleet, wave, now, plan)
+        if wave.reported:
+            continue
+        remaining = [
+            tables.vms_by_id[vm_id]
+            for vm_id in wave.order.vm_ids
+            if vm_id in tables.vms_by_id and vm_id not in wave.done
+        ]
+        wave.complete = wave.complete or not remaining
+        if wave.complete or not wave.announced:
+            plan.to_report.append(wave)
+        if remaining:
+            remaining_by_wave[wave.id] = remaining
+    return remaining_by_wave
 
 
-def _plan_wave(
+def _mark_due(tables: WorkTables, fleet: FleetTables) -> None:
+    fleet.due = {
+        vm_id
+        for wave in fleet.waves_by_id.values()
+        if not wave.complete
+        for vm_id in wave.order.vm_ids
+        if vm_id not in wave.done
+    }
+    fleet.begun &= fleet.due
+    for worker in tables.workers_by_id.values():
+        worker.due = worker.vm_id in fleet.due
+
+
+def _forecast(
+    fleet: FleetTables,
+    limits: FleetLimits,
+    wave: WaveProgress,
+    due_vms: list[DueVM],
+    moves_by_step: dict[StepRun, StepMoves],
+    vms_down: int,
+    now: Seconds,
+) -> None:
+    wave.forecast = forecast_wave(
+        due_vms,
+        moves_by_step,
+        WaveSlots(
+            free=wave.order.max_at_once - vms_down,
+            used=vms_down,
+            maintenance_seconds=limits.maintenance + LIST_MARGIN_SECONDS,
+        ),
+        move_seconds=estimate_move_seconds(fleet, limits),
+        remaining_seconds=wave.deadline_at - now,
+    )
+
+
+def _record_forecast(wave: WaveProgress, now: Seconds, plan: FleetPlan) -> None:
+    """Announce that a wave will be late, or on time again, once that is stable."""
+    if bool(wave.forecast.late) == wave.is_late:
+        wave.differs_since = 0.0
+        return
+    wave.differs_since = wave.differs_since or now
+    if now - wave.differs_since >= FORECAST_SECONDS:
+        wave.is_late = not wave.is_late
+        wave.differs_since = 0.0
+        plan.changed_forecasts.append(wave)
+
+
+def _take_down(
     tables: WorkTables,
     fleet: FleetTables,
     wave: WaveProgress,
+    remaining: list[VMEntry],
+    vms_down: int,
+    ended: Counter[StepRun],
     now: Seconds,
     plan: FleetPlan,
 ) -> None:
-    if not tables.vms_by_id:
-        return
-    remaining = [
-        tables.vms_by_id[vm_id]
-        for vm_id in wave.order.vm_ids
-        if vm_id in tables.vms_by_id and vm_id not in wave.done
-    ]
-    if not remaining:
-        wave.complete = True
-        plan.to_report.append(wave)
-        return
-    if not wave.announced:
-        plan.to_report.append(wave)
-    free_slots = wave.order.max_at_once - _count_vms_down(tables, fleet, wave)
+    """Take idle VMs down and drain busy ones, the least disruptive first."""
     candidates = [vm for vm in remaining if is_available_for_operation(fleet, vm, now)]
     candidates.sort(key=lambda vm: _measure_disruption(tables, vm))
     forced = now > wave.deadline_at - FORCE_MARGIN_SECONDS
+    free_slots = wave.order.max_at_once - vms_down
     drains = max(free_slots, 0) + EXTRA_DRAINS
     for vm in candidates:
         worker = find_vm_worker(tables, vm)
@@ -77,15 +181,38 @@
                 plan.operations.append(MaintainVM(vm.id, wave.id))
                 free_slots -= 1
             continue
-        if drains <= 0:
+        if free_slots > 0 and _may_end_runs(tables, vm, worker, ended, now):
+            end_for_maintenance(fleet, worker, ended, now)
+            plan.operations.append(MaintainVM(vm.id, wave.id))
+            free_slots -= 1
+            continue
+        if drains <= 0 or wave.forecast.ready_in[vm.id] > DRAIN_LEAD_SECONDS:
             continue
         drains -= 1
-        _drain(tables, fleet, vm, worker, now, plan)
+        _drain(tables, fleet, vm, worker)
         if forced and free_slots > 0 and not worker.long_runs:
             plan.operations.append(MaintainVM(vm.id, wave.id))
             free_slots -= 1
 
 
+def _may_end_runs(
+    tables: WorkTables,
+    vm: VMEntry,
+    worker: Worker,
+    ended: Counter[StepRun],
+    now: Seconds,
+) -> bool:
+    """Return whether a VM may go down with its last long-running tasks.
+
+    It saves the time in which they would be stopped first.
+    """
+    if worker.batch_runs or worker.unanswered_since:
+        return False
+    return _may_take_down(tables, vm, worker) and may_end_long_runs(
+        tables, worker, ended, now
+    )
+
+
 def _has_other_open_worker(
     tables: WorkTables, fleet: FleetTables, worker: Worker
 ) -> bool:
@@ -133,31 +260,15 @@
     return (1.0 if worker.runs else 0.0, float(worker.long_runs), float(busy))
 
 
-def _drain(
-    tables: WorkTables,
-    fleet: FleetTables,
-    vm: VMEntry,
-    worker: Worker,
-    now: Seconds,
-    plan: FleetPlan,
-) -> None:
-    """Exclude a VM from new tasks and stop its long-running ones for a move.
+def _drain(tables: WorkTables, fleet: FleetTables, vm: VMEntry, worker: Worker) -> None:
+    """Exclude a VM from new tasks.
 
     The last open VM of a pool is not drained, because its tasks could not be placed
     anywhere else. The pool gets another VM first.
     """
     fleet.due_next.add(vm.id)
-    if not _has_other_open_worker(tables, fleet, worker):
-        return
-    fleet.drained_for_wave.add(vm.id)
-    for run in worker.runs.values():
-        if not run.task.step.spec.long_running or run.stopping:
-            continue
-        if may_stop_long_run(tables, run, now):
-            plan.stops.append((run, "VM is due for maintenance"))
-            # The rest of this planning pass must count the task as unavailable.
-            run.stopping = True
-            plan.changed_pools[worker.pool_id] = None
+    if _has_other_open_worker(tables, fleet, worker):
+        fleet.drained_for_wave.add(vm.id)
 
 
 __all__ = ["plan_maintenance"]
--- a/packages/systems/src/medlarspring_systems/scheduling/placement.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/placement.py
@@ -50,9 +50,13 @@
 def fits(step: StepRun, worker: Worker) -> bool:
     """Return whether a worker has the free resources for one more task of the step."""
     resources = step.resources
+    cpu_free, memory_free = worker.cpu_free, worker.memory_free
+    if not step.spec.long_running:
+        cpu_free -= worker.kept_cpu_millis
+        memory_free -= worker.kept_memory_mb
     return (
-        resources.cpu_millis <= worker.cpu_free
-        and resources.memory_mb <= worker.memory_free
+        resources.cpu_millis <= cpu_free
+        and resources.memory_mb <= memory_free
         and resources.accelerators <= worker.accelerators_free
     )
 
@@ -89,7 +93,8 @@
     use up its attempts. On a rack without its data a task takes half as long again
     or longer. Packing leaves whole workers idle, for large tasks and for the
     standby pool; workers with long-running tasks can't be moved to the standby
-    pool, so they are filled first.
+    pool, so they are filled first. Long-running tasks avoid VMs that are due for
+    maintenance, from which they would have to move again.
     """
     spec = step.spec
     failed = float(worker.vm_id in task.failed_on)
@@ -99,7 +104,8 @@
     interferes = float(spec.uses_leftover and _has_latency_target(worker))
     not_releasable = float(not worker.long_runs)
     if spec.long_running:
-        return (failed, remote, slow, interferes, not_releasable, worker.cpu_free)
+        due = float(worker.due)
+        return (failed, due, remote, slow, interferes, not_releasable, worker.cpu_free)
     idle = float(not worker.runs)
     other_zone = _rate_zone(step, worker)
     return (
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
@@ -13,7 +13,7 @@
     find_isolated_run,
     has_suspected_task,
 )
-from medlarspring_systems.scheduling.placement import is_allowed, is_schedulable
+from medlarspring_systems.scheduling.move_targets import could_fit, measure_long_runs
 from medlarspring_systems.scheduling.quotas import fits_quota
 from medlarspring_systems.scheduling.waiting import measure_wait
 from medlarspring_tables.scheduling import Resources
@@ -129,25 +129,21 @@
 
 
 def _measure_long_running(tables: WorkTables, pool_id: PoolId) -> tuple[float, float]:
-    """Return the millicores and MB that the pool's long-running tasks use."""
+    """Return the millicores and MB for the pool's long-running tasks.
+
+    Room that is kept for tasks that move is included.
+    """
     cpu = memory = 0.0
     for worker in tables.workers_by_pool.get(pool_id, {}).values():
+        cpu += worker.kept_cpu_millis
+        memory += worker.kept_memory_mb
         if worker.long_runs:
-            worker_cpu, worker_memory = _measure_long_running_on_worker(worker)
+            worker_cpu, worker_memory = measure_long_runs(worker)
             cpu += worker_cpu
             memory += worker_memory
     return cpu, memory
 
 
-def _measure_long_running_on_worker(worker: Worker) -> tuple[float, float]:
-    cpu = memory = 0.0
-    for run in worker.runs.values():
-        if run.task.step.spec.long_running:
-            cpu += run.task.step.resources.cpu_millis
-            memory += run.task.step.resources.memory_mb
-    return cpu, memory
-
-
 def _measure_waiting(
     tables: WorkTables, pool_id: PoolId, now: Seconds
 ) -> tuple[float, float]:
@@ -210,12 +206,14 @@
 ) -> int:
     """Return how many VMs the pool needs if a long-running task is unplaceable, else 0.
 
+    A task that has to move from a VM that is due counts too if no worker can take it.
+
     Quarantined workers count as VMs of the pool but take no new tasks. In an idle pool,
     a lost task could wait for up to 16 s because of them. VMs are added one at a time,
     and none while another one is being moved.
     """
     workers = tables.workers_by_pool.get(pool_id, {}).values()
-    if not any(
+    if pool_id not in fleet.pools_short_of_targets and not any(
         _is_unplaceable(step, workers, largest, now)
         for step in tables.ready_by_pool.get(pool_id, {})
     ):
@@ -243,15 +241,7 @@
         return False
     if measure_wait(step, now) < UNPLACEABLE_SECONDS:
         return False
-    return not any(_could_fit(step, worker, now) for worker in workers)
-
-
-def _could_fit(step: StepRun, worker: Worker, now: Seconds) -> bool:
-    if not is_schedulable(worker, now) or not is_allowed(step, worker, now):
-        return False
-    cpu, memory = _measure_long_running_on_worker(worker)
-    has_cpu = worker.resources.cpu_millis - cpu >= step.resources.cpu_millis
-    return has_cpu and worker.resources.memory_mb - memory >= step.resources.memory_mb
+    return not any(could_fit(step, worker, now) for worker in workers)
 
 
 __all__ = ["find_pool_need", "find_pool_needs"]
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -72,6 +72,14 @@
     # Current work takes precedence over the pools' reserves. Otherwise, at the peak of
     # a burst, a quarter of the fleet stays idle in other pools while jobs become late.
     busy = {pool_id: need.busy_vms for pool_id, need in fleet.needs_by_pool.items()}
+    # A single VM lets a pool's long-running tasks leave VMs that are due. If it came
+    # after the shortage of a burst elsewhere, the wave would be late.
+    blocked = {
+        pool_id: vms
+        for pool_id, vms in busy.items()
+        if pool_id in fleet.pools_short_of_targets
+    }
+    _grow(tables, blocked, wanted, vm_counts, sources, plan, assigned)
     _grow(tables, busy, wanted, vm_counts, sources, plan, assigned)
     _grow(tables, wanted, wanted, vm_counts, sources, plan, assigned)
     _shrink(tables, kept, vm_counts, standby_pool_ids[0], sources, now, plan, assigned)
--- a/packages/systems/src/medlarspring_systems/scheduling/progress_records.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/progress_records.py
@@ -152,6 +152,7 @@
                 ordered_at=now,
                 life_ms=stored.life_ms,
                 checkpoint=task.checkpoint,
+                taken_over=True,
             )
             if step.spec.uses_leftover:
                 run.pace_percent = RESTORED_PACE_PERCENT
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -91,7 +91,10 @@
     for step in steps:
         if len(intents) >= MAX_STARTS_PER_ROUND or not workers:
             break
-        if any(_needs_at_least(step.resources, resources) for resources in unplaceable):
+        # Long-running tasks may also use the room that is kept for them.
+        if not step.spec.long_running and any(
+            _needs_at_least(step.resources, resources) for resources in unplaceable
+        ):
             continue
         placed = len(intents)
         _place_step(step, workers, budget, now, intents)
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -88,6 +88,8 @@
     """Tail latency in ms of a long-running task, else millicores in use."""
     pace_percent: int = 100
     paced_at: Seconds = 0.0
+    taken_over: bool = False
+    """Whether another controller ordered it."""
     copy: bool = False
     """Whether it is a copy, started while the task already had a run."""
     stopping: bool = False
@@ -283,6 +285,12 @@
     """Whether the registry still has its entry."""
     reserved: bool = False
     """Kept free for maintenance or a move; gets no new tasks."""
+    due: bool = False
+    """Whether its VM still needs maintenance in an open wave."""
+    kept_cpu_millis: int = 0
+    """Part of its free CPU that only long-running tasks may use."""
+    kept_memory_mb: int = 0
+    """Part of its free memory that only long-running tasks may use."""
     leaving: bool = False
     """Whether an operation that moves or maintains its VM was sent."""
     reconciled: bool = False
