Plan a wave's next move as soon as the last task serves

Each move in a step's chain waited 0.1 s on average for the next planning pass, and up to half a second for the worker's next listing. Of nine VMs with two tasks of one step, four still ran batch tasks when the second could have gone down with its VM, because they were closed to them too late.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -273,6 +273,8 @@
                 self._record_job(job)
         self._end_needless_runs(outcome)
         self._stop_runs_of_ended_jobs(worker)
+        if outcome.serving:
+            self._vm_manager.plan_moves_soon()
         # Where starts are staggered, a listing may end the probation of runs.
         if (
             outcome.ended
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
@@ -40,6 +40,8 @@
     from medlarspring_tables.scheduling import Run, WorkTables
 
 TICK_SECONDS = 0.2
+MIN_PAUSE_SECONDS = 0.05
+"""Shortest time between two planning passes."""
 SEPARATION_MARGIN_SECONDS = 0.2
 """Added to the minimum times between the operations of two controllers."""
 RETRY_SECONDS = 0.2
@@ -104,6 +106,8 @@
         """Store revision of the operations record; 0 before the first one."""
         self._sizes_recorded = False
         self._logged_vms: dict[PoolId, int] = {}
+        self._early_pass_due = asyncio.Event()
+        """Set when the next planning pass must not wait for the tick."""
         self._late_vms = 0
         """Number of late VMs that the metrics show."""
 
@@ -114,7 +118,22 @@
         await self._load_operations()
         while True:
             await self._reconcile()
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(MIN_PAUSE_SECONDS)
+            await self._wait_for_tick()
+
+    def plan_moves_soon(self) -> None:
+        """Plan early if long-running tasks move for a wave and the next one may."""
+        if self.fleet.moves_by_task:
+            self._early_pass_due.set()
+
+    async def _wait_for_tick(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_SECONDS - MIN_PAUSE_SECONDS):
+                await self._early_pass_due.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._early_pass_due.clear()
 
     async def _load_waves(self) -> None:
         prefix = self._term.keys.waves_prefix
--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -13,6 +13,7 @@
     confirm_run,
     detach_run,
     end_run,
+    is_serving,
     record_task_or_gang_done,
 )
 from medlarspring_tables.scheduling import Run, RunEnd, RunState
@@ -69,6 +70,8 @@
     """Task ids and run numbers of listed runs that must be stopped."""
     adopted: list[Run] = field(default_factory=list)
     confirmed: list[Run] = field(default_factory=list)
+    serving: list[Run] = field(default_factory=list)
+    """Runs of long-running tasks that have just begun to serve."""
     ends: list[tuple[int, ActiveJob | None]] = field(default_factory=list)
     """Numbers to acknowledge once the record of the job, if any, includes the end."""
     unknown_ends: list[UnknownEnd] = field(default_factory=list)
@@ -163,8 +166,11 @@
     run.listed_born_ms = worker.born_ms
     run.gauge = row.gauge
     if row.percent != run.percent:
+        was_serving = is_serving(run)
         run.percent = row.percent
         run.advanced_at = now
+        if run.task.step.spec.long_running and is_serving(run) and not was_serving:
+            outcome.serving.append(run)
     if row.checkpoint:
         run.task.checkpoint = row.checkpoint
 
--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -51,7 +51,7 @@
 """VMs drained beyond the wave's free slots, so that a freed slot is used at once."""
 FORCE_MARGIN_SECONDS = 3.0
 """Time before a wave's deadline from which VMs go down with batch tasks running."""
-DRAIN_LEAD_SECONDS = 3.0
+DRAIN_LEAD_SECONDS = 4.0
 """Time before a VM's long-running tasks are gone from which it gets no new tasks."""
 FORECAST_SECONDS = 1.0
 """Time for which a forecast must differ from the announced one to be announced."""
