Let tasks that failed by themselves hold no wave, and drain VMs on a chain first

Three VMs still ran batch tasks when they could have gone down, because the VMs with batch tasks alone used up the drains.

--- a/packages/systems/src/medlarspring_systems/scheduling/availability.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/availability.py
@@ -23,6 +23,12 @@
 lists the task as running until it carries out the stop, at most 0.4 s later. Without
 this delay, another task of the same step would be stopped at the same time.
 """
+OWN_FAILURE_SECONDS = 2.5
+"""Time in which a task that failed by itself should serve again.
+
+With the time of a stop it stays below the notice after which any task that is down
+counts as unavailable.
+"""
 
 
 def is_confirmed_serving(task: Task, now: Seconds) -> bool:
@@ -38,14 +44,27 @@
     )
 
 
+def is_unavailable(task: Task, now: Seconds) -> bool:
+    """Return whether a task counts against the number that may be unavailable.
+
+    A task that failed by itself and is starting again does not: the number limits what
+    orders of this system take away, and what is missing for long.
+    """
+    if is_confirmed_serving(task, now):
+        return False
+    has_failed = task.failed_at > now - OWN_FAILURE_SECONDS
+    return not has_failed or any(
+        run.stopping or run.worker.leaving or run.worker.unanswered_since
+        for run in task.runs
+    )
+
+
 def count_unavailable(
     step: StepRun, now: Seconds, excluded: Collection[Task] = ()
 ) -> int:
     """Return how many tasks of a step, other than ``excluded``, are unavailable."""
     return sum(
-        1
-        for task in step.tasks
-        if task not in excluded and not is_confirmed_serving(task, now)
+        1 for task in step.tasks if task not in excluded and is_unavailable(task, now)
     )
 
 
--- a/packages/systems/src/medlarspring_systems/scheduling/long_run_moves.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/long_run_moves.py
@@ -211,7 +211,7 @@
 
 def estimate_move_seconds(fleet: FleetTables, limits: FleetLimits) -> Seconds:
     """Return the time in which a long-running task is available again elsewhere."""
-    return fleet.long_run_move_seconds or limits.stop + STARTUP_SECONDS
+    return fleet.long_run_move_seconds or limits.stop / 2 + STARTUP_SECONDS
 
 
 __all__ = [
--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -51,8 +51,8 @@
 """VMs drained beyond the wave's free slots, so that a freed slot is used at once."""
 FORCE_MARGIN_SECONDS = 3.0
 """Time before a wave's deadline from which VMs go down with batch tasks running."""
-DRAIN_LEAD_SECONDS = 4.0
-"""Time before a VM's long-running tasks are gone from which it gets no new tasks."""
+DRAIN_LEAD_SECONDS = 3.0
+"""Time before a VM can go down from which it gets no new tasks."""
 FORECAST_SECONDS = 1.0
 """Time for which a forecast must differ from the announced one to be announced."""
 
@@ -186,9 +186,12 @@
             plan.operations.append(MaintainVM(vm.id, wave.id))
             free_slots -= 1
             continue
-        if drains <= 0 or wave.forecast.ready_in[vm.id] > DRAIN_LEAD_SECONDS:
+        if wave.forecast.ready_in[vm.id] > DRAIN_LEAD_SECONDS:
             continue
-        drains -= 1
+        if not worker.long_runs:
+            if drains <= 0:
+                continue
+            drains -= 1
         _drain(tables, fleet, vm, worker)
         if forced and free_slots > 0 and not worker.long_runs:
             plan.operations.append(MaintainVM(vm.id, wave.id))
--- a/packages/systems/src/medlarspring_systems/scheduling/runs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -94,6 +94,7 @@
     if worker.runs.pop((task.id, run.number), None) is None:
         return
     task.runs.remove(run)
+    task.failed_at = 0.0
     del step.job.runs[run]
     if worker.isolated_run is run:
         worker.isolated_run = None
@@ -135,7 +136,10 @@
         _record_done_run(tables, run, now)
     elif end is RunEnd.FAILED:
         _record_failed_run(run, now)
+    failed_by_itself = end is RunEnd.FAILED and not run.stopping and is_serving(run)
     detach_run(tables, run, now)
+    if failed_by_itself:
+        task.failed_at = now
 
 
 def _record_done_run(tables: WorkTables, run: Run, now: Seconds) -> None:
--- a/packages/systems/src/medlarspring_systems/scheduling/wave_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/wave_plan.py
@@ -74,7 +74,7 @@
     """The expected course of a wave; times are in seconds from now."""
 
     ready_in: Mapping[VMId, Seconds] = field(default_factory=dict)
-    """Time until each VM has no task left."""
+    """Time until each VM can go down."""
     ends_in: Seconds = 0.0
     """Time until the last VM is back from its maintenance."""
     late: tuple[VMId, ...] = ()
@@ -150,9 +150,10 @@
     for vm in order_for_moves(vms):
         for step in vm.steps:
             lanes = lanes_by_step[step]
-            end = lanes[0] + move_seconds
-            heapq.heapreplace(lanes, end)
-            ready_in[vm.id] = max(ready_in[vm.id], end)
+            begin = lanes[0]
+            heapq.heapreplace(lanes, begin + move_seconds)
+            # The last tasks go down with their VM.
+            ready_in[vm.id] = max(ready_in[vm.id], begin)
     return ready_in
 
 
--- a/packages/systems/tests/scheduling/test_maintenance_waves.py
+++ b/packages/systems/tests/scheduling/test_maintenance_waves.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
 from medlarspring_systems.scheduling.availability import may_stop_long_run
 from medlarspring_systems.scheduling.fleet import (
     FleetTables,
@@ -13,9 +15,9 @@
 )
 from medlarspring_systems.scheduling.fleet_plan import plan_operations
 from medlarspring_systems.scheduling.rounds import plan_round
-from medlarspring_systems.scheduling.runs import confirm_run
+from medlarspring_systems.scheduling.runs import confirm_run, end_run
 from medlarspring_tables import PoolId, VMId, WaveId
-from medlarspring_tables.scheduling import FleetLimits, StepSpec, WaveOrder
+from medlarspring_tables.scheduling import FleetLimits, RunEnd, StepSpec, WaveOrder
 
 if TYPE_CHECKING:
     from medlarspring_systems.scheduling.fleet import FleetPlan
@@ -133,6 +135,34 @@
     assert plan(scene, fleet).stops
 
 
+@pytest.mark.parametrize(
+    ("end", "stopping", "seconds", "moves"),
+    [
+        pytest.param(RunEnd.FAILED, False, 1.0, 1, id="failed by itself"),
+        pytest.param(RunEnd.FAILED, False, 3.0, 0, id="down for long"),
+        pytest.param(RunEnd.FAILED, True, 1.0, 0, id="failed while it was stopped"),
+        pytest.param(RunEnd.STOPPED, True, 1.0, 0, id="stopped"),
+        pytest.param(RunEnd.LAPSED, False, 1.0, 0, id="lease expired"),
+    ],
+)
+def test_task_that_failed_by_itself_does_not_hold_others(
+    scene: Scene, end: RunEnd, stopping: bool, seconds: float, moves: int
+):
+    """
+    A task that fails is back within two seconds. Each failure held the moves of its
+    step for that long, although only what is ordered counts against the limit.
+    """
+    scene.add_worker(1)
+    runs = start_long_running(scene)
+    scene.add_worker(2)
+    fleet = FleetTables(initial_sizes_known=True)
+    order_wave(fleet, 1)
+    runs[1].stopping = stopping
+    end_run(scene.tables, runs[1], end, "", NOW)
+    found = plan(scene, fleet, NOW + seconds)
+    assert len(found.stops) + len(list_maintained(found)) == moves
+
+
 def test_new_controller_waits_before_stopping_long_running_tasks(scene: Scene):
     """
     A controller orders the stop of a long-running task and then loses the cell. The
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -134,6 +134,8 @@
     not_before: Seconds = 0.0
     """Earliest time of the next start; later than now after a failure."""
     last_seen_running: Seconds = 0.0
+    failed_at: Seconds = 0.0
+    """When its last run served and failed by itself; 0 if it ended in another way."""
 
     @property
     def is_suspect(self) -> bool:
