--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -103,7 +103,7 @@
             for vm_id in wave.order.vm_ids
             if vm_id in tables.vms_by_id and vm_id not in wave.done
         ]
-        wave.complete = wave.complete or not remaining
+        wave.complete = not remaining
         if wave.complete or not wave.announced:
             plan.to_report.append(wave)
         if remaining:
@@ -169,7 +169,12 @@
     plan: FleetPlan,
 ) -> None:
     """Take idle VMs down and drain busy ones, the least disruptive first."""
-    candidates = [vm for vm in remaining if is_available_for_operation(fleet, vm, now)]
+    taken = {operation.vm_id for operation in plan.operations}
+    candidates = [
+        vm
+        for vm in remaining
+        if vm.id not in taken and is_available_for_operation(fleet, vm, now)
+    ]
     candidates.sort(key=lambda vm: _measure_disruption(tables, vm))
     forced = now > wave.deadline_at - FORCE_MARGIN_SECONDS
     free_slots = wave.order.max_at_once - vms_down
--- a/packages/systems/tests/scheduling/test_maintenance_waves.py
+++ b/packages/systems/tests/scheduling/test_maintenance_waves.py
@@ -72,6 +72,15 @@
     assert list_maintained(plan(scene, fleet, NOW + 2.5)) == ["m-3", "m-4"]
 
 
+def test_vm_that_is_due_in_two_waves_goes_down_once_at_a_time(scene: Scene):
+    fleet = FleetTables(initial_sizes_known=True)
+    scene.add_vm(1)
+    order_wave(fleet, 1)
+    other = WaveOrder(WaveId("2"), (VMId("m-1"),), 25.0, 1)
+    record_wave_order(fleet, other, NOW)
+    assert list_maintained(plan(scene, fleet)) == ["m-1"]
+
+
 def test_wave_is_complete_only_when_each_vm_had_its_maintenance(scene: Scene):
     fleet = FleetTables(initial_sizes_known=True)
     scene.add_vm(1)
