--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -135,6 +135,8 @@
     POOL_SIZED = (9065, "the number of VMs that a pool needs changed")
     VMS_YIELD = (9068, "VMs get no new tasks so that another pool can have them")
     WAVE_REPORTED = (9064, "a wave's progress was reported to the operator")
+    WAVE_LATE = (9066, "a wave is expected to end after its deadline")
+    WAVE_ON_TIME = (9067, "a wave is expected to end before its deadline again")
 
     @property
     def number(self) -> int:
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -79,6 +79,7 @@
     VMS_MOVED = "vms.moved"
     VMS_YIELDING = "vms.yielding"
     VMS_MAINTAINED = "vms.maintained"
+    WAVES_LATE_VMS = "waves.late_vms"
     STORE_CALL_MS = "store.call_ms"
     STORE_CALLS_FAILED = "store.calls_failed"
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
@@ -41,6 +41,8 @@
     from medlarspring_tables.scheduling import Run, WorkTables
 
 TICK_SECONDS = 0.2
+MIN_PAUSE_SECONDS = 0.05
+"""Shortest time between two planning passes."""
 SEPARATION_MARGIN_SECONDS = 0.2
 """Added to the minimum times between the operations of two controllers."""
 RETRY_SECONDS = 0.2
@@ -105,6 +107,10 @@
         """Store revision of the operations record; 0 before the first one."""
         self._sizes_recorded = False
         self._pool_log = PoolLog(node)
+        self._early_pass_due = asyncio.Event()
+        """Set when the next planning pass must not wait for the tick."""
+        self._late_vms = 0
+        """Number of late VMs that the metrics show."""
 
     async def run(self) -> None:
         """Plan and carry out operations until cancelled."""
@@ -113,7 +119,22 @@
         await self._load_operations()
         while True:
             await self._reconcile()
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(MIN_PAUSE_SECONDS)
+            await self._wait_for_tick()
+
+    def plan_moves_soon(self) -> None:
+        """Plan early if long-running tasks move for a wave and the next one may."""
+        if self.fleet.moves_by_task:
+            self._early_pass_due.set()
+
+    async def _wait_for_tick(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_SECONDS - MIN_PAUSE_SECONDS):
+                await self._early_pass_due.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._early_pass_due.clear()
 
     async def _load_waves(self) -> None:
         prefix = self._term.keys.waves_prefix
@@ -205,6 +226,7 @@
         plan = plan_operations(self._owner.tables, self.fleet, self._node.limits, now)
         await self._record_sizes()
         self._pool_log.record(self._owner.tables, self.fleet)
+        self._report_forecasts(plan.changed_forecasts)
         for run, reason in plan.stops:
             self._owner.stop_run(run, reason)
         for pool_id in plan.changed_pools:
@@ -220,6 +242,27 @@
         is_move = isinstance(operation, MoveVM)
         return self._moves_allowed_at if is_move else self._maintenance_allowed_at
 
+    def _report_forecasts(self, changed: list[WaveProgress]) -> None:
+        """Log the waves that are newly late or on time, and count the late VMs."""
+        waves = self.fleet.waves_by_id.values()
+        late_vms = sum(len(wave.forecast.late) for wave in waves if not wave.complete)
+        if late_vms != self._late_vms:
+            self._late_vms = late_vms
+            self._node.metrics.gauge(Metric.WAVES_LATE_VMS, late_vms)
+        now = self._node.clock.now()
+        for wave in changed:
+            log = self._node.log.warning if wave.is_late else self._node.log.info
+            log(
+                Event.WAVE_LATE if wave.is_late else Event.WAVE_ON_TIME,
+                wave=wave.id,
+                left=len(wave.order.vm_ids) - len(wave.done),
+                late=len(wave.forecast.late),
+                max_at_once=wave.order.max_at_once,
+                ends_in_s=round(wave.forecast.ends_in, 1),
+                deadline_in_s=round(wave.deadline_at - now, 1),
+                obstacle=wave.forecast.obstacle.value,
+            )
+
     async def _execute(self, operations: list[VMOperation]) -> None:
         now = self._node.clock.now()
         for operation in operations:
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -78,6 +78,14 @@
         busy = divide_vms(fleet.needs_by_pool, sum(vm_counts.values()))
         fleet.allotted_by_pool = busy
         plan_yields(tables, fleet, busy, vm_counts, now)
+    # A single VM lets a pool's long-running tasks leave VMs that are due. If it came
+    # after the shortage of a burst elsewhere, the wave would be late.
+    blocked = {
+        pool_id: vms
+        for pool_id, vms in busy.items()
+        if pool_id in fleet.pools_short_of_targets
+    }
+    _grow(tables, blocked, wanted, vm_counts, sources, plan, assigned)
     _grow(tables, busy, wanted, vm_counts, sources, plan, assigned)
     _grow(tables, wanted, wanted, vm_counts, sources, plan, assigned)
     _shrink(tables, kept, vm_counts, standby_pool_ids[0], sources, now, plan, assigned)
