End yields in each pass that can't move VMs, and spare VMs that serve no other way

Found by the review of the scarce VMs and of the admission by load: - a stale VM list, or a configuration that lost its partners, left VMs yielding without end (shown: still reserved after 60 s) - a pool's only serving VM yielded beside VMs that were moving or quarantined - a VM with a task that outlived its estimate went before idle ones - a VM that ceased to yield for one pass yielded again, and one ordered into a pool a moment ago was ordered out - lasting tasks had no precedence, labels did not count - the forecast left the VMs that yield out of the fleet, so that jobs were refused for which these VMs were emptied - a refused repeat settled the unknown write of an earlier attempt

The tests that passed without any yield are replaced by stricter ones.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -165,11 +165,14 @@
             writes=(Put(key, msgspec.json.encode(record)),),
             read_on_failure=(key,),
         )
-        self._gate.unsettled.add(job_id, self._node.clock.now())
+        unsettled, now = self._gate.unsettled, self._node.clock.now()
+        was_unsettled = unsettled.contains(job_id, now)
+        unsettled.add(job_id, now)
         answer = await self._commit_until(transaction, timeout)
         if not is_successful(answer):
-            if not isinstance(answer.failure(), OutcomeUnknown):
-                self._gate.unsettled.settle(job_id)
+            # A refused repeat does not settle the write of an earlier attempt.
+            if not was_unsettled and not isinstance(answer.failure(), OutcomeUnknown):
+                unsettled.settle(job_id)
             return Failure(answer.failure())
         self._gate.unsettled.settle(job_id)
         committed = answer.unwrap()
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -122,6 +122,8 @@
     """Millicores that incoming work is expected to keep busy."""
     waiting_millis: float = 0.0
     """Millicores needed to finish the waiting tasks within the backlog horizon."""
+    lasting_vms: int = 0
+    """VMs of ``busy_vms`` that long-running tasks need."""
     timely_vms: int = 0
     """VMs of ``busy_vms`` without which work would be late that can still be on time.
     """
--- a/packages/systems/src/medlarspring_systems/scheduling/load_forecast.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/load_forecast.py
@@ -73,7 +73,7 @@
     room_by_partner = _measure_quota_room(tables)
     quota_waits = _forecast_quota_waits(pools, room_by_partner)
     capacities = measure_capacities(tables, now)
-    fleet = sum_amounts(capacities.values())
+    fleet = sum_amounts(measure_capacities(tables, now, with_reserved=True).values())
     work = sum_amounts(measure_total(pool) for pool in pools.values())
     forecasts: list[WaitForecast] = []
     for pool_id, pool in pools.items():
--- a/packages/systems/src/medlarspring_systems/scheduling/open_work.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/open_work.py
@@ -89,9 +89,14 @@
     return LATE_PART if now > step.objective_at - step.remaining_path else 1.0
 
 
-def measure_capacities(tables: WorkTables, now: Seconds) -> dict[PoolId, Amounts]:
+def measure_capacities(
+    tables: WorkTables, now: Seconds, *, with_reserved: bool = False
+) -> dict[PoolId, Amounts]:
     """Return what each pool's VMs, and those it is about to get, offer to batch work.
 
+    VMs that leave their pools are included only ``with_reserved``: another pool, or the
+    same, will have them soon.
+
     A controller that has just taken over has not reached all workers yet. Those that
     it has not called count.
     """
@@ -99,7 +104,7 @@
     counted = set()
     for worker in tables.workers_by_id.values():
         counted.add(worker.vm_id)
-        if _adds_capacity(worker, now):
+        if _adds_capacity(worker, now) and (with_reserved or not worker.reserved):
             free = add(
                 to_amounts(worker.resources), scale(_measure_long_runs(worker), -1.0)
             )
@@ -127,7 +132,7 @@
 
 
 def _adds_capacity(worker: Worker, now: Seconds) -> bool:
-    if not worker.listed or worker.draining or worker.reserved or worker.gone:
+    if not worker.listed or worker.draining or worker.gone:
         return False
     silent = now - worker.unanswered_since if worker.unanswered_since else 0.0
     return silent <= SILENT_SECONDS
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_needs.py
@@ -79,7 +79,8 @@
     slack = find_slack(tables, pool_id)
     can_wait = _can_wait(fleet, slack)
     incoming = project_demand(tables, pool_id, now, can_wait=can_wait)
-    present = _Demand(long_running_cpu + incoming, long_running_memory)
+    lasting = _Demand(long_running_cpu, long_running_memory)
+    present = lasting + _Demand(incoming)
     isolation = _count_vms_for_isolation(tables, pool_id, now)
     floor = _find_floor(fleet, pool_id, slack)
     least = max(
@@ -95,6 +96,7 @@
         lasting_millis=long_running_cpu,
         incoming_millis=incoming,
         waiting_millis=waiting.cpu_millis,
+        lasting_vms=max(_count_vms(lasting, largest), least),
         timely_vms=timely,
     )
 
--- a/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/pool_sizing.py
@@ -20,7 +20,7 @@
 from medlarspring_systems.scheduling.pool_needs import find_pool_needs
 from medlarspring_systems.scheduling.vm_division import divide_vms
 from medlarspring_systems.scheduling.workers import NEW_VM_SECONDS
-from medlarspring_systems.scheduling.yields import plan_yields
+from medlarspring_systems.scheduling.yields import has_just_moved, plan_yields
 from medlarspring_tables.scheduling import VMPhase
 
 if TYPE_CHECKING:
@@ -46,6 +46,10 @@
     tables: WorkTables, fleet: FleetTables, now: Seconds, plan: FleetPlan
 ) -> None:
     """Add the moves that bring each pool to the size that its work needs."""
+    yielding = fleet.yielding_since_by_vm
+    # Nothing yields in a pass that can't move VMs: their pool's tasks would wait for
+    # VMs that nobody takes.
+    fleet.yielding_since_by_vm, fleet.allotted_by_pool = {}, {}
     if not tables.vms_by_id or now - tables.vms_read_at > MAX_LIST_AGE_SECONDS:
         return
     standby_pool_ids = [
@@ -77,7 +81,13 @@
     if tables.config.has_competing_partners:
         busy = divide_vms(fleet.needs_by_pool, sum(vm_counts.values()))
         fleet.allotted_by_pool = busy
-        plan_yields(tables, fleet, busy, vm_counts, now)
+        plan_yields(tables, fleet, yielding, vm_counts, now)
+        sources = [
+            vm
+            for vm in sources
+            if not has_just_moved(fleet, vm.id, now)
+            or vm_counts.get(vm.pool_id, 0) > wanted.get(vm.pool_id, 0)
+        ]
     # A single VM lets a pool's long-running tasks leave VMs that are due. If it came
     # after the shortage of a burst elsewhere, the wave would be late.
     blocked = {
--- a/packages/systems/src/medlarspring_systems/scheduling/vm_division.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/vm_division.py
@@ -22,22 +22,26 @@
 def divide_vms(needs: Mapping[PoolId, PoolNeed], vm_count: int) -> dict[PoolId, int]:
     """Return how many of ``vm_count`` VMs each pool may use for its present work.
 
-    Work that can still be on time goes first, then late work. Within each, a pool that
-    needs less than an equal part gets all that it needs.
+    Long-running tasks go first, then work that can still be on time, then late work.
+    Within each, a pool that needs less than an equal part gets all that it needs.
     """
-    timely = {pool_id: need.timely_vms for pool_id, need in needs.items()}
-    busy = {pool_id: need.busy_vms for pool_id, need in needs.items()}
-    if sum(busy.values()) <= vm_count:
-        return busy
-    if sum(timely.values()) >= vm_count:
-        return _divide(timely, vm_count)
-    late = {pool_id: busy[pool_id] - timely[pool_id] for pool_id in needs}
-    rest = _divide(late, vm_count - sum(timely.values()))
-    return {pool_id: timely[pool_id] + rest[pool_id] for pool_id in needs}
+    divided = dict.fromkeys(needs, 0)
+    left = vm_count
+    for wanted in (
+        {pool_id: need.lasting_vms for pool_id, need in needs.items()},
+        {pool_id: need.timely_vms for pool_id, need in needs.items()},
+        {pool_id: need.busy_vms for pool_id, need in needs.items()},
+    ):
+        missing = {pool_id: wanted[pool_id] - divided[pool_id] for pool_id in needs}
+        for pool_id, vms in _divide(missing, left).items():
+            divided[pool_id] += vms
+            left -= vms
+    return divided
 
 
 def _divide(wanted: Mapping[PoolId, int], vm_count: int) -> dict[PoolId, int]:
     """Divide whole VMs; those left by rounding go to the largest fractions."""
+    wanted = {pool_id: max(count, 0) for pool_id, count in wanted.items()}
     shares = divide_fairly(wanted, {}, vm_count)
     divided = {pool_id: int(share) for pool_id, share in shares.items()}
     left = min(vm_count, sum(wanted.values())) - sum(divided.values())
--- a/packages/systems/src/medlarspring_systems/scheduling/waiting.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/waiting.py
@@ -33,7 +33,8 @@
     NO_SCHEDULABLE_WORKER = "no-open-worker"
     """No worker of the pool may get new tasks.
 
-    Each one is draining, unresponsive, quarantined or reserved for maintenance.
+    Each one is draining, unresponsive, quarantined or reserved: for maintenance, a
+    move or another pool.
     """
     NOT_ALLOWED = "not-allowed"
     """Label, advice or the limit per worker exclude each schedulable worker."""
--- a/packages/systems/tests/scheduling/test_scarce_vms.py
+++ b/packages/systems/tests/scheduling/test_scarce_vms.py
@@ -8,7 +8,12 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from medlarspring_systems.scheduling.fleet import FleetTables, MoveVM, PoolNeed
+from medlarspring_systems.scheduling.fleet import (
+    FleetTables,
+    MoveVM,
+    PoolNeed,
+    find_vm_worker,
+)
 from medlarspring_systems.scheduling.fleet_plan import plan_operations
 from medlarspring_systems.scheduling.vm_division import divide_vms
 from medlarspring_systems.scheduling.yields import (
@@ -16,20 +21,37 @@
     MIN_STAY_SECONDS,
     plan_yields,
 )
-from medlarspring_tables import PartnerId, PoolId
-from medlarspring_tables.scheduling import FleetLimits, PartnerPolicy, PoolPolicy
+from medlarspring_tables import PartnerId, PoolId, VMId
+from medlarspring_tables.scheduling import (
+    FleetLimits,
+    PartnerPolicy,
+    PoolPolicy,
+    QuarantineReason,
+)
 
 from .conftest import NOW, POOL, create_step, start
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from medlarspring_tables.scheduling import Worker
+
     from .conftest import Scene
 
 OTHER = PoolId("survey")
 VM_COUNT = 10
 
 
-def create_need(timely: int, late: int = 0) -> PoolNeed:
-    return PoolNeed(vms=timely + late, busy_vms=timely + late, timely_vms=timely)
+def create_need(timely: int, late: int = 0, lasting: int = 0) -> PoolNeed:
+    busy = timely + late
+    return PoolNeed(busy, busy, lasting_vms=lasting, timely_vms=timely)
+
+
+def yield_vms(scene: Scene, fleet: FleetTables, now: float = NOW) -> set[VMId]:
+    """Plan the yields of one pass; returns the VMs that yield."""
+    former = fleet.yielding_since_by_vm
+    plan_yields(scene.tables, fleet, former, {POOL: VM_COUNT}, now)
+    return set(fleet.yielding_since_by_vm)
 
 
 @pytest.mark.parametrize(
@@ -40,9 +62,10 @@
         pytest.param([(2, 0), (30, 0)], [2, 8], id="small-needs-are-met-whole"),
         pytest.param([(20, 0), (30, 5)], [5, 5], id="equal-parts"),
         pytest.param([(1, 40), (1, 40)], [5, 5], id="late-work-in-equal-parts"),
+        pytest.param([(6, 0, 6), (30, 0)], [6, 4], id="long-running-tasks-first"),
     ],
 )
-def test_division(needs: list[tuple[int, int]], divided: list[int]):
+def test_division(needs: list[tuple[int, ...]], divided: list[int]):
     by_pool = {PoolId(str(n)): create_need(*each) for n, each in enumerate(needs)}
     assert list(divide_vms(by_pool, VM_COUNT).values()) == divided
 
@@ -75,6 +98,7 @@
     start(scene)
     fleet = FleetTables(initial_sizes_known=True, initial_sizes={POOL: 1, OTHER: 1})
     fleet.needs_by_pool = {POOL: create_need(0, 20), OTHER: create_need(20)}
+    fleet.allotted_by_pool = {POOL: 2, OTHER: 8}
     return fleet
 
 
@@ -85,16 +109,44 @@
     A burst keeps its pool's VMs busy after its jobs became late. Guards against the
     next queue's burst waiting for them until its own jobs are late.
     """
-    plan_yields(scene.tables, fleet, {POOL: 2, OTHER: 8}, {POOL: VM_COUNT}, NOW)
-    assert len(fleet.yielding_since_by_vm) == 8
+    assert len(yield_vms(scene, fleet)) == 8
 
 
 def test_pool_keeps_the_vms_that_its_own_timely_work_needs(
     scene: Scene, fleet: FleetTables
 ):
     fleet.needs_by_pool[POOL] = create_need(7, 20)
-    plan_yields(scene.tables, fleet, {POOL: 2, OTHER: 8}, {POOL: VM_COUNT}, NOW)
-    assert len(fleet.yielding_since_by_vm) == VM_COUNT - 7
+    assert len(yield_vms(scene, fleet)) == VM_COUNT - 7
+
+
+@pytest.mark.parametrize("lacking", [1, 3])
+def test_no_more_vms_yield_than_are_lacking(
+    scene: Scene, fleet: FleetTables, lacking: int
+):
+    fleet.allotted_by_pool = {POOL: 0, OTHER: lacking}
+    assert len(yield_vms(scene, fleet)) == lacking
+
+
+def test_vms_that_are_idle_soonest_yield_first(scene: Scene, fleet: FleetTables):
+    """Guards against nearly empty VMs that wait for a task that outlived its time."""
+    workers = list(scene.tables.workers_by_id.values())
+    overdue, idle = workers[0], workers[-1]
+    for run in overdue.runs.values():
+        run.confirmed_at = NOW - 2.5
+    idle.runs.clear()
+    fleet.allotted_by_pool = {POOL: 0, OTHER: 1}
+    assert yield_vms(scene, fleet) == {idle.vm_id}
+
+
+def test_vms_that_yield_go_on_to_yield(scene: Scene, fleet: FleetTables):
+    fleet.allotted_by_pool = {POOL: 0, OTHER: 1}
+    former = yield_vms(scene, fleet)
+    for vm_id in former:
+        worker = find_vm_worker(scene.tables, scene.tables.vms_by_id[vm_id])
+        assert worker is not None
+        for run in worker.runs.values():
+            run.confirmed_at = NOW + 0.2
+    assert yield_vms(scene, fleet, NOW + 0.2) == former
 
 
 def test_yielding_vm_gets_no_new_tasks(scene: Scene, fleet: FleetTables):
@@ -106,42 +158,108 @@
 
 def test_yielding_vm_is_moved_once_it_is_idle(scene: Scene, fleet: FleetTables):
     tables = scene.tables
-    for job in list(tables.jobs_by_id.values()):
-        scene.drop_job(job)
-    for worker in tables.workers_by_id.values():
-        worker.runs.clear()
-    plan = plan_operations(tables, fleet, FleetLimits(), NOW)
+    plan_operations(tables, fleet, FleetLimits(), NOW)
+    (vm_id,) = fleet.yielding_since_by_vm
+    worker = find_vm_worker(tables, tables.vms_by_id[vm_id])
+    assert worker is not None
+    worker.runs.clear()
+    plan = plan_operations(tables, fleet, FleetLimits(), NOW + 0.2)
     moves = [each for each in plan.operations if isinstance(each, MoveVM)]
-    assert any(each.pool_id == OTHER for each in moves)
+    assert [(each.vm_id, each.pool_id) for each in moves] == [(vm_id, OTHER)]
 
 
 def test_vm_serves_again_if_it_is_not_taken(scene: Scene, fleet: FleetTables):
     """Guards against tasks waiting beside idle VMs while VM control refuses moves."""
-    allotted, has = {POOL: 2, OTHER: 8}, {POOL: VM_COUNT}
-    plan_yields(scene.tables, fleet, allotted, has, NOW)
-    yielding = set(fleet.yielding_since_by_vm)
+    fleet.allotted_by_pool = {POOL: 2, OTHER: 4}
+    former = yield_vms(scene, fleet)
+    assert len(former) == 4
     for late in (0.1, MIN_STAY_SECONDS - 0.1):
         now = NOW + MAX_YIELD_SECONDS + late
-        plan_yields(scene.tables, fleet, allotted, has, now)
-        assert not yielding & set(fleet.yielding_since_by_vm)
+        assert not former & yield_vms(scene, fleet, now)
+
+
+def test_vm_that_ceased_to_yield_serves_for_its_stay(scene: Scene, fleet: FleetTables):
+    """Guards against VMs that serve for a moment between two yields without end."""
+    former = yield_vms(scene, fleet)
+    lacking, fleet.allotted_by_pool = fleet.allotted_by_pool, {POOL: VM_COUNT, OTHER: 0}
+    assert not yield_vms(scene, fleet, NOW + 0.2)
+    fleet.allotted_by_pool = lacking
+    assert not former & yield_vms(scene, fleet, NOW + 0.4)
+
+
+def test_all_vms_serve_while_the_vm_list_is_old(scene: Scene, fleet: FleetTables):
+    """Guards against VMs that yield without end while VM control is down."""
+    plan_operations(scene.tables, fleet, FleetLimits(), NOW)
+    assert fleet.yielding_since_by_vm
+    plan_operations(scene.tables, fleet, FleetLimits(), NOW + 5.0)
+    assert not any(each.reserved for each in scene.tables.workers_by_id.values())
 
 
 def test_vm_that_has_just_moved_does_not_yield(scene: Scene, fleet: FleetTables):
     """Guards against VMs that change their pool back and forth and serve nobody."""
-    fleet.moved_at_by_vm = dict.fromkeys(scene.tables.vms_by_id, NOW - 1.0)
-    plan_yields(scene.tables, fleet, {POOL: 2, OTHER: 8}, {POOL: VM_COUNT}, NOW)
-    assert not fleet.yielding_since_by_vm
+    just_before_end = NOW - fleet.move_seconds - MIN_STAY_SECONDS + 0.1
+    fleet.moved_at_by_vm = dict.fromkeys(scene.tables.vms_by_id, just_before_end)
+    assert not yield_vms(scene, fleet)
+    assert yield_vms(scene, fleet, NOW + 0.2)
 
 
-def test_vms_with_long_running_tasks_do_not_yield(scene: Scene, fleet: FleetTables):
-    worker = next(iter(scene.tables.workers_by_id.values()))
+def set_long_running(worker: Worker) -> None:
     worker.long_runs = 1
-    plan_yields(scene.tables, fleet, {POOL: 0, OTHER: 10}, {POOL: VM_COUNT}, NOW)
-    assert worker.vm_id not in fleet.yielding_since_by_vm
-    assert len(fleet.yielding_since_by_vm) == VM_COUNT - 1
+
+
+def set_kept(worker: Worker) -> None:
+    worker.kept_cpu_millis = 1_000
+
+
+def set_not_reconciled(worker: Worker) -> None:
+    worker.reconciled = False
+
+
+def set_unresponsive(worker: Worker) -> None:
+    worker.unanswered_since = NOW - 0.1
+
+
+def set_draining(worker: Worker) -> None:
+    worker.draining = True
+
+
+@pytest.mark.parametrize(
+    "change",
+    [set_long_running, set_kept, set_not_reconciled, set_unresponsive, set_draining],
+)
+def test_vm_that_can_not_be_emptied_does_not_yield(
+    scene: Scene, fleet: FleetTables, change: Callable[[Worker], None]
+):
+    worker = next(iter(scene.tables.workers_by_id.values()))
+    change(worker)
+    fleet.allotted_by_pool = {POOL: 0, OTHER: VM_COUNT}
+    yielding = yield_vms(scene, fleet)
+    assert yielding
+    assert worker.vm_id not in yielding
+
+
+def test_vm_with_a_required_label_does_not_yield(scene: Scene, fleet: FleetTables):
+    """Guards against a task that waits for a label that no VM of its pool has left."""
+    worker = next(iter(scene.tables.workers_by_id.values()))
+    worker.labels |= {"gpu"}
+    scene.add_job("f" * 16, create_step(required_label="gpu", cpu_millis=16_000))
+    fleet.allotted_by_pool = {POOL: 0, OTHER: VM_COUNT}
+    assert worker.vm_id not in yield_vms(scene, fleet)
+
+
+def test_vms_that_do_not_serve_do_not_replace_those_that_do(
+    scene: Scene, fleet: FleetTables
+):
+    """Guards against a pool that yields its last sound VM beside quarantined ones."""
+    for worker in list(scene.tables.workers_by_id.values())[1:]:
+        worker.quarantine_reason = QuarantineReason.FAILING
+    fleet.allotted_by_pool = {POOL: 1, OTHER: VM_COUNT}
+    assert not yield_vms(scene, fleet)
 
 
 def test_no_vm_yields_without_competing_partners(scene: Scene, fleet: FleetTables):
-    scene.tables.config = replace(scene.tables.config, partners_by_id={})
     plan_operations(scene.tables, fleet, FleetLimits(), NOW)
+    assert fleet.yielding_since_by_vm
+    scene.tables.config = replace(scene.tables.config, partners_by_id={})
+    plan_operations(scene.tables, fleet, FleetLimits(), NOW + 0.2)
     assert not fleet.yielding_since_by_vm
