Copy or move runs that end late on slow workers

A run that took seven times as long on a worker that answers was left alone unless it stopped to advance, and no code ever set a worker's slowness. The pace of runs is now measured from two marks of their progress. A worker counts as slow after three slow runs without one at the usual pace, so that tasks that are long by nature are not copied. Speculative tasks get one copy on a sound worker with resources that no waiting task needs; tasks with a checkpoint are stopped and resume elsewhere.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -118,6 +118,7 @@
     WORKER_PASSED_OVER = (9055, "an entry of an ended worker incarnation was ignored")
     WORKER_STARTED_AGAIN = (9056, "a worker restarted under the same id")
     WORKER_RESIZED = (9057, "a worker's offered resources changed")
+    RUN_ON_SLOW_WORKER = (9073, "a run on a slow worker is copied or moved")
     VM_LIST_UNANSWERED = (9060, "the list of VMs got no answer")
     VM_OPERATION_DONE = (9061, "the platform carries out an operation on a VM")
     VM_OPERATION_REFUSED = (9062, "the platform refused an operation on a VM")
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -24,6 +24,7 @@
     log_job_ended,
     log_run_ended,
     log_run_lost,
+    log_straggler,
     log_unknown_end,
     log_worker_quarantined,
     log_worker_restarted,
@@ -49,6 +50,10 @@
 from medlarspring_systems.scheduling.repair import plan_repairs
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import detach_run, drop_needless_runs
+from medlarspring_systems.scheduling.stragglers import (
+    SLOW_WORKER_REASON,
+    StragglerAction,
+)
 from medlarspring_systems.scheduling.workers import begin_incarnation, is_overcommitted
 from medlarspring_tables.scheduling import (
     RunState,
@@ -428,6 +433,13 @@
             log_worker_quarantined(self._node, worker)
         for run, reason in repairs.stops:
             self.stop_run(run, reason)
+        for straggler in repairs.stragglers:
+            run = straggler.projection.run
+            # A stop without a connection to the worker is decided again later.
+            is_copied = straggler.action is StragglerAction.COPY
+            if is_copied or run.stop_reason == SLOW_WORKER_REASON:
+                log_straggler(self._node, straggler)
+        self._node.metrics.count(Metric.RUNS_COPIED, len(repairs.copies))
         for run in repairs.copies:
             self._record_writer.schedule_write(run.task.step.job)
         for run, percent in repairs.paces:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/run_log.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/run_log.py
@@ -6,6 +6,7 @@
 
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
+from medlarspring_systems.scheduling.stragglers import StragglerAction
 from medlarspring_tables.scheduling import JobOutcome, RunEnd
 
 if TYPE_CHECKING:
@@ -15,6 +16,7 @@
     from medlarspring_systems.scheduling.backlog import Backlog, LongWait
     from medlarspring_systems.scheduling.crashes import CrashAssessment
     from medlarspring_systems.scheduling.listings import TaskBelief, UnknownEnd
+    from medlarspring_systems.scheduling.stragglers import Straggler
     from medlarspring_tables import PoolId, Revision, Seconds
     from medlarspring_tables.scheduling import (
         ActiveJob,
@@ -107,6 +109,8 @@
     """Log the end of a run, as listed by its worker."""
     if end is RunEnd.FAILED:
         node.metrics.count(Metric.RUNS_FAILED)
+    elif end is RunEnd.DONE and run.copy and not run.stopping:
+        node.metrics.count(Metric.RUN_COPIES_WON)
     node.log.info(
         Event.RUN_ENDED,
         task=run.task.id,
@@ -118,6 +122,26 @@
     )
 
 
+def log_straggler(node: SchedulingNode, straggler: Straggler) -> None:
+    """Log a run on a slow worker that is copied or moved, and why."""
+    if straggler.action is StragglerAction.MOVE:
+        node.metrics.count(Metric.RUNS_MOVED_OFF_SLOW)
+    projection = straggler.projection
+    run = projection.run
+    node.log.info(
+        Event.RUN_ON_SLOW_WORKER,
+        task=run.task.id,
+        run=run.number,
+        worker=run.worker.id,
+        action=straggler.action.value,
+        target=straggler.target.id,
+        percent=run.percent,
+        projected_s=round(projection.ends_at - node.clock.now(), 2),
+        expected_s=round(projection.expected, 2),
+        slowness=round(straggler.slowness, 2),
+    )
+
+
 def log_run_lost(node: SchedulingNode, run: Run, reason: str) -> None:
     """Log a run that is over although no worker listed its end.
 
@@ -312,6 +336,7 @@
     "log_job_ended",
     "log_run_lost",
     "log_start_refused",
+    "log_straggler",
     "log_start_repeated",
     "log_unexpected_run",
     "log_unknown_end",
--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -15,6 +15,7 @@
     end_run,
     record_task_or_gang_done,
 )
+from medlarspring_systems.scheduling.worker_pace import observe_progress
 from medlarspring_tables.scheduling import Run, RunEnd, RunState
 
 if TYPE_CHECKING:
@@ -162,6 +163,7 @@
     run.absent_since = 0.0
     run.listed_born_ms = worker.born_ms
     run.gauge = row.gauge
+    observe_progress(run, row.percent, now)
     if row.percent != run.percent:
         run.percent = row.percent
         run.advanced_at = now
--- a/packages/systems/src/medlarspring_systems/scheduling/placement.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/placement.py
@@ -10,6 +10,7 @@
     preserves_isolation,
 )
 from medlarspring_systems.scheduling.quarantine import is_probe_due
+from medlarspring_systems.scheduling.worker_pace import SLOW_RATIO
 from medlarspring_tables.scheduling import QuarantineReason
 
 if TYPE_CHECKING:
@@ -133,10 +134,6 @@
     )
 
 
-SLOW_RATIO = 1.5
-"""A worker is slow if its tasks take this many times as long as their siblings."""
-
-
 def choose_worker(
     step: StepRun, task: Task, workers: Iterable[Worker], now: Seconds
 ) -> Worker | None:
--- a/packages/systems/src/medlarspring_systems/scheduling/repair.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/repair.py
@@ -1,8 +1,8 @@
 """Plans how to handle runs that make no progress.
 
 Stops stalled runs and quarantines their workers, starts copies of tasks whose worker
-is unresponsive, evicts long-running tasks from draining workers and preempts batch
-runs for long-running tasks.
+is unresponsive or slow, moves tasks with a checkpoint off slow workers, evicts
+long-running tasks from draining workers and preempts batch runs for long-running tasks.
 """
 
 from __future__ import annotations
@@ -23,10 +23,16 @@
 from medlarspring_systems.scheduling.quotas import fits_quota
 from medlarspring_systems.scheduling.rounds import find_preemptible
 from medlarspring_systems.scheduling.runs import intend_run
+from medlarspring_systems.scheduling.stragglers import (
+    SLOW_WORKER_REASON,
+    StragglerAction,
+    find_stragglers,
+)
 from medlarspring_systems.scheduling.waiting import measure_wait
 from medlarspring_tables.scheduling import QuarantineReason, RunState
 
 if TYPE_CHECKING:
+    from medlarspring_systems.scheduling.stragglers import Straggler
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import Run, StepRun, Task, Worker, WorkTables
 
@@ -53,6 +59,9 @@
     stops: list[tuple[Run, str]] = field(default_factory=list)
     """Runs to stop, with the reason."""
     copies: list[Run] = field(default_factory=list)
+    stragglers: list[Straggler] = field(default_factory=list)
+    """Runs on slow workers that are among the stops, or whose copy is among the copies.
+    """
     quarantined: list[Worker] = field(default_factory=list)
     paces: list[tuple[Run, int]] = field(default_factory=list)
 
@@ -65,6 +74,7 @@
         end_proven_quarantine(worker, now)
     _evict_from_draining(tables, now, repairs)
     _copy_from_unresponsive(tables, now, repairs)
+    _relieve_slow_workers(tables, now, repairs)
     _preempt_batch_runs(tables, now, repairs)
     repairs.paces = plan_paces(tables, now)
     return repairs
@@ -145,6 +155,22 @@
                 repairs.copies.append(copy)
 
 
+def _relieve_slow_workers(tables: WorkTables, now: Seconds, repairs: Repairs) -> None:
+    """Copy or move the runs that end late because their workers are slow."""
+    for pool_id in list(tables.workers_by_pool):
+        for straggler in find_stragglers(tables, pool_id, now):
+            run = straggler.projection.run
+            repairs.stragglers.append(straggler)
+            if straggler.action is StragglerAction.MOVE:
+                repairs.stops.append((run, SLOW_WORKER_REASON))
+                continue
+            task = run.task
+            number = task.last_run + 1
+            repairs.copies.append(
+                intend_run(task, straggler.target, number, now, copy=True)
+            )
+
+
 def _try_copy(tables: WorkTables, task: Task, now: Seconds) -> Run | None:
     step = task.step
     if not step.spec.speculative or task.done or len(task.runs) > 1:
--- a/packages/systems/src/medlarspring_systems/scheduling/runs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/runs.py
@@ -7,6 +7,7 @@
 from medlarspring_systems.scheduling.estimates import record_duration
 from medlarspring_systems.scheduling.jobs import fail_job, mark_task_done, queue_step
 from medlarspring_systems.scheduling.quotas import add_usage, remove_usage
+from medlarspring_systems.scheduling.worker_pace import record_pace
 from medlarspring_tables.scheduling import Run, RunEnd, RunState
 
 if TYPE_CHECKING:
@@ -141,7 +142,9 @@
 def _record_done_run(tables: WorkTables, run: Run, now: Seconds) -> None:
     task = run.task
     if run.confirmed_at and not run.checkpoint and not task.step.spec.gang:
-        record_duration(tables, task.step, (now - run.confirmed_at) * 1_000.0)
+        duration = now - run.confirmed_at
+        record_pace(run, duration, now)
+        record_duration(tables, task.step, duration * 1_000.0)
     if not task.step.spec.long_running:
         record_task_or_gang_done(tables, task, now)
 
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -158,6 +158,7 @@
     worker.quarantine_count = 0
     worker.failures_by_job.clear()
     worker.slowness = 1.0
+    worker.usual_pace_at = 0.0
     for run in over:
         detach_run(tables, run, now)
     for run in worker.runs.values():
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -58,6 +58,14 @@
     """The other members of its gang did not start in time."""
 
 
+@dataclass(frozen=True, slots=True)
+class ProgressMark:
+    """What a run reported at one moment."""
+
+    percent: int
+    at: Seconds
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One start of a task on one worker.
@@ -84,6 +92,8 @@
     percent: int = 0
     advanced_at: Seconds = 0.0
     """When ``percent`` last rose."""
+    marks: tuple[ProgressMark, ...] = ()
+    """Up to two earlier reports, from which its pace is measured; oldest first."""
     gauge: int = 0
     """Tail latency in ms of a long-running task, else millicores in use."""
     pace_percent: int = 100
@@ -317,6 +327,8 @@
     """Jobs that failed here since the last success."""
     slowness: float = 1.0
     """Smoothed ratio of its tasks' durations to those of their siblings."""
+    usual_pace_at: Seconds = 0.0
+    """When a run last ended here after about its expected duration."""
     ready_at: Seconds = 0.0
     """When the worker, if it has just started, is at full speed."""
     first_seen_at: Seconds = 0.0
@@ -426,6 +438,7 @@
     "RunEnd",
     "RunState",
     "StepRun",
+    "ProgressMark",
     "Task",
     "Ticket",
     "Worker",
