--- a/packages/systems/tests/scheduling/test_stragglers.py
+++ b/packages/systems/tests/scheduling/test_stragglers.py
@@ -3,21 +3,36 @@
 from __future__ import annotations
 
 import random
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import pytest
 
-from medlarspring_systems.scheduling.listings import apply_listing
-from medlarspring_systems.scheduling.runs import detach_run
+from medlarspring_systems.scheduling.listings import apply_listing, list_ended_tasks
+from medlarspring_systems.scheduling.repair import plan_repairs
+from medlarspring_systems.scheduling.rounds import plan_round
+from medlarspring_systems.scheduling.runs import (
+    confirm_run,
+    detach_run,
+    drop_needless_runs,
+)
 from medlarspring_systems.scheduling.stragglers import StragglerAction
 from medlarspring_tables import PartnerId
-from medlarspring_tables.scheduling import EndedRow, Resources, RunEnd
+from medlarspring_tables.scheduling import (
+    EndedRow,
+    Resources,
+    RunEnd,
+    RunningRow,
+    RunState,
+)
 
-from .conftest import NOW, create_step
-from .fleet_play import FleetPlay
+from .conftest import NOW, POOL, create_step
 
 if TYPE_CHECKING:
-    from medlarspring_tables.scheduling import Task, Worker
+    from collections.abc import Callable
+
+    from medlarspring_systems.scheduling.stragglers import Straggler
+    from medlarspring_tables.scheduling import Run, Task, Worker
 
     from .conftest import Scene
 
@@ -27,6 +42,92 @@
 CHECKPOINTS = {"checkpoints": True}
 
 
+TICK_SECONDS = 0.1
+REPORT_TICKS = 5
+"""Ticks between two reports of progress."""
+
+
+@dataclass
+class FleetPlay:
+    """Plays a scene's tasks on workers of uneven speed, with the real decisions."""
+
+    scene: Scene
+    measure_length: Callable[[Task], float]
+    """Seconds that a task takes on a sound worker."""
+    measure_delay: Callable[[Worker], float] = lambda worker: 1.0
+    """How many times as long tasks take on a worker."""
+    now: float = NOW
+    stragglers: list[Straggler] = field(default_factory=list)
+    ends: list[tuple[Run, RunEnd]] = field(default_factory=list)
+    _ticks: int = 0
+    _work: dict[Run, float] = field(default_factory=dict)
+    _saved: dict[Task, float] = field(default_factory=dict)
+
+    def play(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.tick()
+
+    def tick(self) -> None:
+        self.now += TICK_SECONDS
+        self._ticks += 1
+        for worker in list(self.scene.tables.workers_by_id.values()):
+            if not worker.unanswered_since:
+                self._report(worker)
+        repairs = plan_repairs(self.scene.tables, self.now)
+        self.stragglers += repairs.stragglers
+        for run, reason in repairs.stops:
+            run.stopping, run.stop_reason = True, run.stop_reason or reason
+        plan_round(self.scene.tables, POOL, self.now)
+        self._begin_runs()
+        self._check_runs()
+
+    def _begin_runs(self) -> None:
+        for worker in self.scene.tables.workers_by_id.values():
+            for run in worker.runs.values():
+                if run.state is RunState.INTENDED:
+                    confirm_run(run, self.now)
+                    resumed = self._saved.get(run.task, 0.0) if run.checkpoint else 0.0
+                    self._work[run] = resumed
+
+    def _report(self, worker: Worker) -> None:
+        worker.answered_at = self.now
+        rows, ended = [], []
+        for run in list(worker.runs.values()):
+            length = self.measure_length(run.task)
+            self._work[run] += TICK_SECONDS / self.measure_delay(worker)
+            done = self._work[run] >= length
+            if done or run.stopping:
+                end = RunEnd.DONE if done else RunEnd.STOPPED
+                number = worker.last_end_number + len(ended) + 1
+                saved = self._save(run)
+                ended.append(EndedRow(number, run.task.id, run.number, end, saved))
+                continue
+            percent = int(100 * self._work[run] / length)
+            if self._ticks % REPORT_TICKS:
+                percent = run.percent
+            row = RunningRow(run.task.id, run.number, self._save(run), percent)
+            rows.append(row)
+        outcome = apply_listing(
+            self.scene.tables, worker, rows, ended, self.now, self.now
+        )
+        self.ends += outcome.ended
+        for task in list_ended_tasks(outcome):
+            for run in drop_needless_runs(self.scene.tables, task, self.now):
+                run.stopping, run.stop_reason = True, "its task is done"
+
+    def _save(self, run: Run) -> str:
+        if not run.task.step.spec.checkpoints:
+            return ""
+        self._saved[run.task] = self._work[run]
+        return f"at {self._work[run]:.1f}"
+
+    def _check_runs(self) -> None:
+        for worker in self.scene.tables.workers_by_id.values():
+            assert worker.cpu_free >= 0
+            for run in worker.runs.values():
+                assert len(run.task.runs) <= 1 + run.task.step.spec.speculative
+
+
 def delay_slow_rack(worker: Worker) -> float:
     return 7.0 if worker.rack_id == SLOW_RACK else 1.0
 
@@ -198,6 +299,51 @@
     assert not play.stragglers
 
 
+def fill_slow_worker(scene: Scene) -> FleetPlay:
+    """Start 4 tasks on a slow worker, then 60 that last on sound ones with room."""
+    slow = scene.add_worker(0, cpu=8_000, rack=SLOW_RACK)
+    for name in range(4):
+        scene.add_job(f"j{name}", create_step(estimate_ms=4_000, **SPECULATIVE))
+    play = FleetPlay(
+        scene,
+        lambda task: 4.0 if task.step.spec.speculative else 200.0,
+        delay_slow_rack,
+    )
+    play.tick()
+    assert len(slow.runs) == 4
+    for number in range(1, 21):
+        scene.add_worker(number, cpu=8_000)
+    lasting = create_step(count=60, estimate_ms=200_000)
+    scene.add_job("lasting", lasting, now=play.now)
+    return play
+
+
+def test_several_copies_at_a_time_but_one_of_each_task(scene: Scene):
+    play = fill_slow_worker(scene)
+    most = 0
+    for _ in range(200):
+        play.tick()
+        copies = [
+            run.task
+            for worker in scene.tables.workers_by_id.values()
+            for run in worker.runs.values()
+            if run.copy
+        ]
+        assert len(set(copies)) == len(copies)
+        most = max(most, len(copies))
+    assert most == 3
+    assert len(play.stragglers) == 4
+
+
+def test_copies_go_to_sound_workers_only(scene: Scene):
+    play = fill_slow_worker(scene)
+    play.tick()
+    for worker in scene.tables.workers_by_id.values():
+        worker.slowness = 2.0
+    play.play(20.0)
+    assert not play.stragglers
+
+
 def test_task_goes_on_if_the_worker_of_its_copy_dies(scene: Scene):
     """Guards against a task that is forgotten or started a third time meanwhile."""
     add_racks(scene)
