--- a/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/lease_plan.py
@@ -38,7 +38,7 @@
 """
 
 STARTUP_WAIT_MS = 100
-"""Same as ``HOLD_WAIT_MS``, while a long-running task starts up.
+"""Same as ``HOLD_WAIT_MS``, while a long-running task that has moved starts up.
 
 Until it is seen to serve, no other task of its step may move.
 """
@@ -63,7 +63,7 @@
 
 
 def _starts_up(run: Run) -> bool:
-    return run.task.step.spec.long_running and not is_serving(run)
+    return run.task.is_moving and not is_serving(run)
 
 
 def plan_lease_end(worker: Worker, max_lease: Seconds, now: Seconds) -> Milliseconds:
--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -72,7 +72,7 @@
     adopted: list[Run] = field(default_factory=list)
     confirmed: list[Run] = field(default_factory=list)
     serving: list[Run] = field(default_factory=list)
-    """Runs of long-running tasks that have just begun to serve."""
+    """Runs of moved long-running tasks that have just begun to serve."""
     ends: list[tuple[int, ActiveJob | None]] = field(default_factory=list)
     """Numbers to acknowledge once the record of the job, if any, includes the end."""
     unknown_ends: list[UnknownEnd] = field(default_factory=list)
@@ -171,7 +171,7 @@
         was_serving = is_serving(run)
         run.percent = row.percent
         run.advanced_at = now
-        if run.task.step.spec.long_running and is_serving(run) and not was_serving:
+        if run.task.is_moving and is_serving(run) and not was_serving:
             outcome.serving.append(run)
     if row.checkpoint:
         run.task.checkpoint = row.checkpoint
--- a/packages/systems/src/medlarspring_systems/scheduling/long_run_moves.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/long_run_moves.py
@@ -184,6 +184,11 @@
     run.stopping = True
     plan.changed_pools[run.worker.pool_id] = None
     fleet.begun.add(run.worker.vm_id)
+    _begin_move(fleet, run, now)
+
+
+def _begin_move(fleet: FleetTables, run: Run, now: Seconds) -> None:
+    run.task.is_moving = True
     fleet.moves_by_task[run.task.id] = LongRunMove(run.task, run.number, now)
 
 
@@ -193,7 +198,7 @@
     """Record that the tasks on a worker end with its VM's maintenance."""
     for run in _list_runs_to_move(worker):
         ended[run.task.step] += 1
-        fleet.moves_by_task[run.task.id] = LongRunMove(run.task, run.number, now)
+        _begin_move(fleet, run, now)
 
 
 def record_finished_moves(fleet: FleetTables, now: Seconds) -> None:
@@ -206,6 +211,7 @@
             fleet.long_run_move_seconds = mean + LATEST_WEIGHT * (seconds - mean)
         elif seconds <= MAX_MOVE_SECONDS:
             continue
+        move.task.is_moving = False
         del fleet.moves_by_task[task_id]
 
 
--- a/packages/systems/tests/scheduling/test_lease_plan.py
+++ b/packages/systems/tests/scheduling/test_lease_plan.py
@@ -70,6 +70,21 @@
     assert plan_hold_wait(worker, immediate=immediate) == wait_ms
 
 
+@pytest.mark.parametrize(
+    ("is_moving", "percent", "wait_ms"),
+    [(False, 0, 500), (True, 0, 100), (True, 100, 500)],
+    ids=["first-start", "moved", "moved-and-serving"],
+)
+def test_hold_wait_while_a_long_running_task_starts_up(
+    scene: Scene, is_moving: bool, percent: int, wait_ms: int
+):
+    worker = scene.add_worker(1)
+    scene.add_job("j", create_step(long_running=True))
+    (run,) = plan_round(scene.tables, POOL, NOW)
+    run.state, run.percent, run.task.is_moving = RunState.RUNNING, percent, is_moving
+    assert plan_hold_wait(worker, immediate=False) == wait_ms
+
+
 def test_idle_worker_gets_no_hold_wait(scene: Scene):
     assert plan_hold_wait(scene.add_worker(1), immediate=False) == 0
 
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -144,6 +144,8 @@
     not_before: Seconds = 0.0
     """Earliest time of the next start; later than now after a failure."""
     last_seen_running: Seconds = 0.0
+    is_moving: bool = False
+    """Whether it left a VM that is due for maintenance, and does not serve yet."""
     failed_at: Seconds = 0.0
     """When its last run served and failed by itself; 0 if it ended in another way."""
 
