--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
 
@@ -26,7 +25,6 @@
     LeaseGone,
     LeaseId,
     Listing,
-    Put,
     StoreError,
     StoreOutcomeUnknown,
     StoreUnavailable,
@@ -34,6 +32,17 @@
     WatchBatch,
 )
 from medlarspring_platform import wire
+from medlarspring_platform.adaptive_timeout import AdaptiveTimeout
+from medlarspring_platform.store_messages import (
+    WireEvents,
+    WireItem,
+    WireItems,
+    WireLease,
+    WireTxnAnswer,
+    to_batch,
+    to_entry,
+    to_txn,
+)
 from medlarspring_tables import Revision
 
 if TYPE_CHECKING:
@@ -71,115 +80,15 @@
 A watch returns every version of a key, a listing only the newest. On a narrow link,
 large versions that follow each other quickly would arrive long after they were written.
 """
-MAX_TIMED_BYTES = 65_536
-"""Responses beyond this size don't count towards the mean response time."""
-MIN_TIMEOUT_SECONDS = 0.15
-MAX_TIMEOUT_SECONDS = 1.2
-TIMEOUT_FACTOR = 5.0
-"""A call times out after this multiple of the mean response time."""
-
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
 HTTP_CONDITION_FAILED = 412
 
 
-class WireItem(Struct, rename="camel"):
-    """One key, or an event that wrote or deleted it."""
-
-    key: str
-    value: str = ""
-    revision: int = 0
-    created: int = 0
-    lease: int = 0
-    removed: bool = False
-    as_of: int = 0
-
-
-class WireItems(Struct, rename="camel"):
-    """A page of keys."""
-
-    items: list[WireItem] = []
-    has_more: bool = False
-    as_of: int = 0
-
-
-class WireEvents(Struct, rename="camel"):
-    """Events that a watch call returns."""
-
-    events: list[WireItem] = []
-    as_of: int = 0
-
-
-class WireCondition(Struct):
-    """The revision that a key must have; 0 if the key must not exist."""
-
-    key: str
-    revision: int
-
-
-class WirePut(Struct, omit_defaults=True):
-    """A key to write."""
-
-    key: str
-    value: str
-    lease: int = 0
-
-
-class WireTxn(Struct, rename="camel"):
-    """A transaction: all writes are applied if all conditions hold, else none."""
-
-    expected_rev: list[WireCondition]
-    puts: list[WirePut]
-    deletes: list[str]
-
-
-class WireTxnAnswer(Struct, rename="camel"):
-    """The new revision, or the items of the failed conditions."""
-
-    revision: int = 0
-    items: list[WireItem] = []
-    as_of: int = 0
-
-
-class WireLease(Struct, rename="camel"):
-    """A lease and its time to live."""
-
-    ttl_ms: int = 0
-    lease: int = 0
-
-
 Message = TypeVar("Message", bound=Struct)
 
 
-class AdaptiveTimeout:
-    """Call timeout that follows the recent response times.
-
-    The store responds in 8 ms, in slow periods of some seconds in 250 ms, and
-    sometimes not at all. A fixed short timeout would abandon every slow response; a
-    fixed long one would stall all writes behind each lost response.
-    """
-
-    def __init__(self) -> None:
-        self._mean = 0.02
-        self._timeouts = 0
-
-    def timeout(self) -> Seconds:
-        """Return the timeout of the next call."""
-        usual = max(TIMEOUT_FACTOR * self._mean, MIN_TIMEOUT_SECONDS)
-        return min(usual * 2.0**self._timeouts, MAX_TIMEOUT_SECONDS)
-
-    def record_answer(self, seconds: Seconds, size: int) -> None:
-        """Reset the backoff, and update the mean unless the body was large."""
-        self._timeouts = 0
-        if size <= MAX_TIMED_BYTES:
-            self._mean += 0.2 * (seconds - self._mean)
-
-    def record_timeout(self) -> None:
-        """Double the timeout of the next calls, up to three times."""
-        self._timeouts = min(self._timeouts + 1, 3)
-
-
 class PlatformStore:
     """Implements ``Store`` over the platform's HTTP interface."""
 
@@ -207,7 +116,7 @@
         if reply.status == HTTP_NOT_FOUND:
             return Success(None)
         item = self._decode(reply, WireItem)
-        return item.map(_to_entry)
+        return item.map(to_entry)
 
     async def read_prefix(self, prefix: str) -> Result[Listing, StoreError]:
         """Return all entries under a prefix.
@@ -229,7 +138,7 @@
             if not is_successful(decoded):
                 return Failure(decoded.failure())
             page = decoded.unwrap()
-            entries += [_to_entry(item) for item in page.items]
+            entries += [to_entry(item) for item in page.items]
             revision = page.as_of if revision is None else revision
             if not page.has_more or not page.items:
                 return Success(Listing(tuple(entries), Revision(revision)))
@@ -237,7 +146,7 @@
 
     async def commit(self, transaction: Transaction) -> Result[Committed, StoreError]:
         """Apply one transaction."""
-        body = msgspec.json.encode(_to_txn(transaction))
+        body = msgspec.json.encode(to_txn(transaction))
         answer = await self._call("POST", wire.TXN_PATH, body)
         if not is_successful(answer):
             return Failure(answer.failure())
@@ -248,7 +157,7 @@
         if not is_successful(decoded):
             return Failure(decoded.failure())
         content = decoded.unwrap()
-        found = {item.key: _to_entry(item) for item in content.items if item.revision}
+        found = {item.key: to_entry(item) for item in content.items if item.revision}
         return Success(
             Committed(
                 succeeded=reply.status == HTTP_OK,
@@ -340,7 +249,7 @@
             content = decoded.unwrap()
             after = max(content.as_of, after)
             if content.events:
-                yield _to_batch(content)
+                yield to_batch(content)
 
     async def _watch_once(self, path: str) -> Result[HttpAnswer, StoreError]:
         self._metrics.count(Metric.STORE_CALLS)
@@ -421,52 +330,4 @@
     return Transaction(expects=tuple(expects), writes=tuple(writes))
 
 
-def _to_txn(transaction: Transaction) -> WireTxn:
-    puts: list[WirePut] = []
-    deletes: list[str] = []
-    for write in transaction.writes:
-        if isinstance(write, Put):
-            value = base64.b64encode(write.value).decode("ascii")
-            puts.append(WirePut(write.key, value, write.lease_id or 0))
-        else:
-            deletes.append(write.key)
-    conditions = [
-        WireCondition(expect.key, expect.mod_revision) for expect in transaction.expects
-    ]
-    return WireTxn(conditions, puts, deletes)
-
-
-def _decode_value(item: WireItem) -> bytes:
-    """Return an item's bytes; text that is not base64 is returned as it is, encoded.
-
-    Otherwise one malformed item would end the listing or watch that contains it, and
-    with it a takeover. As plain bytes it reaches the decoder of the record, which
-    reports the key and skips it.
-    """
-    try:
-        return base64.b64decode(item.value, validate=True)
-    except ValueError:
-        return item.value.encode(errors="replace")
-
-
-def _to_entry(item: WireItem) -> Entry:
-    return Entry(
-        key=item.key,
-        value=_decode_value(item),
-        create_revision=Revision(item.created),
-        mod_revision=Revision(item.revision),
-        lease_id=LeaseId(item.lease) if item.lease else None,
-    )
-
-
-def _to_batch(content: WireEvents) -> WatchBatch:
-    """Return the newest event of each key."""
-    newest: dict[str, WireItem] = {}
-    for event in content.events:
-        newest[event.key] = event
-    changed = [_to_entry(event) for event in newest.values() if not event.removed]
-    deleted = [event.key for event in newest.values() if event.removed]
-    return WatchBatch(Revision(content.as_of), tuple(changed), tuple(deleted))
-
-
 __all__ = ["MAX_ENTRIES", "PlatformStore", "count_entries"]
--- a/packages/platform/tests/adapter/test_malformed_records.py
+++ b/packages/platform/tests/adapter/test_malformed_records.py
@@ -12,7 +12,7 @@
 
 from medlarspring_platform.machines import WireMachine, _to_vm
 from medlarspring_platform.operator_records import PlatformCodec
-from medlarspring_platform.store import WireItem, _to_entry
+from medlarspring_platform.store_messages import WireItem, to_entry
 from medlarspring_tables.scheduling import VMPhase
 
 CODEC = PlatformCodec()
@@ -157,7 +157,7 @@
 
 @pytest.mark.parametrize("text", ["%%%", "abc", "é", "YQ==\n!"])
 def test_value_without_base64_does_not_end_listing(text: str):
-    entry = _to_entry(WireItem(key=KEY, value=text, revision=3))
+    entry = to_entry(WireItem(key=KEY, value=text, revision=3))
     assert (entry.key, entry.mod_revision) == (KEY, 3)
     assert not is_successful(CODEC.decode_worker(KEY, entry.value))
 
@@ -166,7 +166,7 @@
 @given(value=st.binary(max_size=100))
 def test_any_bytes_are_read_back(value: bytes):
     text = base64.b64encode(value).decode()
-    assert _to_entry(WireItem(key="k", value=text)).value == value
+    assert to_entry(WireItem(key="k", value=text)).value == value
 
 
 def test_unknown_vm_state_does_not_count_as_down():
--- a/packages/platform/tests/adapter/test_store_on_slow_link.py
+++ b/packages/platform/tests/adapter/test_store_on_slow_link.py
@@ -15,7 +15,7 @@
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_bench.key_value_ops import PutOp
-from medlarspring_platform import store as platform_store
+from medlarspring_platform import adaptive_timeout, store as platform_store
 from medlarspring_platform.store import PlatformStore
 
 if TYPE_CHECKING:
@@ -40,7 +40,9 @@
 @pytest.fixture
 def patient_calls(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(platform_store, "BODY_SILENCE_SECONDS", PATIENT_SECONDS)
-    monkeypatch.setattr(platform_store, "MIN_TIMEOUT_SECONDS", PATIENT_TIMEOUT_SECONDS)
+    monkeypatch.setattr(
+        adaptive_timeout, "MIN_TIMEOUT_SECONDS", PATIENT_TIMEOUT_SECONDS
+    )
 
 
 @dataclass
