--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -33,7 +33,7 @@
 from medlarspring_daemon.scheduling.usage_recorder import UsageRecorder
 from medlarspring_daemon.scheduling.vm_manager import VMManager
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
-from medlarspring_daemon.scheduling.worker_link import WorkerLink
+from medlarspring_daemon.scheduling.worker_links import WorkerLinks
 from medlarspring_daemon.scheduling.worker_liveness import WorkerLivenessMonitor
 from medlarspring_systems.scheduling.answer_times import AnswerTimes
 from medlarspring_systems.scheduling.crash_timing import is_at_crash_risk
@@ -75,7 +75,6 @@
         Milliseconds,
         Run,
         Worker,
-        WorkerId,
     )
 
 TICK_SECONDS = 0.1
@@ -93,9 +92,8 @@
         self._term = term
         self._tasks = BackgroundTasks(node.log)
         self._record_writer = JobRecordWriter(node, term, self._handle_record_written)
-        self._links_by_id: dict[WorkerId, WorkerLink] = {}
+        self._links = WorkerLinks(node, term, self)
         self._unrecorded_ends = UnrecordedEnds()
-        self._closing: set[asyncio.Task[None]] = set()
         self._followers: list[PrefixFollower] = []
         self._workers: WorkerFeed | None = None
         self._running = False
@@ -124,11 +122,10 @@
         await self._tasks.cancel()
         # Close the links first. While they report ends there is always more to
         # record, and the handover took 0.7 s of the lease instead of milliseconds.
-        links = list(self._links_by_id.values())
-        await asyncio.gather(*(link.close() for link in links))
+        await self._links.close_all()
         await asyncio.gather(*(follower.stop() for follower in self._followers))
         await self._record_writer.close(flush=graceful)
-        await asyncio.gather(*self._closing, return_exceptions=True)
+        await self._links.wait_until_closed()
         self._operator_records.listeners = [
             each
             for each in self._operator_records.listeners
@@ -220,32 +217,9 @@
         """
         if not self._running:
             return
-        link = self._links_by_id.get(worker.id)
-        if link is not None and not link.uses_address(worker.address):
-            self._disconnect_from_old_address(worker)
-            link = None
-        if link is None and worker.address:
-            link = WorkerLink(self._node, self._term, self, worker)
-            self._links_by_id[worker.id] = link
-            link.start()
-        elif link is not None and not worker.reconciled:
-            link.poll()
+        self._links.connect(worker)
         self.plan(worker.pool_id)
 
-    def _disconnect_from_old_address(self, worker: Worker) -> None:
-        """Close the connections to a worker whose address has changed.
-
-        Answers to orders in flight are no longer received. Runs that stayed in
-        state ``ORDERED`` would block their tasks forever, so their state becomes
-        ``UNKNOWN``.
-        """
-        now = self._node.clock.now()
-        for run in worker.runs.values():
-            if run.state is RunState.ORDERED:
-                run.state = RunState.UNKNOWN
-                run.ordered_at = now
-        self.close_link(worker)
-
     def handle_worker_restart(self, worker: Worker, born_ms: Milliseconds) -> None:
         """Handle a worker whose incarnation is not the known one."""
         former_ms = worker.born_ms
@@ -329,7 +303,7 @@
 
     def stop_run(self, run: Run, reason: str) -> None:
         """Order a run to stop, if it was sent to its worker."""
-        link = self._links_by_id.get(run.worker.id)
+        link = self._links.find(run.worker.id)
         if link is not None and run.state is not RunState.INTENDED:
             link.send_stop(run, reason)
 
@@ -353,7 +327,7 @@
             return
         if run.version > run.task.step.job.written_version:
             return
-        link = self._links_by_id.get(run.worker.id)
+        link = self._links.find(run.worker.id)
         # The worker's resources may have shrunk while the intent was recorded.
         is_unavailable = (
             run.worker.gone or run.worker.draining or is_overcommitted(run.worker)
@@ -367,7 +341,7 @@
     def _acknowledge_recorded_ends(self, job: ActiveJob) -> None:
         """Have the links acknowledge the ends that the job's record now contains."""
         for worker_id in self._unrecorded_ends.collect_waiting_workers(job):
-            link = self._links_by_id.get(worker_id)
+            link = self._links.find(worker_id)
             if link is not None:
                 link.acknowledge_ends()
 
@@ -448,7 +422,7 @@
             self._node.metrics.count(Metric.RUNS_COPIED)
             self._record_writer.schedule_write(run.task.step.job)
         for run, percent in repairs.paces:
-            link = self._links_by_id.get(run.worker.id)
+            link = self._links.find(run.worker.id)
             if link is not None:
                 link.send_pace(run, percent)
 
@@ -475,12 +449,7 @@
 
     def close_link(self, worker: Worker) -> None:
         """Close the connections to a worker."""
-        link = self._links_by_id.pop(worker.id, None)
-        if link is None:
-            return
-        task = asyncio.create_task(link.close())
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        self._links.close(worker)
 
 
 __all__ = ["CellController"]
--- a/packages/tables/src/medlarspring_tables/scheduling/__init__.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/__init__.py
@@ -51,19 +51,21 @@
     SUSPECT_AFTER,
     ActiveJob,
     ArrivalMeter,
-    CrashTiming,
     PartnerUsage,
     ProgressMark,
-    QuarantineReason,
     Run,
     RunEnd,
     RunState,
     StepRun,
     Task,
     Ticket,
+    WorkTables,
+)
+from medlarspring_tables.scheduling.workers import (
+    CrashTiming,
+    QuarantineReason,
     Worker,
     WorkerCrash,
-    WorkTables,
 )
 
 __all__ = [
