--- a/packages/systems/src/medlarspring_systems/slots.py
+++ b/packages/systems/src/medlarspring_systems/slots.py
@@ -56,7 +56,7 @@
     @property
     def told_seconds(self) -> Seconds:
         """Time for which a voter may rely on what the home told of its loans."""
-        return self.vote_seconds + self.grant_seconds
+        return self.switch_seconds
 
 
 @dataclass(slots=True, frozen=True)
