--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,10 +20,10 @@
 REPEAT_SHARE = 0.04
 """Share of the jobs whose request arrives once more after its 2xx response."""
 REPEAT_SECONDS = (2.0, 8.0)
-OUTAGES = 26
-OUTAGE_SECONDS = 1.5
+OUTAGES = 60
+OUTAGE_SECONDS = 0.8
 """The site has 9 s of ``nodes busy`` for 0.33 of the machines."""
-CALM_SECONDS = (1.2, 2.2)
+CALM_SECONDS = (0.5, 1.0)
 MAX_ATTEMPTS = 5
 REJECTED = (429, 503)
 NOT_ANSWERED = (0, 502, 504)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -31,6 +31,7 @@
 QUEUE_HOST = "queue.example"
 PORTS = (12_000, 30_000)
 _random = random.SystemRandom()
+_given_ports: set[int] = set()
 STATUS_BROKEN, STATUS_HELD, STATUS_NOT_RUN = 1, 0, 2
 
 SETTINGS = """\
@@ -38,12 +39,12 @@
 role=entry
 machineClass=edge
 serves=edge
-ip=127.0.0.1
+ip={host}
 zone=zone-a
 region=region-a
 zones.zone-a=region-a
-listen.frontend=127.0.0.1:{frontend}
-listen.readiness=127.0.0.1:{readiness}
+listen.frontend={host}:{frontend}
+listen.readiness={host}:{readiness}
 portRange={inner},{inner}
 bootstrap=true
 limits.cpuShare=0.537
@@ -76,14 +77,14 @@
 bounds.fencing=false
 bounds.leaseMs=3000
 orders=rpc
-platform.address=127.0.0.1:{store}
+platform.address={host}:{store}
 platform.form=kv
 platform.writesPerS=400
 platform.readsPerS=2000
 platform.historyS=20
 platform.valueBytes=1048576
 platform.ttlMinMs=1000
-cloud.address=127.0.0.1:{control}
+cloud.address={host}:{control}
 cloud.ratePerS=64.0
 cloud.dutyPerS=64.0
 """
@@ -98,7 +99,8 @@
     ports: list[int] = []
     for _ in range(100 * count):
         port = _random.randrange(*PORTS)
-        if port not in ports and _is_free(port):
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
             ports.append(port)
         if len(ports) == count:
             return ports
@@ -148,6 +150,7 @@
         self._settings.write_text(
             SETTINGS.format(
                 name=name,
+                host=HOST,
                 frontend=self.frontend,
                 readiness=self.readiness,
                 inner=inner,
@@ -208,6 +211,7 @@
         self.ends: list[tuple[float, str, int, str]] = []
         self.on_start: Callable[[str, int, str], None] = lambda *_: None
         self.task_seconds = 0.3
+        self.seconds_by_job: dict[str, float] = {}
         self._temporary = tempfile.TemporaryDirectory(prefix="medlarspring-review-")
         self.folder = Path(self._temporary.name)
         (self._control,) = find_ports(1)
@@ -238,7 +242,8 @@
     def _find_facts(self, task: str) -> tuple[float, int, dict[str, Any]]:
         job, _, number, _ = task.split(".")
         step = self.specs[job]["steps"][int(number)]
-        return self.task_seconds, step.get("cpu", 0), step
+        seconds = self.seconds_by_job.get(job, self.task_seconds)
+        return seconds, step.get("cpu", 0), step
 
     async def __aenter__(self) -> Deployment:
         if not (ROOT / "target/app").is_dir():
@@ -301,6 +306,10 @@
             if all(ready) and self.find_controller() is not None:
                 return
             await asyncio.sleep(0.2)
+        for each in self.entry_vms:
+            ended = each.process.poll() if each.process is not None else "not started"
+            last = each.log_path.read_text(errors="replace").splitlines()[-3:]
+            self.record.write("not-ready", node=each.name, status=ended, log=last)
         raise CaseNotRun("the entry VMs did not become ready")
 
     async def _is_ready(self, entry_vm: EntryVM) -> bool:
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -22,7 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-HOST = "127.0.0.1"
+HOST = ".".join(
+    ["127", *(str(random.SystemRandom().randint(1, 250)) for _ in range(3))]
+)
+"""A loopback address of this run's own, so that runs side by side share no port."""
 PAGE_ITEMS = 500
 HISTORY_EVENTS = 200_000
 HOLD_MAX_MS = 10_000
@@ -63,6 +66,8 @@
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
         self.keys: list[str] = []
+        self.old_keys: list[str] = []
+        self._old_item: Item | None = None
         self.revision = 100
         self.events: list[dict[str, Any]] = []
         self.first_revision = 101
@@ -89,10 +94,16 @@
         self._notify()
 
     def add_old(self, keys: list[str], item: Item) -> None:
-        """Add records that were written long ago; the history no longer has them."""
-        for key in keys:
-            self.items[key] = item
-        self.keys = sorted(self.items)
+        """Add sorted records that were written long ago, outside the history."""
+        self.old_keys, self._old_item = keys, item
+
+    def _find(self, key: str) -> Item | None:
+        found = self.items.get(key)
+        if found is None and self._old_item is not None:
+            index = bisect.bisect_left(self.old_keys, key)
+            if index < len(self.old_keys) and self.old_keys[index] == key:
+                return self._old_item
+        return found
 
     def list_keys(self, prefix: str) -> list[str]:
         """Return the keys with a prefix."""
@@ -207,22 +218,29 @@
         return _json({})
 
     def _read(self, key: str) -> web.Response:
-        item = self.items.get(key)
+        item = self._find(key)
         if item is None:
             return web.Response(status=404)
         return _json(item.to_json(key) | {"asOf": self.revision})
 
     def _range(self, prefix: str, after: str) -> web.Response:
-        start = bisect.bisect_right(self.keys, after) if after else 0
-        start = max(start, bisect.bisect_left(self.keys, prefix))
-        found: list[dict[str, Any]] = []
-        for key in itertools.islice(self.keys, start, start + PAGE_ITEMS + 1):
-            if not key.startswith(prefix):
-                break
-            found.append(self.items[key].to_json(key))
+        found: list[str] = []
+        for keys in (self.keys, self.old_keys):
+            start = bisect.bisect_right(keys, after) if after else 0
+            start = max(start, bisect.bisect_left(keys, prefix))
+            found += itertools.takewhile(
+                lambda key: key.startswith(prefix),
+                itertools.islice(keys, start, start + PAGE_ITEMS + 1),
+            )
+        found.sort()
+        items = [self._find(key) for key in found[:PAGE_ITEMS]]
         return _json(
             {
-                "items": found[:PAGE_ITEMS],
+                "items": [
+                    item.to_json(key)
+                    for key, item in zip(found, items, strict=False)
+                    if item is not None
+                ],
                 "hasMore": len(found) > PAGE_ITEMS,
                 "asOf": self.revision,
             }
@@ -276,7 +294,7 @@
         return _json({"revision": self.revision})
 
     def _find_revision(self, key: str) -> int:
-        item = self.items.get(key)
+        item = self._find(key)
         return item.revision if item is not None else 0
 
     def _grant(self, body: dict[str, Any]) -> web.Response:
