Log groups of writes that the store carried out in part

Four causes would look the same in today's logs: results of a group that are dropped when a later call of it is refused; a refused call that the store carried out; a call that counts as not sent and was; an earlier attempt of the same job that is applied late. No line says what became of the other writes of a group.

No decision is changed.

--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -85,6 +85,8 @@
     WAVES_LATE_VMS = "waves.late_vms"
     STORE_CALL_MS = "store.call_ms"
     STORE_CALLS_FAILED = "store.calls_failed"
+    STORE_GROUPS_SPLIT = "store.groups_split"
+    STORE_GROUPS_INTERRUPTED = "store.groups_interrupted"
 
     FLEET_DISRUPTED = "fleet.disrupted"
     FLEET_OUT = "fleet.out"
--- a/packages/platform/src/medlarspring_platform/launcher.py
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -132,7 +132,9 @@
     def _create_node(self) -> SchedulingNode:
         settings = self._settings
         rng = random.Random()
-        self._store = PlatformStore(settings.store_address, self._clock, self._metrics)
+        self._store = PlatformStore(
+            settings.store_address, self._clock, self._metrics, self._log
+        )
         self._workers = PlatformWorkers()
         self._machines = PlatformMachines(settings.vm_control_address)
         self._adviser = None
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -11,6 +11,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.events import Event
 from medlarspring_adapters.http_channel import (
     AnswerTooLarge,
     BodyLimits,
@@ -49,6 +50,7 @@
     from collections.abc import AsyncIterator, Sequence
 
     from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.events import EventLog
     from medlarspring_adapters.http_channel import HttpAnswer
     from medlarspring_adapters.metrics import Metrics
     from medlarspring_tables import Seconds
@@ -92,8 +94,11 @@
 class PlatformStore:
     """Implements ``Store`` over the platform's HTTP interface."""
 
-    def __init__(self, address: str, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, address: str, clock: Clock, metrics: Metrics, log: EventLog
+    ) -> None:
         self._metrics = metrics
+        self._log = log
         self._channel = HttpChannel(address)
         self._watches = HttpChannel(address)
         self._clock = clock
@@ -180,14 +185,34 @@
                 return Failure(joined.failure())
             if joined.unwrap().succeeded:
                 return Success([joined.unwrap()] * len(transactions))
+            self._metrics.count(Metric.STORE_GROUPS_SPLIT)
         results: list[Committed] = []
         for transaction in transactions:
             single = await self.commit(transaction)
             if not is_successful(single):
+                self._log_interrupted_group(transactions, len(results), single)
                 return Failure(single.failure())
             results.append(single.unwrap())
         return Success(results)
 
+    def _log_interrupted_group(
+        self,
+        transactions: Sequence[Transaction],
+        answered: int,
+        failed: Result[Committed, StoreError],
+    ) -> None:
+        """Log which transactions of a group were answered before a call failed."""
+        self._metrics.count(Metric.STORE_GROUPS_INTERRUPTED)
+        keys = [each.writes[0].key if each.writes else "" for each in transactions]
+        self._log.warning(
+            Event.STORE_GROUP_INTERRUPTED,
+            answered=keys[:answered],
+            failed=keys[answered],
+            not_sent=len(keys) - answered - 1,
+            outcome=failed.failure().code,
+            fault=failed.failure().message(),
+        )
+
     async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
         """Create a lease that lives ``ttl`` seconds unless kept alive."""
         body = msgspec.json.encode({"ttlMs": round(ttl * 1_000)})
--- a/packages/platform/tests/adapter/conftest.py
+++ b/packages/platform/tests/adapter/conftest.py
@@ -41,6 +41,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from medlarspring_adapters.events import EventLog
     from medlarspring_bench.platform_world.worker_model import TaskFacts
 
 HOST = "127.0.0.1"
@@ -62,6 +63,8 @@
     machines: PlatformMachines
     workers: PlatformWorkers
     store_address: str
+    log: EventLog
+    log_lines: io.StringIO
 
     async def wait_for_worker(self, vm: str):  # type: ignore[no-untyped-def]
         while self.fleet.vms_by_id[VMId(vm)].worker is None:
@@ -96,15 +99,19 @@
         addresses[name] = gate.address
         fleet.add_vm(name, "zone-0", "r0-0", "consent", RESOURCES)
     store_address = store_app.gates_by_name["entry-0"].address
+    log_lines = io.StringIO()
+    log = create_event_log(EntryVMId("entry-0"), "INFO", log_lines)
     found = Platform(
         state=state,
         fault_state=fault_state,
         fleet=fleet,
         facts_by_task=facts,
-        store=PlatformStore(store_address, clock, NoMetrics()),
+        store=PlatformStore(store_address, clock, NoMetrics(), log),
         machines=PlatformMachines(control_app.gates_by_name["entry-0"].address),
         workers=PlatformWorkers(),
         store_address=store_address,
+        log=log,
+        log_lines=log_lines,
     )
     yield found
     await found.store.close()
@@ -156,7 +163,7 @@
         incarnation=1,
         clock=SystemClock(),
         rng=random.Random(1),
-        log=create_event_log(EntryVMId("entry-0"), "INFO", io.StringIO()),
+        log=platform.log,
         metrics=NoMetrics(),
         store=platform.store,
         store_health=platform.store,
--- a/packages/platform/tests/adapter/test_store_on_slow_link.py
+++ b/packages/platform/tests/adapter/test_store_on_slow_link.py
@@ -12,11 +12,13 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.clock import SystemClock
+from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_bench.key_value_ops import PutOp
 from medlarspring_platform import adaptive_timeout, store as platform_store
 from medlarspring_platform.store import PlatformStore
+from medlarspring_tables import EntryVMId
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -134,7 +136,12 @@
     link = SlowLink(platform.store_address, stops_after)
     server = await asyncio.start_server(link.accept, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    store = PlatformStore(f"{host}:{port}", SystemClock(), NoMetrics())
+    store = PlatformStore(
+        f"{host}:{port}",
+        SystemClock(),
+        NoMetrics(),
+        create_event_log(EntryVMId("entry-0")),
+    )
     yield store
     await store.close()
     server.close()
