Return a result for each transaction of a group

Cause: PlatformStore.commit_each commits the members of a group by calls of their own when a condition of the joined transaction does not hold, as with a late repeat of a known job. If one of these calls was refused, that failure was returned for the whole group, and GroupCommit handed it to the members that had been committed before. The intake takes a refused call for one without effect.

Store.commit_each now returns a result for each transaction, in all implementations and callers: the type has no place any more for a failure that speaks for other calls. After a failed call the members that were not sent are reported as not applied.

The emulated store makes the calls of the real client, and a test can fail any single write.

--- a/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -47,12 +47,15 @@
     StoreUnavailable,
     Transaction,
     WatchBatch,
+    spread_result,
 )
 from medlarspring_tables import Revision
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Sequence
 
+    from medlarspring_adapters.store import CommitResult
+
 MAX_TRANSACTIONS_PER_CALL = 64
 WATCH_SILENCE_SECONDS = 5.0
 
@@ -89,8 +92,14 @@
 
     async def commit_each(
         self, transactions: Sequence[Transaction]
-    ) -> Result[list[Committed], StoreError]:
+    ) -> list[CommitResult]:
         """Commit many independent transactions in one counted call."""
+        result = await self._commit_nested(transactions)
+        return spread_result(result, len(transactions))
+
+    async def _commit_nested(
+        self, transactions: Sequence[Transaction]
+    ) -> Result[list[Committed], StoreError]:
         if len(transactions) > MAX_TRANSACTIONS_PER_CALL:
             detail = f"{len(transactions)} transactions, {MAX_TRANSACTIONS_PER_CALL}"
             return Failure(StoreUnavailable(f"{detail} are allowed in one call"))
--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -66,7 +66,7 @@
     STORE_HAS_NO_TABLE = (3007, "the store holds no configuration table")
     STORE_LOST = (3008, "the store gives no answer")
     STORE_BACK = (3009, "the store answers again")
-    STORE_GROUP_INTERRUPTED = (7001, "a group of writes was carried out in part")
+    STORE_GROUP_INTERRUPTED = (7001, "a call of a group of writes failed")
 
     MEMBER_CHANGED = (4001, "another entry VM changed its state")
     FROZEN = (4002, "this process did not run for a while")
--- a/packages/adapters/src/medlarspring_adapters/group_commit.py
+++ b/packages/adapters/src/medlarspring_adapters/group_commit.py
@@ -6,27 +6,17 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
-
-from medlarspring_adapters.store import Committed, StoreError
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from medlarspring_adapters.clock import Clock
-    from medlarspring_adapters.store import (
-        Store,
-        Transaction,
-    )
+    from medlarspring_adapters.store import CommitResult, Store, Transaction
     from medlarspring_tables import Seconds
 
 MAX_PER_CALL = 64
 MAX_CALLS_AT_ONCE = 4
 """More than one, so that a call that hangs does not block all later ones."""
 
-Answer = Result[Committed, StoreError]
-
 
 class GroupCommit:
     """Sends a first transaction at once and batches those that follow.
@@ -45,14 +35,16 @@
         self._max_per_call = max_per_call
         self._clock = clock
         self._choose_interval = choose_interval
-        self._waiting: deque[tuple[Transaction, asyncio.Future[Answer]]] = deque()
+        self._waiting: deque[tuple[Transaction, asyncio.Future[CommitResult]]] = deque()
         self._calls: set[asyncio.Task[None]] = set()
         self._called_at = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
 
-    async def commit(self, transaction: Transaction) -> Answer:
+    async def commit(self, transaction: Transaction) -> CommitResult:
         """Commit one transaction, batched with other pending ones."""
-        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[CommitResult] = (
+            asyncio.get_running_loop().create_future()
+        )
         self._waiting.append((transaction, future))
         self._call_when_due()
         return await future
@@ -80,10 +72,10 @@
         self._calls.discard(call)
         self._call_when_due()
 
-    def _collect_batch(self) -> list[tuple[Transaction, asyncio.Future[Answer]]]:
+    def _collect_batch(self) -> list[tuple[Transaction, asyncio.Future[CommitResult]]]:
         """Remove and return the next batch, in which no key is written twice."""
-        batch: list[tuple[Transaction, asyncio.Future[Answer]]] = []
-        deferred: deque[tuple[Transaction, asyncio.Future[Answer]]] = deque()
+        batch: list[tuple[Transaction, asyncio.Future[CommitResult]]] = []
+        deferred: deque[tuple[Transaction, asyncio.Future[CommitResult]]] = deque()
         keys: set[str] = set()
         while self._waiting and len(batch) < self._max_per_call:
             transaction, future = self._waiting.popleft()
@@ -97,18 +89,14 @@
         return batch
 
     async def _call(
-        self, batch: list[tuple[Transaction, asyncio.Future[Answer]]]
+        self, batch: list[tuple[Transaction, asyncio.Future[CommitResult]]]
     ) -> None:
-        answer = await self._store.commit_each(
+        results = await self._store.commit_each(
             [transaction for transaction, _ in batch]
         )
-        for index, (_, future) in enumerate(batch):
-            if future.done():
-                continue
-            if is_successful(answer):
-                future.set_result(Success(answer.unwrap()[index]))
-            else:
-                future.set_result(Failure(answer.failure()))
+        for (_, future), result in zip(batch, results, strict=True):
+            if not future.done():
+                future.set_result(result)
 
 
 __all__ = ["MAX_PER_CALL", "GroupCommit"]
--- a/packages/adapters/src/medlarspring_adapters/job_store.py
+++ b/packages/adapters/src/medlarspring_adapters/job_store.py
@@ -25,7 +25,7 @@
 
     from returns.result import Result
 
-    from medlarspring_adapters.store import Committed, Entry, Listing
+    from medlarspring_adapters.store import CommitResult, Entry, Listing
     from medlarspring_tables.audit import AuditRecord
 
 JOBS_PREFIX = "fleet/jobs/"
@@ -135,16 +135,12 @@
     async def _save_batch(
         self, writes: Sequence[JobWrite], transactions: Sequence[Transaction]
     ) -> list[SavedJob]:
-        answer = await self._store.commit_each(transactions)
-        if is_successful(answer):
-            committed = answer.unwrap()[: len(writes)]
-            return [
-                _read_outcome(write, each)
-                for write, each in zip(writes, committed, strict=True)
-            ]
-        unavailable = answer.failure().code == "store-unavailable"
-        outcome = SaveOutcome.NOT_APPLIED if unavailable else SaveOutcome.UNKNOWN
-        return [SavedJob(write, outcome) for write in writes]
+        results = await self._store.commit_each(transactions)
+        of_writes = results[: len(writes)]
+        return [
+            _read_outcome(write, result)
+            for write, result in zip(writes, of_writes, strict=True)
+        ]
 
 
 def _create_transaction(write: JobWrite, fence: Expect | None) -> Transaction:
@@ -169,7 +165,12 @@
     return (unchanged, fence)
 
 
-def _read_outcome(write: JobWrite, committed: Committed) -> SavedJob:
+def _read_outcome(write: JobWrite, result: CommitResult) -> SavedJob:
+    if not is_successful(result):
+        unavailable = result.failure().code == "store-unavailable"
+        outcome = SaveOutcome.NOT_APPLIED if unavailable else SaveOutcome.UNKNOWN
+        return SavedJob(write, outcome)
+    committed = result.unwrap()
     if committed.succeeded:
         return SavedJob(write, SaveOutcome.SAVED, committed.revision)
     return SavedJob(write, SaveOutcome.CONFLICT)
--- a/packages/adapters/src/medlarspring_adapters/store.py
+++ b/packages/adapters/src/medlarspring_adapters/store.py
@@ -10,13 +10,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NewType, Protocol
 
+from returns.result import Failure, Result, Success
+
 from medlarspring_tables import MedlarspringError, Revision
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
-    from returns.result import Result
-
 LeaseId = NewType("LeaseId", int)
 
 
@@ -148,6 +148,22 @@
     """Entries requested by ``read_on_failure``; absent keys are omitted."""
 
 
+CommitResult = Result[Committed, StoreError]
+"""Outcome of one transaction, or why it was not applied or may not have been."""
+
+
+def spread_result(
+    result: Result[list[Committed], StoreError], count: int
+) -> list[CommitResult]:
+    """Return the results of ``count`` transactions that were committed in one call."""
+    match result:
+        case Success(committed):
+            return [Success(each) for each in committed]
+        case Failure(error):
+            return [Failure(error)] * count
+    raise TypeError(result)
+
+
 @dataclass(frozen=True, slots=True)
 class WatchBatch:
     """Changes of one or more store revisions, oldest first."""
@@ -174,10 +190,12 @@
 
     async def commit_each(
         self, transactions: Sequence[Transaction]
-    ) -> Result[list[Committed], StoreError]:
-        """Commit many independent transactions in one counted call.
+    ) -> list[CommitResult]:
+        """Commit many independent transactions in as few calls as possible.
 
-        At most 64 per call; no two transactions may write the same key.
+        Returns the result of each, in their order: a store may need several calls,
+        so that a failure of one transaction says nothing about the others.
+        At most 64 in a group; no two transactions may write the same key.
         """
         ...
 
@@ -203,6 +221,7 @@
 
 
 __all__ = [
+    "CommitResult",
     "Committed",
     "Delete",
     "Entry",
@@ -218,4 +237,5 @@
     "StoreUnavailable",
     "Transaction",
     "WatchBatch",
+    "spread_result",
 ]
--- a/packages/adapters/src/medlarspring_adapters/store_meter.py
+++ b/packages/adapters/src/medlarspring_adapters/store_meter.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result
 
 from medlarspring_adapters.store import (
+    CommitResult,
     Committed,
     Entry,
     LeaseGone,
@@ -165,10 +166,13 @@
 
     async def commit_each(
         self, transactions: Sequence[Transaction]
-    ) -> Result[list[Committed], StoreError]:
+    ) -> list[CommitResult]:
         """Commit many independent transactions in one counted call."""
-        mechanism = _classify_write(transactions[0])
-        return await self._forward(mechanism, self._inner.commit_each, transactions)
+        mechanism = self._fixed_mechanism or _classify_write(transactions[0])
+        if not self._may_call(mechanism):
+            return [Failure(_create_refusal(mechanism)) for _ in transactions]
+        results = await self._inner.commit_each(transactions)
+        return [self._record_outcome(each) for each in results]
 
     async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
         """Create a lease."""
@@ -203,8 +207,7 @@
     ) -> Result[Value, StoreError]:
         mechanism = self._fixed_mechanism or mechanism
         if not self._may_call(mechanism):
-            detail = f"{CALLS_PER_SECOND[mechanism]:g} calls/s for {mechanism.value}"
-            return Failure(StoreOverBudget(detail))
+            return Failure(_create_refusal(mechanism))
         return self._record_outcome(await call(argument))
 
     def _may_call(self, mechanism: Mechanism) -> bool:
@@ -234,6 +237,11 @@
         self.calls.failing_since = None
 
 
+def _create_refusal(mechanism: Mechanism) -> StoreOverBudget:
+    rate = CALLS_PER_SECOND[mechanism]
+    return StoreOverBudget(f"{rate:g} calls/s for {mechanism.value}")
+
+
 def _classify(key: str) -> Mechanism:
     return MECHANISMS_BY_PREFIX.get(key.partition("/")[0], Mechanism.OTHER)
 
--- a/packages/adapters/tests/test_etcd_gateway.py
+++ b/packages/adapters/tests/test_etcd_gateway.py
@@ -76,7 +76,8 @@
         lease_id = (await store.grant_lease(3.2)).unwrap()
         bound = Transaction((), (Put("b/1", b"2", lease_id), Delete("a")))
         other = Transaction((Expect("c", Revision(7)),), (Put("c", b""),))
-        first, second = (await store.commit_each([bound, other])).unwrap()
+        results = await store.commit_each([bound, other])
+        first, second = (each.unwrap() for each in results)
         assert (first.succeeded, second.succeeded) == (True, False)
         listing = (await store.read_prefix("b/")).unwrap()
         assert [(each.key, each.lease_id) for each in listing.entries] == [
--- a/packages/bench/src/medlarspring_bench/job_histories.py
+++ b/packages/bench/src/medlarspring_bench/job_histories.py
@@ -40,9 +40,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from returns.result import Result
-
-    from medlarspring_adapters.store import Committed, StoreError
+    from medlarspring_adapters.store import CommitResult
     from medlarspring_adapters.worker_control import TaskOrder
 
 POOL_ID = PoolId("survey")
@@ -75,7 +73,7 @@
 
     async def commit_each(
         self, transactions: Sequence[Transaction]
-    ) -> Result[list[Committed], StoreError]:
+    ) -> list[CommitResult]:
         """Wait until the process resumes, then write as the base class does."""
         await self.running.wait()
         return await super().commit_each(transactions)
--- a/packages/bench/src/medlarspring_bench/memory_store.py
+++ b/packages/bench/src/medlarspring_bench/memory_store.py
@@ -22,6 +22,7 @@
     StoreUnavailable,
     Transaction,
     WatchBatch,
+    spread_result,
 )
 from medlarspring_bench.key_value_ops import (
     Commit,
@@ -48,6 +49,7 @@
     from collections.abc import AsyncIterator, Callable, Sequence
 
     from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.store import CommitResult
 
 
 T = TypeVar("T")
@@ -102,7 +104,7 @@
 
     async def commit_each(
         self, transactions: Sequence[Transaction]
-    ) -> Result[list[Committed], StoreError]:
+    ) -> list[CommitResult]:
         """Apply each transaction independently, in one counted call."""
 
         def apply() -> list[Committed]:
@@ -112,7 +114,8 @@
             revision = self.state.revision
             return [_committed(inner, revision) for inner in reply.replies]
 
-        return await self._call("txn", apply, writes=True)
+        result = await self._call("txn", apply, writes=True)
+        return spread_result(result, len(transactions))
 
     async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
         """Create a lease."""
--- a/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
@@ -9,6 +9,8 @@
 
 if TYPE_CHECKING:
     import random
+    from collections import deque
+    from collections.abc import Sequence
 
     from medlarspring_tables import Seconds
 
@@ -28,6 +30,17 @@
     """Applies nothing and never responds."""
 
 
+class WriteFault(Enum):
+    """What becomes of a single write call to the store."""
+
+    REFUSED = "refused"
+    """It is answered as busy, without effect."""
+    DROPPED = "dropped"
+    """Its connection ends without an answer; nothing is applied."""
+    UNANSWERED = "unanswered"
+    """It is applied, and its connection ends without an answer."""
+
+
 @dataclass(slots=True)
 class FaultState:
     """Current faults; the simulated components read them on every call."""
@@ -41,6 +54,10 @@
     store_modes_by_node: dict[str, StoreMode] = field(default_factory=dict)
     lost_replies: float = 0.0
     """Fraction of writes whose replies are lost."""
+    write_faults_by_prefix: dict[str, deque[WriteFault | None]] = field(
+        default_factory=dict
+    )
+    """Faults of the next writes of keys under a prefix, in turn; None for no fault."""
     late_writes: float = 0.0
     """Fraction of the writes with lost replies that are applied seconds later."""
     lost_orders: float = 0.0
@@ -73,12 +90,20 @@
             return self.store_mode
         return self.store_modes_by_node.get(node_id, StoreMode.WELL)
 
+    def pop_write_fault(self, keys: Sequence[str]) -> WriteFault | None:
+        """Return and remove the fault of a write call for these keys."""
+        for prefix, faults in self.write_faults_by_prefix.items():
+            if faults and any(key.startswith(prefix) for key in keys):
+                return faults.popleft()
+        return None
+
     def clear(self) -> None:
         """End all faults of links, the store and orders, and thaw all processes."""
         self.store_mode = StoreMode.WELL
         self.leases_pause = False
         self.store_modes_by_node.clear()
         self.lost_replies = self.late_writes = 0.0
+        self.write_faults_by_prefix.clear()
         self.lost_orders = self.lost_answers = 0.0
         self.lost_holds = self.lost_hold_answers = 0.0
         self.answer_seconds_by_node.clear()
@@ -105,4 +130,10 @@
             await asyncio.Event().wait()
 
 
-__all__ = ["LATE_ORDER_SECONDS", "LATE_SECONDS", "StoreMode", "FaultState"]
+__all__ = [
+    "LATE_ORDER_SECONDS",
+    "LATE_SECONDS",
+    "FaultState",
+    "StoreMode",
+    "WriteFault",
+]
--- a/packages/bench/src/medlarspring_bench/platform_world/http_store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/http_store.py
@@ -30,7 +30,11 @@
     TxnReply,
     prefix_end,
 )
-from medlarspring_bench.platform_world.fault_state import LATE_SECONDS, StoreMode
+from medlarspring_bench.platform_world.fault_state import (
+    LATE_SECONDS,
+    StoreMode,
+    WriteFault,
+)
 from medlarspring_bench.platform_world.virtual_time import spawn_detached
 from medlarspring_bench.standins.server import GATE_KEY, json_response
 
@@ -180,6 +184,17 @@
         txn = msgspec.json.decode(await request.read(), type=Txn)
         if len(txn.expected_rev) + len(txn.puts) + len(txn.deletes) > MAX_ENTRIES:
             return json_response({"error": "too many entries"}, 400)
+        fault = self._fault_state.pop_write_fault(
+            [*(each.key for each in txn.puts), *txn.deletes]
+        )
+        if fault is WriteFault.REFUSED:
+            return web.Response(status=BUSY)
+        if fault is not None:
+            if fault is WriteFault.UNANSWERED:
+                self._apply(txn)
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response(status=BUSY)
         return self._answer_txn(txn, self._apply(txn))
 
     def _apply(self, txn: Txn) -> bool | None:
--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result
 
+from medlarspring_adapters.joined_commit import commit_joined, commit_singly
 from medlarspring_adapters.store import (
     Committed,
     Entry,
@@ -23,6 +24,7 @@
     LATE_SECONDS,
     FaultState,
     StoreMode,
+    WriteFault,
 )
 from medlarspring_bench.platform_world.virtual_time import spawn_detached
 
@@ -30,12 +32,15 @@
     from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
     from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.store import CommitResult
     from medlarspring_bench.key_value_state import KeyValueState
     from medlarspring_tables import Revision, Seconds
 
 LINK_SECONDS = 0.0015
 TIMEOUT_SECONDS = 0.3
 RETRY_SECONDS = 0.2
+MAX_ENTRIES = 32
+"""Most conditions and writes of one transaction, as on the platform."""
 T = TypeVar("T")
 
 
@@ -71,15 +76,20 @@
         """Apply one transaction; a refusal returns the entries of its conditions."""
         keys = tuple(expect.key for expect in transaction.expects)
         whole = Transaction(transaction.expects, transaction.writes, keys)
-        return await self._call(lambda: self._inner.commit(whole), writes=True)
+        written = [write.key for write in transaction.writes]
+        fault = self._fault_state.pop_write_fault(written)
+        return await self._call(
+            lambda: self._inner.commit(whole), writes=True, fault=fault
+        )
 
     async def commit_each(
         self, transactions: Sequence[Transaction]
-    ) -> Result[list[Committed], StoreError]:
-        """Apply several transactions independently of each other."""
-        return await self._call(
-            lambda: self._inner.commit_each(transactions), writes=True
-        )
+    ) -> list[CommitResult]:
+        """Apply several transactions in as many calls as the real client makes."""
+        joined = await commit_joined(self.commit, transactions, MAX_ENTRIES)
+        if joined is not None:
+            return joined
+        return await commit_singly(self.commit, transactions)
 
     async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
         """Create a lease."""
@@ -130,17 +140,22 @@
         self,
         apply: Callable[[], Awaitable[Result[T, StoreError]]],
         writes: bool = False,
+        fault: WriteFault | None = None,
     ) -> Result[T, StoreError]:
         self.calls += 1
         await self._wait_until_runnable()
         await asyncio.sleep(LINK_SECONDS)
         mode = self._mode()
-        if mode is StoreMode.BUSY:
+        if mode is StoreMode.BUSY or fault is WriteFault.REFUSED:
             return self._fail(StoreUnavailable("busy"))
         if mode is StoreMode.SILENT:
             await asyncio.sleep(TIMEOUT_SECONDS)
             return self._fail(StoreOutcomeUnknown("no answer in time"))
         await asyncio.sleep(self._fault_state.store_seconds)
+        if fault is not None:
+            if fault is WriteFault.UNANSWERED:
+                await apply()
+            return self._fail(StoreOutcomeUnknown("the connection ended"))
         if writes and self._fault_state.rng.random() < self._fault_state.lost_replies:
             return await self._lose(apply)
         answer = await apply()
--- a/packages/bench/tests/test_memory_store.py
+++ b/packages/bench/tests/test_memory_store.py
@@ -43,15 +43,17 @@
 
 async def test_commit_each_evaluates_transactions_independently(store: MemoryStore):
     await store.commit(create("a"))
-    committed = (await store.commit_each([create("a"), create("b")])).unwrap()
+    results = await store.commit_each([create("a"), create("b")])
+    committed = [each.unwrap() for each in results]
     assert [one.succeeded for one in committed] == [False, True]
     assert committed[0].read_by_key["a"].value == b"v"
     assert store.calls_by_kind == {"txn": 2}
 
 
 async def test_commit_each_refuses_two_writes_of_one_key(store: MemoryStore):
-    result = await store.commit_each([create("a"), create("a")])
-    assert isinstance(result.failure(), StoreUnavailable)
+    results = await store.commit_each([create("a"), create("a")])
+    assert len(results) == 2
+    assert all(isinstance(each.failure(), StoreUnavailable) for each in results)
     assert (await store.read("a")).unwrap() is None
 
 
--- a/packages/daemon/src/medlarspring_daemon/membership/holder_service.py
+++ b/packages/daemon/src/medlarspring_daemon/membership/holder_service.py
@@ -198,8 +198,11 @@
             )
             for pool_id in pool_ids
         ]
-        answer = await self._node.store.commit_each(transactions)
-        if not isinstance(answer, Success):
+        results = await self._node.store.commit_each(transactions)
+        for pool_id, result in zip(pool_ids, results, strict=True):
+            if isinstance(result, Success):
+                self._record_acquisition(pool_id, result.unwrap(), lease_id)
+        if not all(isinstance(each, Success) for each in results):
             self._back_off()
             return
         self._failures = 0
@@ -207,8 +210,6 @@
         self._next_attempt_at = (
             self._node.clock.now() + ACQUIRE_INTERVAL_SECONDS * spread
         )
-        for pool_id, committed in zip(pool_ids, answer.unwrap(), strict=True):
-            self._record_acquisition(pool_id, committed, lease_id)
 
     def _record_acquisition(
         self, pool_id: PoolId, committed: Committed, lease_id: int
--- a/packages/daemon/tests/scheduling/test_intake.py
+++ b/packages/daemon/tests/scheduling/test_intake.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING
 
 import pytest
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.group_commit import MAX_CALLS_AT_ONCE
+from medlarspring_bench.key_value_ops import RangeOp
 from medlarspring_bench.platform_world.customers import Customers
-from medlarspring_bench.platform_world.fault_state import StoreMode
+from medlarspring_bench.platform_world.fault_state import StoreMode, WriteFault
 from medlarspring_bench.platform_world.plans import HOST, WorldPlan
 from medlarspring_bench.platform_world.virtual_time import run_virtual
 from medlarspring_bench.platform_world.world import World
@@ -20,14 +23,24 @@
     from collections.abc import Awaitable, Callable
 
     from medlarspring_bench.platform_world.virtual_time import VirtualClock
+    from medlarspring_tables import JobId
+    from medlarspring_tables.scheduling import JobSpec
 
 TIMEOUT_SECONDS = 3.0
 MAX_ANSWER_SECONDS = 1.5
+GROUP_SIZE = 5
+MANY_CALLS = 1_000
+SETTLE_SECONDS = 15.0
+NO_WORKERS = WorldPlan(vms_per_pool=0, standby_vms=0)
+"""No job starts, so that submissions make all the writes to the inbox."""
 
 
-def run_scenario(scenario: Callable[[World, Customers], Awaitable[None]]) -> None:
+def run_scenario(
+    scenario: Callable[[World, Customers], Awaitable[None]],
+    plan: WorldPlan | None = None,
+) -> None:
     async def main(clock: VirtualClock) -> None:
-        world = World(WorldPlan(), clock, 3)
+        world = World(plan or WorldPlan(), clock, 3)
         await world.start()
         await asyncio.sleep(3.0)
         await scenario(world, Customers(world, world.rng))
@@ -38,7 +51,10 @@
 
 async def submit(world: World, customers: Customers):  # type: ignore[no-untyped-def]
     """Submit a job to the first entry VM; return the answer and the seconds it took."""
-    job_id, spec = customers.create_batch()
+    return await submit_job(world, *customers.create_batch())
+
+
+async def submit_job(world: World, job_id: JobId, spec: JobSpec):  # type: ignore[no-untyped-def]
     service = world.nodes_by_name["entry-0"].service
     call = service.operator_records.admit(HOST, f"/lookup/{job_id}", "").unwrap()
     sent_at = world.clock.now()
@@ -126,3 +142,45 @@
         assert is_successful(answer)
 
     run_scenario(scenario)
+
+
+def is_stored(world: World, job_id: JobId) -> bool:
+    found = world.state.apply(RangeOp(b"inbox/", b"inbox0"))
+    return any(kv.key.decode().endswith(job_id) for kv in found.kvs)  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize("fault", WriteFault)
+@pytest.mark.parametrize("failing_calls", [1, MANY_CALLS])
+@pytest.mark.parametrize("first_failed", range(GROUP_SIZE + 1))
+def test_refused_submission_of_an_interrupted_group_is_never_stored(
+    first_failed: int, failing_calls: int, fault: WriteFault
+):
+    """Guards against a job that runs after its customer was told that it never will.
+
+    A repeat of a known job splits its group of submissions into calls of their own,
+    and the store fails after some of them.
+    """
+
+    async def scenario(world: World, customers: Customers) -> None:
+        known = customers.create_batch()
+        await submit_job(world, *known)
+        count = MAX_CALLS_AT_ONCE + GROUP_SIZE - 1
+        jobs = [customers.create_batch() for _ in range(count)]
+        jobs.insert(MAX_CALLS_AT_ONCE + GROUP_SIZE // 2, known)
+        passing = [None] * (MAX_CALLS_AT_ONCE + first_failed)
+        faults = deque([*passing, *[fault] * failing_calls])
+        world.fault_state.write_faults_by_prefix["inbox/"] = faults
+        answers = await asyncio.gather(*(submit_job(world, *each) for each in jobs))
+        world.fault_state.clear()
+        await asyncio.sleep(SETTLE_SECONDS)
+        for (job_id, _), (answer, _) in zip(jobs, answers, strict=True):
+            if is_successful(answer):
+                assert is_stored(world, job_id)
+                continue
+            assert failing_calls == MANY_CALLS
+            if isinstance(answer.failure(), NotReady):
+                assert job_id == known[0] or not is_stored(world, job_id)
+            else:
+                assert fault is not WriteFault.REFUSED
+
+    run_scenario(scenario, NO_WORKERS)
--- a/packages/daemon/tests/test_holder_service.py
+++ b/packages/daemon/tests/test_holder_service.py
@@ -6,9 +6,10 @@
 
 import msgspec
 import pytest
+from returns.result import Failure
 
 from medlarspring_adapters.clock import SystemClock
-from medlarspring_adapters.store import Expect, Put, Transaction
+from medlarspring_adapters.store import Expect, Put, StoreUnavailable, Transaction
 from medlarspring_bench.control_nodes import (
     ControlNode,
     create_control_node,
@@ -19,12 +20,12 @@
 from medlarspring_tables import ConfigTable, PoolId, PoolRow, Revision
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Sequence
     from pathlib import Path
 
     from returns.result import Result
 
-    from medlarspring_adapters.store import LeaseId, StoreError
+    from medlarspring_adapters.store import CommitResult, LeaseId, Store, StoreError
 
 WAIT_SECONDS = 30.0
 HOLDER_LEASE_LAPSED = 4022
@@ -81,6 +82,40 @@
     assert asyncio.get_running_loop().time() - began < 3.0
 
 
+class RefusingStore:
+    """Refuses the last transaction of the first group; forwards all other calls."""
+
+    def __init__(self, inner: Store) -> None:
+        self._inner = inner
+        self.groups = 0
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._inner, name)
+
+    async def commit_each(
+        self, transactions: Sequence[Transaction]
+    ) -> list[CommitResult]:
+        self.groups += 1
+        if self.groups > 1:
+            return await self._inner.commit_each(transactions)
+        results = await self._inner.commit_each(transactions[:-1])
+        return [*results, Failure(StoreUnavailable("busy"))]
+
+
+async def test_pools_acquired_beside_a_refused_one_are_held_at_once(start: Start):
+    """Guards against pools without control work, whose keys were written in a group
+    of which another write failed."""
+    node = await start("a")
+    store = RefusingStore(node.node.store)
+    node.node.store = store  # type: ignore[assignment]
+    list_nodes([node])
+    await wait_until(lambda: store.groups)
+    await wait_until(lambda: held(node))
+    assert len(held(node)) == len(POOLS) - 1
+    assert store.groups == 1
+    await wait_until(lambda: held(node) == sorted(POOLS))
+
+
 async def test_shutdown_logs_the_released_pools(start: Start):
     """
     A holder shuts down and the next holder logs that it holds the pools. The first
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -19,6 +19,7 @@
     NotSent,
     Unanswered,
 )
+from medlarspring_adapters.joined_commit import commit_joined, commit_singly
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import (
     Committed,
@@ -53,6 +54,7 @@
     from medlarspring_adapters.events import EventLog
     from medlarspring_adapters.http_channel import HttpAnswer
     from medlarspring_adapters.metrics import Metrics
+    from medlarspring_adapters.store import CommitResult
     from medlarspring_tables import Seconds
 
 MAX_ENTRIES = 32
@@ -173,44 +175,32 @@
 
     async def commit_each(
         self, transactions: Sequence[Transaction]
-    ) -> Result[list[Committed], StoreError]:
-        """Commit many independent transactions in as few calls as possible.
-
-        A transaction of the store is applied as a whole or not at all, so if the
-        combined one fails, each is committed in a call of its own.
-        """
-        if len(transactions) > 1 and count_entries(transactions) <= MAX_ENTRIES:
-            joined = await self.commit(_join(transactions))
-            if not is_successful(joined):
-                return Failure(joined.failure())
-            if joined.unwrap().succeeded:
-                return Success([joined.unwrap()] * len(transactions))
-            self._metrics.count(Metric.STORE_GROUPS_SPLIT)
-        results: list[Committed] = []
-        for transaction in transactions:
-            single = await self.commit(transaction)
-            if not is_successful(single):
-                self._log_interrupted_group(transactions, len(results), single)
-                return Failure(single.failure())
-            results.append(single.unwrap())
-        return Success(results)
+    ) -> list[CommitResult]:
+        """Commit many independent transactions in as few calls as possible."""
+        joined = await commit_joined(self.commit, transactions, MAX_ENTRIES)
+        if joined is not None:
+            return joined
+        self._metrics.count(Metric.STORE_GROUPS_SPLIT)
+        results = await commit_singly(self.commit, transactions)
+        if not all(map(is_successful, results)):
+            self._log_interrupted_group(transactions, results)
+        return results
 
     def _log_interrupted_group(
-        self,
-        transactions: Sequence[Transaction],
-        answered: int,
-        failed: Result[Committed, StoreError],
+        self, transactions: Sequence[Transaction], results: Sequence[CommitResult]
     ) -> None:
-        """Log which transactions of a group were answered before a call failed."""
+        """Log which transactions of a group were answered, and why the others not."""
         self._metrics.count(Metric.STORE_GROUPS_INTERRUPTED)
-        keys = [each.writes[0].key if each.writes else "" for each in transactions]
+        answered: list[str] = []
+        fault_by_key: dict[str, str] = {}
+        for transaction, result in zip(transactions, results, strict=True):
+            key = transaction.writes[0].key if transaction.writes else ""
+            if is_successful(result):
+                answered.append(key)
+            else:
+                fault_by_key[key] = result.failure().message()
         self._log.warning(
-            Event.STORE_GROUP_INTERRUPTED,
-            answered=keys[:answered],
-            failed=keys[answered],
-            not_sent=len(keys) - answered - 1,
-            outcome=failed.failure().code,
-            fault=failed.failure().message(),
+            Event.STORE_GROUP_INTERRUPTED, answered=answered, fault_by_key=fault_by_key
         )
 
     async def grant_lease(self, ttl: float) -> Result[LeaseId, StoreError]:
@@ -344,15 +334,4 @@
             return Failure(StoreOutcomeUnknown(f"unreadable answer ({error})"))
 
 
-def count_entries(transactions: Sequence[Transaction]) -> int:
-    """Return the number of entries that count towards ``MAX_ENTRIES``."""
-    return sum(len(each.expects) + len(each.writes) for each in transactions)
-
-
-def _join(transactions: Sequence[Transaction]) -> Transaction:
-    expects = {expect: None for each in transactions for expect in each.expects}
-    writes = [write for each in transactions for write in each.writes]
-    return Transaction(expects=tuple(expects), writes=tuple(writes))
-
-
-__all__ = ["MAX_ENTRIES", "PlatformStore", "count_entries"]
+__all__ = ["MAX_ENTRIES", "PlatformStore"]
--- a/packages/platform/tests/adapter/test_store.py
+++ b/packages/platform/tests/adapter/test_store.py
@@ -54,8 +54,8 @@
 
 async def test_failed_combined_write_is_split(platform: Platform):
     await platform.store.commit(create("a/1"))
-    answers = await platform.store.commit_each([create("a/1"), create("a/2")])
-    assert [each.succeeded for each in answers.unwrap()] == [False, True]
+    results = await platform.store.commit_each([create("a/1"), create("a/2")])
+    assert [each.unwrap().succeeded for each in results] == [False, True]
 
 
 async def test_keys_are_deleted_with_their_lease(platform: Platform):
