Take only 503 and 4xx of the store for calls without effect

What callers could see: a job that was refused with 503 although it was stored, where the store answered a write with a status that its page does not name. Found by reading, as the same class as the cause before: the client counted each unknown status as a refusal without effect, but the page promises that for 503 only, and 4xx rejects the call as such.

Any other status now counts as an unknown outcome: the intake repeats the write under its condition until it finds it applied, or answers 504.

--- a/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
@@ -39,6 +39,8 @@
     """Its connection ends without an answer; nothing is applied."""
     UNANSWERED = "unanswered"
     """It is applied, and its connection ends without an answer."""
+    FAILED = "failed"
+    """It is applied and answered with an internal error."""
 
 
 @dataclass(slots=True)
--- a/packages/bench/src/medlarspring_bench/platform_world/http_store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/http_store.py
@@ -52,6 +52,7 @@
 GONE = 410
 CONDITION_FAILED = 412
 BUSY = 503
+INTERNAL_ERROR = 500
 WATCH_PATH = "/api/kv-watch"
 TXN_PATH = "/api/kv-txn"
 
@@ -189,6 +190,9 @@
         )
         if fault is WriteFault.REFUSED:
             return web.Response(status=BUSY)
+        if fault is WriteFault.FAILED:
+            self._apply(txn)
+            return web.Response(status=INTERNAL_ERROR)
         if fault is not None:
             if fault is WriteFault.UNANSWERED:
                 self._apply(txn)
--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -153,7 +153,7 @@
             return self._fail(StoreOutcomeUnknown("no answer in time"))
         await asyncio.sleep(self._fault_state.store_seconds)
         if fault is not None:
-            if fault is WriteFault.UNANSWERED:
+            if fault is not WriteFault.DROPPED:
                 await apply()
             return self._fail(StoreOutcomeUnknown("the connection ended"))
         if writes and self._fault_state.rng.random() < self._fault_state.lost_replies:
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -88,6 +88,8 @@
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
 HTTP_CONDITION_FAILED = 412
+HTTP_INTERNAL_ERROR = 500
+HTTP_UNAVAILABLE = 503
 
 
 Message = TypeVar("Message", bound=Struct)
@@ -303,8 +305,7 @@
             return self._fail(StoreOutcomeUnknown(str(error)))
         known = (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONDITION_FAILED)
         if reply.status not in known:
-            # By the store's contract a refused call (429, 503) had no effect.
-            return self._fail(StoreUnavailable(f"HTTP status {reply.status}"))
+            return self._fail(_describe_refusal(reply.status))
         now = self._clock.now()
         self._metrics.timing(Metric.STORE_CALL_MS, (now - sent_at) * 1_000)
         self._adaptive_timeout.record_answer(now - sent_at, len(reply.body))
@@ -334,4 +335,16 @@
             return Failure(StoreOutcomeUnknown(f"unreadable answer ({error})"))
 
 
+def _describe_refusal(status: int) -> StoreError:
+    """Return the error of a status that is no answer to the call.
+
+    The store promises no effect for 503 only, and 4xx says that it rejected the call;
+    any other status may come from a call that was carried out.
+    """
+    detail = f"HTTP status {status}"
+    if status < HTTP_INTERNAL_ERROR or status == HTTP_UNAVAILABLE:
+        return StoreUnavailable(detail)
+    return StoreOutcomeUnknown(detail)
+
+
 __all__ = ["MAX_ENTRIES", "PlatformStore"]
