--- a/packages/daemon/tests/scheduling/test_intake.py
+++ b/packages/daemon/tests/scheduling/test_intake.py
@@ -17,6 +17,7 @@
 from medlarspring_bench.platform_world.virtual_time import run_virtual
 from medlarspring_bench.platform_world.world import World
 from medlarspring_daemon.scheduling.intake_errors import NotReady, OutcomeUnknown
+from medlarspring_daemon.scheduling.keys import InboxKind
 from medlarspring_systems.scheduling.callers import Caller
 
 if TYPE_CHECKING:
@@ -31,6 +32,8 @@
 GROUP_SIZE = 5
 MANY_CALLS = 1_000
 SETTLE_SECONDS = 15.0
+READ_SECONDS = 0.007
+"""Time of one call to the emulated store."""
 NO_WORKERS = WorldPlan(vms_per_pool=0, standby_vms=0)
 """No job starts, so that submissions make all the writes to the inbox."""
 
@@ -144,9 +147,10 @@
     run_scenario(scenario)
 
 
-def is_stored(world: World, job_id: JobId) -> bool:
+def is_stored(world: World, job_id: JobId, kind: InboxKind = InboxKind.JOB) -> bool:
     found = world.state.apply(RangeOp(b"inbox/", b"inbox0"))
-    return any(kv.key.decode().endswith(job_id) for kv in found.kvs)  # type: ignore[union-attr]
+    end = f"/{kind.value}/{job_id}"
+    return any(kv.key.decode().endswith(end) for kv in found.kvs)  # type: ignore[union-attr]
 
 
 @pytest.mark.parametrize("fault", WriteFault)
@@ -184,3 +188,38 @@
                 assert fault is not WriteFault.REFUSED
 
     run_scenario(scenario, NO_WORKERS)
+
+
+@pytest.mark.parametrize("first_failed", range(1, GROUP_SIZE + 1))
+def test_refused_cancel_of_an_interrupted_group_is_never_carried_out(
+    first_failed: int,
+):
+    """Guards against a job that is cancelled after its cancel was refused."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        intake = world.nodes_by_name["entry-0"].service.intake
+        known = [customers.create_batch() for _ in range(GROUP_SIZE)]
+        for each in known:
+            await submit_job(world, *each)
+        # The controller learns of no cancel, so that it writes nothing meanwhile.
+        world.fault_state.stalled_watches.update(world.nodes_by_name)
+        cancels = [
+            asyncio.ensure_future(intake.cancel(job_id, Caller(), TIMEOUT_SECONDS))
+            for job_id, _ in known[1:]
+        ]
+        # The submissions use up the call slots just before the cancels, which read
+        # the jobs first, are written in one group with the repeat.
+        await asyncio.sleep(READ_SECONDS - 0.0005)
+        earlier = [customers.create_batch() for _ in range(MAX_CALLS_AT_ONCE)]
+        slots = [asyncio.ensure_future(submit_job(world, *each)) for each in earlier]
+        await asyncio.sleep(0.001)
+        repeat = asyncio.ensure_future(submit_job(world, *known[0]))
+        faults = deque([*[None] * first_failed, *[WriteFault.REFUSED] * MANY_CALLS])
+        world.fault_state.write_faults_by_prefix["inbox/"] = faults
+        await asyncio.gather(*slots, repeat)
+        answers = await asyncio.gather(*cancels)
+        recorded = [is_stored(world, each, InboxKind.CANCEL) for each, _ in known[1:]]
+        assert [is_successful(answer) for answer in answers] == recorded
+        assert sum(recorded) == first_failed - 1
+
+    run_scenario(scenario, NO_WORKERS)
