--- a/packages/bench/src/medlarspring_bench/platform_world/http_store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/http_store.py
@@ -188,18 +188,22 @@
         fault = self._fault_state.pop_write_fault(
             [*(each.key for each in txn.puts), *txn.deletes]
         )
-        if fault is WriteFault.REFUSED:
-            return web.Response(status=BUSY)
-        if fault is WriteFault.FAILED:
+        if fault is not None:
+            return self._fail_txn(request, txn, fault)
+        return self._answer_txn(txn, self._apply(txn))
+
+    def _fail_txn(
+        self, request: web.Request, txn: Txn, fault: WriteFault
+    ) -> web.Response:
+        """Answer a transaction as its fault says, or end its connection."""
+        if fault in (WriteFault.UNANSWERED, WriteFault.FAILED):
             self._apply(txn)
+        if fault is WriteFault.FAILED:
             return web.Response(status=INTERNAL_ERROR)
-        if fault is not None:
-            if fault is WriteFault.UNANSWERED:
-                self._apply(txn)
+        if fault is not WriteFault.REFUSED:
             assert request.transport is not None
             request.transport.abort()
-            return web.Response(status=BUSY)
-        return self._answer_txn(txn, self._apply(txn))
+        return web.Response(status=BUSY)
 
     def _apply(self, txn: Txn) -> bool | None:
         """Apply a transaction; return None if it names a lease that does not exist."""
