--- a/packages/bench/src/medlarspring_bench/platform_world/days.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/days.py
@@ -59,6 +59,11 @@
 JOBS_PER_SECOND = 2.0
 CANCELLED_RATIO = 0.05
 UNRUNNABLE_PART = 0.03
+BATCHES = 6
+BATCH_JOBS = 16
+BATCH_SECONDS = (0.01, 0.12)
+"""Range of the time from a batch's submission until the store refuses its node."""
+REFUSAL_SECONDS = 0.8
 
 
 @dataclass(slots=True)
@@ -185,6 +190,30 @@
     day.world.fault_state.store_modes_by_node.pop(name, None)
 
 
+async def interrupt_batches(day: Day) -> None:
+    """Submit batches, each with a repeat, and have the store refuse its node midway."""
+    known = [("lookup", *day.customers.create_batch())]
+    for _ in range(BATCHES):
+        name = day.choose_node()
+        if name is None:
+            return
+        repeat = day.rng.choice(known)
+        batch = [("lookup", *day.customers.create_batch()) for _ in range(BATCH_JOBS)]
+        batch.insert(day.rng.randrange(BATCH_JOBS), repeat)
+        calls = [
+            asyncio.ensure_future(day.customers.submit_once(*each, name))
+            for each in batch
+        ]
+        await asyncio.sleep(day.rng.uniform(*BATCH_SECONDS))
+        modes_by_node = day.world.fault_state.store_modes_by_node
+        modes_by_node[name] = StoreMode.BUSY
+        await asyncio.sleep(REFUSAL_SECONDS)
+        modes_by_node.pop(name, None)
+        answers = await asyncio.gather(*calls)
+        pairs = zip(batch, answers, strict=True)
+        known += [each for each, answer in pairs if answer == "ok"]
+
+
 async def cut_node(day: Day) -> None:
     """Partition a node from the store, VM control and some workers.
 
@@ -282,6 +311,7 @@
     ("task crashes its workers late", send_late_crashing_job),
 )
 FIFTH_FAULTS: FaultTable = (*FOURTH_FAULTS, *CRASHES)
+INTERRUPTED_BATCHES: FaultTable = (("batches interrupted", interrupt_batches),)
 RESIZES: FaultTable = (("worker shrinks and grows", resize_worker),) * 2
 SIXTH_FAULTS: FaultTable = (*FIFTH_FAULTS, *RESIZES)
 SEVENTH_FAULTS: FaultTable = (*SIXTH_FAULTS, *LATE_CRASHES)
@@ -352,6 +382,7 @@
     "PARTNER_CHANGES",
     "PARTNER_FAULTS",
     "FOURTH_FAULTS",
+    "INTERRUPTED_BATCHES",
     "RESIZES",
     "RESTARTS",
     "SECOND_FAULTS",
--- a/packages/bench/tests/test_platform_days.py
+++ b/packages/bench/tests/test_platform_days.py
@@ -10,6 +10,7 @@
     FIRST_FAULTS,
     FLAPS,
     FOURTH_FAULTS,
+    INTERRUPTED_BATCHES,
     LATE_CRASHES,
     RESIZES,
     RESTARTS,
@@ -27,6 +28,7 @@
 FRESH_SEEDS = range(1_000, 1_030)
 FAULTS_PER_DAY = 8
 LATE_CRASH_SEEDS = range(7_000, 7_006)
+INTERRUPTED_SEEDS = range(9_000, 9_006)
 RESTART_SEEDS = range(1_000, 1_012)
 CRASH_SEEDS = (*range(1_000, 1_006), 2_002, 2_006, 2_054, 3_146, 3_207, 3_212)
 """The seeds from 2002 on had starts beyond the limit, jobs that did not end, and
@@ -126,6 +128,12 @@
         assert_guarantees_held(play_day(seed, faults, table=table))
 
 
+@pytest.mark.parametrize("seed", INTERRUPTED_SEEDS)
+def test_no_refused_job_runs_when_batches_are_interrupted(seed: int):
+    """Guards against refused jobs that are stored by the first calls of their batch."""
+    assert_guarantees_held(play_day(seed, 1, table=INTERRUPTED_BATCHES))
+
+
 @pytest.mark.parametrize("table", [RESIZES, SIXTH_FAULTS], ids=["alone", "mixed"])
 def test_no_start_exceeds_reduced_resources(table: FaultTable):
     """Guards against starts based on the resources that were first listed."""
