--- a/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -93,7 +93,10 @@
     async def commit_each(
         self, transactions: Sequence[Transaction]
     ) -> list[CommitResult]:
-        """Commit many independent transactions in one counted call."""
+        """Commit many independent transactions in one counted call.
+
+        The call is atomic: if it fails, each transaction gets its failure.
+        """
         result = await self._commit_nested(transactions)
         return spread_result(result, len(transactions))
 
--- a/packages/adapters/src/medlarspring_adapters/group_commit.py
+++ b/packages/adapters/src/medlarspring_adapters/group_commit.py
@@ -21,6 +21,8 @@
 class GroupCommit:
     """Sends a first transaction at once and batches those that follow.
 
+    Each caller gets the result of its own transaction, whatever became of the others.
+
     ``choose_interval`` returns the shortest time between the starts of two calls.
     """
 
--- a/packages/adapters/src/medlarspring_adapters/store_meter.py
+++ b/packages/adapters/src/medlarspring_adapters/store_meter.py
@@ -167,7 +167,10 @@
     async def commit_each(
         self, transactions: Sequence[Transaction]
     ) -> list[CommitResult]:
-        """Commit many independent transactions in one counted call."""
+        """Forward a group, counted as one call; each result is that of the store.
+
+        Over the budget nothing is sent, and all are reported as not applied.
+        """
         mechanism = self._fixed_mechanism or _classify_write(transactions[0])
         if not self._may_call(mechanism):
             return [Failure(_create_refusal(mechanism)) for _ in transactions]
--- a/packages/bench/src/medlarspring_bench/memory_store.py
+++ b/packages/bench/src/medlarspring_bench/memory_store.py
@@ -105,7 +105,10 @@
     async def commit_each(
         self, transactions: Sequence[Transaction]
     ) -> list[CommitResult]:
-        """Apply each transaction independently, in one counted call."""
+        """Apply each transaction independently, in one counted call.
+
+        The call is atomic: if it fails, each transaction gets its failure.
+        """
 
         def apply() -> list[Committed]:
             ops = tuple(_txn(transaction) for transaction in transactions)
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -178,7 +178,10 @@
     async def commit_each(
         self, transactions: Sequence[Transaction]
     ) -> list[CommitResult]:
-        """Commit many independent transactions in as few calls as possible."""
+        """Commit independent transactions in one call if possible, else in one each.
+
+        After a call that fails, those left are not sent and reported as not applied.
+        """
         joined = await commit_joined(self.commit, transactions, MAX_ENTRIES)
         if joined is not None:
             return joined
