Close every stream of a test before its event loop ends

Cause: handlers of raw upstreams returned, or waited, with their writer open, and nothing closed it when the server was closed. Clients of test_caller_limits and test_operator_port, the slow link and serve_body closed their writers only when the test's body passed.

--- a/packages/adapters/tests/test_http_channel.py
+++ b/packages/adapters/tests/test_http_channel.py
@@ -15,6 +15,7 @@
     HttpChannel,
     Unanswered,
 )
+from medlarspring_bench.streams import serve_streams
 
 
 async def test_closing_leaves_no_connection_open():
@@ -60,16 +61,18 @@
     with socket.socket() as listener:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
         listener.bind(("127.0.0.1", 0))
-        server = await asyncio.start_server(serve, sock=listener, limit=1_024)
-        host, port = listener.getsockname()
-        channel = HttpChannel(f"{host}:{port}", drops_unsent=True)
-        body = b"x" * 400_000
-        with pytest.raises(Unanswered):
-            await channel.call("POST", "/", 0.2, body=body)
-        await channel.close()
-        may_read.set()
-        await asyncio.wait_for(is_over.wait(), 5.0)
-        server.close()
+        async with serve_streams(
+            serve, listener=listener, limit_bytes=1_024
+        ) as address:
+            channel = HttpChannel(address, drops_unsent=True)
+            body = b"x" * 400_000
+            try:
+                with pytest.raises(Unanswered):
+                    await channel.call("POST", "/", 0.2, body=body)
+            finally:
+                await channel.close()
+            may_read.set()
+            await asyncio.wait_for(is_over.wait(), 5.0)
     assert sum(map(len, received)) < len(body)
 
 
@@ -99,12 +102,12 @@
             is_closed.set()
             writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    channel = HttpChannel(f"{host}:{port}")
-    yield channel, is_closed
-    await channel.close()
-    server.close()
+    async with serve_streams(serve) as address:
+        channel = HttpChannel(address)
+        try:
+            yield channel, is_closed
+        finally:
+            await channel.close()
 
 
 async def test_body_may_take_longer_than_the_timeout_while_it_arrives():
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -19,6 +19,7 @@
 from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
+from medlarspring_bench.streams import connect_streams, serve_streams
 from medlarspring_daemon.callers.service import create_caller_service
 from medlarspring_daemon.node import create_node
 from medlarspring_daemon.settings import (
@@ -152,11 +153,16 @@
 
     async def add_raw_upstream(self, script: Script, zone: str = "a") -> VMId:
         """Add an upstream VM whose ``script`` handles each connection's raw bytes."""
-        server = await asyncio.start_server(script, "127.0.0.1", 0)
-        self._stack.callback(server.close)
-        address = "{}:{}".format(*server.sockets[0].getsockname())
+        address = await self._stack.enter_async_context(serve_streams(script))
         return self.list_vm(address, zone)
 
+    async def connect(
+        self, entry_vm: EntryVM
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a raw connection to the caller port; it is closed with the bench."""
+        address = entry_vm.node.addresses["caller"]
+        return await self._stack.enter_async_context(connect_streams(address))
+
     def list_vm(self, address: str, zone: str = "a", **fields: object) -> VMId:
         vm_id = VMId(f"vm-{len(self.vm_list.vms_by_id)}")
         self.vm_list.vms_by_id[vm_id] = ListedVM(
--- a/packages/daemon/tests/callers/test_caller_limits.py
+++ b/packages/daemon/tests/callers/test_caller_limits.py
@@ -10,11 +10,6 @@
 HEAD = b"GET /consent/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer njia-secret\r\n"
 
 
-async def connect(entry_vm):
-    host, _, port = entry_vm.node.addresses["caller"].rpartition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
 async def read_problem(reader: asyncio.StreamReader) -> tuple[int, dict]:
     async with asyncio.timeout(8):
         head = await reader.readuntil(b"\r\n\r\n")
@@ -34,24 +29,22 @@
 )
 async def test_passing_a_limit_is_refused_at_once(bench, sent, status):
     entry_vm = await bench.start_entry_vm()
-    reader, writer = await connect(entry_vm)
+    reader, writer = await bench.connect(entry_vm)
     writer.write(sent if sent.endswith(b"\r\n\r\n") else sent + b"\r\n")
     answered, problem = await read_problem(reader)
     assert answered == status
     assert problem["outcome"] == "not-run"
-    writer.close()
 
 
 async def test_body_without_length_is_cut_at_the_limit(bench):
     upstream = await bench.add_upstream()
     entry_vm = await bench.start_entry_vm(max_body_bytes=1000)
-    reader, writer = await connect(entry_vm)
+    reader, writer = await bench.connect(entry_vm)
     writer.write(HEAD.replace(b"GET", b"POST") + b"Transfer-Encoding: chunked\r\n\r\n")
     writer.write(b"400\r\n" + b"x" * 1024 + b"\r\n")
     status, _ = await read_problem(reader)
     assert status == 413
     assert upstream.runs == []
-    writer.close()
 
 
 @pytest.mark.parametrize(
@@ -62,25 +55,23 @@
     slot; without the limit its connection would stay open indefinitely."""
     upstream = await bench.add_upstream()
     entry_vm = await bench.start_entry_vm(body_seconds=0.3)
-    reader, writer = await connect(entry_vm)
+    reader, writer = await bench.connect(entry_vm)
     writer.write(begin)
     status, problem = await read_problem(reader)
     assert status == 408
     assert problem["outcome"] == "not-run"
     assert upstream.runs == []
-    writer.close()
 
 
 async def test_connections_above_the_limit_are_refused_immediately(bench):
     await bench.add_upstream()
     entry_vm = await bench.start_entry_vm(max_connections=2)
-    held = [await connect(entry_vm) for _ in range(2)]
-    reader, writer = await connect(entry_vm)
+    for _ in range(2):
+        await bench.connect(entry_vm)
+    reader, _ = await bench.connect(entry_vm)
     status, problem = await read_problem(reader)
     assert status == 503
     assert problem["reason"] == "too-many-connections"
-    for _, each in [*held, (reader, writer)]:
-        each.close()
 
 
 async def test_shutdown_completes_requests_and_serves_until_the_balancer_reacts(bench):
--- a/packages/daemon/tests/test_operator_port.py
+++ b/packages/daemon/tests/test_operator_port.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import random
+from contextlib import AsyncExitStack
 
 import aiohttp
 import pytest
@@ -11,6 +12,7 @@
 from medlarspring_adapters.events import create_event_log
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.memory_store import create_memory_store
+from medlarspring_bench.streams import connect_streams
 from medlarspring_daemon.node import create_node
 from medlarspring_daemon.operators import (
     answers as operator_answers,
@@ -85,11 +87,6 @@
         assert (await response.json())["detail"]
 
 
-async def open_connection(port: str):
-    host, _, number = port.rpartition(":")
-    return await asyncio.open_connection(host, int(number))
-
-
 @pytest.mark.parametrize(
     ("sent", "expected"),
     [
@@ -108,17 +105,16 @@
     A client connects and sends nothing, or only part of the headers or the body.
     Without a time limit such connections stay open until none is left for operators.
     """
-    reader, writer = await open_connection(port)
-    writer.write(sent)
-    answer = await asyncio.wait_for(reader.read(len(expected) or 1), 10.0)
+    async with connect_streams(port) as (reader, writer):
+        writer.write(sent)
+        answer = await asyncio.wait_for(reader.read(len(expected) or 1), 10.0)
     assert answer == expected
-    writer.close()
 
 
 async def test_connection_over_the_limit_is_refused_at_once(port):
-    held = [await open_connection(port) for _ in range(LIMITS.max_connections)]
-    reader, writer = await open_connection(port)
-    answer = await asyncio.wait_for(reader.read(), 10.0)
+    async with AsyncExitStack() as held:
+        for _ in range(LIMITS.max_connections):
+            await held.enter_async_context(connect_streams(port))
+        reader, _ = await held.enter_async_context(connect_streams(port))
+        answer = await asyncio.wait_for(reader.read(), 10.0)
     assert answer.startswith(b"HTTP/1.1 503")
-    for _, each in [*held, (reader, writer)]:
-        each.close()
--- a/packages/daemon/tests/test_peer_service.py
+++ b/packages/daemon/tests/test_peer_service.py
@@ -17,6 +17,7 @@
     list_nodes,
 )
 from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_bench.streams import serve_streams
 from medlarspring_daemon.membership.peer_reports import MAX_USAGE_ENTRIES
 from medlarspring_tables import EntryVMId
 
@@ -153,6 +154,12 @@
     assert first.peers.zone_members == (A,)
 
 
+async def leave_unanswered(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    pass
+
+
 async def test_refused_connection_ends_a_peer_and_a_timeout_does_not(start: Start):
     """
     One peer has ended: its port refuses connections, so its slots can be released
@@ -162,22 +169,20 @@
     first, second, third = await start("a"), await start("b"), await start("c")
     list_nodes([first, second, third])
     await wait_until(lambda: len(first.peers.heard_by_id) == 2)
-    cut_off = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    host, port = cut_off.sockets[0].getsockname()
-    await second.peers.stop()
-    first.node.vm_list.entry_vms_by_id["c"].peer_address = f"{host}:{port}"
-    first.peers.members.members_by_id[EntryVMId("c")].peer_address = f"{host}:{port}"
-    await third.peers.stop()
-    await wait_until(lambda: B in first.peers.refused_by_id)
-    await wait_until(lambda: not first.peers.heard_by_id)
-    assert set(first.peers.refused_by_id) == {B}
-    answer = await first.peers.call_grant_slots(B, peer_pb2.SlotRequest(), 1.0)
-    assert isinstance(answer.failure(), PeerRefused)
-    answer = await first.peers.call_grant_slots(
-        EntryVMId("c"), peer_pb2.SlotRequest(), 0.3
-    )
-    assert isinstance(answer.failure(), PeerFailed)
-    cut_off.close()
+    async with serve_streams(leave_unanswered) as cut_off:
+        await second.peers.stop()
+        first.node.vm_list.entry_vms_by_id["c"].peer_address = cut_off
+        first.peers.members.members_by_id[EntryVMId("c")].peer_address = cut_off
+        await third.peers.stop()
+        await wait_until(lambda: B in first.peers.refused_by_id)
+        await wait_until(lambda: not first.peers.heard_by_id)
+        assert set(first.peers.refused_by_id) == {B}
+        answer = await first.peers.call_grant_slots(B, peer_pb2.SlotRequest(), 1.0)
+        assert isinstance(answer.failure(), PeerRefused)
+        answer = await first.peers.call_grant_slots(
+            EntryVMId("c"), peer_pb2.SlotRequest(), 0.3
+        )
+        assert isinstance(answer.failure(), PeerFailed)
 
 
 async def test_new_vm_at_an_old_address_ends_the_old_one(start: Start):
--- a/packages/platform/tests/adapter/test_store_on_slow_link.py
+++ b/packages/platform/tests/adapter/test_store_on_slow_link.py
@@ -16,6 +16,7 @@
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_bench.key_value_ops import PutOp
+from medlarspring_bench.streams import connect_streams, serve_streams
 from medlarspring_platform import adaptive_timeout, store as platform_store
 from medlarspring_platform.store import PlatformStore
 from medlarspring_tables import EntryVMId
@@ -57,36 +58,20 @@
     upstream: str
     stops_after: int | None = None
     _is_free: asyncio.Lock = field(default_factory=asyncio.Lock)
-    _relays: set[asyncio.Task[None]] = field(default_factory=set)
 
-    def accept(
+    async def relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        relay = asyncio.create_task(self._relay(reader, writer))
-        self._relays.add(relay)
-        relay.add_done_callback(self._relays.discard)
-
-    async def close(self) -> None:
-        relays = list(self._relays)
-        for relay in relays:
-            relay.cancel()
-        await asyncio.gather(*relays, return_exceptions=True)
-
-    async def _relay(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        host, _, port = self.upstream.rpartition(":")
-        from_store, to_store = await asyncio.open_connection(
-            host, int(port), limit=WINDOW_BYTES
-        )
-        requests = asyncio.create_task(_copy(reader, to_store))
-        try:
-            with suppress(ConnectionError):
-                await self._send_slowly(from_store, writer)
-        finally:
-            requests.cancel()
-            to_store.transport.abort()
-            writer.transport.abort()
+        store = connect_streams(self.upstream, limit_bytes=WINDOW_BYTES)
+        async with store as (from_store, to_store):
+            requests = asyncio.create_task(_copy(reader, to_store))
+            try:
+                with suppress(ConnectionError):
+                    await self._send_slowly(from_store, writer)
+            finally:
+                writer.transport.abort()
+                requests.cancel()
+                await asyncio.gather(requests, return_exceptions=True)
 
     async def _send_slowly(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -134,18 +119,14 @@
     platform: Platform, stops_after: int | None = None
 ) -> AsyncIterator[PlatformStore]:
     link = SlowLink(platform.store_address, stops_after)
-    server = await asyncio.start_server(link.accept, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    store = PlatformStore(
-        f"{host}:{port}",
-        SystemClock(),
-        NoMetrics(),
-        create_event_log(EntryVMId("entry-0")),
-    )
-    yield store
-    await store.close()
-    server.close()
-    await link.close()
+    async with serve_streams(link.relay) as address:
+        store = PlatformStore(
+            address, SystemClock(), NoMetrics(), create_event_log(EntryVMId("entry-0"))
+        )
+        try:
+            yield store
+        finally:
+            await store.close()
 
 
 @asynccontextmanager
@@ -153,8 +134,10 @@
     records = Records()
     follower = PrefixFollower(store, "op/", records, Random(1), 0.05)
     follower.start()
-    yield records
-    await follower.stop()
+    try:
+        yield records
+    finally:
+        await follower.stop()
 
 
 def write_config(platform: Platform, version: int, size: int = LARGE) -> bytes:
