Disconnect the clients of a soak proxy that ends while it connects

What was seen: a client of a link whose target does not answer the connection attempt stayed connected after Link.close(), and after the proxy's task was cancelled; its writer was still open when the event loop ended.

Cause: a connection became known to its link only once the target had answered, and _accept closed the client's writer on OSError alone.

Link now serves through serve_streams, so that close() cancels and awaits every handler and waits until each client connection is closed; _accept resets the client when it is cancelled. serve_streams lets go of connections that its handlers have closed, as a link of a long soak serves many, and waits for their closing in a task of its own: cancelling wait_closed() cancels the connection's future for all later callers.

--- a/packages/bench/src/medlarspring_bench/soak/installation.py
+++ b/packages/bench/src/medlarspring_bench/soak/installation.py
@@ -121,7 +121,7 @@
         if self._ticking is not None:
             self._ticking.cancel()
         for link in self.list_links():
-            link.close()
+            await link.close()
         for app in self._apps:
             await app.close()
 
--- a/packages/bench/src/medlarspring_bench/soak/proxy.py
+++ b/packages/bench/src/medlarspring_bench/soak/proxy.py
@@ -6,9 +6,12 @@
 import socket
 import struct
 import time
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from medlarspring_bench.streams import serve_streams
+
 if TYPE_CHECKING:
     from medlarspring_tables import Seconds
 
@@ -50,20 +53,18 @@
         """``IP:PORT``; changes when the target's process restarts."""
         self.faults = Faults()
         self.address = ""
-        self._server: asyncio.Server | None = None
+        self._stack = AsyncExitStack()
         self._connections: dict[ProxiedConnection, None] = {}
 
     async def open(self, host: str = "127.0.0.1") -> None:
         """Listen on any free port."""
-        self._server = await asyncio.start_server(self._accept, host, 0)
-        bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{bound_host}:{bound_port}"
-
-    def close(self) -> None:
-        """Stop listening and reset all open connections."""
-        if self._server is not None:
-            self._server.close()
+        server = serve_streams(self._accept, host=host)
+        self.address = await self._stack.enter_async_context(server)
+
+    async def close(self) -> None:
+        """Stop listening, reset all open connections and wait for their end."""
         self.reset()
+        await self._stack.aclose()
 
     def reset(self) -> None:
         """Reset all open connections."""
@@ -99,14 +100,13 @@
             # it would be refused without the proxy.
             _abort(writer)
             return
+        except asyncio.CancelledError:
+            _abort(writer)
+            raise
         connection = ProxiedConnection(self, writer, inner_writer)
         self._connections[connection] = None
         try:
             await connection.run(reader, inner_reader)
-        except asyncio.CancelledError:
-            # The proxy is closing; asyncio's server would log the cancellation as
-            # an error.
-            return
         finally:
             self._connections.pop(connection, None)
 
--- a/packages/bench/src/medlarspring_bench/streams.py
+++ b/packages/bench/src/medlarspring_bench/streams.py
@@ -40,10 +40,11 @@
 async def serve_streams(
     handler: StreamHandler,
     *,
+    host: str = "127.0.0.1",
     listener: socket.socket | None = None,
     limit_bytes: int = BUFFER_LIMIT_BYTES,
 ) -> AsyncIterator[str]:
-    """Serve connections on loopback, or on ``listener``, and yield ``IP:PORT``.
+    """Serve connections on ``host``, or on ``listener``, and yield ``IP:PORT``.
 
     A connection whose handler returns without closing it stays open until the
     context ends, when handlers that still run are cancelled.
@@ -51,15 +52,15 @@
     connections = _Connections(handler)
     if listener is None:
         server = await asyncio.start_server(
-            connections.accept, "127.0.0.1", 0, limit=limit_bytes
+            connections.accept, host, 0, limit=limit_bytes
         )
     else:
         server = await asyncio.start_server(
             connections.accept, sock=listener, limit=limit_bytes
         )
-    host, port = server.sockets[0].getsockname()[:2]
+    bound_host, bound_port = server.sockets[0].getsockname()[:2]
     try:
-        yield f"{host}:{port}"
+        yield f"{bound_host}:{bound_port}"
     finally:
         server.close()
         await connections.close()
@@ -72,7 +73,7 @@
     def __init__(self, handler: StreamHandler) -> None:
         self._handler = handler
         self._is_closed = False
-        self._writers: list[asyncio.StreamWriter] = []
+        self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def accept(
@@ -81,7 +82,7 @@
         if self._is_closed:
             writer.transport.abort()
             return
-        self._writers.append(writer)
+        self._writers.add(writer)
         task = asyncio.create_task(self._handle(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -106,13 +107,22 @@
         except Exception:
             LOGGER.exception("stream handler failed")
             writer.close()
+        if writer.is_closing():
+            await _wait_closed(writer)
+            self._writers.discard(writer)
 
 
 async def _abort(writer: asyncio.StreamWriter) -> None:
     writer.transport.abort()
-    try:
-        await writer.wait_closed()
-    except OSError as error:
+    await _wait_closed(writer)
+
+
+async def _wait_closed(writer: asyncio.StreamWriter) -> None:
+    # Cancelling wait_closed() cancels the connection's future, and later calls would
+    # raise; a task of its own is not cancelled with the caller.
+    waiter = asyncio.create_task(writer.wait_closed())
+    await asyncio.wait({waiter})
+    if not waiter.cancelled() and (error := waiter.exception()) is not None:
         LOGGER.debug("connection ended with an error: %r", error)
 
 
--- a/packages/bench/tests/test_streams.py
+++ b/packages/bench/tests/test_streams.py
@@ -29,6 +29,12 @@
     writer.close()
 
 
+async def wait_for_the_end(reader, writer):
+    writer.write(b"x" * 20_000_000)
+    writer.close()
+    await writer.wait_closed()
+
+
 async def read_to_the_end(reader, writer):
     await reader.readuntil(b"\n")
 
@@ -39,7 +45,15 @@
 
 @pytest.mark.parametrize("body_fails", [False, True])
 @pytest.mark.parametrize(
-    "handler", [return_at_once, wait_forever, fill_the_buffer, read_to_the_end, fail]
+    "handler",
+    [
+        return_at_once,
+        wait_forever,
+        fill_the_buffer,
+        wait_for_the_end,
+        read_to_the_end,
+        fail,
+    ],
 )
 async def test_no_stream_is_open_after_the_context(handler, body_fails):
     """Guards against writers that are collected after their event loop has ended."""
