Let the linter refuse streams that nothing closes

asyncio.open_connection and asyncio.start_server leave the closing of each writer to their caller, which tests had forgotten or did only when they passed. The proxy's connection to its target is the one exception, as it sends its buffered data before it closes.

--- a/packages/bench/src/medlarspring_bench/soak/proxy.py
+++ b/packages/bench/src/medlarspring_bench/soak/proxy.py
@@ -94,7 +94,10 @@
             return
         host, _, port = self.target.rpartition(":")
         try:
-            inner_reader, inner_writer = await asyncio.open_connection(host, int(port))
+            # The proxied connection closes it, and sends its buffered data first.
+            inner_reader, inner_writer = await asyncio.open_connection(  # noqa: TID251
+                host, int(port)
+            )
         except OSError:
             # The target does not listen. The client's connection is reset, much as
             # it would be refused without the proxy.
