--- a/packages/bench/src/medlarspring_bench/streams.py
+++ b/packages/bench/src/medlarspring_bench/streams.py
@@ -121,7 +121,11 @@
     # Cancelling wait_closed() cancels the connection's future, and later calls would
     # raise; a task of its own is not cancelled with the caller.
     waiter = asyncio.create_task(writer.wait_closed())
+    waiter.add_done_callback(_log_error)
     await asyncio.wait({waiter})
+
+
+def _log_error(waiter: asyncio.Task[None]) -> None:
     if not waiter.cancelled() and (error := waiter.exception()) is not None:
         LOGGER.debug("connection ended with an error: %r", error)
 
