Treat odd store entries as unreadable instead of ending their follower

Another writer's entry that is nested 1,500 deep made msgspec raise RecursionError, which no decoder's caller expected, so the follower of the workers, of the operator's records or of the inbox ended. An integer of 311 digits was accepted and raised OverflowError at the first division, in a follower, a takeover or a round. A submitted job of either kind was answered with 500 or accepted.

Decode all records of the platform and of the scheduler with one function that returns a typed fault for every kind of content, and bound each number by the type of its field: whole numbers to those a float holds exactly, store numbers to 63 bits. Two kinds of number stay unbounded: the weight of a partner, which normalise_weight handles, and incarnations, which have 64 random bits and are only compared.

A port out of range was rejected before too.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/unreadable_records.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/unreadable_records.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
+from returns.pipeline import is_successful
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.events import Event
 
 if TYPE_CHECKING:
@@ -45,13 +47,12 @@
 
     def decode(self, entry: Entry, record_type: type[Record]) -> Record | None:
         """Decode a record of this system; on failure, log the fault and return None."""
-        try:
-            record = msgspec.json.decode(entry.value, type=record_type)
-        except msgspec.MsgspecError as error:
-            self.report(entry.key, str(error))
+        decoded = decode_json(entry.value, record_type)
+        if not is_successful(decoded):
+            self.report(entry.key, decoded.failure().detail)
             return None
         self.clear_fault(entry.key)
-        return record
+        return decoded.unwrap()
 
 
 __all__ = ["UnreadableRecords"]
--- a/packages/daemon/tests/scheduling/test_foreign_records.py
+++ b/packages/daemon/tests/scheduling/test_foreign_records.py
@@ -36,6 +36,38 @@
     "sizes/0",
     "operations/0",
     "load/0",
+    "usage/0",
+)
+NESTED = b'{"odd": ' + b"[" * 1_500 + b"]" * 1_500 + b"}"
+DEEPLY_NESTED = b'{"odd": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+HUGE = "9" * 311
+ODD_NUMBERS = (HUGE, "9" * 5_000, "1e400", "-1", str(2**63))
+ODD_FIELDS = (
+    ("clockMs", '"clockMs": #'),
+    ("born", '"born": #'),
+    ("cpu", '"capacity": {"cpu": #, "memMb": 32768}'),
+    ("memMb", '"capacity": {"cpu": 4000, "memMb": #}'),
+    ("port", '"address": "10.0.0.1:#"'),
+)
+ODD_RECORDS = (
+    (
+        "inbox/0/job/00000000000000aa",
+        '{"queue": {"id": "lookup", "pool_id": "lookup"}, "accepted_at_ms": 1,'
+        ' "spec": {"payload": "", "steps": [{"count": 1, "estimate_ms": #}]}}',
+    ),
+    (
+        "inbox/0/job/00000000000000aa",
+        '{"queue": {"id": "lookup", "pool_id": "lookup"}, "accepted_at_ms": #,'
+        ' "spec": {"payload": "", "steps": [{"count": 1}]}}',
+    ),
+    ("inbox/0/cancel/00000000000000ab", '{"requested_at_ms": #}'),
+    ("progress/0/00000000000000ac", '{"steps": {"#.0": {}}, "occurrences_done": #}'),
+    ("operations/0", '{"sent_ms_by_vm": {"m-1": #}}'),
+    ("sizes/0", '{"vms_by_pool": {"lookup": #}}'),
+    ("load/0", '{"at_ms": #, "waiting_by_queue": {"lookup": #}}'),
+    ("load/1", '{"at_ms": #}'),
+    ("usage/0", '{"at_ms": #, "use_by_partner": {"a": [#, #]}}'),
+    ("op/wave/9", '{"wave": #, "machines": [], "deadlineS": #, "maxCount": #}'),
 )
 
 
@@ -79,7 +111,11 @@
             await asyncio.sleep(0.05)
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{}", b'{"wave": {}}'])
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"\xff\xfe", b"[]", b"{}", b'{"wave": {}}', NESTED, DEEPLY_NESTED],
+    ids=["empty", "bytes", "list", "object", "wave", "nested", "deeply-nested"],
+)
 def test_unreadable_records_do_not_block_takeover_or_jobs(value: bytes):
     """
     Another program writes unreadable values under every prefix that a controller
@@ -101,6 +137,69 @@
     assert failed == []
 
 
+@pytest.mark.parametrize("number", ODD_NUMBERS, ids=lambda text: text[:6])
+@pytest.mark.parametrize(
+    ("key", "content"), ODD_RECORDS, ids=[key for key, _ in ODD_RECORDS]
+)
+def test_numbers_out_of_bounds_do_not_block_takeover_or_jobs(
+    key: str, content: str, number: str
+):
+    """Guards against a follower or a takeover that ends on an OverflowError."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        put(world, key, content.replace("#", number).encode())
+        await complete_jobs(customers, 2)
+        await replace_controller(world)
+        await complete_jobs(customers, 2)
+
+    world = run_scenario(scenario, SEED, checked=number != "-1")
+    failed = [line for line in read_lines(world) if line["event"] == TASK_FAILED]
+    assert failed == []
+
+
+@pytest.mark.parametrize(
+    ("content", "number"),
+    [
+        *(
+            (content, number)
+            for _, content in ODD_FIELDS[:-1]
+            for number in ODD_NUMBERS
+        ),
+        *((ODD_FIELDS[-1][1], port) for port in ("0", "65536", "99999")),
+        ('"odd": #', "[" * 1_500 + "]" * 1_500),
+        ('"odd": #', "[" * 100_000 + "]" * 100_000),
+    ],
+    ids=lambda text: text[:14],
+)
+def test_odd_entry_of_a_worker_is_reported_once_and_its_next_one_is_taken(
+    content: str, number: str
+):
+    """Guards against a worker registry that isn't followed after an odd entry."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        worker = next(iter(world.fleet.workers_by_id.values()))
+        key = f"servers/{worker.id}"
+        entry = read(world, key)
+        assert entry is not None
+        odd = f"{content.replace('#', number)}}}".encode()
+        put(world, key, entry[:-1] + b", " + odd)
+        put(world, "servers/i-foreign", entry[:-1] + b", " + odd)
+        await complete_jobs(customers, 2)
+        await replace_controller(world)
+        await complete_jobs(customers, 2)
+        put(world, key, entry)
+        before = len(world.history.runs)
+        await complete_jobs(customers, 12)
+        used = {run.worker_id for run in world.history.runs[before:]}
+        assert worker.id in used
+
+    world = run_scenario(scenario, SEED)
+    failed = [line for line in read_lines(world) if line["event"] == TASK_FAILED]
+    assert failed == []
+    # Once by each of the two controllers.
+    assert len(list_unreadable_events(world, "servers/i-foreign")) == 2
+
+
 @settings(
     max_examples=15,
     deadline=None,
--- a/packages/platform/src/medlarspring_platform/advice.py
+++ b/packages/platform/src/medlarspring_platform/advice.py
@@ -6,11 +6,14 @@
 
 import msgspec
 from msgspec import Struct
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters.adviser import Advice, AdviserUnresponsive
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
 from medlarspring_platform import wire
+from medlarspring_tables.bounds import Whole
 from medlarspring_tables.scheduling import WorkerId
 
 if TYPE_CHECKING:
@@ -32,7 +35,7 @@
     """Pairs of worker and ticket; workers not listed may not run the step."""
 
     allowed: list[tuple[str, str]] = []
-    valid_ms: int = 0
+    valid_ms: Whole = 0
 
 
 class PlatformAdviser:
@@ -56,9 +59,12 @@
             )
             if reply.status != HTTP_OK:
                 return Failure(AdviserUnresponsive(f"HTTP status {reply.status}"))
-            answer = msgspec.json.decode(reply.body, type=WireAdviceAnswer)
-        except (NotSent, Unanswered, msgspec.MsgspecError) as error:
+        except (NotSent, Unanswered) as error:
             return Failure(AdviserUnresponsive(str(error)))
+        decoded = decode_json(reply.body, WireAdviceAnswer)
+        if not is_successful(decoded):
+            return Failure(AdviserUnresponsive(decoded.failure().detail))
+        answer = decoded.unwrap()
         tickets = {WorkerId(worker): ticket for worker, ticket in answer.allowed}
         return Success(Advice(tickets, answer.valid_ms))
 
--- a/packages/platform/src/medlarspring_platform/jobs_frontend.py
+++ b/packages/platform/src/medlarspring_platform/jobs_frontend.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_daemon.scheduling.intake import JobStatus
 from medlarspring_daemon.scheduling.intake_errors import (
     CredentialUnknown,
@@ -25,6 +26,7 @@
 from medlarspring_systems.scheduling.admission import JobInvalid, check_job
 from medlarspring_systems.scheduling.quotas import JobExceedsQuota
 from medlarspring_tables import JobId, MedlarspringError
+from medlarspring_tables.bounds import Whole
 from medlarspring_tables.scheduling import JobSpec, StepSpec
 
 if TYPE_CHECKING:
@@ -62,26 +64,26 @@
 class WireStep(Struct, rename="camel"):
     """A step; fields that are 0, false or empty may be omitted."""
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: list[int] = []
+    count: Whole
+    cpu: Whole = 0
+    mem_mb: Whole = 0
+    gpu: Whole = 0
+    estimate_ms: Whole = 0
+    after: list[Whole] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
     """Rack that holds the step's data."""
-    max_per_server: int = 0
+    max_per_server: Whole = 0
     """Most tasks of the step that one worker may run at a time."""
     speculative: bool = False
     service_job: bool = False
     """Runs until the job is cancelled."""
-    max_unavailable: int = 0
+    max_unavailable: Whole = 0
     image: str = ""
-    target_ms: int = 0
+    target_ms: Whole = 0
     fills: bool = False
     """Best-effort: uses leftover CPU; its ``cpu`` is not counted."""
 
@@ -92,9 +94,9 @@
     spec: str
     """Opaque payload for the workers; the job's structure is in ``steps``."""
     steps: list[WireStep]
-    times: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    times: Whole = 0
+    start_at_ms: Whole = 0
+    interval_ms: Whole = 0
 
 
 class WireState(Struct):
@@ -116,9 +118,6 @@
     message: str
 
 
-_job_decoder = msgspec.json.Decoder(WireJob)
-
-
 class JobsFrontend:
     """Translates between HTTP and the job intake."""
 
@@ -185,10 +184,11 @@
                 "body-too-large",
                 f"A job has at most {config.max_body_bytes} bytes. Split it.",
             )
-        try:
-            spec = _to_spec(_job_decoder.decode(body))
-        except msgspec.MsgspecError as error:
-            return _refuse(JobInvalid(str(error), "Correct this field."))
+        decoded = decode_json(body, WireJob)
+        if not is_successful(decoded):
+            detail = decoded.failure().detail
+            return _refuse(JobInvalid(detail, "Correct this field."))
+        spec = _to_spec(decoded.unwrap())
         fault = check_job(spec)
         if fault is not None:
             return _refuse(fault)
--- a/packages/platform/src/medlarspring_platform/machines.py
+++ b/packages/platform/src/medlarspring_platform/machines.py
@@ -4,8 +4,10 @@
 
 import msgspec
 from msgspec import Struct
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
 from medlarspring_adapters.vm_lifecycle import (
     Authority,
@@ -103,9 +105,13 @@
                 if reply.status != HTTP_OK:
                     detail = f"HTTP status {reply.status}"
                     return Failure(VMControlUnresponsive(detail, may_follow=False))
-                page = msgspec.json.decode(reply.body, type=WireMachines)
-            except (NotSent, Unanswered, msgspec.MsgspecError) as error:
+            except (NotSent, Unanswered) as error:
                 return Failure(VMControlUnresponsive(str(error), may_follow=False))
+            decoded = decode_json(reply.body, WireMachines)
+            if not is_successful(decoded):
+                detail = decoded.failure().detail
+                return Failure(VMControlUnresponsive(detail, may_follow=False))
+            page = decoded.unwrap()
             machines += [_to_vm(machine) for machine in page.machines]
             token = page.next_token
             if not token:
@@ -156,10 +162,7 @@
     if status == HTTP_OK:
         return Success(None)
     if status == HTTP_CONFLICT:
-        try:
-            reason = msgspec.json.decode(body, type=WireReason).reason
-        except msgspec.MsgspecError:
-            reason = ""
+        reason = decode_json(body, WireReason).value_or(WireReason()).reason
         return Success(_REFUSALS_BY_REASON.get(reason, VMRefusal.BUSY))
     if status == HTTP_BAD_REQUEST:
         return Success(VMRefusal.INVALID)
--- a/packages/platform/src/medlarspring_platform/operator_records.py
+++ b/packages/platform/src/medlarspring_platform/operator_records.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 from msgspec import Struct
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.fleet_codec import RecordUnreadable
 from medlarspring_platform import wire
 from medlarspring_systems.credentials import digest_credential
 from medlarspring_systems.weights import normalise_weight
 from medlarspring_tables import PartnerId, PoolId, RackId, VMId, WaveId, ZoneId
+from medlarspring_tables.bounds import MAX_WHOLE, Count, Real, Whole
 from medlarspring_tables.scheduling import (
     AdvicePolicy,
     OperatorConfig,
@@ -32,10 +35,10 @@
 class WireAdvice(Struct, rename="camel"):
     """Response time of the adviser and validity of its tickets."""
 
-    decide_ms: int = 0
-    period_ms: int = 0
+    decide_ms: Whole = 0
+    period_ms: Whole = 0
     """Additional time for each worker named in a call."""
-    valid_ms: int = 0
+    valid_ms: Whole = 0
 
 
 class WireRoute(Struct, rename="camel"):
@@ -46,10 +49,10 @@
     prefix: str = "/"
     service: str = ""
     """Pool whose workers run the queue's tasks."""
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_duration_ms: int = 0
+    priority: Whole = 0
+    max_attempts: Whole = 1
+    stretch: Real = 1.0
+    target_duration_ms: Whole = 0
     """Allowance that is added to the stretched critical path."""
     hint: WireAdvice | None = None
     public: bool = False
@@ -66,18 +69,18 @@
 class WireLimits(Struct, rename="camel"):
     """Limits on callers' requests."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: Whole = 16_384
+    max_body_bytes: Whole = 262_144
+    header_timeout_ms: Whole = 3_000
+    idle_timeout_ms: Whole = 15_000
 
 
 class WireRoom(Struct, rename="camel"):
     """Processors in thousandths, memory in MB, accelerators."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Whole = 0
+    mem_mb: Whole = 0
+    gpu: Whole = 0
 
 
 class WireTenant(Struct, rename="camel"):
@@ -98,7 +101,7 @@
 class WireConfig(Struct, rename="camel"):
     """The whole configuration."""
 
-    version: int
+    version: Whole
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -109,10 +112,10 @@
 class WireWave(Struct, rename="camel"):
     """An order to maintain machines."""
 
-    wave: int
+    wave: Whole
     machines: list[str]
-    deadline_s: float = 0.0
-    max_count: int = 1
+    deadline_s: Real = 0.0
+    max_count: Whole = 1
 
 
 class WireWaveStatus(Struct, rename="camel"):
@@ -122,7 +125,6 @@
     state: str
 
 
-Size = Annotated[int, msgspec.Meta(ge=0)]
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 Address = Annotated[str, msgspec.Meta(pattern=wire.ADDRESS_PATTERN)]
 
@@ -130,9 +132,9 @@
 class WireWorkerRoom(Struct, rename="camel"):
     """Resources that a worker offers; ``cpu`` must be positive to run any task."""
 
-    cpu: Annotated[int, msgspec.Meta(gt=0)]
-    mem_mb: Size
-    gpu: Size = 0
+    cpu: Annotated[int, msgspec.Meta(gt=0, le=MAX_WHOLE)]
+    mem_mb: Count
+    gpu: Count = 0
 
 
 class WireWorker(Struct, rename="camel"):
@@ -151,17 +153,15 @@
     capacity: WireWorkerRoom
     machine_id: Name
     version: str = ""
-    slots: Size = 0
-    seq: Size = 0
-    warmup_left_ms: Size = 0
+    slots: Count = 0
+    seq: Count = 0
+    warmup_left_ms: Count = 0
     labels: list[str] = []
-    clock_ms: Size = 0
-    born: Size = 0
+    clock_ms: Count = 0
+    born: Count = 0
 
 
-_config_decoder = msgspec.json.Decoder(WireConfig)
-_wave_decoder = msgspec.json.Decoder(WireWave)
-_worker_decoder = msgspec.json.Decoder(WireWorker)
+Record = TypeVar("Record", bound=Struct)
 
 
 def to_resources(resources: WireRoom) -> Resources:
@@ -200,36 +200,22 @@
         self, key: str, value: bytes
     ) -> Result[OperatorConfig, RecordUnreadable]:
         """Decode the operator's configuration."""
-        try:
-            return Success(_to_config(_config_decoder.decode(value)))
-        except msgspec.MsgspecError as error:
-            return Failure(RecordUnreadable(key, str(error)))
+        return _decode(key, value, WireConfig).map(_to_config)
 
     def decode_wave(
         self, key: str, value: bytes
     ) -> Result[WaveOrder, RecordUnreadable]:
         """Decode the order of a wave."""
-        try:
-            order = _wave_decoder.decode(value)
-        except msgspec.MsgspecError as error:
-            return Failure(RecordUnreadable(key, str(error)))
-        return Success(
-            WaveOrder(
-                id=WaveId(str(order.wave)),
-                vm_ids=tuple(VMId(machine) for machine in order.machines),
-                deadline_seconds=order.deadline_s,
-                max_at_once=max(order.max_count, 1),
-            )
-        )
+        return _decode(key, value, WireWave).map(_to_wave)
 
     def decode_worker(
         self, key: str, value: bytes
     ) -> Result[WorkerEntry, RecordUnreadable]:
         """Decode a worker's entry."""
-        try:
-            entry = _worker_decoder.decode(value)
-        except msgspec.MsgspecError as error:
-            return Failure(RecordUnreadable(key, str(error)))
+        decoded = _decode(key, value, WireWorker)
+        if not is_successful(decoded):
+            return Failure(decoded.failure())
+        entry = decoded.unwrap()
         worker_id = key.removeprefix(wire.WORKER_PREFIX)
         if not _is_worker_id(worker_id):
             return Failure(RecordUnreadable(key, "its key contains no valid worker id"))
@@ -261,6 +247,23 @@
         return f"{wire.WAVE_STATUS_PREFIX}{wave_id}", msgspec.json.encode(status)
 
 
+def _decode(
+    key: str, value: bytes, record_type: type[Record]
+) -> Result[Record, RecordUnreadable]:
+    return decode_json(value, record_type).alt(
+        lambda fault: RecordUnreadable(key, fault.detail)
+    )
+
+
+def _to_wave(order: WireWave) -> WaveOrder:
+    return WaveOrder(
+        id=WaveId(str(order.wave)),
+        vm_ids=tuple(VMId(machine) for machine in order.machines),
+        deadline_seconds=order.deadline_s,
+        max_at_once=max(order.max_count, 1),
+    )
+
+
 def _to_config(config: WireConfig) -> OperatorConfig:
     routes = tuple(
         Route(
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -11,6 +11,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.http_channel import (
     AnswerTooLarge,
@@ -332,10 +333,9 @@
     ) -> Result[Message, StoreError]:
         if reply.status != HTTP_OK and reply.status not in also:
             return Failure(StoreUnavailable(f"HTTP status {reply.status}"))
-        try:
-            return Success(msgspec.json.decode(reply.body, type=message_type))
-        except msgspec.MsgspecError as error:
-            return Failure(StoreOutcomeUnknown(f"unreadable answer ({error})"))
+        return decode_json(reply.body, message_type).alt(
+            lambda fault: StoreOutcomeUnknown(f"unreadable answer ({fault.detail})")
+        )
 
 
 def _describe_refusal(status: int) -> StoreError:
--- a/packages/platform/src/medlarspring_platform/store_messages.py
+++ b/packages/platform/src/medlarspring_platform/store_messages.py
@@ -14,6 +14,7 @@
     WatchBatch,
 )
 from medlarspring_tables import Revision
+from medlarspring_tables.bounds import StoreNumber, Whole
 
 
 class WireItem(Struct, rename="camel"):
@@ -21,11 +22,11 @@
 
     key: str
     value: str = ""
-    revision: int = 0
-    created: int = 0
-    lease: int = 0
+    revision: StoreNumber = 0
+    created: StoreNumber = 0
+    lease: StoreNumber = 0
     removed: bool = False
-    as_of: int = 0
+    as_of: StoreNumber = 0
 
 
 class WireItems(Struct, rename="camel"):
@@ -33,14 +34,14 @@
 
     items: list[WireItem] = []
     has_more: bool = False
-    as_of: int = 0
+    as_of: StoreNumber = 0
 
 
 class WireEvents(Struct, rename="camel"):
     """Events that a watch call returns."""
 
     events: list[WireItem] = []
-    as_of: int = 0
+    as_of: StoreNumber = 0
 
 
 class WireCondition(Struct):
@@ -69,16 +70,16 @@
 class WireTxnAnswer(Struct, rename="camel"):
     """The new revision, or the items of the failed conditions."""
 
-    revision: int = 0
+    revision: StoreNumber = 0
     items: list[WireItem] = []
-    as_of: int = 0
+    as_of: StoreNumber = 0
 
 
 class WireLease(Struct, rename="camel"):
     """A lease and its time to live."""
 
-    ttl_ms: int = 0
-    lease: int = 0
+    ttl_ms: Whole = 0
+    lease: StoreNumber = 0
 
 
 def to_txn(transaction: Transaction) -> WireTxn:
--- a/packages/platform/src/medlarspring_platform/workers.py
+++ b/packages/platform/src/medlarspring_platform/workers.py
@@ -7,8 +7,10 @@
 
 import msgspec
 from msgspec import Struct
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.http_channel import (
     HttpAnswer,
     HttpChannel,
@@ -28,6 +30,7 @@
     WorkerUnresponsive,
 )
 from medlarspring_platform import wire
+from medlarspring_tables.bounds import MAX_WHOLE, Real, Whole
 from medlarspring_tables.scheduling import EndedRow, RunEnd, RunningRow, WorkerId
 
 if TYPE_CHECKING:
@@ -106,18 +109,18 @@
 class WireOrderAnswer(Struct, rename="camel"):
     """A worker's answer to an order."""
 
-    clock_ms: int = 0
+    clock_ms: Whole = 0
     reason: str = ""
 
 
 class WireHoldAnswer(Struct, rename="camel"):
     """Running and ended runs; rows are lists, see ``_to_running``, ``_to_ended``."""
 
-    clock_ms: int = 0
+    clock_ms: Whole = 0
     reason: str = ""
-    running: list[list[str | int | float]] = []
-    finished: list[tuple[int, str, int, str, str]] = []
-    born: int = 0
+    running: list[list[str | Whole | Real]] = []
+    finished: list[tuple[Whole, str, Whole, str, str]] = []
+    born: Whole = 0
 
 
 Message = TypeVar("Message", bound=Struct)
@@ -278,10 +281,10 @@
         return message_type()
     if reply.status not in (HTTP_OK, HTTP_CONFLICT):
         raise Unanswered(f"HTTP status {reply.status}")
-    try:
-        return msgspec.json.decode(reply.body, type=message_type)
-    except msgspec.MsgspecError as error:
-        raise Unanswered(f"unreadable answer ({error})") from error
+    decoded = decode_json(reply.body, message_type)
+    if not is_successful(decoded):
+        raise Unanswered(f"unreadable answer ({decoded.failure().detail})")
+    return decoded.unwrap()
 
 
 def _find_refusal(status: int, reason: str) -> OrderRefusal | None:
@@ -310,13 +313,21 @@
     gauge = row[4] if len(row) > 4 else 0  # noqa: PLR2004
     return RunningRow(
         task_id=str(task),
-        run=int(run),
+        run=_to_whole(run),
         checkpoint=str(saved),
-        percent=int(percent),
-        gauge=int(gauge),
+        percent=_to_whole(percent),
+        gauge=_to_whole(gauge),
     )
 
 
+def _to_whole(value: str | float) -> int:
+    """Return a number of a row; raises ``ValueError`` for one out of bounds."""
+    number = int(value)
+    if abs(number) > MAX_WHOLE:
+        raise ValueError("a number is out of bounds")
+    return number
+
+
 def _to_ended(row: tuple[int, str, int, str, str]) -> EndedRow:
     """Decode [N, task, run, how, saved]."""
     number, task, run, how, saved = row
--- a/packages/platform/tests/adapter/test_jobs_frontend.py
+++ b/packages/platform/tests/adapter/test_jobs_frontend.py
@@ -76,6 +76,38 @@
     assert (await frontend.call("POST", body=body))[0] == 400
 
 
+@pytest.mark.parametrize("odd", ["[" * 1_500 + "]" * 1_500, "[" * 9_999 + "]" * 9_999])
+async def test_deeply_nested_body_is_refused_with_the_reason(
+    frontend: Frontend, odd: str
+):
+    """Guards against a RecursionError that drops the customer's connection."""
+    body = f'{json.dumps(BODY)[:-1]}, "odd": {odd}}}'.encode()
+    status, answer, _ = await frontend.call("POST", body=body)
+    assert (status, answer["error"]) == (400, "job-invalid")
+    assert (await frontend.call("GET"))[0] == 410
+
+
+@pytest.mark.parametrize("number", ["9" * 311, "9" * 5_000, "1e400", str(2**63)])
+@pytest.mark.parametrize(
+    "field",
+    [
+        '"startAtMs": #',
+        '"times": #',
+        '"steps": [{"count": 1, "estimateMs": #}]',
+        '"steps": [{"count": 1, "targetMs": #}]',
+        '"steps": [{"count": 1, "memMb": #}]',
+        '"steps": [{"count": 1, "maxPerServer": #}]',
+    ],
+)
+async def test_number_out_of_bounds_is_refused_with_the_reason(
+    frontend: Frontend, field: str, number: str
+):
+    """Guards against an accepted job that raises OverflowError in its controller."""
+    content = f"{json.dumps(BODY)[:-1]}, {field.replace('#', number)}}}"
+    status, answer, _ = await frontend.call("POST", body=content.encode())
+    assert (status, answer["error"]) == (400, "job-invalid")
+
+
 async def test_oversized_body_is_refused(frontend: Frontend):
     assert (await frontend.call("POST", body=b" " * 262_145))[0] == 413
 
--- a/packages/platform/tests/adapter/test_malformed_records.py
+++ b/packages/platform/tests/adapter/test_malformed_records.py
@@ -10,9 +10,11 @@
 from hypothesis import HealthCheck, given, settings, strategies as st
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.http_channel import HttpAnswer, Unanswered
 from medlarspring_platform.machines import WireMachine, _to_vm
 from medlarspring_platform.operator_records import PlatformCodec
 from medlarspring_platform.store_messages import WireItem, to_entry
+from medlarspring_platform.workers import _to_hold_answer
 from medlarspring_tables.scheduling import VMPhase
 
 CODEC = PlatformCodec()
@@ -80,6 +82,87 @@
             assert "op/wave/1" in found.failure().message()
 
 
+NESTED = (b"[" * 1_500 + b"]" * 1_500, b"[" * 100_000 + b"]" * 100_000)
+DECODERS = {
+    "worker": (CODEC.decode_worker, WORKER),
+    "config": (CODEC.decode_config, CONFIG),
+    "wave": (CODEC.decode_wave, WAVE),
+}
+
+
+@pytest.mark.parametrize("nested", NESTED, ids=("1500", "100000"))
+@pytest.mark.parametrize(("decode", "record"), DECODERS.values(), ids=DECODERS)
+def test_deeply_nested_field_makes_the_entry_unreadable(
+    decode: Any, record: dict[str, Any], nested: bytes
+):
+    """Guards against a follower that ends on a RecursionError."""
+    found = decode(KEY, json.dumps(record)[:-1].encode() + b', "odd": ' + nested + b"}")
+    assert "nested too deeply" in found.failure().message()
+
+
+@pytest.mark.parametrize("number", ["9" * 311, "9" * 5_000, "1e400", str(2**63)])
+@pytest.mark.parametrize(
+    ("decode", "record", "field"),
+    [
+        (CODEC.decode_worker, WORKER, '"clockMs": #'),
+        (CODEC.decode_worker, WORKER, '"born": #'),
+        (CODEC.decode_worker, WORKER, '"warmupLeftMs": #'),
+        (CODEC.decode_worker, WORKER, '"slots": #'),
+        (CODEC.decode_worker, WORKER, '"capacity": {"cpu": #, "memMb": 1}'),
+        (CODEC.decode_worker, WORKER, '"capacity": {"cpu": 1, "memMb": #}'),
+        (CODEC.decode_worker, WORKER, '"capacity": {"cpu": 1, "memMb": 1, "gpu": #}'),
+        (CODEC.decode_config, CONFIG, '"version": #'),
+        (CODEC.decode_config, CONFIG, '"limits": {"maxBodyBytes": #}'),
+        (CODEC.decode_config, CONFIG, '"routes": [{"name": "r", "priority": #}]'),
+        (CODEC.decode_config, CONFIG, '"routes": [{"name": "r", "stretch": #}]'),
+        (
+            CODEC.decode_config,
+            CONFIG,
+            '"tenants": [{"name": "t", "maxCount": {"cpu": #}}]',
+        ),
+        (CODEC.decode_wave, WAVE, '"wave": #'),
+        (CODEC.decode_wave, WAVE, '"deadlineS": #'),
+        (CODEC.decode_wave, WAVE, '"maxCount": #'),
+    ],
+)
+def test_number_out_of_bounds_makes_the_entry_unreadable(
+    decode: Any, record: dict[str, Any], field: str, number: str
+):
+    """Guards against an entry that is taken and raises OverflowError when it's used."""
+    start = json.dumps(record)[:-1] + ", "
+    assert is_successful(decode(KEY, f"{start}{field.replace('#', '1')}}}".encode()))
+    found = decode(KEY, f"{start}{field.replace('#', number)}}}".encode())
+    assert KEY in found.failure().message()
+
+
+@pytest.mark.parametrize("port", [0, 65_536, 99_999])
+def test_port_out_of_range_makes_the_entry_unreadable(port: int):
+    value = json.dumps(WORKER | {"address": f"10.0.0.1:{port}"}).encode()
+    assert not is_successful(CODEC.decode_worker(KEY, value))
+
+
+@pytest.mark.parametrize("number", ["9" * 311, "9" * 5_000, "1e400", "1e308", "2e16"])
+@pytest.mark.parametrize(
+    "content",
+    [
+        '{"clockMs": #}',
+        '{"born": #}',
+        '{"running": [["t", #, "", 2, 3]]}',
+        '{"running": [["t", 1, "", #, 3]]}',
+        '{"running": [["t", 1, "", 2, #]]}',
+        '{"running": [["t", 1, "", "#", 3]]}',
+        '{"finished": [[#, "t", 1, "done", ""]]}',
+    ],
+)
+def test_number_out_of_bounds_in_a_worker_answer_is_unreadable(
+    content: str, number: str
+):
+    """Guards against a row's number that ends the poll of its worker."""
+    reply = HttpAnswer(200, content.replace("#", number).encode())
+    with pytest.raises((ValueError, Unanswered)):
+        _to_hold_answer(reply, 0)
+
+
 @reproducible
 @given(value=mutated(WORKER))
 def test_accepted_worker_entry_has_all_that_orders_need(value: bytes):
--- a/packages/tables/src/medlarspring_tables/claims.py
+++ b/packages/tables/src/medlarspring_tables/claims.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct
 
+from medlarspring_tables.bounds import Real, Whole
+
 
 class ClaimState(Enum):
     """What is known of the single run that a key allows."""
@@ -23,7 +25,7 @@
 class ClaimedAnswer(Struct, frozen=True, kw_only=True):
     """The answer of the single run, replayed for every repeat."""
 
-    status: int
+    status: Whole
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes | None = None
     """None when the answer was too large to be kept."""
@@ -38,7 +40,8 @@
     """Digest of service, method, path and body; another one is a conflict."""
     entry_vm: str
     incarnation: int
-    deadline_wall: float
+    """64 random bits, more than a bound can state; only ever compared."""
+    deadline_wall: Real
     """Seconds since the epoch by which the run has ended, even without an outcome."""
     state: ClaimState = ClaimState.CLAIMED
     answer: ClaimedAnswer | None = None
--- a/packages/tables/src/medlarspring_tables/config.py
+++ b/packages/tables/src/medlarspring_tables/config.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct, field
 
+from medlarspring_tables.bounds import Real, Whole
 from medlarspring_tables.ids import (
     EditId,
     PartnerId,
@@ -28,16 +29,16 @@
     """How much of the fleet one partner may use."""
 
     id: PartnerId
-    weight: float
+    weight: Real
     """Relative share under contention; above 0."""
-    limit_percent: float = 100.0
+    limit_percent: Real = 100.0
     """Largest part of the slots that the partner may hold, even if others are idle."""
     credential_sha256: str = ""
     """Hex SHA-256 of the partner's bearer credential."""
-    quota_cpus: float = 0.0
+    quota_cpus: Real = 0.0
     """Processors that the partner's jobs may hold at once."""
-    quota_memory_gb: float = 0.0
-    quota_accelerators: int = 0
+    quota_memory_gb: Real = 0.0
+    quota_accelerators: Whole = 0
     revision: Revision = Revision(0)
     """Table revision of the row's last change."""
 
@@ -47,9 +48,9 @@
 
     id: ServiceId
     pool_id: PoolId
-    timeout_ms: int = 10_000
+    timeout_ms: Whole = 10_000
     """Timeout of a request that states no deadline."""
-    max_body_bytes: int = 1_048_576
+    max_body_bytes: Whole = 1_048_576
     revision: Revision = Revision(0)
 
 
@@ -57,9 +58,9 @@
     """A pool of VMs and its availability budget."""
 
     id: PoolId
-    wanted_vms: int
+    wanted_vms: Whole
     """Number of VMs that the pool should have."""
-    min_available: int
+    min_available: Whole
     """The availability budget: number of VMs that must always be able to serve."""
     revision: Revision = Revision(0)
 
@@ -68,11 +69,11 @@
     """Limits of the whole fleet; there is exactly one such row."""
 
     id: str = "fleet"
-    spare_percent: float = 10.0
+    spare_percent: Real = 10.0
     """Capacity held back for failures, pooled across partners."""
-    retry_percent: float = 10.0
+    retry_percent: Real = 10.0
     """Retries allowed, in percent of the successful requests."""
-    max_drains_per_zone: int = 8
+    max_drains_per_zone: Whole = 8
     """Largest number of VMs of one availability zone under maintenance at once."""
     revision: Revision = Revision(0)
 
--- a/packages/tables/src/medlarspring_tables/ids.py
+++ b/packages/tables/src/medlarspring_tables/ids.py
@@ -4,6 +4,8 @@
 
 from typing import NewType
 
+from medlarspring_tables.bounds import Real, StoreNumber
+
 VMId = NewType("VMId", str)
 EntryVMId = NewType("EntryVMId", str)
 PoolId = NewType("PoolId", str)
@@ -18,10 +20,10 @@
 RequestId = NewType("RequestId", str)
 EditId = NewType("EditId", str)
 
-Revision = NewType("Revision", int)
+Revision = NewType("Revision", StoreNumber)
 """A revision of the store or of the configuration table; larger is newer."""
 
-Seconds = float
+Seconds = Real
 """Seconds of the injected monotonic clock, or a duration in seconds."""
 
 __all__ = [
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct
 
+from medlarspring_tables.bounds import Real, Whole
 from medlarspring_tables.ids import (
     JobId,
     PartnerId,
@@ -57,9 +58,9 @@
 class Size(Struct, frozen=True):
     """An amount of processors, memory and accelerators."""
 
-    cpus: float
-    memory_gb: float
-    accelerators: int = 0
+    cpus: Real
+    memory_gb: Real
+    accelerators: Whole = 0
 
     def plus(self, other: Size) -> Size:
         """Return the sum."""
@@ -92,7 +93,7 @@
 class Attempt(Struct, frozen=True, kw_only=True):
     """One run of a job on one worker."""
 
-    number: int
+    number: Whole
     """Counts from 1 for each job; the worker refuses a lower number."""
     vm_id: VMId
     state: AttemptState
@@ -115,7 +116,7 @@
     kind: str
     """Jobs of one partner and kind share one ``SizeEstimate``."""
     declared: Size
-    declared_seconds: float
+    declared_seconds: Real
     urgency: JobUrgency = JobUrgency.NORMAL
     can_checkpoint: bool = False
     can_throttle: bool = False
@@ -127,7 +128,7 @@
     """Wall time of the end; 0 while the job has not ended."""
     state: JobState = JobState.WAITING
     attempt: Attempt | None = None
-    attempts_made: int = 0
+    attempts_made: Whole = 0
     least: Size = NO_SIZE
     """Minimum allocation, raised after each attempt that ran out of memory."""
     failed_on: tuple[VMId, ...] = ()
--- a/packages/tables/src/medlarspring_tables/moves.py
+++ b/packages/tables/src/medlarspring_tables/moves.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from medlarspring_tables.bounds import Real
 from medlarspring_tables.ids import PoolId, VMId
 
 MoveId = NewType("MoveId", str)
@@ -35,8 +36,8 @@
     state: MoveState = MoveState.WANTED
     reason: str = ""
     created_by: str = ""
-    created_at: float = 0.0
-    ended_at: float = 0.0
+    created_at: Real = 0.0
+    ended_at: Real = 0.0
 
     @property
     def is_open(self) -> bool:
--- a/packages/tables/src/medlarspring_tables/scheduling/ids.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/ids.py
@@ -4,6 +4,8 @@
 
 from typing import NewType
 
+from medlarspring_tables.bounds import Whole
+
 QueueId = NewType("QueueId", str)
 """A queue of jobs, named in the operator's configuration."""
 
@@ -20,7 +22,7 @@
 Fence = NewType("Fence", int)
 """Fencing token of a controller; workers ignore orders with a smaller one."""
 
-Milliseconds = int
+Milliseconds = Whole
 """Whole milliseconds: a duration, or wall time since the epoch."""
 
 __all__ = ["CellId", "Fence", "Milliseconds", "QueueId", "WorkerId"]
--- a/packages/tables/src/medlarspring_tables/scheduling/records.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/records.py
@@ -7,6 +7,7 @@
 
 from msgspec import Meta, Struct
 
+from medlarspring_tables.bounds import Whole
 from medlarspring_tables.ids import PartnerId, PoolId
 from medlarspring_tables.scheduling.ids import Milliseconds, WorkerId
 from medlarspring_tables.scheduling.specs import JobSpec, QueuePolicy
@@ -53,7 +54,7 @@
 class RunRecord(Struct, frozen=True, array_like=True):
     """A start of a task that was ordered or is about to be."""
 
-    number: int
+    number: Whole
     worker_id: WorkerId
     life_ms: Milliseconds = 0
     """Start of the worker incarnation that it was meant for; 0 if not known."""
@@ -62,12 +63,12 @@
 class CrashTally(Struct, frozen=True, array_like=True):
     """Counts of workers that ended without notice while a task may have run there."""
 
-    total: int = 0
-    suspected: int = 0
+    total: Whole = 0
+    suspected: Whole = 0
     """Crashes that the task may have caused; part of ``total``."""
-    alone: int = 0
+    alone: Whole = 0
     """Crashes attributable to its own job alone; part of ``suspected``."""
-    immediate: int = 0
+    immediate: Whole = 0
     """Crashes right after its start; part of ``alone``."""
 
 
@@ -76,13 +77,13 @@
 
     done: str = ""
     """Indexes of the tasks done, as a bit mask in hexadecimal."""
-    runs: dict[int, tuple[RunRecord, ...]] = {}
+    runs: dict[Whole, tuple[RunRecord, ...]] = {}
     """Runs that may be on a worker, by task index."""
-    last_runs: dict[int, int] = {}
+    last_runs: dict[Whole, Whole] = {}
     """Highest run number by task index, for tasks without an entry in ``runs``."""
-    failures: dict[int, int] = {}
-    crashes: dict[int, CrashTally] = {}
-    checkpoints: dict[int, str] = {}
+    failures: dict[Whole, Whole] = {}
+    crashes: dict[Whole, CrashTally] = {}
+    checkpoints: dict[Whole, str] = {}
 
 
 class ProgressRecord(Struct, kw_only=True, omit_defaults=True):
@@ -94,9 +95,9 @@
 
     steps: dict[str, StepRecord] = {}
     """By occurrence and step, as in ``0.1``; steps that have not begun are omitted."""
-    occurrences_done: int = 0
+    occurrences_done: Whole = 0
     """Occurrences with a lower index are done and no longer listed."""
-    done_beyond: tuple[int, ...] = ()
+    done_beyond: tuple[Whole, ...] = ()
     """Indexes of later occurrences that are done."""
 
 
@@ -112,6 +113,7 @@
     entry_vm_id: str
     peer_address: str = ""
     incarnation: int = 0
+    """64 random bits, more than a bound can state; only ever compared."""
 
 
 class WaveRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -124,7 +126,7 @@
     """Expected wait of a partner's new job, where the partner is beyond its share."""
 
     pool_id: PoolId
-    priority: int
+    priority: Whole
     """Holds for jobs of queues of this priority, and of less urgent ones."""
     partner_id: PartnerId
     wait_ms: Milliseconds
@@ -134,8 +136,8 @@
 class LoadRecord(Struct, frozen=True, kw_only=True):
     """Load of a controller's queues, written about once a second."""
 
-    at_ms: int
-    waiting_by_queue: dict[str, int] = {}
+    at_ms: Whole
+    waiting_by_queue: dict[str, Whole] = {}
     """Number of accepted jobs of which no task has started."""
     waits: tuple[WaitForecast, ...] = ()
     """The longest waits, longest first; former versions neither write nor read them."""
@@ -159,14 +161,14 @@
 class OperationsRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Time of the last operation on each VM, for as long as it is needed."""
 
-    sent_ms_by_vm: dict[str, int] = {}
+    sent_ms_by_vm: dict[str, Whole] = {}
     """Wall time in ms; written before the operation is sent."""
 
 
 class SizesRecord(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Sizes of the pools when a controller first saw them; written once."""
 
-    vms_by_pool: dict[str, int] = {}
+    vms_by_pool: dict[str, Whole] = {}
     """Number of VMs."""
 
 
--- a/packages/tables/src/medlarspring_tables/scheduling/specs.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/specs.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from medlarspring_tables.bounds import Real, Whole
 from medlarspring_tables.ids import PoolId
 from medlarspring_tables.scheduling.ids import Milliseconds, QueueId
 
@@ -11,14 +12,14 @@
 class StepSpec(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A number of identical tasks that may run once earlier steps are done."""
 
-    count: int
-    cpu_millis: int = 0
+    count: Whole
+    cpu_millis: Whole = 0
     """Thousandths of a core that each task requests."""
-    memory_mb: int = 0
-    accelerators: int = 0
+    memory_mb: Whole = 0
+    accelerators: Whole = 0
     estimate_ms: Milliseconds = 0
     """The submitter's rough estimate of a task's duration, often wrong by 50%."""
-    after: tuple[int, ...] = ()
+    after: tuple[Whole, ...] = ()
     """Indexes, from 0, of earlier steps that must be done first."""
     checkpoints: bool = False
     gang: bool = False
@@ -30,13 +31,13 @@
     required_label: str = ""
     data_rack: str = ""
     """Rack that holds the data; tasks take longer on other racks."""
-    max_per_worker: int = 0
+    max_per_worker: Whole = 0
     """Limit on the tasks of the step on one worker; 0 for no limit."""
     speculative: bool = False
     """Copies of a task may run in parallel; the first to finish counts."""
     long_running: bool = False
     """Runs until the job is cancelled, and is restarted however it ends."""
-    max_unavailable: int = 0
+    max_unavailable: Whole = 0
     """Tasks that this system's own actions may make unavailable at the same time."""
     image: str = ""
     """Tasks with the same image behave alike."""
@@ -52,7 +53,7 @@
     payload: str
     """Opaque text that is sent to the worker with each start of a task."""
     steps: tuple[StepSpec, ...]
-    occurrences: int = 0
+    occurrences: Whole = 0
     """How many times the steps run; 0 for once, as soon as possible."""
     first_at_ms: Milliseconds = 0
     interval_ms: Milliseconds = 0
@@ -71,10 +72,10 @@
 
     id: QueueId
     pool_id: PoolId
-    priority: int = 0
+    priority: Whole = 0
     """0 is the highest."""
-    max_attempts: int = 1
-    stretch: float = 1.0
+    max_attempts: Whole = 1
+    stretch: Real = 1.0
     """The objective is this many times the job's critical path plus the allowance."""
     allowance_ms: Milliseconds = 0
     """Constant part of the objective."""
--- a/packages/tables/src/medlarspring_tables/vms.py
+++ b/packages/tables/src/medlarspring_tables/vms.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from medlarspring_tables.bounds import Real, Whole
 from medlarspring_tables.ids import PoolId, RackId, Revision, VMId, WaveId, ZoneId
 
 
@@ -68,20 +69,20 @@
     rack_id: RackId
     zone_id: ZoneId
     state: VMState = VMState.SERVING
-    since: float = 0.0
+    since: Real = 0.0
     """Wall time at which the state was written."""
     cause: Cause | None = None
     target_pool_id: PoolId | None = None
     """Pool to which the VM moves once it is drained; None if it is not moved."""
-    boot: int = 0
+    boot: Whole = 0
     """Boot count observed before the intended reboot."""
     wave_id: WaveId | None = None
     """The last wave that finished for this VM; the next three fields describe it."""
     outcome: Outcome | None = None
-    finished_at: float = 0.0
-    began_at: float = 0.0
+    finished_at: Real = 0.0
+    began_at: Real = 0.0
     """Wall time of the intent that finished at ``finished_at``."""
-    maintained_at: float = 0.0
+    maintained_at: Real = 0.0
     """Wall time of the last successful reboot, or of the VM's adoption."""
 
 
--- a/packages/tables/src/medlarspring_tables/waves.py
+++ b/packages/tables/src/medlarspring_tables/waves.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from medlarspring_tables.bounds import Real, Whole
 from medlarspring_tables.ids import VMId, WaveId
 
 
@@ -27,17 +28,17 @@
     reason: str = ""
     """Why the wave is paused, aborted or done."""
     created_by: str = ""
-    started_at: float = 0.0
-    resumed_at: float = 0.0
+    started_at: Real = 0.0
+    resumed_at: Real = 0.0
     """Outcomes of VMs that began before this wall time no longer pause the wave."""
-    resumes_at: float = 0.0
+    resumes_at: Real = 0.0
     """Wall time at which a wave paused by failures resumes by itself.
 
     0 while the wave is paused by an operator, who has to resume it.
     """
-    pauses: int = 0
+    pauses: Whole = 0
     """Consecutive pauses because of failures, each longer than the one before."""
-    ended_at: float = 0.0
+    ended_at: Real = 0.0
 
     @property
     def is_open(self) -> bool:
