Pass over odd records of jobs and of the fleet

The product's own followers decoded with msgspec directly and caught nothing: one record under fleet/jobs/ or fleet/vms/ that could not be decoded ended the follower of its prefix, failed each load and each of the operators' lists.

These records are now decoded by the same UnreadableRecords as the scheduler's, which moves to the adapters.

--- a/packages/adapters/src/medlarspring_adapters/fleet_records.py
+++ b/packages/adapters/src/medlarspring_adapters/fleet_records.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from medlarspring_adapters.store import Entry, Listing
+    from medlarspring_adapters.unreadable_records import UnreadableRecords
     from medlarspring_tables.fleet_tables import FleetRecord, FleetTables
 
 TYPES_BY_PREFIX: dict[str, type[FleetRecord]] = {
@@ -30,16 +31,24 @@
     return msgspec.json.encode(record)
 
 
-def apply_entry(tables: FleetTables, entry: Entry) -> None:
-    """Decode an entry into the tables; keys of other kinds are ignored."""
+def apply_entry(
+    tables: FleetTables, entry: Entry, unreadable: UnreadableRecords
+) -> None:
+    """Decode an entry into the tables; keys of other kinds are ignored.
+
+    A record that can't be decoded leaves its last readable one in the tables.
+    """
     kind = entry.key.removeprefix(FLEET_PREFIX).partition("/")[0]
     record_type = TYPES_BY_PREFIX.get(f"{FLEET_PREFIX}{kind}/")
     if record_type is not None:
-        record = msgspec.json.decode(entry.value, type=record_type)
-        tables.put(record, entry.mod_revision)
+        record = unreadable.decode(entry, record_type)
+        if record is not None:
+            tables.put(record, entry.mod_revision)
 
 
-def apply_listing(tables: FleetTables, prefix: str, listing: Listing) -> None:
+def apply_listing(
+    tables: FleetTables, prefix: str, listing: Listing, unreadable: UnreadableRecords
+) -> None:
     """Replace all records under a prefix with those of a listing.
 
     A watch may have delivered newer records than the listing has. They must not be
@@ -51,7 +60,7 @@
         if key.startswith(prefix) and key not in present:
             tables.remove(key, listing.revision)
     for entry in listing.entries:
-        apply_entry(tables, entry)
+        apply_entry(tables, entry, unreadable)
 
 
 __all__ = ["TYPES_BY_PREFIX", "encode_record", "apply_entry", "apply_listing"]
--- a/packages/adapters/src/medlarspring_adapters/job_store.py
+++ b/packages/adapters/src/medlarspring_adapters/job_store.py
@@ -26,6 +26,7 @@
     from returns.result import Result
 
     from medlarspring_adapters.store import CommitResult, Entry, Listing
+    from medlarspring_adapters.unreadable_records import UnreadableRecords
     from medlarspring_tables.audit import AuditRecord
 
 JOBS_PREFIX = "fleet/jobs/"
@@ -70,11 +71,6 @@
     return f"{JOBS_PREFIX}{pool_id}/{job_id}"
 
 
-def decode_job(value: bytes) -> Job:
-    """Return the job of a record."""
-    return msgspec.json.decode(value, type=Job)
-
-
 class CreateAudit(Protocol):
     """Creates the audit record of one batch of writes."""
 
@@ -86,8 +82,13 @@
 class JobStore:
     """Reads and writes job records, batched into few counted calls."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, unreadable: UnreadableRecords) -> None:
         self._store = store
+        self._unreadable = unreadable
+
+    def decode(self, entry: Entry) -> Job | None:
+        """Return the job of a record; None, and a log line, if it is unreadable."""
+        return self._unreadable.decode(entry, Job)
 
     async def read_pool(self, pool_id: PoolId) -> Result[Listing, StoreError]:
         """Return all job records of a pool."""
@@ -183,7 +184,6 @@
     "JobWrite",
     "SaveOutcome",
     "SavedJob",
-    "decode_job",
     "job_key",
     "pool_prefix",
 ]
--- a/packages/adapters/tests/test_job_store.py
+++ b/packages/adapters/tests/test_job_store.py
@@ -17,6 +17,7 @@
 )
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
+from medlarspring_bench.silent_faults import create_unreadable_records
 from medlarspring_tables import Job, JobId, PartnerId, PoolId, Revision, Size
 
 if TYPE_CHECKING:
@@ -69,7 +70,7 @@
     failed_call: int, error: StoreError, outcome_of_failed: SaveOutcome
 ):
     """Guards against saved jobs that are reverted since a later write failed."""
-    jobs = JobStore(SingleCallStore(failed_call, error))
+    jobs = JobStore(SingleCallStore(failed_call, error), create_unreadable_records())
     writes = [JobWrite(create_job(number), Revision(0)) for number in range(3)]
     outcomes = [saved.outcome for saved in await jobs.save(writes, None)]
     assert outcomes == [
--- a/packages/bench/src/medlarspring_bench/fleet_checker.py
+++ b/packages/bench/src/medlarspring_bench/fleet_checker.py
@@ -7,6 +7,7 @@
 
 from medlarspring_adapters.fleet_records import apply_entry
 from medlarspring_adapters.store import Entry
+from medlarspring_bench.silent_faults import create_unreadable_records
 from medlarspring_bench.vm_control_state import Condition
 from medlarspring_systems.vm_actions import Action
 from medlarspring_tables import PoolId, Revision, VMId
@@ -25,6 +26,7 @@
     def __init__(self, world: FleetWorld) -> None:
         self.violations: list[str] = []
         self.truth = FleetTables()
+        self._unreadable = create_unreadable_records()
         self.drains = 0
         self.reboots = 0
         self.moves = 0
@@ -105,7 +107,7 @@
             else:
                 revision = Revision(change.kv.mod_revision)
                 entry = Entry(key, change.kv.value, revision, revision)
-                apply_entry(self.truth, entry)
+                apply_entry(self.truth, entry, self._unreadable)
 
     def _check_change(self, old: VMRecord, record: VMRecord) -> None:
         if old.pool_id != record.pool_id and (
--- a/packages/bench/src/medlarspring_bench/fleet_world.py
+++ b/packages/bench/src/medlarspring_bench/fleet_world.py
@@ -131,7 +131,7 @@
                     self.tables.remove(key, revision)
                 else:
                     entry = Entry(key, change.kv.value, revision, revision)
-                    apply_entry(self.tables, entry)
+                    apply_entry(self.tables, entry, self.controller.unreadable)
 
     def kill(self) -> None:
         """End the process in the middle of its current round."""
--- a/packages/bench/src/medlarspring_bench/job_histories.py
+++ b/packages/bench/src/medlarspring_bench/job_histories.py
@@ -12,11 +12,12 @@
 
 from medlarspring_adapters.clock import ManualClock
 from medlarspring_adapters.decisions import DecisionLog
-from medlarspring_adapters.job_store import JobStore, JobWrite, decode_job, pool_prefix
+from medlarspring_adapters.job_store import JobStore, JobWrite, pool_prefix
 from medlarspring_adapters.store import Expect, Put, Transaction
 from medlarspring_bench.key_value_ops import RangeOp, RangeReply, prefix_end
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
+from medlarspring_bench.silent_faults import create_unreadable_records
 from medlarspring_bench.worker_tasks import ActualTask, DirectWorkerControl, WorkerTasks
 from medlarspring_daemon.jobs.controller import JobController
 from medlarspring_systems.job_lifecycle import FINAL_STATES, cancel_job
@@ -88,7 +89,7 @@
         self.round: asyncio.Task[None] | None = None
         self.controller = JobController(
             POOL_ID,
-            JobStore(self.store),
+            JobStore(self.store, create_unreadable_records()),
             pool.control,
             pool.clock,
             DecisionLog(pool.clock, "entry", max_subjects=10),
@@ -149,7 +150,7 @@
         self.jobs_by_id: dict[JobId, Job] = {}
         self.holder = Holder(self)
         self.frozen: list[Holder] = []
-        self.submitter = JobStore(MemoryStore(self.state))
+        self.submitter = JobStore(MemoryStore(self.state), create_unreadable_records())
 
     def list_workers(self) -> list[Worker]:
         """Return new records of all workers."""
@@ -193,7 +194,9 @@
         """Cancel a job as an operator does through any daemon."""
         found = (await self.submitter.read_job(POOL_ID, job_id)).unwrap()
         assert found is not None
-        job = cancel_job(decode_job(found.value), "by operator", self.clock.wall())
+        job = cancel_job(
+            msgspec.json.decode(found.value, type=Job), "by operator", self.clock.wall()
+        )
         if job is not None:
             await self.submitter.save([JobWrite(job, found.mod_revision)], None)
         self.holder.controller.schedule_reload()
@@ -268,7 +271,7 @@
         prefix = pool_prefix(POOL_ID).encode()
         reply = self.state.apply(RangeOp(prefix, prefix_end(prefix)))
         assert isinstance(reply, RangeReply)
-        return [decode_job(kv.value) for kv in reply.kvs]
+        return [msgspec.json.decode(kv.value, type=Job) for kv in reply.kvs]
 
 
 async def run_history(
--- a/packages/daemon/src/medlarspring_daemon/fleet/command_handler.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/command_handler.py
@@ -32,6 +32,7 @@
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.fleet_api import ChangeWave, StartMoves, StartWave
     from medlarspring_adapters.store import Store
+    from medlarspring_adapters.unreadable_records import UnreadableRecords
     from medlarspring_tables import ConfigTable
     from medlarspring_tables.audit import FieldValue
     from medlarspring_tables.waves import WaveRecord
@@ -72,10 +73,17 @@
 class FleetCommandHandler:
     """Writes operators' commands as records, which the holders of pools carry out."""
 
-    def __init__(self, store: Store, clock: Clock, entry_vm_id: str) -> None:
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        entry_vm_id: str,
+        unreadable: UnreadableRecords,
+    ) -> None:
         self._store = store
         self._clock = clock
         self._entry_vm_id = entry_vm_id
+        self._unreadable = unreadable
 
     async def load(self) -> Result[FleetTables, MedlarspringError]:
         """Read all fleet records."""
@@ -84,7 +92,7 @@
             listed = await self._store.read_prefix(prefix)
             if not is_successful(listed):
                 return Failure(listed.failure())
-            apply_listing(tables, prefix, listed.unwrap())
+            apply_listing(tables, prefix, listed.unwrap(), self._unreadable)
         return Success(tables)
 
     async def start_wave(
--- a/packages/daemon/src/medlarspring_daemon/fleet/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/controller.py
@@ -21,6 +21,7 @@
     StoreOutcomeUnknown,
     Transaction,
 )
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_adapters.vm_control import VMActionRefused
 from medlarspring_systems.draft import DecisionKind
 from medlarspring_systems.fleet_plan import plan_pool, plan_waves
@@ -80,6 +81,7 @@
         self._fence = fence
         self._decisions = decisions
         self._log = log
+        self.unreadable = UnreadableRecords(log)
         self.wave_limit = wave_limit
         self._record_leaving = record_leaving
         self._record_returned = record_returned
@@ -94,7 +96,7 @@
             if not isinstance(listed, Success):
                 self.is_store_lost = True
                 return False
-            apply_listing(self.tables, prefix, listed.unwrap())
+            apply_listing(self.tables, prefix, listed.unwrap(), self.unreadable)
         self.is_store_lost = False
         return True
 
@@ -249,7 +251,7 @@
             if entry is None:
                 self.tables.remove(key)
             else:
-                apply_entry(self.tables, entry)
+                apply_entry(self.tables, entry, self.unreadable)
 
     def _record_decisions(self, draft: Draft) -> None:
         for note in draft.planned_decisions:
--- a/packages/daemon/src/medlarspring_daemon/fleet/feed.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/feed.py
@@ -12,6 +12,7 @@
     import random
 
     from medlarspring_adapters.store import Listing, Store, WatchBatch
+    from medlarspring_adapters.unreadable_records import UnreadableRecords
     from medlarspring_tables.fleet_tables import FleetTables
 
 WATCHED_PREFIXES = tuple(f"{FLEET_PREFIX}{kind}/" for kind in ("vms", "waves", "moves"))
@@ -25,28 +26,40 @@
 class RecordListener:
     """Applies the records under one prefix to the tables."""
 
-    def __init__(self, tables: FleetTables, prefix: str) -> None:
+    def __init__(
+        self, tables: FleetTables, prefix: str, unreadable: UnreadableRecords
+    ) -> None:
         self._tables = tables
         self._prefix = prefix
+        self._unreadable = unreadable
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a listing of all records; records that it lacks are removed."""
-        apply_listing(self._tables, self._prefix, listing)
+        apply_listing(self._tables, self._prefix, listing, self._unreadable)
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply the changes and deletions that a watch reported."""
         for key in batch.deleted:
             self._tables.remove(key, batch.revision)
+            self._unreadable.clear_fault(key)
         for entry in batch.changed:
-            apply_entry(self._tables, entry)
+            apply_entry(self._tables, entry, self._unreadable)
 
 
 class FleetFeed:
     """Watches every prefix in ``WATCHED_PREFIXES``."""
 
-    def __init__(self, store: Store, tables: FleetTables, rng: random.Random) -> None:
+    def __init__(
+        self,
+        store: Store,
+        tables: FleetTables,
+        rng: random.Random,
+        unreadable: UnreadableRecords,
+    ) -> None:
         self._followers = [
-            PrefixFollower(store, prefix, RecordListener(tables, prefix), rng)
+            PrefixFollower(
+                store, prefix, RecordListener(tables, prefix, unreadable), rng
+            )
             for prefix in WATCHED_PREFIXES
         ]
 
--- a/packages/daemon/src/medlarspring_daemon/fleet/service.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/service.py
@@ -7,6 +7,7 @@
 
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store_meter import Mechanism
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_adapters.vm_control import HttpVMControl
 from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.fleet.command_handler import FleetCommandHandler
@@ -33,7 +34,9 @@
         self._vm_control = vm_control
         self._tasks = BackgroundTasks(node.log)
         self._store = node.store.with_mechanism(Mechanism.CONTROL_WORK)
-        command_handler = FleetCommandHandler(self._store, node.clock, node.id)
+        command_handler = FleetCommandHandler(
+            self._store, node.clock, node.id, UnreadableRecords(node.log)
+        )
         node.operator_routes.extend(
             FleetRoutes(node, command_handler, vm_control).routes()
         )
@@ -64,7 +67,7 @@
             record_returned=lambda vm_id, pool_id: node.record_returned(vm_id, pool_id),
         )
         rounds = FleetRounds(controller, node.clock, node.rng, node.log)
-        feed = FleetFeed(self._store, tables, node.rng)
+        feed = FleetFeed(self._store, tables, node.rng, controller.unreadable)
         try:
             while True:
                 started_at = node.clock.now()
--- a/packages/daemon/src/medlarspring_daemon/jobs/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/controller.py
@@ -12,7 +12,6 @@
     JobStore,
     JobWrite,
     SaveOutcome,
-    decode_job,
 )
 from medlarspring_adapters.worker_control import Renewal, TaskState
 from medlarspring_daemon.jobs.workers import JobWorkers
@@ -40,7 +39,7 @@
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.decisions import DecisionLog
-    from medlarspring_adapters.store import Expect, Listing, WatchBatch
+    from medlarspring_adapters.store import Entry, Expect, Listing, WatchBatch
     from medlarspring_adapters.worker_control import TaskReport, WorkerControl
     from medlarspring_daemon.jobs.workers import WorkerAnswer
     from medlarspring_tables import Job, PoolId, Seconds
@@ -56,6 +55,10 @@
 }
 
 
+def _find_job_id(key: str) -> JobId:
+    return JobId(key.rpartition("/")[2])
+
+
 class JobController:
     """Runs the jobs of one pool while this process holds the pool.
 
@@ -101,10 +104,7 @@
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a listing of all records; known jobs that it lacks are removed."""
-        seen = {
-            self.apply_record(entry.value, entry.mod_revision)
-            for entry in listing.entries
-        }
+        seen = {self.apply_record(entry) for entry in listing.entries}
         revisions = self.tables.revisions_by_id
         for job_id in [key for key in self.tables.jobs_by_id if key not in seen]:
             if revisions.get(job_id, Revision(0)) <= listing.revision:
@@ -113,13 +113,19 @@
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply the changes that a watch reported."""
         for entry in batch.changed:
-            self.apply_record(entry.value, entry.mod_revision)
+            self.apply_record(entry)
         for key in batch.deleted:
-            forget_job(self.tables, JobId(key.rpartition("/")[2]))
+            forget_job(self.tables, _find_job_id(key))
 
-    def apply_record(self, value: bytes, revision: Revision) -> JobId:
-        """Apply a record from the store unless a newer one is known; return its id."""
-        job = decode_job(value)
+    def apply_record(self, entry: Entry) -> JobId:
+        """Apply a record from the store unless a newer one is known; return its id.
+
+        A record that can't be decoded leaves its last readable one in the tables.
+        """
+        revision = entry.mod_revision
+        job = self._jobs.decode(entry)
+        if job is None:
+            return _find_job_id(entry.key)
         known = self.tables.revisions_by_id.get(job.id, Revision(0))
         if revision > known:
             put_job(self.tables, job)
--- a/packages/daemon/src/medlarspring_daemon/jobs/request_handler.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/request_handler.py
@@ -22,7 +22,6 @@
     JobStore,
     JobWrite,
     SaveOutcome,
-    decode_job,
 )
 from medlarspring_systems.job_admission import JobRefused, check_job
 from medlarspring_systems.job_lifecycle import cancel_job
@@ -134,7 +133,7 @@
             matching = [
                 (job, entry.mod_revision)
                 for entry in entries
-                if _matches(job := decode_job(entry.value), request)
+                if (job := self._jobs.decode(entry)) and _matches(job, request)
             ]
             writes, ended = self._plan_cancels(matching, request, cancelled)
             saved = await self._jobs.save(writes, None, audit)
@@ -184,7 +183,9 @@
             return Failure(listing.failure())
         tables = self._build_tables(pool_id)
         for entry in listing.unwrap().entries:
-            put_job(tables, decode_job(entry.value))
+            job = self._jobs.decode(entry)
+            if job is not None:
+                put_job(tables, job)
         return Success(tables)
 
     def _view(self, tables: JobTables, job: Job) -> JobView:
@@ -281,8 +282,8 @@
         entry = found.unwrap()
         if entry is None:
             return Failure(JobNotSaved(job.id))
-        recorded = decode_job(entry.value)
-        if _list_content(recorded) != _list_content(job):
+        recorded = self._jobs.decode(entry)
+        if recorded is None or _list_content(recorded) != _list_content(job):
             return Failure(JobIdTaken(job.id))
         return Success(recorded)
 
--- a/packages/daemon/src/medlarspring_daemon/jobs/service.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/service.py
@@ -10,6 +10,7 @@
 
 from medlarspring_adapters.job_store import JobStore, pool_prefix
 from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_adapters.worker_control import create_worker_control
 from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.jobs.controller import JobController
@@ -58,7 +59,7 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self._jobs = JobStore(node.store)
+        self._jobs = JobStore(node.store, UnreadableRecords(node.log))
         self._tasks = BackgroundTasks(node.log)
         self._pools_by_id: dict[PoolId, HeldPool] = {}
         self._session: aiohttp.ClientSession | None = None
--- a/packages/daemon/src/medlarspring_daemon/scheduling/context.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/context.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
-from medlarspring_daemon.scheduling.unreadable_records import UnreadableRecords
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_tables.scheduling import CellId
 
 if TYPE_CHECKING:
--- a/packages/daemon/tests/test_fleet_command_handler.py
+++ b/packages/daemon/tests/test_fleet_command_handler.py
@@ -9,6 +9,7 @@
 from medlarspring_adapters.store import Put, Transaction
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
+from medlarspring_bench.silent_faults import create_unreadable_records
 from medlarspring_daemon.fleet.command_handler import FleetCommandHandler
 from medlarspring_tables import (
     ConfigTable,
@@ -50,7 +51,7 @@
 
 @pytest.fixture
 def handler(store) -> FleetCommandHandler:
-    return FleetCommandHandler(store, ManualClock(), "e1")
+    return FleetCommandHandler(store, ManualClock(), "e1", create_unreadable_records())
 
 
 async def change(handler, action, reason=""):
--- a/packages/daemon/tests/test_job_controller.py
+++ b/packages/daemon/tests/test_job_controller.py
@@ -140,7 +140,7 @@
     await holder.run_round()
     await pool.cancel(JobId("job"))
     entry = (await pool.submitter.read_job(PoolId("survey"), JobId("job"))).unwrap()
-    holder.controller.apply_record(entry.value, entry.mod_revision)
+    holder.controller.apply_record(entry)
     holder.store.running.set()
     await run_rounds(pool)
     assert read_job(pool, "job").state is JobState.CANCELLED
--- a/packages/daemon/tests/test_job_request_handler.py
+++ b/packages/daemon/tests/test_job_request_handler.py
@@ -8,6 +8,7 @@
 from medlarspring_adapters.job_store import JobStore
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
+from medlarspring_bench.silent_faults import create_unreadable_records
 from medlarspring_daemon.jobs.request_handler import JobRequestHandler
 from medlarspring_systems.job_records import put_partner, put_worker
 from medlarspring_tables import (
@@ -46,7 +47,10 @@
 @pytest.fixture
 def handler(store) -> JobRequestHandler:
     return JobRequestHandler(
-        JobStore(store), ManualClock(), build_tables, lambda: Revision(7)
+        JobStore(store, create_unreadable_records()),
+        ManualClock(),
+        build_tables,
+        lambda: Revision(7),
     )
 
 
