Use the usual timeout for a deadline that is not a number

The header of a call was read with float(), which takes "nan"; min() and max() pass it through, and a time limit of NaN never passes.

test_odd_deadline_gives_a_finite_timeout failed for nan (1 of 5 cases) and passes now.

--- a/packages/platform/src/medlarspring_platform/jobs_frontend.py
+++ b/packages/platform/src/medlarspring_platform/jobs_frontend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -238,6 +239,8 @@
         seconds = float(text) / 1_000.0
     except ValueError:
         return DEFAULT_TIMEOUT_SECONDS
+    if math.isnan(seconds):
+        return DEFAULT_TIMEOUT_SECONDS
     return min(max(seconds, 0.0), MAX_TIMEOUT_SECONDS)
 
 
--- a/packages/platform/tests/adapter/test_jobs_frontend.py
+++ b/packages/platform/tests/adapter/test_jobs_frontend.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from aiohttp.test_utils import make_mocked_request
 
 from medlarspring_bench.platform_world.fault_state import StoreMode
 from medlarspring_bench.platform_world.plans import HOST
+from medlarspring_platform.jobs_frontend import MAX_TIMEOUT_SECONDS, _read_timeout
 
 from .conftest import BODY, JOB
 
@@ -108,6 +110,14 @@
     assert (status, answer["error"]) == (400, "job-invalid")
 
 
+@pytest.mark.parametrize("deadline", ["nan", "inf", "-1", "1e400", "9" * 5_000])
+def test_odd_deadline_gives_a_finite_timeout(deadline: str):
+    """Guards against a timeout that is not a number, which never passes."""
+    headers = {"X-Medlarspring-Deadline-Ms": deadline}
+    request = make_mocked_request("GET", "/", headers=headers)
+    assert 0.0 <= _read_timeout(request) <= MAX_TIMEOUT_SECONDS
+
+
 async def test_oversized_body_is_refused(frontend: Frontend):
     assert (await frontend.call("POST", body=b" " * 262_145))[0] == 413
 
