Report odd content wherever content from outside is decoded

The clients of the store, of the VM list and of the VM control, the stored configuration table, claims, the audit trail, peers' decisions, bodies of the operators' port and files of jobs were decoded with msgspec and caught its own errors only, or nothing. Deep nesting raised RecursionError out of each.

All of them use decode_json or UnreadableRecords now. A claim that can't be read may stand for a run, so its key is not run again. Sizes in the VM list and an edit's numbers are checked against the bounds: such an edit was accepted, and would make the whole table unreadable to every entry VM.

--- a/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_gateway.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-import msgspec
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters.etcd_messages import (
@@ -54,6 +53,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Sequence
 
+    import msgspec
+
     from medlarspring_adapters.store import CommitResult
 
 MAX_TRANSACTIONS_PER_CALL = 64
@@ -156,7 +157,7 @@
                         next_revision = _find_next_revision(result, next_revision)
             except TimeoutError:
                 timed_out = True
-            except (aiohttp.ClientError, OSError, ValueError, msgspec.MsgspecError):
+            except (aiohttp.ClientError, OSError, ValueError):
                 self._transport.rotate()
                 return
             # A watch whose connection is dead looks like a table without edits. If
--- a/packages/adapters/src/medlarspring_adapters/etcd_transport.py
+++ b/packages/adapters/src/medlarspring_adapters/etcd_transport.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING, TypeVar
 
 import aiohttp
 import msgspec
+from returns.pipeline import is_successful
 
+from medlarspring_adapters.decoding import ContentUndecodable, decode_json
 from medlarspring_adapters.etcd_messages import Fault
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Sequence
 
+    from returns.result import Result
+
 MAX_LINE_BYTES = 16 * 1024 * 1024
 KEEPALIVE_SECONDS = 5.0
 HTTP_OK = 200
@@ -72,10 +75,11 @@
             raise Unanswered(f"{endpoint}: {_describe(error)}") from error
         if status != HTTP_OK:
             raise _to_refusal(endpoint, status, content)
-        try:
-            return _decode(content, answer_type)
-        except (msgspec.MsgspecError, ValueError) as error:
-            raise Unanswered(f"{endpoint}: unreadable answer ({error})") from error
+        decoded = _decode(content, answer_type)
+        if not is_successful(decoded):
+            detail = decoded.failure().detail
+            raise Unanswered(f"{endpoint}: unreadable answer ({detail})")
+        return decoded.unwrap()
 
     async def stream(
         self, path: str, request: msgspec.Struct, answer_type: type[Message]
@@ -95,8 +99,12 @@
             if response.status != HTTP_OK:
                 raise aiohttp.ClientPayloadError(f"HTTP status {response.status}")
             while line := await response.content.readline():
-                if line.strip():
-                    yield _decode(line, answer_type)
+                if not line.strip():
+                    continue
+                decoded = _decode(line, answer_type)
+                if not is_successful(decoded):
+                    raise aiohttp.ClientPayloadError(decoded.failure().detail)
+                yield decoded.unwrap()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -156,15 +164,18 @@
     return reason or str(error) or "the connection broke"
 
 
-def _decode(content: bytes, message_type: type[Message]) -> Message:
+def _decode(
+    content: bytes, message_type: type[Message]
+) -> Result[Message, ContentUndecodable]:
     # The gateway writes 64-bit integers as strings; strict=False reads them.
-    return msgspec.json.decode(content, type=message_type, strict=False)
+    return decode_json(content, message_type, strict=False)
 
 
 def _to_refusal(endpoint: str, status: int, content: bytes) -> Exception:
     detail = f"{endpoint}: HTTP status {status}"
-    with contextlib.suppress(msgspec.MsgspecError, ValueError):
-        fault = _decode(content, Fault)
+    decoded = _decode(content, Fault)
+    if is_successful(decoded):
+        fault = decoded.unwrap()
         detail = f"{detail}: {fault.message or fault.error}"
     # 5xx includes "request timed out" inside the store, after which the write may
     # still be applied; a request answered with 4xx was rejected.
--- a/packages/adapters/src/medlarspring_adapters/job_api.py
+++ b/packages/adapters/src/medlarspring_adapters/job_api.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from medlarspring_tables import Job, JobId, JobUrgency, PartnerId, PoolId, Size
+from medlarspring_tables.bounds import Real
 
 
 class JobRequest(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -14,7 +15,7 @@
     partner_id: PartnerId
     pool_id: PoolId
     declared: Size
-    declared_seconds: float
+    declared_seconds: Real
     kind: str = "default"
     urgency: JobUrgency = JobUrgency.NORMAL
     can_checkpoint: bool = False
--- a/packages/adapters/src/medlarspring_adapters/vm_control.py
+++ b/packages/adapters/src/medlarspring_adapters/vm_control.py
@@ -10,9 +10,12 @@
 
 import aiohttp
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import ContentUndecodable, decode_json
 from medlarspring_tables import MedlarspringError, PoolId, Revision, VMId
+from medlarspring_tables.bounds import StoreNumber
 from medlarspring_tables.vms import VMCondition, VMObservation
 
 if TYPE_CHECKING:
@@ -84,7 +87,7 @@
     id: VMId
     pool: PoolId
     condition: VMCondition
-    boot: int
+    boot: StoreNumber
     revision: Revision
 
     def to_observation(self) -> VMObservation:
@@ -101,6 +104,10 @@
     reason: str = "no reason given"
 
 
+def _describe_malformed(fault: ContentUndecodable) -> VMControlUnreachable:
+    return VMControlUnreachable(f"malformed answer: {fault.detail}")
+
+
 class HttpVMControl:
     """Implements ``VMControl`` with JSON over HTTP."""
 
@@ -125,10 +132,10 @@
         if not isinstance(answered, Success):
             return Failure(answered.failure())
         _, body = answered.unwrap()
-        try:
-            documents = msgspec.json.decode(body, type=list[_VMDocument])
-        except msgspec.DecodeError as error:
-            return Failure(VMControlUnreachable(f"malformed answer: {error}"))
+        decoded = decode_json(body, list[_VMDocument])
+        if not is_successful(decoded):
+            return Failure(_describe_malformed(decoded.failure()))
+        documents = decoded.unwrap()
         return Success([document.to_observation() for document in documents])
 
     async def act(
@@ -147,14 +154,15 @@
         if not isinstance(answered, Success):
             return Failure(answered.failure())
         status, body = answered.unwrap()
-        try:
-            if status != 200:
-                refusal = msgspec.json.decode(body, type=_Refusal)
-                return Failure(VMActionRefused(vm_id, refusal.reason))
-            observed = msgspec.json.decode(body, type=_VMDocument)
-        except msgspec.DecodeError as error:
-            return Failure(VMControlUnreachable(f"malformed answer: {error}"))
-        return Success(observed.to_observation())
+        if status != 200:
+            refusal = decode_json(body, _Refusal)
+            if not is_successful(refusal):
+                return Failure(_describe_malformed(refusal.failure()))
+            return Failure(VMActionRefused(vm_id, refusal.unwrap().reason))
+        observed = decode_json(body, _VMDocument)
+        if not is_successful(observed):
+            return Failure(_describe_malformed(observed.failure()))
+        return Success(observed.unwrap().to_observation())
 
     async def _call(
         self,
--- a/packages/adapters/src/medlarspring_adapters/vm_list.py
+++ b/packages/adapters/src/medlarspring_adapters/vm_list.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import contextlib
+from typing import TYPE_CHECKING, TypeVar
 
 import aiohttp
 import msgspec
 from msgspec import Struct, field
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_tables import (
     EntryVMId,
     ListedEntryVM,
@@ -22,10 +25,15 @@
     VMList,
     ZoneId,
 )
+from medlarspring_tables.bounds import MAX_REAL
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from medlarspring_tables import Seconds
 
+Number = TypeVar("Number", int, float)
+
 ROLE_ENTRY = "entry"
 HTTP_OK = 200
 
@@ -105,16 +113,17 @@
 
 def parse_vm_list(content: bytes, now: Seconds) -> Result[VMList, VMListUnavailable]:
     """Parse a response; rows that can't be read are skipped."""
-    try:
-        groups = msgspec.json.decode(content, type=list[msgspec.Raw])
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Failure(VMListUnavailable(f"not a list of targets: {error}"))
+    groups = decode_json(content, list[msgspec.Raw])
+    if not is_successful(groups):
+        detail = groups.failure().detail
+        return Failure(VMListUnavailable(f"not a list of targets: {detail}"))
     vm_list = VMList(read_at=now)
-    for raw in groups:
-        try:
-            _add_group(vm_list, msgspec.json.decode(raw, type=TargetGroup))
-        except (msgspec.MsgspecError, ValueError):
+    for raw in groups.unwrap():
+        group = decode_json(raw, TargetGroup)
+        if not is_successful(group):
             continue
+        with contextlib.suppress(ValueError):
+            _add_group(vm_list, group.unwrap())
     return Success(vm_list)
 
 
@@ -143,14 +152,22 @@
         zone_id=ZoneId(labels.zone),
         region_id=RegionId(labels.region),
         state=state,
-        slots=int(labels.slots),
-        connections=int(labels.connections),
-        cpus=float(labels.cpus),
-        memory_gb=float(labels.memory_gb),
-        accelerators=int(labels.accelerators),
+        slots=_read_size(labels.slots, int),
+        connections=_read_size(labels.connections, int),
+        cpus=_read_size(labels.cpus, float),
+        memory_gb=_read_size(labels.memory_gb, float),
+        accelerators=_read_size(labels.accelerators, int),
     )
 
 
+def _read_size(text: str, read: Callable[[str], Number]) -> Number:
+    """Return a size of a VM; raises ``ValueError`` if it is no number in bounds."""
+    size = read(text)
+    if not abs(size) <= MAX_REAL:
+        raise ValueError("a size is out of bounds")
+    return size
+
+
 def create_vm_list_client(url: str, timeout_seconds: Seconds) -> VMListClient:
     """Return a client of the list at ``url``."""
     return VMListClient(url, timeout_seconds)
--- a/packages/adapters/src/medlarspring_adapters/worker_control.py
+++ b/packages/adapters/src/medlarspring_adapters/worker_control.py
@@ -11,7 +11,9 @@
 from msgspec import Struct
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_tables import JobId, MedlarspringError, Size
+from medlarspring_tables.bounds import Whole
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -32,7 +34,7 @@
     """Start an attempt of a job; a repeat of the same order has no effect."""
 
     job_id: JobId
-    attempt: int
+    attempt: Whole
     size: Size
     declared_seconds: float
     lease_seconds: float
@@ -44,7 +46,7 @@
     """A worker's report on one attempt; the usage figures lag behind."""
 
     job_id: JobId
-    attempt: int
+    attempt: Whole
     state: TaskState
     used: Size
     peak: Size
@@ -75,14 +77,14 @@
 class StopOrder(Struct, frozen=True):
     """Stop an attempt, after a checkpoint if it can make one."""
 
-    attempt: int
+    attempt: Whole
     checkpoint: bool
 
 
 class ThrottleOrder(Struct, frozen=True):
     """Let an attempt use at most this many processors."""
 
-    attempt: int
+    attempt: Whole
     cpus: float
 
 
@@ -199,10 +201,9 @@
 
 
 def _decode_reply(address: str, body: bytes) -> Result[RenewalReply, WorkerError]:
-    try:
-        return Success(msgspec.json.decode(body, type=RenewalReply))
-    except msgspec.DecodeError as error:
-        return Failure(WorkerError(address, str(error)))
+    return decode_json(body, RenewalReply).alt(
+        lambda fault: WorkerError(address, fault.detail)
+    )
 
 
 def create_worker_control(
--- a/packages/cli/src/medlarspring_cli/job_files.py
+++ b/packages/cli/src/medlarspring_cli/job_files.py
@@ -6,7 +6,9 @@
 import io
 
 import msgspec
+from returns.pipeline import is_successful
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.job_api import JobRequest
 
 SIZE_COLUMNS = ("cpus", "memory_gb", "accelerators")
@@ -25,10 +27,11 @@
     for number, line in enumerate(text.removeprefix("\ufeff").splitlines(), 1):
         if not line.strip():
             continue
-        try:
-            jobs.append(msgspec.json.decode(line, type=JobRequest))
-        except msgspec.DecodeError as error:
-            faults.append(f"line {number}: {error}")
+        decoded = decode_json(line.encode(), JobRequest)
+        if is_successful(decoded):
+            jobs.append(decoded.unwrap())
+        else:
+            faults.append(f"line {number}: {decoded.failure().detail}")
     return jobs, faults
 
 
@@ -47,7 +50,7 @@
         document = {**filled, "declared": declared}
         try:
             jobs.append(msgspec.convert(document, JobRequest, strict=False))
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, ValueError, OverflowError) as error:
             faults.append(f"line {reader.line_num}: {error}")
     return jobs, faults
 
--- a/packages/daemon/src/medlarspring_daemon/callers/claims.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/claims.py
@@ -21,6 +21,7 @@
     StoreOutcomeUnknown,
     Transaction,
 )
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_systems import claims
 from medlarspring_tables import Revision
 from medlarspring_tables.claims import Claim, ClaimedAnswer, ClaimState
@@ -64,6 +65,7 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._commits = GroupCommit(node.store, node.clock, self._choose_interval)
+        self._unreadable = UnreadableRecords(node.log)
         self._digest_by_key: dict[str, str] = {}
         """Digest of the request by key, for the keys this process is handling."""
         self._lease_id: LeaseId | None = None
@@ -191,7 +193,10 @@
         self, found: Entry, claim: Claim
     ) -> Result[ClaimedRun | ClaimedAnswer, Refusal] | None:
         """Return the result for an existing claim; None if it may be taken over."""
-        existing = msgspec.json.decode(found.value, type=Claim)
+        existing = self._unreadable.decode(found, Claim)
+        if existing is None:
+            # It may stand for a run, so the request must not run again.
+            return Failure(_STORE_UNREACHABLE_REFUSAL)
         digest = claim.request_digest
         verdict = claims.evaluate_claim(existing, claim.attempt_id, digest)
         match verdict:
@@ -260,8 +265,11 @@
                 found = committed.read_by_key.get(claimed_run.key)
                 if found is None:
                     return False
-                existing = msgspec.json.decode(found.value, type=Claim)
-                if existing.attempt_id != claimed_run.claim.attempt_id:
+                existing = self._unreadable.decode(found, Claim)
+                if (
+                    existing is None
+                    or existing.attempt_id != claimed_run.claim.attempt_id
+                ):
                     return False
                 if existing.state is not ClaimState.CLAIMED:
                     return existing == final_claim
--- a/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
@@ -6,9 +6,10 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-import msgspec
+from returns.pipeline import is_successful
 from returns.result import Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.operator_api import Finding, Health
 from medlarspring_daemon.background_tasks import BackgroundTasks
@@ -215,14 +216,14 @@
             await asyncio.sleep(self._node.rng.uniform(0.5, 1.0) * TICK_SECONDS)
 
     def _apply_encoded(self, encoded: bytes, source: Source) -> None:
-        try:
-            table = msgspec.json.decode(encoded, type=ConfigTable)
-        except (msgspec.MsgspecError, ValueError) as error:
+        decoded = decode_json(encoded, ConfigTable)
+        if not is_successful(decoded):
+            reason = decoded.failure().detail
             self._node.log.error(
-                Event.TABLE_UNREADABLE, source=source.value, reason=str(error)
+                Event.TABLE_UNREADABLE, source=source.value, reason=reason
             )
             return
-        self._offer(table, source)
+        self._offer(decoded.unwrap(), source)
 
     def _apply_missing_table(self) -> None:
         """Handle a store without a table (a new fleet, or a deleted table)."""
--- a/packages/daemon/src/medlarspring_daemon/configuration/stored_table.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/stored_table.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_daemon.configuration.editor_errors import (
     TABLE_KEY,
     StoreTableOlder,
@@ -39,11 +39,10 @@
     """
     stored = StoredTable(ConfigTable(), Revision(0))
     if entry is not None:
-        try:
-            table = msgspec.json.decode(entry.value, type=ConfigTable)
-        except msgspec.DecodeError:
+        decoded = decode_json(entry.value, ConfigTable)
+        if not is_successful(decoded):
             return Failure(TableUnreadable())
-        stored = StoredTable(table, entry.mod_revision)
+        stored = StoredTable(decoded.unwrap(), entry.mod_revision)
     # A store restored from a backup, or a lagging replica, would accept an edit on
     # top of an old table. Every node keeps the newer table, so the accepted edit
     # would never be in force.
@@ -63,10 +62,8 @@
     found = entry.unwrap()
     if found is None:
         return Success(Revision(0))
-    try:
-        return Success(msgspec.json.decode(found.value, type=ConfigTable).revision)
-    except msgspec.DecodeError:
-        return Failure(TableUnreadable())
+    table = decode_json(found.value, ConfigTable)
+    return table.map(lambda each: each.revision).alt(lambda _: TableUnreadable())
 
 
 __all__ = ["StoredTable", "decode_stored", "read_revision"]
--- a/packages/daemon/src/medlarspring_daemon/operators/answers.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/answers.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.decoding import decode_json
 from medlarspring_systems.table_errors import TableError
 from medlarspring_tables import MedlarspringError
 
@@ -194,13 +195,13 @@
     try:
         async with asyncio.timeout(BODY_SECONDS):
             content = await request.read()
-        return msgspec.json.decode(content, type=body_type)
     except TimeoutError:
         raise OperatorRefusal(RequestTooSlow(BODY_SECONDS)) from None
-    except msgspec.DecodeError as error:
-        raise OperatorRefusal(
-            BadRequest(f"The request body is invalid: {error}.")
-        ) from None
+    decoded = decode_json(content, body_type)
+    if not is_successful(decoded):
+        reason = f"The request body is invalid: {decoded.failure().detail}."
+        raise OperatorRefusal(BadRequest(reason))
+    return decoded.unwrap()
 
 
 def read_number(request: web.Request, name: str, default: int, largest: int) -> int:
--- a/packages/daemon/src/medlarspring_daemon/operators/audit_reader.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/audit_reader.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
@@ -21,13 +20,18 @@
 
 if TYPE_CHECKING:
     from medlarspring_adapters.store import Store, StoreError
+    from medlarspring_adapters.unreadable_records import UnreadableRecords
 
 MAX_PAGES_PER_CALL = 20
 """Limit of store calls for one search."""
 
 
 async def read_audit(
-    store: Store, newest: Revision, audit_filter: AuditFilter, limit: int
+    store: Store,
+    newest: Revision,
+    audit_filter: AuditFilter,
+    limit: int,
+    unreadable: UnreadableRecords,
 ) -> Result[AuditAnswer, StoreError]:
     """Return the newest matching records, oldest first.
 
@@ -42,8 +46,9 @@
         if not is_successful(listing):
             return Failure(listing.failure())
         page = [
-            msgspec.json.decode(entry.value, type=AuditRecord)
+            record
             for entry in listing.unwrap().entries
+            if (record := unreadable.decode(entry, AuditRecord)) is not None
         ]
         page.sort(key=lambda record: (record.revision, record.at))
         found = [record for record in page if matches(record, audit_filter)]
--- a/packages/daemon/src/medlarspring_daemon/operators/audit_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/audit_routes.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from medlarspring_adapters.store_meter import Mechanism
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_daemon.configuration.stored_table import read_revision
 from medlarspring_daemon.operators.answers import (
     BadRequest,
@@ -33,6 +34,7 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._store = node.store.with_mechanism(Mechanism.AUDIT)
+        self._unreadable = UnreadableRecords(node.log)
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the audit trail."""
@@ -43,7 +45,9 @@
         before = read_number(request, "before", MAX_REVISION, MAX_REVISION)
         audit_filter = _read_filter(request)
         newest = min(await self._find_newest(), Revision(before - 1))
-        found = await read_audit(self._store, newest, audit_filter, limit)
+        found = await read_audit(
+            self._store, newest, audit_filter, limit, self._unreadable
+        )
         return answer(unwrap_or_refuse(found))
 
     async def _find_newest(self) -> Revision:
--- a/packages/daemon/src/medlarspring_daemon/operators/audit_trimmer.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/audit_trimmer.py
@@ -11,6 +11,7 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.store import Delete, Expect, Put, Transaction
 from medlarspring_adapters.store_meter import Mechanism
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_systems.audit import TRIM_MARK_KEY, TrimMark, page_prefix, plan_trim
 from medlarspring_tables import Revision
@@ -37,6 +38,7 @@
         self._node = node
         self._store = node.store.with_mechanism(Mechanism.AUDIT)
         self._tasks = BackgroundTasks(node.log)
+        self._unreadable = UnreadableRecords(node.log)
 
     async def start(self) -> None:
         """Start the rounds, each after a random delay of up to two hours."""
@@ -74,12 +76,15 @@
         entry = found.unwrap()
         mark, mark_revision = TrimMark(), Revision(0)
         if entry is not None:
-            mark = msgspec.json.decode(entry.value, type=TrimMark)
+            stored = self._unreadable.decode(entry, TrimMark)
+            if stored is None:
+                return None
+            mark = stored
             mark_revision = entry.mod_revision
         listing = await self._store.read_prefix(page_prefix(mark.next_page))
         if not is_successful(listing):
             return None
-        page = _decode(listing.unwrap())
+        page = self._decode(listing.unwrap())
         trim = plan_trim(mark, page, table.revision, self._node.clock.wall())
         if trim is None:
             return None
@@ -88,12 +93,13 @@
             return None
         return trim
 
-
-def _decode(listing: Listing) -> dict[str, AuditRecord]:
-    return {
-        entry.key: msgspec.json.decode(entry.value, type=AuditRecord)
-        for entry in listing.entries
-    }
+    def _decode(self, listing: Listing) -> dict[str, AuditRecord]:
+        """Return the readable records by key; others are never trimmed."""
+        return {
+            entry.key: record
+            for entry in listing.entries
+            if (record := self._unreadable.decode(entry, AuditRecord)) is not None
+        }
 
 
 def _to_transaction(trim: Trim, mark_revision: Revision) -> Transaction:
--- a/packages/daemon/src/medlarspring_daemon/operators/status_routes.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/status_routes.py
@@ -6,13 +6,18 @@
 
 import msgspec
 from aiohttp import web
+from returns.pipeline import is_successful
 
 from medlarspring_adapters.decisions import Decision, Subject
+from medlarspring_adapters.decoding import ContentUndecodable, decode_json
+from medlarspring_adapters.events import Event
 from medlarspring_adapters.operator_api import ExplainAnswer
 from medlarspring_daemon.operators.answers import BadRequest, OperatorRefusal, answer
 from medlarspring_daemon.operators.status import StatusReporter
 
 if TYPE_CHECKING:
+    from returns.result import Result
+
     from medlarspring_daemon.node import Node
 
 
@@ -47,9 +52,20 @@
         own = self._node.decisions.find(Subject(name), subject_id)
         found = set(await self._node.peers.find_decisions(name, subject_id))
         found.update(map(msgspec.json.encode, own))
-        decisions = [msgspec.json.decode(each, type=Decision) for each in found]
+        decisions = [
+            decoded.unwrap()
+            for each in found
+            if is_successful(decoded := self._decode_decision(each))
+        ]
         ordered = sorted(decisions, key=lambda decision: decision.at)
         return answer(ExplainAnswer(decisions=tuple(ordered)))
 
+    def _decode_decision(self, content: bytes) -> Result[Decision, ContentUndecodable]:
+        decoded = decode_json(content, Decision)
+        if not is_successful(decoded):
+            fault = decoded.failure().message()
+            self._node.log.error(Event.RECORD_UNREADABLE, key="decision", fault=fault)
+        return decoded
+
 
 __all__ = ["StatusRoutes"]
--- a/packages/daemon/tests/test_audit_trail.py
+++ b/packages/daemon/tests/test_audit_trail.py
@@ -12,6 +12,7 @@
 from medlarspring_adapters.store import Put, Transaction
 from medlarspring_adapters.store_meter import create_metered_store
 from medlarspring_bench.memory_store import create_memory_store
+from medlarspring_bench.silent_faults import create_unreadable_records
 from medlarspring_daemon.operators import audit_trimmer
 from medlarspring_daemon.operators.audit_reader import MAX_PAGES_PER_CALL, read_audit
 from medlarspring_daemon.operators.audit_trimmer import create_audit_trimmer
@@ -86,12 +87,20 @@
 
 async def test_search_goes_back_page_by_page_and_is_bounded(node):
     await write_records(node.store, [3, 250, 4_990], at=node.clock.wall())
-    found = (await read_audit(node.store, NEWEST, AuditFilter(), 10)).unwrap()
+    found = (
+        await read_audit(
+            node.store, NEWEST, AuditFilter(), 10, create_unreadable_records()
+        )
+    ).unwrap()
     assert [record.revision for record in found.records] == [4_990]
     assert node.store.calls.calls_by_mechanism.popitem()[1] == MAX_PAGES_PER_CALL
     assert found.next_before == NEWEST - 19 * 100
 
     node.clock.advance(60)
-    older = (await read_audit(node.store, Revision(299), AuditFilter(), 10)).unwrap()
+    older = (
+        await read_audit(
+            node.store, Revision(299), AuditFilter(), 10, create_unreadable_records()
+        )
+    ).unwrap()
     assert [record.revision for record in older.records] == [3, 250]
     assert older.next_before is None
--- a/packages/daemon/tests/test_odd_stored_records.py
+++ b/packages/daemon/tests/test_odd_stored_records.py
@@ -8,18 +8,29 @@
 
 import msgspec
 import pytest
+from returns.pipeline import is_successful
 from returns.result import Success
 
 from medlarspring_adapters.clock import ManualClock
 from medlarspring_adapters.events import Event, create_event_log
 from medlarspring_adapters.fleet_records import encode_record
 from medlarspring_adapters.job_store import JobStore, pool_prefix
-from medlarspring_adapters.store import Entry, Listing, WatchBatch
+from medlarspring_adapters.store import Entry, Listing, Put, Transaction, WatchBatch
 from medlarspring_adapters.unreadable_records import UnreadableRecords
+from medlarspring_adapters.vm_list import parse_vm_list
 from medlarspring_bench.job_histories import FakePool
+from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_bench.memory_store import MemoryStore
+from medlarspring_daemon.configuration.editor_errors import TableUnreadable
+from medlarspring_daemon.configuration.stored_table import decode_stored
 from medlarspring_daemon.fleet.feed import WATCHED_PREFIXES, RecordListener
 from medlarspring_daemon.jobs.request_handler import JobRequestHandler
+from medlarspring_daemon.operators.audit_reader import read_audit
+from medlarspring_systems.audit import AuditFilter, page_prefix
+from medlarspring_systems.table_edit import RowAction, RowEdit, TableEdit, apply_edit
 from medlarspring_tables import (
+    ConfigTable,
+    EditId,
     EntryVMId,
     Job,
     JobId,
@@ -28,10 +39,12 @@
     PoolId,
     RackId,
     Revision,
+    RowKind,
     Size,
     VMId,
     ZoneId,
 )
+from medlarspring_tables.audit import AuditRecord
 from medlarspring_tables.fleet_tables import FleetTables
 from medlarspring_tables.vms import VMRecord
 
@@ -146,3 +159,65 @@
     answer = (await handler.list_jobs(POOL, None, None)).unwrap()
     assert [view.job.id for view in answer.jobs] == ["good"]
     assert list_reported_keys(output) == [odd.key]
+
+
+@each_change
+async def test_search_of_the_audit_trail_passes_over_an_odd_record(change):
+    """Guards against an audit trail that can't be read because of one record."""
+    unreadable, output = create_records()
+    good = AuditRecord(
+        revision=Revision(1),
+        edit_id=EditId("e"),
+        at=1.0,
+        operator="asha",
+        origin="here",
+        action="table set",
+    )
+    encoded = msgspec.json.encode(good)
+    prefix = page_prefix(Revision(0))
+    store = MemoryStore(KeyValueState(ManualClock()))
+    await store.commit(Transaction((), (Put(f"{prefix}01", encoded),)))
+    odd = Put(f"{prefix}02", change(encoded, b'"at"'))
+    await store.commit(Transaction((), (odd,)))
+    answer = await read_audit(store, Revision(1), AuditFilter(), 10, unreadable)
+    assert answer.unwrap().records == (good,)
+    assert list_reported_keys(output) == [odd.key]
+
+
+@each_change
+def test_odd_table_is_a_typed_fault(change):
+    """Guards against an edit or a status that raises on the stored table."""
+    value = change(msgspec.json.encode(ConfigTable()), b'"revision"')
+    stored = decode_stored(create_entry("table", value), None)
+    assert isinstance(stored.failure(), TableUnreadable)
+
+
+@each_change
+def test_odd_rows_of_the_vm_list_are_passed_over(change):
+    """Guards against a list of VMs that raises on one row."""
+    good = msgspec.json.encode({"targets": ["10.0.0.1:80"], "labels": {"id": "good"}})
+    content = b"[" + good + b", " + change(good, b'"targets"') + b"]"
+    read = parse_vm_list(content, 0.0)
+    assert not is_successful(read) or list(read.unwrap().vms_by_id) == ["good"]
+
+
+@pytest.mark.parametrize("size", ["9" * 311, "9" * 5_000, "1e400", "nan", "-inf"])
+@pytest.mark.parametrize("label", ["slots", "cpus", "memory_gb", "accelerators"])
+def test_vm_with_a_size_out_of_bounds_is_passed_over(label: str, size: str):
+    """Guards against a capacity that no division takes."""
+    group = {"targets": ["10.0.0.1:80"], "labels": {"id": "odd", label: size}}
+    read = parse_vm_list(msgspec.json.encode([group]), 0.0)
+    assert read.unwrap().vms_by_id == {}
+
+
+@pytest.mark.parametrize("number", [10**310, 2**63, -(10**310)])
+def test_edit_with_a_number_out_of_bounds_is_refused(number: int):
+    """Guards against an accepted row that makes the whole table unreadable."""
+    row = RowEdit(
+        kind=RowKind.POOL,
+        id="a",
+        action=RowAction.ADD,
+        fields={"wanted_vms": number, "min_available": 1},
+    )
+    edit = TableEdit(id=EditId("e"), operator="asha", rows=(row,))
+    assert not is_successful(apply_edit(ConfigTable(), edit, 1.0, ""))
--- a/packages/daemon/tests/test_table_editor.py
+++ b/packages/daemon/tests/test_table_editor.py
@@ -10,6 +10,7 @@
 from medlarspring_adapters.clock import ManualClock
 from medlarspring_adapters.store import Put, StoreOutcomeUnknown, Transaction
 from medlarspring_bench.memory_store import MemoryStore, create_memory_store
+from medlarspring_bench.silent_faults import create_unreadable_records
 from medlarspring_daemon.configuration.table_editor import TABLE_KEY, TableEditor
 from medlarspring_daemon.operators.audit_reader import read_audit
 from medlarspring_systems.audit import AuditFilter
@@ -77,7 +78,11 @@
 
 async def read_trail(store: MemoryStore) -> list[str]:
     newest = (await read_table(store)).revision
-    answer = (await read_audit(store, newest, AuditFilter(), 1_000)).unwrap()
+    answer = (
+        await read_audit(
+            store, newest, AuditFilter(), 1_000, create_unreadable_records()
+        )
+    ).unwrap()
     return [str(record.edit_id) for record in answer.records]
 
 
--- a/packages/systems/src/medlarspring_systems/table_edit.py
+++ b/packages/systems/src/medlarspring_systems/table_edit.py
@@ -238,9 +238,10 @@
 
 
 def _describe_type(hint: Any) -> str:
-    if hint is int:
+    kind = getattr(hint, "__origin__", hint)
+    if kind is int:
         return "a whole number"
-    if hint is float:
+    if kind is float:
         return "a number"
     return "text"
 
--- a/packages/systems/src/medlarspring_systems/table_rows.py
+++ b/packages/systems/src/medlarspring_systems/table_rows.py
@@ -27,7 +27,7 @@
 FIELD_TYPES_BY_KIND: dict[RowKind, dict[str, Any]] = {
     kind: {
         name: hint
-        for name, hint in get_type_hints(row_type).items()
+        for name, hint in get_type_hints(row_type, include_extras=True).items()
         if name in row_type.__struct_fields__ and name not in READ_ONLY_FIELDS
     }
     for kind, row_type in ROW_TYPES_BY_KIND.items()
--- a/packages/tables/src/medlarspring_tables/audit.py
+++ b/packages/tables/src/medlarspring_tables/audit.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from medlarspring_tables.bounds import Real
 from medlarspring_tables.ids import EditId, Revision
 
 AUDIT_PREFIX = "audit/"
@@ -28,7 +29,7 @@
     revision: Revision
     """Table revision after the change, or in force if the table didn't change."""
     edit_id: EditId
-    at: float
+    at: Real
     """Wall time in seconds since the epoch."""
     operator: str
     """The name that the operator gave; it is not verified, as the token is shared."""
