Report progress whose step key has thousands of digits

find_progress_fault passed each decimal key to int(), which raises ValueError from 4,301 digits on. The takeover that read such a progress record ended.

--- a/packages/daemon/tests/scheduling/test_foreign_records.py
+++ b/packages/daemon/tests/scheduling/test_foreign_records.py
@@ -403,3 +403,56 @@
                 await asyncio.sleep(0.2)
 
     run_scenario(scenario, SEED)
+
+
+@pytest.mark.parametrize(
+    "progress",
+    [
+        {"steps": {f"{'9' * 5_000}.0": {}}},
+        {"steps": {f"0.{'9' * 5_000}": {}}},
+        {"steps": {"0.0": {"failures": {HUGE: 1}}}},
+        {"steps": {"0.0": {"done": "f" * 10_000}}, "occurrences_done": 2**63},
+        {"steps": {}, "done_beyond": [2**53]},
+    ],
+    ids=["occurrence", "step", "task", "occurrences-done", "done-beyond"],
+)
+def test_odd_progress_of_a_running_job_does_not_block_the_others(
+    progress: dict[str, Any],
+):
+    """Guards against a takeover that ends on the progress of one job."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        job_id, spec = customers.create_long_running()
+        assert await customers.submit("archive", job_id, spec)
+        await asyncio.sleep(0.5)
+        put(world, f"progress/0/{job_id}", json.dumps(progress).encode())
+        await replace_controller(world)
+        await complete_jobs(customers)
+        assert list_unreadable_events(world, f"progress/0/{job_id}")
+
+    world = run_scenario(scenario, SEED, checked=False)
+    assert [line for line in read_lines(world) if line["event"] == TASK_FAILED] == []
+
+
+@pytest.mark.parametrize("odd", [NESTED, b'{"version": ' + HUGE.encode() + b"}", b""])
+def test_start_with_an_odd_configuration_waits_for_a_readable_one(odd: bytes):
+    """Guards against an entry VM that isn't usable after an odd configuration."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        config = read(world, "op/config")
+        assert config is not None
+        put(world, "op/config", odd)
+        await complete_jobs(customers, 2)
+        names = list(world.nodes_by_name)
+        for name in names:
+            world.kill_node(name)
+        for name in names:
+            await world.start_node(name)
+        await asyncio.sleep(2.0)
+        put(world, "op/config", config)
+        await asyncio.sleep(2.0)
+        await complete_jobs(customers, 2)
+
+    world = run_scenario(scenario, SEED)
+    assert [line for line in read_lines(world) if line["event"] == TASK_FAILED] == []
+    assert list_unreadable_events(world, "op/config")
--- a/packages/systems/src/medlarspring_systems/scheduling/progress_records.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/progress_records.py
@@ -30,6 +30,11 @@
         WorkTables,
     )
 
+MAX_INDEX_DIGITS = 9
+"""Digits of an occurrence or step in a key; ``int`` raises beyond some thousands."""
+MAX_KEY_LENGTH = 40
+"""Characters of an invalid key that a fault shows."""
+
 
 def encode_progress(job: ActiveJob) -> ProgressRecord:
     """Return the record from which the next controller can continue a started job."""
@@ -90,8 +95,8 @@
         return "it marks an occurrence as done that the job does not have"
     for key, step in record.steps.items():
         occurrence, _, index = key.partition(".")
-        if not (occurrence.isdecimal() and index.isdecimal()):
-            return f"{key} is not a valid step key"
+        if not (_is_index(occurrence) and _is_index(index)):
+            return f"{key[:MAX_KEY_LENGTH]} is not a valid step key"
         if int(occurrence) >= occurrences or int(index) >= len(spec.steps):
             return f"the job has no step {key}"
         if not _is_hex(step.done):
@@ -99,6 +104,10 @@
     return ""
 
 
+def _is_index(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_INDEX_DIGITS
+
+
 def _is_hex(text: str) -> bool:
     return all(digit in string.hexdigits for digit in text)
 
