Tell how current a follower's view is

Nothing said up to which time the listener of a prefix has all changes: a watch that gets no answers and a prefix without changes look alike. An answer with an older revision than the last one confirms nothing.

A follower gets the clock, log and metrics of its process along with the source of randomness. The store of the simulated platform answers empty watch calls as the real client does; the store in memory only tells the time of its batches.

--- a/packages/adapters/src/medlarspring_adapters/store.py
+++ b/packages/adapters/src/medlarspring_adapters/store.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
+    from medlarspring_tables import Seconds
+
 LeaseId = NewType("LeaseId", int)
 
 
@@ -171,6 +173,12 @@
     revision: Revision
     changed: tuple[Entry, ...]
     deleted: tuple[str, ...]
+    sent_at: Seconds | None = None
+    """Local time at which the call was sent that this batch answers.
+
+    The batches up to this one contain every change that the store had at that time.
+    None if the store can't tell.
+    """
 
 
 class Store(Protocol):
@@ -214,6 +222,7 @@
     def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
         """Yield changes from revision ``start`` on.
 
+        A batch without changes reports that the store answered and there are none.
         The iterator ends when the connection fails or receives nothing for too long;
         the caller then lists the prefix again and watches from that revision on.
         """
--- a/packages/bench/src/medlarspring_bench/key_value_state.py
+++ b/packages/bench/src/medlarspring_bench/key_value_state.py
@@ -63,7 +63,7 @@
         self.compact_revision = 0
         self.leases_by_id: dict[int, Lease] = {}
         self.listeners: list[Callable[[Commit], None]] = []
-        self._clock = clock
+        self.clock = clock
         self._kvs_by_key: dict[bytes, KeyValue] = {}
         self._sorted_keys: list[bytes] = []
         self._history: deque[Commit] = deque()
@@ -101,7 +101,7 @@
         if not lease_id:
             lease_id = self._next_lease_id
             self._next_lease_id += 1
-        lease = Lease(lease_id, ttl, self._clock.now() + ttl)
+        lease = Lease(lease_id, ttl, self.clock.now() + ttl)
         self.leases_by_id[lease_id] = lease
         return lease
 
@@ -111,7 +111,7 @@
         lease = self.leases_by_id.get(lease_id)
         if lease is None:
             return 0.0
-        lease.expires_at = self._clock.now() + lease.ttl
+        lease.expires_at = self.clock.now() + lease.ttl
         return lease.ttl
 
     def seconds_left(self, lease_id: int) -> float:
@@ -120,7 +120,7 @@
         lease = self.leases_by_id.get(lease_id)
         if lease is None:
             return -1.0
-        return lease.expires_at - self._clock.now()
+        return lease.expires_at - self.clock.now()
 
     def revoke(self, lease_id: int) -> None:
         """End a lease and delete its keys."""
@@ -131,7 +131,7 @@
 
     def expire_leases(self) -> None:
         """End every lease whose time has passed."""
-        now = self._clock.now()
+        now = self.clock.now()
         lapsed = [
             lease.id for lease in self.leases_by_id.values() if lease.expires_at <= now
         ]
--- a/packages/bench/src/medlarspring_bench/memory_store.py
+++ b/packages/bench/src/medlarspring_bench/memory_store.py
@@ -50,6 +50,7 @@
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import CommitResult
+    from medlarspring_tables import Seconds
 
 
 T = TypeVar("T")
@@ -142,7 +143,11 @@
         return await self._call("lease_revoke", revoke, writes=True)
 
     async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
-        """Yield changes from a revision on; ends when the store goes down."""
+        """Yield changes from a revision on; ends when the store goes down.
+
+        A watch without changes yields nothing, so that it does not show whether the
+        store still answers.
+        """
         self.calls_by_kind["watch"] += 1
         if self.faults.down:
             return
@@ -156,7 +161,8 @@
         self._watches[queue] = None
         try:
             while (commit_or_end := await queue.get()) is not None:
-                batch = _batch(commit_or_end, prefix.encode())
+                sent_at = self.state.clock.now() if queue.empty() else None
+                batch = _batch(commit_or_end, prefix.encode(), sent_at)
                 if batch is not None:
                     yield batch
         finally:
@@ -255,7 +261,7 @@
     )
 
 
-def _batch(commit: Commit, prefix: bytes) -> WatchBatch | None:
+def _batch(commit: Commit, prefix: bytes, sent_at: Seconds | None) -> WatchBatch | None:
     changes = [change for change in commit.changes if change.kv.key.startswith(prefix)]
     if not changes:
         return None
@@ -263,6 +269,7 @@
         revision=Revision(commit.revision),
         changed=tuple(_entry(change.kv) for change in changes if not change.deleted),
         deleted=tuple(change.kv.key.decode() for change in changes if change.deleted),
+        sent_at=sent_at,
     )
 
 
--- a/packages/daemon/src/medlarspring_daemon/fleet/feed.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/feed.py
@@ -9,8 +9,7 @@
 from medlarspring_tables.fleet_tables import FLEET_PREFIX
 
 if TYPE_CHECKING:
-    import random
-
+    from medlarspring_adapters.prefix_follower import FollowerContext
     from medlarspring_adapters.store import Listing, Store, WatchBatch
     from medlarspring_tables.fleet_tables import FleetTables
 
@@ -44,9 +43,11 @@
 class FleetFeed:
     """Watches every prefix in ``WATCHED_PREFIXES``."""
 
-    def __init__(self, store: Store, tables: FleetTables, rng: random.Random) -> None:
+    def __init__(
+        self, context: FollowerContext, store: Store, tables: FleetTables
+    ) -> None:
         self._followers = [
-            PrefixFollower(store, prefix, RecordListener(tables, prefix), rng)
+            PrefixFollower(context, store, prefix, RecordListener(tables, prefix))
             for prefix in WATCHED_PREFIXES
         ]
 
--- a/packages/daemon/src/medlarspring_daemon/fleet/service.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/service.py
@@ -64,7 +64,7 @@
             record_returned=lambda vm_id, pool_id: node.record_returned(vm_id, pool_id),
         )
         rounds = FleetRounds(controller, node.clock, node.rng, node.log)
-        feed = FleetFeed(self._store, tables, node.rng)
+        feed = FleetFeed(node, self._store, tables)
         try:
             while True:
                 started_at = node.clock.now()
--- a/packages/daemon/src/medlarspring_daemon/jobs/service.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/service.py
@@ -132,7 +132,7 @@
             lambda: node.holders.fence(pool_id),
         )
         prefix = pool_prefix(pool_id)
-        follower = PrefixFollower(node.store, prefix, controller, node.rng)
+        follower = PrefixFollower(node, node.store, prefix, controller)
         follower.start()
         return HeldPool(controller, follower, node.clock.now())
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -145,13 +145,11 @@
         records = {entry.key.removeprefix(prefix): entry for entry in progress.entries}
         feed = JobFeed(self._node, self._term, self, records)
         workers = self._workers = WorkerFeed(self._node, self)
-        store, rng = self._node.store, self._node.rng
-        inbox = self._term.keys.inbox_prefix
+        node, store = self._node, self._node.store
+        inbox, registry = self._term.keys.inbox_prefix, node.codec.worker_prefix
         self._followers = [
-            PrefixFollower(store, inbox, feed, rng, LOAD_RETRY_SECONDS),
-            PrefixFollower(
-                store, self._node.codec.worker_prefix, workers, rng, LOAD_RETRY_SECONDS
-            ),
+            PrefixFollower(node, store, inbox, feed, LOAD_RETRY_SECONDS),
+            PrefixFollower(node, store, registry, workers, LOAD_RETRY_SECONDS),
         ]
         for follower in self._followers:
             follower.start()
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -154,7 +154,7 @@
         self.term: Term | None = None
         self.controller: Controller | None = None
         self._follower = PrefixFollower(
-            node.store, self._keys.controller, self, node.rng, TICK_SECONDS
+            node, node.store, self._keys.controller, self, TICK_SECONDS
         )
 
     async def start(self) -> None:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/operator_records.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/operator_records.py
@@ -64,10 +64,10 @@
         self._routes: RouteIndex = {}
         self._credentials = CredentialIndex()
         self._follower = PrefixFollower(
+            node,
             node.store,
             node.codec.operator_prefix,
             self,
-            node.rng,
             RETRY_SECONDS,
             MAX_RETRY_SECONDS,
         )
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -235,7 +235,8 @@
     async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
         """Yield changes from revision ``start`` on.
 
-        Ends when the store no longer has the history, or when a listing of the prefix
+        Yields a batch for each answer, also for one without changes. Ends when the
+        store no longer has the history, or when a listing of the prefix
         is likely to be smaller than the changes. Broken and unresponsive connections
         are replaced without ending the iteration.
         """
@@ -249,6 +250,7 @@
                 f"{wire.WATCH_PATH}?prefix={quote(prefix, safe='')}&after={after}"
                 f"&waitMs={round(wait * 1_000)}"
             )
+            sent_at = self._clock.now()
             try:
                 answer = await self._watch_once(path)
             except AnswerTooLarge:
@@ -267,9 +269,10 @@
                 continue
             failures = 0
             content = decoded.unwrap()
+            # An answer from before the last one does not show what happened since.
+            is_current = content.as_of >= after
             after = max(content.as_of, after)
-            if content.events:
-                yield to_batch(content)
+            yield to_batch(content, sent_at if is_current else None)
 
     async def _watch_once(self, path: str) -> Result[HttpAnswer, StoreError]:
         self._metrics.count(Metric.STORE_CALLS)
--- a/packages/platform/src/medlarspring_platform/store_messages.py
+++ b/packages/platform/src/medlarspring_platform/store_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from typing import TYPE_CHECKING
 
 from msgspec import Struct
 
@@ -15,6 +16,9 @@
 )
 from medlarspring_tables import Revision
 
+if TYPE_CHECKING:
+    from medlarspring_tables import Seconds
+
 
 class WireItem(Struct, rename="camel"):
     """One key, or an event that wrote or deleted it."""
@@ -121,14 +125,15 @@
     )
 
 
-def to_batch(content: WireEvents) -> WatchBatch:
+def to_batch(content: WireEvents, sent_at: Seconds | None) -> WatchBatch:
     """Return the newest event of each key."""
     newest: dict[str, WireItem] = {}
     for event in content.events:
         newest[event.key] = event
     changed = [to_entry(event) for event in newest.values() if not event.removed]
     deleted = [event.key for event in newest.values() if event.removed]
-    return WatchBatch(Revision(content.as_of), tuple(changed), tuple(deleted))
+    revision = Revision(content.as_of)
+    return WatchBatch(revision, tuple(changed), tuple(deleted), sent_at)
 
 
 __all__ = [
