Follow a prefix whatever the store or listener raises

One exception of a listener, a store's call or a cancellation that nobody asked for ended the follower's task.

A follower now logs what was raised (7002), lists the prefix again after a pause that grows with the failures in a row, and logs when all is applied again (7003). A listing that is applied does not shorten the pause until all went well for 10 s, so that a listener that raises at each batch costs neither a loop of listings nor a flood of lines: a line is written when the failures have doubled. Entries that can't be applied are reported by EntriesNotApplied; the follower goes on watching the others and lists again until all are applied. A watch that is left is closed.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -49,7 +49,7 @@
     LINES_LEFT_OUT = (1006, "log lines were dropped")
     METRICS_UNSERVED = (1007, "the metrics address can't be opened")
     LIBRARY_LINE = (1008, "a library logged a message")
-    TASK_FAILED = (1010, "a background task failed and will be restarted")
+    TASK_FAILED = (1010, "a background task failed")
 
     REQUEST_FAILED = (2001, "a caller's request failed inside the daemon")
     UPSTREAM_SET_ASIDE = (2002, "an upstream VM was ejected for failures or slowness")
@@ -67,6 +67,8 @@
     STORE_LOST = (3008, "the store gives no answer")
     STORE_BACK = (3009, "the store answers again")
     STORE_GROUP_INTERRUPTED = (7001, "a call of a group of writes failed")
+    FOLLOWER_FAILED = (7002, "changes under a prefix of the store were not applied")
+    FOLLOWER_RESUMED = (7003, "all changes under a prefix of the store are applied")
 
     MEMBER_CHANGED = (4001, "another entry VM changed its state")
     FROZEN = (4002, "this process did not run for a while")
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -87,6 +87,7 @@
     STORE_CALLS_FAILED = "store.calls_failed"
     STORE_GROUPS_SPLIT = "store.groups_split"
     STORE_GROUPS_INTERRUPTED = "store.groups_interrupted"
+    FOLLOWER_FAILURES = "store.follower_failures"
 
     FLEET_DISRUPTED = "fleet.disrupted"
     FLEET_OUT = "fleet.out"
--- a/packages/adapters/src/medlarspring_adapters/prefix_follower.py
+++ b/packages/adapters/src/medlarspring_adapters/prefix_follower.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
-from typing import TYPE_CHECKING, Protocol
+import traceback
+from contextlib import aclosing
+from typing import TYPE_CHECKING, Protocol, TypeVar, cast
 
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.cancellation import is_cancellation_requested
+from medlarspring_adapters.entry_attempts import EntriesNotApplied
+from medlarspring_adapters.events import Event
+from medlarspring_adapters.failure_streak import TRACE_FRAMES, FailureStreak
+from medlarspring_adapters.metrics import Metric
 from medlarspring_tables import Revision
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import AsyncGenerator, Callable
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.events import EventLog
@@ -21,6 +28,12 @@
 
 MIN_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 10.0
+MAX_ENTRY_RETRY_SECONDS = 10.0
+"""Longest pause before a listing that is made only to apply single entries again."""
+MAX_DOUBLINGS = 16
+MAX_LOGGED_KEYS = 10
+
+Changes = TypeVar("Changes")
 
 
 class FollowerContext(Protocol):
@@ -48,7 +61,11 @@
 
 
 class PrefixListener(Protocol):
-    """Receives the store's entries under a prefix."""
+    """Receives the store's entries under a prefix.
+
+    A method that raises ``EntriesNotApplied`` has applied all other entries. The
+    prefix is then still followed, and listed again until every entry is applied.
+    """
 
     def apply_listing(self, listing: Listing) -> None:
         """Replace all entries with those of a listing."""
@@ -63,6 +80,7 @@
     """Keeps a listener up to date until ``stop`` is called.
 
     ``context`` is that of the process; ``store`` may be limited to one mechanism.
+    Whatever the store or the listener raises is logged, and the prefix is listed again.
     """
 
     def __init__(
@@ -81,6 +99,10 @@
         self._listener = listener
         self._context = context
         self._confirmed_at: Seconds | None = None
+        self._refused_listings = 0
+        """Listings in a row that the store did not answer."""
+        self._failures = FailureStreak()
+        self._revision = Revision(0)
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -91,6 +113,9 @@
         before the first listing. With a store that answers watches without changes,
         it is at most two watch calls old while all is well. With any other store
         it stays at the last listing, or at the last batch that tells its time.
+
+        Entries that the listener reported as not applied are left out: they don't
+        make the others old.
         """
         return self._confirmed_at
 
@@ -105,31 +130,105 @@
         if task is None:
             return
         task.cancel()
-        with suppress(asyncio.CancelledError):
-            await task
+        await asyncio.wait([task])
 
     async def _run(self) -> None:
-        retry_seconds = self._min_retry_seconds
         while True:
-            sent_at = self._context.clock.now()
-            listed = await self._store.read_prefix(self._prefix)
-            if is_successful(listed):
-                retry_seconds = self._min_retry_seconds
-                listing = listed.unwrap()
-                self._listener.apply_listing(listing)
-                self._confirmed_at = sent_at
-                await self._watch(listing.revision)
-            # All followers lose the store at once; without jitter they would all
-            # list their prefixes at the moment at which it is available again.
-            await asyncio.sleep(retry_seconds * self._context.rng.uniform(0.5, 1.5))
-            retry_seconds = min(2 * retry_seconds, self._max_retry_seconds)
-
-    async def _watch(self, revision: Revision) -> None:
-        async for batch in self._store.watch(self._prefix, Revision(revision + 1)):
-            if batch.changed or batch.deleted:
-                self._listener.apply_batch(batch)
-            if batch.sent_at is not None:
-                self._confirmed_at = batch.sent_at
+            pause = self._min_retry_seconds
+            try:
+                pause = await self._follow()
+            except Exception as error:
+                pause = self._record_failure(error, self._max_retry_seconds)
+            except asyncio.CancelledError as error:
+                if is_cancellation_requested():
+                    raise
+                pause = self._record_failure(error, self._max_retry_seconds)
+            await asyncio.sleep(pause)
+
+    async def _follow(self) -> Seconds:
+        """List the prefix and watch it; return the pause before the next listing."""
+        sent_at = self._context.clock.now()
+        listed = await self._store.read_prefix(self._prefix)
+        if not is_successful(listed):
+            self._refused_listings += 1
+            return self._choose_pause(self._refused_listings, self._max_retry_seconds)
+        self._refused_listings = 0
+        listing = listed.unwrap()
+        self._revision = listing.revision
+        retry = self._apply(self._listener.apply_listing, listing)
+        self._confirmed_at = sent_at
+        if retry is None:
+            self._record_success()
+        try:
+            async with asyncio.timeout(retry) as until_retry:
+                await self._watch(Revision(listing.revision + 1), until_retry)
+        except TimeoutError:
+            if until_retry.expired():
+                return 0.0
+            raise
+        return self._choose_pause(0, self._max_retry_seconds)
+
+    async def _watch(self, start: Revision, until_retry: asyncio.Timeout) -> None:
+        loop = asyncio.get_running_loop()
+        batches = cast(
+            "AsyncGenerator[WatchBatch, None]", self._store.watch(self._prefix, start)
+        )
+        async with aclosing(batches):
+            async for batch in batches:
+                if batch.changed or batch.deleted:
+                    self._revision = batch.revision
+                    retry = self._apply(self._listener.apply_batch, batch)
+                    if retry is not None and until_retry.when() is None:
+                        until_retry.reschedule(loop.time() + retry)
+                if batch.sent_at is not None:
+                    self._confirmed_at = batch.sent_at
+
+    def _apply(
+        self, apply: Callable[[Changes], None], changes: Changes
+    ) -> Seconds | None:
+        """Apply changes; return when to list again if not all were, else None."""
+        try:
+            apply(changes)
+        except EntriesNotApplied as error:
+            return self._record_failure(error, MAX_ENTRY_RETRY_SECONDS)
+        return None
+
+    def _record_success(self) -> None:
+        if self._failures.record_success(self._context.clock.now()):
+            self._context.log.info(
+                Event.FOLLOWER_RESUMED,
+                prefix=self._prefix,
+                revision=self._revision,
+                failures=self._failures.count,
+            )
+
+    def _record_failure(self, error: BaseException, max_seconds: Seconds) -> Seconds:
+        """Log and count a failure; return the pause before the next listing."""
+        self._context.metrics.count(Metric.FOLLOWER_FAILURES)
+        is_logged = self._failures.record_failure(self._context.clock.now())
+        pause = self._choose_pause(self._failures.count, max_seconds)
+        if is_logged:
+            keys = error.errors_by_key if isinstance(error, EntriesNotApplied) else ()
+            self._context.log.error(
+                Event.FOLLOWER_FAILED,
+                prefix=self._prefix,
+                revision=self._revision,
+                failures=self._failures.count,
+                retry_seconds=round(pause, 2),
+                keys=list(keys)[:MAX_LOGGED_KEYS],
+                trace="".join(traceback.format_exception(error, limit=-TRACE_FRAMES)),
+            )
+        return pause
+
+    def _choose_pause(self, failures: int, max_seconds: Seconds) -> Seconds:
+        """Return the pause after so many failures in a row.
+
+        All followers lose the store at once; without jitter they would all list their
+        prefixes at the moment at which it is available again.
+        """
+        doublings = min(max(failures - 1, 0), MAX_DOUBLINGS)
+        seconds = min(self._min_retry_seconds * (1 << doublings), max_seconds)
+        return seconds * self._context.rng.uniform(0.5, 1.5)
 
 
 __all__ = ["FollowerContext", "PrefixFollower", "PrefixListener"]
--- a/packages/adapters/tests/test_prefix_follower.py
+++ b/packages/adapters/tests/test_prefix_follower.py
@@ -12,7 +12,8 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from medlarspring_adapters.events import create_event_log
+from medlarspring_adapters.entry_attempts import EntryAttempts
+from medlarspring_adapters.events import Event, create_event_log
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_adapters.store import (
     Entry,
@@ -25,7 +26,7 @@
 from medlarspring_tables import EntryVMId, Revision
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Container
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.metrics import Metric
@@ -103,6 +104,9 @@
     confirmed_at: float | None
     lines: str
 
+    def count(self, event: Event) -> int:
+        return self.lines.count(f'"event": {event.number}')
+
 
 def follow(store: Any, listener: Any, seconds: float) -> Outcome:
     """Run a follower for so long, under virtual time."""
@@ -143,3 +147,137 @@
     listener = Recorder()
     assert follow(store, listener, seconds).confirmed_at == confirmed_at
     assert len(listener.applied) == applied
+
+
+@dataclass
+class Fault(Recorder):
+    """A listener that raises at some of its calls, counted from 0."""
+
+    error: BaseException
+    raised_at: Container[int]
+    calls: int = 0
+
+    def __post_init__(self) -> None:
+        super().__init__()
+
+    def apply_listing(self, listing: Listing) -> None:
+        self._raise_if_due()
+        super().apply_listing(listing)
+
+    def apply_batch(self, batch: WatchBatch) -> None:
+        self._raise_if_due()
+        super().apply_batch(batch)
+
+    def _raise_if_due(self) -> None:
+        self.calls += 1
+        if self.calls - 1 in self.raised_at:
+            raise self.error
+
+
+class BrokenStore(ScriptedStore):
+    """Raises from its first calls, as a client whose session was closed may."""
+
+    def __init__(self, error: BaseException, method: str, times: int) -> None:
+        super().__init__()
+        self.error, self.method, self.times = error, method, times
+
+    def _raise_if_due(self, method: str) -> None:
+        if method == self.method and self.times:
+            self.times -= 1
+            raise self.error
+
+    async def read_prefix(self, prefix: str) -> Result[Listing, StoreError]:
+        self._raise_if_due("read_prefix")
+        return await super().read_prefix(prefix)
+
+    async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
+        self._raise_if_due("watch")
+        async for batch in super().watch(prefix, start):
+            yield batch
+
+
+ERRORS = [RuntimeError("odd"), TimeoutError(), asyncio.CancelledError()]
+
+
+@pytest.mark.parametrize("error", ERRORS)
+@pytest.mark.parametrize("method", ["read_prefix", "watch"])
+@pytest.mark.parametrize("times", [1, 3])
+def test_follower_outlives_its_store(error: BaseException, method: str, times: int):
+    """Guards against a follower that ends in silence when a store's call raises."""
+    listener = Recorder()
+    outcome = follow(BrokenStore(error, method, times), listener, 30.0)
+    assert listener.applied[-1] == "listing"
+    assert outcome.confirmed_at is not None
+    assert outcome.confirmed_at > BEGAN_AT
+    assert outcome.count(Event.FOLLOWER_FAILED) >= 1
+    assert outcome.count(Event.FOLLOWER_RESUMED) >= 1
+
+
+@pytest.mark.parametrize("error", ERRORS)
+@pytest.mark.parametrize("raised_at", [{0}, {1}, {2}, {0, 1, 2}])
+def test_follower_outlives_its_listener(error: BaseException, raised_at: set[int]):
+    """Guards against a view that never changes again after one that was not applied."""
+    store = ScriptedStore([create_batch("a"), create_batch("b"), create_batch("c")])
+    listener = Fault(error, raised_at)
+    outcome = follow(store, listener, 30.0)
+    assert listener.applied[-1] in ("listing", "p/c")
+    assert "listing" in listener.applied
+    assert store.batches == []
+    assert outcome.count(Event.FOLLOWER_RESUMED) >= 1
+
+
+@pytest.mark.parametrize("raised_at", [range(99_999), range(1, 99_999, 2)])
+def test_follower_that_always_fails_neither_loops_nor_floods_the_log(
+    raised_at: range,
+):
+    """Guards against a flood of calls and lines, also if each listing is applied."""
+    store = ScriptedStore([create_batch("a") for _ in range(9_999)])
+    outcome = follow(store, Fault(RuntimeError("odd"), raised_at), 3_600.0)
+    assert store.listings < 3_600 / 2.0
+    assert outcome.count(Event.FOLLOWER_FAILED) < 16
+    assert outcome.count(Event.FOLLOWER_RESUMED) < 16
+
+
+class OneByOne(Recorder):
+    """Applies each entry; one of them raises for its first attempts."""
+
+    def __init__(self, faults: int) -> None:
+        super().__init__()
+        self.faults = faults
+
+    def apply_listing(self, listing: Listing) -> None:
+        self._apply(listing.entries)
+
+    def apply_batch(self, batch: WatchBatch) -> None:
+        self._apply(batch.changed)
+
+    def _apply(self, entries: tuple[Entry, ...]) -> None:
+        attempts = EntryAttempts()
+        for entry in entries:
+            attempts.run(entry.key, self._apply_entry, entry)
+        attempts.raise_failed()
+
+    def _apply_entry(self, entry: Entry) -> None:
+        if entry.key == "p/b" and self.faults:
+            self.faults -= 1
+            raise OverflowError("odd")
+        self.applied.append(entry.key)
+
+
+@pytest.mark.parametrize(
+    ("faults", "is_applied", "resumed"), [(0, True, 0), (1, True, 1), (9_999, False, 0)]
+)
+def test_entry_that_cannot_be_applied_does_not_cost_the_others(
+    faults: int, is_applied: bool, resumed: int
+):
+    """Guards against one odd entry that makes the view of all others old."""
+    store = ScriptedStore([create_batch("b"), create_batch("d", sent_at=SENT_AT)])
+    listener = OneByOne(faults)
+    outcome = follow(store, listener, 3_600.0)
+    assert {"p/a", "p/c", "p/d"} <= set(listener.applied)
+    assert ("p/b" in listener.applied) is is_applied
+    assert outcome.confirmed_at is not None
+    assert outcome.confirmed_at >= SENT_AT
+    assert outcome.count(Event.FOLLOWER_FAILED) < 16
+    assert outcome.count(Event.FOLLOWER_RESUMED) == resumed
+    assert store.listings < 3_600 / 2.0
