Apply the other entries when one can't be applied

An exception at one entry of a listing or batch kept all entries after it from being applied, in each of the listeners: workers, jobs, operator's records, the controller's key, fleet records and pools' jobs. A takeover waited for ever, since the feed never counted as loaded.

Each listener now applies its entries one by one and reports those that raised by EntriesNotApplied. A worker whose entry can't be applied gets no new tasks, as the entry may say that it leaves. A job that can't be loaded is withdrawn and its recorded progress kept, as it would otherwise run finished tasks when it is loaded again. Of the operator's listeners each is called, whatever another raised, and a configuration that can't be indexed leaves the former one in force.

--- a/packages/adapters/src/medlarspring_adapters/fleet_records.py
+++ b/packages/adapters/src/medlarspring_adapters/fleet_records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_tables.fleet_tables import FLEET_PREFIX
 from medlarspring_tables.moves import MoveRecord
 from medlarspring_tables.pools import PoolDisruptions, ZoneDisruptions
@@ -44,14 +45,16 @@
 
     A watch may have delivered newer records than the listing has. They must not be
     removed, since no watch delivers them again; removal is therefore conditional on
-    the listing's revision.
+    the listing's revision. Raises ``EntriesNotApplied`` after all others are applied.
     """
+    attempts = EntryAttempts()
     present = {entry.key for entry in listing.entries}
     for key in list(tables.revisions_by_key):
         if key.startswith(prefix) and key not in present:
-            tables.remove(key, listing.revision)
+            attempts.run(key, tables.remove, key, listing.revision)
     for entry in listing.entries:
-        apply_entry(tables, entry)
+        attempts.run(entry.key, apply_entry, tables, entry)
+    attempts.raise_failed()
 
 
 __all__ = ["TYPES_BY_PREFIX", "encode_record", "apply_entry", "apply_listing"]
--- a/packages/daemon/src/medlarspring_daemon/fleet/feed.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/feed.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.fleet_records import apply_entry, apply_listing
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_tables.fleet_tables import FLEET_PREFIX
@@ -34,10 +35,12 @@
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply the changes and deletions that a watch reported."""
+        attempts = EntryAttempts()
         for key in batch.deleted:
-            self._tables.remove(key, batch.revision)
+            attempts.run(key, self._tables.remove, key, batch.revision)
         for entry in batch.changed:
-            apply_entry(self._tables, entry)
+            attempts.run(entry.key, apply_entry, self._tables, entry)
+        attempts.raise_failed()
 
 
 class FleetFeed:
--- a/packages/daemon/src/medlarspring_daemon/jobs/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/controller.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.entry_attempts import EntriesNotApplied, EntryAttempts
 from medlarspring_adapters.job_store import (
     JobStore,
     JobWrite,
@@ -95,27 +97,34 @@
         listing = await self._jobs.read_pool(self.pool_id)
         if not is_successful(listing):
             return False
-        self.apply_listing(listing.unwrap())
+        # The pool's follower reports the records that can't be applied. A write that
+        # was decided from an older version of one is refused by the store.
+        with suppress(EntriesNotApplied):
+            self.apply_listing(listing.unwrap())
         self._is_reload_needed = False
         return True
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a listing of all records; known jobs that it lacks are removed."""
-        seen = {
-            self.apply_record(entry.value, entry.mod_revision)
-            for entry in listing.entries
-        }
+        attempts = EntryAttempts()
+        seen: set[JobId] = set()
+        for entry in listing.entries:
+            seen.add(_find_job_id(entry.key))
+            attempts.run(entry.key, self.apply_record, entry.value, entry.mod_revision)
         revisions = self.tables.revisions_by_id
         for job_id in [key for key in self.tables.jobs_by_id if key not in seen]:
             if revisions.get(job_id, Revision(0)) <= listing.revision:
-                forget_job(self.tables, job_id)
+                attempts.run(job_id, forget_job, self.tables, job_id)
+        attempts.raise_failed()
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply the changes that a watch reported."""
+        attempts = EntryAttempts()
         for entry in batch.changed:
-            self.apply_record(entry.value, entry.mod_revision)
+            attempts.run(entry.key, self.apply_record, entry.value, entry.mod_revision)
         for key in batch.deleted:
-            forget_job(self.tables, JobId(key.rpartition("/")[2]))
+            attempts.run(key, forget_job, self.tables, _find_job_id(key))
+        attempts.raise_failed()
 
     def apply_record(self, value: bytes, revision: Revision) -> JobId:
         """Apply a record from the store unless a newer one is known; return its id."""
@@ -302,4 +311,8 @@
         )
 
 
+def _find_job_id(key: str) -> JobId:
+    return JobId(key.rpartition("/")[2])
+
+
 __all__ = ["JobController"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
@@ -177,11 +178,14 @@
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply changes of the key."""
-        if self._keys.controller in batch.deleted:
-            self._record_holder(None, batch.revision)
+        attempts = EntryAttempts()
+        key = self._keys.controller
+        if key in batch.deleted:
+            attempts.run(key, self._record_holder, None, batch.revision)
         for entry in batch.changed:
-            if entry.key == self._keys.controller:
-                self._record_holder(entry, batch.revision)
+            if entry.key == key:
+                attempts.run(key, self._record_holder, entry, batch.revision)
+        attempts.raise_failed()
 
     def _record_holder(self, entry: Entry | None, revision: Revision) -> None:
         term = self.term
--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -5,9 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_daemon.scheduling.keys import InboxKind
 from medlarspring_systems.scheduling.admission import check_job
+from medlarspring_systems.scheduling.job_withdrawal import withdraw_job
 from medlarspring_systems.scheduling.jobs import admit_job
 from medlarspring_systems.scheduling.progress_records import (
     find_progress_fault,
@@ -55,6 +57,8 @@
         """Progress recorded by earlier controllers, kept until its job is loaded."""
         self._withheld_ids: set[JobId] = set()
         """Jobs that are not loaded because their progress can't be read."""
+        self._unloaded_ids: set[JobId] = set()
+        """Jobs whose last attempt to load them raised; their progress is kept."""
         self.loaded = asyncio.Event()
 
     def apply_listing(self, listing: Listing) -> None:
@@ -62,27 +66,49 @@
 
         Jobs come first, because a cancellation needs its job in the tables.
         """
-        self._process_entries(listing.entries)
-        self._progress_by_id.clear()
+        attempts = self._process_entries(listing.entries)
+        for job_id in self._progress_by_id.keys() - self._unloaded_ids:
+            del self._progress_by_id[job_id]
         self.loaded.set()
+        attempts.raise_failed()
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply new entries of the inbox."""
-        self._process_entries(batch.changed)
+        self._process_entries(batch.changed).raise_failed()
 
-    def _process_entries(self, entries: tuple[Entry, ...]) -> None:
-        cancelled_ids: list[JobId] = []
+    def _process_entries(self, entries: tuple[Entry, ...]) -> EntryAttempts:
+        attempts = EntryAttempts()
+        cancelled_by_key: dict[str, JobId] = {}
         for entry in entries:
             parsed = self._keys.parse_inbox(entry.key)
             if parsed is None:
                 continue
             kind, job_id = parsed
             if kind is InboxKind.JOB:
-                self._load_job(job_id, entry)
+                attempts.run(entry.key, self._load_or_withdraw, job_id, entry)
             else:
-                cancelled_ids.append(job_id)
-        for job_id in cancelled_ids:
-            self._cancel_job(job_id)
+                cancelled_by_key[entry.key] = job_id
+        for key, job_id in cancelled_by_key.items():
+            attempts.run(key, self._cancel_job, job_id)
+        return attempts
+
+    def _load_or_withdraw(self, job_id: JobId, entry: Entry) -> None:
+        """Load a job wholly or not at all.
+
+        Loaded in part, or again without its progress, it would run finished tasks.
+        """
+        tables = self._owner.tables
+        is_known = job_id in tables.jobs_by_id
+        try:
+            self._load_job(job_id, entry)
+        except Exception:
+            job = tables.jobs_by_id.get(job_id)
+            if job is not None and not is_known:
+                withdraw_job(tables, job, self._node.clock.now())
+            self._unloaded_ids.add(job_id)
+            raise
+        self._unloaded_ids.discard(job_id)
+        self._progress_by_id.pop(job_id, None)
 
     def _load_job(self, job_id: JobId, entry: Entry) -> None:
         tables = self._owner.tables
@@ -97,7 +123,7 @@
         if fault is not None:
             self._node.unreadable.report(entry.key, fault.message())
             return
-        progress_entry = self._progress_by_id.pop(job_id, None)
+        progress_entry = self._progress_by_id.get(job_id)
         progress = self._read_progress(progress_entry, record.spec)
         if progress_entry is not None and progress is None:
             # Started without its progress, the job would run finished tasks again.
--- a/packages/daemon/src/medlarspring_daemon/scheduling/operator_records.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/operator_records.py
@@ -8,6 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
@@ -111,22 +112,30 @@
         for key in list(self.waves_by_key):
             if key not in seen:
                 del self.waves_by_key[key]
+        attempts = EntryAttempts()
         for entry in listing.entries:
-            self._apply_entry(entry)
-        self._notify_listeners()
+            attempts.run(entry.key, self._apply_entry, entry)
+        self._notify_listeners(attempts)
+        attempts.raise_failed()
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply a batch of changed and deleted records."""
+        attempts = EntryAttempts()
         for key in batch.deleted:
-            self.waves_by_key.pop(key, None)
-            self._node.unreadable.clear_fault(key)
+            attempts.run(key, self._remove_entry, key)
         for entry in batch.changed:
-            self._apply_entry(entry)
-        self._notify_listeners()
+            attempts.run(entry.key, self._apply_entry, entry)
+        self._notify_listeners(attempts)
+        attempts.raise_failed()
 
-    def _notify_listeners(self) -> None:
-        for listener in self.listeners:
-            listener()
+    def _remove_entry(self, key: str) -> None:
+        self.waves_by_key.pop(key, None)
+        self._node.unreadable.clear_fault(key)
+
+    def _notify_listeners(self, attempts: EntryAttempts) -> None:
+        """Call every listener; one that raises is called again at the next listing."""
+        for listener in list(self.listeners):
+            attempts.run(listener.__qualname__, listener)
 
     def _apply_entry(self, entry: Entry) -> None:
         if self._node.codec.is_config(entry.key):
@@ -145,14 +154,16 @@
         # applied; applying it would bring removed queues back for callers.
         if self.config is not None and config.version <= self.config.version:
             return
-        self.config = config
-        self.config_applied_at = self._node.clock.now()
-        self._routes = index_routes(config.routes)
-        self._credentials = index_credentials(
+        routes = index_routes(config.routes)
+        credentials = index_credentials(
             (partner.id, digest)
             for partner in config.partners_by_id.values()
             for digest in partner.credentials_sha256
         )
+        # Assigned together, so that a configuration that can't be indexed leaves the
+        # former one in force.
+        self.config, self._routes, self._credentials = config, routes, credentials
+        self.config_applied_at = self._node.clock.now()
         for holder, other in self._credentials.conflicts:
             self._node.log.warning(
                 Event.CREDENTIAL_SHARED,
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_feed.py
@@ -7,6 +7,7 @@
 
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_daemon.scheduling.run_log import log_worker_resized
 from medlarspring_systems.scheduling.workers import (
@@ -61,30 +62,52 @@
 
     def apply_config(self) -> None:
         """Apply the entries whose pools are in the configuration now."""
+        attempts = EntryAttempts()
         for entry in list(self._entries_without_pool.values()):
-            self._apply_entry(entry)
+            attempts.run(entry.key, self._apply_or_unlist, entry)
+        attempts.raise_failed()
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a full listing of the registry; workers not in it become unlisted."""
         prefix = self._node.codec.worker_prefix
         listed = {entry.key.removeprefix(prefix) for entry in listing.entries}
+        attempts = EntryAttempts()
         self._entries_without_pool.clear()
         for entry in listing.entries:
-            self._apply_entry(entry)
+            attempts.run(entry.key, self._apply_or_unlist, entry)
         for worker in list(self._owner.tables.workers_by_id.values()):
             if worker.id not in listed:
-                self._unlist_worker(worker.id)
+                attempts.run(prefix + worker.id, self._unlist_worker, worker.id)
         self.loaded.set()
+        attempts.raise_failed()
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply a batch of changed and deleted entries."""
-        prefix = self._node.codec.worker_prefix
+        attempts = EntryAttempts()
         for key in batch.deleted:
-            self._entries_without_pool.pop(key, None)
-            self._node.unreadable.clear_fault(key)
-            self._unlist_worker(WorkerId(key.removeprefix(prefix)))
+            attempts.run(key, self._remove_entry, key)
         for entry in batch.changed:
+            attempts.run(entry.key, self._apply_or_unlist, entry)
+        attempts.raise_failed()
+
+    def _remove_entry(self, key: str) -> None:
+        self._entries_without_pool.pop(key, None)
+        self._node.unreadable.clear_fault(key)
+        self._unlist_worker(self._find_worker_id(key))
+
+    def _apply_or_unlist(self, entry: Entry) -> None:
+        """Apply an entry; a worker whose entry can't be applied gets no new tasks.
+
+        The entry may say that the worker is leaving.
+        """
+        try:
             self._apply_entry(entry)
+        except Exception:
+            self._unlist_worker(self._find_worker_id(entry.key))
+            raise
+
+    def _find_worker_id(self, key: str) -> WorkerId:
+        return WorkerId(key.removeprefix(self._node.codec.worker_prefix))
 
     def _apply_entry(self, entry: Entry) -> None:
         decoded = self._node.codec.decode_worker(entry.key, entry.value)
@@ -159,8 +182,7 @@
         incarnation has ended.
         """
         self._node.unreadable.report(entry.key, fault)
-        prefix = self._node.codec.worker_prefix
-        self._unlist_worker(WorkerId(entry.key.removeprefix(prefix)))
+        self._unlist_worker(self._find_worker_id(entry.key))
 
     def _unlist_worker(self, worker_id: WorkerId) -> None:
         tables = self._owner.tables
