Report a call of a closed session as unanswered

aiohttp cancels the futures that calls wait for when a session is closed: a free connection where their number is limited, and the answer to a look-up of a name. The call raised CancelledError, which its loop took for its own end, 3 s after a retirement or at a close. HttpChannel now raises Unanswered unless the task itself was cancelled.

Both cases of the new test fail on the code before ("assert not call.cancelled()").

--- a/packages/adapters/src/medlarspring_adapters/http_channel.py
+++ b/packages/adapters/src/medlarspring_adapters/http_channel.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from medlarspring_adapters.cancellation import is_cancellation_requested
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
     from types import SimpleNamespace
@@ -133,6 +135,12 @@
         except TimeoutError as error:
             self._retire(session)
             raise Unanswered(f"{self.address}: no answer in time") from error
+        except asyncio.CancelledError as error:
+            # Closing a session cancels what its calls wait for. The caller must not
+            # take that for the end of its own task.
+            if is_cancellation_requested():
+                raise
+            raise Unanswered(f"{self.address}: the session was closed") from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             reason = str(error) or type(error).__name__
             raise Unanswered(f"{self.address}: {reason}") from error
--- a/packages/adapters/tests/test_http_channel.py
+++ b/packages/adapters/tests/test_http_channel.py
@@ -9,6 +9,7 @@
 import pytest
 from aiohttp import web
 
+from medlarspring_adapters import http_channel
 from medlarspring_adapters.http_channel import (
     AnswerTooLarge,
     BodyLimits,
@@ -143,3 +144,28 @@
         limits = BodyLimits(silence_seconds=PATIENT_SECONDS, max_bytes=10_000)
         answer = await channel.call("GET", "/", PATIENT_SECONDS, body_limits=limits)
     assert len(answer.body) == 10_000
+
+
+@pytest.mark.parametrize("retired", [False, True])
+async def test_call_waiting_for_a_connection_fails_when_its_session_is_closed(
+    retired: bool, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a loop that ends since the HTTP client cancelled its call."""
+    monkeypatch.setattr(http_channel, "RETIRED_SECONDS", 0.0)
+    served = web.Server(lambda _: asyncio.Event().wait())
+    runner = web.ServerRunner(served, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    channel = HttpChannel(f"{host}:{port}", max_connections=1)
+    calls = [asyncio.ensure_future(channel.call("GET", "/", 9.0)) for _ in range(2)]
+    await asyncio.sleep(0.1)
+    if retired:
+        channel.retire()
+    else:
+        await channel.close()
+    await asyncio.wait(calls, timeout=5.0)
+    assert not any(call.cancelled() for call in calls)
+    assert all(isinstance(call.exception(), Unanswered) for call in calls)
+    await channel.close()
+    await runner.cleanup()
