Supervise the loops and one-shot tasks that ran on their own

An exception, or a cancellation that nobody asked for, ended them for good. A batch of writes whose call raised left its callers waiting for ever, and the failure of a run with an idempotency key was lost once its caller had gone.

BackgroundTasks moves to the adapters and runs them all. A group of writes whose call raises is answered as of unknown outcome.

The other users of plain tasks have an owner that awaits them.

--- a/packages/adapters/src/medlarspring_adapters/group_commit.py
+++ b/packages/adapters/src/medlarspring_adapters/group_commit.py
@@ -6,10 +6,16 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from returns.result import Failure
+
+from medlarspring_adapters.background_tasks import BackgroundTasks
+from medlarspring_adapters.store import StoreOutcomeUnknown
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from medlarspring_adapters.clock import Clock
+    from medlarspring_adapters.events import EventLog
     from medlarspring_adapters.store import CommitResult, Store, Transaction
     from medlarspring_tables import Seconds
 
@@ -30,6 +36,7 @@
         self,
         store: Store,
         clock: Clock,
+        log: EventLog,
         choose_interval: Callable[[], Seconds],
         max_per_call: int = MAX_PER_CALL,
     ) -> None:
@@ -38,7 +45,7 @@
         self._clock = clock
         self._choose_interval = choose_interval
         self._waiting: deque[tuple[Transaction, asyncio.Future[CommitResult]]] = deque()
-        self._calls: set[asyncio.Task[None]] = set()
+        self._calls = BackgroundTasks(log)
         self._called_at = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
 
@@ -62,18 +69,13 @@
             self._timer = loop.call_later(wait, self._end_wait)
             return
         self._called_at = self._clock.now()
-        call = asyncio.create_task(self._call(self._collect_batch()))
-        self._calls.add(call)
-        call.add_done_callback(self._end_call)
+        call = self._calls.start(self._call(self._collect_batch()))
+        call.add_done_callback(lambda _: self._call_when_due())
 
     def _end_wait(self) -> None:
         self._timer = None
         self._call_when_due()
 
-    def _end_call(self, call: asyncio.Task[None]) -> None:
-        self._calls.discard(call)
-        self._call_when_due()
-
     def _collect_batch(self) -> list[tuple[Transaction, asyncio.Future[CommitResult]]]:
         """Remove and return the next batch, in which no key is written twice."""
         batch: list[tuple[Transaction, asyncio.Future[CommitResult]]] = []
@@ -93,12 +95,18 @@
     async def _call(
         self, batch: list[tuple[Transaction, asyncio.Future[CommitResult]]]
     ) -> None:
-        results = await self._store.commit_each(
-            [transaction for transaction, _ in batch]
-        )
-        for (_, future), result in zip(batch, results, strict=True):
-            if not future.done():
-                future.set_result(result)
+        transactions = [transaction for transaction, _ in batch]
+        try:
+            results = await self._store.commit_each(transactions)
+            for (_, future), result in zip(batch, results, strict=True):
+                if not future.done():
+                    future.set_result(result)
+        finally:
+            # A caller that gets no answer waits for ever, whatever the store raised.
+            for _, future in batch:
+                if not future.done():
+                    error = StoreOutcomeUnknown("the call of its group failed")
+                    future.set_result(Failure(error))
 
 
 __all__ = ["MAX_PER_CALL", "GroupCommit"]
--- a/packages/daemon/src/medlarspring_daemon/callers/claims.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/claims.py
@@ -11,6 +11,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.group_commit import GroupCommit
 from medlarspring_adapters.store import (
@@ -63,20 +64,20 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self._commits = GroupCommit(node.store, node.clock, self._choose_interval)
+        self._commits = GroupCommit(
+            node.store, node.clock, node.log, self._choose_interval
+        )
         self._digest_by_key: dict[str, str] = {}
         """Digest of the request by key, for the keys this process is handling."""
         self._lease_id: LeaseId | None = None
         self._lease_until = float("-inf")
         self._lease_lock = asyncio.Lock()
-        self._records: set[asyncio.Task[bool]] = set()
+        self._records = BackgroundTasks(node.log)
 
     async def stop(self, timeout: Seconds) -> None:
         """Wait for the pending records up to ``timeout``, then cancel them."""
-        if self._records:
-            await asyncio.wait(self._records, timeout=timeout)
-        for record in self._records:
-            record.cancel()
+        await self._records.wait(timeout)
+        await self._records.cancel()
 
     async def claim(
         self, request: CallerRequest
@@ -235,10 +236,7 @@
         )
 
     def _start_record(self, record: Coroutine[None, None, bool]) -> asyncio.Task[bool]:
-        task = asyncio.create_task(record)
-        self._records.add(task)
-        task.add_done_callback(self._records.discard)
-        return task
+        return self._records.start_awaited(record)
 
     async def _write_end(self, claimed_run: ClaimedRun, final_claim: Claim) -> bool:
         """Retry until the store confirms; return whether the final claim is stored."""
--- a/packages/daemon/src/medlarspring_daemon/callers/idempotency.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/idempotency.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_daemon.callers.claims import ClaimedRun, ClaimManager
 from medlarspring_systems.claims import build_claimed_answer
 from medlarspring_tables.requests import Outcome
@@ -29,12 +30,11 @@
     def __init__(self, node: Node, forwarder: Forwarder) -> None:
         self._forwarder = forwarder
         self._claim_manager = ClaimManager(node)
-        self._runs: set[asyncio.Task[Result[web.StreamResponse, Refusal]]] = set()
+        self._runs = BackgroundTasks(node.log)
 
     async def stop(self, timeout: Seconds) -> None:
         """Wait for runs, then for records, each up to ``timeout``."""
-        if self._runs:
-            await asyncio.wait(self._runs, timeout=timeout)
+        await self._runs.wait(timeout)
         await self._claim_manager.stop(timeout)
 
     async def run(self, exchange: Exchange) -> Result[web.StreamResponse, Refusal]:
@@ -44,9 +44,7 @@
         would stay unknown, and a repeat by the caller could not be answered.
         """
         exchange.request = None
-        run = asyncio.create_task(self._run(exchange))
-        self._runs.add(run)
-        run.add_done_callback(self._runs.discard)
+        run = self._runs.start_awaited(self._run(exchange))
         return await asyncio.shield(run)
 
     async def _run(self, exchange: Exchange) -> Result[web.StreamResponse, Refusal]:
--- a/packages/daemon/src/medlarspring_daemon/callers/service.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/service.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.problems import create_problem_response
 from medlarspring_adapters.upstream_http import UpstreamClient
@@ -55,7 +56,7 @@
         self._records = CallerRecords(node)
         self._keyed: KeyedRunner | None = None
         self._server: CallerServer | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks(node.log)
         self._listener: asyncio.Server | None = None
         self._in_flight = 0
 
@@ -79,10 +80,8 @@
         _tune_garbage_collector()
         self._keyed = KeyedRunner(self._node, self._forwarder)
         self._server = CallerServer(self._handle, settings, self._log_failure)
-        self._tasks = [
-            asyncio.create_task(self._server.sweep()),
-            asyncio.create_task(self._records.run()),
-        ]
+        self._tasks.run_with_restart(self._server.sweep)
+        self._tasks.run_with_restart(self._records.run)
         host, _, port = settings.listen.rpartition(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -111,8 +110,7 @@
         await self._keyed.stop(max(0.1, limit - loop.time()))
         self._server.pre_shutdown()
         await self._server.shutdown(1.0)
-        for task in self._tasks:
-            task.cancel()
+        await self._tasks.cancel()
         self._records.flush()
         await self._dispatcher.slots.stop()
         if self._client is not None:
--- a/packages/daemon/src/medlarspring_daemon/callers/slot_service.py
+++ b/packages/daemon/src/medlarspring_daemon/callers/slot_service.py
@@ -7,6 +7,7 @@
 
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_daemon.callers.slot_exchange import SlotExchange
 
 if TYPE_CHECKING:
@@ -32,23 +33,17 @@
         self._node = node
         self._exchange = SlotExchange(node, state)
         self._on_credit = on_credit
-        self._calls: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(node.log)
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start requesting slots."""
         self._node.slot_granter = self
-        self._task = asyncio.create_task(self._run())
+        self._tasks.run_with_restart(self._run)
 
     async def stop(self) -> None:
         """Stop requesting slots; grants expire without further calls."""
-        tasks = [*self._calls]
-        if self._task is not None:
-            tasks.append(self._task)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.cancel()
 
     def can_receive_grants(self) -> bool:
         """Return whether this process may be granted slots like the others."""
@@ -79,9 +74,7 @@
         if pending.home == self._node.id:
             self._apply_reply(pending, self._exchange.answer(pending.request))
             return
-        call = asyncio.create_task(self._call_home(pending))
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
+        self._tasks.start(self._call_home(pending))
 
     async def _call_home(self, pending: PendingSlotRequest) -> None:
         answer = await self._node.peers.call_grant_slots(
--- a/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
@@ -9,9 +9,9 @@
 import msgspec
 from returns.result import Success
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.operator_api import Finding, Health
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_systems.backoff import choose_retry_delay
 from medlarspring_systems.distribution import (
     Distribution,
--- a/packages/daemon/src/medlarspring_daemon/fleet/service.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/service.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_adapters.vm_control import HttpVMControl
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.fleet.command_handler import FleetCommandHandler
 from medlarspring_daemon.fleet.controller import FleetController
 from medlarspring_daemon.fleet.feed import FleetFeed
--- a/packages/daemon/src/medlarspring_daemon/fleet/vm_list_service.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/vm_list_service.py
@@ -7,9 +7,9 @@
 
 from returns.result import Success
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.vm_list import create_vm_list_client
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_systems.vm_list_view import VMListView, apply_answer
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/medlarspring_daemon/jobs/service.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/service.py
@@ -8,10 +8,10 @@
 
 import aiohttp
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.job_store import JobStore, pool_prefix
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_adapters.worker_control import create_worker_control
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.jobs.controller import JobController
 from medlarspring_daemon.jobs.request_handler import JobRequestHandler
 from medlarspring_daemon.jobs.routes import JobRoutes
--- a/packages/daemon/src/medlarspring_daemon/membership/holder_service.py
+++ b/packages/daemon/src/medlarspring_daemon/membership/holder_service.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 from returns.result import Success
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.store import (
     Committed,
@@ -18,7 +19,6 @@
     Put,
     Transaction,
 )
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_systems.backoff import choose_retry_delay
 from medlarspring_systems.holders import (
     LEASE_SECONDS,
--- a/packages/daemon/src/medlarspring_daemon/membership/peer_service.py
+++ b/packages/daemon/src/medlarspring_daemon/membership/peer_service.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from medlarspring_adapters import peer_pb2
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.peer_client import (
     PeerClient,
@@ -18,7 +19,6 @@
     create_peer_client,
 )
 from medlarspring_adapters.peer_server import create_peer_server
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.membership.peer_reports import ReportBuilder, to_heartbeat
 from medlarspring_daemon.membership.peer_request_handler import PeerRequestHandler
 from medlarspring_systems import membership
--- a/packages/daemon/src/medlarspring_daemon/operators/audit_trimmer.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/audit_trimmer.py
@@ -8,10 +8,10 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.store import Delete, Expect, Put, Transaction
 from medlarspring_adapters.store_meter import Mechanism
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_systems.audit import TRIM_MARK_KEY, TrimMark, page_prefix, plan_trim
 from medlarspring_tables import Revision
 from medlarspring_tables.audit import AuditRecord
--- a/packages/daemon/src/medlarspring_daemon/operators/metrics_service.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/metrics_service.py
@@ -5,9 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store_meter import Mechanism
-from medlarspring_daemon.background_tasks import BackgroundTasks
 
 if TYPE_CHECKING:
     from medlarspring_daemon.membership.peer_service import PeerService
--- a/packages/daemon/src/medlarspring_daemon/operators/service.py
+++ b/packages/daemon/src/medlarspring_daemon/operators/service.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_daemon.callers.connections import CallerServer
@@ -60,7 +61,7 @@
         self._runner: web.AppRunner | None = None
         self._server: CallerServer | None = None
         self._listener: asyncio.Server | None = None
-        self._sweep_task: asyncio.Task[None] | None = None
+        self._tasks = BackgroundTasks(node.log)
         self._status = StatusRoutes(node)
         self._editor = TableEditor(
             node.store.with_mechanism(Mechanism.EDITS),
@@ -95,7 +96,7 @@
             # the write and the reply, which a retry of the command looks for.
             handler_cancellation=False,
         )
-        self._sweep_task = asyncio.create_task(self._server.sweep())
+        self._tasks.run_with_restart(self._server.sweep)
         host, _, port = settings.listen.rpartition(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -111,8 +112,7 @@
         if self._server is not None:
             self._server.pre_shutdown()
             await self._server.shutdown(SHUTDOWN_SECONDS)
-        if self._sweep_task is not None:
-            self._sweep_task.cancel()
+        await self._tasks.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -7,10 +7,10 @@
 
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.advice_fetcher import AdviceFetcher
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.job_record_writer import (
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
@@ -20,7 +21,6 @@
     Put,
     Transaction,
 )
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.keys import CellKeys
 from medlarspring_tables import Revision
 from medlarspring_tables.scheduling import ControllerRecord, Fence
--- a/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/intake.py
@@ -109,7 +109,7 @@
     def __init__(self, node: SchedulingNode, operator_records: OperatorRecords) -> None:
         self._node = node
         self._commits = GroupCommit(
-            node.store, node.clock, lambda: 0.0, MAX_ACCEPTED_PER_CALL
+            node.store, node.clock, node.log, lambda: 0.0, MAX_ACCEPTED_PER_CALL
         )
         self._loads = LoadView(node)
         self._gate = LoadGate(node, operator_records, self._loads)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/link_context.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/link_context.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from medlarspring_adapters.background_tasks import BackgroundTasks
     from medlarspring_adapters.worker_orders import WorkerAddress
-    from medlarspring_daemon.background_tasks import BackgroundTasks
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Term
     from medlarspring_daemon.scheduling.link_owner import LinkOwner
--- a/packages/daemon/src/medlarspring_daemon/scheduling/load_gate.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/load_gate.py
@@ -8,7 +8,7 @@
 
 from returns.pipeline import is_successful
 
-from medlarspring_daemon.background_tasks import BackgroundTasks
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.unsettled_submissions import UnsettledSubmissions
 from medlarspring_systems.scheduling.load_admission import decide_admission
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/load_view.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/load_view.py
@@ -7,7 +7,7 @@
 
 from returns.pipeline import is_successful
 
-from medlarspring_daemon.background_tasks import BackgroundTasks
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.keys import CellKeys
 from medlarspring_systems.scheduling.load_admission import LoadSample
 from medlarspring_tables.scheduling import LoadRecord
--- a/packages/daemon/src/medlarspring_daemon/scheduling/repeated_orders.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/repeated_orders.py
@@ -21,8 +21,8 @@
 )
 
 if TYPE_CHECKING:
+    from medlarspring_adapters.background_tasks import BackgroundTasks
     from medlarspring_adapters.clock import Clock
-    from medlarspring_daemon.background_tasks import BackgroundTasks
     from medlarspring_systems.scheduling.answer_times import AnswerTimes
     from medlarspring_tables import Seconds
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/service.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/service.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_daemon.background_tasks import BackgroundTasks
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.controller import CellController
 from medlarspring_daemon.scheduling.election import Election
 from medlarspring_daemon.scheduling.intake import Intake
--- a/packages/daemon/src/medlarspring_daemon/scheduling/usage_recorder.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/usage_recorder.py
@@ -22,7 +22,7 @@
 from medlarspring_tables.scheduling import PartnerUse, UsageRecord
 
 if TYPE_CHECKING:
-    from medlarspring_daemon.background_tasks import BackgroundTasks
+    from medlarspring_adapters.background_tasks import BackgroundTasks
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Term
     from medlarspring_systems.scheduling.share_report import OverShare
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_link.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.worker_orders import WorkerAddress
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.hold_calls import HoldCalls
 from medlarspring_daemon.scheduling.link_context import LinkContext
 from medlarspring_daemon.scheduling.repeated_orders import RepeatedOrders
--- a/packages/platform/src/medlarspring_platform/launcher.py
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.clock import SuspendAwareClock
 from medlarspring_adapters.events import Event, create_bounded_log
 from medlarspring_adapters.library_log import redirect_library_logs
@@ -64,6 +65,7 @@
             EntryVMId(settings.node), self._clock, sys.stdout.fileno()
         )
         self._metrics = PrometheusMetrics()
+        self._tasks = BackgroundTasks(self._log)
         self._runners: list[web.ServerRunner] = []
 
     async def start(self) -> None:
@@ -78,7 +80,7 @@
         caller = await self._serve(self._frontend.handle, self._settings.frontend)
         await self._serve_metrics()
         await self._service.start()
-        self._reports = asyncio.create_task(self._report_dropped_lines())
+        self._tasks.run_with_restart(self._report_dropped_lines)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._log.info(Event.LISTENING, caller=caller, readiness=readiness)
@@ -95,7 +97,7 @@
         for runner in reversed(self._runners):
             await runner.cleanup()
         await self._close_clients()
-        self._reports.cancel()
+        await self._tasks.cancel()
         self._log.info(Event.STOPPED)
         self._log.close()
 
--- a/packages/platform/tests/adapter/test_interrupted_groups.py
+++ b/packages/platform/tests/adapter/test_interrupted_groups.py
@@ -39,7 +39,7 @@
 
 async def commit_as_group(platform: Platform) -> dict[str, CommitResult]:
     """Commit the keys in one group, behind calls that use up all call slots."""
-    commits = GroupCommit(platform.store, ManualClock(), lambda: 0.0)
+    commits = GroupCommit(platform.store, ManualClock(), platform.log, lambda: 0.0)
     earlier = [create(f"earlier/{number}") for number in range(MAX_CALLS_AT_ONCE)]
     results = await asyncio.gather(
         *(commits.commit(each) for each in [*earlier, *map(create, KEYS)])
