--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -27,9 +27,15 @@
     WriteFault,
 )
 from medlarspring_bench.platform_world.virtual_time import spawn_detached
+from medlarspring_platform.store import WATCH_WAIT_SECONDS
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+    from collections.abc import (
+        AsyncIterator,
+        Awaitable,
+        Callable,
+        Sequence,
+    )
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import CommitResult
@@ -55,7 +61,7 @@
         node_id: str,
         incarnation: int,
     ) -> None:
-        self._inner = MemoryStore(state)
+        self._inner = MemoryStore(state, WATCH_WAIT_SECONDS)
         self._fault_state = fault_state
         self._clock = clock
         self._node_id = node_id
@@ -111,9 +117,16 @@
                 self.failing_since = None
 
     async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
-        """Yield changes; while the store is unavailable they are delayed, not lost."""
+        """Yield changes; while the store is unavailable they are delayed, not lost.
+
+        Without changes, yields an empty batch for each call that is answered.
+        """
         async for batch in self._inner.watch(prefix, start):
-            await asyncio.sleep(LINK_SECONDS + self._fault_state.store_seconds)
+            is_empty = not batch.changed and not batch.deleted
+            if is_empty and self._is_watch_stalled():
+                continue
+            if not is_empty:
+                await asyncio.sleep(LINK_SECONDS + self._fault_state.store_seconds)
             while self._is_watch_stalled():
                 await asyncio.sleep(RETRY_SECONDS)
             await self._wait_until_runnable()
--- a/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
@@ -9,10 +9,10 @@
 from returns.pipeline import is_successful
 from returns.result import Success
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.decoding import decode_json
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.operator_api import Finding, Health
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_systems.backoff import choose_retry_delay
 from medlarspring_systems.distribution import (
     Distribution,
--- a/packages/daemon/src/medlarspring_daemon/fleet/feed.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/feed.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.fleet_records import apply_entry, apply_listing
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_tables.fleet_tables import FLEET_PREFIX
 
 if TYPE_CHECKING:
-    import random
-
+    from medlarspring_adapters.prefix_follower import FollowerContext
     from medlarspring_adapters.store import Listing, Store, WatchBatch
     from medlarspring_adapters.unreadable_records import UnreadableRecords
     from medlarspring_tables.fleet_tables import FleetTables
@@ -39,11 +39,13 @@
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply the changes and deletions that a watch reported."""
+        attempts = EntryAttempts()
         for key in batch.deleted:
-            self._tables.remove(key, batch.revision)
+            attempts.run(key, self._tables.remove, key, batch.revision)
             self._unreadable.clear_fault(key)
         for entry in batch.changed:
-            apply_entry(self._tables, entry, self._unreadable)
+            attempts.run(entry.key, apply_entry, self._tables, entry, self._unreadable)
+        attempts.raise_failed()
 
 
 class FleetFeed:
@@ -51,14 +53,14 @@
 
     def __init__(
         self,
+        context: FollowerContext,
         store: Store,
         tables: FleetTables,
-        rng: random.Random,
         unreadable: UnreadableRecords,
     ) -> None:
         self._followers = [
             PrefixFollower(
-                store, prefix, RecordListener(tables, prefix, unreadable), rng
+                context, store, prefix, RecordListener(tables, prefix, unreadable)
             )
             for prefix in WATCHED_PREFIXES
         ]
--- a/packages/daemon/src/medlarspring_daemon/fleet/service.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/service.py
@@ -5,11 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store_meter import Mechanism
 from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_adapters.vm_control import HttpVMControl
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.fleet.command_handler import FleetCommandHandler
 from medlarspring_daemon.fleet.controller import FleetController
 from medlarspring_daemon.fleet.feed import FleetFeed
@@ -67,7 +67,7 @@
             record_returned=lambda vm_id, pool_id: node.record_returned(vm_id, pool_id),
         )
         rounds = FleetRounds(controller, node.clock, node.rng, node.log)
-        feed = FleetFeed(self._store, tables, node.rng, controller.unreadable)
+        feed = FleetFeed(node, self._store, tables, controller.unreadable)
         try:
             while True:
                 started_at = node.clock.now()
--- a/packages/daemon/src/medlarspring_daemon/jobs/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/controller.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.entry_attempts import EntriesNotApplied, EntryAttempts
 from medlarspring_adapters.job_store import (
     JobStore,
     JobWrite,
@@ -98,34 +100,44 @@
         listing = await self._jobs.read_pool(self.pool_id)
         if not is_successful(listing):
             return False
-        self.apply_listing(listing.unwrap())
+        # The pool's follower reports the records that can't be applied. A write that
+        # was decided from an older version of one is refused by the store.
+        with suppress(EntriesNotApplied):
+            self.apply_listing(listing.unwrap())
         self._is_reload_needed = False
         return True
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a listing of all records; known jobs that it lacks are removed."""
-        seen = {self.apply_record(entry) for entry in listing.entries}
+        attempts = EntryAttempts()
+        seen: set[JobId] = set()
+        for entry in listing.entries:
+            seen.add(_find_job_id(entry.key))
+            attempts.run(entry.key, self.apply_record, entry)
         revisions = self.tables.revisions_by_id
         for job_id in [key for key in self.tables.jobs_by_id if key not in seen]:
             if revisions.get(job_id, Revision(0)) <= listing.revision:
-                forget_job(self.tables, job_id)
+                attempts.run(job_id, forget_job, self.tables, job_id)
+        attempts.raise_failed()
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply the changes that a watch reported."""
+        attempts = EntryAttempts()
         for entry in batch.changed:
-            self.apply_record(entry)
+            attempts.run(entry.key, self.apply_record, entry)
         for key in batch.deleted:
-            forget_job(self.tables, _find_job_id(key))
+            attempts.run(key, forget_job, self.tables, _find_job_id(key))
+        attempts.raise_failed()
 
-    def apply_record(self, entry: Entry) -> JobId:
-        """Apply a record from the store unless a newer one is known; return its id.
+    def apply_record(self, entry: Entry) -> None:
+        """Apply a record from the store unless a newer one is known.
 
         A record that can't be decoded leaves its last readable one in the tables.
         """
         revision = entry.mod_revision
         job = self._jobs.decode(entry)
         if job is None:
-            return _find_job_id(entry.key)
+            return
         known = self.tables.revisions_by_id.get(job.id, Revision(0))
         if revision > known:
             put_job(self.tables, job)
@@ -135,7 +147,6 @@
             self.tables.originals_by_id.pop(job.id, None)
             if job.attempt is not None:
                 self.workers.schedule_poll(job.attempt.vm_id)
-        return job.id
 
     async def tick(self) -> None:
         """Run one round: poll workers, decide, write records, send orders.
--- a/packages/daemon/src/medlarspring_daemon/jobs/service.py
+++ b/packages/daemon/src/medlarspring_daemon/jobs/service.py
@@ -8,11 +8,11 @@
 
 import aiohttp
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.job_store import JobStore, pool_prefix
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_adapters.worker_control import create_worker_control
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.jobs.controller import JobController
 from medlarspring_daemon.jobs.request_handler import JobRequestHandler
 from medlarspring_daemon.jobs.routes import JobRoutes
@@ -133,7 +133,7 @@
             lambda: node.holders.fence(pool_id),
         )
         prefix = pool_prefix(pool_id)
-        follower = PrefixFollower(node.store, prefix, controller, node.rng)
+        follower = PrefixFollower(node, node.store, prefix, controller)
         follower.start()
         return HeldPool(controller, follower, node.clock.now())
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -8,6 +8,8 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.background_tasks import BackgroundTasks
+from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
@@ -19,7 +21,6 @@
     Put,
     Transaction,
 )
-from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.keys import CellKeys
 from medlarspring_tables import Revision
 from medlarspring_tables.scheduling import ControllerRecord, Fence
@@ -154,7 +155,7 @@
         self.term: Term | None = None
         self.controller: Controller | None = None
         self._follower = PrefixFollower(
-            node.store, self._keys.controller, self, node.rng, TICK_SECONDS
+            node, node.store, self._keys.controller, self, TICK_SECONDS
         )
 
     async def start(self) -> None:
@@ -177,11 +178,14 @@
 
     def apply_batch(self, batch: WatchBatch) -> None:
         """Apply changes of the key."""
-        if self._keys.controller in batch.deleted:
-            self._record_holder(None, batch.revision)
+        attempts = EntryAttempts()
+        key = self._keys.controller
+        if key in batch.deleted:
+            attempts.run(key, self._record_holder, None, batch.revision)
         for entry in batch.changed:
-            if entry.key == self._keys.controller:
-                self._record_holder(entry, batch.revision)
+            if entry.key == key:
+                attempts.run(key, self._record_holder, entry, batch.revision)
+        attempts.raise_failed()
 
     def _record_holder(self, entry: Entry | None, revision: Revision) -> None:
         term = self.term
