Give a cell up when its controller fails to take over

A takeover ran once, in a background task: an exception left a holder that renewed its lease, read the worker registry and started nothing. The same held for a controller that could not be created, and for one whose stop raised: the election kept the term without a controller.

The election now asks the controller for a failure at each renewal, ends the term, and deletes the key, so that another process begins with empty tables. A backoff that doubles from 1 to 16 s keeps processes that all fail from passing the cell on without pause. A follower that can't be stopped is logged and no longer keeps the links open.

--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -67,6 +67,7 @@
     RECORD_WRITE_MS = "records.write_ms"
     RECORDS_REPEATED = "records.repeated"
     CELLS_HELD = "cells.held"
+    CELLS_GIVEN_UP = "cells.given_up"
     TAKEOVER_MS = "cells.takeover_ms"
     WORKERS_OPEN = "workers.open"
     WORKERS_SILENT = "workers.silent"
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
@@ -12,6 +13,7 @@
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.advice_fetcher import AdviceFetcher
+from medlarspring_daemon.scheduling.election import ControllerFailure
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.job_record_writer import (
     FINAL_VERSION,
@@ -97,6 +99,7 @@
         self._followers: list[PrefixFollower] = []
         self._workers: WorkerFeed | None = None
         self._running = False
+        self._failure: ControllerFailure | None = None
         self._overload_detector = OverloadDetector()
         self.order_times = AnswerTimes()
         self.hold_times = AnswerTimes()
@@ -113,7 +116,7 @@
 
     async def start(self) -> None:
         """Start to take over the cell, in the background."""
-        self._tasks.start(self._take_over())
+        self._tasks.start(self._take_over_or_fail())
 
     async def stop(self, *, graceful: bool) -> None:
         """Stop all work for the cell; if ``graceful``, write pending records first."""
@@ -123,19 +126,41 @@
         # Close the links first. While they report ends there is always more to
         # record, and the handover took 0.7 s of the lease instead of milliseconds.
         await self._links.close_all()
-        await asyncio.gather(*(follower.stop() for follower in self._followers))
-        await self._record_writer.close(flush=graceful)
-        await self._links.wait_until_closed()
         self._operator_records.listeners = [
             each
             for each in self._operator_records.listeners
             if each != self._apply_config
         ]
+        await self._stop_followers()
+        await self._record_writer.close(flush=graceful)
+        await self._links.wait_until_closed()
+
+    async def _stop_followers(self) -> None:
+        """Stop all followers; one that failed must not keep the cell from release."""
+        stops = (follower.stop() for follower in self._followers)
+        for result in await asyncio.gather(*stops, return_exceptions=True):
+            if isinstance(result, Exception):
+                trace = "".join(traceback.format_exception(result))
+                self._node.log.error(Event.TASK_FAILED, trace=trace)
 
     def is_overloaded(self) -> bool:
         """Return whether this process can't keep up with the cell's work."""
         return self._overload_detector.is_overloaded()
 
+    def find_failure(self) -> ControllerFailure | None:
+        """Return why this process doesn't do the cell's work; None if it does."""
+        return self._failure
+
+    async def _take_over_or_fail(self) -> None:
+        try:
+            await self._take_over()
+        except Exception:
+            # The takeover can't be repeated here: the tables may be half filled. A
+            # new term begins with empty ones.
+            self._failure = ControllerFailure.TAKEOVER
+            self._running = False
+            raise
+
     async def _take_over(self) -> None:
         """Load the records, then follow the inbox and the worker registry."""
         began_at = self._node.clock.now()
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -55,6 +56,18 @@
 """Extra delay of a candidate for each core that it has below the preferred number."""
 OVERLOAD_BACKOFF_SECONDS = 3.0
 """Delay before an overloaded controller that released the cell competes again."""
+FAILED_BACKOFF_SECONDS = 1.0
+"""Same for a controller that failed; doubled for each further failed term."""
+MAX_FAILED_BACKOFF_SECONDS = 16.0
+SOUND_TERM_SECONDS = 60.0
+"""A term that lasted this long before it failed starts the backoff anew."""
+
+
+class ControllerFailure(Enum):
+    """Why a process that holds a cell doesn't do the cell's work."""
+
+    NOT_STARTED = "not_started"
+    TAKEOVER = "takeover"
 
 
 class Controller(Protocol):
@@ -75,6 +88,10 @@
         """Return whether this process can't keep up with the cell's work."""
         ...
 
+    def find_failure(self) -> ControllerFailure | None:
+        """Return why this process doesn't do the cell's work; None if it does."""
+        ...
+
 
 class Term:
     """One leadership term: a period in which this process holds a cell's key.
@@ -151,6 +168,8 @@
         """Whether the key has been read at least once."""
         self._changed = asyncio.Event()
         self._backoff_until: Seconds = 0.0
+        self._failed_terms = 0
+        """Terms in a row whose controller failed."""
         self.term: Term | None = None
         self.controller: Controller | None = None
         self._follower = PrefixFollower(
@@ -283,6 +302,10 @@
         if term.superseded:
             await self._release(term, graceful=False)
             return
+        failure = self._find_failure()
+        if failure is not None:
+            await self._give_up(term, failure)
+            return
         if self._should_step_down():
             self._backoff_until = self._node.clock.now() + OVERLOAD_BACKOFF_SECONDS
             await self._release(term, graceful=True)
@@ -302,6 +325,35 @@
             return
         term.valid_until = max(term.valid_until, sent_at + VALID_SECONDS)
 
+    def _find_failure(self) -> ControllerFailure | None:
+        if self.controller is None:
+            return ControllerFailure.NOT_STARTED
+        return self.controller.find_failure()
+
+    async def _give_up(self, term: Term, failure: ControllerFailure) -> None:
+        """Release a cell whose controller failed, so that another process has it.
+
+        The backoff keeps processes that fail for the same cause from handing the cell
+        to each other without pause.
+        """
+        now = self._node.clock.now()
+        if now - term.began_at > SOUND_TERM_SECONDS:
+            self._failed_terms = 0
+        backoff = FAILED_BACKOFF_SECONDS * 2.0**self._failed_terms
+        backoff = min(backoff, MAX_FAILED_BACKOFF_SECONDS)
+        self._failed_terms += 1
+        self._backoff_until = now + backoff
+        self._node.metrics.count(Metric.CELLS_GIVEN_UP)
+        self._node.log.error(
+            Event.CELL_GIVEN_UP,
+            cell=self._cell_id,
+            fence=term.fence,
+            failure=failure.value,
+            failed_terms=self._failed_terms,
+            backoff_s=backoff,
+        )
+        await self._release(term, graceful=True)
+
     def _should_step_down(self) -> bool:
         """Return whether an entry VM with more cores should take over the cell."""
         if self._node.cores >= PREFERRED_CORES or self.controller is None:
@@ -339,4 +391,4 @@
         self._holder = None if graceful else self._holder
 
 
-__all__ = ["Election", "Term", "Controller"]
+__all__ = ["Controller", "ControllerFailure", "Election", "Term"]
--- a/packages/daemon/tests/scheduling/scenarios.py
+++ b/packages/daemon/tests/scheduling/scenarios.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import json
+from typing import TYPE_CHECKING, Any
 
 from medlarspring_bench.platform_world.checks import check_history
 from medlarspring_bench.platform_world.customers import Customers
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from medlarspring_adapters.events import Event
     from medlarspring_bench.platform_world.virtual_time import VirtualClock
     from medlarspring_tables import JobId
 
@@ -63,3 +65,13 @@
         for job_id in jobs:
             while await customers.ask(job_id) != "complete":
                 await asyncio.sleep(0.2)
+
+
+def list_events(world: World, event: Event) -> list[dict[str, Any]]:
+    """Return all lines of an event from the logs of all processes."""
+    lines = (
+        json.loads(line)
+        for _, log in world.logs
+        for line in log.getvalue().splitlines()
+    )
+    return [line for line in lines if line["event"] == event.number]
