Keep an exception in one step of a cell's work from the other steps

Callers saw nothing, while jobs stood: a pool whose round raised took the other due pools' rounds with it; a tick that raised never reached what came after; a job that could not be encoded blocked all records, and one whose write raised was never recorded again; an order whose call raised, or whose start failed after it, left its run ordered for ever; a worker whose listings could not be applied kept getting leases for them; one worker's end, link or VM report cost those of the others.

Each of these steps now fails by itself: the exception is counted and logged (one line a step in 10 s), the others go on, and the step is tried again by the tick, the retry of the writer, the next listing or the next read of the VM list. A run in doubt waits for a listing of its worker. A worker whose listings fail gets no further lease, so that its tasks end there and run elsewhere. A round or a repair that raises after it has placed runs has their intents recorded.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -108,6 +108,7 @@
     CELL_LOST = (9023, "another process controls the cell, or may")
     CELL_RESUMED = (9024, "this process resumed control of its cell after a pause")
     CELL_GIVEN_UP = (9025, "this process gave up a cell because its controller failed")
+    STEP_FAILED = (9026, "a step of a cell's work failed and will be tried again")
     RUN_STARTED = (9030, "a worker has started a run")
     RUN_REFUSED = (9031, "a worker refused to start a run")
     RUN_UNANSWERED = (9032, "a request to start a run got no answer")
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -68,6 +68,7 @@
     RECORDS_REPEATED = "records.repeated"
     CELLS_HELD = "cells.held"
     CELLS_GIVEN_UP = "cells.given_up"
+    STEPS_FAILED = "cells.steps_failed"
     TAKEOVER_MS = "cells.takeover_ms"
     WORKERS_OPEN = "workers.open"
     WORKERS_SILENT = "workers.silent"
--- a/packages/daemon/src/medlarspring_daemon/scheduling/context.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from medlarspring_daemon.scheduling.failure_log import FailureLog
 from medlarspring_daemon.scheduling.unreadable_records import UnreadableRecords
 from medlarspring_tables.scheduling import CellId
 
@@ -59,9 +60,11 @@
     cells: tuple[CellId, ...] = CELLS
     stopping: bool = field(default=False)
     unreadable: UnreadableRecords = field(init=False)
+    failures: FailureLog = field(init=False)
 
     def __post_init__(self) -> None:
         self.unreadable = UnreadableRecords(self.log)
+        self.failures = FailureLog(self.log, self.metrics, self.clock)
 
 
 __all__ = ["CELLS", "SchedulingNode", "StoreHealth"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -14,6 +14,7 @@
 from medlarspring_daemon.background_tasks import BackgroundTasks
 from medlarspring_daemon.scheduling.advice_fetcher import AdviceFetcher
 from medlarspring_daemon.scheduling.election import ControllerFailure
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.job_record_writer import (
     FINAL_VERSION,
@@ -99,6 +100,8 @@
         self._followers: list[PrefixFollower] = []
         self._workers: WorkerFeed | None = None
         self._running = False
+        self._unsent_runs: dict[Run, None] = {}
+        """Recorded runs whose start order is still to be sent."""
         self._failure: ControllerFailure | None = None
         self._overload_detector = OverloadDetector()
         self.order_times = AnswerTimes()
@@ -268,20 +271,15 @@
 
     def handle_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
         """Record the changes from a listing, and schedule a placement round."""
-        for run, end in outcome.ended:
-            log_run_ended(self._node, run, end)
-        for run in outcome.lost:
-            log_run_lost(self._node, run, "not listed by its worker")
-        for unknown in outcome.unknown_ends:
-            log_unknown_end(self._node, worker, unknown)
-        if outcome.newly_quarantined:
-            log_worker_quarantined(self._node, worker)
         self._unrecorded_ends.add_ends(worker.id, outcome.ends)
+        attempt = self._node.failures.attempt
+        # The next listing does not call for these again.
         for job_id in list_changed_jobs(outcome):
             job = self.tables.jobs_by_id.get(job_id)
             if job is not None:
-                self._record_job(job)
-        self._end_needless_runs(outcome)
+                attempt(Step.LISTING, self._record_job, job)
+        attempt(Step.LISTING, self._log_listing, worker, outcome)
+        attempt(Step.LISTING, self._end_needless_runs, outcome)
         self._stop_runs_of_ended_jobs(worker)
         if outcome.serving:
             self._vm_manager.plan_moves_soon()
@@ -293,6 +291,16 @@
         ):
             self.plan(worker.pool_id)
 
+    def _log_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
+        for run, end in outcome.ended:
+            log_run_ended(self._node, run, end)
+        for run in outcome.lost:
+            log_run_lost(self._node, run, "not listed by its worker")
+        for unknown in outcome.unknown_ends:
+            log_unknown_end(self._node, worker, unknown)
+        if outcome.newly_quarantined:
+            log_worker_quarantined(self._node, worker)
+
     def handle_detached_run(self, worker: Worker, run: Run) -> None:
         """Record that a run ended or was refused, and schedule a placement round."""
         self._record_writer.schedule_write(run.task.step.job)
@@ -335,18 +343,44 @@
     def _run_round(self, pool_id: PoolId) -> None:
         if not self._running or not self._term.is_active():
             return
-        for run in plan_round(self.tables, pool_id, self._node.clock.now()):
+        try:
+            runs = plan_round(self.tables, pool_id, self._node.clock.now())
+        except Exception:
+            # The tick plans the pool again. The round may have placed runs before it
+            # failed, whose intents must be recorded all the same.
+            self._node.failures.report(Step.ROUND)
+            runs = self._list_intended_runs(pool_id)
+        for run in runs:
             self._record_writer.schedule_write(run.task.step.job)
 
+    def _list_intended_runs(self, pool_id: PoolId) -> list[Run]:
+        workers = self.tables.workers_by_pool.get(pool_id, {}).values()
+        return [
+            run
+            for worker in workers
+            for run in worker.runs.values()
+            if run.state is RunState.INTENDED
+        ]
+
     def _handle_record_written(self, job: ActiveJob) -> None:
         """Send the start orders whose intents are now recorded."""
         if job.written_version == FINAL_VERSION:
             self._handle_final_record_written(job)
             return
         for run in list(job.runs):
-            self._send_if_recorded(run)
+            self._send_or_keep(run)
         self._acknowledge_recorded_ends(job)
 
+    def _send_or_keep(self, run: Run) -> None:
+        if not self._node.failures.attempt(Step.START, self._send_if_recorded, run):
+            self._unsent_runs[run] = None
+
+    def _send_kept_runs(self) -> None:
+        runs, self._unsent_runs = self._unsent_runs, {}
+        for run in runs:
+            if run in run.task.step.job.runs:
+                self._send_or_keep(run)
+
     def _send_if_recorded(self, run: Run) -> None:
         if run.state is not RunState.INTENDED:
             return
@@ -421,31 +455,37 @@
                 self._tick()
 
     def _tick(self) -> None:
-        now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
+        now = self._node.clock.now()
+        attempt = self._node.failures.attempt
         for job in list(self.tables.jobs_by_id.values()):
-            if job.spec.occurrences and open_due_occurrences(
-                self.tables, job, now, wall_ms
-            ):
-                self.plan(job.queue.pool_id)
-        self._liveness_monitor.expire_leases(now)
-        self._repair(now)
+            if job.spec.occurrences:
+                attempt(Step.OCCURRENCES, self._open_due_occurrences, job, now)
+        attempt(Step.LEASES, self._liveness_monitor.expire_leases, now)
+        attempt(Step.REPAIRS, self._repair, now)
+        self._send_kept_runs()
         self.plan_all()
 
+    def _open_due_occurrences(self, job: ActiveJob, now: Seconds) -> None:
+        wall_ms = self._node.clock.wall() * 1_000
+        if open_due_occurrences(self.tables, job, now, wall_ms):
+            self.plan(job.queue.pool_id)
+
     def _repair(self, now: Seconds) -> None:
         repairs = plan_repairs(self.tables, now)
+        # The copies are placed already and would else stay intended.
+        for run in repairs.copies:
+            self._node.metrics.count(Metric.RUNS_COPIED)
+            self._record_writer.schedule_write(run.task.step.job)
         for worker in repairs.quarantined:
             log_worker_quarantined(self._node, worker)
         for run, reason in repairs.stops:
-            self.stop_run(run, reason)
+            self._node.failures.attempt(Step.REPAIRS, self.stop_run, run, reason)
         for straggler in repairs.stragglers:
             run = straggler.projection.run
             # A stop without a connection to the worker is decided again later.
             is_copied = straggler.action is StragglerAction.COPY
             if is_copied or run.stop_reason == SLOW_WORKER_REASON:
                 log_straggler(self._node, straggler)
-        for run in repairs.copies:
-            self._node.metrics.count(Metric.RUNS_COPIED)
-            self._record_writer.schedule_write(run.task.step.job)
         for run, percent in repairs.paces:
             link = self._links.find(run.worker.id)
             if link is not None:
@@ -466,11 +506,14 @@
     def handle_lost_runs(self, runs: Iterable[Run]) -> None:
         """Record that runs were lost, and schedule placement rounds."""
         for job in dict.fromkeys(run.task.step.job for run in runs):
-            if job.outcome is not None:
-                self._record_job(job)
-                continue
-            self._record_writer.schedule_write(job)
-            self.plan(job.queue.pool_id)
+            self._node.failures.attempt(Step.LOST_RUNS, self._record_lost_runs, job)
+
+    def _record_lost_runs(self, job: ActiveJob) -> None:
+        if job.outcome is not None:
+            self._record_job(job)
+            return
+        self._record_writer.schedule_write(job)
+        self.plan(job.queue.pool_id)
 
     def close_link(self, worker: Worker) -> None:
         """Close the connections to a worker."""
--- a/packages/daemon/src/medlarspring_daemon/scheduling/hold_calls.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/hold_calls.py
@@ -97,6 +97,8 @@
         self._poll_requested = False
         self._hold_in_flight = False
         self._side_poll_in_flight = False
+        self._is_failing = False
+        """Whether an exception ended the last hold call."""
         self._unanswered_holds = 0
         """Hold calls without an answer since the last one with an answer."""
 
@@ -137,8 +139,15 @@
             self._hold_in_flight = True
             try:
                 await self._hold_once()
+            except Exception:
+                # What the worker lists can't be applied. Without further leases its
+                # runs end, and their tasks are placed elsewhere.
+                self._is_failing = True
+                self._answers.record_unanswered(self._node.clock.now())
+                raise
             finally:
                 self._hold_in_flight = False
+            self._is_failing = False
 
     async def _side_poll(self) -> None:
         try:
@@ -269,7 +278,7 @@
             return
 
     def _plan_lease(self, now: Seconds) -> int:
-        if not self._context.term.is_active():
+        if self._is_failing or not self._context.term.is_active():
             return 0
         return plan_lease_end(self._worker, self._node.limits.worker_lease, now)
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
@@ -17,6 +17,7 @@
     StoreOutcomeUnknown,
     Transaction,
 )
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_systems.scheduling.progress_records import encode_progress
 from medlarspring_tables import Revision
 from medlarspring_tables.scheduling import JobRecord
@@ -41,6 +42,8 @@
 follow some milliseconds later. With a pool kept full by 60 jobs, this takes 0.9 writes
 per run instead of 1.3."""
 RETRY_SECONDS = 0.05
+FAILED_RETRY_SECONDS = 1.0
+"""Pause before a job whose record could not be encoded is tried again."""
 FLUSH_SECONDS = 0.3
 """Longest wait for pending writes when the cell is released. The next controller
 learns from the workers what was not written."""
@@ -85,6 +88,9 @@
         self._timer: asyncio.Handle | None = None
         self._flush_at: Seconds = 0.0
         """When the timer is due; uvloop's handles of calls without delay don't tell."""
+        self._failed_jobs: dict[ActiveJob, None] = {}
+        """Jobs whose records could not be encoded; they are tried again later."""
+        self._retry_timer: asyncio.Handle | None = None
         self._closed = False
 
     def schedule_write(self, job: ActiveJob) -> None:
@@ -118,6 +124,8 @@
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
         for write in list(self._writes):
             write.cancel()
         await asyncio.gather(*self._writes, return_exceptions=True)
@@ -138,7 +146,10 @@
             self._timer.cancel()
             self._timer = None
         while self._urgent_by_job and len(self._writes) < MAX_WRITES_IN_FLIGHT:
-            write = asyncio.create_task(self._write(self._build_batch()))
+            batch = self._build_batch()
+            if not batch:
+                return
+            write = asyncio.create_task(self._write(batch))
             self._writes.add(write)
             write.add_done_callback(self._finish_write)
 
@@ -153,8 +164,9 @@
         batch: list[JobUpdate] = []
         entries = 1
         for job in list(self._urgent_by_job):
-            is_final = job.outcome is not None
-            update = JobUpdate(job, job.version, is_final, self._encode(job))
+            update = self._create_update(job)
+            if update is None:
+                continue
             size = len(update.transaction.expects) + len(update.transaction.writes)
             if entries + size > MAX_TRANSACTION_ENTRIES:
                 break
@@ -164,6 +176,31 @@
             batch.append(update)
         return batch
 
+    def _create_update(self, job: ActiveJob) -> JobUpdate | None:
+        """Return the update of a job's record; None if it can't be encoded now."""
+        try:
+            transaction = self._encode(job)
+        except Exception:
+            self._node.failures.report(Step.ENCODING)
+            del self._urgent_by_job[job]
+            self._retry_later(job)
+            return None
+        return JobUpdate(job, job.version, job.outcome is not None, transaction)
+
+    def _retry_later(self, job: ActiveJob) -> None:
+        self._failed_jobs[job] = None
+        if self._retry_timer is None and not self._closed:
+            loop = asyncio.get_running_loop()
+            self._retry_timer = loop.call_later(
+                FAILED_RETRY_SECONDS, self._retry_failed
+            )
+
+    def _retry_failed(self) -> None:
+        self._retry_timer = None
+        jobs, self._failed_jobs = self._failed_jobs, {}
+        for job in jobs:
+            self.schedule_write(job)
+
     def _encode(self, job: ActiveJob) -> Transaction:
         progress_key = self._keys.progress(job.id)
         expect_progress = Expect(progress_key, job.progress_revision)
@@ -189,6 +226,18 @@
         return Transaction(tuple(expects), tuple(writes))
 
     async def _write(self, batch: list[JobUpdate]) -> None:
+        try:
+            await self._commit(batch)
+        except Exception:
+            # The write may have been applied. Its retry is refused then, and takes
+            # the revisions of the records from the refusal.
+            self._node.failures.report(Step.RECORD_WRITE)
+            for update in batch:
+                update.job.writing = False
+            await asyncio.sleep(RETRY_SECONDS)
+            self._schedule_again(batch)
+
+    async def _commit(self, batch: list[JobUpdate]) -> None:
         expects = [self._term.expect()]
         writes: list[Put | Delete] = []
         for update in batch:
@@ -225,7 +274,10 @@
         else:
             job.written_version = max(job.written_version, update.version)
             job.progress_revision = revision
-        self._on_written(job)
+        try:
+            self._on_written(job)
+        except Exception:
+            self._node.failures.report(Step.RECORD_WRITTEN)
         self.schedule_write(job)
 
     def _handle_conflict(self, batch: list[JobUpdate], committed: Committed) -> None:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/load_reporter.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/load_reporter.py
@@ -11,6 +11,7 @@
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import Put, Transaction
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.run_log import log_backlog
 from medlarspring_systems.scheduling.backlog import describe_backlog
 from medlarspring_systems.scheduling.jobs import is_unstarted
@@ -48,9 +49,10 @@
     async def run(self) -> None:
         """Publish the load until cancelled."""
         while True:
-            self._update_metrics()
-            self._report_quotas()
-            self._report_backlogs()
+            attempt = self._node.failures.attempt
+            attempt(Step.LOAD_REPORT, self._update_metrics)
+            attempt(Step.LOAD_REPORT, self._report_quotas)
+            attempt(Step.LOAD_REPORT, self._report_backlogs)
             await self._publish()
             await asyncio.sleep(PUBLISH_SECONDS)
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/repeated_orders.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/repeated_orders.py
@@ -69,9 +69,11 @@
             return True
         return self.resolved + self.failed == self.sent
 
-    def add(self, attempt: int, result: OrderResult) -> None:
-        """Add the result of one attempt."""
-        if is_successful(result):
+    def add(self, attempt: int, result: OrderResult | None) -> None:
+        """Add the result of one attempt; None if an exception ended it."""
+        if result is None:
+            self.failed += 1
+        elif is_successful(result):
             self.resolved += 1
             self.answer = result.unwrap()
             self.answered_attempt = attempt
@@ -88,7 +90,7 @@
     call: OrderCall
     deadline: Seconds
     outcome: OrderOutcome = field(default_factory=OrderOutcome)
-    results: asyncio.Queue[tuple[int, OrderResult]] = field(
+    results: asyncio.Queue[tuple[int, OrderResult | None]] = field(
         default_factory=asyncio.Queue
     )
 
@@ -149,17 +151,21 @@
         self._tasks.start(self._run_attempt(attempts, attempts.outcome.sent))
 
     async def _run_attempt(self, attempts: _Attempts, number: int) -> None:
+        result: OrderResult | None = None
         sent_at = self._clock.now()
-        result = await attempts.call(attempts.deadline - sent_at)
+        try:
+            result = await attempts.call(attempts.deadline - sent_at)
+        finally:
+            # Without a result the order would be waited for without end.
+            attempts.results.put_nowait((number, result))
         if is_successful(result):
             self._times.record_answer(self._clock.now() - sent_at)
             if result.unwrap().refusal is OrderRefusal.FENCE:
                 self._handle_superseded()
-        attempts.results.put_nowait((number, result))
 
     async def _wait_for_result(
         self, attempts: _Attempts, until: Seconds
-    ) -> tuple[int, OrderResult] | None:
+    ) -> tuple[int, OrderResult | None] | None:
         """Return the next result of an attempt; None if none comes until the time."""
         if until == float("inf"):
             return await attempts.results.get()
--- a/packages/daemon/src/medlarspring_daemon/scheduling/start_orders.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/start_orders.py
@@ -13,6 +13,7 @@
 
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.worker_orders import OrderRefusal, StartOrder
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.run_log import (
     log_run_started,
     log_start_refused,
@@ -82,7 +83,17 @@
         """Order the start of a run whose intent is recorded in the store."""
         run.state = RunState.ORDERED
         run.ordered_at = self._node.clock.now()
-        self._context.tasks.start(self._start(run))
+        self._context.tasks.start(self._start_or_await(run))
+
+    async def _start_or_await(self, run: Run) -> None:
+        try:
+            await self._start(run)
+        except Exception:
+            # The order may have been sent. Left in the ordered state, the run would
+            # keep its task from ever being placed again.
+            self._node.failures.report(Step.START)
+            if run.state is RunState.ORDERED and self._is_attached(run):
+                self._await_listing(run, self._node.clock.now())
 
     async def _start(self, run: Run) -> None:
         sent_at = self._node.clock.now()
--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
@@ -13,6 +13,7 @@
 from medlarspring_adapters.store import Expect, Put, Transaction
 from medlarspring_adapters.vm_lifecycle import Authority
 from medlarspring_daemon.scheduling.election import LEASE_SECONDS
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.pool_log import PoolLog
 from medlarspring_systems.scheduling.fleet import (
     FleetTables,
@@ -224,10 +225,11 @@
             record_wave_order(self.fleet, order, seen_at)
         plan = plan_operations(self._owner.tables, self.fleet, self._node.limits, now)
         await self._record_sizes()
-        self._pool_log.record(self._owner.tables, self.fleet)
-        self._report_forecasts(plan.changed_forecasts)
+        attempt = self._node.failures.attempt
+        attempt(Step.VM_REPORT, self._pool_log.record, self._owner.tables, self.fleet)
+        attempt(Step.VM_REPORT, self._report_forecasts, plan.changed_forecasts)
         for run, reason in plan.stops:
-            self._owner.stop_run(run, reason)
+            attempt(Step.VM_OPERATION, self._owner.stop_run, run, reason)
         for pool_id in plan.changed_pools:
             self._owner.plan(pool_id)
         operations = [each for each in plan.operations if now >= self._find_start(each)]
@@ -270,7 +272,7 @@
             for operation in operations:
                 self._record_refused(operation)
             return
-        await asyncio.gather(*(self._send(each) for each in operations))
+        await asyncio.gather(*(self._send_or_report(each) for each in operations))
         self._owner.refresh_vm_list()
 
     async def _record_operations(self, operations: list[VMOperation]) -> bool:
@@ -326,6 +328,13 @@
         self._sent_ms_by_vm = kept
         return OperationsRecord(sent_ms_by_vm=kept)
 
+    async def _send_or_report(self, operation: VMOperation) -> None:
+        try:
+            await self._send(operation)
+        except Exception:
+            # As without an answer, the operation may be carried out.
+            self._node.failures.report(Step.VM_OPERATION)
+
     async def _send(self, operation: VMOperation) -> None:
         if not self._term.is_active():
             self._record_refused(operation)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_links.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_links.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
 from medlarspring_tables.scheduling import RunState
 
@@ -61,14 +62,20 @@
         link = self._links_by_id.pop(worker.id, None)
         if link is None:
             return
-        task = asyncio.create_task(link.close())
+        task = asyncio.create_task(self._close(link))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
 
+    async def _close(self, link: WorkerLink) -> None:
+        try:
+            await link.close()
+        except Exception:
+            self._node.failures.report(Step.LINK_CLOSE)
+
     async def close_all(self) -> None:
         """Close the connections to all workers."""
         links = list(self._links_by_id.values())
-        await asyncio.gather(*(link.close() for link in links))
+        await asyncio.gather(*(self._close(link) for link in links))
 
     async def wait_until_closed(self) -> None:
         """Wait for the links that are being closed in the background."""
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_liveness.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_liveness.py
@@ -11,6 +11,7 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.run_log import log_run_lost, log_worker_gone
 from medlarspring_systems.scheduling.crashes import (
     may_have_caused_crash,
@@ -83,13 +84,17 @@
         Only workers that do not answer are considered.
         """
         for worker in list(self._owner.tables.workers_by_id.values()):
-            if self._has_expired(worker, now):
-                lost = list(worker.runs.values())
-                for run in lost:
-                    if may_have_caused_crash(run, now):
-                        record_vanished_run(run)
-                    detach_run(self._owner.tables, run, now)
-                self._report_lost(lost, "lease expired")
+            self._node.failures.attempt(Step.LEASES, self._expire_lease, worker, now)
+
+    def _expire_lease(self, worker: Worker, now: Seconds) -> None:
+        if not self._has_expired(worker, now):
+            return
+        lost = list(worker.runs.values())
+        for run in lost:
+            if may_have_caused_crash(run, now):
+                record_vanished_run(run)
+            detach_run(self._owner.tables, run, now)
+        self._report_lost(lost, "lease expired")
 
     def _has_expired(self, worker: Worker, now: Seconds) -> bool:
         longest = self._node.limits.worker_lease
@@ -111,7 +116,12 @@
         # Idle workers come first: their end shows that an outage, not a task, is the
         # cause.
         for worker in sorted(ended_workers, key=lambda worker: len(worker.runs)):
-            self._end_incarnation(worker, "incarnation ended according to the VM list")
+            self._node.failures.attempt(
+                Step.WORKER_END,
+                self._end_incarnation,
+                worker,
+                "incarnation ended according to the VM list",
+            )
 
     def _end_incarnation(self, worker: Worker, reason: str) -> None:
         tables = self._owner.tables
--- a/packages/daemon/tests/scheduling/test_failed_controllers.py
+++ b/packages/daemon/tests/scheduling/test_failed_controllers.py
@@ -14,6 +14,7 @@
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.worker_links import WorkerLinks
 
+from .faults import Fault
 from .scenarios import list_events, run_scenario, submit, wait_for_end
 
 if TYPE_CHECKING:
@@ -26,22 +27,6 @@
 """Terms of three processes within that time, with the backoff."""
 
 
-class Fault:
-    """Lets calls of one function raise."""
-
-    def __init__(self, patch: pytest.MonkeyPatch, owner: Any, name: str) -> None:
-        self.calls_left = 0.0
-        called = getattr(owner, name)
-
-        def call(*args: Any, **options: Any) -> Any:
-            if self.calls_left >= 1:
-                self.calls_left -= 1
-                raise RuntimeError("injected")
-            return called(*args, **options)
-
-        patch.setattr(owner, name, call)
-
-
 @pytest.mark.parametrize("failures", [1, 4])
 @pytest.mark.parametrize(
     ("owner", "name"),
