Let the watch call after a failed one return at once

After a watch call that got no answer or a refusal, the next one waited 0.8 s for events if no other call had failed, and up to 1.2 s for a lost answer. Until it returned nothing confirmed the view that a process follows. The first call after a failure now asks for an answer without a wait, as it did while other calls failed too, and is given up 0.4 s later.

--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -244,15 +244,17 @@
         failures = 0
         while True:
             # After a failure the watch call does not wait for events: its first
-            # response shows that the store is back, and callers are refused until then.
-            wait = WATCH_WAIT_SECONDS if self.failing_since is None else 0.0
+            # response shows that the store is back. Until then callers are refused, and
+            # no tasks are started from a view that is not confirmed.
+            is_well = self.failing_since is None and not failures
+            wait = WATCH_WAIT_SECONDS if is_well else 0.0
             path = (
                 f"{wire.WATCH_PATH}?prefix={quote(prefix, safe='')}&after={after}"
                 f"&waitMs={round(wait * 1_000)}"
             )
             sent_at = self._clock.now()
             try:
-                answer = await self._watch_once(path)
+                answer = await self._watch_once(path, wait + WATCH_SLACK_SECONDS)
             except AnswerTooLarge:
                 return
             if not is_successful(answer):
@@ -274,9 +276,10 @@
             after = max(content.as_of, after)
             yield to_batch(content, sent_at if is_current else None)
 
-    async def _watch_once(self, path: str) -> Result[HttpAnswer, StoreError]:
+    async def _watch_once(
+        self, path: str, timeout: Seconds
+    ) -> Result[HttpAnswer, StoreError]:
         self._metrics.count(Metric.STORE_CALLS)
-        timeout = WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS
         limits = BodyLimits(BODY_SILENCE_SECONDS, MAX_WATCH_BYTES, self._record_data)
         try:
             reply = await self._watches.call("GET", path, timeout, body_limits=limits)
--- a/packages/platform/tests/adapter/test_store.py
+++ b/packages/platform/tests/adapter/test_store.py
@@ -124,6 +124,19 @@
     await watch.aclose()  # type: ignore[attr-defined]
 
 
+async def test_watch_is_confirmed_at_once_after_a_call_that_failed(platform: Platform):
+    """Guards against starts that wait for a whole watch call more than they must."""
+    watch = platform.store.watch("a/", Revision(platform.state.revision + 1))
+    await anext(watch)
+    platform.fault_state.store_mode = StoreMode.BUSY
+    answer = asyncio.ensure_future(anext(watch))
+    await asyncio.sleep(1.2)
+    platform.fault_state.store_mode = StoreMode.WELL
+    async with asyncio.timeout(MAX_WATCH_RETRY_SECONDS + 0.3):
+        assert (await answer).sent_at is not None
+    await watch.aclose()  # type: ignore[attr-defined]
+
+
 async def test_watch_ends_when_revision_was_compacted(platform: Platform):
     for number in range(3):
         await platform.store.commit(create(f"a/{number}"))
