Start no tasks from an old view of the workers

Customers saw tasks start on workers that had announced seconds before that they leave. The controller decides from the registry as its follower applied it, and did not know how old that is: a watch may hang, or its listener may fail, while renewals and polls pass.

Rounds and the start orders of recorded runs now wait while the view is older than the time until no task may start on a leaving worker (`bounds.drainMs`) less 0.25 s for the order. Without changes a view is at most two watch calls of 0.8 s old, so starts go on while all is well. Stops, hold calls, acknowledgements and records do not wait. The runs that were kept are checked and sent by the tick after the view is confirmed. Events 9027 and 9028 tell both changes with age and bound, `workers.view_age` the age.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -111,6 +111,8 @@
     CELL_RESUMED = (9024, "this process resumed control of its cell after a pause")
     CELL_GIVEN_UP = (9025, "this process gave up a cell because its controller failed")
     STEP_FAILED = (9026, "a step of a cell's work failed and will be tried again")
+    STARTS_HELD = (9027, "no tasks start, as the view of the workers is too old")
+    STARTS_RESUMED = (9028, "the view of the workers is current; tasks start again")
     RUN_STARTED = (9030, "a worker has started a run")
     RUN_REFUSED = (9031, "a worker refused to start a run")
     RUN_UNANSWERED = (9032, "a request to start a run got no answer")
--- a/packages/adapters/src/medlarspring_adapters/metrics.py
+++ b/packages/adapters/src/medlarspring_adapters/metrics.py
@@ -71,6 +71,7 @@
     STEPS_FAILED = "cells.steps_failed"
     TAKEOVER_MS = "cells.takeover_ms"
     WORKERS_OPEN = "workers.open"
+    WORKERS_VIEW_AGE = "workers.view_age"
     WORKERS_SILENT = "workers.silent"
     WORKERS_DOUBTED = "workers.doubted"
     TASKS_WAITING = "tasks.waiting"
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -22,6 +22,7 @@
 )
 from medlarspring_daemon.scheduling.load_reporter import LoadReporter
 from medlarspring_daemon.scheduling.overload_detector import OverloadDetector
+from medlarspring_daemon.scheduling.registry_view import RegistryView
 from medlarspring_daemon.scheduling.round_timer import RoundTimer
 from medlarspring_daemon.scheduling.run_log import (
     log_job_ended,
@@ -99,6 +100,8 @@
         self._unrecorded_ends = UnrecordedEnds()
         self._followers: list[PrefixFollower] = []
         self._workers: WorkerFeed | None = None
+        self._registry_view: RegistryView | None = None
+        """None until the registry is followed."""
         self._running = False
         self._unsent_runs: dict[Run, None] = {}
         """Recorded runs whose start order is still to be sent."""
@@ -179,6 +182,7 @@
             PrefixFollower(node, store, inbox, feed, LOAD_RETRY_SECONDS),
             PrefixFollower(node, store, registry, workers, LOAD_RETRY_SECONDS),
         ]
+        self._registry_view = RegistryView(self._node, self._followers[1])
         for follower in self._followers:
             follower.start()
         await asyncio.gather(feed.loaded.wait(), workers.loaded.wait())
@@ -341,6 +345,8 @@
     def _run_round(self, pool_id: PoolId) -> None:
         if not self._running or not self._term.is_active():
             return
+        if not self._allows_starts():
+            return
         try:
             runs = plan_round(self.tables, pool_id, self._node.clock.now())
         except Exception:
@@ -393,8 +399,20 @@
             detach_run(self.tables, run, self._node.clock.now())
             self.handle_detached_run(run.worker, run)
             return
+        if not self._allows_starts():
+            # The tick sends it once the view is confirmed.
+            self._unsent_runs[run] = None
+            return
         link.send_start(run)
 
+    def _allows_starts(self) -> bool:
+        """Return whether the view of the registry is current enough to start tasks.
+
+        From an old view, tasks would start on workers that have been leaving for longer
+        than the contract allows.
+        """
+        return self._registry_view is not None and self._registry_view.allows_starts()
+
     def _acknowledge_recorded_ends(self, job: ActiveJob) -> None:
         """Have the links acknowledge the ends that the job's record now contains."""
         for worker_id in self._unrecorded_ends.collect_waiting_workers(job):
@@ -460,6 +478,8 @@
                 attempt(Step.OCCURRENCES, self._open_due_occurrences, job, now)
         attempt(Step.LEASES, self._liveness_monitor.expire_leases, now)
         attempt(Step.REPAIRS, self._repair, now)
+        if self._registry_view is not None:
+            self._registry_view.update_metrics()
         self._send_kept_runs()
         self.plan_all()
 
--- a/packages/platform/src/medlarspring_platform/settings.py
+++ b/packages/platform/src/medlarspring_platform/settings.py
@@ -59,6 +59,7 @@
     "config_apply": ("configApplyMs", 0.001),
     "vm_lease": ("leaseMs", 0.001),
     "grace": ("graceS", 1.0),
+    "drain": ("drainMs", 0.001),
     "worker_lease": ("holdMaxMs", 0.001),
     "stop": ("stopTimeoutMs", 0.001),
     "cancel": ("cancel_ms", 0.001),
--- a/packages/tables/src/medlarspring_tables/scheduling/limits.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/limits.py
@@ -19,6 +19,9 @@
     """Shortest time between the orders of two different holders for one VM."""
     grace: Seconds = 6.0
     """Time between the signal to stop a process and its kill."""
+    drain: Seconds = 2.0
+    """Longest time that tasks may start on a worker after it announced that it leaves.
+    """
     worker_lease: Seconds = 10.0
     """Longest lease that a worker grants."""
     stop: Seconds = 0.4
