Give a cell up when its controller makes no progress

A takeover that waits for a feed whose listings always raise, or whose reads never succeed, held its cell for as long as its renewals passed, and so did a controller whose tick had ended. Nothing raised in the takeover itself, so that its failure was not seen.

The takeover's read of the records and each tick now count as progress. A controller that may act and makes none for 10 s gives the cell up as a failed one does. Time in which the process is paused or the term is not valid does not count.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -33,6 +33,7 @@
     log_worker_quarantined,
     log_worker_restarted,
 )
+from medlarspring_daemon.scheduling.stall_detector import StallDetector
 from medlarspring_daemon.scheduling.unrecorded_ends import UnrecordedEnds
 from medlarspring_daemon.scheduling.usage_recorder import UsageRecorder
 from medlarspring_daemon.scheduling.vm_manager import VMManager
@@ -107,6 +108,7 @@
         """Recorded runs whose start order is still to be sent."""
         self._failure: ControllerFailure | None = None
         self._overload_detector = OverloadDetector()
+        self._stall_detector = StallDetector(node.clock.now())
         self.order_times = AnswerTimes()
         self.hold_times = AnswerTimes()
         assert operator_records.config is not None
@@ -153,8 +155,12 @@
         """Return whether this process can't keep up with the cell's work."""
         return self._overload_detector.is_overloaded()
 
-    def find_failure(self) -> ControllerFailure | None:
+    def check_failure(self) -> ControllerFailure | None:
         """Return why this process doesn't do the cell's work; None if it does."""
+        now, is_active = self._node.clock.now(), self._term.is_active()
+        is_stalled = self._stall_detector.check(now, is_active=is_active)
+        if self._failure is None and is_stalled:
+            return ControllerFailure.STALLED
         return self._failure
 
     async def _take_over_or_fail(self) -> None:
@@ -173,6 +179,7 @@
         self._usage_recorder.start_if_shared()
         prefix = self._term.keys.progress_prefix
         progress = await self._read_with_retries(prefix)
+        self._stall_detector.record_progress()
         records = {entry.key.removeprefix(prefix): entry for entry in progress.entries}
         feed = JobFeed(self._node, self._term, self, records)
         workers = self._workers = WorkerFeed(self._node, self)
@@ -465,6 +472,7 @@
         while True:
             sleep_started_at = self._node.clock.now()
             await asyncio.sleep(TICK_SECONDS)
+            self._stall_detector.record_progress()
             timer_delay = self._node.clock.now() - sleep_started_at - TICK_SECONDS
             self._overload_detector.record_timer_delay(timer_delay)
             if self._term.is_active():
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -68,6 +68,7 @@
 
     NOT_STARTED = "not_started"
     TAKEOVER = "takeover"
+    STALLED = "stalled"
 
 
 class Controller(Protocol):
@@ -88,8 +89,11 @@
         """Return whether this process can't keep up with the cell's work."""
         ...
 
-    def find_failure(self) -> ControllerFailure | None:
-        """Return why this process doesn't do the cell's work; None if it does."""
+    def check_failure(self) -> ControllerFailure | None:
+        """Return why this process doesn't do the cell's work; None if it does.
+
+        Called periodically while the process holds the cell.
+        """
         ...
 
 
@@ -302,7 +306,7 @@
         if term.superseded:
             await self._release(term, graceful=False)
             return
-        failure = self._find_failure()
+        failure = self._check_failure()
         if failure is not None:
             await self._give_up(term, failure)
             return
@@ -325,10 +329,10 @@
             return
         term.valid_until = max(term.valid_until, sent_at + VALID_SECONDS)
 
-    def _find_failure(self) -> ControllerFailure | None:
+    def _check_failure(self) -> ControllerFailure | None:
         if self.controller is None:
             return ControllerFailure.NOT_STARTED
-        return self.controller.find_failure()
+        return self.controller.check_failure()
 
     async def _give_up(self, term: Term, failure: ControllerFailure) -> None:
         """Release a cell whose controller failed, so that another process has it.
--- a/packages/daemon/tests/scheduling/test_failed_controllers.py
+++ b/packages/daemon/tests/scheduling/test_failed_controllers.py
@@ -12,6 +12,10 @@
 from medlarspring_daemon.scheduling import controller as controller_module
 from medlarspring_daemon.scheduling.controller import CellController
 from medlarspring_daemon.scheduling.job_feed import JobFeed
+from medlarspring_daemon.scheduling.stall_detector import (
+    STALL_SECONDS,
+    StallDetector,
+)
 from medlarspring_daemon.scheduling.worker_links import WorkerLinks
 
 from .faults import Fault
@@ -97,6 +101,51 @@
     run_scenario(scenario, SEED)
 
 
+def test_cell_is_given_up_when_its_records_are_never_loaded(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against a takeover that waits for ever for a feed that always raises."""
+    fault = Fault(monkeypatch, JobFeed, "apply_listing")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        jobs = await submit(customers)
+        fault.calls_left = float("inf")
+        world.revoke_controller()
+        await asyncio.sleep(STALL_SECONDS + 2.0)
+        (given_up,) = list_events(world, Event.CELL_GIVEN_UP)
+        assert given_up["failure"] == "stalled"
+        fault.calls_left = 0
+        await wait_for_end(customers, jobs)
+
+    run_scenario(scenario, SEED)
+
+
+@pytest.mark.parametrize(
+    ("check_seconds", "progress_seconds", "is_active", "is_stalled"),
+    [
+        (0.1, 0.1, True, False),
+        (0.1, 9.0, True, False),
+        (0.1, 11.0, True, True),
+        (0.1, 60.0, False, False),
+        (0.4, 11.0, True, True),
+        (30.0, 60.0, True, False),
+    ],
+    ids=["ticks", "slow load", "stalled", "store lost", "slow renewals", "paused"],
+)
+def test_only_time_in_which_work_could_go_on_counts_as_stalled(
+    check_seconds: float, progress_seconds: float, is_active: bool, is_stalled: bool
+):
+    now = 1_000.0
+    detector = StallDetector(now)
+    seen = False
+    for number in range(1, round(progress_seconds / check_seconds) + 1):
+        at = now + number * check_seconds
+        seen = seen or detector.check(at, is_active=is_active)
+    detector.record_progress()
+    assert seen == is_stalled
+    assert not detector.check(now + progress_seconds, is_active=is_active)
+
+
 def test_process_can_stop_during_a_takeover():
     """Guards against followers and listeners that outlive a takeover cut short."""
 
