Send no recorded start to a worker whose entry is gone or unusable

A run is placed, recorded and sent in steps. Between the last two the controller looked whether its worker drains or has ended, but not whether the registry still lists it. An entry that was deleted, or that can't be used any more (it may say `draining`), left the start to be sent all the same; while starts are held back that may be seconds later.

Before: test_recorded_run_is_not_sent_to_a_worker_that_left_meanwhile failed in the case `is unlisted`; the case `drains` passed and holds what was there.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -398,10 +398,11 @@
         if run.version > run.task.step.job.written_version:
             return
         link = self._links.find(run.worker.id)
-        # The worker's resources may have shrunk while the intent was recorded.
-        is_unavailable = (
-            run.worker.gone or run.worker.draining or is_overcommitted(run.worker)
-        )
+        # The worker may have left, or its resources shrunk, while the intent was
+        # recorded or its order was held back.
+        worker = run.worker
+        has_left = worker.gone or worker.draining or not worker.listed
+        is_unavailable = has_left or is_overcommitted(worker)
         if link is None or is_unavailable or run.task.done:
             detach_run(self.tables, run, self._node.clock.now())
             self.handle_detached_run(run.worker, run)
--- a/packages/daemon/tests/scheduling/test_registry_view.py
+++ b/packages/daemon/tests/scheduling/test_registry_view.py
@@ -8,8 +8,11 @@
 import pytest
 
 from medlarspring_adapters.events import Event
+from medlarspring_bench.key_value_ops import PutOp
 from medlarspring_bench.platform_world.fault_state import StoreMode
+from medlarspring_daemon.scheduling.controller import CellController
 
+from .faults import Fault
 from .scenarios import list_events, run_scenario, submit, wait_for_end
 
 if TYPE_CHECKING:
@@ -79,6 +82,38 @@
     run_scenario(scenario, SEED, checked=False)
 
 
+@pytest.mark.parametrize("leave", ["drains", "is unlisted"])
+def test_recorded_run_is_not_sent_to_a_worker_that_left_meanwhile(
+    monkeypatch: pytest.MonkeyPatch, leave: str
+):
+    """Guards against a start that was recorded before the worker's entry changed."""
+    fault = Fault(monkeypatch, CellController, "_send_if_recorded")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        fault.calls_left = float("inf")
+        jobs = await submit(customers, 4)
+        await asyncio.sleep(0.2)
+        controller = world.find_controller()
+        assert controller is not None
+        (tables,) = world.nodes_by_name[controller].service.list_tables()
+        chosen = {worker.id for worker in tables.workers_by_id.values() if worker.runs}
+        assert chosen
+        for worker in list(world.fleet.workers_by_id.values()):
+            if worker.id not in chosen:
+                continue
+            if leave == "drains":
+                world.fleet.drain(worker.vm_id, LEAVING_SECONDS)
+            else:
+                world.state.apply(PutOp(f"servers/{worker.id}".encode(), b"{}"))
+        await asyncio.sleep(0.2)
+        fault.calls_left = 0
+        await asyncio.sleep(0.5)
+        assert not chosen & {run.worker_id for run in world.history.runs}
+        await wait_for_end(customers, jobs)
+
+    run_scenario(scenario, SEED)
+
+
 def test_starts_are_not_held_back_while_all_is_well():
     """Guards against a bound within the usual age of a view without changes."""
 
