--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
@@ -12,6 +13,8 @@
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import PrefixFollower
 from medlarspring_daemon.scheduling.advice_fetcher import AdviceFetcher
+from medlarspring_daemon.scheduling.election import ControllerFailure
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 from medlarspring_daemon.scheduling.job_record_writer import (
     FINAL_VERSION,
@@ -19,6 +22,7 @@
 )
 from medlarspring_daemon.scheduling.load_reporter import LoadReporter
 from medlarspring_daemon.scheduling.overload_detector import OverloadDetector
+from medlarspring_daemon.scheduling.registry_view import RegistryView
 from medlarspring_daemon.scheduling.round_timer import RoundTimer
 from medlarspring_daemon.scheduling.run_log import (
     log_job_ended,
@@ -29,6 +33,7 @@
     log_worker_quarantined,
     log_worker_restarted,
 )
+from medlarspring_daemon.scheduling.stall_detector import StallDetector
 from medlarspring_daemon.scheduling.unrecorded_ends import UnrecordedEnds
 from medlarspring_daemon.scheduling.usage_recorder import UsageRecorder
 from medlarspring_daemon.scheduling.vm_manager import VMManager
@@ -96,8 +101,14 @@
         self._unrecorded_ends = UnrecordedEnds()
         self._followers: list[PrefixFollower] = []
         self._workers: WorkerFeed | None = None
+        self._registry_view: RegistryView | None = None
+        """None until the registry is followed."""
         self._running = False
+        self._unsent_runs: dict[Run, None] = {}
+        """Recorded runs whose start order is still to be sent."""
+        self._failure: ControllerFailure | None = None
         self._overload_detector = OverloadDetector()
+        self._stall_detector = StallDetector(node.clock.now())
         self.order_times = AnswerTimes()
         self.hold_times = AnswerTimes()
         assert operator_records.config is not None
@@ -113,7 +124,7 @@
 
     async def start(self) -> None:
         """Start to take over the cell, in the background."""
-        self._tasks.start(self._take_over())
+        self._tasks.start(self._take_over_or_fail())
 
     async def stop(self, *, graceful: bool) -> None:
         """Stop all work for the cell; if ``graceful``, write pending records first."""
@@ -123,25 +134,52 @@
         # Close the links first. While they report ends there is always more to
         # record, and the handover took 0.7 s of the lease instead of milliseconds.
         await self._links.close_all()
-        await asyncio.gather(*(follower.stop() for follower in self._followers))
-        await self._record_writer.close(flush=graceful)
-        await self._links.wait_until_closed()
         self._operator_records.listeners = [
             each
             for each in self._operator_records.listeners
             if each != self._apply_config
         ]
+        await self._stop_followers()
+        await self._record_writer.close(flush=graceful)
+        await self._links.wait_until_closed()
+
+    async def _stop_followers(self) -> None:
+        """Stop all followers; one that failed must not keep the cell from release."""
+        stops = (follower.stop() for follower in self._followers)
+        for result in await asyncio.gather(*stops, return_exceptions=True):
+            if isinstance(result, Exception):
+                trace = "".join(traceback.format_exception(result))
+                self._node.log.error(Event.TASK_FAILED, trace=trace)
 
     def is_overloaded(self) -> bool:
         """Return whether this process can't keep up with the cell's work."""
         return self._overload_detector.is_overloaded()
 
+    def check_failure(self) -> ControllerFailure | None:
+        """Return why this process doesn't do the cell's work; None if it does."""
+        now, is_active = self._node.clock.now(), self._term.is_active()
+        is_stalled = self._stall_detector.check(now, is_active=is_active)
+        if self._failure is None and is_stalled:
+            return ControllerFailure.STALLED
+        return self._failure
+
+    async def _take_over_or_fail(self) -> None:
+        try:
+            await self._take_over()
+        except Exception:
+            # The takeover can't be repeated here: the tables may be half filled. A
+            # new term begins with empty ones.
+            self._failure = ControllerFailure.TAKEOVER
+            self._running = False
+            raise
+
     async def _take_over(self) -> None:
         """Load the records, then follow the inbox and the worker registry."""
         began_at = self._node.clock.now()
         self._usage_recorder.start_if_shared()
         prefix = self._term.keys.progress_prefix
         progress = await self._read_with_retries(prefix)
+        self._stall_detector.record_progress()
         records = {entry.key.removeprefix(prefix): entry for entry in progress.entries}
         feed = JobFeed(self._node, self._term, self, records)
         workers = self._workers = WorkerFeed(self._node, self)
@@ -151,6 +189,7 @@
             PrefixFollower(node, store, inbox, feed, LOAD_RETRY_SECONDS),
             PrefixFollower(node, store, registry, workers, LOAD_RETRY_SECONDS),
         ]
+        self._registry_view = RegistryView(self._node, self._followers[1])
         for follower in self._followers:
             follower.start()
         await asyncio.gather(feed.loaded.wait(), workers.loaded.wait())
@@ -241,20 +280,15 @@
 
     def handle_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
         """Record the changes from a listing, and schedule a placement round."""
-        for run, end in outcome.ended:
-            log_run_ended(self._node, run, end)
-        for run in outcome.lost:
-            log_run_lost(self._node, run, "not listed by its worker")
-        for unknown in outcome.unknown_ends:
-            log_unknown_end(self._node, worker, unknown)
-        if outcome.newly_quarantined:
-            log_worker_quarantined(self._node, worker)
         self._unrecorded_ends.add_ends(worker.id, outcome.ends)
+        attempt = self._node.failures.attempt
+        # The next listing does not call for these again.
         for job_id in list_changed_jobs(outcome):
             job = self.tables.jobs_by_id.get(job_id)
             if job is not None:
-                self._record_job(job)
-        self._end_needless_runs(outcome)
+                attempt(Step.LISTING, self._record_job, job)
+        attempt(Step.LISTING, self._log_listing, worker, outcome)
+        attempt(Step.LISTING, self._end_needless_runs, outcome)
         self._stop_runs_of_ended_jobs(worker)
         if outcome.serving:
             self._vm_manager.plan_moves_soon()
@@ -266,6 +300,16 @@
         ):
             self.plan(worker.pool_id)
 
+    def _log_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
+        for run, end in outcome.ended:
+            log_run_ended(self._node, run, end)
+        for run in outcome.lost:
+            log_run_lost(self._node, run, "not listed by its worker")
+        for unknown in outcome.unknown_ends:
+            log_unknown_end(self._node, worker, unknown)
+        if outcome.newly_quarantined:
+            log_worker_quarantined(self._node, worker)
+
     def handle_detached_run(self, worker: Worker, run: Run) -> None:
         """Record that a run ended or was refused, and schedule a placement round."""
         self._record_writer.schedule_write(run.task.step.job)
@@ -308,34 +352,75 @@
     def _run_round(self, pool_id: PoolId) -> None:
         if not self._running or not self._term.is_active():
             return
-        for run in plan_round(self.tables, pool_id, self._node.clock.now()):
+        if not self._allows_starts():
+            return
+        try:
+            runs = plan_round(self.tables, pool_id, self._node.clock.now())
+        except Exception:
+            # The tick plans the pool again. The round may have placed runs before it
+            # failed, whose intents must be recorded all the same.
+            self._node.failures.report(Step.ROUND)
+            runs = self._list_intended_runs(pool_id)
+        for run in runs:
             self._record_writer.schedule_write(run.task.step.job)
 
+    def _list_intended_runs(self, pool_id: PoolId) -> list[Run]:
+        workers = self.tables.workers_by_pool.get(pool_id, {}).values()
+        return [
+            run
+            for worker in workers
+            for run in worker.runs.values()
+            if run.state is RunState.INTENDED
+        ]
+
     def _handle_record_written(self, job: ActiveJob) -> None:
         """Send the start orders whose intents are now recorded."""
         if job.written_version == FINAL_VERSION:
             self._handle_final_record_written(job)
             return
         for run in list(job.runs):
-            self._send_if_recorded(run)
+            self._send_or_keep(run)
         self._acknowledge_recorded_ends(job)
 
+    def _send_or_keep(self, run: Run) -> None:
+        if not self._node.failures.attempt(Step.START, self._send_if_recorded, run):
+            self._unsent_runs[run] = None
+
+    def _send_kept_runs(self) -> None:
+        runs, self._unsent_runs = self._unsent_runs, {}
+        for run in runs:
+            if run in run.task.step.job.runs:
+                self._send_or_keep(run)
+
     def _send_if_recorded(self, run: Run) -> None:
         if run.state is not RunState.INTENDED:
             return
         if run.version > run.task.step.job.written_version:
             return
         link = self._links.find(run.worker.id)
-        # The worker's resources may have shrunk while the intent was recorded.
-        is_unavailable = (
-            run.worker.gone or run.worker.draining or is_overcommitted(run.worker)
-        )
+        # The worker may have left, or its resources shrunk, while the intent was
+        # recorded or its order was held back.
+        worker = run.worker
+        has_left = worker.gone or worker.draining or not worker.listed
+        is_unavailable = has_left or is_overcommitted(worker)
         if link is None or is_unavailable or run.task.done:
             detach_run(self.tables, run, self._node.clock.now())
             self.handle_detached_run(run.worker, run)
             return
+        if not self._allows_starts():
+            # The tick sends it once the view is confirmed.
+            self._unsent_runs[run] = None
+            return
         link.send_start(run)
 
+    def _allows_starts(self) -> bool:
+        """Return whether the view of the registry is current enough to start tasks.
+
+        From an old view, tasks would start on workers that have been leaving for longer
+        than the contract allows.
+        """
+        return self._registry_view is not None and self._registry_view.allows_starts()
+
     def _acknowledge_recorded_ends(self, job: ActiveJob) -> None:
         """Have the links acknowledge the ends that the job's record now contains."""
         for worker_id in self._unrecorded_ends.collect_waiting_workers(job):
@@ -388,37 +473,46 @@
         while True:
             sleep_started_at = self._node.clock.now()
             await asyncio.sleep(TICK_SECONDS)
+            self._stall_detector.record_progress()
             timer_delay = self._node.clock.now() - sleep_started_at - TICK_SECONDS
             self._overload_detector.record_timer_delay(timer_delay)
             if self._term.is_active():
                 self._tick()
 
     def _tick(self) -> None:
-        now, wall_ms = self._node.clock.now(), self._node.clock.wall() * 1_000
+        now = self._node.clock.now()
+        attempt = self._node.failures.attempt
         for job in list(self.tables.jobs_by_id.values()):
-            if job.spec.occurrences and open_due_occurrences(
-                self.tables, job, now, wall_ms
-            ):
-                self.plan(job.queue.pool_id)
-        self._liveness_monitor.expire_leases(now)
-        self._repair(now)
+            if job.spec.occurrences:
+                attempt(Step.OCCURRENCES, self._open_due_occurrences, job, now)
+        attempt(Step.LEASES, self._liveness_monitor.expire_leases, now)
+        attempt(Step.REPAIRS, self._repair, now)
+        if self._registry_view is not None:
+            self._registry_view.update_metrics()
+        self._send_kept_runs()
         self.plan_all()
 
+    def _open_due_occurrences(self, job: ActiveJob, now: Seconds) -> None:
+        wall_ms = self._node.clock.wall() * 1_000
+        if open_due_occurrences(self.tables, job, now, wall_ms):
+            self.plan(job.queue.pool_id)
+
     def _repair(self, now: Seconds) -> None:
         repairs = plan_repairs(self.tables, now)
+        # The copies are placed already and would else stay intended.
+        for run in repairs.copies:
+            self._node.metrics.count(Metric.RUNS_COPIED)
+            self._record_writer.schedule_write(run.task.step.job)
         for worker in repairs.quarantined:
             log_worker_quarantined(self._node, worker)
         for run, reason in repairs.stops:
-            self.stop_run(run, reason)
+            self._node.failures.attempt(Step.REPAIRS, self.stop_run, run, reason)
         for straggler in repairs.stragglers:
             run = straggler.projection.run
             # A stop without a connection to the worker is decided again later.
             is_copied = straggler.action is StragglerAction.COPY
             if is_copied or run.stop_reason == SLOW_WORKER_REASON:
                 log_straggler(self._node, straggler)
-        for run in repairs.copies:
-            self._node.metrics.count(Metric.RUNS_COPIED)
-            self._record_writer.schedule_write(run.task.step.job)
         for run, percent in repairs.paces:
             link = self._links.find(run.worker.id)
             if link is not None:
@@ -439,11 +533,14 @@
     def handle_lost_runs(self, runs: Iterable[Run]) -> None:
         """Record that runs were lost, and schedule placement rounds."""
         for job in dict.fromkeys(run.task.step.job for run in runs):
-            if job.outcome is not None:
-                self._record_job(job)
-                continue
-            self._record_writer.schedule_write(job)
-            self.plan(job.queue.pool_id)
+            self._node.failures.attempt(Step.LOST_RUNS, self._record_lost_runs, job)
+
+    def _record_lost_runs(self, job: ActiveJob) -> None:
+        if job.outcome is not None:
+            self._record_job(job)
+            return
+        self._record_writer.schedule_write(job)
+        self.plan(job.queue.pool_id)
 
     def close_link(self, worker: Worker) -> None:
         """Close the connections to a worker."""
--- a/packages/daemon/tests/scheduling/test_odd_entries.py
+++ b/packages/daemon/tests/scheduling/test_odd_entries.py
@@ -89,7 +89,8 @@
 def create_fleet(spy: Spy) -> tuple[Any, str]:
     tables = SimpleNamespace(remove=spy, put=spy, revisions_by_key={})
     prefix = "fleet/other/"
-    return fleet_feed.RecordListener(cast("Any", tables), prefix), prefix
+    unreadable = cast("Any", SimpleNamespace(clear_fault=lambda key: None))
+    return fleet_feed.RecordListener(cast("Any", tables), prefix, unreadable), prefix
 
 
 def create_pool(spy: Spy) -> tuple[Any, str]:
