Emulate a watch of one prefix that delivers nothing

What callers saw: tasks that started on leaving workers. One hypothesis is a registry view that is alive but old: its watch answers without events, or late, while renewals, reads and all other watches pass. The emulated store could only stall all watches of a node, and no fault table did.

--- a/packages/bench/src/medlarspring_bench/platform_world/days.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/days.py
@@ -45,6 +45,7 @@
 from medlarspring_bench.platform_world.plans import WorldPlan
 from medlarspring_bench.platform_world.virtual_time import run_virtual
 from medlarspring_bench.platform_world.world import World
+from medlarspring_platform.operator_records import PlatformCodec
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -214,6 +215,20 @@
         known += [each for each, answer in pairs if answer == "ok"]
 
 
+async def hold_registry_watch(day: Day) -> None:
+    """Let a node's watch of the workers' registry deliver nothing for a while.
+
+    The watches of other prefixes go on, and so do renewals, reads and writes.
+    """
+    name = day.choose_node()
+    if name is None:
+        return
+    held = (name, PlatformCodec.worker_prefix)
+    day.world.fault_state.held_watches.add(held)
+    await asyncio.sleep(day.rng.uniform(1.0, 8.0))
+    day.world.fault_state.held_watches.discard(held)
+
+
 async def cut_node(day: Day) -> None:
     """Partition a node from the store, VM control and some workers.
 
@@ -315,6 +330,13 @@
 RESIZES: FaultTable = (("worker shrinks and grows", resize_worker),) * 2
 SIXTH_FAULTS: FaultTable = (*FIFTH_FAULTS, *RESIZES)
 SEVENTH_FAULTS: FaultTable = (*SIXTH_FAULTS, *LATE_CRASHES)
+HELD_WATCHES: FaultTable = (
+    ("registry watch held", hold_registry_watch),
+    ("registry watch held", hold_registry_watch),
+    ("worker leaves", drain_worker),
+    ("worker leaves", drain_worker),
+)
+"""Leaving workers, while a node's watch of the registry delivers nothing."""
 PARTNER_CHANGES: FaultTable = (
     ("key revoked", revoke_key),
     ("all keys revoked", revoke_all_keys),
@@ -382,6 +404,7 @@
     "PARTNER_CHANGES",
     "PARTNER_FAULTS",
     "FOURTH_FAULTS",
+    "HELD_WATCHES",
     "INTERRUPTED_BATCHES",
     "RESIZES",
     "RESTARTS",
--- a/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fault_state.py
@@ -78,6 +78,9 @@
     """Fraction of hold calls that are applied immediately but get no reply."""
     stalled_watches: set[str] = field(default_factory=set)
     """Nodes whose watches deliver nothing, while the store answers other calls."""
+    held_watches: set[tuple[str, str]] = field(default_factory=set)
+    """Pairs of node and prefix for which the node's watch delivers nothing, while its
+    other watches go on and the store answers all other calls."""
     resets_connections: bool = False
     """Whether a worker that ends resets its connections instead of falling silent."""
     cut_links: set[tuple[str, str]] = field(default_factory=set)
@@ -112,6 +115,7 @@
         self.late_order_seconds = LATE_ORDER_SECONDS
         self.late_orders_outlive_workers = False
         self.stalled_watches.clear()
+        self.held_watches.clear()
         self.cut_links.clear()
         self.frozen_until.clear()
 
--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -114,7 +114,7 @@
         """Yield changes; while the store is unavailable they are delayed, not lost."""
         async for batch in self._inner.watch(prefix, start):
             await asyncio.sleep(LINK_SECONDS + self._fault_state.store_seconds)
-            while self._is_watch_stalled():
+            while self._is_watch_stalled(prefix):
                 await asyncio.sleep(RETRY_SECONDS)
             await self._wait_until_runnable()
             yield batch
@@ -123,9 +123,11 @@
         """End all watches, as a store does when it compacts its history."""
         self._inner.end_watches()
 
-    def _is_watch_stalled(self) -> bool:
+    def _is_watch_stalled(self, prefix: str) -> bool:
         if self._node_id in self._fault_state.stalled_watches:
             return True
+        if (self._node_id, prefix) in self._fault_state.held_watches:
+            return True
         return self._mode() is not StoreMode.WELL
 
     def _mode(self) -> StoreMode:
--- a/packages/bench/tests/test_platform_days.py
+++ b/packages/bench/tests/test_platform_days.py
@@ -10,6 +10,7 @@
     FIRST_FAULTS,
     FLAPS,
     FOURTH_FAULTS,
+    HELD_WATCHES,
     INTERRUPTED_BATCHES,
     LATE_CRASHES,
     RESIZES,
@@ -27,6 +28,7 @@
 RESIZE_SEEDS = range(1_000, 1_008)
 FRESH_SEEDS = range(1_000, 1_030)
 FAULTS_PER_DAY = 8
+HELD_WATCH_SEEDS = (11_000, 11_001, 11_005, 11_011, 11_025)
 LATE_CRASH_SEEDS = range(7_000, 7_006)
 INTERRUPTED_SEEDS = range(9_000, 9_006)
 RESTART_SEEDS = range(1_000, 1_012)
@@ -134,6 +136,12 @@
     assert_guarantees_held(play_day(seed, 1, table=INTERRUPTED_BATCHES))
 
 
+@pytest.mark.parametrize("seed", HELD_WATCH_SEEDS)
+def test_leaving_workers_get_no_starts_from_an_old_view(seed: int):
+    """Guards against a registry watch that delivers nothing while renewals pass."""
+    assert_guarantees_held(play_day(seed, FAULTS_PER_DAY, table=HELD_WATCHES))
+
+
 @pytest.mark.parametrize("table", [RESIZES, SIXTH_FAULTS], ids=["alone", "mixed"])
 def test_no_start_exceeds_reduced_resources(table: FaultTable):
     """Guards against starts based on the resources that were first listed."""
