Test that no library's cancellation ends a task in silence

What callers saw: work that stops without a line in any log. When aiohttp closes a connector, it cancels the calls that wait for one of its connections: HttpChannel.call then raises CancelledError although nobody cancelled its task (cancelling() is 0). BackgroundTasks catches Exception only, so that such a loop, restarted ones included, ends for good and without a line.

With today's time limits it was not reached: a retired session is closed after 3 s, and the calls on channels with a limit of connections time out earlier.

--- a/packages/adapters/tests/test_http_channel.py
+++ b/packages/adapters/tests/test_http_channel.py
@@ -9,6 +9,7 @@
 import pytest
 from aiohttp import web
 
+from medlarspring_adapters import http_channel
 from medlarspring_adapters.http_channel import (
     AnswerTooLarge,
     BodyLimits,
@@ -143,3 +144,35 @@
         limits = BodyLimits(silence_seconds=PATIENT_SECONDS, max_bytes=10_000)
         answer = await channel.call("GET", "/", PATIENT_SECONDS, body_limits=limits)
     assert len(answer.body) == 10_000
+
+
+@pytest.mark.parametrize("connections", [1, 2])
+async def test_call_that_waits_for_a_connection_is_not_cancelled_by_a_retired_session(
+    connections: int, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a cancellation that nobody asked for, which ends a task silently.
+
+    The HTTP client cancels the calls that wait for a connection when it is closed.
+    """
+    monkeypatch.setattr(http_channel, "RETIRED_SECONDS", 0.05)
+
+    may_answer = asyncio.Event()
+
+    async def hang(_: web.BaseRequest) -> web.Response:
+        await may_answer.wait()
+        return web.Response()
+
+    runner = web.ServerRunner(web.Server(hang))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    channel = HttpChannel(f"{host}:{port}", connections)
+    calls = [
+        asyncio.ensure_future(channel.call("GET", "/", seconds))
+        for seconds in (0.05, *[5.0] * (connections + 1))
+    ]
+    ended = await asyncio.gather(*calls, return_exceptions=True)
+    may_answer.set()
+    await channel.close()
+    await runner.cleanup()
+    assert [type(each) for each in ended] == [Unanswered] * len(calls)
