Test that a follower outlives an exception of the store's client

The listing or the watch of a prefix raises once in each process, an exception or a cancellation that nobody asked for; afterwards workers leave, jobs arrive and the configuration changes.

--- a/packages/daemon/tests/scheduling/test_ended_followers.py
+++ b/packages/daemon/tests/scheduling/test_ended_followers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from medlarspring_bench.key_value_ops import PutOp
+from medlarspring_bench.platform_world.store import SimulatedStore
 from medlarspring_bench.platform_world.worker_model import WorkerBehavior
 from medlarspring_daemon.scheduling.controller import CellController
 from medlarspring_daemon.scheduling.election import Election
@@ -176,6 +177,47 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize("call", ["read_prefix", "watch"])
+@pytest.mark.parametrize("error", [InjectedError, asyncio.CancelledError])
+@pytest.mark.parametrize("prefix", ["servers/", "inbox/0/", "op/"])
+def test_follower_goes_on_after_its_store_call_raised(
+    prefix: str,
+    error: type[BaseException],
+    call: str,
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against a follower that ends with an exception of the store's client.
+
+    An HTTP client may raise a cancellation although nobody cancelled the task.
+    """
+    failed: set[str] = set()
+    read_prefix, watch = SimulatedStore.read_prefix, SimulatedStore.watch
+
+    def raise_once(store: Any, of: str, name: str) -> None:
+        if of == prefix and name == call and store._node_id not in failed:
+            failed.add(store._node_id)
+            raise error
+
+    async def read_or_raise(store: Any, of: str) -> Any:
+        raise_once(store, of, "read_prefix")
+        return await read_prefix(store, of)
+
+    async def watch_or_raise(store: Any, of: str, start: Any) -> Any:
+        raise_once(store, of, "watch")
+        async for batch in watch(store, of, start):
+            yield batch
+
+    async def scenario(world: World, customers: Customers) -> None:
+        monkeypatch.setattr(SimulatedStore, "read_prefix", read_or_raise)
+        monkeypatch.setattr(SimulatedStore, "watch", watch_or_raise)
+        world.forget_history()
+        await asyncio.sleep(3.0)
+        assert failed
+        await check_service(world, customers)
+
+    run_scenario(scenario, SEED)
+
+
 ENTRY_FAULTS = {
     "worker": (WorkerFeed, "_apply_entry"),
     "worker-unlisted": (WorkerFeed, "_unlist_worker"),
