--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -123,11 +123,11 @@
         """
         async for batch in self._inner.watch(prefix, start):
             is_empty = not batch.changed and not batch.deleted
-            if is_empty and self._is_watch_stalled():
+            if is_empty and self._is_watch_stalled(prefix):
                 continue
             if not is_empty:
                 await asyncio.sleep(LINK_SECONDS + self._fault_state.store_seconds)
-            while self._is_watch_stalled():
+            while self._is_watch_stalled(prefix):
                 await asyncio.sleep(RETRY_SECONDS)
             await self._wait_until_runnable()
             yield batch
@@ -136,9 +136,11 @@
         """End all watches, as a store does when it compacts its history."""
         self._inner.end_watches()
 
-    def _is_watch_stalled(self) -> bool:
+    def _is_watch_stalled(self, prefix: str) -> bool:
         if self._node_id in self._fault_state.stalled_watches:
             return True
+        if (self._node_id, prefix) in self._fault_state.held_watches:
+            return True
         return self._mode() is not StoreMode.WELL
 
     def _mode(self) -> StoreMode:
