--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -376,6 +376,7 @@
     """
     cpu = step.resources.cpu_millis - worker.cpu_free
     memory = step.resources.memory_mb - worker.memory_free
+    accelerators = step.resources.accelerators - worker.accelerators_free
     stops: list[Run] = []
     candidates = [
         run
@@ -383,12 +384,13 @@
         if not run.task.step.spec.long_running and not run.stopping
     ]
     for run in sorted(candidates, key=lambda run: run.percent):
-        if cpu <= 0 and memory <= 0:
+        if max(cpu, memory, accelerators) <= 0:
             break
         stops.append(run)
         cpu -= run.task.step.resources.cpu_millis
         memory -= run.task.step.resources.memory_mb
-    return stops if cpu <= 0 and memory <= 0 else []
+        accelerators -= run.task.step.resources.accelerators
+    return stops if max(cpu, memory, accelerators) <= 0 else []
 
 
 __all__ = ["find_preemptible", "plan_round"]
