Take no odd task id or clock from a worker's answer

A listed run or end whose task id has no valid indices (x.0.0, 5,000 digits) raised in each answer of the worker, so that its hold calls failed once a second and its runs were given up; negative indices were taken as other tasks' (71 breaches of the order of steps in one probe). A clock that no float can hold raised as well.

--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.crashes import record_vanished_run
+from medlarspring_systems.scheduling.indices import is_index
 from medlarspring_systems.scheduling.quarantine import record_failure, record_success
 from medlarspring_systems.scheduling.runs import (
     attach_run,
@@ -238,15 +239,16 @@
     parts = task_id.split(".")
     if len(parts) != 4:  # noqa: PLR2004
         return None
-    job_id, occurrence, step, index = parts
+    job_id, *indices = parts
     job = tables.jobs_by_id.get(job_id)  # type: ignore[call-overload]
-    if job is None:
+    if job is None or not all(map(is_index, indices)):
         return None
-    steps = job.occurrences_by_index.get(int(occurrence))
-    if steps is None or int(step) >= len(steps):
+    occurrence, step, index = map(int, indices)
+    steps = job.occurrences_by_index.get(occurrence)
+    if steps is None or step >= len(steps):
         return None
-    tasks: list[Task] = steps[int(step)].tasks
-    return tasks[int(index)] if int(index) < len(tasks) else None
+    tasks: list[Task] = steps[step].tasks
+    return tasks[index] if index < len(tasks) else None
 
 
 def find_belief(tables: WorkTables, task_id: str) -> TaskBelief:
--- a/packages/systems/src/medlarspring_systems/scheduling/progress_records.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/progress_records.py
@@ -5,6 +5,7 @@
 import string
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.indices import is_index
 from medlarspring_systems.scheduling.jobs import count_occurrences, open_occurrence
 from medlarspring_systems.scheduling.pacing import RESTORED_PACE_PERCENT
 from medlarspring_systems.scheduling.runs import attach_run, record_task_or_gang_done
@@ -30,8 +31,6 @@
         WorkTables,
     )
 
-MAX_INDEX_DIGITS = 9
-"""Digits of an occurrence or step in a key; ``int`` raises beyond some thousands."""
 MAX_KEY_LENGTH = 40
 """Characters of an invalid key that a fault shows."""
 
@@ -95,7 +94,7 @@
         return "it marks an occurrence as done that the job does not have"
     for key, step in record.steps.items():
         occurrence, _, index = key.partition(".")
-        if not (_is_index(occurrence) and _is_index(index)):
+        if not (is_index(occurrence) and is_index(index)):
             return f"{key[:MAX_KEY_LENGTH]} is not a valid step key"
         if int(occurrence) >= occurrences or int(index) >= len(spec.steps):
             return f"the job has no step {key}"
@@ -104,10 +103,6 @@
     return ""
 
 
-def _is_index(text: str) -> bool:
-    return text.isdecimal() and len(text) <= MAX_INDEX_DIGITS
-
-
 def _is_hex(text: str) -> bool:
     return all(digit in string.hexdigits for digit in text)
 
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -12,6 +12,7 @@
 from medlarspring_systems.scheduling.late_orders import record_unanswered_order
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_tables import PoolId, RackId, VMId
+from medlarspring_tables.bounds import MAX_WHOLE
 from medlarspring_tables.scheduling import (
     QuarantineReason,
     Resources,
@@ -269,8 +270,8 @@
 
 
 def record_clock(worker: Worker, clock_ms: int, received_at: Seconds) -> None:
-    """Record the worker's clock, in ms, from an answer; 0 or less is ignored."""
-    if clock_ms <= 0:
+    """Record the worker's clock, in ms, from an answer; no possible one is ignored."""
+    if not 0 < clock_ms <= MAX_WHOLE:
         return
     worker.clock_ms = float(clock_ms)
     worker.clock_at = received_at
