Release a cell also if its controller's stop raises

A process that stopped, or stepped down, kept the cell's key when a part of its controller's stop raised: the release ended halfway, and no other process took over until the lease was over. test_cell_is_served_after_its_controllers_stop_failed[stop] failed before.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -22,6 +22,7 @@
     Put,
     Transaction,
 )
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.keys import CellKeys
 from medlarspring_tables import Revision
 from medlarspring_tables.scheduling import ControllerRecord, Fence
@@ -383,7 +384,7 @@
     async def _release(self, term: Term, *, graceful: bool) -> None:
         controller, self.controller = self.controller, None
         if controller is not None:
-            await controller.stop(graceful=graceful)
+            await self._stop_controller(controller, graceful=graceful)
         self.term = None
         self._node.metrics.gauge(Metric.CELLS_HELD, 0)
         event = Event.CELL_RELEASED if graceful else Event.CELL_LOST
@@ -398,5 +399,12 @@
         term.end()
         self._holder = None if graceful else self._holder
 
+    async def _stop_controller(self, controller: Controller, *, graceful: bool) -> None:
+        """Stop a controller; a failure must not keep the cell from being released."""
+        try:
+            await controller.stop(graceful=graceful)
+        except Exception:
+            self._node.failures.report(Step.CONTROLLER_STOP)
+
 
 __all__ = ["Controller", "ControllerFailure", "Election", "Term"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/failure_log.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/failure_log.py
@@ -39,6 +39,7 @@
     RECORD_WRITE = "record_write"
     RECORD_WRITTEN = "record_written"
     LINK_CLOSE = "link_close"
+    CONTROLLER_STOP = "controller_stop"
     LOAD_REPORT = "load_report"
     VM_OPERATION = "vm_operation"
     VM_REPORT = "vm_report"
