List a prefix beside a watch that hangs, and count its wait as confirmed

Tasks started on leaving workers, and jobs waited beside new ones, while one watch delivered nothing although all other calls to the store passed: the follower waited for the watch. A follower of the scheduling services now lists its prefix after 2 s in which a watch has not answered at all, and watches on from the listing; a listing that fails changes nothing.

A watch call that returns without events after its whole wait proves the view up to the end of the wait, not only up to when it was sent: a quiet view is at most one call old (0.8 s) in place of two, so that neither a slow store nor one lost call holds starts back (bound 1.75 s).

--- a/packages/adapters/src/medlarspring_adapters/prefix_follower.py
+++ b/packages/adapters/src/medlarspring_adapters/prefix_follower.py
@@ -28,6 +28,9 @@
 
 MIN_RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 10.0
+MAX_SILENCE_SECONDS = 2.0
+"""Longest silence of a watch that the store answers also without changes. The prefix is
+then listed, as a watch may hang while other calls are answered."""
 MAX_ENTRY_RETRY_SECONDS = 10.0
 """Longest pause before a listing that is made only to apply single entries again."""
 MAX_DOUBLINGS = 16
@@ -81,6 +84,8 @@
 
     ``context`` is that of the process; ``store`` may be limited to one mechanism.
     Whatever the store or the listener raises is logged, and the prefix is listed again.
+    With ``max_silence_seconds``, it is also listed when the watch has yielded nothing,
+    not even an empty batch, for so long.
     """
 
     def __init__(
@@ -91,9 +96,12 @@
         listener: PrefixListener,
         min_retry_seconds: Seconds = MIN_RETRY_SECONDS,
         max_retry_seconds: Seconds = MAX_RETRY_SECONDS,
+        *,
+        max_silence_seconds: Seconds | None = None,
     ) -> None:
         self._min_retry_seconds = min_retry_seconds
         self._max_retry_seconds = max_retry_seconds
+        self._max_silence_seconds = max_silence_seconds
         self._store = store
         self._prefix = prefix
         self._listener = listener
@@ -103,16 +111,18 @@
         """Listings in a row that the store did not answer."""
         self._failures = FailureStreak()
         self._revision = Revision(0)
+        """Revision up to which the listener has all changes."""
+        self._entry_retry: Seconds | None = None
+        """When to list again for entries of the last listing that were not applied."""
         self._task: asyncio.Task[None] | None = None
 
     @property
     def confirmed_at(self) -> Seconds | None:
         """Local time up to which the listener certainly has all changes.
 
-        It is when the newest call was sent whose answer the listener has applied; None
-        before the first listing. With a store that answers watches without changes,
-        it is at most two watch calls old while all is well. With any other store
-        it stays at the last listing, or at the last batch that tells its time.
+        None before the first listing. With a store that answers watches without
+        changes, it is at most one watch call old while all is well. With any other
+        store it stays at the last listing, or at the last batch that tells its time.
 
         Entries that the listener reported as not applied are left out: they don't
         make the others old.
@@ -147,41 +157,62 @@
 
     async def _follow(self) -> Seconds:
         """List the prefix and watch it; return the pause before the next listing."""
-        sent_at = self._context.clock.now()
-        listed = await self._store.read_prefix(self._prefix)
-        if not is_successful(listed):
+        if not await self._list():
             self._refused_listings += 1
             return self._choose_pause(self._refused_listings, self._max_retry_seconds)
         self._refused_listings = 0
-        listing = listed.unwrap()
-        self._revision = listing.revision
-        retry = self._apply(self._listener.apply_listing, listing)
-        self._confirmed_at = sent_at
-        if retry is None:
-            self._record_success()
         try:
-            async with asyncio.timeout(retry) as until_retry:
-                await self._watch(Revision(listing.revision + 1), until_retry)
+            async with asyncio.timeout(self._entry_retry) as until_retry:
+                while await self._watch_until_silent(until_retry):
+                    await self._list()
         except TimeoutError:
             if until_retry.expired():
                 return 0.0
             raise
         return self._choose_pause(0, self._max_retry_seconds)
 
-    async def _watch(self, start: Revision, until_retry: asyncio.Timeout) -> None:
-        loop = asyncio.get_running_loop()
+    async def _list(self) -> bool:
+        """Apply a listing; return False if the store does not answer."""
+        sent_at = self._context.clock.now()
+        listed = await self._store.read_prefix(self._prefix)
+        if not is_successful(listed):
+            return False
+        listing = listed.unwrap()
+        self._revision = listing.revision
+        self._entry_retry = self._apply(self._listener.apply_listing, listing)
+        self._confirmed_at = sent_at
+        if self._entry_retry is None:
+            self._record_success()
+        return True
+
+    async def _watch_until_silent(self, until_retry: asyncio.Timeout) -> bool:
+        """Apply changes; return whether the watch fell silent, False if it ended."""
+        start = Revision(self._revision + 1)
         batches = cast(
             "AsyncGenerator[WatchBatch, None]", self._store.watch(self._prefix, start)
         )
         async with aclosing(batches):
-            async for batch in batches:
-                if batch.changed or batch.deleted:
-                    self._revision = batch.revision
-                    retry = self._apply(self._listener.apply_batch, batch)
-                    if retry is not None and until_retry.when() is None:
-                        until_retry.reschedule(loop.time() + retry)
-                if batch.sent_at is not None:
-                    self._confirmed_at = batch.sent_at
+            while True:
+                try:
+                    async with asyncio.timeout(self._max_silence_seconds) as silence:
+                        batch = await anext(batches, None)
+                except TimeoutError:
+                    if silence.expired():
+                        return True
+                    raise
+                if batch is None:
+                    return False
+                self._apply_batch(batch, until_retry)
+
+    def _apply_batch(self, batch: WatchBatch, until_retry: asyncio.Timeout) -> None:
+        if batch.changed or batch.deleted:
+            retry = self._apply(self._listener.apply_batch, batch)
+            if retry is not None and until_retry.when() is None:
+                loop = asyncio.get_running_loop()
+                until_retry.reschedule(loop.time() + retry)
+        self._revision = max(self._revision, batch.revision)
+        if batch.confirmed_at is not None:
+            self._confirmed_at = batch.confirmed_at
 
     def _apply(
         self, apply: Callable[[Changes], None], changes: Changes
--- a/packages/adapters/src/medlarspring_adapters/store.py
+++ b/packages/adapters/src/medlarspring_adapters/store.py
@@ -173,10 +173,9 @@
     revision: Revision
     changed: tuple[Entry, ...]
     deleted: tuple[str, ...]
-    sent_at: Seconds | None = None
-    """Local time at which the call was sent that this batch answers.
+    confirmed_at: Seconds | None = None
+    """Local time up to which the batches so far contain every change of the store.
 
-    The batches up to this one contain every change that the store had at that time.
     None if the store can't tell.
     """
 
--- a/packages/adapters/tests/test_prefix_follower.py
+++ b/packages/adapters/tests/test_prefix_follower.py
@@ -42,8 +42,8 @@
     return Entry(f"p/{name}", b"", Revision(1), Revision(revision))
 
 
-def create_batch(*names: str, sent_at: float | None = None) -> WatchBatch:
-    return WatchBatch(Revision(2), tuple(map(create_entry, names)), (), sent_at)
+def create_batch(*names: str, confirmed_at: float | None = None) -> WatchBatch:
+    return WatchBatch(Revision(2), tuple(map(create_entry, names)), (), confirmed_at)
 
 
 @dataclass
@@ -129,11 +129,11 @@
         (ScriptedStore(), 0.2, None, 0),
         (ScriptedStore(refused=9), 5.0, None, 0),
         (ScriptedStore(), 5.0, BEGAN_AT, 1),
-        (ScriptedStore([create_batch("a", sent_at=SENT_AT)]), 5.0, SENT_AT, 2),
-        (ScriptedStore([create_batch(sent_at=SENT_AT)]), 5.0, SENT_AT, 1),
+        (ScriptedStore([create_batch("a", confirmed_at=SENT_AT)]), 5.0, SENT_AT, 2),
+        (ScriptedStore([create_batch(confirmed_at=SENT_AT)]), 5.0, SENT_AT, 1),
         (ScriptedStore([create_batch("a")]), 5.0, BEGAN_AT, 2),
         (
-            ScriptedStore([create_batch(sent_at=SENT_AT), create_batch("a")]),
+            ScriptedStore([create_batch(confirmed_at=SENT_AT), create_batch("a")]),
             5.0,
             SENT_AT,
             2,
@@ -271,7 +271,7 @@
     faults: int, is_applied: bool, resumed: int
 ):
     """Guards against one odd entry that makes the view of all others old."""
-    store = ScriptedStore([create_batch("b"), create_batch("d", sent_at=SENT_AT)])
+    store = ScriptedStore([create_batch("b"), create_batch("d", confirmed_at=SENT_AT)])
     listener = OneByOne(faults)
     outcome = follow(store, listener, 3_600.0)
     assert {"p/a", "p/c", "p/d"} <= set(listener.applied)
--- a/packages/bench/src/medlarspring_bench/memory_store.py
+++ b/packages/bench/src/medlarspring_bench/memory_store.py
@@ -169,15 +169,15 @@
                     async with asyncio.timeout(self._find_wait_left(sent_at)):
                         commit_or_end = await queue.get()
                 except TimeoutError:
-                    yield WatchBatch(Revision(self.state.revision), (), (), sent_at)
                     sent_at = self.state.clock.now()
+                    yield WatchBatch(Revision(self.state.revision), (), (), sent_at)
                     continue
                 if commit_or_end is None:
                     return
                 batch = _batch(commit_or_end, prefix.encode())
                 if batch is not None:
                     now = self.state.clock.now()
-                    yield replace(batch, sent_at=now if queue.empty() else None)
+                    yield replace(batch, confirmed_at=now if queue.empty() else None)
                     sent_at = self.state.clock.now()
         finally:
             self._watches.pop(queue, None)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -11,7 +11,10 @@
 from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
-from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_adapters.prefix_follower import (
+    MAX_SILENCE_SECONDS,
+    PrefixFollower,
+)
 from medlarspring_daemon.scheduling.advice_fetcher import AdviceFetcher
 from medlarspring_daemon.scheduling.election import ControllerFailure
 from medlarspring_daemon.scheduling.failure_log import Step
@@ -186,8 +189,22 @@
         node, store = self._node, self._node.store
         inbox, registry = self._term.keys.inbox_prefix, node.codec.worker_prefix
         self._followers = [
-            PrefixFollower(node, store, inbox, feed, LOAD_RETRY_SECONDS),
-            PrefixFollower(node, store, registry, workers, LOAD_RETRY_SECONDS),
+            PrefixFollower(
+                node,
+                store,
+                inbox,
+                feed,
+                LOAD_RETRY_SECONDS,
+                max_silence_seconds=MAX_SILENCE_SECONDS,
+            ),
+            PrefixFollower(
+                node,
+                store,
+                registry,
+                workers,
+                LOAD_RETRY_SECONDS,
+                max_silence_seconds=MAX_SILENCE_SECONDS,
+            ),
         ]
         self._registry_view = RegistryView(self._node, self._followers[1])
         for follower in self._followers:
@@ -357,8 +374,8 @@
         try:
             runs = plan_round(self.tables, pool_id, self._node.clock.now())
         except Exception:
-            # The tick plans the pool again. The round may have placed runs before it
-            # failed, whose intents must be recorded all the same.
+            # The round may have placed runs before it failed, whose intents must be
+            # recorded all the same.
             self._node.failures.report(Step.ROUND)
             runs = self._list_intended_runs(pool_id)
         for run in runs:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -13,7 +13,10 @@
 from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
-from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_adapters.prefix_follower import (
+    MAX_SILENCE_SECONDS,
+    PrefixFollower,
+)
 from medlarspring_adapters.store import (
     Delete,
     Expect,
@@ -179,7 +182,12 @@
         self.term: Term | None = None
         self.controller: Controller | None = None
         self._follower = PrefixFollower(
-            node, node.store, self._keys.controller, self, TICK_SECONDS
+            node,
+            node.store,
+            self._keys.controller,
+            self,
+            TICK_SECONDS,
+            max_silence_seconds=MAX_SILENCE_SECONDS,
         )
 
     async def start(self) -> None:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/operator_records.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/operator_records.py
@@ -11,7 +11,10 @@
 from medlarspring_adapters.entry_attempts import EntryAttempts
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
-from medlarspring_adapters.prefix_follower import PrefixFollower
+from medlarspring_adapters.prefix_follower import (
+    MAX_SILENCE_SECONDS,
+    PrefixFollower,
+)
 from medlarspring_daemon.scheduling.intake_errors import (
     CredentialUnknown,
     IntakeError,
@@ -71,6 +74,7 @@
             self,
             RETRY_SECONDS,
             MAX_RETRY_SECONDS,
+            max_silence_seconds=MAX_SILENCE_SECONDS,
         )
 
     async def start(self) -> None:
--- a/packages/platform/src/medlarspring_platform/store.py
+++ b/packages/platform/src/medlarspring_platform/store.py
@@ -275,7 +275,19 @@
             # An answer from before the last one does not show what happened since.
             is_current = content.as_of >= after
             after = max(content.as_of, after)
-            yield to_batch(content, sent_at if is_current else None)
+            confirmed_at = self._find_confirmed_time(content, sent_at, wait)
+            yield to_batch(content, confirmed_at if is_current else None)
+
+    def _find_confirmed_time(
+        self, content: WireEvents, sent_at: Seconds, wait: Seconds
+    ) -> Seconds:
+        """Return the local time up to which a watch's answer contains all changes.
+
+        The store answers at the first event, so that an answer without any, given
+        after the whole wait, covers that time.
+        """
+        waited = self._clock.now() - sent_at >= wait
+        return sent_at + wait if waited and not content.events else sent_at
 
     async def _watch_once(
         self, path: str, timeout: Seconds
--- a/packages/platform/src/medlarspring_platform/store_messages.py
+++ b/packages/platform/src/medlarspring_platform/store_messages.py
@@ -126,7 +126,7 @@
     )
 
 
-def to_batch(content: WireEvents, sent_at: Seconds | None) -> WatchBatch:
+def to_batch(content: WireEvents, confirmed_at: Seconds | None) -> WatchBatch:
     """Return the newest event of each key."""
     newest: dict[str, WireItem] = {}
     for event in content.events:
@@ -134,7 +134,7 @@
     changed = [to_entry(event) for event in newest.values() if not event.removed]
     deleted = [event.key for event in newest.values() if event.removed]
     revision = Revision(content.as_of)
-    return WatchBatch(revision, tuple(changed), tuple(deleted), sent_at)
+    return WatchBatch(revision, tuple(changed), tuple(deleted), confirmed_at)
 
 
 __all__ = [
--- a/packages/platform/tests/adapter/test_store.py
+++ b/packages/platform/tests/adapter/test_store.py
@@ -19,7 +19,7 @@
     Transaction,
 )
 from medlarspring_bench.platform_world.fault_state import StoreMode
-from medlarspring_platform.store import MAX_WATCH_RETRY_SECONDS
+from medlarspring_platform.store import MAX_WATCH_RETRY_SECONDS, WATCH_WAIT_SECONDS
 from medlarspring_tables import Revision
 
 if TYPE_CHECKING:
@@ -110,17 +110,25 @@
     await watch.aclose()  # type: ignore[attr-defined]
 
 
-async def test_watch_tells_when_each_call_was_sent(platform: Platform):
+async def test_watch_tells_up_to_when_it_has_all_changes(platform: Platform):
     """Guards against a quiet prefix that looks like a store that no longer answers."""
     began_at = time.monotonic()
     watch = platform.store.watch("a/", Revision(platform.state.revision + 1))
     empty, next_empty = await anext(watch), await anext(watch)
     assert not empty.changed + next_empty.changed
-    assert empty.sent_at is not None
-    assert next_empty.sent_at is not None
-    assert began_at <= empty.sent_at < next_empty.sent_at < time.monotonic() - 0.7
+    assert empty.confirmed_at is not None
+    assert next_empty.confirmed_at is not None
+    assert empty.confirmed_at >= began_at + WATCH_WAIT_SECONDS
+    assert next_empty.confirmed_at >= empty.confirmed_at + WATCH_WAIT_SECONDS
+    asked_at = time.monotonic()
+    assert next_empty.confirmed_at <= asked_at
+    next_batch = asyncio.ensure_future(anext(watch))
+    await asyncio.sleep(0.2)
     await platform.store.commit(create("a/1"))
-    assert (await anext(watch)).changed
+    batch = await next_batch
+    assert batch.changed
+    assert batch.confirmed_at is not None
+    assert asked_at <= batch.confirmed_at < time.monotonic() - 0.2
     await watch.aclose()  # type: ignore[attr-defined]
 
 
@@ -133,7 +141,7 @@
     await asyncio.sleep(1.2)
     platform.fault_state.store_mode = StoreMode.WELL
     async with asyncio.timeout(MAX_WATCH_RETRY_SECONDS + 0.3):
-        assert (await answer).sent_at is not None
+        assert (await answer).confirmed_at is not None
     await watch.aclose()  # type: ignore[attr-defined]
 
 
