Isolate the rounds of the pools in their timer

An exception before or after the planning of a pool's round kept the other due pools' rounds from running. Both cases of test_other_pools_are_served_while_one_pools_round_raises failed before.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -118,7 +118,7 @@
         self.tables = WorkTables(
             operator_records.config, predecessors_until=term.predecessors_until
         )
-        self._rounds = RoundTimer(self.tables, self._run_round)
+        self._rounds = RoundTimer(self.tables, self._attempt_round)
         self._usage_recorder = UsageRecorder(node, term, self.tables, self._tasks)
         self._vm_manager = VMManager(node, term, operator_records, self)
         self._liveness_monitor = WorkerLivenessMonitor(node, self)
@@ -366,6 +366,10 @@
         if link is not None and run.state is not RunState.INTENDED:
             link.send_stop(run, reason)
 
+    def _attempt_round(self, pool_id: PoolId) -> None:
+        """Run a round; the tick plans a pool again whose round failed."""
+        self._node.failures.attempt(Step.ROUND, self._run_round, pool_id)
+
     def _run_round(self, pool_id: PoolId) -> None:
         if not self._running or not self._term.is_active():
             return
