--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -87,6 +87,9 @@
 
 TICK_SECONDS = 0.1
 LOAD_RETRY_SECONDS = 0.05
+MAX_LOAD_RETRY_SECONDS = 0.5
+"""Longest pause before a prefix is listed again. While nothing but listings is applied,
+the view of the workers must not get older than tasks may be started from."""
 
 
 class CellController:
@@ -195,6 +198,7 @@
                 inbox,
                 feed,
                 LOAD_RETRY_SECONDS,
+                MAX_LOAD_RETRY_SECONDS,
                 max_silence_seconds=MAX_SILENCE_SECONDS,
             ),
             PrefixFollower(
@@ -203,6 +207,7 @@
                 registry,
                 workers,
                 LOAD_RETRY_SECONDS,
+                MAX_LOAD_RETRY_SECONDS,
                 max_silence_seconds=MAX_SILENCE_SECONDS,
             ),
         ]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -54,6 +54,8 @@
 MAX_JITTER_SECONDS = 0.06
 """Random delay that lets most candidates see the winner's key before they try."""
 TICK_SECONDS = 0.1
+MAX_LISTING_RETRY_SECONDS = 0.5
+"""Longest pause before the key is read again; a free cell is not seen before that."""
 PREFERRED_CORES = 1.0
 """An entry VM with fewer cores leaves the cell to others if possible. A controller of
 1,300 tasks per second used 0.5 of a core, and on half a core its orders timed out."""
@@ -187,6 +189,7 @@
             self._keys.controller,
             self,
             TICK_SECONDS,
+            MAX_LISTING_RETRY_SECONDS,
             max_silence_seconds=MAX_SILENCE_SECONDS,
         )
 
--- a/packages/daemon/tests/scheduling/test_ended_followers.py
+++ b/packages/daemon/tests/scheduling/test_ended_followers.py
@@ -36,6 +36,8 @@
 """Time from a drain notice until no start may reach the worker any more."""
 CONFIG_SECONDS = 2.5
 """Time in which a new configuration has to be in force."""
+COMPLETION_SECONDS = 3.0
+"""Time in which a job completes once its controller knows it."""
 TAKEOVER_SECONDS = 12.0
 FAILED_SECONDS = 0.18
 """Time in which a started task has failed, but is not due again yet."""
@@ -218,6 +220,29 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize("follower", FOLLOWERS)
+def test_cell_is_served_while_a_listener_raises_at_each_batch(
+    follower: str, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against a view that gets old while listings are all that is applied."""
+    listener, _ = FOLLOWERS[follower]
+    fault = Fault(monkeypatch, listener, "apply_batch", lambda *_: True)
+
+    async def scenario(world: World, customers: Customers) -> None:
+        fault.armed = True
+        # Long enough for the pauses between listings to have grown.
+        for _ in range(24):
+            world.write_config()
+            await submit(customers, 1)
+            await asyncio.sleep(0.5)
+        for _ in range(4):
+            async with asyncio.timeout(CONFIG_SECONDS + COMPLETION_SECONDS):
+                await wait_for_end(customers, await submit(customers, 1))
+        await check_service(world, customers)
+
+    run_scenario(scenario, SEED)
+
+
 ENTRY_FAULTS = {
     "worker": (WorkerFeed, "_apply_entry"),
     "worker-unlisted": (WorkerFeed, "_unlist_worker"),
