--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.pipeline import is_successful
 
+from medlarspring_adapters.cancellation import is_cancellation_requested
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import (
     Delete,
@@ -229,13 +230,23 @@
         try:
             await self._commit(batch)
         except Exception:
-            # The write may have been applied. Its retry is refused then, and takes
-            # the revisions of the records from the refusal.
-            self._node.failures.report(Step.RECORD_WRITE)
-            for update in batch:
-                update.job.writing = False
-            await asyncio.sleep(RETRY_SECONDS)
-            self._schedule_again(batch)
+            await self._repeat_later(batch)
+        except asyncio.CancelledError:
+            if is_cancellation_requested():
+                raise
+            await self._repeat_later(batch)
+
+    async def _repeat_later(self, batch: list[JobUpdate]) -> None:
+        """Report a write that raised, and write its jobs again.
+
+        It may have been applied. Its retry is refused then, and takes the revisions of
+        the records from the refusal.
+        """
+        self._node.failures.report(Step.RECORD_WRITE)
+        for update in batch:
+            update.job.writing = False
+        await asyncio.sleep(RETRY_SECONDS)
+        self._schedule_again(batch)
 
     async def _commit(self, batch: list[JobUpdate]) -> None:
         expects = [self._term.expect()]
--- a/packages/daemon/tests/scheduling/test_failing_parts.py
+++ b/packages/daemon/tests/scheduling/test_failing_parts.py
@@ -12,6 +12,7 @@
 from medlarspring_daemon.scheduling.controller import CellController
 from medlarspring_daemon.scheduling.election import Election
 from medlarspring_daemon.scheduling.job_record_writer import JobRecordWriter
+from medlarspring_daemon.scheduling.worker_links import WorkerLinks
 
 from .scenarios import run_scenario, submit, wait_for_end
 
@@ -38,6 +39,7 @@
     owner: type,
     method: str,
     is_hit: Callable[..., bool] = lambda *_: True,
+    error: BaseException | None = None,
 ) -> list[str]:
     """Make a method raise at the first call that is hit; returns the calls hit."""
     hits: list[str] = []
@@ -46,7 +48,7 @@
     def call(instance: Any, *args: Any, **options: Any) -> Any:
         if not hits and is_hit(*args):
             hits.append(method)
-            raise InjectedError
+            raise error or InjectedError
         return original(instance, *args, **options)
 
     monkeypatch.setattr(owner, method, call)
@@ -76,6 +78,24 @@
     run_scenario(scenario, SEED)
 
 
+def test_cell_is_served_while_its_former_controllers_stop_hangs(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against a cell that nobody serves since a connection never closes."""
+
+    async def hang(_: WorkerLinks) -> None:
+        await asyncio.Event().wait()
+
+    async def scenario(world: World, customers: Customers) -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(WorkerLinks, "close_all", hang)
+            world.revoke_controller()
+            await asyncio.sleep(STEP_DOWN_SECONDS)
+        await wait_for_end(customers, await submit(customers))
+
+    run_scenario(scenario, SEED)
+
+
 def is_progress_write(transaction: Transaction) -> bool:
     return any(write.key.startswith("progress/") for write in transaction.writes)
 
@@ -87,14 +107,15 @@
 }
 
 
+@pytest.mark.parametrize("error", [InjectedError(), asyncio.CancelledError()])
 @pytest.mark.parametrize("name", CALLS)
 def test_jobs_complete_after_one_call_raised(
-    name: str, monkeypatch: pytest.MonkeyPatch
+    name: str, error: BaseException, monkeypatch: pytest.MonkeyPatch
 ):
     """Guards against a job that waits forever for a call that raised."""
 
     async def scenario(world: World, customers: Customers) -> None:
-        hits = fail_once(monkeypatch, *CALLS[name])
+        hits = fail_once(monkeypatch, *CALLS[name], error=error)
         await wait_for_end(customers, await submit(customers))
         assert hits
 
