End followers and loops whose cancelled call raises another exception

The cancellation of a follower or of a restarted loop was lost when the call that it ended raised, say, OSError: the loop went on, and the stop waited for ever, with the cell unreleased.

--- a/packages/adapters/src/medlarspring_adapters/background_tasks.py
+++ b/packages/adapters/src/medlarspring_adapters/background_tasks.py
@@ -108,6 +108,9 @@
         while True:
             failures.record_success(loop.time())
             await self._run_logged(_call(run), name, failures, RESTART_SECONDS)
+            if is_cancellation_requested():
+                # A call that was cancelled may end in another exception.
+                return
             await asyncio.sleep(RESTART_SECONDS)
 
     async def _run_logged(
--- a/packages/adapters/src/medlarspring_adapters/prefix_follower.py
+++ b/packages/adapters/src/medlarspring_adapters/prefix_follower.py
@@ -149,6 +149,9 @@
                 pause = await self._follow()
             except Exception as error:
                 pause = self._record_failure(error, self._max_retry_seconds)
+                if is_cancellation_requested():
+                    # A call that was cancelled may end in another exception.
+                    return
             except asyncio.CancelledError as error:
                 if is_cancellation_requested():
                     raise
--- a/packages/adapters/tests/test_background_tasks.py
+++ b/packages/adapters/tests/test_background_tasks.py
@@ -94,3 +94,22 @@
     assert "RuntimeError: odd" in lines.getvalue()
     with pytest.raises(RuntimeError):
         await task
+
+
+def test_loop_ends_also_if_its_cancelled_call_raises_something_else():
+    """Guards against a service whose stop waits for ever."""
+
+    async def run() -> None:
+        try:
+            await wait_forever()
+        except asyncio.CancelledError:
+            raise OSError("closed") from None
+
+    async def main(_: VirtualClock) -> None:
+        tasks = BackgroundTasks(create_event_log(EntryVMId("e"), "CRITICAL"))
+        tasks.run_with_restart(run)
+        await asyncio.sleep(1.0)
+        async with asyncio.timeout(60.0):
+            await tasks.cancel()
+
+    run_virtual(main)
--- a/packages/adapters/tests/test_prefix_follower.py
+++ b/packages/adapters/tests/test_prefix_follower.py
@@ -281,3 +281,50 @@
     assert outcome.count(Event.FOLLOWER_FAILED) < 16
     assert outcome.count(Event.FOLLOWER_RESUMED) == resumed
     assert store.listings < 3_600 / 2.0
+
+
+class CancelledCallRaises(ScriptedStore):
+    """Its watch turns a cancellation into another exception."""
+
+    async def watch(self, prefix: str, start: Revision) -> AsyncIterator[WatchBatch]:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            raise OSError("closed") from None
+        yield create_batch()
+
+
+def test_follower_ends_also_if_a_cancelled_call_raises_something_else():
+    """Guards against a stop that waits for ever, and a cell that is never released."""
+
+    async def main(clock: Clock) -> None:
+        async with asyncio.timeout(60.0):
+            follow_context = Context(clock, Recorder())
+            store = cast("Any", CancelledCallRaises())
+            follower = PrefixFollower(follow_context, store, "p/", Recorder())
+            follower.start()
+            await asyncio.sleep(5.0)
+            await follower.stop()
+
+    run_virtual(main)
+
+
+@pytest.mark.parametrize(("silence", "listings"), [(None, 1), (2.0, 5)])
+def test_prefix_is_listed_beside_a_silent_watch(silence: float | None, listings: int):
+    """Guards against a view that gets old behind a watch that hangs."""
+    store = ScriptedStore()
+
+    async def main(clock: Clock) -> None:
+        follower = PrefixFollower(
+            Context(clock, Recorder()),
+            cast("Any", store),
+            "p/",
+            Recorder(),
+            max_silence_seconds=silence,
+        )
+        follower.start()
+        await asyncio.sleep(10.0)
+        await follower.stop()
+
+    run_virtual(main)
+    assert store.listings == listings
