Bound the wait for a controller's stop, and the exponent of the backoff

Nobody served a cell whose former controller's stop hung (review: no controller after 60 s). The stop now has 2 s. test_cell_is_served_while_its_former_controllers_stop_hangs failed before. The backoff of failed terms raised OverflowError from the 1,024th on (review, not tested here).

--- a/packages/daemon/src/medlarspring_daemon/scheduling/election.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/election.py
@@ -63,9 +63,11 @@
 """Extra delay of a candidate for each core that it has below the preferred number."""
 OVERLOAD_BACKOFF_SECONDS = 3.0
 """Delay before an overloaded controller that released the cell competes again."""
+CONTROLLER_STOP_SECONDS = 2.0
+"""Longest wait for a controller's stop, most of which is a write of pending records."""
 FAILED_BACKOFF_SECONDS = 1.0
 """Same for a controller that failed; doubled for each further failed term."""
-MAX_FAILED_BACKOFF_SECONDS = 16.0
+MAX_FAILED_DOUBLINGS = 4
 SOUND_TERM_SECONDS = 60.0
 """A term that lasted this long before it failed starts the backoff anew."""
 
@@ -359,8 +361,8 @@
         now = self._node.clock.now()
         if now - term.began_at > SOUND_TERM_SECONDS:
             self._failed_terms = 0
-        backoff = FAILED_BACKOFF_SECONDS * 2.0**self._failed_terms
-        backoff = min(backoff, MAX_FAILED_BACKOFF_SECONDS)
+        doublings = min(self._failed_terms, MAX_FAILED_DOUBLINGS)
+        backoff = FAILED_BACKOFF_SECONDS * 2.0**doublings
         self._failed_terms += 1
         self._backoff_until = now + backoff
         self._node.metrics.count(Metric.CELLS_GIVEN_UP)
@@ -413,7 +415,8 @@
     async def _stop_controller(self, controller: Controller, *, graceful: bool) -> None:
         """Stop a controller; a failure must not keep the cell from being released."""
         try:
-            await controller.stop(graceful=graceful)
+            async with asyncio.timeout(CONTROLLER_STOP_SECONDS):
+                await controller.stop(graceful=graceful)
         except Exception:
             self._node.failures.report(Step.CONTROLLER_STOP)
 
