--- a/packages/bench/src/medlarspring_bench/platform_world/store.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/store.py
@@ -125,8 +125,7 @@
             is_empty = not batch.changed and not batch.deleted
             if is_empty and self._is_watch_stalled(prefix):
                 continue
-            if not is_empty:
-                await asyncio.sleep(LINK_SECONDS + self._fault_state.store_seconds)
+            await asyncio.sleep(LINK_SECONDS + self._fault_state.store_seconds)
             while self._is_watch_stalled(prefix):
                 await asyncio.sleep(RETRY_SECONDS)
             await self._wait_until_runnable()
