Give a takeover 30 s without progress before it counts as stalled

A listing of the registry that took 10.5 s was never loaded (review); each process gave the cell up after 10 s.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -36,7 +36,11 @@
     log_worker_quarantined,
     log_worker_restarted,
 )
-from medlarspring_daemon.scheduling.stall_detector import StallDetector
+from medlarspring_daemon.scheduling.stall_detector import (
+    STALL_SECONDS,
+    TAKEOVER_STALL_SECONDS,
+    StallDetector,
+)
 from medlarspring_daemon.scheduling.unrecorded_ends import UnrecordedEnds
 from medlarspring_daemon.scheduling.usage_recorder import UsageRecorder
 from medlarspring_daemon.scheduling.vm_manager import VMManager
@@ -164,7 +168,8 @@
     def check_failure(self) -> ControllerFailure | None:
         """Return why this process doesn't do the cell's work; None if it does."""
         now, is_active = self._node.clock.now(), self._term.is_active()
-        is_stalled = self._stall_detector.check(now, is_active=is_active)
+        limit = STALL_SECONDS if self._running else TAKEOVER_STALL_SECONDS
+        is_stalled = self._stall_detector.check(now, is_active=is_active, limit=limit)
         if self._failure is None and is_stalled:
             return ControllerFailure.STALLED
         return self._failure
