Load a job again also if its withdrawal raised

A job whose load failed and whose withdrawal then raised too stayed in the tables without its progress, and was never marked as not loaded: the next listing dropped its progress and took it as loaded. Its customer waited for ever.

A job is now marked before the attempt and only the mark tells whether it is loaded; a retry withdraws what is left of it first. A withdrawal that fails halfway takes the steps from the queue all the same, so that no round starts finished tasks.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -97,22 +97,28 @@
 
         Loaded in part, or again without its progress, it would run finished tasks.
         """
-        tables = self._owner.tables
-        is_known = job_id in tables.jobs_by_id
+        is_known = job_id in self._owner.tables.jobs_by_id
+        if is_known and job_id not in self._unloaded_ids:
+            return
+        self._unloaded_ids.add(job_id)
+        self._withdraw(job_id)
         try:
             self._load_job(job_id, entry)
         except Exception:
-            job = tables.jobs_by_id.get(job_id)
-            if job is not None and not is_known:
-                withdraw_job(tables, job, self._node.clock.now())
-            self._unloaded_ids.add(job_id)
+            self._withdraw(job_id)
             raise
         self._unloaded_ids.discard(job_id)
         self._progress_by_id.pop(job_id, None)
 
+    def _withdraw(self, job_id: JobId) -> None:
+        tables = self._owner.tables
+        job = tables.jobs_by_id.get(job_id)
+        if job is not None:
+            withdraw_job(tables, job, self._node.clock.now())
+
     def _load_job(self, job_id: JobId, entry: Entry) -> None:
         tables = self._owner.tables
-        if job_id in tables.jobs_by_id or job_id in tables.ended_job_ids:
+        if job_id in tables.ended_job_ids:
             return
         if job_id in self._withheld_ids:
             return
--- a/packages/systems/src/medlarspring_systems/scheduling/job_withdrawal.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/job_withdrawal.py
@@ -16,9 +16,16 @@
 
     Unlike one that has ended, it may be admitted again later.
     """
-    for run in list(job.runs):
-        detach_run(tables, run, now)
+    try:
+        for run in list(job.runs):
+            detach_run(tables, run, now)
+    finally:
+        # Started without its progress, the job would run finished tasks again.
+        _dequeue_steps(tables, job)
     tables.jobs_by_id.pop(job.id, None)
+
+
+def _dequeue_steps(tables: WorkTables, job: ActiveJob) -> None:
     ready = tables.ready_by_pool.get(job.queue.pool_id, {})
     for steps in job.occurrences_by_index.values():
         for step in steps:
