Hold the ends of jobs that are not loaded yet

Tasks ran twice after a takeover. A job whose load failed, or whose progress can't be read, was missing from the tables when the workers were connected: its listed ends were acknowledged as unknown and its runs stopped as unexpected. Loaded later with its old progress, it ran finished tasks again.

Such jobs are now marked in the tables. Their listed runs go on, with their lease extended, unless the customer cancels the job. Their ends are held and applied when the job is loaded, and the worker may discard them once the job's record contains them. Ends of other jobs are applied at once; only their acknowledgement waits. A full listing would show no further ends, so then the worker may discard the held ones, which this term still applies.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/hold_calls.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/hold_calls.py
@@ -159,7 +159,7 @@
         worker = self._worker
         if not worker.reconciled or worker.unanswered_since or self._poll_requested:
             return True
-        if self._answers.find_last_recorded_end():
+        if self._answers.find_last_recorded_end() or self._answers.has_unloaded_runs:
             return True
         return any(run.state is not RunState.INTENDED for run in worker.runs.values())
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -11,19 +11,28 @@
 from medlarspring_systems.scheduling.admission import check_job
 from medlarspring_systems.scheduling.job_withdrawal import withdraw_job
 from medlarspring_systems.scheduling.jobs import admit_job
+from medlarspring_systems.scheduling.listings import apply_held_ends
 from medlarspring_systems.scheduling.progress_records import (
     find_progress_fault,
     restore_progress,
 )
 from medlarspring_systems.scheduling.workers import find_or_create_worker
-from medlarspring_tables.scheduling import JobRecord, ProgressRecord
+from medlarspring_tables.scheduling import JobRecord, ProgressRecord, UnloadedJob
 
 if TYPE_CHECKING:
     from medlarspring_adapters.store import Entry, Listing, WatchBatch
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_daemon.scheduling.election import Term
+    from medlarspring_systems.scheduling.listings import ListingOutcome
     from medlarspring_tables import JobId, Seconds
-    from medlarspring_tables.scheduling import ActiveJob, JobSpec, WorkTables
+    from medlarspring_tables.scheduling import (
+        ActiveJob,
+        HeldEnd,
+        JobSpec,
+        Worker,
+        WorkerId,
+        WorkTables,
+    )
 
 
 class JobFeedOwner(Protocol):
@@ -35,6 +44,10 @@
         """Start scheduling a job that was accepted or loaded."""
         ...
 
+    def handle_listing(self, worker: Worker, outcome: ListingOutcome) -> None:
+        """Record the ends that were held until their job was loaded."""
+        ...
+
     def stop_cancelled_job(self, job: ActiveJob) -> None:
         """Cancel a job and stop its runs, on the customer's request."""
         ...
@@ -97,18 +110,24 @@
 
         Loaded in part, or again without its progress, it would run finished tasks.
         """
-        is_known = job_id in self._owner.tables.jobs_by_id
-        if is_known and job_id not in self._unloaded_ids:
+        tables = self._owner.tables
+        is_loaded = job_id in tables.jobs_by_id and job_id not in self._unloaded_ids
+        if is_loaded or job_id in self._withheld_ids:
             return
+        unloaded = tables.unloaded_by_id.setdefault(job_id, UnloadedJob())
         self._unloaded_ids.add(job_id)
         self._withdraw(job_id)
         try:
             self._load_job(job_id, entry)
+            if job_id not in self._withheld_ids:
+                self._apply_held_ends(unloaded, tables.jobs_by_id.get(job_id))
         except Exception:
             self._withdraw(job_id)
             raise
         self._unloaded_ids.discard(job_id)
         self._progress_by_id.pop(job_id, None)
+        if job_id not in self._withheld_ids:
+            del tables.unloaded_by_id[job_id]
 
     def _withdraw(self, job_id: JobId) -> None:
         tables = self._owner.tables
@@ -116,12 +135,25 @@
         if job is not None:
             withdraw_job(tables, job, self._node.clock.now())
 
+    def _apply_held_ends(self, unloaded: UnloadedJob, job: ActiveJob | None) -> None:
+        """Apply the ends that were listed before the job was loaded."""
+        tables, now = self._owner.tables, self._node.clock.now()
+        ends_by_worker: dict[WorkerId, list[HeldEnd]] = {}
+        for end in unloaded.ends:
+            ends_by_worker.setdefault(end.worker.id, []).append(end)
+        for worker_id, ends in ends_by_worker.items():
+            worker = tables.workers_by_id.get(worker_id, ends[0].worker)
+            outcome = apply_held_ends(tables, worker, ends, now)
+            self._owner.handle_listing(worker, outcome)
+        for end in unloaded.ends:
+            end.job = job
+            end.version = job.version if job is not None else 0
+            end.released = True
+
     def _load_job(self, job_id: JobId, entry: Entry) -> None:
         tables = self._owner.tables
         if job_id in tables.ended_job_ids:
             return
-        if job_id in self._withheld_ids:
-            return
         record = self._node.unreadable.decode(entry, JobRecord)
         if record is None or record.outcome is not None or record.spec is None:
             return
@@ -177,7 +209,12 @@
         )
 
     def _cancel_job(self, job_id: JobId) -> None:
-        job = self._owner.tables.jobs_by_id.get(job_id)
+        tables = self._owner.tables
+        unloaded = tables.unloaded_by_id.get(job_id)
+        if unloaded is not None:
+            unloaded.cancelled = True
+            return
+        job = tables.jobs_by_id.get(job_id)
         if job is not None and not job.cancelled:
             self._node.log.info(Event.JOB_CANCELLED, job=job_id, queue=job.queue.id)
             self._owner.stop_cancelled_job(job)
--- a/packages/daemon/src/medlarspring_daemon/scheduling/unacknowledged_ends.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/unacknowledged_ends.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import ActiveJob, Milliseconds
+    from medlarspring_tables.scheduling import ActiveJob, HeldEnd, Milliseconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +24,14 @@
     """None if no job needs the end."""
     version: int
     """First version of the job's record that contains the end."""
+    held: HeldEnd | None = None
+    """Set if its job was not loaded when it was listed."""
+
+    def is_recorded(self) -> bool:
+        """Return whether the worker may discard the end."""
+        if self.held is not None:
+            return self.held.is_recorded()
+        return self.job is None or self.job.written_version >= self.version
 
 
 MAX_LISTING_AGE_SECONDS = 0.055
@@ -49,6 +57,14 @@
         version = job.version if job is not None else 0
         self._ends.append(UnacknowledgedEnd(number, job, version))
 
+    def add_held(self, end: HeldEnd) -> None:
+        """Add an end whose job is not loaded yet."""
+        self._ends.append(UnacknowledgedEnd(end.row.number, None, 0, end))
+
+    def sort(self) -> None:
+        """Put the ends into the order in which the worker numbered them."""
+        self._ends = deque(sorted(self._ends, key=lambda end: end.number))
+
     def record_listing(self, now: Seconds) -> None:
         """Record that the incarnation has just listed its runs and ends."""
         self._listed_at = now
@@ -73,7 +89,7 @@
         """Return the highest end up to which all are recorded; 0 for none."""
         recorded = 0
         for end in self._ends:
-            if end.job is not None and end.job.written_version < end.version:
+            if not end.is_recorded():
                 break
             recorded = max(recorded, end.number)
         return recorded
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_answers.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_answers.py
@@ -28,6 +28,7 @@
     from medlarspring_adapters.worker_orders import HoldAnswer
     from medlarspring_daemon.scheduling.link_context import LinkContext
     from medlarspring_daemon.scheduling.stop_orders import StopOrders
+    from medlarspring_systems.scheduling.listings import ListingOutcome
     from medlarspring_tables import Seconds
 
 
@@ -45,6 +46,8 @@
         self._poll = poll
         self._ends = UnacknowledgedEnds(context.worker.born_ms)
         self._probation_poll_due = False
+        self.has_unloaded_runs = False
+        """Whether the last listing had runs of jobs that are not loaded."""
 
     def get_current_ends(self) -> UnacknowledgedEnds:
         """Return the ends of the current incarnation; discard those of a former one."""
@@ -104,6 +107,7 @@
             self._handle_first_answer(now)
         for number, job in outcome.ends:
             self._ends.add(number, job)
+        self._add_held_ends(outcome)
         for run in outcome.confirmed:
             log_run_started(self._node, run)
         self.poll_after_probation()
@@ -114,6 +118,14 @@
         self._owner.handle_listing(self._worker, outcome)
         return needs_poll or bool(outcome.unexpected_runs)
 
+    def _add_held_ends(self, outcome: ListingOutcome) -> None:
+        self.has_unloaded_runs = outcome.has_unloaded_runs
+        if not outcome.held_ends:
+            return
+        for end in outcome.held_ends:
+            self._ends.add_held(end)
+        self._ends.sort()
+
     def _handle_first_answer(self, now: Seconds) -> None:
         """Handle the first answer of the worker's incarnation in this term."""
         self._worker.reconciled = True
--- a/packages/daemon/tests/scheduling/test_odd_entries.py
+++ b/packages/daemon/tests/scheduling/test_odd_entries.py
@@ -73,7 +73,8 @@
 
 
 def create_jobs(spy: Spy) -> tuple[Any, str]:
-    owner = SimpleNamespace(tables=SimpleNamespace(jobs_by_id={}))
+    tables = SimpleNamespace(jobs_by_id={}, unloaded_by_id={})
+    owner = SimpleNamespace(tables=tables)
     term = SimpleNamespace(keys=CellKeys(CellId(0)))
     feed = JobFeed(create_node(), cast("Any", term), cast("Any", owner), {})
     feed._load_job = spy  # type: ignore[method-assign]
--- a/packages/daemon/tests/scheduling/test_unloaded_jobs.py
+++ b/packages/daemon/tests/scheduling/test_unloaded_jobs.py
@@ -3,20 +3,64 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+import pytest
 
 from medlarspring_daemon.scheduling import job_feed
+from medlarspring_daemon.scheduling.job_feed import JobFeed
 
 from .faults import Fault
 from .scenarios import run_scenario, submit, wait_for_end
 
 if TYPE_CHECKING:
-    import pytest
-
     from medlarspring_bench.platform_world.customers import Customers
     from medlarspring_bench.platform_world.world import World
 
 
+@pytest.mark.parametrize("seed", [5, 6, 7])
+@pytest.mark.parametrize("calls", [3, 12, 60])
+def test_no_task_runs_twice_after_loads_failed(
+    calls: int, seed: int, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against acknowledged ends of jobs that are loaded only later."""
+    fault = Fault(monkeypatch, job_feed, "restore_progress")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        jobs = await submit(customers)
+        await asyncio.sleep(0.3)
+        fault.calls_left = calls
+        world.kill_node(world.find_controller())
+        await wait_for_end(customers, jobs)
+        assert fault.calls_left == 0
+
+    run_scenario(scenario, seed)
+
+
+def test_no_task_runs_twice_after_its_job_was_withheld(monkeypatch: pytest.MonkeyPatch):
+    """Guards against acknowledged ends of jobs whose progress a later term can read."""
+    read_progress = JobFeed._read_progress
+    odd = False
+
+    def read(feed: JobFeed, entry: Any, spec: Any) -> Any:
+        return None if odd and entry else read_progress(feed, entry, spec)
+
+    monkeypatch.setattr(JobFeed, "_read_progress", read)
+
+    async def scenario(world: World, customers: Customers) -> None:
+        nonlocal odd
+        jobs = await submit(customers)
+        await asyncio.sleep(0.3)
+        odd = True
+        world.kill_node(world.find_controller())
+        await wait_for_end(customers, await submit(customers))
+        odd = False
+        world.revoke_controller()
+        await wait_for_end(customers, jobs)
+
+    run_scenario(scenario, 5)
+
+
 def test_job_is_loaded_after_its_withdrawal_failed(monkeypatch: pytest.MonkeyPatch):
     """Guards against a job loaded in part that later listings take as loaded."""
     load = Fault(monkeypatch, job_feed, "restore_progress")
@@ -30,4 +74,4 @@
         await wait_for_end(customers, jobs)
         assert load.calls_left == withdrawal.calls_left == 0
 
-    run_scenario(scenario, 5, checked=False)
+    run_scenario(scenario, 5)
--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -18,7 +18,7 @@
     record_task_or_gang_done,
 )
 from medlarspring_systems.scheduling.worker_pace import observe_progress
-from medlarspring_tables.scheduling import Run, RunEnd, RunState
+from medlarspring_tables.scheduling import HeldEnd, Run, RunEnd, RunState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,6 +29,7 @@
         EndedRow,
         RunningRow,
         Task,
+        UnloadedJob,
         Worker,
         WorkTables,
     )
@@ -77,6 +78,10 @@
     ends: list[tuple[int, ActiveJob | None]] = field(default_factory=list)
     """Numbers to acknowledge once the record of the job, if any, includes the end."""
     unknown_ends: list[UnknownEnd] = field(default_factory=list)
+    held_ends: list[HeldEnd] = field(default_factory=list)
+    """Ends of jobs that are not loaded, which are applied later."""
+    has_unloaded_runs: bool = False
+    """Whether runs of jobs that are not loaded are listed."""
     newly_quarantined: bool = False
 
 
@@ -96,7 +101,7 @@
     outcome = ListingOutcome()
     for row in sorted(ended, key=lambda row: row.number):
         if row.number > worker.last_end_number:
-            _apply_end(tables, worker, row, outcome, now)
+            _hold_or_apply_end(tables, worker, row, outcome, now)
             worker.last_end_number = row.number
     listed = set()
     for listed_run in running:
@@ -104,9 +109,58 @@
         _apply_running(tables, worker, listed_run, outcome, now)
     if len(ended) < MAX_ENDS_LISTED:
         _find_absent(tables, worker, listed, outcome, asked_at, now)
+    if len(ended) >= MAX_ENDS_LISTED:
+        _release_held_ends(tables, worker)
     return outcome
 
 
+def apply_held_ends(
+    tables: WorkTables, worker: Worker, ends: Iterable[HeldEnd], now: Seconds
+) -> ListingOutcome:
+    """Apply the ends that a worker listed while their job was not loaded."""
+    outcome = ListingOutcome()
+    for end in ends:
+        _apply_end(tables, worker, end.row, outcome, now)
+    return outcome
+
+
+def _hold_or_apply_end(
+    tables: WorkTables,
+    worker: Worker,
+    row: EndedRow,
+    outcome: ListingOutcome,
+    now: Seconds,
+) -> None:
+    """Apply an end, or hold it if its job is not loaded.
+
+    Applied as unknown, the end would be acknowledged, and its task would run again
+    once the job is loaded with the progress recorded before.
+    """
+    unloaded = _find_unloaded_job(tables, row.task_id)
+    if unloaded is None:
+        _apply_end(tables, worker, row, outcome, now)
+        return
+    end = HeldEnd(worker, row)
+    unloaded.ends.append(end)
+    outcome.held_ends.append(end)
+
+
+def _release_held_ends(tables: WorkTables, worker: Worker) -> None:
+    """Let a worker discard its held ends, which are still applied in this term.
+
+    A full listing shows no further ends, so those of other jobs would wait for ever.
+    """
+    for unloaded in tables.unloaded_by_id.values():
+        for end in unloaded.ends:
+            if end.worker is worker:
+                end.released = True
+
+
+def _find_unloaded_job(tables: WorkTables, task_id: str) -> UnloadedJob | None:
+    job_id = task_id.partition(".")[0]
+    return tables.unloaded_by_id.get(job_id)  # type: ignore[call-overload,no-any-return]
+
+
 def _apply_end(
     tables: WorkTables,
     worker: Worker,
@@ -154,6 +208,10 @@
     outcome: ListingOutcome,
     now: Seconds,
 ) -> None:
+    unloaded = _find_unloaded_job(tables, row.task_id)
+    if unloaded is not None and not unloaded.cancelled:
+        outcome.has_unloaded_runs = True
+        return
     run = worker.runs.get((row.task_id, row.run))
     if run is None:
         run = _adopt(tables, worker, row, now)
@@ -288,6 +346,7 @@
     "ListingOutcome",
     "TaskBelief",
     "UnknownEnd",
+    "apply_held_ends",
     "apply_listing",
     "find_belief",
     "find_task",
--- a/packages/systems/tests/scheduling/test_listings.py
+++ b/packages/systems/tests/scheduling/test_listings.py
@@ -5,6 +5,7 @@
 import pytest
 from msgspec.structs import replace
 
+from medlarspring_systems.scheduling import listings
 from medlarspring_systems.scheduling.jobs import forget_job
 from medlarspring_systems.scheduling.listings import (
     TaskBelief,
@@ -27,6 +28,7 @@
     RunningRow,
     RunState,
     StepSpec,
+    UnloadedJob,
 )
 
 from .conftest import create_step
@@ -229,3 +231,37 @@
     for task in list_ended_tasks(outcome):
         assert drop_needless_runs(scene.tables, task, NOW + 6.1) == []
     assert list(job.runs) == []
+
+
+@pytest.mark.parametrize("is_full", [False, True])
+def test_end_of_an_unloaded_job_is_held(
+    is_full: bool, scene: Scene, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against the loss of an end whose job is loaded later."""
+    monkeypatch.setattr(listings, "MAX_ENDS_LISTED", 2)
+    run = start_run(scene)
+    job = run.task.step.job
+    forget_job(scene.tables, job, NOW)
+    unloaded = scene.tables.unloaded_by_id[job.id] = UnloadedJob()
+    ended = [EndedRow(1, run.task.id, run.number, RunEnd.DONE, "")]
+    ended += [EndedRow(2, "other.0.0.0", 1, RunEnd.DONE, "")] * is_full
+    outcome = apply(scene, run, [], ended)
+    assert [end.row for end in unloaded.ends] == ended[:1]
+    assert outcome.held_ends == unloaded.ends
+    assert [number for number, _ in outcome.ends] == [2] * is_full
+    assert unloaded.ends[0].is_recorded() is is_full
+
+
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_run_of_an_unloaded_job_goes_on_until_it_is_cancelled(
+    cancelled: bool, scene: Scene
+):
+    """Guards against the stop of runs whose job is loaded later."""
+    run = start_run(scene)
+    job = run.task.step.job
+    forget_job(scene.tables, job, NOW)
+    detach_run(scene.tables, run, NOW)
+    scene.tables.unloaded_by_id[job.id] = UnloadedJob(cancelled)
+    outcome = apply(scene, run, [RunningRow(run.task.id, run.number, "", 10)], [])
+    assert outcome.unexpected_runs == [(run.task.id, run.number)] * cancelled
+    assert outcome.has_unloaded_runs is not cancelled
--- a/packages/tables/src/medlarspring_tables/scheduling/__init__.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/__init__.py
@@ -51,6 +51,7 @@
     SUSPECT_AFTER,
     ActiveJob,
     ArrivalMeter,
+    HeldEnd,
     PartnerUsage,
     ProgressMark,
     Run,
@@ -59,6 +60,7 @@
     StepRun,
     Task,
     Ticket,
+    UnloadedJob,
     WorkTables,
 )
 from medlarspring_tables.scheduling.workers import (
@@ -79,6 +81,7 @@
     "CrashTally",
     "CrashTiming",
     "EndedRow",
+    "HeldEnd",
     "Fence",
     "FleetLimits",
     "JobOutcome",
@@ -117,6 +120,7 @@
     "WaveOrder",
     "UsageRecord",
     "WaveRecord",
+    "UnloadedJob",
     "WorkTables",
     "Worker",
     "WorkerCondition",
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from medlarspring_tables.scheduling.ids import Milliseconds, QueueId, WorkerId
     from medlarspring_tables.scheduling.records import JobOutcome
+    from medlarspring_tables.scheduling.reports import EndedRow
     from medlarspring_tables.scheduling.specs import JobSpec, QueuePolicy, StepSpec
     from medlarspring_tables.scheduling.workers import (
         CrashTiming,
@@ -295,6 +296,34 @@
     """Heap of the times at which a job's part of the level ends, with that part."""
 
 
+@dataclass(slots=True, eq=False)
+class HeldEnd:
+    """A listed end that its worker must keep until the job is loaded."""
+
+    worker: Worker = field(repr=False)
+    row: EndedRow
+    released: bool = False
+    """Whether the worker may discard it once ``version`` of ``job`` is recorded."""
+    job: ActiveJob | None = None
+    """None if no job needs the end."""
+    version: int = 0
+
+    def is_recorded(self) -> bool:
+        """Return whether the worker may discard the end."""
+        if not self.released:
+            return False
+        return self.job is None or self.job.written_version >= self.version
+
+
+@dataclass(slots=True)
+class UnloadedJob:
+    """An open job that is not scheduled, although its runs may go on."""
+
+    cancelled: bool = False
+    ends: list[HeldEnd] = field(default_factory=list)
+    """Ends that workers have listed meanwhile, to be applied when it is loaded."""
+
+
 @dataclass(slots=True)
 class WorkTables:
     """All state on which the controller of a cell bases its decisions."""
@@ -303,6 +332,8 @@
     predecessors_until: Seconds = 0.0
     """Local time after which no earlier controller of the cell extends a lease."""
     jobs_by_id: dict[JobId, ActiveJob] = field(default_factory=dict)
+    unloaded_by_id: dict[JobId, UnloadedJob] = field(default_factory=dict)
+    """Open jobs that could not be loaded yet."""
     workers_by_id: dict[WorkerId, Worker] = field(default_factory=dict)
     workers_by_pool: dict[PoolId, dict[WorkerId, Worker]] = field(default_factory=dict)
     ended_incarnations: set[tuple[WorkerId, Milliseconds]] = field(default_factory=set)
@@ -343,6 +374,7 @@
     "SUSPECT_AFTER",
     "ActiveJob",
     "ArrivalMeter",
+    "HeldEnd",
     "PartnerUsage",
     "Run",
     "RunEnd",
@@ -351,5 +383,6 @@
     "ProgressMark",
     "Task",
     "Ticket",
+    "UnloadedJob",
     "WorkTables",
 ]
