Keep the arrival time of a job that is loaded at a later listing

A job of the first listing whose load failed counted as arrived at its later load, so it lost the time it had waited. Jobs of the first listing are now told from new ones by their ids, not by the time at which they are loaded.

test_job_keeps_its_arrival_time_if_it_is_loaded_later: 1 of 2 cases failed before (with failed loads), none now.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_feed.py
@@ -72,6 +72,8 @@
         """Jobs that are not loaded because their progress can't be read."""
         self._unloaded_ids: set[JobId] = set()
         """Jobs whose last attempt to load them raised; their progress is kept."""
+        self._recorded_ids: set[JobId] = set()
+        """Jobs of the first listing that are not loaded yet."""
         self.loaded = asyncio.Event()
 
     def apply_listing(self, listing: Listing) -> None:
@@ -115,6 +117,8 @@
         if is_loaded or job_id in self._withheld_ids:
             return
         unloaded = tables.unloaded_by_id.setdefault(job_id, UnloadedJob())
+        if not self.loaded.is_set():
+            self._recorded_ids.add(job_id)
         self._unloaded_ids.add(job_id)
         self._withdraw(job_id)
         try:
@@ -125,6 +129,7 @@
             self._withdraw(job_id)
             raise
         self._unloaded_ids.discard(job_id)
+        self._recorded_ids.discard(job_id)
         self._progress_by_id.pop(job_id, None)
         if job_id not in self._withheld_ids:
             del tables.unloaded_by_id[job_id]
@@ -167,17 +172,17 @@
             # Started without its progress, the job would run finished tasks again.
             self._withheld_ids.add(job_id)
             return
-        arrived_at = self._find_arrival_time(record)
+        arrived_at = self._find_arrival_time(job_id, record)
         job = admit_job(tables, job_id, record, entry.mod_revision, arrived_at)
         if progress_entry is not None and progress is not None:
             job.progress_revision = progress_entry.mod_revision
             self._restore(job, progress)
         self._owner.open_job(job)
 
-    def _find_arrival_time(self, record: JobRecord) -> Seconds:
+    def _find_arrival_time(self, job_id: JobId, record: JobRecord) -> Seconds:
         """Return when a job arrived; for a loaded job, according to its record."""
         now = self._node.clock.now()
-        if self.loaded.is_set():
+        if job_id not in self._recorded_ids:
             return now
         age = self._node.clock.wall() - record.accepted_at_ms / 1_000.0
         return now - max(age, 0.0)
--- a/packages/daemon/tests/scheduling/test_unloaded_jobs.py
+++ b/packages/daemon/tests/scheduling/test_unloaded_jobs.py
@@ -10,7 +10,7 @@
 from medlarspring_daemon.scheduling import job_feed
 from medlarspring_daemon.scheduling.job_feed import JobFeed
 
-from .faults import Fault
+from .faults import Fault, count_calls
 from .scenarios import run_scenario, submit, wait_for_end
 
 if TYPE_CHECKING:
@@ -75,3 +75,27 @@
         assert load.calls_left == withdrawal.calls_left == 0
 
     run_scenario(scenario, 5)
+
+
+@pytest.mark.parametrize("calls", [0, 60])
+def test_job_keeps_its_arrival_time_if_it_is_loaded_later(
+    calls: int, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against jobs that lose the time they have waited to a failed load."""
+    fault = Fault(monkeypatch, job_feed, "restore_progress")
+    loads = count_calls(monkeypatch, job_feed, "admit_job")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        jobs = await submit(customers)
+        await asyncio.sleep(0.3)
+        loads.clear()
+        fault.calls_left = calls
+        world.kill_node(world.find_controller())
+        await wait_for_end(customers, jobs)
+
+    run_scenario(scenario, 5)
+    arrivals: dict[str, list[float]] = {}
+    for _, job_id, _, _, arrived_at in loads:
+        arrivals.setdefault(job_id, []).append(arrived_at)
+    assert len(loads) > calls
+    assert all(max(each) - min(each) < 0.01 for each in arrivals.values())
