Hand over what a listing applied also if a row of it raises

A job stayed "active" for ever, or its tasks ran twice: a listing that raised halfway left its ends applied, but neither recorded nor handed to the controller. The next listing skipped them, and the cumulative acknowledgement covered them later.

Each row is now tried by itself, and the outcome is handed over before the failure is raised, so that the worker still counts as unanswered. Ends behind one that can't be applied wait for the next listing, because ends are acknowledged up to a number.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_answers.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_answers.py
@@ -7,6 +7,7 @@
 
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.worker_orders import OrderRefusal
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.run_log import log_run_started
 from medlarspring_daemon.scheduling.unacknowledged_ends import UnacknowledgedEnds
 from medlarspring_systems.scheduling.listings import apply_listing
@@ -99,19 +100,25 @@
             requested_at,
             now,
         )
-        is_first = not self._worker.reconciled
-        if is_first:
-            self._handle_first_answer(now)
+        # What was applied is handed over in any case: the next listing does not apply
+        # it again, and acknowledges its ends.
         for number, job in outcome.ends:
             self._ends.add(number, job)
+        attempt = self._node.failures.attempt
+        is_first = not self._worker.reconciled
+        if is_first and not outcome.failures:
+            attempt(Step.LISTING, self._handle_first_answer, now)
         for run in outcome.confirmed:
-            log_run_started(self._node, run)
-        self.poll_after_probation()
-        self._stops.send_due(outcome)
+            attempt(Step.LISTING, log_run_started, self._node, run)
+        attempt(Step.LISTING, self.poll_after_probation)
+        attempt(Step.LISTING, self._stops.send_due, outcome)
         # The first call could not extend the lease, because the worker's clock was
         # not known yet.
         needs_poll = is_first and bool(self._worker.runs)
         self._owner.handle_listing(self._worker, outcome)
+        if outcome.failures:
+            message = "rows of a listing were not applied"
+            raise ExceptionGroup(message, outcome.failures)
         return needs_poll or bool(outcome.unexpected_runs)
 
     def _handle_first_answer(self, now: Seconds) -> None:
--- a/packages/daemon/tests/scheduling/test_isolated_failures.py
+++ b/packages/daemon/tests/scheduling/test_isolated_failures.py
@@ -13,15 +13,18 @@
 from medlarspring_daemon.scheduling import (
     controller as controller_module,
     job_record_writer,
+    worker_answers,
     worker_liveness,
 )
 from medlarspring_daemon.scheduling.controller import CellController
 from medlarspring_daemon.scheduling.load_reporter import LoadReporter
 from medlarspring_daemon.scheduling.pool_log import PoolLog
 from medlarspring_daemon.scheduling.start_orders import StartOrders
+from medlarspring_daemon.scheduling.stop_orders import StopOrders
 from medlarspring_daemon.scheduling.vm_manager import VMManager
 from medlarspring_daemon.scheduling.worker_answers import WorkerAnswers
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
+from medlarspring_systems.scheduling import listings
 
 from .faults import Fault, count_calls
 from .scenarios import list_events, run_scenario, submit, wait_for_end
@@ -195,6 +198,37 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize(
+    ("owner", "name"),
+    [
+        (listings, "_find_absent"),
+        (listings, "_apply_running"),
+        (listings, "_apply_end"),
+        (worker_answers, "log_run_started"),
+        (StopOrders, "send_due"),
+    ],
+)
+@pytest.mark.parametrize("seed", [5, 6])
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_ends_of_listings_that_fail_halfway_are_recorded(
+    monkeypatch: pytest.MonkeyPatch, owner: Any, name: str, seed: int, is_killed: bool
+):
+    """Guards against applied ends that are acknowledged without being recorded."""
+    fault = Fault(monkeypatch, owner, name)
+
+    async def scenario(world: World, customers: Customers) -> None:
+        jobs = await submit(customers)
+        for _ in range(10):
+            fault.calls_left = 2
+            await asyncio.sleep(0.2)
+        fault.calls_left = 0
+        if is_killed:
+            world.kill_node(world.find_controller())
+        await wait_for_end(customers, jobs)
+
+    run_scenario(scenario, seed)
+
+
 def test_end_of_a_worker_that_fails_does_not_hide_the_others(
     monkeypatch: pytest.MonkeyPatch,
 ):
--- a/packages/systems/src/medlarspring_systems/scheduling/listings.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/listings.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.attempts import attempt
 from medlarspring_systems.scheduling.crashes import record_vanished_run
 from medlarspring_systems.scheduling.indices import is_index
 from medlarspring_systems.scheduling.quarantine import record_failure, record_success
@@ -78,6 +79,8 @@
     """Numbers to acknowledge once the record of the job, if any, includes the end."""
     unknown_ends: list[UnknownEnd] = field(default_factory=list)
     newly_quarantined: bool = False
+    failures: list[Exception] = field(default_factory=list)
+    """What kept rows from being applied; the outcome holds what was applied."""
 
 
 def apply_listing(
@@ -92,18 +95,25 @@
 
     ``asked_at`` is when the call was sent. Answers on different connections may arrive
     out of order, so a missing run counts as lost only if it was confirmed before that.
+
+    A row that can't be applied is left out. Ends are acknowledged up to a number, so
+    those behind it wait for the next listing.
     """
     outcome = ListingOutcome()
+    failures = outcome.failures
     for row in sorted(ended, key=lambda row: row.number):
-        if row.number > worker.last_end_number:
-            _apply_end(tables, worker, row, outcome, now)
-            worker.last_end_number = row.number
+        if row.number <= worker.last_end_number:
+            continue
+        if not attempt(failures, _apply_end, tables, worker, row, outcome, now):
+            break
+        worker.last_end_number = row.number
     listed = set()
     for listed_run in running:
         listed.add((listed_run.task_id, listed_run.run))
-        _apply_running(tables, worker, listed_run, outcome, now)
-    if len(ended) < MAX_ENDS_LISTED:
-        _find_absent(tables, worker, listed, outcome, asked_at, now)
+        attempt(failures, _apply_running, tables, worker, listed_run, outcome, now)
+    # A run whose end was left out is not absent.
+    if len(ended) < MAX_ENDS_LISTED and not failures:
+        attempt(failures, _find_absent, tables, worker, listed, outcome, asked_at, now)
     return outcome
 
 
--- a/packages/systems/tests/scheduling/test_listings.py
+++ b/packages/systems/tests/scheduling/test_listings.py
@@ -5,6 +5,7 @@
 import pytest
 from msgspec.structs import replace
 
+from medlarspring_systems.scheduling import listings
 from medlarspring_systems.scheduling.jobs import forget_job
 from medlarspring_systems.scheduling.listings import (
     TaskBelief,
@@ -229,3 +230,32 @@
     for task in list_ended_tasks(outcome):
         assert drop_needless_runs(scene.tables, task, NOW + 6.1) == []
     assert list(job.runs) == []
+
+
+@pytest.mark.parametrize("failing", [0, 1, 2])
+def test_ends_wait_behind_one_that_cannot_be_applied(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch, failing: int
+):
+    """Guards against ends that are skipped, and runs that are taken for lost."""
+    scene.add_worker(1)
+    scene.add_job("j", create_step(count=3))
+    runs = plan_round(scene.tables, POOL, NOW)
+    for run in runs:
+        confirm_run(run, NOW)
+    ended = [
+        EndedRow(number, run.task.id, run.number, RunEnd.DONE, "")
+        for number, run in enumerate(runs, 1)
+    ]
+    with monkeypatch.context() as patch:
+        apply_end = listings._apply_end
+
+        def fail_once(tables, worker, row, outcome, now):  # type: ignore[no-untyped-def]
+            if row.number == failing + 1:
+                raise RuntimeError("injected")
+            apply_end(tables, worker, row, outcome, now)
+
+        patch.setattr(listings, "_apply_end", fail_once)
+        outcome = apply(scene, runs[0], [], ended)
+    assert [run for run, _ in outcome.ended] == runs[:failing]
+    assert (len(outcome.failures), outcome.lost) == (1, [])
+    assert [run for run, _ in apply(scene, runs[0], [], ended).ended] == runs[failing:]
