Place the other steps of a pool when one raises in its round

Each step is now placed by itself. If ordering the steps raises, each is tried alone, and those that raise are left out; rounds in which nothing raises do no extra work. The round raises the failures together once the others are placed; the controller reports them and records the intents, as it did already. A gang whose assignment raises gives its resources back, which would else be lost once a round.

--- a/packages/daemon/tests/scheduling/test_isolated_failures.py
+++ b/packages/daemon/tests/scheduling/test_isolated_failures.py
@@ -24,14 +24,17 @@
 from medlarspring_daemon.scheduling.vm_manager import VMManager
 from medlarspring_daemon.scheduling.worker_answers import WorkerAnswers
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
-from medlarspring_systems.scheduling import listings
+from medlarspring_systems.scheduling import listings, rounds
 
 from .faults import Fault, count_calls
 from .scenarios import list_events, run_scenario, submit, wait_for_end
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from medlarspring_bench.platform_world.customers import Customers
     from medlarspring_bench.platform_world.world import World
+    from medlarspring_tables import JobId
 
 SEED = 29
 FOREVER = float("inf")
@@ -121,6 +124,43 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize(
+    ("name", "concerns"),
+    [
+        ("fits_quota", lambda step, *_: step.job.id),
+        ("measure_size_weight", lambda steps, _: {step.job.id for step in steps}),
+        ("rank_step", lambda step, *_: step.job.id),
+        ("count_most_crashes", lambda step: step.job.id),
+        ("_place_step", lambda step, *_: step.job.id),
+    ],
+)
+def test_steps_that_fail_do_not_keep_their_pool_waiting(
+    monkeypatch: pytest.MonkeyPatch, name: str, concerns: Callable[..., Any]
+):
+    """Guards against a whole pool that waits behind steps that always raise."""
+    failing_ids: set[JobId] = set()
+
+    def is_failing(*args: Any) -> bool:
+        ids = concerns(*args)
+        return not failing_ids.isdisjoint(ids if isinstance(ids, set) else {ids})
+
+    fault = Fault(monkeypatch, rounds, name, concerns=is_failing)
+    monkeypatch.setattr(rounds.plan_round, "__defaults__", (rounds.rank_step,))
+    fault.calls_left = FOREVER
+
+    async def scenario(world: World, customers: Customers) -> None:
+        jobs = [customers.create_batch() for _ in range(5)]
+        failing_ids.update(job_id for job_id, _ in jobs)
+        for job_id, spec in jobs:
+            assert await customers.submit("lookup", job_id, spec)
+        await wait_for_end(customers, await submit(customers, 20))
+        assert len(list_events(world, Event.STEP_FAILED)) >= 1
+        fault.calls_left = 0
+        await wait_for_end(customers, [job_id for job_id, _ in jobs])
+
+    run_scenario(scenario, SEED)
+
+
 def test_job_that_cannot_be_encoded_does_not_block_other_records(
     monkeypatch: pytest.MonkeyPatch,
 ):
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -10,6 +10,7 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.scheduling.attempts import attempt
 from medlarspring_systems.scheduling.fair_order import order_by_shares
 from medlarspring_systems.scheduling.isolation import (
     IsolationBudget,
@@ -44,7 +45,7 @@
 from medlarspring_tables.scheduling import QuarantineReason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Iterable
 
     from medlarspring_systems.scheduling.ordering import Rank
     from medlarspring_tables import PoolId, RackId, Seconds
@@ -81,14 +82,16 @@
 ) -> list[Run]:
     """Return the runs to start now; they are already recorded in the tables.
 
-    ``rank`` can be replaced to measure other orders of the steps.
+    ``rank`` can be replaced to measure other orders of the steps. A step that raises
+    is left out; once the others are placed, an ``ExceptionGroup`` tells of them.
     """
     ready = tables.ready_by_pool.get(pool_id)
     if not ready:
         return []
+    _drop_finished(ready)
     workers = list_schedulable_workers(tables, pool_id, now)
-    steps = _list_steps(tables, ready, workers, now, rank)
-    budget = IsolationBudget(steps, workers, now)
+    failures: list[Exception] = []
+    steps, budget = _order_sound_steps(tables, ready, workers, now, rank, failures)
     intents: list[Run] = []
     unplaceable: list[Resources] = []
     for step in steps:
@@ -100,14 +103,45 @@
         ):
             continue
         placed = len(intents)
-        _place_step(step, workers, budget, now, intents)
-        if placed == len(intents) and _fits_nowhere(step, workers):
+        is_placed = attempt(failures, _place_step, step, workers, budget, now, intents)
+        if is_placed and placed == len(intents) and _fits_nowhere(step, workers):
             unplaceable.append(step.resources)
         if not step.waiting:
             ready.pop(step, None)
+    if failures:
+        raise ExceptionGroup("steps could not be placed", failures)
     return intents
 
 
+def _drop_finished(ready: dict[StepRun, None]) -> None:
+    for step in list(ready):
+        if not step.waiting or step.job.outcome is not None:
+            del ready[step]
+
+
+def _order_sound_steps(
+    tables: WorkTables,
+    ready: Collection[StepRun],
+    workers: list[Worker],
+    now: Seconds,
+    rank: RankRule,
+    failures: list[Exception],
+) -> tuple[list[StepRun], IsolationBudget]:
+    """Return the steps in their order without those that raise by themselves."""
+    try:
+        return _order_steps(tables, ready, workers, now, rank)
+    except Exception:
+        # One worker is enough to try a step, and hundreds may have to be tried.
+        sound = [
+            step
+            for step in ready
+            if attempt(failures, _order_steps, tables, [step], workers[:1], now, rank)
+        ]
+        if len(sound) == len(ready):
+            raise
+    return _order_steps(tables, sound, workers, now, rank)
+
+
 def _fits_nowhere(step: StepRun, workers: list[Worker]) -> bool:
     return not any(fits(step, worker) for worker in workers)
 
@@ -125,20 +159,15 @@
     )
 
 
-def _list_steps(
+def _order_steps(
     tables: WorkTables,
-    ready: dict[StepRun, None],
+    ready: Iterable[StepRun],
     workers: list[Worker],
     now: Seconds,
     rank: RankRule,
-) -> list[StepRun]:
-    steps: list[StepRun] = []
-    for step in list(ready):
-        if not step.waiting or step.job.outcome is not None:
-            del ready[step]
-            continue
-        if fits_quota(step):
-            steps.append(step)
+) -> tuple[list[StepRun], IsolationBudget]:
+    """Return the steps within their quotas in order, and their isolation budget."""
+    steps = [step for step in ready if fits_quota(step)]
     size_weight = measure_size_weight(steps, workers)
     ranked = [(rank(step, now, size_weight), step) for step in steps]
     ranked.sort(key=itemgetter(0))
@@ -149,7 +178,7 @@
     # Suspected tasks go first: after other steps were placed, they would never find
     # a worker without recent starts. Those with the most crashes need it most.
     steps.sort(key=count_most_crashes, reverse=True)
-    return steps
+    return steps, IsolationBudget(steps, workers, now)
 
 
 def _place_step(
@@ -336,16 +365,18 @@
 ) -> list[Worker] | None:
     """Return a worker for each member, or None; the tables are left unchanged."""
     chosen: list[Worker] = []
-    for member in step.tasks:
-        worker = choose_worker(step, member, workers, now)
-        if worker is None:
-            break
-        allocate_resources(worker, step)
-        step.per_worker[worker.id] = step.per_worker.get(worker.id, 0) + 1
-        chosen.append(worker)
-    for worker in chosen:
-        release_resources(worker, step)
-        step.per_worker[worker.id] -= 1
+    try:
+        for member in step.tasks:
+            worker = choose_worker(step, member, workers, now)
+            if worker is None:
+                break
+            allocate_resources(worker, step)
+            step.per_worker[worker.id] = step.per_worker.get(worker.id, 0) + 1
+            chosen.append(worker)
+    finally:
+        for worker in chosen:
+            release_resources(worker, step)
+            step.per_worker[worker.id] -= 1
     return chosen if len(chosen) == len(step.tasks) else None
 
 
--- a/packages/systems/tests/scheduling/test_rounds.py
+++ b/packages/systems/tests/scheduling/test_rounds.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from medlarspring_systems.scheduling import rounds
 from medlarspring_systems.scheduling.quarantine import quarantine_worker
 from medlarspring_systems.scheduling.rounds import (
     SAME_RACK_WAIT_SECONDS,
@@ -282,3 +283,21 @@
     (run,) = plan_round(scene.tables, POOL, NOW)
     assert run.worker is first
     assert plan_round(scene.tables, POOL, NOW + 5.0) == []
+
+
+def test_gang_that_cannot_be_assigned_leaves_the_resources_free(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against resources that each failed round takes from a worker for ever."""
+    worker = scene.add_worker(1)
+    scene.add_job("j", create_step(count=2, gang=True))
+
+    def choose_first(step, member, workers, now):  # type: ignore[no-untyped-def]
+        if member is not step.tasks[0]:
+            raise RuntimeError("injected")
+        return workers[0]
+
+    monkeypatch.setattr(rounds, "choose_worker", choose_first)
+    with pytest.raises(ExceptionGroup):
+        plan_round(scene.tables, POOL, NOW)
+    assert worker.cpu_free == worker.resources.cpu_millis
