End a worker's incarnation also if counting or logging it raises

A worker whose end could not be counted or logged stayed in the tables with its runs and its link, and each read of the VM list counted the end once more. After a restart, the jobs of the runs that were lost were neither recorded nor planned.

test_worker_ends_although_its_end_cannot_be_counted_or_logged: 3 of 3 failed before, none now.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -42,10 +42,12 @@
 from medlarspring_daemon.scheduling.vm_manager import VMManager
 from medlarspring_daemon.scheduling.worker_feed import WorkerFeed
 from medlarspring_daemon.scheduling.worker_links import WorkerLinks
-from medlarspring_daemon.scheduling.worker_liveness import WorkerLivenessMonitor
+from medlarspring_daemon.scheduling.worker_liveness import (
+    WorkerLivenessMonitor,
+    assess_worker_end,
+)
 from medlarspring_systems.scheduling.answer_times import AnswerTimes
 from medlarspring_systems.scheduling.crash_timing import is_at_crash_risk
-from medlarspring_systems.scheduling.crashes import record_worker_end
 from medlarspring_systems.scheduling.jobs import (
     cancel_job,
     forget_job,
@@ -284,14 +286,26 @@
         former_ms = worker.born_ms
         longest = self._node.limits.worker_lease
         now = self._node.clock.now()
-        verdict = record_worker_end(self.tables, worker, now)
+        verdict = assess_worker_end(self._node, self.tables, worker, now)
         lost_runs = begin_incarnation(self.tables, worker, born_ms, longest, now)
-        log_worker_restarted(self._node, worker, former_ms, len(lost_runs), verdict)
-        for run in lost_runs:
-            log_run_lost(self._node, run, "its worker restarted")
         self.handle_lost_runs(lost_runs)
+        attempt = self._node.failures.attempt
         for job in verdict.jobs:
-            self._record_job(job)
+            attempt(Step.WORKER_END, self._record_job, job)
+        lost = len(lost_runs)
+        attempt(
+            Step.WORKER_END,
+            log_worker_restarted,
+            self._node,
+            worker,
+            former_ms,
+            lost,
+            verdict,
+        )
+        for run in lost_runs:
+            attempt(
+                Step.LOST_RUNS, log_run_lost, self._node, run, "its worker restarted"
+            )
 
     def record_entry_gone(self, worker: Worker) -> None:
         """Check whether a worker that left the registry is still alive."""
--- a/packages/daemon/src/medlarspring_daemon/scheduling/worker_liveness.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/worker_liveness.py
@@ -14,6 +14,7 @@
 from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.run_log import log_run_lost, log_worker_gone
 from medlarspring_systems.scheduling.crashes import (
+    CrashAssessment,
     may_have_caused_crash,
     record_vanished_run,
     record_worker_end,
@@ -53,6 +54,18 @@
         ...
 
 
+def assess_worker_end(
+    node: SchedulingNode, tables: WorkTables, worker: Worker, now: Seconds
+) -> CrashAssessment:
+    """Count the end of a worker's incarnation; it is over also if that fails."""
+    try:
+        return record_worker_end(tables, worker, now)
+    except Exception:
+        # Another attempt would count the same end again.
+        node.failures.report(Step.WORKER_END)
+        return CrashAssessment(planned=False)
+
+
 class WorkerLivenessMonitor:
     """Reads the VM list periodically, and detects expired leases."""
 
@@ -126,16 +139,25 @@
     def _end_incarnation(self, worker: Worker, reason: str) -> None:
         tables = self._owner.tables
         now = self._node.clock.now()
-        verdict = record_worker_end(tables, worker, now)
-        log_worker_gone(self._node, worker, reason, tables.vms_read_at, verdict)
+        verdict = assess_worker_end(self._node, tables, worker, now)
+        self._node.failures.attempt(
+            Step.WORKER_END,
+            log_worker_gone,
+            self._node,
+            worker,
+            reason,
+            tables.vms_read_at,
+            verdict,
+        )
         lost = end_incarnation(tables, worker, now)
         self._report_lost(lost, reason)
         self._owner.close_link(worker)
 
     def _report_lost(self, lost: list[Run], reason: str) -> None:
+        attempt = self._node.failures.attempt
         for run in lost:
-            log_run_lost(self._node, run, reason)
+            attempt(Step.LOST_RUNS, log_run_lost, self._node, run, reason)
         self._owner.handle_lost_runs(lost)
 
 
-__all__ = ["LivenessOwner", "WorkerLivenessMonitor"]
+__all__ = ["LivenessOwner", "WorkerLivenessMonitor", "assess_worker_end"]
--- a/packages/daemon/tests/scheduling/test_isolated_failures.py
+++ b/packages/daemon/tests/scheduling/test_isolated_failures.py
@@ -297,6 +297,30 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize(
+    "name", ["record_worker_end", "log_worker_gone", "log_run_lost"]
+)
+def test_worker_ends_although_its_end_cannot_be_counted_or_logged(
+    monkeypatch: pytest.MonkeyPatch, name: str
+):
+    """Guards against workers that stay in the tables, and runs never taken for lost."""
+    fault = Fault(monkeypatch, worker_liveness, name)
+    ends = count_calls(monkeypatch, CellController, "handle_lost_runs")
+    closed = count_calls(monkeypatch, CellController, "close_link")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        fault.calls_left = FOREVER
+        jobs = await submit(customers)
+        await asyncio.sleep(0.3)
+        busy = next(each for each in world.fleet.workers_by_id.values() if each.runs)
+        world.fleet.crash(busy.vm_id, 0.5)
+        await wait_for_end(customers, jobs)
+        assert ends
+        assert busy.id in {worker.id for _, worker in closed}
+
+    run_scenario(scenario, SEED)
+
+
 def test_link_that_fails_to_close_does_not_keep_the_rest_of_its_controller(
     monkeypatch: pytest.MonkeyPatch,
 ):
