Write outdated job records once a second, whoever missed to schedule them

An exception between a change of a job and the scheduling of its write left the record outdated for good: a completed job stayed "active".

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -88,6 +88,8 @@
     )
 
 TICK_SECONDS = 0.1
+RECORD_CHECK_SECONDS = 1.0
+"""Interval between checks for records that are outdated without a write scheduled."""
 LOAD_RETRY_SECONDS = 0.05
 MAX_LOAD_RETRY_SECONDS = 0.5
 """Longest pause before a prefix is listed again. While nothing but listings is applied,
@@ -234,6 +236,7 @@
             took_ms=round(took_ms),
         )
         self._tasks.run_with_restart(self._tick_forever)
+        self._tasks.run_with_restart(self._check_records_forever)
         self._tasks.run_with_restart(
             LoadReporter(self._node, self._term, self.tables).run
         )
@@ -519,6 +522,15 @@
             if self._term.is_active():
                 self._tick()
 
+    async def _check_records_forever(self) -> None:
+        """Write records that an exception left outdated.
+
+        Their ends would be acknowledged later, with those of other jobs.
+        """
+        while True:
+            await asyncio.sleep(RECORD_CHECK_SECONDS)
+            self._record_writer.schedule_outdated(list(self.tables.jobs_by_id.values()))
+
     def _tick(self) -> None:
         now = self._node.clock.now()
         attempt = self._node.failures.attempt
--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
@@ -23,7 +23,7 @@
 from medlarspring_tables.scheduling import JobRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from medlarspring_adapters.store import Committed
     from medlarspring_daemon.scheduling.context import SchedulingNode
@@ -105,6 +105,12 @@
         """
         self._schedule(job, urgent=False)
 
+    def schedule_outdated(self, jobs: Iterable[ActiveJob]) -> None:
+        """Schedule writes of all records that lack a change of their jobs."""
+        for job in jobs:
+            if job not in self._failed_jobs:
+                self.schedule_ends_write(job)
+
     def _schedule(self, job: ActiveJob, *, urgent: bool) -> None:
         if self._closed or job.written_version >= job.version or job.writing:
             return
--- a/packages/daemon/tests/scheduling/test_isolated_failures.py
+++ b/packages/daemon/tests/scheduling/test_isolated_failures.py
@@ -269,6 +269,20 @@
     run_scenario(scenario, seed)
 
 
+@pytest.mark.parametrize("seed", [5, 6, 7])
+def test_records_are_written_although_nothing_called_for_it(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+):
+    """Guards against jobs whose last end is never recorded."""
+    fault = Fault(monkeypatch, CellController, "_record_job")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        fault.calls_left = FOREVER
+        await wait_for_end(customers, await submit(customers))
+
+    run_scenario(scenario, seed)
+
+
 def test_end_of_a_worker_that_fails_does_not_hide_the_others(
     monkeypatch: pytest.MonkeyPatch,
 ):
