--- a/packages/daemon/tests/scheduling/test_isolated_failures.py
+++ b/packages/daemon/tests/scheduling/test_isolated_failures.py
@@ -13,22 +13,28 @@
 from medlarspring_daemon.scheduling import (
     controller as controller_module,
     job_record_writer,
+    worker_answers,
     worker_liveness,
 )
 from medlarspring_daemon.scheduling.controller import CellController
 from medlarspring_daemon.scheduling.load_reporter import LoadReporter
 from medlarspring_daemon.scheduling.pool_log import PoolLog
 from medlarspring_daemon.scheduling.start_orders import StartOrders
+from medlarspring_daemon.scheduling.stop_orders import StopOrders
 from medlarspring_daemon.scheduling.vm_manager import VMManager
 from medlarspring_daemon.scheduling.worker_answers import WorkerAnswers
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
+from medlarspring_systems.scheduling import listings, rounds
 
 from .faults import Fault, count_calls
 from .scenarios import list_events, run_scenario, submit, wait_for_end
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from medlarspring_bench.platform_world.customers import Customers
     from medlarspring_bench.platform_world.world import World
+    from medlarspring_tables import JobId
 
 SEED = 29
 FOREVER = float("inf")
@@ -118,6 +124,43 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize(
+    ("name", "concerns"),
+    [
+        ("fits_quota", lambda step, *_: step.job.id),
+        ("measure_size_weight", lambda steps, _: {step.job.id for step in steps}),
+        ("rank_step", lambda step, *_: step.job.id),
+        ("count_most_crashes", lambda step: step.job.id),
+        ("_place_step", lambda step, *_: step.job.id),
+    ],
+)
+def test_steps_that_fail_do_not_keep_their_pool_waiting(
+    monkeypatch: pytest.MonkeyPatch, name: str, concerns: Callable[..., Any]
+):
+    """Guards against a whole pool that waits behind steps that always raise."""
+    failing_ids: set[JobId] = set()
+
+    def is_failing(*args: Any) -> bool:
+        ids = concerns(*args)
+        return not failing_ids.isdisjoint(ids if isinstance(ids, set) else {ids})
+
+    fault = Fault(monkeypatch, rounds, name, concerns=is_failing)
+    monkeypatch.setattr(rounds.plan_round, "__defaults__", (rounds.rank_step,))
+    fault.calls_left = FOREVER
+
+    async def scenario(world: World, customers: Customers) -> None:
+        jobs = [customers.create_batch() for _ in range(5)]
+        failing_ids.update(job_id for job_id, _ in jobs)
+        for job_id, spec in jobs:
+            assert await customers.submit("lookup", job_id, spec)
+        await wait_for_end(customers, await submit(customers, 20))
+        assert len(list_events(world, Event.STEP_FAILED)) >= 1
+        fault.calls_left = 0
+        await wait_for_end(customers, [job_id for job_id, _ in jobs])
+
+    run_scenario(scenario, SEED)
+
+
 def test_job_that_cannot_be_encoded_does_not_block_other_records(
     monkeypatch: pytest.MonkeyPatch,
 ):
@@ -195,6 +238,51 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize(
+    ("owner", "name"),
+    [
+        (listings, "_find_absent"),
+        (listings, "_apply_running"),
+        (listings, "_apply_end"),
+        (worker_answers, "log_run_started"),
+        (StopOrders, "send_due"),
+    ],
+)
+@pytest.mark.parametrize("seed", [5, 6])
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_ends_of_listings_that_fail_halfway_are_recorded(
+    monkeypatch: pytest.MonkeyPatch, owner: Any, name: str, seed: int, is_killed: bool
+):
+    """Guards against applied ends that are acknowledged without being recorded."""
+    fault = Fault(monkeypatch, owner, name)
+
+    async def scenario(world: World, customers: Customers) -> None:
+        jobs = await submit(customers)
+        for _ in range(10):
+            fault.calls_left = 2
+            await asyncio.sleep(0.2)
+        fault.calls_left = 0
+        if is_killed:
+            world.kill_node(world.find_controller())
+        await wait_for_end(customers, jobs)
+
+    run_scenario(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", [5, 6, 7])
+def test_records_are_written_although_nothing_called_for_it(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+):
+    """Guards against jobs whose last end is never recorded."""
+    fault = Fault(monkeypatch, CellController, "_record_job")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        fault.calls_left = FOREVER
+        await wait_for_end(customers, await submit(customers))
+
+    run_scenario(scenario, seed)
+
+
 def test_end_of_a_worker_that_fails_does_not_hide_the_others(
     monkeypatch: pytest.MonkeyPatch,
 ):
@@ -223,6 +311,30 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize(
+    "name", ["record_worker_end", "log_worker_gone", "log_run_lost"]
+)
+def test_worker_ends_although_its_end_cannot_be_counted_or_logged(
+    monkeypatch: pytest.MonkeyPatch, name: str
+):
+    """Guards against workers that stay in the tables, and runs never taken for lost."""
+    fault = Fault(monkeypatch, worker_liveness, name)
+    ends = count_calls(monkeypatch, CellController, "handle_lost_runs")
+    closed = count_calls(monkeypatch, CellController, "close_link")
+
+    async def scenario(world: World, customers: Customers) -> None:
+        fault.calls_left = FOREVER
+        jobs = await submit(customers)
+        await asyncio.sleep(0.3)
+        busy = next(each for each in world.fleet.workers_by_id.values() if each.runs)
+        world.fleet.crash(busy.vm_id, 0.5)
+        await wait_for_end(customers, jobs)
+        assert ends
+        assert busy.id in {worker.id for _, worker in closed}
+
+    run_scenario(scenario, SEED)
+
+
 def test_link_that_fails_to_close_does_not_keep_the_rest_of_its_controller(
     monkeypatch: pytest.MonkeyPatch,
 ):
