Clamp an odd percent or gauge in a worker's answer

One percent or gauge out of bounds made the whole answer unreadable, so the worker counted as silent and its runs as lost.

Clamp them to the bounds of a whole number. A row with another fault still makes the answer unreadable: a run whose row is left out would count as lost.

--- a/packages/platform/src/medlarspring_platform/workers.py
+++ b/packages/platform/src/medlarspring_platform/workers.py
@@ -30,7 +30,7 @@
     WorkerUnresponsive,
 )
 from medlarspring_platform import wire
-from medlarspring_tables.bounds import MAX_WHOLE, Real, Whole
+from medlarspring_tables.bounds import MAX_WHOLE, Whole
 from medlarspring_tables.scheduling import EndedRow, RunEnd, RunningRow, WorkerId
 
 if TYPE_CHECKING:
@@ -118,7 +118,7 @@
 
     clock_ms: Whole = 0
     reason: str = ""
-    running: list[list[str | Whole | Real]] = []
+    running: list[list[str | int | float]] = []
     finished: list[tuple[Whole, str, Whole, str, str]] = []
     born: Whole = 0
 
@@ -315,8 +315,8 @@
         task_id=str(task),
         run=_to_whole(run),
         checkpoint=str(saved),
-        percent=_to_whole(percent),
-        gauge=_to_whole(gauge),
+        percent=_clamp(percent),
+        gauge=_clamp(gauge),
     )
 
 
@@ -328,6 +328,14 @@
     return number
 
 
+def _clamp(value: str | float) -> int:
+    """Return a measured number of a row, the nearest in bounds.
+
+    An answer that is rejected for it would make the worker's runs count as lost.
+    """
+    return max(-MAX_WHOLE, min(MAX_WHOLE, int(value)))
+
+
 def _to_ended(row: tuple[int, str, int, str, str]) -> EndedRow:
     """Decode [N, task, run, how, saved]."""
     number, task, run, how, saved = row
