Bound the logged trace of a failed step

A step that failed in a deep recursion wrote a line with hundreds of frames every 10 s: the failure log formatted the whole trace, while the tasks and the followers log the innermost 20 frames. Format it in one function that all four callers use.

test_failure_log.py failed before (1 of 1; the trace has more than 4,000 characters) and passes now.

--- a/packages/adapters/src/medlarspring_adapters/background_tasks.py
+++ b/packages/adapters/src/medlarspring_adapters/background_tasks.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import traceback
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from medlarspring_adapters.cancellation import is_cancellation_requested
 from medlarspring_adapters.events import Event
-from medlarspring_adapters.failure_streak import TRACE_FRAMES, FailureStreak
+from medlarspring_adapters.failure_streak import FailureStreak, format_trace
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
@@ -140,7 +139,7 @@
             task=name,
             failures=failures.count,
             restart_seconds=restart_seconds,
-            trace="".join(traceback.format_exception(error, limit=-TRACE_FRAMES)),
+            trace=format_trace(error),
         )
 
 
--- a/packages/adapters/src/medlarspring_adapters/failure_streak.py
+++ b/packages/adapters/src/medlarspring_adapters/failure_streak.py
@@ -1,7 +1,8 @@
-"""Counts failures in a row and limits how many of them are logged."""
+"""Counts failures in a row and limits how much of them is logged."""
 
 from __future__ import annotations
 
+import traceback
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -13,6 +14,11 @@
 """Innermost frames of a logged trace; those of a deep recursion would fill the log."""
 
 
+def format_trace(error: BaseException | None) -> str:
+    """Return the innermost frames of an exception's trace, for the log."""
+    return "".join(traceback.format_exception(error, limit=-TRACE_FRAMES))
+
+
 class FailureStreak:
     """The failures of work that is repeated until it goes well."""
 
@@ -45,4 +51,4 @@
         return is_logged
 
 
-__all__ = ["TRACE_FRAMES", "FailureStreak"]
+__all__ = ["TRACE_FRAMES", "FailureStreak", "format_trace"]
--- a/packages/adapters/src/medlarspring_adapters/prefix_follower.py
+++ b/packages/adapters/src/medlarspring_adapters/prefix_follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import traceback
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Protocol, TypeVar, cast
 
@@ -12,7 +11,7 @@
 from medlarspring_adapters.cancellation import is_cancellation_requested
 from medlarspring_adapters.entry_attempts import EntriesNotApplied
 from medlarspring_adapters.events import Event
-from medlarspring_adapters.failure_streak import TRACE_FRAMES, FailureStreak
+from medlarspring_adapters.failure_streak import FailureStreak, format_trace
 from medlarspring_adapters.metrics import Metric
 from medlarspring_tables import Revision
 
@@ -247,7 +246,7 @@
                 failures=self._failures.count,
                 retry_seconds=round(pause, 2),
                 keys=list(keys)[:MAX_LOGGED_KEYS],
-                trace="".join(traceback.format_exception(error, limit=-TRACE_FRAMES)),
+                trace=format_trace(error),
             )
         return pause
 
--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import traceback
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.background_tasks import BackgroundTasks
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.failure_streak import format_trace
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.prefix_follower import (
     MAX_SILENCE_SECONDS,
@@ -154,7 +154,7 @@
         stops = (follower.stop() for follower in self._followers)
         for result in await asyncio.gather(*stops, return_exceptions=True):
             if isinstance(result, Exception):
-                trace = "".join(traceback.format_exception(result))
+                trace = format_trace(result)
                 self._node.log.error(Event.TASK_FAILED, trace=trace)
 
     def is_overloaded(self) -> bool:
--- a/packages/daemon/src/medlarspring_daemon/scheduling/failure_log.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/failure_log.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import traceback
+import sys
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, ParamSpec
 
 from medlarspring_adapters.events import Event
+from medlarspring_adapters.failure_streak import format_trace
 from medlarspring_adapters.metrics import Metric
 
 if TYPE_CHECKING:
@@ -85,7 +86,7 @@
             Event.STEP_FAILED,
             step=step.value,
             failures=failures.count,
-            trace=traceback.format_exc(),
+            trace=format_trace(sys.exception()),
         )
         failures.count = 0
         failures.logged_at = now
