Count the failures of one-shot tasks by name

Each task that runs once had a streak of its own, so every one that failed wrote a line with a trace: one for each order, reading or exchange while the cause lasted. Tasks of one name now share a streak, which logs the first failure and then each doubling. A task that goes well for the streak's settled time ends it.

--- a/packages/adapters/src/medlarspring_adapters/background_tasks.py
+++ b/packages/adapters/src/medlarspring_adapters/background_tasks.py
@@ -29,6 +29,8 @@
     def __init__(self, log: EventLog) -> None:
         self._log = log
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._failures_by_name: dict[str, FailureStreak] = {}
+        """Failures of the tasks that run once; those of one name share a streak."""
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -38,7 +40,8 @@
     ) -> asyncio.Task[Any]:
         """Run ``work`` until it ends or the service stops; a failure is logged.
 
-        It is logged under ``name``, by default that of the coroutine.
+        It is logged under ``name``, by default that of the coroutine. Of failures in
+        a row under one name, ``FailureStreak`` chooses those that are logged.
         """
         return self._start(self._run_once(work, name or _find_name(work)), work)
 
@@ -54,10 +57,14 @@
 
         def end(ended: asyncio.Task[T]) -> None:
             self._tasks.discard(ended)
-            error = None if ended.cancelled() else ended.exception()
+            if ended.cancelled():
+                return
+            error, named = ended.exception(), name or _find_name(work)
+            failures = self._find_failures(named)
             if error is not None:
-                named = name or _find_name(work)
-                self._log_failure(error, named, FailureStreak(), None)
+                self._log_failure(error, named, failures, None)
+            else:
+                failures.record_success(asyncio.get_running_loop().time())
 
         task.add_done_callback(end)
         return task
@@ -99,7 +106,9 @@
         return task
 
     async def _run_once(self, work: Awaitable[Any], name: str) -> None:
-        await self._run_logged(work, name, FailureStreak(), None)
+        failures = self._find_failures(name)
+        if await self._run_logged(work, name, failures, None):
+            failures.record_success(asyncio.get_running_loop().time())
 
     async def _repeat(self, run: Callable[[], Awaitable[None]], name: str) -> None:
         failures = FailureStreak()
@@ -115,7 +124,8 @@
         name: str,
         failures: FailureStreak,
         restart_seconds: Seconds | None,
-    ) -> None:
+    ) -> bool:
+        """Await ``work`` and log its failure; returns whether there was none."""
         try:
             await work
         except Exception as error:
@@ -124,6 +134,12 @@
             if is_cancellation_requested():
                 raise
             self._log_failure(error, name, failures, restart_seconds)
+        else:
+            return True
+        return False
+
+    def _find_failures(self, name: str) -> FailureStreak:
+        return self._failures_by_name.setdefault(name, FailureStreak())
 
     def _log_failure(
         self,
--- a/packages/adapters/tests/test_background_tasks.py
+++ b/packages/adapters/tests/test_background_tasks.py
@@ -94,3 +94,24 @@
     assert "RuntimeError: odd" in lines.getvalue()
     with pytest.raises(RuntimeError):
         await task
+
+
+@pytest.mark.parametrize(
+    "start", [BackgroundTasks.start, BackgroundTasks.start_awaited]
+)
+async def test_tasks_of_one_name_that_all_fail_do_not_fill_the_log(
+    start: Callable[..., asyncio.Task],
+):
+    """Guards against a line for each order or reading while all of them fail."""
+    lines = io.StringIO()
+    tasks = BackgroundTasks(create_event_log(EntryVMId("e"), "ERROR", lines))
+
+    async def fail() -> None:
+        raise RuntimeError("odd")
+
+    for name in ["read"] * 100 + ["send"]:
+        await asyncio.wait([start(tasks, fail(), name)])
+    await asyncio.sleep(0)
+    logged = [json.loads(line) for line in lines.getvalue().splitlines()]
+    counts = [(line["task"], line["failures"]) for line in logged]
+    assert counts == [*(("read", 2**each) for each in range(7)), ("send", 1)]
