Pause after a peer's table that does not come into force

After a fetched table the loop asked at once for the next one, also if the table could not be decoded or was no newer than the one in force. The peer still reported a newer table and was chosen again, so both processes spent a core on calls, and each undecodable one wrote a line. Only a table that comes into force now skips the pause.

test_config_service.py: both cases of the new test failed before (15,642 and 74,904 calls in 1 s, bound 12) and pass now; 10 pass in all.

--- a/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
+++ b/packages/daemon/src/medlarspring_daemon/configuration/config_service.py
@@ -193,9 +193,8 @@
     async def _run_peers(self) -> None:
         """Fetch the table from a peer whenever a peer has a newer one."""
         while True:
-            known = Revision(0)
-            if self.distribution.in_force is not None:
-                known = self.distribution.in_force.revision
+            previous = self.distribution.in_force
+            known = previous.revision if previous is not None else Revision(0)
             chosen = choose_fetch_peer(
                 known,
                 self._peers.heard_by_id,
@@ -212,6 +211,7 @@
             answer = await self._peers.fetch_table(chosen, known)
             if isinstance(answer, Success) and answer.unwrap():
                 self._apply_encoded(answer.unwrap(), Source.PEER)
+            if self.distribution.in_force is not previous:
                 continue
             await asyncio.sleep(self._node.rng.uniform(0.5, 1.0) * TICK_SECONDS)
 
--- a/packages/daemon/tests/test_config_service.py
+++ b/packages/daemon/tests/test_config_service.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from returns.result import Success
 
 from medlarspring_adapters.clock import SystemClock
 from medlarspring_bench.control_nodes import (
@@ -15,6 +16,7 @@
 )
 from medlarspring_bench.key_value_ops import DeleteOp, PutOp
 from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_daemon.configuration import config_service
 from medlarspring_daemon.configuration.config_service import CONFIG_KEY
 from medlarspring_tables import ConfigTable, Revision
 
@@ -206,3 +208,25 @@
     await wait_until(lambda: len(state.listeners) == 1)
     write_table(state, 2)
     await wait_until(lambda: is_in_force(2, *nodes))
+
+
+@pytest.mark.parametrize("table", [b"{", b'{"revision": 1}'])
+async def test_peer_whose_table_is_of_no_use_is_not_asked_without_pause(
+    start: Start, monkeypatch: pytest.MonkeyPatch, table: bytes
+):
+    """Guards against a loop of calls to a peer that reports a newer table."""
+    calls = 0
+
+    async def fetch_table(*_: object) -> Success[bytes]:
+        nonlocal calls
+        calls += 1
+        await asyncio.sleep(0)
+        return Success(table)
+
+    node = await start("a", create_state(1))
+    await wait_until(lambda: is_in_force(1, node))
+    monkeypatch.setattr(node.peers, "fetch_table", fetch_table)
+    monkeypatch.setattr(config_service, "choose_fetch_peer", lambda *_: "b")
+    await wait_until(lambda: calls)
+    await asyncio.sleep(config_service.TICK_SECONDS * 4)
+    assert 2 <= calls < 12
