Load the fleet records although one can't be applied

A record whose application raised ended FleetController.load with EntriesNotApplied, and with it each round that probes the store or takes over, and each operator's command failed with it, also those on other records.

The controller goes on, as the jobs' controller does: the follower of the prefix reports the record. The commands' handler has no follower and reports it itself.

test_fleet_command_handler.py: the new test failed before with either source file at its old state (1 of 8) and passes now.

--- a/packages/daemon/src/medlarspring_daemon/fleet/command_handler.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/command_handler.py
@@ -8,6 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from medlarspring_adapters.entry_attempts import EntriesNotApplied
 from medlarspring_adapters.fleet_records import (
     TYPES_BY_PREFIX,
     apply_listing,
@@ -92,7 +93,11 @@
             listed = await self._store.read_prefix(prefix)
             if not is_successful(listed):
                 return Failure(listed.failure())
-            apply_listing(tables, prefix, listed.unwrap(), self._unreadable)
+            try:
+                apply_listing(tables, prefix, listed.unwrap(), self._unreadable)
+            except EntriesNotApplied as error:
+                for key, fault in error.errors_by_key.items():
+                    self._unreadable.report(key, repr(fault))
         return Success(tables)
 
     async def start_wave(
--- a/packages/daemon/src/medlarspring_daemon/fleet/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/fleet/controller.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from returns.result import Success
 
 from medlarspring_adapters.decisions import Subject
+from medlarspring_adapters.entry_attempts import EntriesNotApplied
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.fleet_records import (
     TYPES_BY_PREFIX,
@@ -96,7 +98,10 @@
             if not isinstance(listed, Success):
                 self.is_store_lost = True
                 return False
-            apply_listing(self.tables, prefix, listed.unwrap(), self.unreadable)
+            # The follower of the prefix reports the records that can't be applied.
+            # A write that was planned from an older version of one is refused.
+            with suppress(EntriesNotApplied):
+                apply_listing(self.tables, prefix, listed.unwrap(), self.unreadable)
         self.is_store_lost = False
         return True
 
--- a/packages/daemon/tests/test_fleet_command_handler.py
+++ b/packages/daemon/tests/test_fleet_command_handler.py
@@ -7,6 +7,7 @@
 from medlarspring_adapters.fleet_api import ChangeWave, StartMoves, StartWave
 from medlarspring_adapters.fleet_records import encode_record
 from medlarspring_adapters.store import Put, Transaction
+from medlarspring_bench.fleet_world import FleetProcess, FleetShape, FleetWorld
 from medlarspring_bench.key_value_state import KeyValueState
 from medlarspring_bench.memory_store import MemoryStore
 from medlarspring_bench.silent_faults import create_unreadable_records
@@ -21,7 +22,7 @@
     ZoneId,
 )
 from medlarspring_tables.audit import AuditRecord
-from medlarspring_tables.fleet_tables import key_of
+from medlarspring_tables.fleet_tables import FleetTables, key_of
 from medlarspring_tables.vms import VMRecord
 from medlarspring_tables.waves import WaveState
 
@@ -113,3 +114,25 @@
     request = msgspec.structs.replace(request, **changes)
     refused = await handler.start_moves(request, CONFIG, "10.0.0.9")
     assert reason in refused.failure().message()
+
+
+async def test_record_that_cannot_be_applied_does_not_stop_the_others(
+    handler, store, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against commands and rounds that all fail for one record."""
+    put = FleetTables.put
+
+    def put_or_fail(tables: FleetTables, record, revision) -> None:
+        if getattr(record, "id", "") == "a0":
+            raise RuntimeError("odd")
+        put(tables, record, revision)
+
+    monkeypatch.setattr(FleetTables, "put", put_or_fail)
+    start = StartWave(id=WAVE, operator="asha", pool_ids=(PoolId("a"),))
+    wave = (await handler.start_wave(start, CONFIG, "10.0.0.9")).unwrap()
+    assert wave.vm_ids == {"a1"}
+    controller = FleetProcess(1, FleetWorld(FleetShape(), 1)).controller
+    controller._store = store
+    assert await controller.load()
+    assert controller.tables.vms_by_id.keys() == {"a1", "b0", "b1"}
+    assert WAVE in controller.tables.waves_by_id
