Isolate the waves in the planning of VM operations

A wave whose order or planning raised ended the VM manager's pass, so there was no maintenance for any wave and no move between pools until it was gone.

Each wave's order and part of the plan, the whole of the maintenance and the moves are now attempted by themselves. The planning is given the function that does so, since systems don't log; failures are reported as the step vm_plan.

test_isolated_failures.py: 3 new cases failed before (one for an order, one for the planning of a wave, one for moves behind the maintenance) and pass now.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/vm_manager.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
 import msgspec
@@ -220,12 +221,17 @@
     async def _reconcile(self) -> None:
         if not self._term.is_active():
             return
-        now = self._node.clock.now()
+        now, attempt = self._node.clock.now(), self._node.failures.attempt
         for order, seen_at in self._operator_records.waves_by_key.values():
-            record_wave_order(self.fleet, order, seen_at)
-        plan = plan_operations(self._owner.tables, self.fleet, self._node.limits, now)
+            attempt(Step.VM_PLAN, record_wave_order, self.fleet, order, seen_at)
+        plan = plan_operations(
+            self._owner.tables,
+            self.fleet,
+            self._node.limits,
+            now,
+            partial(attempt, Step.VM_PLAN),
+        )
         await self._record_sizes()
-        attempt = self._node.failures.attempt
         attempt(Step.VM_REPORT, self._pool_log.record, self._owner.tables, self.fleet)
         attempt(Step.VM_REPORT, self._report_forecasts, plan.changed_forecasts)
         for run, reason in plan.stops:
--- a/packages/daemon/tests/scheduling/test_isolated_failures.py
+++ b/packages/daemon/tests/scheduling/test_isolated_failures.py
@@ -13,6 +13,7 @@
 from medlarspring_daemon.scheduling import (
     controller as controller_module,
     job_record_writer,
+    vm_manager,
     worker_liveness,
 )
 from medlarspring_daemon.scheduling.controller import CellController
@@ -22,6 +23,7 @@
 from medlarspring_daemon.scheduling.vm_manager import VMManager
 from medlarspring_daemon.scheduling.worker_answers import WorkerAnswers
 from medlarspring_daemon.scheduling.worker_link import WorkerLink
+from medlarspring_systems.scheduling import fleet_plan, maintenance
 
 from .faults import Fault, count_calls
 from .scenarios import list_events, run_scenario, submit, wait_for_end
@@ -46,6 +48,7 @@
         ((controller_module, "plan_repairs"), CellController, "plan_all"),
         ((LoadReporter, "_update_metrics"), LoadReporter, "_publish"),
         ((PoolLog, "record"), VMManager, "_report_forecasts"),
+        ((maintenance, "prepare_moves"), fleet_plan, "plan_moves"),
     ],
 )
 def test_steps_after_one_that_fails_are_still_done(
@@ -67,6 +70,34 @@
     run_scenario(scenario, SEED)
 
 
+@pytest.mark.parametrize(
+    ("owner", "name", "concerns"),
+    [
+        (vm_manager, "record_wave_order", lambda _, order, __: order.id == "1"),
+        (maintenance, "_take_down", lambda _, __, wave, *___: wave.id == "1"),
+    ],
+)
+def test_wave_that_fails_does_not_stop_the_others(
+    monkeypatch: pytest.MonkeyPatch, owner: Any, name: str, concerns: Any
+):
+    """Guards against maintenance that stops for all waves because of one."""
+    fault = Fault(monkeypatch, owner, name, concerns=concerns)
+
+    async def scenario(world: World, customers: Customers) -> None:
+        fault.calls_left = FOREVER
+        ids = list(world.fleet.vms_by_id)[:2]
+        for number, vm_id in enumerate(ids, 1):
+            world.order_wave(number, [vm_id], 1, 25)
+        await asyncio.sleep(FAULT_SECONDS)
+        vms = [world.fleet.vms_by_id[vm_id] for vm_id in ids]
+        assert [set(vm.maintained_for) for vm in vms] == [set(), {"2"}]
+        fault.calls_left = 0
+        await asyncio.sleep(FAULT_SECONDS)
+        assert set(vms[0].maintained_for) == {"1"}
+
+    run_scenario(scenario, SEED)
+
+
 def test_round_that_fails_does_not_keep_other_pools_waiting(
     monkeypatch: pytest.MonkeyPatch,
 ):
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ParamSpec, Protocol
 
 from medlarspring_systems.scheduling.wave_plan import WaveForecast
 from medlarspring_tables.scheduling import VMPhase, WorkerId
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from medlarspring_tables import PoolId, Seconds, VMId, WaveId
     from medlarspring_tables.scheduling import (
         FleetLimits,
@@ -20,6 +22,8 @@
         WorkTables,
     )
 
+P = ParamSpec("P")
+
 LIST_MARGIN_SECONDS = 0.3
 """Delay after an operation's expected end before the VM list must show it."""
 OPERATION_TIMEOUT_SECONDS = 6.0
@@ -194,6 +198,21 @@
     """Waves that are newly expected to be late, or to be on time again."""
 
 
+class Attempt(Protocol):
+    """Runs a part of the planning; its caller decides what an exception costs."""
+
+    def __call__(
+        self, work: Callable[P, object], *args: P.args, **kwargs: P.kwargs
+    ) -> object:
+        """Run ``work``."""
+        ...
+
+
+def run_unguarded(work: Callable[P, object], *args: P.args, **kwargs: P.kwargs) -> None:
+    """Run a part of the planning; an exception ends the whole of it."""
+    work(*args, **kwargs)
+
+
 REFUSAL_PAUSE_SECONDS = 1.0
 """Pause after a refused operation before the next one on the same VM."""
 
@@ -296,6 +315,7 @@
 
 
 __all__ = [
+    "Attempt",
     "FleetPlan",
     "FleetTables",
     "LongRunMove",
@@ -312,4 +332,5 @@
     "record_operation_refused",
     "record_operation_sent",
     "record_wave_order",
+    "run_unguarded",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/fleet_plan.py
@@ -4,27 +4,38 @@
 
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.fleet import FleetPlan, drop_finished_operations
+from medlarspring_systems.scheduling.fleet import (
+    FleetPlan,
+    drop_finished_operations,
+    run_unguarded,
+)
 from medlarspring_systems.scheduling.maintenance import plan_maintenance
 from medlarspring_systems.scheduling.pool_sizing import plan_moves
 
 if TYPE_CHECKING:
-    from medlarspring_systems.scheduling.fleet import FleetTables
+    from medlarspring_systems.scheduling.fleet import Attempt, FleetTables
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import FleetLimits, WorkTables
 
 
 def plan_operations(
-    tables: WorkTables, fleet: FleetTables, limits: FleetLimits, now: Seconds
+    tables: WorkTables,
+    fleet: FleetTables,
+    limits: FleetLimits,
+    now: Seconds,
+    attempt: Attempt = run_unguarded,
 ) -> FleetPlan:
-    """Return the VM operations to carry out now and the runs to stop for them."""
+    """Return the VM operations to carry out now and the runs to stop for them.
+
+    ``attempt`` runs the parts that do not depend on each other.
+    """
     fleet.move_seconds = limits.move
     drop_finished_operations(tables, fleet, limits, now)
     plan = FleetPlan()
     fleet.due_next.clear()
     fleet.drained_for_wave.clear()
-    plan_maintenance(tables, fleet, limits, now, plan)
-    plan_moves(tables, fleet, now, plan)
+    attempt(plan_maintenance, tables, fleet, limits, now, plan, attempt)
+    attempt(plan_moves, tables, fleet, now, plan)
     _update_reservations(tables, fleet, plan)
     return plan
 
--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -18,6 +18,7 @@
     find_vm_worker,
     is_available_for_operation,
     is_standby,
+    run_unguarded,
 )
 from medlarspring_systems.scheduling.long_run_moves import (
     describe_due_vms,
@@ -33,6 +34,7 @@
 
 if TYPE_CHECKING:
     from medlarspring_systems.scheduling.fleet import (
+        Attempt,
         FleetPlan,
         FleetTables,
         WaveProgress,
@@ -63,8 +65,12 @@
     limits: FleetLimits,
     now: Seconds,
     plan: FleetPlan,
+    attempt: Attempt = run_unguarded,
 ) -> None:
-    """Add the operations and stops that the open waves require to the plan."""
+    """Add the operations and stops that the open waves require to the plan.
+
+    The part of each wave is run by ``attempt``.
+    """
     kept_before = release_room(tables.workers_by_id.values())
     fleet.pools_short_of_targets.clear()
     record_finished_moves(fleet, now)
@@ -77,7 +83,8 @@
     due_vms = [vm for each in due_by_wave.values() for vm in each]
     moves_by_step = prepare_moves(tables, fleet, due_vms, kept_before, now)
     ended: Counter[StepRun] = Counter()
-    for wave_id, remaining in remaining_by_wave.items():
+
+    def plan_wave(wave_id: WaveId, remaining: list[VMEntry]) -> None:
         wave = fleet.waves_by_id[wave_id]
         vms_down = _count_vms_down(tables, fleet, wave)
         _forecast(
@@ -85,6 +92,9 @@
         )
         _record_forecast(wave, now, plan)
         _take_down(tables, fleet, wave, remaining, vms_down, ended, now, plan)
+
+    for wave_id, remaining in remaining_by_wave.items():
+        attempt(plan_wave, wave_id, remaining)
     stop_for_moves(tables, fleet, due_vms, moves_by_step, ended, now, plan)
 
 
