Keep the VM list usable with an odd row

One number, state or zone of the wrong kind in one machine's row made the whole list unusable, so no VM was moved or maintained and no worker's end was noticed until the platform corrected it.

Decode the rows one by one. A VM of which only its id, pool and worker can be read stays in the list with an unknown phase, which proves nothing about its worker, and is reported once (9012). If these can't be read either, the list stays unusable, as a VM that is missing from it counts as removed. A worker whose VM is not known is no longer taken for ended while an unknown VM may run it.

test_fleet.py: 4 cases failed before; test_workers.py: 1 of 3 new cases failed before. All pass now; three cases of test_fleet.py guard the incomplete list.

--- a/packages/platform/src/medlarspring_platform/launcher.py
+++ b/packages/platform/src/medlarspring_platform/launcher.py
@@ -138,7 +138,7 @@
             settings.store_address, self._clock, self._metrics, self._log
         )
         self._workers = PlatformWorkers()
-        self._machines = PlatformMachines(settings.vm_control_address)
+        self._machines = PlatformMachines(settings.vm_control_address, self._log)
         self._adviser = None
         if settings.adviser_address:
             self._adviser = PlatformAdviser(settings.adviser_address)
--- a/packages/platform/src/medlarspring_platform/machines.py
+++ b/packages/platform/src/medlarspring_platform/machines.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 from msgspec import Struct
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from medlarspring_adapters.decoding import decode_json
+from medlarspring_adapters.decoding import ContentUndecodable, decode_json
 from medlarspring_adapters.http_channel import HttpChannel, NotSent, Unanswered
+from medlarspring_adapters.unreadable_records import UnreadableRecords
 from medlarspring_adapters.vm_lifecycle import (
     Authority,
     VMControlUnresponsive,
@@ -19,6 +22,9 @@
 from medlarspring_tables import PoolId, VMId, WaveId, ZoneId
 from medlarspring_tables.scheduling import VMEntry, VMPhase, WorkerId
 
+if TYPE_CHECKING:
+    from medlarspring_adapters.events import EventLog
+
 TIMEOUT_SECONDS = 1.0
 """A response takes 15 ms, or 50 times as long when the platform is slow."""
 MAX_PAGES = 100
@@ -53,10 +59,19 @@
     id: str = ""
 
 
+class WireMachineIds(Struct, rename="camel"):
+    """The part of a machine without which the list of VMs is incomplete."""
+
+    machine_id: str
+    pool: str
+    id: str = ""
+
+
 class WireMachines(Struct, rename="camel"):
     """A page of machines."""
 
-    machines: list[WireMachine] = []
+    machines: list[msgspec.Raw] = []
+    """Of ``WireMachine``; decoded one by one, so that one fault costs one row."""
     next_token: str | None = None
 
 
@@ -83,10 +98,11 @@
 class PlatformMachines:
     """Implements ``VMLifecycle`` over the platform's HTTP interface."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, log: EventLog) -> None:
         # The next controller may operate on a VM as soon as an operation of this one
         # can no longer be under way.
         self._channel = HttpChannel(address, drops_unsent=True)
+        self._unreadable = UnreadableRecords(log)
         self.calls = 0
 
     async def close(self) -> None:
@@ -112,7 +128,12 @@
                 detail = decoded.failure().detail
                 return Failure(VMControlUnresponsive(detail, may_follow=False))
             page = decoded.unwrap()
-            machines += [_to_vm(machine) for machine in page.machines]
+            for row in page.machines:
+                vm = self._read_vm(row)
+                if not is_successful(vm):
+                    detail = vm.failure().detail
+                    return Failure(VMControlUnresponsive(detail, may_follow=False))
+                machines.append(vm.unwrap())
             token = page.next_token
             if not token:
                 return Success(tuple(machines))
@@ -120,6 +141,25 @@
         detail = f"more than {MAX_PAGES} pages"
         return Failure(VMControlUnresponsive(detail, may_follow=False))
 
+    def _read_vm(self, row: msgspec.Raw) -> Result[VMEntry, ContentUndecodable]:
+        """Decode a row; a VM of which only the ids can be read has an unknown phase.
+
+        Without the VM in the list, its worker's runs would count as lost.
+        """
+        decoded = decode_json(row, WireMachine)
+        if is_successful(decoded):
+            self._unreadable.clear_fault(_format_row_key(decoded.unwrap().machine_id))
+            return decoded.map(_to_vm)
+        ids = decode_json(row, WireMachineIds)
+        if not is_successful(ids):
+            return Failure(ids.failure())
+        machine = ids.unwrap()
+        key = _format_row_key(machine.machine_id)
+        self._unreadable.report(key, decoded.failure().detail)
+        return Success(
+            _to_vm(WireMachine(machine.machine_id, machine.pool, "", id=machine.id))
+        )
+
     async def move(
         self, vm_id: VMId, pool_id: PoolId, authority: Authority
     ) -> Result[VMRefusal | None, VMControlUnresponsive]:
@@ -171,6 +211,11 @@
     return Failure(VMControlUnresponsive(f"HTTP status {status}", may_follow=True))
 
 
+def _format_row_key(machine_id: str) -> str:
+    """Return what stands for the key of a VM's row in log lines."""
+    return f"{wire.MACHINES_PATH}#{machine_id}"
+
+
 def _to_vm(machine: WireMachine) -> VMEntry:
     return VMEntry(
         id=VMId(machine.machine_id),
--- a/packages/platform/tests/adapter/conftest.py
+++ b/packages/platform/tests/adapter/conftest.py
@@ -107,7 +107,7 @@
         fleet=fleet,
         facts_by_task=facts,
         store=PlatformStore(store_address, clock, NoMetrics(), log),
-        machines=PlatformMachines(control_app.gates_by_name["entry-0"].address),
+        machines=PlatformMachines(control_app.gates_by_name["entry-0"].address, log),
         workers=PlatformWorkers(),
         store_address=store_address,
         log=log,
--- a/packages/platform/tests/adapter/test_fleet.py
+++ b/packages/platform/tests/adapter/test_fleet.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import json
+from typing import TYPE_CHECKING, Any
 from unittest.mock import AsyncMock
 
 import pytest
+from returns.pipeline import is_successful
 
 from medlarspring_adapters.http_channel import HttpAnswer
 from medlarspring_adapters.vm_lifecycle import Authority, VMRefusal
@@ -185,6 +187,47 @@
     assert "pages" in listed.failure().message()
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"capacity": {"cpu": 10**400}},
+        {"state": 5},
+        {"zone": None},
+        {"labels": [[]]},
+    ],
+    ids=lambda odd: next(iter(odd)),
+)
+async def test_odd_row_of_a_vm_costs_that_vm_only(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch, odd: dict[str, Any]
+):
+    """Guards against a list that is of no use, or lacks a VM, for one odd row."""
+    good = {"machineId": "m-0", "pool": "p", "state": "up", "id": "i-0"}
+    rows = [good | {"machineId": "m-1", "id": "i-1"} | odd, good]
+    page = HttpAnswer(200, json.dumps({"machines": rows}).encode())
+    channel = platform.machines._channel
+    monkeypatch.setattr(channel, "call", AsyncMock(return_value=page))
+    for _ in range(2):
+        vms = (await platform.machines.list_vms()).unwrap()
+    found = [(vm.id, vm.pool_id, vm.worker_id, vm.phase) for vm in vms]
+    assert found == [
+        ("m-1", "p", "i-1", VMPhase.UNKNOWN),
+        ("m-0", "p", "i-0", VMPhase.UP),
+    ]
+    assert platform.log_lines.getvalue().count("#m-1") == 1
+
+
+@pytest.mark.parametrize("odd", [{"machineId": 1}, {"pool": None}, {"id": []}])
+async def test_list_with_a_vm_that_cannot_be_identified_is_incomplete(
+    platform: Platform, monkeypatch: pytest.MonkeyPatch, odd: dict[str, Any]
+):
+    """Guards against a VM that counts as removed because its row can't be read."""
+    row = {"machineId": "m-0", "pool": "p", "state": "up"} | odd
+    page = HttpAnswer(200, json.dumps({"machines": [row]}).encode())
+    channel = platform.machines._channel
+    monkeypatch.setattr(channel, "call", AsyncMock(return_value=page))
+    assert not is_successful(await platform.machines.list_vms())
+
+
 @pytest.mark.parametrize(
     ("vm", "wave", "refusal"),
     [
--- a/packages/systems/src/medlarspring_systems/scheduling/workers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/workers.py
@@ -232,7 +232,10 @@
         # The list may have been made before this incarnation started.
         return False
     if not worker.vm_id:
-        worker_ids = {vm.worker_id for vm in tables.vms_by_id.values()}
+        vms = tables.vms_by_id.values()
+        if any(vm.phase is VMPhase.UNKNOWN and vm.worker_id is None for vm in vms):
+            return False
+        worker_ids = {vm.worker_id for vm in vms}
         return bool(worker_ids) and worker.id not in worker_ids
     vm = tables.vms_by_id.get(worker.vm_id)
     if vm is None:
--- a/packages/systems/tests/scheduling/test_workers.py
+++ b/packages/systems/tests/scheduling/test_workers.py
@@ -17,6 +17,7 @@
     begin_incarnation,
     bound_unknown_lease,
     end_incarnation,
+    find_or_create_worker,
     have_recorded_runs_lapsed,
     is_lease_over,
     is_other_incarnation,
@@ -71,6 +72,23 @@
     end_incarnation(scene.tables, worker, NOW + 1.0)
 
 
+@pytest.mark.parametrize(
+    ("phase", "vm_worker_id", "is_over"),
+    [
+        (VMPhase.UP, None, True),
+        (VMPhase.UNKNOWN, WorkerId("i-9"), True),
+        (VMPhase.UNKNOWN, None, False),
+    ],
+)
+def test_worker_of_an_unknown_vm_is_not_over_while_a_vm_may_run_it(
+    scene: Scene, phase: VMPhase, vm_worker_id: WorkerId | None, is_over: bool
+):
+    """Guards against runs that count as lost because a VM's row can't be read."""
+    vm = replace(scene.add_vm(1, POOL), phase=phase, worker_id=vm_worker_id)
+    worker = find_or_create_worker(scene.tables, WorkerId("i-1"), NOW)
+    assert (worker in apply_vm_list(scene.tables, (vm,), NOW + 9.0)) is is_over
+
+
 def apply_resources(scene: Scene, resources: Resources) -> Worker:
     """Apply an entry of the same incarnation with other resources."""
     worker = apply_entry(scene.tables, replace(ENTRY, resources=resources), NOW)
