--- a/packages/bench/src/medlarspring_bench/memory_store.py
+++ b/packages/bench/src/medlarspring_bench/memory_store.py
@@ -4,9 +4,9 @@
 
 import asyncio
 from collections import Counter
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, TypeAlias, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -46,7 +46,7 @@
 from medlarspring_tables import Revision
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Sequence
+    from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 
     from medlarspring_adapters.clock import Clock
     from medlarspring_adapters.store import CommitResult
@@ -54,6 +54,8 @@
 
 
 T = TypeVar("T")
+WatchQueue: TypeAlias = "asyncio.Queue[tuple[Seconds | None, Commit | None]]"
+"""Commits that a watch has not delivered yet, each with its time if that is known."""
 
 
 @dataclass(slots=True)
@@ -84,7 +86,7 @@
         self._watch_wait_seconds = watch_wait_seconds
         self.faults = StoreFaults()
         self.calls_by_kind: Counter[str] = Counter()
-        self._watches: dict[asyncio.Queue[Commit | None], None] = {}
+        self._watches: dict[WatchQueue, None] = {}
 
     async def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the key's entry, or None if it is absent."""
@@ -154,40 +156,68 @@
         self.calls_by_kind["watch"] += 1
         if self.faults.down:
             return
-        queue: asyncio.Queue[Commit | None] = asyncio.Queue()
+        with self._subscribe(start) as queue:
+            if queue is not None:
+                async for batch in self._answer(queue, prefix, start):
+                    yield batch
+
+    @contextmanager
+    def _subscribe(self, start: Revision) -> Iterator[WatchQueue | None]:
+        """Queue all commits from a revision on; None if the history is gone."""
+        queue: WatchQueue = asyncio.Queue()
+
+        def add(commit: Commit) -> None:
+            queue.put_nowait((self.state.clock.now(), commit))
+
         try:
             for commit in self.state.commits_since(start):
-                queue.put_nowait(commit)
+                queue.put_nowait((None, commit))
         except CompactedError:
+            yield None
             return
-        self.state.listeners.append(queue.put_nowait)
+        self.state.listeners.append(add)
         self._watches[queue] = None
         try:
-            sent_at = self.state.clock.now()
-            while True:
-                try:
-                    async with asyncio.timeout(self._find_wait_left(sent_at)):
-                        commit_or_end = await queue.get()
-                except TimeoutError:
-                    sent_at = self.state.clock.now()
-                    yield WatchBatch(Revision(self.state.revision), (), (), sent_at)
-                    continue
-                if commit_or_end is None:
-                    return
-                batch = _batch(commit_or_end, prefix.encode())
-                if batch is not None:
-                    now = self.state.clock.now()
-                    yield replace(batch, confirmed_at=now if queue.empty() else None)
-                    sent_at = self.state.clock.now()
+            yield queue
         finally:
             self._watches.pop(queue, None)
             with suppress(ValueError):
-                self.state.listeners.remove(queue.put_nowait)
-
-    def _find_wait_left(self, sent_at: Seconds) -> Seconds | None:
+                self.state.listeners.remove(add)
+
+    async def _answer(
+        self, queue: WatchQueue, prefix: str, start: Revision
+    ) -> AsyncIterator[WatchBatch]:
+        """Yield a batch for each commit under a prefix, and empty ones between."""
+        clock = self.state.clock
+        answered_at, revision = clock.now(), Revision(start - 1)
+        taken_at: Seconds | None = None
+        while True:
+            wait_left = self._find_wait_left(answered_at)
+            if wait_left is not None and wait_left <= 0.0:
+                answered_at = clock.now()
+                if queue.empty():
+                    revision, taken_at = Revision(self.state.revision), answered_at
+                yield WatchBatch(revision, (), (), taken_at)
+                continue
+            try:
+                async with asyncio.timeout(wait_left):
+                    taken_at, commit_or_end = await queue.get()
+            except TimeoutError:
+                continue
+            if commit_or_end is None:
+                return
+            revision = Revision(commit_or_end.revision)
+            batch = _batch(commit_or_end, prefix.encode())
+            if batch is not None:
+                if queue.empty():
+                    taken_at = clock.now()
+                yield replace(batch, confirmed_at=taken_at)
+                answered_at = clock.now()
+
+    def _find_wait_left(self, answered_at: Seconds) -> Seconds | None:
         if self._watch_wait_seconds is None:
             return None
-        return sent_at + self._watch_wait_seconds - self.state.clock.now()
+        return answered_at + self._watch_wait_seconds - self.state.clock.now()
 
     def go_down(self) -> None:
         """Fail every call from now on and end all watches."""
@@ -201,7 +231,7 @@
     def end_watches(self) -> None:
         """End all watches, as a lost connection does."""
         for queue in list(self._watches):
-            queue.put_nowait(None)
+            queue.put_nowait((None, None))
 
     async def _call(
         self, kind: str, apply: Callable[[], T], writes: bool = False
