Hold starts at the latest after the drain time where that is short

The least bound of a view's age was above the drain times below 1.75 s, so that starts from such a view could break DRAIN. A view is at most one watch call old now, and the least bound 1.25 s.

--- a/packages/systems/src/medlarspring_systems/scheduling/view_age.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/view_age.py
@@ -13,9 +13,9 @@
 
 ORDER_SECONDS = 0.25
 """Left for a start order to reach its worker, with its repeats."""
-MIN_BOUND_SECONDS = 1.75
-"""Least bound. Without changes, a view gets as old as two watch calls of 0.8 s, and a
-smaller bound would hold starts back while all is well."""
+MIN_BOUND_SECONDS = 1.25
+"""Least bound. Without changes, a view gets as old as a watch call of 0.8 s and the time
+of its answer, and a smaller bound would hold starts back while all is well."""
 
 
 def find_age_bound(drain: Seconds) -> Seconds:
--- a/packages/systems/tests/scheduling/test_view_age.py
+++ b/packages/systems/tests/scheduling/test_view_age.py
@@ -17,8 +17,8 @@
         (1.99, 2.0, False),
         (3.7, 4.0, True),
         (3.8, 4.0, False),
-        (1.7, 0.5, True),
-        (1.8, 0.5, False),
+        (1.2, 0.5, True),
+        (1.3, 0.5, False),
     ],
 )
 def test_view_is_current_while_an_order_can_still_arrive_in_time(
