--- a/packages/systems/src/medlarspring_systems/scheduling/view_age.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/view_age.py
@@ -14,8 +14,8 @@
 ORDER_SECONDS = 0.25
 """Left for a start order to reach its worker, with its repeats."""
 MIN_BOUND_SECONDS = 1.25
-"""Least bound. Without changes, a view gets as old as a watch call of 0.8 s and the time
-of its answer, and a smaller bound would hold starts back while all is well."""
+"""Least bound. Without changes, a view gets as old as a watch call of 0.8 s and the
+time of its answer; a smaller bound would hold starts back while all is well."""
 
 
 def find_age_bound(drain: Seconds) -> Seconds:
