--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -70,6 +70,7 @@
 bounds.paceMs=100
 bounds.impactMs=4000
 orders=rpc
+hint={hint}
 platform.address={store}
 platform.form=kv
 platform.writesPerS=400
@@ -106,7 +107,7 @@
     """The stand-ins and the nodes of one case."""
 
     def __init__(self, record: Path, workers: int, nodes: int) -> None:
-        self._began_at = time.monotonic()
+        self.began_at = time.monotonic()
         self._folder = tempfile.mkdtemp(prefix="case-")
         self._record: TextIO = record.open("w", encoding="utf-8")
         self._standins = subprocess.Popen(
@@ -125,13 +126,16 @@
         self.killed_for_memory: list[str] = []
         self._lock = threading.Lock()
         self._stopping = False
+
+    def open(self) -> None:
+        """Start all nodes."""
         for node in self.nodes:
             self.start(node)
         threading.Thread(target=self._watch_memory, daemon=True).start()
 
     def note(self, text: str) -> None:
         """Write a line to the record, and show it."""
-        line = f"{time.monotonic() - self._began_at:8.3f} {text}"
+        line = f"{time.monotonic() - self.began_at:8.3f} {text}"
         self._record.write(line + "\n")
         self._record.flush()
         print(line, flush=True)
@@ -146,6 +150,7 @@
                 readiness=node.readiness,
                 inner=node.inner,
                 store=self.addresses["store"],
+                hint=self.addresses["hint"],
                 cloud=self.addresses["cloud"],
             ),
             encoding="utf-8",
@@ -245,7 +250,7 @@
     def note_journal(self, job_id: str) -> None:
         """Record what the workers saw of a job."""
         for each in self.read_journal(job_id):
-            at = each["at"] - self._began_at
+            at = each["at"] - self.began_at
             self.note(
                 f"worker: at {at:.3f} {each['worker']} {each['what']} {each['task']}"
                 f" run {each['run']} {each['how']}"
@@ -298,6 +303,7 @@
     """Run a case; return 2 if it couldn't run."""
     bench = Bench(record, workers, nodes)
     try:
+        bench.open()
         return run(bench)
     except Exception as error:
         bench.note(f"the case couldn't run: {error!r}")
--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -30,6 +30,9 @@
 STOP_SECONDS = 0.1
 SERVING_SECONDS = 0.9
 GANG_TIMEOUT_SECONDS = 3.0
+DECIDE_MS = 200
+PERIOD_MS = 50
+VALID_MS = 3_000
 
 Reply = tuple[int, Any]
 Handler = Callable[[str, str, dict[str, str], dict[str, str], bytes], Awaitable[Reply]]
@@ -132,7 +135,6 @@
         self._dropped_to = 0
         self._changed = asyncio.Event()
         self.calls: dict[str, int] = {}
-        self.range_calls_by_prefix: dict[str, int] = {}
         self.watched_to: dict[str, int] = {}
         """Latest revision up to which a watch of a prefix had its events."""
 
@@ -248,9 +250,6 @@
         return 404, {}
 
     def _range(self, prefix: str, after: str) -> Reply:
-        top = prefix.split("/")[0] + "/"
-        known = self.range_calls_by_prefix.get(top, 0)
-        self.range_calls_by_prefix[top] = known + 1
         if after:
             start = bisect.bisect_right(self.keys, after)
         else:
@@ -427,6 +426,7 @@
         self.id = f"i-{number:05x}"
         self.machine = machine or f"m-{number}"
         self.is_up = True
+        self.adviser: Adviser | None = None
         self.pool = pool
         self._journal = journal
         self._gangs = gangs
@@ -571,6 +571,8 @@
         if number <= self._refused_up_to.get(task, 0):
             return 409, {"clockMs": clock, "reason": "old"}
         spec = json.loads(order["spec"])
+        if "hinted" in spec and not self._is_advised(order):
+            return 409, {"clockMs": clock, "reason": "ticket"}
         checkpoint = order.get("checkpointed", "")
         run = Run(task, number, spec["seconds"], time.monotonic(), checkpoint)
         self._runs[(task, number)] = run
@@ -583,6 +585,12 @@
             run.gang.add(self, run)
         return 200, {"clockMs": clock}
 
+    def _is_advised(self, order: dict[str, Any]) -> bool:
+        ticket = order.get("ticket", "")
+        if self.adviser is None:
+            return False
+        return self.adviser.accepts(ticket, order["task"], self.id)
+
     def _extend(self, until_ms: int) -> None:
         until_ms = min(until_ms, self.clock_ms() + HOLD_MAX_MS)
         self._lease_ms = max(self._lease_ms, until_ms)
@@ -613,6 +621,50 @@
         }
 
 
+class Adviser:
+    """The service that knows which workers a restricted queue's steps may use."""
+
+    def __init__(self, workers: list[Worker]) -> None:
+        self._workers = workers
+        self._turn = asyncio.Lock()
+        self._tickets: dict[str, float] = {}
+        """Times at which the tickets end."""
+        self.allowed_by_job: dict[str, list[str]] = {}
+        """Workers that a job may use; all for the others."""
+        self.calls: list[dict[str, Any]] = []
+
+    async def handle(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        headers: dict[str, str],
+        body: bytes,
+    ) -> Reply:
+        """Answer one call, after those that came before it."""
+        question = json.loads(body)
+        step, workers = question["step"], question["workers"]
+        async with self._turn:
+            await asyncio.sleep((DECIDE_MS + PERIOD_MS * len(workers)) / 1_000)
+        self.calls.append({"at": time.monotonic(), "step": step})
+        known = [worker.id for worker in self._workers]
+        allowed = self.allowed_by_job.get(step.partition(".")[0], known)
+        rows = []
+        for worker in workers:
+            if worker in allowed:
+                ticket = f"{step}-{worker}-{len(self._tickets)}"
+                self._tickets[ticket] = time.monotonic() + VALID_MS / 1_000
+                rows.append([worker, ticket])
+        return 200, {"allowed": rows, "validMs": VALID_MS}
+
+    def accepts(self, ticket: str, task: str, worker: str) -> bool:
+        """Return whether a ticket permits a task to start on a worker now."""
+        step = task.rpartition(".")[0]
+        if not ticket.startswith(f"{step}-{worker}-"):
+            return False
+        return time.monotonic() < self._tickets.get(ticket, 0.0)
+
+
 class Platform:
     """All stand-ins, and the admin address of the script."""
 
@@ -624,6 +676,9 @@
             Worker(number, "svc-a", self.journal, self._gangs)
             for number in range(1, workers + 1)
         ]
+        self._adviser = Adviser(self.workers)
+        for worker in self.workers:
+            worker.adviser = self._adviser
         self._next_number = workers
         self._seq = 0
         self._aged = 0
@@ -634,6 +689,7 @@
         """Serve until cancelled."""
         store = await Server(self.store.handle).open()
         cloud = await Server(self._handle_cloud).open()
+        hint = await Server(self._adviser.handle).open()
         admin = await Server(self._handle_admin).open()
         for worker in self.workers:
             await worker.server.open()
@@ -643,7 +699,8 @@
             asyncio.create_task(self._beat()),
             asyncio.create_task(self._advance()),
         ]
-        print(json.dumps({"store": store, "cloud": cloud, "admin": admin}), flush=True)
+        addresses = {"store": store, "cloud": cloud, "hint": hint, "admin": admin}
+        print(json.dumps(addresses), flush=True)
         await asyncio.gather(*tasks)
 
     def _write_config(self) -> None:
@@ -660,6 +717,21 @@
                     "stretch": 2.0,
                     "targetDurationMs": 600,
                 },
+                {
+                    "name": "hinted",
+                    "host": "jobs.example",
+                    "prefix": "/hinted/",
+                    "service": "svc-a",
+                    "priority": 1,
+                    "maxAttempts": 3,
+                    "stretch": 2.0,
+                    "targetDurationMs": 600,
+                    "hint": {
+                        "decideMs": DECIDE_MS,
+                        "periodMs": PERIOD_MS,
+                        "validMs": VALID_MS,
+                    },
+                },
                 {
                     "name": "lasting",
                     "host": "jobs.example",
@@ -711,18 +783,31 @@
         headers: dict[str, str],
         body: bytes,
     ) -> Reply:
+        if body:
+            return await self._follow_script(path, json.loads(body))
+        return self._show(path, query)
+
+    def _show(self, path: str, query: dict[str, str]) -> Reply:
+        """Return what a script asks for."""
         if path == "/journal":
             return 200, self.journal
+        if path == "/advice":
+            return 200, self._adviser.calls
         if path == "/keys":
             prefix = query["prefix"]
             return 200, [key for key in self.store.keys if key.startswith(prefix)]
-        if path == "/value":
-            item = self.store.items.get(query["key"])
-            if item is None:
-                return 404, {}
-            return 200, base64.b64decode(item.value)
+        if path == "/value" and query["key"] in self.store.items:
+            return 200, base64.b64decode(self.store.items[query["key"]].value)
+        if path == "/state":
+            return 200, {"aged": self._aged, "calls": self.store.calls}
+        return 404, {}
+
+    async def _follow_script(self, path: str, order: dict[str, Any]) -> Reply:
+        """Do what a script asks for."""
+        if path == "/policy":
+            self._adviser.allowed_by_job.update(order)
+            return 200, {}
         if path == "/age":
-            order = json.loads(body)
             self._aging = asyncio.create_task(
                 self._age(
                     order["prefix"], order["value"], order["count"], order["rate"]
@@ -730,21 +815,10 @@
             )
             return 200, {}
         if path == "/crash":
-            order = json.loads(body)
             for worker in self.workers:
                 if worker.id == order["worker"]:
                     await self._crash(worker, order["seconds"])
                     return 200, {}
-            return 404, {}
-        if path == "/state":
-            return 200, {
-                "aged": self._aged,
-                "watched_to": self.store.watched_to,
-                "keys": len(self.store.keys),
-                "revision": self.store.revision,
-                "calls": self.store.calls,
-                "range_calls": self.store.range_calls_by_prefix,
-            }
         return 404, {}
 
     async def _crash(self, worker: Worker, seconds: float) -> None:
@@ -770,6 +844,7 @@
         await asyncio.sleep(seconds)
         self._next_number += 1
         following = Worker(self._next_number, worker.pool, self.journal, worker.machine)
+        following.adviser = self._adviser
         await following.server.open()
         self.workers[self.workers.index(worker)] = following
         self._write_entry(following)
