Give each step its turn at the adviser

Cause: choose_advice_request began at the top of the rank order for each call and took the first waiting step of which any worker's advice had expired. A step whose workers were full was asked about again whenever its tickets ended, and refusals expired like tickets although they do not change while a worker lives. Once the calls for such steps took as long as a ticket is valid, no other step of any restricted queue was ever asked about.

Each request now has a need: a start, an unknown policy, a step that is not ready, or a renewal. A worker that refused a step is left out (and checked again after 30 s, while nothing else is needed), one without room is asked about once for the policy, and renewals wait until no step needs advice. Each second call goes to the partner, and its step, whose last turn is the longest ago, so that a step which always needs advice takes half of the calls at most. A call names only as many workers as leave half of the tickets' validity.

Unit tests cover steps that are not ready, partners and calls whose answer is known.

--- a/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/fleet_model.py
@@ -83,6 +83,7 @@
         find_address: Callable[[VMId], str] | None = None,
         unenforced_pools: frozenset[PoolId] = frozenset(),
         worker_lease: Seconds = HOLD_MAX_MS / 1_000.0,
+        accepts_ticket: Callable[[WorkerModel, StartOrder], bool] | None = None,
     ) -> None:
         self._state = state
         self._find_address = find_address or invent_address
@@ -92,6 +93,7 @@
         self._standby_pools = standby_pools
         self._unenforced_pools = unenforced_pools
         self._worker_lease = worker_lease
+        self._accepts_ticket = accepts_ticket or (lambda _worker, _order: True)
         self._registered_resources: dict[
             tuple[WorkerId, Milliseconds], list[tuple[Seconds, Resources]]
         ]
@@ -299,6 +301,7 @@
             resources=vm.resources,
             labels=("a", vm.rack),
             find_facts=self._find_facts,
+            accepts_ticket=self._accepts_ticket,
             on_start=self._record_start,
             on_end=self._record_end,
             on_acknowledge=self._record_acknowledged,
--- a/packages/bench/src/medlarspring_bench/platform_world/plans.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/plans.py
@@ -14,6 +14,7 @@
     from collections.abc import Iterable, Sequence
 
     from medlarspring_bench.key_value_state import KeyValueState
+    from medlarspring_bench.platform_world.adviser_model import AdvicePlan
     from medlarspring_bench.platform_world.fleet_model import FleetModel
     from medlarspring_bench.platform_world.processor import ProcessorPlan
     from medlarspring_tables import Seconds
@@ -34,6 +35,8 @@
     priority: int = 0
     public: bool = False
     """Whether calls need no credential."""
+    advice: AdvicePlan | None = None
+    """For a restricted queue; one adviser serves all queues of a plan alike."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,19 +82,7 @@
     ``partners`` replace those of the plan, if it has any.
     """
     routes = [
-        {
-            "name": queue.name,
-            "host": HOST,
-            "prefix": f"/{queue.name}/",
-            "service": queue.pool,
-            "priority": queue.priority,
-            "maxAttempts": queue.max_attempts,
-            "stretch": queue.stretch,
-            "targetDurationMs": queue.allowance_ms,
-            "public": queue.public,
-        }
-        for queue in plan.queues
-        if queue.name not in dropped
+        _encode_queue(queue) for queue in plan.queues if queue.name not in dropped
     ]
     services: list[dict[str, Any]] = [
         {"name": pool, "rejectsOverload": pool not in plan.unenforced_pools}
@@ -105,6 +96,27 @@
     return config
 
 
+def _encode_queue(queue: QueuePlan) -> dict[str, Any]:
+    route: dict[str, Any] = {
+        "name": queue.name,
+        "host": HOST,
+        "prefix": f"/{queue.name}/",
+        "service": queue.pool,
+        "priority": queue.priority,
+        "maxAttempts": queue.max_attempts,
+        "stretch": queue.stretch,
+        "targetDurationMs": queue.allowance_ms,
+        "public": queue.public,
+    }
+    if queue.advice is not None:
+        route["hint"] = {
+            "decideMs": queue.advice.decide_ms,
+            "periodMs": queue.advice.period_ms,
+            "validMs": queue.advice.valid_ms,
+        }
+    return route
+
+
 def add_vms(plan: WorldPlan, fleet: FleetModel) -> None:
     """Boot the VMs of a plan, alternating between zones.
 
--- a/packages/bench/src/medlarspring_bench/platform_world/worker_model.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/worker_model.py
@@ -76,6 +76,8 @@
     resources: Resources
     labels: tuple[str, ...]
     find_facts: Callable[[str], TaskFacts | None]
+    accepts_ticket: Callable[[WorkerModel, StartOrder], bool]
+    """Returns whether an order may start by its ticket, or needs none."""
     on_start: Callable[[WorkerModel, StartOrder], None]
     on_end: Callable[[WorkerModel, WorkerRun, RunEnd], None]
     on_acknowledge: Callable[[WorkerModel, int], None]
@@ -127,6 +129,8 @@
             return OrderAnswer(clock, OrderRefusal.INVALID)
         if self.enforces_resources and not self._has_room(facts.spec):
             return OrderAnswer(clock, OrderRefusal.ROOM)
+        if not self.accepts_ticket(self, order):
+            return OrderAnswer(clock, OrderRefusal.TICKET)
         self.on_start(self, order)
         self.runs[(order.task_id, order.run)] = WorkerRun(
             order.task_id, order.run, facts, order.payload, now, advanced_at=now
--- a/packages/bench/src/medlarspring_bench/platform_world/world.py
+++ b/packages/bench/src/medlarspring_bench/platform_world/world.py
@@ -13,6 +13,7 @@
 from medlarspring_adapters.metrics import NoMetrics
 from medlarspring_bench.key_value_ops import DeleteOp, PutOp, RangeOp, RangeReply
 from medlarspring_bench.key_value_state import KeyValueState
+from medlarspring_bench.platform_world.adviser_model import AdvicePlan, AdviserModel
 from medlarspring_bench.platform_world.calls import SimulatedLifecycle, SimulatedOrders
 from medlarspring_bench.platform_world.fault_state import FaultState, StoreMode
 from medlarspring_bench.platform_world.fleet_model import FleetModel
@@ -33,15 +34,15 @@
 from medlarspring_platform.operator_records import PlatformCodec
 from medlarspring_systems.scheduling.quotas import list_miscounted_partners
 from medlarspring_systems.scheduling.waiting import list_unqueued_tasks
-from medlarspring_tables import EntryVMId, PoolId
+from medlarspring_tables import EntryVMId, JobId, PoolId
 from medlarspring_tables.scheduling import FleetLimits
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from medlarspring_adapters.adviser import Adviser
+    from medlarspring_adapters.worker_orders import StartOrder
     from medlarspring_bench.platform_world.virtual_time import VirtualClock
-    from medlarspring_bench.platform_world.worker_model import TaskFacts
+    from medlarspring_bench.platform_world.worker_model import TaskFacts, WorkerModel
     from medlarspring_daemon.scheduling.service import SchedulingService
     from medlarspring_tables import Seconds
 
@@ -86,7 +87,12 @@
             self.facts_by_task.get,
             unenforced_pools=frozenset(map(PoolId, plan.unenforced_pools)),
             worker_lease=plan.worker_lease,
+            accepts_ticket=self._accepts_ticket,
         )
+        plans = {queue.name: queue.advice for queue in plan.queues if queue.advice}
+        self._restricted_queues = plans.keys()
+        advice_plan = next(iter(plans.values()), AdvicePlan())
+        self.adviser = AdviserModel(advice_plan, clock, self.fleet.workers_by_id.get)
         self.nodes_by_name: dict[str, Node] = {}
         self.logs: list[tuple[str, io.StringIO]] = []
         self._tasks_by_owner: dict[int, dict[asyncio.Task[object], None]] = {}
@@ -163,13 +169,13 @@
 
     # Nodes
 
-    async def start_node(self, name: str, adviser: Adviser | None = None) -> Node:
+    async def start_node(self, name: str) -> Node:
         """Start a process; none of that name may be running."""
         incarnation = self.rng.getrandbits(60)
         node = Node(name, incarnation)
         token = _owner.set(incarnation)
         try:
-            context = self._create_context(node, adviser)
+            context = self._create_context(node)
             node.health = asyncio.ensure_future(self._stores[-1].watch_health())
             node.service = create_scheduling_service(context)
             await node.service.start()
@@ -218,7 +224,7 @@
                 return name
         return None
 
-    def _create_context(self, node: Node, adviser: Adviser | None) -> SchedulingNode:
+    def _create_context(self, node: Node) -> SchedulingNode:
         processor = self.processors.create(node.incarnation)
         parts = (
             self.fault_state,
@@ -242,9 +248,15 @@
             orders=SimulatedOrders(self.fleet, *parts),
             lifecycle=SimulatedLifecycle(self.fleet, *parts),
             limits=FleetLimits(worker_lease=self.plan.worker_lease),
-            adviser=adviser,
+            adviser=self.adviser.create_client() if self._restricted_queues else None,
         )
 
+    def _accepts_ticket(self, worker: WorkerModel, order: StartOrder) -> bool:
+        job_id = JobId(order.task_id.partition(".")[0])
+        if self.history.queues_by_job.get(job_id) not in self._restricted_queues:
+            return True
+        return self.adviser.accepts(worker, order)
+
     def _create_task(self, loop, coroutine, **options):  # type: ignore[no-untyped-def]
         task = asyncio.Task(coroutine, loop=loop, **options)
         context = options.get("context")
--- a/packages/daemon/src/medlarspring_daemon/scheduling/advice_fetcher.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/advice_fetcher.py
@@ -11,6 +11,7 @@
 from medlarspring_systems.scheduling.advice_requests import (
     choose_advice_request,
     record_advice,
+    record_advice_call,
 )
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
 
 
 class AdviceFetcher:
-    """Sends one request at a time to the adviser, the most urgent step first."""
+    """Sends one request at a time to the adviser."""
 
     def __init__(
         self, node: SchedulingNode, adviser: Adviser, owner: AdviceFetcherOwner
@@ -74,11 +75,13 @@
 
     async def _fetch(self, request: AdviceRequest) -> None:
         requested_at = self._node.clock.now()
+        record_advice_call(self._owner.tables, request, requested_at)
         answer = await self._adviser.advise(request.step_id, request.worker_ids)
         if not is_successful(answer):
             self._node.log.warning(
                 Event.ADVICE_MISSING,
                 step=request.step_id,
+                need=request.need.name.lower(),
                 workers=len(request.worker_ids),
                 fault=answer.failure().message(),
             )
@@ -91,6 +94,7 @@
         self._node.log.info(
             Event.ADVICE_TAKEN,
             step=request.step_id,
+            need=request.need.name.lower(),
             workers=len(request.worker_ids),
             allowed=len(advice.tickets_by_worker),
             valid_ms=advice.valid_ms,
--- a/packages/daemon/src/medlarspring_daemon/scheduling/advice_reporter.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/advice_reporter.py
@@ -7,10 +7,8 @@
 
 from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
-from medlarspring_systems.scheduling.advice_requests import (
-    format_step_id,
-    list_unadvised_steps,
-)
+from medlarspring_systems.scheduling.advice_needs import format_step_id
+from medlarspring_systems.scheduling.advice_requests import list_unadvised_steps
 
 if TYPE_CHECKING:
     from medlarspring_daemon.scheduling.context import SchedulingNode
--- /dev/null
+++ b/packages/daemon/tests/scheduling/test_restricted_queues.py
@@ -0,0 +1,98 @@
+"""Tests that each step of a restricted queue gets its turn at the adviser."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from medlarspring_bench.platform_world.adviser_model import AdvicePlan
+from medlarspring_bench.platform_world.plans import QueuePlan, WorldPlan
+from medlarspring_tables.scheduling import StepSpec
+
+from .scenarios import run_scenario
+
+if TYPE_CHECKING:
+    from medlarspring_bench.platform_world.customers import Customers
+    from medlarspring_bench.platform_world.world import World
+    from medlarspring_tables import JobId, Seconds
+
+SEED = 68
+PLAN = WorldPlan(
+    pools=("consent",),
+    vms_per_pool=8,
+    standby_vms=0,
+    queues=(
+        QueuePlan("hinted", "consent", priority=1, advice=AdvicePlan()),
+        QueuePlan("first", "consent", stretch=100.0, advice=AdvicePlan()),
+        QueuePlan("lookup", "consent"),
+    ),
+)
+FULL_VM = "m-000"
+WAITING_JOBS = 14
+"""Asking about all of them takes longer than a ticket is valid, also with few VMs."""
+FIRST_CALLS_SECONDS = 12.0
+"""Time in which the adviser is asked about each of them once."""
+URGENT_START_SECONDS = 2.0
+"""Time in which urgent work starts, according to the target."""
+LASTING = StepSpec(
+    count=1,
+    cpu_millis=10_000,
+    memory_mb=64,
+    estimate_ms=500,
+    long_running=True,
+    max_unavailable=1,
+)
+LARGE = StepSpec(count=1, cpu_millis=8_000, memory_mb=64, estimate_ms=500)
+SMALL = StepSpec(count=2, cpu_millis=500, memory_mb=64, estimate_ms=500)
+
+
+async def submit_restricted(
+    world: World,
+    customers: Customers,
+    step: StepSpec,
+    vm_ids: set[str] | None = None,
+    queue: str = "hinted",
+) -> JobId:
+    """Submit a job of one step that only some VMs may run."""
+    job_id, spec = customers.create_job(step)
+    if vm_ids is not None:
+        world.adviser.allowed_by_job[job_id] = vm_ids
+    assert await customers.submit(queue, job_id, spec)
+    return job_id
+
+
+async def measure_start(world: World, job_id: JobId, longest: Seconds) -> Seconds:
+    """Return the time until a job's first start; infinite if it takes ``longest``."""
+    began_at = world.clock.now()
+    while world.clock.now() < began_at + longest:
+        if any(run.task_id.startswith(job_id) for run in world.history.runs):
+            return world.clock.now() - began_at
+        await asyncio.sleep(0.02)
+    return float("inf")
+
+
+@pytest.mark.parametrize(
+    ("queue", "waiting"),
+    [("hinted", LASTING), ("first", LARGE)],
+    ids=["lasting tasks", "tasks of a queue with a higher priority"],
+)
+def test_steps_that_wait_for_room_do_not_keep_others_from_their_turn(
+    queue: str, waiting: StepSpec
+):
+    """Guards against jobs that never begin, as the adviser is asked about others only.
+
+    The adviser allows the waiting jobs one VM, which has no room for them.
+    """
+
+    async def scenario(world: World, customers: Customers) -> None:
+        await submit_restricted(world, customers, LASTING, {FULL_VM})
+        await asyncio.sleep(1.0)
+        for _ in range(WAITING_JOBS):
+            await submit_restricted(world, customers, waiting, {FULL_VM}, queue)
+        await asyncio.sleep(FIRST_CALLS_SECONDS)
+        small = await submit_restricted(world, customers, SMALL)
+        assert await measure_start(world, small, 20.0) < URGENT_START_SECONDS
+
+    run_scenario(scenario, SEED, plan=PLAN)
--- a/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
@@ -1,152 +1,130 @@
-"""Selection of the step and the workers to ask the adviser about next.
+"""Selection of the step to ask the adviser about next.
 
 The adviser serves one call of this process at a time, and a call takes longer the
-more workers it names. Steps with waiting tasks come first, in rank order. Advice for
-steps that are not ready yet is requested only when no waiting step needs any.
+more workers it names. Every other call goes to the most urgent step that it can help
+to start. The calls between go to the partner, and to the step of that partner, whose
+last turn is the longest ago. Otherwise steps that rank first, and whose advice expires
+before they can use it, would keep all others from theirs.
+
+Tickets of steps that have no room yet are renewed only while no other step needs
+advice.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from itertools import chain
 from typing import TYPE_CHECKING
 
-from medlarspring_systems.scheduling.ordering import rank_step
-from medlarspring_systems.scheduling.placement import (
-    find_ticket,
-    has_ticket,
-    list_schedulable_workers,
+from medlarspring_systems.scheduling.advice_needs import (
+    AdviceNeed,
+    AdviceNeeds,
+    AdviceRequest,
 )
+from medlarspring_systems.scheduling.ordering import rank_step
 from medlarspring_tables.scheduling import Ticket
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
     from medlarspring_tables import Seconds
-    from medlarspring_tables.scheduling import (
-        Milliseconds,
-        StepRun,
-        Worker,
-        WorkerId,
-        WorkTables,
-    )
-
-MAX_WORKERS_PER_REQUEST = 30
-"""Maximum number of workers named in one call.
-
-The customers' completion objective allows for calls of about this size.
-"""
-RENEWAL_MARGIN_SECONDS = 0.3
-"""Advice is requested again when it expires within this time."""
+    from medlarspring_tables.scheduling import StepRun, WorkerId, WorkTables
 
+CALLS_PER_CYCLE = 2
+"""One call of each cycle goes to the step whose last turn is the longest ago."""
 
-def format_step_id(step: StepRun) -> str:
-    """Return a step's identifier in calls to the adviser and in logs."""
-    return f"{step.job.id}.{step.occurrence}.{step.index}"
 
+def choose_advice_request(tables: WorkTables, now: Seconds) -> AdviceRequest | None:
+    """Return the next request, or None if no advice is missing."""
+    steps = list(_list_steps(tables))
+    needs = AdviceNeeds(tables, now)
+    if _is_turn_of_longest_unasked(tables):
+        return _find_for_longest_unasked(steps, needs)
+    return _find_most_urgent(steps, needs, now)
 
-@dataclass(frozen=True, slots=True)
-class AdviceRequest:
-    """One call to the adviser."""
 
-    step: StepRun
-    incarnations_by_worker: dict[WorkerId, Milliseconds]
-    """Start of the current incarnation in Unix milliseconds, by named worker."""
+def record_advice_call(
+    tables: WorkTables, request: AdviceRequest, now: Seconds
+) -> None:
+    """Record that a request is being sent, so that the next call is another's turn."""
+    if _is_turn_of_longest_unasked(tables):
+        request.step.job.partner.advice_turn_at = now
+    tables.advice_calls_made += 1
+    request.step.advice_calls.asked_at = now
 
-    @property
-    def worker_ids(self) -> tuple[WorkerId, ...]:
-        """The workers that the call asks about."""
-        return tuple(self.incarnations_by_worker)
 
-    @property
-    def step_id(self) -> str:
-        """The step's identifier in the call to the adviser."""
-        return format_step_id(self.step)
+def _is_turn_of_longest_unasked(tables: WorkTables) -> bool:
+    return tables.advice_calls_made % CALLS_PER_CYCLE == CALLS_PER_CYCLE - 1
 
 
-def choose_advice_request(tables: WorkTables, now: Seconds) -> AdviceRequest | None:
-    """Return the most urgent request, or None if no advice is missing."""
-    waiting, upcoming = _list_steps(tables)
-    for step in sorted(waiting, key=lambda step: rank_step(step, now)):
-        request = _build_request(tables, step, now)
-        if request is not None:
+def _find_most_urgent(
+    steps: Iterable[StepRun], needs: AdviceNeeds, now: Seconds
+) -> AdviceRequest | None:
+    """Return the request of the greatest use, of these that of the first in rank."""
+    best: AdviceRequest | None = None
+    for step in sorted(steps, key=lambda step: (not step.ready, rank_step(step, now))):
+        request = needs.find_request(step)
+        if request is None:
+            continue
+        if request.need is AdviceNeed.START:
             return request
-    for step in sorted(upcoming, key=lambda step: rank_step(step, now)):
-        if step.tickets:
+        if best is None or request.need < best.need:
+            best = request
+    return best
+
+
+def _find_for_longest_unasked(
+    steps: Iterable[StepRun], needs: AdviceNeeds
+) -> AdviceRequest | None:
+    """Return the request of the step whose turn it is; renewals come last."""
+    renewal: AdviceRequest | None = None
+    for step in sorted(steps, key=_rank_by_last_turn):
+        request = needs.find_request(step)
+        if request is None:
             continue
-        request = _build_request(tables, step, now)
-        if request is not None:
+        if request.need is not AdviceNeed.RENEWAL:
             return request
-    return None
+        renewal = renewal or request
+    return renewal
+
+
+def _rank_by_last_turn(step: StepRun) -> tuple[Seconds, Seconds, bool]:
+    since = step.advice_calls.asked_at
+    if not since:
+        since = step.ready_at if step.ready else step.job.arrived_at
+    return (step.job.partner.advice_turn_at, since, not step.ready)
 
 
 def list_unadvised_steps(
     tables: WorkTables, now: Seconds
 ) -> list[tuple[StepRun, Seconds]]:
-    """Return the steps that wait for advice, and for how long, the longest first.
+    """Return the steps that advice could help to start, and for how long they wait.
 
-    The time counts from when the step was ready, or from the end of its last advice.
+    The longest wait comes first. It counts from when the step was ready, from its last
+    call to the adviser or from the end of its last advice, whichever was last.
     """
-    waiting, _ = _list_steps(tables)
-    unadvised = [
-        (step, now - _find_unadvised_since(step))
-        for step in waiting
-        if _build_request(tables, step, now) is not None
-    ]
+    needs = AdviceNeeds(tables, now)
+    unadvised = []
+    for step in _list_steps(tables):
+        request = needs.find_request(step)
+        if request is not None and request.need is AdviceNeed.START:
+            wait = max(now - _find_unadvised_since(step), 0.0)
+            unadvised.append((step, wait))
     return sorted(unadvised, key=lambda pair: -pair[1])
 
 
 def _find_unadvised_since(step: StepRun) -> Seconds:
     ends = (ticket.valid_until for ticket in step.tickets.values())
-    return max(step.ready_at, max(ends, default=0.0))
+    return max(step.ready_at, step.advice_calls.asked_at, *ends)
 
 
-def _list_steps(tables: WorkTables) -> tuple[list[StepRun], list[StepRun]]:
-    waiting: list[StepRun] = []
-    upcoming: list[StepRun] = []
+def _list_steps(tables: WorkTables) -> Iterator[StepRun]:
+    """Yield the steps that wait, and the next one of each occurrence."""
     for job in tables.jobs_by_id.values():
         if job.queue.advice is None or job.outcome is not None:
             continue
         for steps in job.occurrences_by_index.values():
-            waiting += [step for step in steps if step.ready and step.waiting]
-            upcoming += [step for step in steps if not step.ready][:1]
-    return waiting, upcoming
-
-
-def _build_request(
-    tables: WorkTables, step: StepRun, now: Seconds
-) -> AdviceRequest | None:
-    """Return a request about workers without current advice, or None.
-
-    No request is needed if the workers that are already allowed have enough free
-    capacity for all waiting tasks.
-    """
-    workers = list_schedulable_workers(tables, step.job.queue.pool_id, now)
-    unadvised = [
-        worker for worker in workers if not _has_current_advice(step, worker, now)
-    ]
-    if not unadvised:
-        return None
-    allowed = [worker for worker in workers if has_ticket(step, worker, now)]
-    if (
-        sum(_count_fitting_tasks(step, worker) for worker in allowed)
-        >= len(step.waiting)
-        > 0
-    ):
-        return None
-    unadvised.sort(key=lambda worker: -worker.cpu_free)
-    incarnations = {
-        worker.id: worker.born_ms for worker in unadvised[:MAX_WORKERS_PER_REQUEST]
-    }
-    return AdviceRequest(step, incarnations)
-
-
-def _has_current_advice(step: StepRun, worker: Worker, now: Seconds) -> bool:
-    ticket = find_ticket(step, worker)
-    return ticket is not None and now < ticket.valid_until - RENEWAL_MARGIN_SECONDS
-
-
-def _count_fitting_tasks(step: StepRun, worker: Worker) -> int:
-    by_cpu = worker.cpu_free // max(step.resources.cpu_millis, 1)
-    by_memory = worker.memory_free // max(step.resources.memory_mb, 1)
-    return max(min(by_cpu, by_memory), 0)
+            upcoming = [step for step in steps if not step.ready][:1]
+            yield from chain((s for s in steps if s.ready and s.waiting), upcoming)
 
 
 def record_advice(
@@ -163,7 +141,7 @@
 __all__ = [
     "AdviceRequest",
     "choose_advice_request",
-    "format_step_id",
     "list_unadvised_steps",
     "record_advice",
+    "record_advice_call",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/move_targets.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/move_targets.py
@@ -66,7 +66,7 @@
     down until another worker has room.
     """
     room = sum(
-        _count_tasks_that_fit(step, worker, worker.cpu_free, worker.memory_free)
+        count_tasks_that_fit(step, worker, worker.cpu_free, worker.memory_free)
         for worker in targets
         if fits(step, worker)
     )
@@ -78,7 +78,7 @@
     room = 0
     for worker in targets:
         cpu, memory = measure_long_runs(worker)
-        room += _count_tasks_that_fit(
+        room += count_tasks_that_fit(
             step,
             worker,
             worker.resources.cpu_millis - cpu,
@@ -93,9 +93,10 @@
     return len(step.waiting) + stopping
 
 
-def _count_tasks_that_fit(
+def count_tasks_that_fit(
     step: StepRun, worker: Worker, cpu: float, memory: float
 ) -> int:
+    """Return how many tasks of a step fit into millicores and MB of a worker."""
     counts = [
         int(cpu // max(step.resources.cpu_millis, 1)),
         int(memory // max(step.resources.memory_mb, 1)),
@@ -140,6 +141,7 @@
 
 __all__ = [
     "could_fit",
+    "count_tasks_that_fit",
     "find_move_targets",
     "has_room_for_move",
     "has_targets_for_moves",
--- a/packages/systems/tests/scheduling/test_advice_requests.py
+++ b/packages/systems/tests/scheduling/test_advice_requests.py
@@ -9,9 +9,11 @@
     choose_advice_request,
     list_unadvised_steps,
     record_advice,
+    record_advice_call,
 )
 from medlarspring_systems.scheduling.rounds import plan_round
-from medlarspring_tables import PoolId
+from medlarspring_systems.scheduling.runs import detach_run
+from medlarspring_tables import PartnerId, PoolId
 from medlarspring_tables.scheduling import AdvicePolicy, StepSpec, WorkerId
 
 if TYPE_CHECKING:
@@ -25,8 +27,20 @@
 SECOND = StepSpec(count=1, cpu_millis=2_000, estimate_ms=500, after=(0,))
 
 
-def add_restricted_job(scene: Scene, name: str, *steps: StepSpec) -> ActiveJob:
-    job = scene.add_job(name, *steps)
+LASTING = StepSpec(
+    count=1,
+    cpu_millis=10_000,
+    memory_mb=500,
+    estimate_ms=500,
+    long_running=True,
+    max_unavailable=1,
+)
+
+
+def add_restricted_job(
+    scene: Scene, name: str, *steps: StepSpec, partner: str = "", now: float = NOW
+) -> ActiveJob:
+    job = scene.add_job(name, *steps, partner=PartnerId(partner), now=now)
     job.queue = msgspec.structs.replace(job.queue, advice=AdvicePolicy(valid_ms=3_000))
     return job
 
@@ -40,6 +54,19 @@
     return request.step_id
 
 
+def ask(
+    scene: Scene, now: float, *allowed: str, valid_for: float = 3.0
+) -> tuple[str, tuple[str, ...]] | None:
+    """Let the next call be sent and answered; returns the step and named workers."""
+    request = choose_advice_request(scene.tables, now)
+    if request is None:
+        return None
+    record_advice_call(scene.tables, request, now)
+    tickets = {WorkerId(each): f"ticket-{each}" for each in allowed}
+    record_advice(request, tickets, now + valid_for)
+    return request.step_id, request.worker_ids
+
+
 def test_step_starts_only_where_the_adviser_allows_it(scene: Scene):
     for number in (1, 2, 3):
         scene.add_worker(number)
@@ -95,6 +122,107 @@
     assert [wait for _, wait in listed_later] == pytest.approx([2.0, 1.5])
 
 
+@pytest.mark.parametrize(
+    ("first", "other"),
+    [
+        ((LASTING,), (STEP,)),
+        ((LASTING,), (LASTING,)),
+        ((LASTING, SECOND), (STEP,)),
+        ((STEP,), (STEP, SECOND)),
+    ],
+    ids=["batch step", "lasting step", "step before an upcoming one", "upcoming step"],
+)
+def test_step_that_always_needs_advice_leaves_others_their_turn(
+    scene: Scene, first: tuple[StepSpec, ...], other: tuple[StepSpec, ...]
+):
+    """Guards against steps that are never asked about behind one that always is.
+
+    The advice of the first one has expired whenever the next call is chosen.
+    """
+    scene.add_worker(1)
+    add_restricted_job(scene, "a", *first)
+    add_restricted_job(scene, "b", *other, now=NOW + 0.1)
+    calls = [
+        ask(scene, NOW + number, "i-1", valid_for=0.5) for number in range(1, 2 * 4)
+    ]
+    asked = {call[0] for call in calls if call is not None}
+    steps = [f"a.0.{index}" for index in range(len(first))]
+    steps += [f"b.0.{index}" for index in range(len(other))]
+    assert asked == set(steps)
+
+
+def test_partner_with_many_steps_leaves_others_their_turn(scene: Scene):
+    """Guards against a partner whose steps wait behind those of one with many."""
+    scene.add_worker(1)
+    for number in range(20):
+        add_restricted_job(scene, f"a{number}", LASTING, partner="many")
+    for name in ("b", "c"):
+        add_restricted_job(scene, name, STEP, partner=name, now=NOW + 0.1)
+    calls = [ask(scene, NOW + number, "i-1", valid_for=0.5) for number in range(1, 9)]
+    asked = {call[0] for call in calls if call is not None}
+    assert asked >= {"b.0.0", "c.0.0"}
+
+
+def test_worker_that_may_not_run_a_step_is_not_asked_about_again(scene: Scene):
+    """Guards against calls whose answer is known, while others wait for theirs."""
+    for number in (1, 2):
+        scene.add_worker(number)
+    add_restricted_job(scene, "j", STEP)
+    assert ask(scene, NOW, "i-2") == ("j.0.0", ("i-1", "i-2"))
+    assert ask(scene, NOW + 4.0, "i-2") == ("j.0.0", ("i-2",))
+
+
+def test_refusal_is_checked_again_after_a_while(scene: Scene):
+    """Guards against an adviser that did not know a new worker yet.
+
+    Without the check, a step would wait forever beside a worker that may run it.
+    """
+    scene.add_worker(1)
+    add_restricted_job(scene, "j", STEP)
+    assert ask(scene, NOW) == ("j.0.0", ("i-1",))
+    assert ask(scene, NOW + 20.0) is None
+    assert ask(scene, NOW + 40.0, "i-1") == ("j.0.0", ("i-1",))
+
+
+def test_lasting_step_without_room_is_asked_about_once_there_is_some(scene: Scene):
+    """Guards against calls for a step that no call can help, and against none after."""
+    scene.add_worker(1)
+    add_restricted_job(scene, "a", LASTING)
+    assert ask(scene, NOW, "i-1") == ("a.0.0", ("i-1",))
+    (run,) = plan_round(scene.tables, POOL, NOW)
+    add_restricted_job(scene, "b", LASTING)
+    assert ask(scene, NOW, "i-1") == ("b.0.0", ("i-1",))
+    assert ask(scene, NOW + 4.0, "i-1") is None
+    detach_run(scene.tables, run, NOW + 4.0)
+    scene.drop_job(run.task.step.job)
+    assert ask(scene, NOW + 4.0, "i-1") == ("b.0.0", ("i-1",))
+
+
+@pytest.mark.parametrize(
+    ("policy", "named"),
+    [
+        (AdvicePolicy(decide_ms=200, per_worker_ms=50, valid_ms=3_000), 26),
+        (AdvicePolicy(decide_ms=200, per_worker_ms=10, valid_ms=3_000), 30),
+        (AdvicePolicy(decide_ms=2_000, per_worker_ms=50, valid_ms=3_000), 1),
+        (AdvicePolicy(valid_ms=3_000), 30),
+    ],
+)
+def test_call_leaves_time_to_use_its_tickets(
+    scene: Scene, policy: AdvicePolicy, named: int
+):
+    """Guards against tickets that have expired when the answer comes.
+
+    Nothing would ever start with them, and the same would be asked again.
+    """
+    for number in range(1, 41):
+        scene.add_worker(number)
+    job = add_restricted_job(scene, "j", StepSpec(count=100, cpu_millis=2_000))
+    job.queue = msgspec.structs.replace(job.queue, advice=policy)
+    request = choose_advice_request(scene.tables, NOW)
+    assert request is not None
+    assert len(request.worker_ids) == named
+
+
 def test_unrestricted_queue_requests_no_advice(scene: Scene):
     scene.add_worker(1)
     scene.add_job("j", STEP)
--- a/packages/tables/src/medlarspring_tables/scheduling/__init__.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/__init__.py
@@ -50,6 +50,7 @@
 from medlarspring_tables.scheduling.work import (
     SUSPECT_AFTER,
     ActiveJob,
+    AdviceCalls,
     ArrivalMeter,
     HeldEnd,
     PartnerUsage,
@@ -73,6 +74,7 @@
 __all__ = [
     "SUSPECT_AFTER",
     "ActiveJob",
+    "AdviceCalls",
     "AdvicePolicy",
     "ArrivalMeter",
     "CancelRecord",
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -172,6 +172,14 @@
     """Start of the worker incarnation that it is valid for."""
 
 
+@dataclass(slots=True)
+class AdviceCalls:
+    """The calls to the adviser about one step."""
+
+    asked_at: Seconds = 0.0
+    """When the latest call was sent; 0 before the first."""
+
+
 @dataclass(slots=True, eq=False)
 class StepRun:
     """One step of a job in one occurrence."""
@@ -208,6 +216,7 @@
     reserved: Worker | None = None
     tickets: dict[WorkerId, Ticket] = field(default_factory=dict)
     """The adviser's tickets, for a queue that needs advice."""
+    advice_calls: AdviceCalls = field(default_factory=AdviceCalls)
     rack_id: RackId | None = None
     """Rack chosen for a step whose tasks should share one."""
 
@@ -241,6 +250,8 @@
     """Use by its batch runs, decayed to ``used_at``."""
     used_mb_seconds: float = 0.0
     used_at: Seconds = 0.0
+    advice_turn_at: Seconds = 0.0
+    """When one of its steps last had its turn at the adviser; 0 before the first."""
 
 
 @dataclass(slots=True, eq=False)
@@ -366,6 +377,8 @@
     slack_by_queue: dict[QueueId, Seconds] = field(default_factory=dict)
     """Smoothed time that a queue's jobs can wait and still meet their objective."""
     usage_by_partner: dict[PartnerId, PartnerUsage] = field(default_factory=dict)
+    advice_calls_made: int = 0
+    """Calls to the adviser so far; whose turn is next depends on it."""
     durations_by_queue: dict[QueueId, tuple[float, float]] = field(default_factory=dict)
     """Sum of weights and weighted mean of log duration in ms, by queue."""
 
@@ -373,6 +386,7 @@
 __all__ = [
     "SUSPECT_AFTER",
     "ActiveJob",
+    "AdviceCalls",
     "ArrivalMeter",
     "HeldEnd",
     "PartnerUsage",
