Keep failing and slow calls to the adviser from delaying other steps

Callers saw jobs of restricted queues wait for seconds, or for ever, while the adviser answered calls about one job slowly, with a failure or not at all.

A step pauses after a failed call, longer while the adviser answers others; it then comes after the others, one such step at a time, and names fewer workers. A cancelled or raising call is recorded as failed, so that its step stays askable.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/advice_fetcher.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/advice_fetcher.py
@@ -8,25 +8,33 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
+from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_systems.scheduling.advice_requests import (
     choose_advice_request,
     record_advice,
     record_advice_call,
+    record_advice_failure,
 )
+from medlarspring_systems.scheduling.advice_times import AdviceTimes, find_ticket_end
 
 if TYPE_CHECKING:
-    from medlarspring_adapters.adviser import Adviser
+    from medlarspring_adapters.adviser import Advice, Adviser, AdviserUnresponsive
     from medlarspring_daemon.scheduling.context import SchedulingNode
     from medlarspring_systems.scheduling.advice_requests import AdviceRequest
-    from medlarspring_tables import PoolId
+    from medlarspring_tables import PoolId, Seconds
     from medlarspring_tables.scheduling import WorkTables
 
 IDLE_SECONDS = 0.02
-"""Pause while no advice is needed."""
+"""Pause while no advice is needed, and after a failed call."""
 UNRESTRICTED_SECONDS = 0.5
 """Pause while no queue is restricted."""
-RETRY_SECONDS = 0.2
-"""Pause after a failed call; the adviser refuses calls when too many are waiting."""
+MAX_FAILURE_PAUSE_SECONDS = 0.2
+"""Longest pause while calls fail in a row; the adviser refuses calls when too many are
+waiting."""
+MAX_DOUBLINGS = 10
+"""Bound of the exponent; the pause has reached its longest before."""
+MAX_OPEN_CALLS = 4
+"""Calls without an answer, all but the last of them overdue."""
 
 
 class AdviceFetcherOwner(Protocol):
@@ -40,7 +48,7 @@
 
 
 class AdviceFetcher:
-    """Sends one request at a time to the adviser."""
+    """Sends one request at a time to the adviser, and the next one if it is overdue."""
 
     def __init__(
         self, node: SchedulingNode, adviser: Adviser, owner: AdviceFetcherOwner
@@ -48,21 +56,54 @@
         self._node = node
         self._adviser = adviser
         self._owner = owner
+        self._times = AdviceTimes()
+        self._open_calls: set[asyncio.Task[None]] = set()
+        self._failed_in_a_row = 0
         self._checked_version = -1
         """Version of the configuration that ``_any_restricted`` was computed from."""
         self._any_restricted = False
 
     async def run(self) -> None:
         """Fetch advice until cancelled."""
-        while True:
-            if not self._has_restricted_queue():
-                await asyncio.sleep(UNRESTRICTED_SECONDS)
-                continue
-            request = choose_advice_request(self._owner.tables, self._node.clock.now())
-            if request is None:
-                await asyncio.sleep(IDLE_SECONDS)
-                continue
-            await self._fetch(request)
+        try:
+            while True:
+                await self._fetch_next()
+        finally:
+            for call in list(self._open_calls):
+                call.cancel()
+            await asyncio.gather(*self._open_calls, return_exceptions=True)
+
+    async def _fetch_next(self) -> None:
+        """Send the next request, if there is one, and wait until it is answered or due.
+
+        A call that stays open must not keep the other steps waiting until its timeout.
+        """
+        if not self._has_restricted_queue():
+            await asyncio.sleep(UNRESTRICTED_SECONDS)
+            return
+        request = self._choose_request()
+        if request is None:
+            await asyncio.sleep(IDLE_SECONDS)
+            return
+        record_advice_call(self._owner.tables, request, self._node.clock.now())
+        call = asyncio.create_task(self._fetch(request))
+        self._open_calls.add(call)
+        call.add_done_callback(self._open_calls.discard)
+        patience = self._times.get_patience(request)
+        await asyncio.wait({call}, timeout=patience)
+        if not call.done():
+            self._log_overdue(request, patience)
+        elif self._failed_in_a_row:
+            await asyncio.sleep(self._choose_pause())
+
+    def _choose_request(self) -> AdviceRequest | None:
+        if len(self._open_calls) >= MAX_OPEN_CALLS:
+            return None
+        return choose_advice_request(self._owner.tables, self._node.clock.now())
+
+    def _choose_pause(self) -> Seconds:
+        pause = IDLE_SECONDS * (1 << min(self._failed_in_a_row - 1, MAX_DOUBLINGS))
+        return min(pause, MAX_FAILURE_PAUSE_SECONDS)
 
     def _has_restricted_queue(self) -> bool:
         """Return whether any queue is restricted; cached per configuration version."""
@@ -74,22 +115,48 @@
         return self._any_restricted
 
     async def _fetch(self, request: AdviceRequest) -> None:
-        requested_at = self._node.clock.now()
-        record_advice_call(self._owner.tables, request, requested_at)
-        answer = await self._adviser.advise(request.step_id, request.worker_ids)
-        if not is_successful(answer):
-            self._node.log.warning(
-                Event.ADVICE_MISSING,
-                step=request.step_id,
-                need=request.need.name.lower(),
-                workers=len(request.worker_ids),
-                fault=answer.failure().message(),
-            )
-            await asyncio.sleep(RETRY_SECONDS)
+        sent_at = self._node.clock.now()
+        try:
+            answer = await self._adviser.advise(request.step_id, request.worker_ids)
+        except Exception:
+            self._node.failures.report(Step.ADVICE)
+            self._record_failure(request)
             return
-        advice = answer.unwrap()
+        except asyncio.CancelledError:
+            # The step could not be asked about again if its call stayed open.
+            self._record_failure(request)
+            raise
+        if is_successful(answer):
+            self._handle_advice(request, answer.unwrap(), sent_at)
+        else:
+            self._handle_missing(request, answer.failure())
+
+    def _record_failure(self, request: AdviceRequest) -> None:
+        self._failed_in_a_row += 1
+        record_advice_failure(self._owner.tables, request, self._node.clock.now())
+
+    def _handle_missing(
+        self, request: AdviceRequest, failure: AdviserUnresponsive
+    ) -> None:
+        self._record_failure(request)
+        self._node.log.warning(
+            Event.ADVICE_MISSING,
+            step=request.step_id,
+            need=request.need.name.lower(),
+            workers=len(request.worker_ids),
+            failures=request.step.advice_calls.failures,
+            fault=failure.message(),
+        )
+
+    def _handle_advice(
+        self, request: AdviceRequest, advice: Advice, sent_at: Seconds
+    ) -> None:
+        now = self._node.clock.now()
+        self._failed_in_a_row = 0
+        self._times.record_answer(request, now - sent_at)
+        valid_until = find_ticket_end(sent_at, now, advice.valid_ms / 1_000.0)
         record_advice(
-            request, advice.tickets_by_worker, requested_at + advice.valid_ms / 1_000.0
+            self._owner.tables, request, advice.tickets_by_worker, valid_until, now
         )
         self._node.log.info(
             Event.ADVICE_TAKEN,
@@ -98,9 +165,19 @@
             workers=len(request.worker_ids),
             allowed=len(advice.tickets_by_worker),
             valid_ms=advice.valid_ms,
-            took_ms=round((self._node.clock.now() - requested_at) * 1_000),
+            took_ms=round((now - sent_at) * 1_000),
         )
         self._owner.plan(request.step.job.queue.pool_id)
 
+    def _log_overdue(self, request: AdviceRequest, patience: Seconds) -> None:
+        self._node.log.warning(
+            Event.ADVICE_OVERDUE,
+            step=request.step_id,
+            need=request.need.name.lower(),
+            workers=len(request.worker_ids),
+            waited_ms=round(patience * 1_000),
+            open_calls=len(self._open_calls),
+        )
+
 
 __all__ = ["AdviceFetcher", "AdviceFetcherOwner"]
--- a/packages/daemon/src/medlarspring_daemon/scheduling/failure_log.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/failure_log.py
@@ -42,6 +42,7 @@
     LINK_CLOSE = "link_close"
     CONTROLLER_STOP = "controller_stop"
     LOAD_REPORT = "load_report"
+    ADVICE = "advice"
     VM_PLAN = "vm_plan"
     VM_OPERATION = "vm_operation"
     VM_REPORT = "vm_report"
--- a/packages/daemon/tests/scheduling/test_restricted_queues.py
+++ b/packages/daemon/tests/scheduling/test_restricted_queues.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from msgspec.structs import replace
 
 from medlarspring_bench.platform_world.adviser_model import AdvicePlan
 from medlarspring_bench.platform_world.plans import QueuePlan, WorldPlan
@@ -14,6 +15,9 @@
 from .scenarios import run_scenario
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from medlarspring_bench.platform_world.adviser_model import AdviserModel
     from medlarspring_bench.platform_world.customers import Customers
     from medlarspring_bench.platform_world.world import World
     from medlarspring_tables import JobId, Seconds
@@ -36,6 +40,8 @@
 """Time in which the adviser is asked about each of them once."""
 URGENT_START_SECONDS = 2.0
 """Time in which urgent work starts, according to the target."""
+STARVED_SECONDS = 3.0
+"""Time beside free room after which a job counts as lost."""
 LASTING = StepSpec(
     count=1,
     cpu_millis=10_000,
@@ -45,6 +51,7 @@
     max_unavailable=1,
 )
 LARGE = StepSpec(count=1, cpu_millis=8_000, memory_mb=64, estimate_ms=500)
+SMALL_LASTING = replace(LASTING, cpu_millis=1_000)
 SMALL = StepSpec(count=2, cpu_millis=500, memory_mb=64, estimate_ms=500)
 
 
@@ -96,3 +103,68 @@
         assert await measure_start(world, small, 20.0) < URGENT_START_SECONDS
 
     run_scenario(scenario, SEED, plan=PLAN)
+
+
+def refuse_calls(adviser: AdviserModel, job_ids: Collection[str]) -> None:
+    adviser.refused_jobs.update(job_ids)
+
+
+def leave_calls_open(adviser: AdviserModel, job_ids: Collection[str]) -> None:
+    adviser.hanging_jobs.update(job_ids)
+
+
+@pytest.mark.parametrize(
+    ("disturb", "jobs"),
+    [(refuse_calls, 16), (leave_calls_open, 2), (leave_calls_open, 6)],
+    ids=["failing calls", "two open calls", "six open calls"],
+)
+def test_calls_without_answer_do_not_keep_others_from_their_turn(
+    disturb: Callable[[AdviserModel, Collection[str]], None], jobs: int
+):
+    """Guards against jobs that wait while calls about others fail, or stay open."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        created = [customers.create_job(SMALL_LASTING) for _ in range(jobs)]
+        disturb(world.adviser, [job_id for job_id, _ in created])
+        for job_id, spec in created:
+            assert await customers.submit("hinted", job_id, spec)
+        await asyncio.sleep(FIRST_CALLS_SECONDS + 1.5)
+        small = await submit_restricted(world, customers, SMALL)
+        assert await measure_start(world, small, 20.0) < STARVED_SECONDS
+        world.adviser.refused_jobs.clear()
+        world.adviser.hanging_jobs.clear()
+        waits = [measure_start(world, job_id, 20.0) for job_id, _ in created]
+        assert max(await asyncio.gather(*waits)) < float("inf")
+
+    run_scenario(scenario, SEED, plan=PLAN)
+
+
+@pytest.mark.parametrize("slowness", [3.0, 7.0, 12.0])
+def test_slow_adviser_still_gets_jobs_started(slowness: float):
+    """Guards against jobs that never begin as all advice is stale or comes too late.
+
+    At 7 times the usual time, each ticket has expired when it comes if its validity
+    is counted from the call. At 12, no call about all workers is answered in time.
+    """
+
+    async def scenario(world: World, customers: Customers) -> None:
+        world.adviser.slowness = slowness
+        jobs = [await submit_restricted(world, customers, SMALL) for _ in range(4)]
+        waits = [measure_start(world, job_id, 60.0) for job_id in jobs]
+        assert max(await asyncio.gather(*waits)) < float("inf")
+
+    run_scenario(scenario, SEED, plan=PLAN)
+
+
+def test_jobs_start_once_the_adviser_answers_again():
+    """Guards against pauses that grow with an outage and last beyond its end."""
+
+    async def scenario(world: World, customers: Customers) -> None:
+        world.adviser.is_down = True
+        jobs = [await submit_restricted(world, customers, SMALL) for _ in range(3)]
+        await asyncio.sleep(30.0)
+        world.adviser.is_down = False
+        waits = [measure_start(world, job_id, 20.0) for job_id in jobs]
+        assert max(await asyncio.gather(*waits)) < STARVED_SECONDS
+
+    run_scenario(scenario, SEED, plan=PLAN)
--- a/packages/systems/src/medlarspring_systems/scheduling/advice_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advice_needs.py
@@ -43,6 +43,8 @@
 MAX_WORKERS_PER_RENEWAL = 5
 """The same for a renewal. The adviser serves one call at a time, and a step that can
 start must not wait long for the end of a call that helps none to start."""
+MAX_HALVINGS = MAX_WORKERS_PER_REQUEST.bit_length()
+"""Bound of the halvings after failed calls; one worker is left after as many."""
 MAX_VALIDITY_FRACTION = 0.5
 """Part of a ticket's validity that the call for it may take."""
 RENEWAL_MARGIN_SECONDS = 0.3
@@ -153,7 +155,10 @@
     policy = step.job.queue.advice
     if not workers or policy is None:
         return None
-    named = workers[: _count_workers_in_time(policy)]
+    # A call that failed may have taken too long: the next one names fewer workers.
+    failures = min(step.advice_calls.failures, MAX_HALVINGS)
+    most = max(_count_workers_in_time(policy) >> failures, 1)
+    named = workers[:most]
     return AdviceRequest(step, need, {worker.id: worker.born_ms for worker in named})
 
 
--- a/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
@@ -26,16 +26,23 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from medlarspring_systems.scheduling.ordering import Rank
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import StepRun, WorkerId, WorkTables
 
+RETRY_SECONDS = 0.2
+"""Pause of a step after its first failed call."""
+MAX_DOUBLINGS = 10
+"""Bound of the exponent; the pause has reached its longest before."""
+MAX_RETRY_SECONDS = 5.0
+"""Longest pause of a step whose calls fail while others are answered."""
 CALLS_PER_CYCLE = 2
 """One call of each cycle goes to the step whose last turn is the longest ago."""
 
 
 def choose_advice_request(tables: WorkTables, now: Seconds) -> AdviceRequest | None:
     """Return the next request, or None if no advice is missing."""
-    steps = list(_list_steps(tables))
+    steps = _list_askable(tables, now)
     needs = AdviceNeeds(tables, now)
     if _is_turn_of_longest_unasked(tables):
         return _find_for_longest_unasked(steps, needs)
@@ -50,6 +57,44 @@
         request.step.job.partner.advice_turn_at = now
     tables.advice_calls_made += 1
     request.step.advice_calls.asked_at = now
+    request.step.advice_calls.is_open = True
+
+
+def record_advice_failure(
+    tables: WorkTables, request: AdviceRequest, now: Seconds
+) -> None:
+    """Record that a call got no usable answer; its step pauses before the next one.
+
+    The pause grows while the adviser answers the calls about other steps. If it answers
+    none, the fault is not the step's, and the step should start soon after the outage.
+    """
+    calls = request.step.advice_calls
+    pause = RETRY_SECONDS
+    if tables.advice_answered_at > calls.failed_at:
+        pause *= 1 << min(calls.failures, MAX_DOUBLINGS)
+    calls.is_open = False
+    calls.failures += 1
+    calls.failed_at = now
+    calls.not_before = now + min(pause, MAX_RETRY_SECONDS)
+
+
+def _list_askable(tables: WorkTables, now: Seconds) -> list[StepRun]:
+    """Return the steps without an open call that do not pause after a failed one.
+
+    Of the steps whose last call failed, one is asked about at a time: an adviser that
+    is too slow for one call would be for several, and the others need their turn.
+    """
+    steps = list(_list_steps(tables))
+    is_retrying = any(
+        step.advice_calls.is_open and step.advice_calls.failures for step in steps
+    )
+    return [
+        step
+        for step in steps
+        if not step.advice_calls.is_open
+        and now >= step.advice_calls.not_before
+        and not (is_retrying and step.advice_calls.failures)
+    ]
 
 
 def _is_turn_of_longest_unasked(tables: WorkTables) -> bool:
@@ -59,9 +104,12 @@
 def _find_most_urgent(
     steps: Iterable[StepRun], needs: AdviceNeeds, now: Seconds
 ) -> AdviceRequest | None:
-    """Return the request of the greatest use, of these that of the first in rank."""
+    """Return the request of the greatest use, of these that of the first in rank.
+
+    Steps whose last call failed come after the others, which may fare better.
+    """
     best: AdviceRequest | None = None
-    for step in sorted(steps, key=lambda step: (not step.ready, rank_step(step, now))):
+    for step in sorted(steps, key=lambda step: _rank_by_urgency(step, now)):
         request = needs.find_request(step)
         if request is None:
             continue
@@ -72,6 +120,10 @@
     return best
 
 
+def _rank_by_urgency(step: StepRun, now: Seconds) -> tuple[bool, bool, Rank]:
+    return (not step.ready, step.advice_calls.failures > 0, rank_step(step, now))
+
+
 def _find_for_longest_unasked(
     steps: Iterable[StepRun], needs: AdviceNeeds
 ) -> AdviceRequest | None:
@@ -128,11 +180,17 @@
 
 
 def record_advice(
+    tables: WorkTables,
     request: AdviceRequest,
     tickets_by_worker: dict[WorkerId, str],
     valid_until: Seconds,
+    now: Seconds,
 ) -> None:
     """Store the adviser's answer; the step may not run on workers that it omits."""
+    tables.advice_answered_at = now
+    calls = request.step.advice_calls
+    calls.is_open, calls.failures = False, 0
+    calls.failed_at = calls.not_before = 0.0
     for worker_id, life_ms in request.incarnations_by_worker.items():
         text = tickets_by_worker.get(worker_id, "")
         request.step.tickets[worker_id] = Ticket(text, valid_until, life_ms)
@@ -144,4 +202,5 @@
     "list_unadvised_steps",
     "record_advice",
     "record_advice_call",
+    "record_advice_failure",
 ]
--- a/packages/systems/tests/scheduling/test_advice_requests.py
+++ b/packages/systems/tests/scheduling/test_advice_requests.py
@@ -10,10 +10,11 @@
     list_unadvised_steps,
     record_advice,
     record_advice_call,
+    record_advice_failure,
 )
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import detach_run
-from medlarspring_tables import PartnerId, PoolId
+from medlarspring_tables import JobId, PartnerId, PoolId
 from medlarspring_tables.scheduling import AdvicePolicy, StepSpec, WorkerId
 
 if TYPE_CHECKING:
@@ -50,7 +51,7 @@
     if request is None:
         return None
     tickets = {WorkerId(each): f"ticket-{each}" for each in allowed}
-    record_advice(request, tickets, NOW + valid_for)
+    record_advice(scene.tables, request, tickets, NOW + valid_for, NOW)
     return request.step_id
 
 
@@ -63,7 +64,7 @@
         return None
     record_advice_call(scene.tables, request, now)
     tickets = {WorkerId(each): f"ticket-{each}" for each in allowed}
-    record_advice(request, tickets, now + valid_for)
+    record_advice(scene.tables, request, tickets, now + valid_for, now)
     return request.step_id, request.worker_ids
 
 
@@ -249,5 +250,88 @@
     request = choose_advice_request(scene.tables, NOW)
     assert request is not None
     worker.born_ms += 1
-    record_advice(request, {worker.id: "ticket"}, NOW + 3.0)
+    record_advice(scene.tables, request, {worker.id: "ticket"}, NOW + 3.0, NOW)
     assert plan_round(scene.tables, POOL, NOW) == []
+
+
+def fail_call(scene: Scene, now: float) -> str | None:
+    """Let the next call be sent and fail; returns its step."""
+    request = choose_advice_request(scene.tables, now)
+    if request is None:
+        return None
+    record_advice_call(scene.tables, request, now)
+    record_advice_failure(scene.tables, request, now)
+    return request.step_id
+
+
+def test_step_is_not_asked_about_while_its_call_is_open(scene: Scene):
+    """Guards against a second call about a step instead of one about the next."""
+    scene.add_worker(1)
+    for name in ("a", "b"):
+        add_restricted_job(scene, name, STEP)
+    for step_id in ("a.0.0", "b.0.0"):
+        request = choose_advice_request(scene.tables, NOW)
+        assert request is not None
+        assert request.step_id == step_id
+        record_advice_call(scene.tables, request, NOW)
+    assert choose_advice_request(scene.tables, NOW) is None
+
+
+def test_step_whose_calls_fail_comes_after_the_others(scene: Scene):
+    """Guards against steps that wait while calls about others fail again and again."""
+    scene.add_worker(1)
+    add_restricted_job(scene, "a", LASTING)
+    assert fail_call(scene, NOW) == "a.0.0"
+    add_restricted_job(scene, "b", STEP, now=NOW + 0.5)
+    assert scene.tables.advice_calls_made == 1
+    # The second call goes to the step whose last turn is the longest ago.
+    assert fail_call(scene, NOW + 0.5) == "a.0.0"
+    assert ask(scene, NOW + 1.0, "i-1", valid_for=0.5) == ("b.0.0", ("i-1",))
+
+
+def test_steps_whose_calls_failed_are_retried_one_at_a_time(scene: Scene):
+    """Guards against calls that all come too late, as each waits for the others."""
+    scene.add_worker(1)
+    for name in ("a", "b"):
+        add_restricted_job(scene, name, STEP)
+        fail_call(scene, NOW)
+    request = choose_advice_request(scene.tables, NOW + 1.0)
+    assert request is not None
+    record_advice_call(scene.tables, request, NOW + 1.0)
+    assert choose_advice_request(scene.tables, NOW + 1.0) is None
+
+
+@pytest.mark.parametrize(
+    ("others_answered", "pauses"),
+    [(False, [0.2, 0.2, 0.2, 0.2]), (True, [0.2, 0.4, 0.8, 1.6, 3.2, 5.0, 5.0])],
+    ids=["outage", "fault of one step"],
+)
+def test_pause_grows_only_while_other_calls_are_answered(
+    scene: Scene, others_answered: bool, pauses: list[float]
+):
+    """Guards against calls that fail for ever, and against waits beyond an outage."""
+    scene.add_worker(1)
+    add_restricted_job(scene, "a", LASTING)
+    now, measured = NOW, []
+    for _ in pauses:
+        assert fail_call(scene, now) == "a.0.0"
+        step = scene.tables.jobs_by_id[JobId("a")].occurrences_by_index[0][0]
+        measured.append(step.advice_calls.not_before - now)
+        now = step.advice_calls.not_before
+        if others_answered:
+            scene.tables.advice_answered_at = now
+    assert measured == pytest.approx(pauses)
+
+
+def test_call_that_failed_is_repeated_with_fewer_workers(scene: Scene):
+    """Guards against calls that name so many workers that none is answered in time."""
+    for number in range(1, 9):
+        scene.add_worker(number)
+    add_restricted_job(scene, "a", STEP)
+    named = []
+    for number in range(5):
+        request = choose_advice_request(scene.tables, NOW + number)
+        assert request is not None
+        named.append(len(request.worker_ids))
+        assert fail_call(scene, NOW + number) == "a.0.0"
+    assert named == [8, 8, 7, 3, 1]
--- a/packages/tables/src/medlarspring_tables/scheduling/work.py
+++ b/packages/tables/src/medlarspring_tables/scheduling/work.py
@@ -178,6 +178,14 @@
 
     asked_at: Seconds = 0.0
     """When the latest call was sent; 0 before the first."""
+    is_open: bool = False
+    """Whether the latest call has no answer yet."""
+    failures: int = 0
+    """Failed calls in a row."""
+    failed_at: Seconds = 0.0
+    """When the latest call failed; 0 if none did since the last answer."""
+    not_before: Seconds = 0.0
+    """Earliest time of the next call; later than now after a failed one."""
 
 
 @dataclass(slots=True, eq=False)
@@ -379,6 +387,8 @@
     usage_by_partner: dict[PartnerId, PartnerUsage] = field(default_factory=dict)
     advice_calls_made: int = 0
     """Calls to the adviser so far; whose turn is next depends on it."""
+    advice_answered_at: Seconds = 0.0
+    """When the adviser last answered a call; 0 before the first answer."""
     durations_by_queue: dict[QueueId, tuple[float, float]] = field(default_factory=dict)
     """Sum of weights and weighted mean of log duration in ms, by queue."""
 
