Reserve workers only where room for the waiting step can come

A worker is reserved only if the step fits once the batch runs there have ended; moves of lasting tasks use the same rule, which counts accelerators now.

--- a/packages/systems/src/medlarspring_systems/scheduling/move_targets.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/move_targets.py
@@ -27,9 +27,25 @@
     """Return whether a worker takes a long-running task once batch work makes room."""
     if not is_schedulable(worker, now) or not is_allowed(step, worker, now):
         return False
+    return fits_beside_long_runs(step, worker)
+
+
+def fits_beside_long_runs(step: StepRun, worker: Worker) -> bool:
+    """Return whether a worker has room for a task once its batch runs have ended."""
+    needed, offered = step.resources, worker.resources
     cpu, memory = measure_long_runs(worker)
-    has_cpu = worker.resources.cpu_millis - cpu >= step.resources.cpu_millis
-    return has_cpu and worker.resources.memory_mb - memory >= step.resources.memory_mb
+    if offered.cpu_millis - cpu < needed.cpu_millis:
+        return False
+    if offered.memory_mb - memory < needed.memory_mb:
+        return False
+    if not needed.accelerators:
+        return True
+    used = sum(
+        run.task.step.resources.accelerators
+        for run in worker.runs.values()
+        if run.task.step.spec.long_running
+    )
+    return offered.accelerators - used >= needed.accelerators
 
 
 def measure_long_runs(worker: Worker) -> tuple[float, float]:
@@ -143,6 +159,7 @@
     "could_fit",
     "count_tasks_that_fit",
     "find_move_targets",
+    "fits_beside_long_runs",
     "has_room_for_move",
     "has_targets_for_moves",
     "keep_room",
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -21,6 +21,7 @@
     measure_waiting_time,
     rate_for_isolation,
 )
+from medlarspring_systems.scheduling.move_targets import fits_beside_long_runs
 from medlarspring_systems.scheduling.ordering import (
     TIER_ON_TIME,
     measure_size_weight,
@@ -301,7 +302,11 @@
 def _reserve_worker(
     step: StepRun, task: Task, workers: list[Worker], now: Seconds
 ) -> None:
-    """Reserve the worker with the most free CPU: steps of lower rank can't use it."""
+    """Reserve the worker with the most free CPU: steps of lower rank can't use it.
+
+    Only a worker that has room once its batch runs have ended is reserved. A step that
+    no end of a run can help must not keep others from idle workers.
+    """
     if measure_waiting_time(task, now) < RESERVE_AFTER_SECONDS:
         return
     if rank_step(step, now)[0] > TIER_ON_TIME:
@@ -309,9 +314,7 @@
     allowed = [
         worker
         for worker in workers
-        if is_allowed(step, worker, now)
-        and worker.resources.cpu_millis >= step.resources.cpu_millis
-        and worker.resources.memory_mb >= step.resources.memory_mb
+        if is_allowed(step, worker, now) and fits_beside_long_runs(step, worker)
     ]
     if not allowed or len(workers) == 1:
         return
--- a/packages/systems/tests/scheduling/test_rounds.py
+++ b/packages/systems/tests/scheduling/test_rounds.py
@@ -28,12 +28,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from medlarspring_tables.scheduling import Worker
+    from medlarspring_tables.scheduling import StepSpec, Worker
 
     from .conftest import Scene
 
 POOL = PoolId("consent")
 NOW = 1_000.0
+LASTING = {"long_running": True, "max_per_worker": 1}
 
 
 def test_tasks_start_within_the_free_resources_of_the_workers(scene: Scene):
@@ -205,6 +206,31 @@
     assert plan_round(scene.tables, POOL, NOW + 0.3) == []
 
 
+@pytest.mark.parametrize(
+    "waiting",
+    [
+        create_step(cpu_millis=8_000, long_running=True),
+        create_step(cpu_millis=8_000, estimate_ms=100),
+        create_step(accelerators=1, long_running=True),
+    ],
+    ids=["lasting task", "batch task", "task that needs an accelerator"],
+)
+def test_no_worker_is_reserved_where_room_never_comes(scene: Scene, waiting: StepSpec):
+    """Guards against small tasks that wait beside idle workers.
+
+    The workers' lasting tasks leave too little room for the large ones that rank first,
+    or the workers lack an accelerator. Each worker but one was reserved all the same.
+    """
+    for number in range(1, 5):
+        scene.add_worker(number)
+    scene.add_job("occupants", create_step(count=4, cpu_millis=10_000, **LASTING))
+    assert len(plan_round(scene.tables, POOL, NOW)) == 4
+    for number in range(4):
+        scene.add_job(f"large-{number}", waiting)
+    scene.add_job("small", create_step(count=12, estimate_ms=2_000))
+    assert len(plan_round(scene.tables, POOL, NOW + 0.3)) == 12
+
+
 def test_long_running_task_preempts_the_batch_run_with_least_progress(scene: Scene):
     worker = scene.add_worker(1, cpu=4_000)
     scene.add_job("batch", create_step(count=2))
