Let the next long-running task preempt where the first can't

A long-running task stayed down for as long as another one waited before it that fits nowhere: the repairs looked at the first waiting step of a pool only, whether any batch run could make room for it or not.

test_long_running_step_that_fits_nowhere_does_not_block_preemption failed before (no run was stopped). The repairs now go on to the next step until they find runs to stop; one step of each pool still gets room at a time.

--- a/packages/systems/src/medlarspring_systems/scheduling/repair.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/repair.py
@@ -209,15 +209,19 @@
 
 
 def _preempt_batch_runs(tables: WorkTables, now: Seconds, repairs: Repairs) -> None:
-    """Stop batch runs where a long-running task waits for resources."""
+    """Stop batch runs where a long-running task waits for resources.
+
+    One step of each pool gets room at a time, the first one for which there can be any.
+    """
     for pool_id, ready in tables.ready_by_pool.items():
+        workers = list(tables.workers_by_pool.get(pool_id, {}).values())
         for step in list(ready):
             if not _needs_preemption(step, now):
                 continue
-            workers = list(tables.workers_by_pool.get(pool_id, {}).values())
-            for run in find_preemptible(step, workers, now):
-                repairs.stops.append((run, "room for a long-running task"))
-            break
+            runs = find_preemptible(step, workers, now)
+            repairs.stops += [(run, "room for a long-running task") for run in runs]
+            if runs:
+                break
 
 
 def _needs_preemption(step: StepRun, now: Seconds) -> bool:
--- a/packages/systems/tests/scheduling/test_repair.py
+++ b/packages/systems/tests/scheduling/test_repair.py
@@ -21,6 +21,8 @@
     StepSpec,
 )
 
+from .conftest import create_step
+
 if TYPE_CHECKING:
     from medlarspring_tables.scheduling import Run, WorkTables
 
@@ -115,6 +117,20 @@
     assert [each for each, _ in plan_repairs(scene.tables, NOW).stops] == [run]
 
 
+def test_long_running_step_that_fits_nowhere_does_not_block_preemption(scene: Scene):
+    """Guards against a long-running task that stays down behind one without any room.
+
+    No batch run can make room for the step that has waited longest.
+    """
+    scene.add_worker(1, cpu=8_000)
+    scene.add_job("batch", create_step(count=4))
+    batch_runs = run_all(scene)
+    scene.add_job("large", create_step(cpu_millis=16_000, long_running=True))
+    scene.add_job("small", create_step(cpu_millis=2_000, long_running=True))
+    (stop,) = plan_repairs(scene.tables, NOW + 0.6).stops
+    assert stop[0] in batch_runs
+
+
 def advance_at_random(scene: Scene, rng: random.Random, now: float) -> None:
     """Let workers answer and runs advance, start anew or be restored by chance."""
     for worker in scene.tables.workers_by_id.values():
