Write the other jobs' records when the store refuses one

Jobs whose starts or ends were to be recorded together with a record that the store refuses were never recorded, so their tasks never started: a failed write was repeated as it was, with all its jobs.

A failed write halves the number of jobs of the next ones, a successful write doubles it again. A record that fails alone three times, with successful writes of others between, is logged (9046) and tried once in a second. An outage costs no more: it is over for all jobs with the first successful write.

--- a/packages/adapters/src/medlarspring_adapters/events.py
+++ b/packages/adapters/src/medlarspring_adapters/events.py
@@ -129,6 +129,7 @@
     ADVICE_MISSING = (9038, "the adviser gave no advice")
     ADVICE_AWAITED = (9044, "steps have waited for the adviser's advice for long")
     ADVICE_OVERDUE = (9045, "the adviser is late with an answer; others are asked for")
+    RECORD_NOT_WRITTEN = (9046, "a job's record can't be written, while others can")
     JOB_CANCELLED = (9040, "a job is cancelled; its runs are stopped")
     JOB_ENDED = (9041, "a job's end is recorded")
     TASKS_WAIT = (9042, "tasks of a pool have waited for long")
--- a/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/job_record_writer.py
@@ -10,6 +10,7 @@
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.cancellation import is_cancellation_requested
+from medlarspring_adapters.events import Event
 from medlarspring_adapters.metrics import Metric
 from medlarspring_adapters.store import (
     Delete,
@@ -34,6 +35,8 @@
 
 MAX_TRANSACTION_ENTRIES = 32
 """Conditions, writes and deletions that one transaction of the store takes."""
+MAX_BATCH_JOBS = 16
+"""Jobs whose records one transaction writes; most take two of its entries."""
 MAX_WRITES_IN_FLIGHT = 4
 """A call that hangs must not block all later writes."""
 BATCH_WINDOW_SECONDS = 0.002
@@ -44,7 +47,9 @@
 per run instead of 1.3."""
 RETRY_SECONDS = 0.05
 FAILED_RETRY_SECONDS = 1.0
-"""Pause before a job whose record could not be encoded is tried again."""
+"""Pause before a job is tried again whose record alone can't be encoded or written."""
+MAX_REFUSALS = 3
+"""Failed writes of a job alone, with writes of others between, until it is paused."""
 FLUSH_SECONDS = 0.3
 """Longest wait for pending writes when the cell is released. The next controller
 learns from the workers what was not written."""
@@ -65,6 +70,14 @@
     transaction: Transaction
 
 
+@dataclass(slots=True)
+class _Refusals:
+    """Failed writes of one job alone, each with a write of others before it."""
+
+    count: int = 0
+    failed_at: Seconds = float("-inf")
+
+
 class JobRecordWriter:
     """Keeps the job records in the store up to date with the tables.
 
@@ -90,7 +103,13 @@
         self._flush_at: Seconds = 0.0
         """When the timer is due; uvloop's handles of calls without delay don't tell."""
         self._failed_jobs: dict[ActiveJob, None] = {}
-        """Jobs whose records could not be encoded; they are tried again later."""
+        """Jobs whose records failed by themselves; they are tried again later."""
+        self._batch_limit = MAX_BATCH_JOBS
+        """Halved by each failed write, so that one record can't block others for good.
+        """
+        self._refusals_by_job: dict[ActiveJob, _Refusals] = {}
+        """Jobs whose last write failed although it wrote no other job."""
+        self._succeeded_at: Seconds = float("-inf")
         self._retry_timer: asyncio.Handle | None = None
         self._closed = False
 
@@ -171,6 +190,8 @@
         batch: list[JobUpdate] = []
         entries = 1
         for job in list(self._urgent_by_job):
+            if len(batch) >= self._batch_limit:
+                break
             update = self._create_update(job)
             if update is None:
                 continue
@@ -252,7 +273,7 @@
         for update in batch:
             update.job.writing = False
         await asyncio.sleep(RETRY_SECONDS)
-        self._schedule_again(batch)
+        self._split_failed(batch, "the write raised an exception")
 
     async def _commit(self, batch: list[JobUpdate]) -> None:
         expects = [self._term.expect()]
@@ -273,17 +294,42 @@
             self._node.metrics.count(Metric.RECORDS_REPEATED)
             if not isinstance(answer.failure(), StoreOutcomeUnknown):
                 await asyncio.sleep(RETRY_SECONDS)
-            self._schedule_again(batch)
+            self._split_failed(batch, answer.failure().message())
             return
         committed = answer.unwrap()
         if not committed.succeeded:
             self._handle_conflict(batch, committed)
             return
+        self._succeeded_at = self._node.clock.now()
+        self._batch_limit = min(2 * self._batch_limit, MAX_BATCH_JOBS)
         for update in batch:
             self._handle_success(update, committed.revision)
 
+    def _split_failed(self, batch: list[JobUpdate], fault: str) -> None:
+        """Write the jobs of a failed write again, in smaller transactions.
+
+        A record that fails alone, again and again while others are written, waits
+        longer, as it would fail again at once.
+        """
+        self._batch_limit = max(len(batch) // 2, 1)
+        if len(batch) > 1 or not self._is_refused_alone(batch[0].job):
+            self._schedule_again(batch)
+            return
+        job = batch[0].job
+        self._node.log.warning(Event.RECORD_NOT_WRITTEN, job=job.id, fault=fault)
+        self._retry_later(job)
+
+    def _is_refused_alone(self, job: ActiveJob) -> bool:
+        """Count a failed write of one job; return whether the fault is the job's."""
+        refusals = self._refusals_by_job.setdefault(job, _Refusals())
+        if self._succeeded_at > refusals.failed_at:
+            refusals.count += 1
+        refusals.failed_at = self._node.clock.now()
+        return refusals.count >= MAX_REFUSALS
+
     def _handle_success(self, update: JobUpdate, revision: Revision) -> None:
         job = update.job
+        self._refusals_by_job.pop(job, None)
         if update.is_final:
             job.written_version = FINAL_VERSION
             job.job_revision = revision
--- a/packages/daemon/tests/scheduling/test_job_record_writer.py
+++ b/packages/daemon/tests/scheduling/test_job_record_writer.py
@@ -6,12 +6,13 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
+import pytest
 import uvloop
-from returns.result import Success
+from returns.result import Failure, Success
 
 from medlarspring_adapters.clock import SystemClock
 from medlarspring_adapters.metrics import NoMetrics
-from medlarspring_adapters.store import Committed, Expect
+from medlarspring_adapters.store import Committed, Expect, StoreUnavailable
 from medlarspring_bench.platform_world.checks import check_history
 from medlarspring_bench.platform_world.customers import Customers
 from medlarspring_bench.platform_world.plans import WorldPlan
@@ -74,6 +75,50 @@
     assert writes < MAX_WRITES_PER_RUN * runs
 
 
+@pytest.mark.parametrize("refusal", ["answer", "exception"])
+def test_record_that_is_always_refused_does_not_block_others(refusal: str):
+    """Guards against jobs that never start as their records share a refused write.
+
+    The store refuses one job's record in each write, for instance as too large.
+    """
+    jobs = [create_job(number) for number in range(12)]
+    refused = jobs[5]
+    keys = CellKeys(CellId("0"))
+    calls: list[int] = []
+
+    async def commit(transaction: Transaction) -> Any:
+        calls.append(len(transaction.writes))
+        await asyncio.sleep(0.004)
+        if any(write.key == keys.progress(refused.id) for write in transaction.writes):
+            if refusal == "exception":
+                raise ValueError
+            return Failure(StoreUnavailable("HTTP status 413"))
+        return Success(Committed(succeeded=True, revision=Revision(2), read_by_key={}))
+
+    async def main(clock: VirtualClock) -> None:
+        node: Any = SimpleNamespace(
+            clock=clock,
+            metrics=NoMetrics(),
+            store=SimpleNamespace(commit=commit),
+            log=SimpleNamespace(warning=lambda *_, **__: None),
+            failures=SimpleNamespace(report=lambda *_: None),
+        )
+        term: Any = SimpleNamespace(
+            keys=keys,
+            is_active=lambda: True,
+            expect=lambda: Expect(keys.controller, Revision(1)),
+        )
+        writer = JobRecordWriter(node, term, lambda job: None)
+        for job in jobs:
+            writer.schedule_write(job)
+        await asyncio.sleep(1.0)
+        await writer.close(flush=False)
+
+    run_virtual(main)
+    assert [job for job in jobs if not job.written_version] == [refused]
+    assert len(calls) < 30
+
+
 def create_job(number: int) -> ActiveJob:
     return ActiveJob(
         id=JobId(f"{number:016x}"),
