Search for other late runs where the latest can go nowhere

Late runs on slow workers got no copy and no move if 50 later ones in their pool could have none either: a pass looked at the 50 latest only, whether they could be helped or not, and the next pass began with the same ones.

test_late_runs_that_can_go_nowhere_do_not_keep_others_from_copies failed before (no copy). Runs that no copy can help don't count as searches any more, and of tasks that need the same of a worker one is searched for in a pass.

--- a/packages/systems/src/medlarspring_systems/scheduling/stragglers.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/stragglers.py
@@ -33,7 +33,15 @@
 
     from medlarspring_systems.scheduling.worker_pace import Projection
     from medlarspring_tables import PoolId, Seconds
-    from medlarspring_tables.scheduling import Run, StepRun, Worker, WorkTables
+    from medlarspring_tables.scheduling import (
+        Resources,
+        Run,
+        StepRun,
+        Worker,
+        WorkTables,
+    )
+
+    _SearchKey = tuple[Resources, str, StepRun | None]
 
 SLOW_WORKER_REASON = "slow worker"
 """Stop reason of runs that are moved off a slow worker."""
@@ -49,7 +57,7 @@
 At least one is always allowed.
 """
 MAX_SEARCHES = 50
-"""Late runs for which a pass looks for another worker, the latest first."""
+"""Searches for another worker in one pass, the latest run first."""
 
 
 class StragglerAction(Enum):
@@ -84,14 +92,30 @@
     if not late:
         return
     budget = _measure_budget(workers)
-    # Most searches fail alike where a pool is full or all of it is slow.
-    for projection, slowness in late[:MAX_SEARCHES]:
-        if budget <= 0:
+    searches = 0
+    hopeless: set[_SearchKey] = set()
+    for projection, slowness in late:
+        if budget <= 0 or searches >= MAX_SEARCHES:
             return
-        straggler = _find_remedy(tables, pool_id, projection, slowness, now)
-        if straggler is not None:
-            budget -= 1
-            yield straggler
+        action = _find_remedy(projection, slowness, now)
+        key = _describe_search(projection.run.task.step)
+        # Searches for tasks of one kind fail alike. Were each counted, the latest runs
+        # would keep others from theirs where a pool is full for them.
+        if action is None or key in hopeless:
+            continue
+        searches += 1
+        target = _find_target(tables, pool_id, projection, now)
+        if target is None:
+            hopeless.add(key)
+            continue
+        budget -= 1
+        yield Straggler(projection, action, slowness, target)
+
+
+def _describe_search(step: StepRun) -> _SearchKey:
+    """Return what a step needs of a worker."""
+    own = step.job.queue.advice is not None or step.spec.max_per_worker > 0
+    return (step.resources, step.spec.required_label, step if own else None)
 
 
 def _list_late_runs(
@@ -136,12 +160,9 @@
 
 
 def _find_remedy(
-    tables: WorkTables,
-    pool_id: PoolId,
-    projection: Projection,
-    slowness: float,
-    now: Seconds,
-) -> Straggler | None:
+    projection: Projection, slowness: float, now: Seconds
+) -> StragglerAction | None:
+    """Return what would help a late run, given another worker; None if nothing."""
     run = projection.run
     action = _choose_action(projection)
     step = run.task.step
@@ -153,10 +174,7 @@
         return None
     if action is StragglerAction.COPY and not fits_quota(step):
         return None
-    target = _find_target(tables, pool_id, projection, now)
-    if target is None:
-        return None
-    return Straggler(projection, action, slowness, target)
+    return action
 
 
 def _choose_action(projection: Projection) -> StragglerAction | None:
--- a/packages/systems/tests/scheduling/test_stragglers.py
+++ b/packages/systems/tests/scheduling/test_stragglers.py
@@ -335,6 +335,27 @@
     assert len(play.stragglers) == 4
 
 
+def test_late_runs_that_can_go_nowhere_do_not_keep_others_from_copies(scene: Scene):
+    """Guards against late runs that get no copy behind many that can't have one.
+
+    The first ones need a label that slow workers only have, and they are the latest.
+    """
+    scene.add_worker(0, cpu=200_000, memory=200_000, rack=SLOW_RACK)
+    bound = create_step(
+        count=60, estimate_ms=8_000, required_label=SLOW_RACK, **SPECULATIVE
+    )
+    scene.add_job("bound", bound)
+    scene.add_job("free", create_step(estimate_ms=4_000, **SPECULATIVE))
+    play = FleetPlay(
+        scene, lambda task: task.step.spec.estimate_ms / 1_000, delay_slow_rack
+    )
+    play.tick()
+    scene.add_worker(1)
+    play.play(20.0)
+    copied = {each.projection.run.task.step.job.id for each in play.stragglers}
+    assert copied == {"free"}
+
+
 def test_copies_go_to_sound_workers_only(scene: Scene):
     play = fill_slow_worker(scene)
     play.tick()
