Drain the next VM of a wave where the first must be replaced

A wave drained no VM until near its deadline if the least busy ones were each the last open VM of their pool: they used up the drains of every pass although they can't be drained before the pool gets another VM, which may never come.

test_vms_that_cannot_be_drained_yet_do_not_keep_others_from_it failed before (no VM drained). VMs that have to be replaced first are counted by themselves.

--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -186,7 +186,11 @@
     now: Seconds,
     plan: FleetPlan,
 ) -> None:
-    """Take idle VMs down and drain busy ones, the least disruptive first."""
+    """Take idle VMs down and drain busy ones, the least disruptive first.
+
+    The last open VM of a pool is not drained, because its tasks could not be placed
+    anywhere else. The pool gets another VM first.
+    """
     taken = {operation.vm_id for operation in plan.operations}
     candidates = [
         vm
@@ -196,7 +200,7 @@
     candidates.sort(key=lambda vm: _measure_disruption(tables, vm))
     forced = now > wave.deadline_at - FORCE_MARGIN_SECONDS
     free_slots = wave.order.max_at_once - vms_down
-    drains = max(free_slots, 0) + EXTRA_DRAINS
+    drains = replacements = max(free_slots, 0) + EXTRA_DRAINS
     for vm in candidates:
         worker = find_vm_worker(tables, vm)
         if worker is None or not worker.runs:
@@ -211,11 +215,17 @@
             continue
         if wave.forecast.ready_in[vm.id] > DRAIN_LEAD_SECONDS:
             continue
+        can_be_drained = _has_other_open_worker(tables, fleet, worker)
         if not worker.long_runs:
-            if drains <= 0:
+            # A VM that has to be replaced first must not take the turn of one that
+            # can be drained now.
+            if (drains if can_be_drained else replacements) <= 0:
                 continue
-            drains -= 1
-        _drain(tables, fleet, vm, worker)
+            drains -= can_be_drained
+            replacements -= not can_be_drained
+        fleet.due_next.add(vm.id)
+        if can_be_drained:
+            fleet.drained_for_wave.add(vm.id)
         if forced and free_slots > 0 and not worker.long_runs:
             plan.operations.append(MaintainVM(vm.id, wave.id))
             free_slots -= 1
@@ -286,15 +296,4 @@
     return (1.0 if worker.runs else 0.0, float(worker.long_runs), float(busy))
 
 
-def _drain(tables: WorkTables, fleet: FleetTables, vm: VMEntry, worker: Worker) -> None:
-    """Exclude a VM from new tasks.
-
-    The last open VM of a pool is not drained, because its tasks could not be placed
-    anywhere else. The pool gets another VM first.
-    """
-    fleet.due_next.add(vm.id)
-    if _has_other_open_worker(tables, fleet, worker):
-        fleet.drained_for_wave.add(vm.id)
-
-
 __all__ = ["plan_maintenance"]
--- a/packages/systems/tests/scheduling/test_maintenance_waves.py
+++ b/packages/systems/tests/scheduling/test_maintenance_waves.py
@@ -19,6 +19,8 @@
 from medlarspring_tables import PoolId, VMId, WaveId
 from medlarspring_tables.scheduling import FleetLimits, RunEnd, StepSpec, WaveOrder
 
+from .conftest import create_step
+
 if TYPE_CHECKING:
     from medlarspring_systems.scheduling.fleet import FleetPlan
     from medlarspring_tables.scheduling import Run
@@ -144,6 +146,27 @@
     assert plan(scene, fleet).stops
 
 
+def test_vms_that_cannot_be_drained_yet_do_not_keep_others_from_it(scene: Scene):
+    """Guards against a wave that waits for its deadline beside VMs that could go down.
+
+    The least busy VMs are each the last one of their pool, and no VM can replace them.
+    """
+    for number in (1, 2, 3, 4):
+        pool = PoolId(f"single-{number}")
+        scene.add_worker(number, pool=pool)
+        scene.add_job(f"j{number}", create_step(), pool=pool)
+        assert len(plan_round(scene.tables, pool, NOW)) == 1
+    for number in (5, 6):
+        scene.add_worker(number)
+    scene.add_job("j", create_step(count=8, cpu_millis=4_000))
+    assert len(plan_round(scene.tables, POOL, NOW)) == 8
+    fleet = FleetTables(initial_sizes_known=True)
+    order_wave(fleet, 1, 2, 3, 4, 5, 6, max_at_once=1)
+    plan(scene, fleet)
+    assert len(fleet.drained_for_wave) == 1
+    assert fleet.drained_for_wave <= {"m-5", "m-6"}
+
+
 @pytest.mark.parametrize(
     ("end", "stopping", "seconds", "moves"),
     [
