Step every VM of a pool on, not only the first 32 that don't serve

In the product's own fleet, a drained VM was never rebooted, and none returned to service, behind 32 VMs of its pool that wait (for their reboot, for a rack or given up): each round looked at the first 32 by id only, whether they had a next step or not.

test_vms_that_wait_for_their_reboot_do_not_keep_others_from_their_next_step failed before (the VM stayed in draining). A round now goes through all of them until it has as many changes as one write takes.

--- a/packages/systems/src/medlarspring_systems/vm_progress.py
+++ b/packages/systems/src/medlarspring_systems/vm_progress.py
@@ -62,7 +62,9 @@
     """Draft the next step of each VM of the pool that does not serve."""
     busy = sorted(draft.tables.busy_vm_ids_by_pool.get(pool.id, ()))
     _restore_for_budget(draft, pool, busy, now)
-    for vm_id in busy[:MAX_CHANGES]:
+    for vm_id in busy:
+        if len(draft.records_by_key) >= MAX_CHANGES:
+            return
         if key_of_vm(vm_id) not in draft.records_by_key:
             _plan_vm(draft, vm_id, now)
 
--- a/packages/systems/tests/test_maintenance.py
+++ b/packages/systems/tests/test_maintenance.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from medlarspring_systems.disruptions import MAX_CHANGES
 from medlarspring_systems.draft import Draft
 from medlarspring_systems.maintenance import plan_wave_drains
 from medlarspring_systems.vm_progress import RETURN_LIMIT_SECONDS
@@ -17,7 +18,13 @@
 from medlarspring_systems.wave_limits import BudgetOnlyLimit, RackReserveLimit
 from medlarspring_systems.wave_progress import Step, measure_progress
 from medlarspring_tables import FleetRow, PoolId, VMId, WaveId
-from medlarspring_tables.vms import Outcome, VMCondition, VMState
+from medlarspring_tables.vms import (
+    Cause,
+    CauseKind,
+    Outcome,
+    VMCondition,
+    VMState,
+)
 from medlarspring_tables.waves import WaveState
 
 
@@ -126,6 +133,25 @@
     assert (fleet.wave().state is WaveState.PAUSED) == is_paused
 
 
+def test_vms_that_wait_for_their_reboot_do_not_keep_others_from_their_next_step(fleet):
+    """Guards against drained VMs that are never rebooted behind many that are down."""
+    fleet.add_pool("b", vms=MAX_CHANGES + 1, wanted=1, min_available=0)
+    *waiting, last = sorted(fleet.tables.vm_ids_by_pool[PoolId("b")])
+    for vm_id in waiting:
+        record = msgspec.structs.replace(
+            fleet.vm(vm_id), state=VMState.REBOOTING, since=fleet.now
+        )
+        fleet.put(record)
+        fleet.observe(vm_id, VMCondition.DOWN)
+    wave = fleet.start_wave()
+    cause = Cause(CauseKind.WAVE, wave.id)
+    draining = {"state": VMState.DRAINING, "since": fleet.now, "cause": cause}
+    fleet.put(msgspec.structs.replace(fleet.vm(last), **draining))
+    fleet.observe(last, VMCondition.DRAINED)
+    fleet.tick("b")
+    assert fleet.vm(last).state is VMState.REBOOTING
+
+
 def test_lost_rack_does_not_pause_the_wave(fleet):
     fleet.add_pool("b", vms=8, wanted=8, min_available=4)
     fleet.start_wave()
