Start jobs that stand behind eight of their partner that can't

In the product's own placement of jobs, a partner's jobs waited beside idle processors behind eight of its jobs that no worker has room for, for instance while all accelerators are in use; and a job that waits for more than its partner's whole quota, since that was lowered, blocked all jobs of the partner for ever.

Rounds pause only once all jobs were tried.

--- a/packages/systems/tests/test_placement.py
+++ b/packages/systems/tests/test_placement.py
@@ -368,3 +368,36 @@
     for number in range(16):
         put_job(tables, make_job(f"j{number:02}", can_throttle=True))
     assert len(run_until_confirmed(tables)) == 12
+
+
+def place_until_idle(tables: JobTables, seconds: int) -> set[str]:
+    """Place jobs once a second; return the ids of those that started."""
+    started: set[str] = set()
+    for now in range(seconds):
+        started |= {start.job.id for start in place_jobs(tables, 10.0 + now, 50)}
+    return started
+
+
+@pytest.mark.parametrize("waiting", [8, 200])
+def test_jobs_without_a_worker_do_not_keep_others_of_their_partner_waiting(waiting):
+    """Guards against jobs that wait beside idle processors, behind some that can't run.
+
+    All accelerators are in use; the small job needs none.
+    """
+    tables = make_tables(workers=4)
+    for number in range(4 + waiting):
+        needs_one = make_job(f"accelerated-{number}", declared=Size(1.0, 2.0, 1))
+        put_job(tables, needs_one)
+    assert len(place_jobs(tables, 0.0, 50)) == 4
+    put_job(tables, make_job("small", cpus=1.0, submitted_at=1.0))
+    assert place_until_idle(tables, 30) == {"small"}
+
+
+def test_job_beyond_its_partners_whole_quota_does_not_block_the_others():
+    """Guards against a partner whose jobs all wait once its quota was lowered."""
+    tables = make_tables(workers=4)
+    put_job(tables, make_job("large", cpus=16.0))
+    put_job(tables, make_job("small", cpus=2.0, submitted_at=1.0))
+    lowered = PartnerUse(id=PartnerId("north"), weight=1.0, quota=Size(8.0, 64.0, 0))
+    put_partner(tables, lowered)
+    assert {start.job.id for start in place_jobs(tables, 1_000.0, 50)} == {"small"}
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -221,6 +221,12 @@
     settled_at_change: int = -1
     """Value of ``changes`` when the last round had placed all that it could."""
     settled_at: Seconds = 0.0
+    rounds_at_change: int = 0
+    """Number of rounds since ``changes`` last rose, without the present one."""
+    rounds_counted_at: int = -1
+    """Value of ``changes`` that ``rounds_at_change`` counts from."""
+    placement_rounds: int = 0
+    """Number of rounds so far; the jobs tried beyond the front depend on it."""
     """Wall time of that round."""
     originals_by_id: dict[JobId, Job] = field(default_factory=dict)
     """Records as they were before changes that are not yet written."""
