--- a/packages/systems/tests/scheduling/test_advice_requests.py
+++ b/packages/systems/tests/scheduling/test_advice_requests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -335,3 +336,38 @@
         named.append(len(request.worker_ids))
         assert fail_call(scene, NOW + number) == "a.0.0"
     assert named == [8, 8, 7, 3, 1]
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_each_step_gets_its_turn_whatever_the_others_do(scene: Scene, seed: int):
+    """Guards against any mix of steps that keeps one from the adviser.
+
+    Steps of several partners rank, fail and expire at random; none ever starts.
+    """
+    rng = random.Random(seed)
+    scene.add_worker(1)
+    specs = [STEP, LASTING]
+    names = [f"j{number}" for number in range(rng.randint(2, 12))]
+    for name in names:
+        partner = f"p{rng.randrange(3)}"
+        add_restricted_job(scene, name, rng.choice(specs), partner=partner)
+    failing = set(rng.sample(names, len(names) // 3))
+    now, calls_since = NOW, dict.fromkeys(names, 0)
+    partners = 3
+    for _ in range(300):
+        now += rng.uniform(0.05, 2.0)
+        request = choose_advice_request(scene.tables, now)
+        if request is None:
+            continue
+        record_advice_call(scene.tables, request, now)
+        name = str(request.step.job.id)
+        if name in failing:
+            record_advice_failure(scene.tables, request, now)
+        else:
+            tickets = {WorkerId("i-1"): "ticket"}
+            valid_until = now + rng.uniform(0.0, 3.0)
+            record_advice(scene.tables, request, tickets, valid_until, now)
+        calls_since = {each: count + 1 for each, count in calls_since.items()}
+        calls_since[name] = 0
+        # A step that pauses or has tickets needs no call, so only longer gaps count.
+        assert max(calls_since.values()) <= 2 * (partners * len(names) + len(names))
