--- a/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/maintenance.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 from itertools import chain
 from typing import TYPE_CHECKING
 
@@ -200,7 +201,8 @@
     candidates.sort(key=lambda vm: _measure_disruption(tables, vm))
     forced = now > wave.deadline_at - FORCE_MARGIN_SECONDS
     free_slots = wave.order.max_at_once - vms_down
-    drains = replacements = max(free_slots, 0) + EXTRA_DRAINS
+    most_drains = max(free_slots, 0) + EXTRA_DRAINS
+    turns = _DrainTurns(most_drains, most_drains)
     for vm in candidates:
         worker = find_vm_worker(tables, vm)
         if worker is None or not worker.runs:
@@ -216,13 +218,8 @@
         if wave.forecast.ready_in[vm.id] > DRAIN_LEAD_SECONDS:
             continue
         can_be_drained = _has_other_open_worker(tables, fleet, worker)
-        if not worker.long_runs:
-            # A VM that has to be replaced first must not take the turn of one that
-            # can be drained now.
-            if (drains if can_be_drained else replacements) <= 0:
-                continue
-            drains -= can_be_drained
-            replacements -= not can_be_drained
+        if not worker.long_runs and not turns.take(can_be_drained=can_be_drained):
+            continue
         fleet.due_next.add(vm.id)
         if can_be_drained:
             fleet.drained_for_wave.add(vm.id)
@@ -231,6 +228,25 @@
             free_slots -= 1
 
 
+@dataclass(slots=True)
+class _DrainTurns:
+    """How many more VMs with batch runs one pass may drain, or have replaced first."""
+
+    drains: int
+    replacements: int
+
+    def take(self, *, can_be_drained: bool) -> bool:
+        """Return whether a VM has a turn left, and take it.
+
+        A VM that has to be replaced first takes no turn of those that can be drained.
+        """
+        if can_be_drained:
+            self.drains -= 1
+            return self.drains >= 0
+        self.replacements -= 1
+        return self.replacements >= 0
+
+
 def _may_end_runs(
     tables: WorkTables,
     vm: VMEntry,
--- a/packages/tables/src/medlarspring_tables/jobs.py
+++ b/packages/tables/src/medlarspring_tables/jobs.py
@@ -222,9 +222,9 @@
     """Value of ``changes`` when the last round had placed all that it could."""
     settled_at: Seconds = 0.0
     rounds_at_change: int = 0
-    """Number of rounds since ``changes`` last rose, without the present one."""
+    """Number of rounds at the present value of ``changes``."""
     rounds_counted_at: int = -1
-    """Value of ``changes`` that ``rounds_at_change`` counts from."""
+    """Value of ``changes`` at the latest round."""
     placement_rounds: int = 0
     """Number of rounds so far; the jobs tried beyond the front depend on it."""
     """Wall time of that round."""
