Count the room beside lasting tasks in one place

The advice of restricted queues, the reservations and the moves of lasting tasks each counted that room by themselves and disagreed: for an accelerator that batch runs hold, and for filling tasks, which need no CPU, on a worker without free CPU. A lasting task that needs such an accelerator was never advised, so nothing was preempted for it; a filling task got renewals only. Both came in with the needs of advice.

test_advice_is_requested_where_batch_runs_hold_the_accelerator and test_advice_is_requested_for_tasks_that_use_what_others_leave failed before. count_beside_long_runs and count_tasks_that_fit serve all of them now; a resource that a task does not need does not limit it.

--- a/packages/systems/src/medlarspring_systems/scheduling/advice_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advice_needs.py
@@ -12,14 +12,16 @@
 from typing import TYPE_CHECKING
 
 from medlarspring_systems.scheduling.move_targets import (
+    count_beside_long_runs,
     count_tasks_that_fit,
-    measure_long_runs,
+    measure_free,
 )
 from medlarspring_systems.scheduling.placement import (
     find_ticket,
     list_schedulable_workers,
 )
 from medlarspring_systems.scheduling.quotas import fits_quota
+from medlarspring_tables.scheduling import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -130,7 +132,7 @@
                 return _create_request(step, AdviceNeed.START, named)
         if known.unasked:
             return _create_request(step, AdviceNeed.POLICY, known.unasked)
-        renewed = [each for each in known.expired if _count_room_later(step, each)]
+        renewed = [each for each in known.expired if count_beside_long_runs(step, each)]
         return _create_request(
             step,
             AdviceNeed.RENEWAL,
@@ -220,18 +222,14 @@
     A long-running task that waits for long gets the room of batch runs.
     """
     if step.spec.long_running:
-        return _count_room_later(step, worker)
-    cpu = worker.cpu_free - worker.kept_cpu_millis
-    memory = worker.memory_free - worker.kept_memory_mb
-    return max(count_tasks_that_fit(step, worker, cpu, memory), 0)
-
-
-def _count_room_later(step: StepRun, worker: Worker) -> int:
-    """Return how many tasks a worker has room for once its batch runs have ended."""
-    cpu, memory = measure_long_runs(worker)
-    cpu_left = worker.resources.cpu_millis - cpu
-    memory_left = worker.resources.memory_mb - memory
-    return max(count_tasks_that_fit(step, worker, cpu_left, memory_left), 0)
+        return count_beside_long_runs(step, worker)
+    free = measure_free(worker)
+    kept_free = Resources(
+        free.cpu_millis - worker.kept_cpu_millis,
+        free.memory_mb - worker.kept_memory_mb,
+        free.accelerators,
+    )
+    return count_tasks_that_fit(step, worker, kept_free)
 
 
 __all__ = ["AdviceNeed", "AdviceNeeds", "AdviceRequest", "format_step_id"]
--- a/packages/systems/src/medlarspring_systems/scheduling/move_targets.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/move_targets.py
@@ -10,6 +10,7 @@
     is_schedulable,
     list_schedulable_workers,
 )
+from medlarspring_tables.scheduling import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable
@@ -27,25 +28,29 @@
     """Return whether a worker takes a long-running task once batch work makes room."""
     if not is_schedulable(worker, now) or not is_allowed(step, worker, now):
         return False
-    return fits_beside_long_runs(step, worker)
+    return count_beside_long_runs(step, worker) > 0
 
 
-def fits_beside_long_runs(step: StepRun, worker: Worker) -> bool:
-    """Return whether a worker has room for a task once its batch runs have ended."""
-    needed, offered = step.resources, worker.resources
+def count_beside_long_runs(step: StepRun, worker: Worker) -> int:
+    """Return how many tasks a worker has room for once its batch runs have ended."""
+    return count_tasks_that_fit(step, worker, _measure_beside_long_runs(worker))
+
+
+def _measure_beside_long_runs(worker: Worker) -> Resources:
+    offered = worker.resources
+    if not worker.long_runs:
+        return offered
     cpu, memory = measure_long_runs(worker)
-    if offered.cpu_millis - cpu < needed.cpu_millis:
-        return False
-    if offered.memory_mb - memory < needed.memory_mb:
-        return False
-    if not needed.accelerators:
-        return True
-    used = sum(
+    accelerators = sum(
         run.task.step.resources.accelerators
         for run in worker.runs.values()
         if run.task.step.spec.long_running
     )
-    return offered.accelerators - used >= needed.accelerators
+    return Resources(
+        int(offered.cpu_millis - cpu),
+        int(offered.memory_mb - memory),
+        offered.accelerators - accelerators,
+    )
 
 
 def measure_long_runs(worker: Worker) -> tuple[float, float]:
@@ -82,7 +87,7 @@
     down until another worker has room.
     """
     room = sum(
-        count_tasks_that_fit(step, worker, worker.cpu_free, worker.memory_free)
+        count_tasks_that_fit(step, worker, measure_free(worker))
         for worker in targets
         if fits(step, worker)
     )
@@ -91,15 +96,7 @@
 
 def has_targets_for_moves(step: StepRun, targets: Iterable[Worker], tasks: int) -> bool:
     """Return whether some more tasks could move if batch tasks made room for them."""
-    room = 0
-    for worker in targets:
-        cpu, memory = measure_long_runs(worker)
-        room += count_tasks_that_fit(
-            step,
-            worker,
-            worker.resources.cpu_millis - cpu,
-            worker.resources.memory_mb - memory,
-        )
+    room = sum(count_beside_long_runs(step, worker) for worker in targets)
     return room >= tasks + _count_on_the_way(step)
 
 
@@ -109,20 +106,26 @@
     return len(step.waiting) + stopping
 
 
-def count_tasks_that_fit(
-    step: StepRun, worker: Worker, cpu: float, memory: float
-) -> int:
-    """Return how many tasks of a step fit into millicores and MB of a worker."""
-    counts = [
-        int(cpu // max(step.resources.cpu_millis, 1)),
-        int(memory // max(step.resources.memory_mb, 1)),
-    ]
-    if step.resources.accelerators:
-        counts.append(worker.accelerators_free // step.resources.accelerators)
+def measure_free(worker: Worker) -> Resources:
+    """Return the resources of a worker that no run uses."""
+    return Resources(worker.cpu_free, worker.memory_free, worker.accelerators_free)
+
+
+def count_tasks_that_fit(step: StepRun, worker: Worker, free: Resources) -> int:
+    """Return how many tasks of a step fit into free resources of a worker."""
+    needed = step.resources
+    pairs = (
+        (needed.cpu_millis, free.cpu_millis),
+        (needed.memory_mb, free.memory_mb),
+        (needed.accelerators, free.accelerators),
+    )
+    if any(need > left for need, left in pairs):
+        return 0
+    counts = [left // need for need, left in pairs if need]
     if step.spec.max_per_worker:
         used = step.per_worker.get(worker.id, 0)
         counts.append(step.spec.max_per_worker - used)
-    return min(counts)
+    return max(min(counts, default=step.spec.count), 0)
 
 
 def keep_room(
@@ -157,12 +160,13 @@
 
 __all__ = [
     "could_fit",
+    "count_beside_long_runs",
     "count_tasks_that_fit",
     "find_move_targets",
-    "fits_beside_long_runs",
     "has_room_for_move",
     "has_targets_for_moves",
     "keep_room",
+    "measure_free",
     "measure_long_runs",
     "release_room",
 ]
--- a/packages/systems/src/medlarspring_systems/scheduling/rounds.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/rounds.py
@@ -21,7 +21,7 @@
     measure_waiting_time,
     rate_for_isolation,
 )
-from medlarspring_systems.scheduling.move_targets import fits_beside_long_runs
+from medlarspring_systems.scheduling.move_targets import count_beside_long_runs
 from medlarspring_systems.scheduling.ordering import (
     TIER_ON_TIME,
     measure_size_weight,
@@ -314,7 +314,7 @@
     allowed = [
         worker
         for worker in workers
-        if is_allowed(step, worker, now) and fits_beside_long_runs(step, worker)
+        if is_allowed(step, worker, now) and count_beside_long_runs(step, worker)
     ]
     if not allowed or len(workers) == 1:
         return
--- a/packages/systems/tests/scheduling/test_advice_requests.py
+++ b/packages/systems/tests/scheduling/test_advice_requests.py
@@ -5,7 +5,9 @@
 
 import msgspec
 import pytest
+from msgspec.structs import replace
 
+from medlarspring_systems.scheduling.advice_needs import AdviceNeed
 from medlarspring_systems.scheduling.advice_requests import (
     choose_advice_request,
     list_unadvised_steps,
@@ -16,7 +18,7 @@
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_tables import JobId, PartnerId, PoolId
-from medlarspring_tables.scheduling import AdvicePolicy, StepSpec, WorkerId
+from medlarspring_tables.scheduling import AdvicePolicy, Resources, StepSpec, WorkerId
 
 if TYPE_CHECKING:
     from medlarspring_tables.scheduling import ActiveJob
@@ -174,6 +176,35 @@
     assert ask(scene, NOW + 4.0, "i-2") == ("j.0.0", ("i-2",))
 
 
+def test_advice_is_requested_where_batch_runs_hold_the_accelerator(scene: Scene):
+    """Guards against a lasting task that stays down, as nothing is preempted for it.
+
+    Without a ticket no batch run may be stopped for it, and none was asked for.
+    """
+    worker = scene.add_worker(1)
+    worker.resources = Resources(16_000, 32_768, 1)
+    worker.accelerators_free = 1
+    scene.add_job("batch", replace(STEP, accelerators=1))
+    assert len(plan_round(scene.tables, POOL, NOW)) == 1
+    add_restricted_job(scene, "j", replace(LASTING, accelerators=1))
+    assert ask(scene, NOW, "i-1") == ("j.0.0", ("i-1",))
+    request = choose_advice_request(scene.tables, NOW + 3.0)
+    assert request is not None
+    assert request.need is AdviceNeed.START
+
+
+def test_advice_is_requested_for_tasks_that_use_what_others_leave(scene: Scene):
+    """Guards against filling tasks that never start on workers without free CPU."""
+    scene.add_worker(1, cpu=2_000)
+    scene.add_job("batch", STEP)
+    assert len(plan_round(scene.tables, POOL, NOW)) == 1
+    add_restricted_job(scene, "j", replace(STEP, uses_leftover=True))
+    ask(scene, NOW, "i-1", valid_for=0.5)
+    request = choose_advice_request(scene.tables, NOW + 1.0)
+    assert request is not None
+    assert request.need is AdviceNeed.START
+
+
 def test_refusal_is_checked_again_after_a_while(scene: Scene):
     """Guards against an adviser that did not know a new worker yet.
 
