Leave a step that raises out of the choice of the next call

One step that can't be ranked, or whose need can't be told, kept all steps from the adviser: the fetcher ended and began again once in a second, with the same step. The rounds and the plans of VMs leave such parts out already; the choice of the next call uses the same attempts now, and the fault is reported as step advice.

The two pauses after failed calls share one bounded doubling with the store's.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/advice_fetcher.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/advice_fetcher.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from returns.pipeline import is_successful
 
 from medlarspring_adapters.events import Event
 from medlarspring_daemon.scheduling.failure_log import Step
+from medlarspring_systems.backoff import double_bounded
 from medlarspring_systems.scheduling.advice_requests import (
     choose_advice_request,
     record_advice,
@@ -36,8 +38,6 @@
 MAX_FAILURE_PAUSE_SECONDS = 0.2
 """Longest pause while calls fail in a row; the adviser refuses calls when too many are
 waiting."""
-MAX_DOUBLINGS = 10
-"""Bound of the exponent; the pause has reached its longest before."""
 MAX_OPEN_CALLS = 4
 """Calls without an answer, all but the last of them overdue."""
 
@@ -104,16 +104,19 @@
         if not call.done():
             self._log_overdue(request, patience)
         elif self._failed_in_a_row:
-            await asyncio.sleep(self._choose_pause())
+            doublings = self._failed_in_a_row - 1
+            await asyncio.sleep(
+                double_bounded(IDLE_SECONDS, doublings, MAX_FAILURE_PAUSE_SECONDS)
+            )
 
     def _choose_request(self) -> AdviceRequest | None:
         if len(self._open_calls) >= MAX_OPEN_CALLS:
             return None
-        return choose_advice_request(self._owner.tables, self._node.clock.now())
-
-    def _choose_pause(self) -> Seconds:
-        pause = IDLE_SECONDS * (1 << min(self._failed_in_a_row - 1, MAX_DOUBLINGS))
-        return min(pause, MAX_FAILURE_PAUSE_SECONDS)
+        return choose_advice_request(
+            self._owner.tables,
+            self._node.clock.now(),
+            partial(self._node.failures.attempt, Step.ADVICE),
+        )
 
     def _has_restricted_queue(self) -> bool:
         """Return whether any queue is restricted; cached per configuration version."""
--- a/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
@@ -15,34 +15,52 @@
 from itertools import chain
 from typing import TYPE_CHECKING
 
+from medlarspring_systems.backoff import double_bounded
 from medlarspring_systems.scheduling.advice_needs import (
     AdviceNeed,
     AdviceNeeds,
     AdviceRequest,
 )
+from medlarspring_systems.scheduling.fleet import run_unguarded
 from medlarspring_systems.scheduling.ordering import rank_step
 from medlarspring_tables.scheduling import Ticket
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from medlarspring_systems.scheduling.fleet import Attempt
     from medlarspring_systems.scheduling.ordering import Rank
     from medlarspring_tables import Seconds
     from medlarspring_tables.scheduling import StepRun, WorkerId, WorkTables
 
 RETRY_SECONDS = 0.2
 """Pause of a step after its first failed call."""
-MAX_DOUBLINGS = 10
-"""Bound of the exponent; the pause has reached its longest before."""
 MAX_RETRY_SECONDS = 5.0
 """Longest pause of a step whose calls fail while others are answered."""
 CALLS_PER_CYCLE = 2
 """One call of each cycle goes to the step whose last turn is the longest ago."""
 
 
-def choose_advice_request(tables: WorkTables, now: Seconds) -> AdviceRequest | None:
-    """Return the next request, or None if no advice is missing."""
+def choose_advice_request(
+    tables: WorkTables, now: Seconds, attempt: Attempt = run_unguarded
+) -> AdviceRequest | None:
+    """Return the next request, or None if no advice is missing.
+
+    If a step raises, each is tried by ``attempt``, and those that raise are left out.
+    """
     steps = _list_askable(tables, now)
+    try:
+        return _choose(tables, steps, now)
+    except Exception:
+        sound = [step for step in steps if attempt(_choose, tables, [step], now)]
+        if len(sound) == len(steps):
+            raise
+    return _choose(tables, sound, now)
+
+
+def _choose(
+    tables: WorkTables, steps: Iterable[StepRun], now: Seconds
+) -> AdviceRequest | None:
     needs = AdviceNeeds(tables, now)
     if _is_turn_of_longest_unasked(tables):
         return _find_for_longest_unasked(steps, needs)
@@ -69,13 +87,13 @@
     none, the fault is not the step's, and the step should start soon after the outage.
     """
     calls = request.step.advice_calls
-    pause = RETRY_SECONDS
-    if tables.advice_answered_at > calls.failed_at:
-        pause *= 1 << min(calls.failures, MAX_DOUBLINGS)
+    is_fault_of_step = tables.advice_answered_at > calls.failed_at
+    doublings = calls.failures if is_fault_of_step else 0
+    pause = double_bounded(RETRY_SECONDS, doublings, MAX_RETRY_SECONDS)
     calls.is_open = False
     calls.failures += 1
     calls.failed_at = now
-    calls.not_before = now + min(pause, MAX_RETRY_SECONDS)
+    calls.not_before = now + pause
 
 
 def _list_askable(tables: WorkTables, now: Seconds) -> list[StepRun]:
--- a/packages/systems/tests/scheduling/test_advice_requests.py
+++ b/packages/systems/tests/scheduling/test_advice_requests.py
@@ -1,12 +1,14 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
 import pytest
 from msgspec.structs import replace
 
+from medlarspring_systems.scheduling import advice_requests
 from medlarspring_systems.scheduling.advice_needs import AdviceNeed
 from medlarspring_systems.scheduling.advice_requests import (
     choose_advice_request,
@@ -15,13 +17,16 @@
     record_advice_call,
     record_advice_failure,
 )
+from medlarspring_systems.scheduling.attempts import attempt
+from medlarspring_systems.scheduling.ordering import rank_step
 from medlarspring_systems.scheduling.rounds import plan_round
 from medlarspring_systems.scheduling.runs import detach_run
 from medlarspring_tables import JobId, PartnerId, PoolId
 from medlarspring_tables.scheduling import AdvicePolicy, Resources, StepSpec, WorkerId
 
 if TYPE_CHECKING:
-    from medlarspring_tables.scheduling import ActiveJob
+    from medlarspring_systems.scheduling.ordering import Rank
+    from medlarspring_tables.scheduling import ActiveJob, StepRun
 
     from .conftest import Scene
 
@@ -402,3 +407,27 @@
         calls_since[name] = 0
         # A step that pauses or has tickets needs no call, so only longer gaps count.
         assert max(calls_since.values()) <= 2 * (partners * len(names) + len(names))
+
+
+def test_step_that_raises_does_not_keep_others_from_the_adviser(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against steps that are never asked about beside one that can't be ranked.
+
+    The fault is reported, and the others are asked about as if it was not there.
+    """
+    scene.add_worker(1)
+    odd = add_restricted_job(scene, "odd", STEP)
+    add_restricted_job(scene, "sound", STEP)
+
+    def rank_or_raise(step: StepRun, now: float) -> Rank:
+        if step.job is odd:
+            raise OverflowError
+        return rank_step(step, now)
+
+    monkeypatch.setattr(advice_requests, "rank_step", rank_or_raise)
+    failures: list[Exception] = []
+    request = choose_advice_request(scene.tables, NOW, partial(attempt, failures))
+    assert request is not None
+    assert request.step_id == "sound.0.0"
+    assert [type(each) for each in failures] == [OverflowError]
