Keep advice for lasting tasks that are to leave their VM

A maintenance wave never ended at a VM with a lasting task of a restricted queue: a task moves only to a worker for which it has a ticket, and tickets were requested for waiting steps alone.

Steps with tasks on VMs that are due or draining get advice about the workers that the next of them can move to; none is stopped without a ticket.

--- a/packages/daemon/tests/scheduling/test_restricted_queues.py
+++ b/packages/daemon/tests/scheduling/test_restricted_queues.py
@@ -8,8 +8,7 @@
 import pytest
 from msgspec.structs import replace
 
-from medlarspring_bench.platform_world.adviser_model import AdvicePlan
-from medlarspring_bench.platform_world.plans import QueuePlan, WorldPlan
+from medlarspring_bench.platform_world.restricted_days import PLAN
 from medlarspring_daemon.scheduling.advice_fetcher import choose_idle_pause
 from medlarspring_tables.scheduling import StepSpec
 
@@ -21,19 +20,9 @@
     from medlarspring_bench.platform_world.adviser_model import AdviserModel
     from medlarspring_bench.platform_world.customers import Customers
     from medlarspring_bench.platform_world.world import World
-    from medlarspring_tables import JobId, Seconds
+    from medlarspring_tables import JobId, Seconds, VMId
 
 SEED = 68
-PLAN = WorldPlan(
-    pools=("consent",),
-    vms_per_pool=8,
-    standby_vms=0,
-    queues=(
-        QueuePlan("hinted", "consent", priority=1, advice=AdvicePlan()),
-        QueuePlan("first", "consent", stretch=100.0, advice=AdvicePlan()),
-        QueuePlan("lookup", "consent"),
-    ),
-)
 FULL_VM = "m-000"
 WAITING_JOBS = 14
 """Asking about all of them takes longer than a ticket is valid, also with few VMs."""
@@ -41,6 +30,7 @@
 """Time in which the adviser is asked about each of them once."""
 URGENT_START_SECONDS = 2.0
 """Time in which urgent work starts, according to the target."""
+WAVE_SECONDS = 25
 STARVED_SECONDS = 3.0
 """Time beside free room after which a job counts as lost."""
 LASTING = StepSpec(
@@ -171,6 +161,35 @@
     run_scenario(scenario, SEED, plan=PLAN)
 
 
+async def find_vm(world: World, job_id: JobId) -> VMId:
+    """Return the VM on which a job's only task is at work."""
+    (run,) = [
+        run
+        for run in world.history.runs
+        if run.task_id.startswith(job_id) and run.ended_at is None
+    ]
+    return world.fleet.workers_by_id[run.worker_id].vm_id
+
+
+@pytest.mark.parametrize("allowed", [None, {"m-002", "m-003"}], ids=["all", "two"])
+def test_wave_moves_lasting_tasks_of_restricted_queues(allowed: set[str] | None):
+    """Guards against waves that never end, as no advice is requested for tasks at work.
+
+    A task may only move to a worker for which it has a ticket.
+    """
+
+    async def scenario(world: World, customers: Customers) -> None:
+        job_id = await submit_restricted(world, customers, SMALL_LASTING, allowed)
+        await asyncio.sleep(4.0)
+        vm_id = await find_vm(world, job_id)
+        world.order_wave(1, [vm_id], 1, WAVE_SECONDS)
+        await asyncio.sleep(WAVE_SECONDS)
+        assert world.read_wave_state(1) == "complete"
+        assert await find_vm(world, job_id) != vm_id
+
+    run_scenario(scenario, SEED, plan=PLAN)
+
+
 @pytest.mark.parametrize(
     ("jobs", "pause"), [(0, 0.02), (100, 0.04), (1_000, 0.22), (100_000, 0.3)]
 )
--- a/packages/systems/src/medlarspring_systems/scheduling/advice_needs.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advice_needs.py
@@ -64,7 +64,8 @@
     POLICY = 1
     """No such worker has room, but for some it is not known whether they may run it."""
     PREPARATION = 2
-    """The step is not ready; with its first advice it starts at once when it is."""
+    """The step is not ready, and starts at once when it is with its first advice; or it
+    has tasks at work that are to move."""
     RENEWAL = 3
     """The workers that may run it are full; with fresh tickets it starts as soon as
     one has room, and rounds can reserve that room for it."""
@@ -122,6 +123,8 @@
             if step.tickets:
                 return None
             return _create_request(step, AdviceNeed.PREPARATION, workers)
+        if not step.waiting:
+            return self._find_request_for_moves(step, workers)
         known = _sort_workers(step, workers, self._now)
         missing = len(step.waiting) - known.room
         if missing <= 0:
@@ -139,6 +142,19 @@
             (renewed or known.refused_long_ago)[:MAX_WORKERS_PER_RENEWAL],
         )
 
+    def _find_request_for_moves(
+        self, step: StepRun, workers: list[Worker]
+    ) -> AdviceRequest | None:
+        """Return a request about workers that the next tasks to leave can move to.
+
+        They are stopped only while there is a ticket to start them elsewhere with.
+        """
+        targets = [worker for worker in workers if not worker.due]
+        known = _sort_workers(step, targets, self._now)
+        missing = max(step.spec.max_unavailable, 1) - known.room
+        named = _choose_for_start(step, known, missing)
+        return _create_request(step, AdviceNeed.PREPARATION, named)
+
     def _list_workers(self, step: StepRun) -> list[Worker]:
         """Return the workers that may get tasks of the step, if the adviser permits."""
         pool_id = step.job.queue.pool_id
@@ -151,6 +167,17 @@
         return [each for each in workers if label in each.labels] if label else workers
 
 
+def has_tasks_to_move(step: StepRun) -> bool:
+    """Return whether a long-running task of a step is to leave its worker."""
+    if not step.spec.long_running:
+        return False
+    return any(
+        run.worker.due or run.worker.draining
+        for task in step.tasks
+        for run in task.runs
+    )
+
+
 def _create_request(
     step: StepRun, need: AdviceNeed, workers: list[Worker]
 ) -> AdviceRequest | None:
@@ -232,4 +259,10 @@
     return count_tasks_that_fit(step, worker, kept_free)
 
 
-__all__ = ["AdviceNeed", "AdviceNeeds", "AdviceRequest", "format_step_id"]
+__all__ = [
+    "AdviceNeed",
+    "AdviceNeeds",
+    "AdviceRequest",
+    "format_step_id",
+    "has_tasks_to_move",
+]
--- a/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
+++ b/packages/systems/src/medlarspring_systems/scheduling/advice_requests.py
@@ -20,6 +20,7 @@
     AdviceNeed,
     AdviceNeeds,
     AdviceRequest,
+    has_tasks_to_move,
 )
 from medlarspring_systems.scheduling.fleet import run_unguarded
 from medlarspring_systems.scheduling.ordering import rank_step
@@ -188,13 +189,17 @@
 
 
 def _list_steps(tables: WorkTables) -> Iterator[StepRun]:
-    """Yield the steps that wait, and the next one of each occurrence."""
+    """Yield the steps that wait or are to move, and the next of each occurrence."""
     for job in tables.jobs_by_id.values():
         if job.queue.advice is None or job.outcome is not None:
             continue
         for steps in job.occurrences_by_index.values():
             upcoming = [step for step in steps if not step.ready][:1]
-            yield from chain((s for s in steps if s.ready and s.waiting), upcoming)
+            yield from chain(filter(_may_start_tasks, steps), upcoming)
+
+
+def _may_start_tasks(step: StepRun) -> bool:
+    return step.ready and (bool(step.waiting) or has_tasks_to_move(step))
 
 
 def record_advice(
--- a/packages/systems/tests/scheduling/test_advice_requests.py
+++ b/packages/systems/tests/scheduling/test_advice_requests.py
@@ -25,8 +25,10 @@
 from medlarspring_tables.scheduling import AdvicePolicy, Resources, StepSpec, WorkerId
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from medlarspring_systems.scheduling.ordering import Rank
-    from medlarspring_tables.scheduling import ActiveJob, StepRun
+    from medlarspring_tables.scheduling import ActiveJob, StepRun, Worker
 
     from .conftest import Scene
 
@@ -210,6 +212,35 @@
     assert request.need is AdviceNeed.START
 
 
+def make_due(worker: Worker) -> None:
+    worker.due = True
+
+
+def make_draining(worker: Worker) -> None:
+    worker.draining = True
+
+
+@pytest.mark.parametrize("make_leave", [make_due, make_draining])
+def test_advice_is_kept_for_tasks_at_work_that_are_to_move(
+    scene: Scene, make_leave: Callable[[Worker], None]
+):
+    """Guards against tasks that can't leave a VM, as tickets are for waiting ones only.
+
+    Nothing is asked while they stay, nor about VMs that are due themselves.
+    """
+    worker = scene.add_worker(1)
+    add_restricted_job(scene, "j", LASTING)
+    assert ask(scene, NOW, "i-1") == ("j.0.0", ("i-1",))
+    assert len(plan_round(scene.tables, POOL, NOW)) == 1
+    scene.add_worker(2)
+    scene.add_worker(3).due = True
+    assert ask(scene, NOW + 1.0) is None
+    make_leave(worker)
+    assert ask(scene, NOW + 1.0, "i-2") == ("j.0.0", ("i-2",))
+    assert ask(scene, NOW + 2.0, "i-2") is None
+    assert ask(scene, NOW + 4.0, "i-2") == ("j.0.0", ("i-2",))
+
+
 def test_refusal_is_checked_again_after_a_while(scene: Scene):
     """Guards against an adviser that did not know a new worker yet.
 
