Start all of the controller's advice in one place

The controller knew both the fetcher and the reporter of advice. Two tests of the record writer share their term.

--- a/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
+++ b/packages/daemon/src/medlarspring_daemon/scheduling/controller.py
@@ -15,8 +15,7 @@
     MAX_SILENCE_SECONDS,
     PrefixFollower,
 )
-from medlarspring_daemon.scheduling.advice_fetcher import AdviceFetcher
-from medlarspring_daemon.scheduling.advice_reporter import AdviceReporter
+from medlarspring_daemon.scheduling.advice import start_advice
 from medlarspring_daemon.scheduling.election import ControllerFailure
 from medlarspring_daemon.scheduling.failure_log import Step
 from medlarspring_daemon.scheduling.job_feed import JobFeed
@@ -265,10 +264,7 @@
         )
         self._tasks.run_with_restart(self._liveness_monitor.run)
         self._tasks.run_with_restart(self._vm_manager.run)
-        if self._node.adviser is not None:
-            advice_fetcher = AdviceFetcher(self._node, self._node.adviser, self)
-            self._tasks.run_with_restart(advice_fetcher.run)
-            self._tasks.run_with_restart(AdviceReporter(self._node, self.tables).run)
+        start_advice(self._tasks, self._node, self)
         self.plan_all()
 
     async def _read_with_retries(self, prefix: str) -> Listing:
--- a/packages/daemon/tests/scheduling/test_job_record_writer.py
+++ b/packages/daemon/tests/scheduling/test_job_record_writer.py
@@ -75,6 +75,15 @@
     assert writes < MAX_WRITES_PER_RUN * runs
 
 
+def create_term(keys: CellKeys) -> Any:
+    """Return a term that stays active."""
+    return SimpleNamespace(
+        keys=keys,
+        is_active=lambda: True,
+        expect=lambda: Expect(keys.controller, Revision(1)),
+    )
+
+
 @pytest.mark.parametrize("refusal", ["answer", "exception"])
 def test_record_that_is_always_refused_does_not_block_others(refusal: str):
     """Guards against jobs that never start as their records share a refused write.
@@ -103,12 +112,7 @@
             log=SimpleNamespace(warning=lambda *_, **__: None),
             failures=SimpleNamespace(report=lambda *_: None),
         )
-        term: Any = SimpleNamespace(
-            keys=keys,
-            is_active=lambda: True,
-            expect=lambda: Expect(keys.controller, Revision(1)),
-        )
-        writer = JobRecordWriter(node, term, lambda job: None)
+        writer = JobRecordWriter(node, create_term(keys), lambda job: None)
         for job in jobs:
             writer.schedule_write(job)
         await asyncio.sleep(1.0)
@@ -161,12 +165,7 @@
             metrics=NoMetrics(),
             store=SimpleNamespace(commit=commit),
         )
-        term: Any = SimpleNamespace(
-            keys=keys,
-            is_active=lambda: True,
-            expect=lambda: Expect(keys.controller, Revision(1)),
-        )
-        writer = JobRecordWriter(node, term, lambda job: None)
+        writer = JobRecordWriter(node, create_term(keys), lambda job: None)
         for job in jobs:
             writer.schedule_write(job)
         async with asyncio.timeout(10.0):
